--- /dev/null
+++ b/Makefile
@@ -0,0 +1,58 @@
+MODULES := shared rudderd rudderctl rudderstand
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+BIN := $(CURDIR)/bin
+LINTER_VERSION := v2.15.0
+TWIRP_VERSION := v8.1.3+incompatible
+PROTOC_GEN_GO_VERSION := v1.36.12
+FUZZ_TIME ?= 60s
+
+.PHONY: all build test lint format generate demo up bench capacity faults fuzz settings clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./rudderd ./rudderctl ./rudderstand
+
+test:
+	go test -race -timeout 20m $(PACKAGES)
+
+$(BIN)/golangci-lint-$(LINTER_VERSION):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+# Runs the linter in each module, because it does not cross module borders of a workspace.
+lint: $(BIN)/golangci-lint-$(LINTER_VERSION)
+	@for module in $(MODULES); do \
+		echo "lint $$module"; \
+		(cd $$module && $(BIN)/golangci-lint-$(LINTER_VERSION) run --config ../.golangci.yml ./...) || exit 1; \
+	done
+
+format: $(BIN)/golangci-lint-$(LINTER_VERSION)
+	@for module in $(MODULES); do \
+		(cd $$module && $(BIN)/golangci-lint-$(LINTER_VERSION) fmt --config ../.golangci.yml ./...) || exit 1; \
+	done
+
+# Regenerates the peer protocol. Needs protoc (Debian: protobuf-compiler). The result is committed.
+generate:
+	GOBIN=$(BIN) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP_VERSION)
+	GOBIN=$(BIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	cd shared/rudderpeer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
+		--twirp_out=paths=source_relative:. *.proto
+
+demo: build
+	$(BIN)/rudderstand demo
+
+up: build
+	$(BIN)/rudderstand up
+
+bench: build
+	$(BIN)/rudderstand bench
+
+capacity: build
+	$(BIN)/rudderstand capacity
+
+faults: build
+	$(BIN)/rudderstand faults
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/rudderctl/main.go
@@ -0,0 +1,4 @@
+// Command rudderctl is the command line for operators of comfreyrudder.
+package main
+
+func main() {}
--- /dev/null
+++ b/rudderd/main.go
@@ -0,0 +1,4 @@
+// Command rudderd runs one entry host of comfreyrudder.
+package main
+
+func main() {}
--- /dev/null
+++ b/rudderstand/main.go
@@ -0,0 +1,4 @@
+// Command rudderstand runs stand-ins for the environment of comfreyrudder.
+package main
+
+func main() {}
--- /dev/null
+++ b/shared/ruddertarget/target.go
@@ -0,0 +1,152 @@
+// Package ruddertarget is the port to targets: model engines and plain services. It holds the wire
+// types of the control protocol and of the extension fields on work requests.
+package ruddertarget
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of the control port. Callers test them with errors.Is.
+var (
+	// ErrUnreachable reports that the target did not answer.
+	ErrUnreachable = errors.New("target: unreachable")
+	// ErrRefused reports that the target refused an order and kept its state.
+	ErrRefused = errors.New("target: order refused")
+	// ErrStaleFencing reports that a target that checks fencing numbers has seen a higher one.
+	ErrStaleFencing = errors.New("target: stale fencing number")
+	// ErrNotFound reports that the target does not know the request.
+	ErrNotFound = errors.New("target: request not found")
+)
+
+// Phase is what a target is doing with its role.
+type Phase string
+
+// Phases of a target.
+const (
+	PhaseIdle    Phase = "idle"    // no role
+	PhaseLoading Phase = "loading" // fetching or loading weights
+	PhaseReady   Phase = "ready"   // member of a group, can serve
+)
+
+// Role is a target's place in a group. The zero value means "no role".
+type Role struct {
+	Group        string   `json:"group"`
+	Rank         int      `json:"rank"` // 0 is the leader, which takes requests
+	Size         int      `json:"size"`
+	Model        string   `json:"model"`
+	ModelVersion string   `json:"model_version"`
+	Adapters     []string `json:"adapters,omitempty"`
+	// Members are the addresses of the group's hosts in rank order.
+	Members []string `json:"members,omitempty"`
+}
+
+// Load is a target's own report. It lags; At is the target's time of sampling.
+type Load struct {
+	Running      int       `json:"running"`
+	Waiting      int       `json:"waiting"`
+	Slots        int       `json:"slots"`
+	CachedBlocks int       `json:"cached_blocks"`
+	At           time.Time `json:"at"`
+}
+
+// Status is a target's answer to GET /control/status.
+type Status struct {
+	Host string `json:"host"`
+	// Incarnation changes whenever the process restarts.
+	Incarnation string `json:"incarnation"`
+	Phase       Phase  `json:"phase"`
+	Role        Role   `json:"role"`
+	// HighestFencing is the highest fencing number that the target has taken an order with.
+	HighestFencing int64 `json:"highest_fencing"`
+	// Weights lists "model@version" whose weights are on the host.
+	Weights []string `json:"weights,omitempty"`
+	// LoadFraction is the progress of a load, 0 to 1.
+	LoadFraction float64 `json:"load_fraction"`
+	Load         Load    `json:"load"`
+	Leaving      bool    `json:"leaving,omitempty"`
+	// Runs counts work requests started since the process started.
+	Runs int64 `json:"runs"`
+}
+
+// OrderKind says what an order asks for.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	// OrderAssign gives the target a role and loads what it needs.
+	OrderAssign OrderKind = "assign"
+	// OrderRelease takes the role away.
+	OrderRelease OrderKind = "release"
+	// OrderPreload fetches weights without changing the role.
+	OrderPreload OrderKind = "preload"
+)
+
+// Order is the body of POST /control/orders. Targets that do not check fencing numbers ignore
+// Fencing, ExpectGroup and NotAfter.
+type Order struct {
+	ID      string    `json:"id"`
+	Kind    OrderKind `json:"kind"`
+	Fencing int64     `json:"fencing"`
+	PlanSeq int64     `json:"plan_seq"`
+	// ExpectGroup is the group that the target must be in for the order to apply ("" for none).
+	ExpectGroup string    `json:"expect_group"`
+	NotAfter    time.Time `json:"not_after"`
+	Role        Role      `json:"role"`
+}
+
+// RequestStatus is the answer to GET /control/requests/{id} on a group's leader.
+type RequestStatus struct {
+	RequestID string `json:"request_id"`
+	Attempt   int    `json:"attempt"`
+	// Generated counts the tokens produced so far, whether or not they were delivered.
+	Generated int  `json:"generated"`
+	Queued    bool `json:"queued"`
+	Done      bool `json:"done"`
+}
+
+// CacheEvent says that a group's leader has stored or evicted a prompt-prefix block.
+type CacheEvent struct {
+	Seq    int64  `json:"seq"`
+	Block  uint64 `json:"block"` // xxhash64 of the prompt up to the block's end
+	Stored bool   `json:"stored"`
+}
+
+// PrefixBlockBytes is the length of prompt text that one prefix-cache block covers.
+const PrefixBlockBytes = 64
+
+// Control is the port to the control protocol of targets, by address.
+type Control struct {
+	Status        func(ctx context.Context, address string) (Status, error)
+	Send          func(ctx context.Context, address string, order Order) (Status, error)
+	RequestStatus func(ctx context.Context, address, requestID string) (RequestStatus, error)
+	Cancel        func(ctx context.Context, address, requestID string, attempt int) error
+	CacheEvents   func(ctx context.Context, address string, after int64) ([]CacheEvent, error)
+}
+
+// WorkExtension holds the extension fields of a work request to a model engine, beside OpenAI's.
+type WorkExtension struct {
+	RequestID string `json:"rudder_request_id"`
+	Attempt   int    `json:"rudder_attempt"`
+	// Group lets an engine refuse a request for a group that it is not in (HTTP 409, not run).
+	Group string `json:"rudder_group"`
+	// ResumeAfter asks the engine to continue an answer after this many tokens; ResumeText is the
+	// text delivered so far.
+	ResumeAfter int    `json:"rudder_resume_after,omitempty"`
+	ResumeText  string `json:"rudder_resume_text,omitempty"`
+	// Priority orders the engine's queue; a lower number runs first.
+	Priority int `json:"priority"`
+}
+
+// ChunkExtension holds the extension fields of each streamed chunk of a model engine.
+type ChunkExtension struct {
+	RequestID string `json:"rudder_request_id"`
+	Attempt   int    `json:"rudder_attempt"`
+	// Seq numbers the tokens of an answer from 1; a resumed stream continues the numbering.
+	Seq int `json:"rudder_seq"`
+}
+
+// HeaderNotRun is set to "true" on a target's refusal when the target did not start the work.
+const HeaderNotRun = "Rudder-Not-Run"
