--- a/shared/rudderconfig/document.go
+++ b/shared/rudderconfig/document.go
@@ -46,7 +46,7 @@
 	SlotsPerGroup int `json:"slots_per_group"`
 }
 
-// Operator of a label requirement.
+// LabelOperator is the operator of a label requirement.
 type LabelOperator string
 
 // Label operators.
