Add settings, stream runner and caller API

Model requests are resumed on another engine from the last token when an engine dies, goes silent or sends a malformed stream; silence is told from slowness by probing the engine on a new connection.

--- a/Makefile
+++ b/Makefile
@@ -54,5 +54,8 @@
 faults: build
 	$(BIN)/rudderstand faults
 
+settings:
+	go run ./rudderd settings > docs/settings.md
+
 clean:
 	rm -rf $(BIN) out
--- a/rudderd/main.go
+++ b/rudderd/main.go
@@ -1,4 +1,12 @@
 // Command rudderd runs one entry host of comfreyrudder.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"comfreyrudder.example/rudderd/rudderapp"
+)
+
+func main() {
+	os.Exit(rudderapp.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/rudderd/rudderapp/command.go
@@ -0,0 +1,75 @@
+// Package rudderapp wires the parts of rudderd together. It holds no decisions of its own.
+package rudderapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"comfreyrudder.example/rudderd/ruddersettings"
+)
+
+// Exit codes of rudderd.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(arguments []string, stdout, stderr io.Writer) int {
+	root := newCommand(stdout, stderr)
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, ruddersettings.ErrInvalid):
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	default:
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitError
+	}
+}
+
+func newCommand(stdout, stderr io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rudderd",
+		Short:         "Run an entry host of comfreyrudder",
+		Example:       "  rudderd --name entry-1 --region kigali --data-centre kgl-1 \\\n    --key-value-url http://127.0.0.1:7000 --host-list-url http://127.0.0.1:7001 --peer-secret ...",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := ruddersettings.Load(cmd.Flags(), os.LookupEnv)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return run(ctx, settings, stderr)
+		},
+	}
+	ruddersettings.AddFlags(root.Flags())
+	root.AddCommand(&cobra.Command{
+		Use:   "settings",
+		Short: "Print docs/settings.md",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			_, err := io.WriteString(stdout, ruddersettings.Page())
+			return err
+		},
+	})
+	return root
+}
+
+func run(_ context.Context, _ ruddersettings.Settings, _ io.Writer) error { return nil }
--- /dev/null
+++ b/rudderd/rudderhttp/api.go
@@ -0,0 +1,158 @@
+// Package rudderhttp is the caller API: OpenAI-compatible model requests, plain services, entry
+// addresses and the pick-up of answers. Controllers are thin; they parse, call a function field and
+// write the answer.
+package rudderhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// Headers of the caller API.
+const (
+	HeaderRequestID      = "Rudder-Request-Id"
+	HeaderOutcome        = "Rudder-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderShouldRetry keeps OpenAI's client libraries from repeating a request by themselves.
+	HeaderShouldRetry = "X-Should-Retry"
+)
+
+// API serves callers. Set the exported fields before calling Handler.
+type API struct {
+	Name   string // of this entry host; the first part of its request IDs
+	Clock  clockwork.Clock
+	Logger zerolog.Logger
+	Config func() *rudderconfig.Document
+
+	MaxBodyBytes int64
+	// LimitShare is the part of a workspace's rate and concurrency limits that this entry host
+	// grants, above 0 up to 1.
+	LimitShare func() float64
+	// Refuse returns why this entry host takes no new requests now, or nil.
+	Refuse func() *Refusal
+
+	// Estimate returns the expected output tokens of a request and its class.
+	Estimate func(workspace string, promptTokens, maxTokens int) (int, rudderconfig.WorkClass)
+	// Start runs a request in the background; its answer is in the registry.
+	Start   func(q rudderstream.Request, a *rudderstream.Answer)
+	Answers *rudderstream.Registry
+	// ReadRemote reads an answer that another entry host keeps. found is false when that host is
+	// not known, cannot be reached or has no such answer.
+	ReadRemote func(ctx context.Context, member, requestID, workspace string, after int) (page RemotePage, found bool)
+
+	// Call runs a call of a plain service.
+	Call func(ctx context.Context, call ServiceCall) ServiceAnswer
+	// Entries ranks entry addresses for a caller in a data centre ("" for unknown).
+	Entries func(dataCentre string) ([]Entry, time.Duration)
+
+	limits limits
+}
+
+// Entry is one address of GET /v1/entries.
+type Entry struct {
+	Address    string `json:"address"`
+	Name       string `json:"name"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+}
+
+// RemotePage is a part of an answer kept by another entry host.
+type RemotePage struct {
+	rudderstream.Page
+	Model   string
+	Created time.Time
+}
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	RequestID      string
+	Workspace      rudderconfig.Workspace
+	Service        rudderconfig.Service
+	Method         string
+	Path           string // below the service, with a leading slash
+	Query          string
+	Header         http.Header
+	Body           []byte
+	IdempotencyKey string
+}
+
+// ServiceAnswer is the end of a call of a plain service.
+type ServiceAnswer struct {
+	Outcome rudderstream.Outcome
+	// Status, Header and Body are the service's own answer when Refusal is nil.
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Refusal *Refusal
+	// Replayed means that the answer was stored by an earlier send of the same key.
+	Replayed bool
+}
+
+// Handler returns the HTTP handler for callers.
+func (a *API) Handler() http.Handler {
+	server := echo.New()
+	server.HideBanner, server.HidePort = true, true
+	server.HTTPErrorHandler = a.handleError
+	server.Use(a.identify)
+	server.GET("/healthz", a.health)
+	server.GET("/v1/entries", a.entries)
+	caller := server.Group("", a.authenticate)
+	caller.GET("/v1/models", a.models)
+	caller.POST("/v1/chat/completions", a.chat, a.admit)
+	caller.GET("/v1/requests/:id/stream", a.pickUp)
+	caller.Any("/v1/services/:service", a.service, a.admit)
+	caller.Any("/v1/services/:service/*", a.service, a.admit)
+	return server
+}
+
+// identify gives the request its ID before anything else, so that every answer carries one.
+func (a *API) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := a.newRequestID()
+		c.Set(contextRequestID, id)
+		c.Response().Header().Set(HeaderRequestID, id)
+		return next(c)
+	}
+}
+
+func (a *API) health(c echo.Context) error {
+	if refusal := a.Refuse(); refusal != nil {
+		return refusal
+	}
+	return c.JSON(http.StatusOK, struct {
+		Status string `json:"status"`
+	}{"ready"})
+}
+
+func (a *API) entries(c echo.Context) error {
+	list, lifetime := a.Entries(c.QueryParam("data_centre"))
+	return c.JSON(http.StatusOK, struct {
+		Entries         []Entry `json:"entries"`
+		LifetimeSeconds int     `json:"lifetime_seconds"`
+	}{list, int(lifetime.Seconds())})
+}
+
+func (a *API) models(c echo.Context) error {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for _, name := range servedModels(a.Config(), workspaceOf(c)) {
+		list = append(list, model{ID: name, Object: "model", OwnedBy: workspaceOf(c).Firm})
+	}
+	return c.JSON(http.StatusOK, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
--- /dev/null
+++ b/rudderd/rudderhttp/chat.go
@@ -0,0 +1,223 @@
+package rudderhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"comfreyrudder.example/rudderd/rudderstream"
+)
+
+const (
+	defaultMaxTokens = 1024
+	// bytesPerToken estimates the prompt's tokens before an engine has counted them.
+	bytesPerToken = 4
+)
+
+// chatRequest is what the system needs to know of a chat request; the rest is passed on unread.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// chat serves POST /v1/chat/completions.
+func (a *API) chat(c echo.Context) error {
+	body, err := a.readBody(c)
+	if err != nil {
+		return err
+	}
+	request, parsed, err := a.parseChat(c, body)
+	if err != nil {
+		return err
+	}
+	answer := rudderstream.NewAnswer(request.ID, request.Workspace, request.Model, request.Arrived)
+	defer answer.AddReader(a.Clock.Now)()
+	a.Answers.Add(answer)
+	a.Start(request, answer)
+	source := answerSource{
+		id: request.ID, model: request.Model, created: request.Arrived,
+		read: answer.Read, includeUsage: parsed.StreamOptions.IncludeUsage,
+	}
+	if parsed.Stream {
+		return a.writeStream(c, source, 0)
+	}
+	return a.writeWhole(c, source)
+}
+
+// parseChat checks a chat request and estimates its work.
+func (a *API) parseChat(c echo.Context, body []byte) (rudderstream.Request, chatRequest, error) {
+	var parsed chatRequest
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return rudderstream.Request{}, parsed, refuseBadRequest("the body is not a JSON object: " + err.Error())
+	}
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return rudderstream.Request{}, parsed, refuseBadRequest("the body is not a chat request: " + err.Error())
+	}
+	workspace := workspaceOf(c)
+	if refusal := a.checkChat(&parsed, c); refusal != nil {
+		return rudderstream.Request{}, parsed, refusal
+	}
+	for name := range fields {
+		if strings.HasPrefix(name, "rudder_") || name == "priority" {
+			delete(fields, name) // callers may not set the fields that the system sends to engines
+		}
+	}
+	prompt := promptText(parsed.Messages)
+	promptTokens := len(prompt)/bytesPerToken + 1
+	estimated, class := a.Estimate(workspace.Name, promptTokens, parsed.MaxTokens)
+	return rudderstream.Request{
+		ID: requestIDOf(c), Workspace: workspace.Name, Firm: workspace.Firm, Model: parsed.Model,
+		Body: fields, Prompt: prompt, PromptTokens: promptTokens,
+		EstimatedTokens: estimated, Class: class,
+		Fingerprint: fingerprint(workspace.Name, body), Arrived: a.Clock.Now(),
+	}, parsed, nil
+}
+
+// checkChat returns what is wrong with a chat request, and fills in its token limit.
+func (a *API) checkChat(parsed *chatRequest, c echo.Context) *Refusal {
+	workspace := workspaceOf(c)
+	if len(parsed.Messages) == 0 {
+		return refuseBadRequest("messages is empty")
+	}
+	served := false
+	for _, name := range servedModels(a.Config(), workspace) {
+		served = served || name == parsed.Model
+	}
+	if !served {
+		return refuse(http.StatusNotFound, "model_not_found", "the workspace has no model "+quote(parsed.Model), "see GET /v1/models")
+	}
+	if parsed.MaxCompletionTokens > 0 {
+		parsed.MaxTokens = parsed.MaxCompletionTokens
+	}
+	if parsed.MaxTokens < 0 {
+		return refuseBadRequest("max_tokens is below 0")
+	}
+	if parsed.MaxTokens == 0 {
+		parsed.MaxTokens = defaultMaxTokens
+	}
+	if limit := workspace.Limits.MaxTokens; limit > 0 && parsed.MaxTokens > limit {
+		return refuseBadRequest("max_tokens is above the workspace's limit")
+	}
+	return nil
+}
+
+// promptText joins the messages in the way that prefix caching goes by.
+func promptText(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		var text string
+		if err := json.Unmarshal(m.Content, &text); err != nil {
+			text = string(m.Content) // parts in OpenAI's list form
+		}
+		b.WriteString(text)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// fingerprint identifies a request that is sent again.
+func fingerprint(workspace string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(workspace)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+// quote shortens text from outside for an error message.
+func quote(text string) string {
+	const longest = 64
+	if len(text) > longest {
+		text = text[:longest] + "..."
+	}
+	return "\"" + text + "\""
+}
+
+// answerSource is an answer that is written to a caller.
+type answerSource struct {
+	id           string
+	model        string
+	created      time.Time
+	includeUsage bool
+	read         func(ctx context.Context, after int) (rudderstream.Page, error)
+}
+
+// pickUp serves GET /v1/requests/{id}/stream?after=N.
+func (a *API) pickUp(c echo.Context) error {
+	id := c.Param("id")
+	var after int
+	if err := echo.QueryParamsBinder(c).Int("after", &after).BindError(); err != nil || after < 0 {
+		return refuseBadRequest("after is not a number of tokens")
+	}
+	member, ok := memberOf(id)
+	if !ok {
+		return refuseBadRequest("the request ID has the wrong form")
+	}
+	c.Response().Header().Set(HeaderRequestID, id)
+	if answer, found := a.Answers.Find(id); found && answer.Workspace() == workspaceOf(c).Name {
+		defer answer.AddReader(a.Clock.Now)()
+		source := answerSource{id: id, model: answer.Model(), created: answer.Created(), read: answer.Read}
+		return a.writeStream(c, source, after)
+	}
+	if member == a.Name {
+		return answerNotFound()
+	}
+	return a.pickUpRemote(c, member, id, after)
+}
+
+// pickUpRemote streams an answer that another entry host keeps.
+func (a *API) pickUpRemote(c echo.Context, member, id string, after int) error {
+	workspace := workspaceOf(c).Name
+	first, found := a.ReadRemote(c.Request().Context(), member, id, workspace, after)
+	if !found {
+		return answerNotFound()
+	}
+	pending := &first
+	read := func(ctx context.Context, after int) (rudderstream.Page, error) {
+		if pending != nil {
+			page := pending.Page
+			pending = nil
+			return page, nil
+		}
+		for {
+			page, found := a.ReadRemote(ctx, member, id, workspace, after)
+			if ctx.Err() != nil {
+				return rudderstream.Page{}, ctx.Err()
+			}
+			if !found {
+				return rudderstream.Page{}, answerNotFound()
+			}
+			if page.Done || len(page.Tokens) > 0 {
+				return page.Page, nil
+			}
+		}
+	}
+	source := answerSource{id: id, model: first.Model, created: first.Created, read: read}
+	return a.writeStream(c, source, after)
+}
+
+// answerNotFound cannot know whether the request ran: its entry host may have died with the answer.
+func answerNotFound() *Refusal {
+	r := refuse(http.StatusNotFound, "answer_not_found", "no answer is kept under this request ID", "send the request again; asking a model may be repeated")
+	r.Outcome = rudderstream.OutcomeMayHaveRun
+	return r
+}
--- /dev/null
+++ b/rudderd/rudderhttp/limits.go
@@ -0,0 +1,111 @@
+package rudderhttp
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// Limits of a workspace that sets none.
+const (
+	defaultRequestsPerSecond = 200.0
+	defaultConcurrent        = 400
+)
+
+// limits counts each workspace's requests at this entry host.
+type limits struct {
+	mu         sync.Mutex
+	workspaces map[string]*workspaceLimit
+}
+
+type workspaceLimit struct {
+	limiter *rate.Limiter
+	running int
+}
+
+// admit refuses requests of hosts that may not serve and of workspaces above their limits.
+func (a *API) admit(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if refusal := a.Refuse(); refusal != nil {
+			return refusal
+		}
+		workspace := workspaceOf(c)
+		if refusal := a.limits.enter(workspace, a.LimitShare(), a.Clock.Now()); refusal != nil {
+			return refusal
+		}
+		defer a.limits.leave(workspace.Name)
+		return next(c)
+	}
+}
+
+// enter takes one request of a workspace. share scales its limits to this entry host.
+func (l *limits) enter(workspace rudderconfig.Workspace, share float64, now time.Time) *Refusal {
+	perSecond, concurrent := workspace.Limits.RequestsPerSecond, workspace.Limits.Concurrent
+	if perSecond <= 0 {
+		perSecond = defaultRequestsPerSecond
+	}
+	if concurrent <= 0 {
+		concurrent = defaultConcurrent
+	}
+	perSecond *= share
+	concurrent = max(1, int(math.Ceil(float64(concurrent)*share)))
+	burst := max(1, int(math.Ceil(perSecond)))
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.workspaces == nil {
+		l.workspaces = make(map[string]*workspaceLimit)
+	}
+	limit, ok := l.workspaces[workspace.Name]
+	if !ok {
+		limit = &workspaceLimit{limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
+		l.workspaces[workspace.Name] = limit
+	}
+	if limit.limiter.Limit() != rate.Limit(perSecond) {
+		limit.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		limit.limiter.SetBurstAt(now, burst)
+	}
+	if limit.running >= concurrent {
+		return tooMany("concurrency_limit", "the workspace has too many requests in flight")
+	}
+	if !limit.limiter.AllowN(now, 1) {
+		return tooMany("rate_limit", "the workspace sends requests too fast")
+	}
+	limit.running++
+	return nil
+}
+
+func (l *limits) leave(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.workspaces[workspace].running--
+}
+
+func tooMany(code, message string) *Refusal {
+	r := refuse(http.StatusTooManyRequests, code, message, "send the request again after the time in Retry-After, or ask for a higher limit")
+	r.RetryAfter = time.Second
+	return r
+}
+
+// readBody reads a request body up to the workspace's limit.
+func (a *API) readBody(c echo.Context) ([]byte, error) {
+	limit := a.MaxBodyBytes
+	if own := workspaceOf(c).Limits.BodyBytes; own > 0 {
+		limit = min(limit, own)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if _, tooLarge := err.(*http.MaxBytesError); tooLarge { //nolint:errorlint // io.ReadAll returns it unwrapped
+		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is above the workspace's limit", "send a smaller body")
+	}
+	if err != nil {
+		return nil, refuseBadRequest("the request body could not be read: " + err.Error())
+	}
+	return body, nil
+}
--- /dev/null
+++ b/rudderd/rudderstream/engine.go
@@ -0,0 +1,193 @@
+package rudderstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// Errors of an engine stream. Callers test them with errors.Is.
+var (
+	// ErrNotSent reports that no connection to the engine could be opened: nothing was sent.
+	ErrNotSent = errors.New("stream: not sent to the engine")
+	// ErrRefused reports that the engine refused the request without running it.
+	ErrRefused = errors.New("stream: refused by the engine")
+	// ErrBadRequest reports that the engine found the request itself wrong.
+	ErrBadRequest = errors.New("stream: request rejected by the engine")
+	// ErrBroken reports a stream that ended before its answer did.
+	ErrBroken = errors.New("stream: broken")
+	// ErrMalformed reports a stream that does not follow the protocol.
+	ErrMalformed = errors.New("stream: malformed")
+)
+
+// maxEventBytes bounds one server-sent event, so that a faulty engine cannot fill the memory.
+const maxEventBytes = 1 << 20
+
+// Event is one token of a stream, or its end.
+type Event struct {
+	RequestID    string
+	Attempt      int
+	Seq          int
+	Text         string
+	FinishReason string // set on the last event
+	PromptTokens int    // set on the last event when the engine tells
+}
+
+// Stream yields the events of one attempt.
+type Stream struct {
+	// Next returns io.EOF after the last event, ErrBroken or ErrMalformed.
+	Next func() (Event, error)
+	// Close drops the connection. It may be called at any time, also while Next waits.
+	Close func()
+}
+
+// Engine opens streams on model engines.
+type Engine struct {
+	Client *http.Client
+}
+
+// Open sends a request body, extended by the fields for this attempt, to a group's leader.
+func (e *Engine) Open(ctx context.Context, address string, body map[string]json.RawMessage, extension ruddertarget.WorkExtension) (*Stream, error) {
+	payload, err := extend(body, extension)
+	if err != nil {
+		return nil, errors.Mark(err, ErrBadRequest)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(payload))
+	if err != nil {
+		return nil, errors.Mark(err, ErrBadRequest)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Accept", "text/event-stream")
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer func() { _ = response.Body.Close() }()
+		return nil, statusError(response)
+	}
+	reader := bufio.NewReaderSize(response.Body, 4096)
+	return &Stream{
+		Next:  func() (Event, error) { return nextEvent(reader) },
+		Close: func() { _ = response.Body.Close() },
+	}, nil
+}
+
+// extend merges the extension fields into the caller's body and asks for a stream.
+func extend(body map[string]json.RawMessage, extension ruddertarget.WorkExtension) ([]byte, error) {
+	fields, err := json.Marshal(extension)
+	if err != nil {
+		return nil, err
+	}
+	merged := make(map[string]json.RawMessage, len(body)+8)
+	for name, value := range body {
+		merged[name] = value
+	}
+	if err := json.Unmarshal(fields, &merged); err != nil {
+		return nil, err
+	}
+	merged["stream"] = json.RawMessage("true")
+	return json.Marshal(merged)
+}
+
+// sendError tells a connection that was never opened from a request that may have arrived.
+func sendError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return errors.Mark(err, ErrNotSent)
+	}
+	return errors.Mark(err, ErrBroken)
+}
+
+func statusError(response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 1024))
+	err := errors.Newf("engine answered %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
+	switch {
+	case response.Header.Get(ruddertarget.HeaderNotRun) == "true":
+		return errors.Mark(err, ErrRefused)
+	case response.StatusCode == http.StatusBadRequest:
+		return errors.Mark(err, ErrBadRequest)
+	default:
+		return errors.Mark(err, ErrBroken)
+	}
+}
+
+// nextEvent reads one server-sent event.
+func nextEvent(reader *bufio.Reader) (Event, error) {
+	for {
+		line, err := readLine(reader)
+		if err != nil {
+			return Event{}, err
+		}
+		data, found := strings.CutPrefix(line, "data:")
+		if !found {
+			continue // blank lines and comments
+		}
+		if data = strings.TrimSpace(data); data == "[DONE]" {
+			return Event{}, io.EOF
+		}
+		return parseEvent([]byte(data))
+	}
+}
+
+func readLine(reader *bufio.Reader) (string, error) {
+	var line []byte
+	for {
+		part, isPrefix, err := reader.ReadLine()
+		if err != nil {
+			return "", errors.Mark(errors.Wrap(err, "reading the stream"), ErrBroken)
+		}
+		line = append(line, part...)
+		if len(line) > maxEventBytes {
+			return "", errors.Mark(errors.New("event too long"), ErrMalformed)
+		}
+		if !isPrefix {
+			return string(line), nil
+		}
+	}
+}
+
+// parseEvent reads one chunk in OpenAI's format with the extension fields.
+func parseEvent(data []byte) (Event, error) {
+	var chunk struct {
+		ruddertarget.ChunkExtension
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+			FinishReason *string `json:"finish_reason"`
+		} `json:"choices"`
+		Usage *struct {
+			PromptTokens int `json:"prompt_tokens"`
+		} `json:"usage"`
+		Error *struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return Event{}, errors.Mark(errors.Wrap(err, "chunk is not JSON"), ErrMalformed)
+	}
+	if chunk.Error != nil {
+		return Event{}, errors.Mark(errors.New(chunk.Error.Message), ErrBroken)
+	}
+	event := Event{RequestID: chunk.RequestID, Attempt: chunk.Attempt, Seq: chunk.Seq}
+	if len(chunk.Choices) > 0 {
+		event.Text = chunk.Choices[0].Delta.Content
+		if reason := chunk.Choices[0].FinishReason; reason != nil {
+			event.FinishReason = *reason
+		}
+	}
+	if chunk.Usage != nil {
+		event.PromptTokens = chunk.Usage.PromptTokens
+	}
+	return event, nil
+}
--- /dev/null
+++ b/rudderd/rudderstream/request.go
@@ -0,0 +1,90 @@
+package rudderstream
+
+import (
+	"encoding/json"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// Request is one model request as the caller API has parsed it.
+type Request struct {
+	ID        string
+	Workspace string
+	Firm      string
+	Model     string
+	// Body is the caller's JSON object, passed on to the engine.
+	Body map[string]json.RawMessage
+	// Prompt is the text that prefix caching goes by.
+	Prompt       string
+	PromptTokens int
+	// EstimatedTokens of output and Class are estimated before the request runs.
+	EstimatedTokens int
+	Class           rudderconfig.WorkClass
+	Fingerprint     uint64
+	Arrived         time.Time
+}
+
+// Slot is the permission to run one request on a group.
+type Slot struct {
+	Group   string
+	Domain  string
+	Address string // of the group's leader
+	// Wait is how long the request waited for the slot.
+	Wait time.Duration
+	// Release gives the slot back and must be called once.
+	Release func(Usage)
+}
+
+// Usage tells how a slot was used.
+type Usage struct {
+	Tokens    int
+	Duration  time.Duration
+	Completed bool
+	// Failed means that the group did not serve the request to its end by its own fault.
+	Failed bool
+}
+
+// Timing of a request, for reports.
+type Timing struct {
+	Wait       time.Duration // waiting for a slot, over all attempts
+	FirstToken time.Duration // from arrival to the first token; 0 without one
+	MeanGap    time.Duration // mean time between tokens; 0 with fewer than two
+	MaxGap     time.Duration
+	Tokens     int
+	Attempts   int
+}
+
+// Refusal is an error that carries what the caller is told.
+type Refusal struct {
+	Code       string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error returns the message.
+func (r *Refusal) Error() string { return r.Code + ": " + r.Message }
+
+// Codes of failures that the runner reports.
+const (
+	CodeNotReady       = "entry_not_ready"
+	CodePoison         = "poison_request"
+	CodeNoCapacity     = "no_capacity"
+	CodeBadRequest     = "invalid_request"
+	CodeTargetFailed   = "target_failed"
+	CodeAbandoned      = "caller_gone"
+	CodeRetryExhausted = "retries_exhausted"
+)
+
+// Priorities of engine requests; a lower number runs first.
+const (
+	priorityShort = 0
+	priorityLong  = 10
+)
+
+func priority(q Request) int {
+	if q.Class == rudderconfig.ClassLong {
+		return priorityLong
+	}
+	return priorityShort
+}
--- /dev/null
+++ b/rudderd/rudderstream/runner.go
@@ -0,0 +1,195 @@
+package rudderstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// Runner runs model requests to their end. Set the exported fields before the first call to Run.
+type Runner struct {
+	Clock  clockwork.Clock
+	Logger zerolog.Logger
+	Engine *Engine
+
+	// Permit returns an error when this entry host may not dispatch new work now.
+	Permit func() error
+	// Acquire waits for a slot on a group outside the excluded ones (best effort). It returns a
+	// *Refusal when the request is given up on.
+	Acquire func(ctx context.Context, q Request, exclude []string) (Slot, error)
+	// Probe asks a group's leader for a request on a new connection.
+	Probe func(ctx context.Context, address, requestID string) (ruddertarget.RequestStatus, error)
+	// Cancel tells a group's leader to drop an attempt.
+	Cancel func(ctx context.Context, address, requestID string, attempt int) error
+	// GroupDied tells whether the group lost a member's process since the slot was acquired.
+	GroupDied func(ctx context.Context, slot Slot) bool
+	// ReportDeath shares the suspicion that a request killed a group. It returns when other entry
+	// hosts were told, or after a bounded time.
+	ReportDeath func(ctx context.Context, fingerprint uint64, slot Slot)
+	// Poisoned tells whether the request is refused because targets died running it.
+	Poisoned func(fingerprint uint64) bool
+	// Retry takes one retry from the budget.
+	Retry func() bool
+
+	MaxAttempts  int
+	SilenceAfter time.Duration // without a token before the engine is probed
+	ProbeTimeout time.Duration
+	// StragglerAfter is the time without progress after which a live engine is given up on.
+	StragglerAfter time.Duration
+	// AbandonAfter is how long a request runs on after its last caller left.
+	AbandonAfter time.Duration
+}
+
+// run is the state of one request over its attempts.
+type run struct {
+	*Runner
+	request  Request
+	answer   *Answer
+	attempt  int
+	sent     bool // a byte of the request may have reached a target
+	ahead    bool // the engine was ahead of the connection at the last probe
+	excluded []string
+	timing   Timing
+	last     time.Time // of the last token
+	gaps     time.Duration
+}
+
+// Run runs the request until its answer has ended and returns the timing.
+func (r *Runner) Run(ctx context.Context, q Request, a *Answer) Timing {
+	state := &run{Runner: r, request: q, answer: a}
+	for {
+		state.attempt++
+		err := state.tryOnce(ctx)
+		if result, ended := state.conclude(ctx, err); ended {
+			a.Finish(result)
+			break
+		}
+	}
+	state.timing.Attempts = state.attempt
+	state.timing.Tokens = a.Received()
+	if state.timing.Tokens > 1 {
+		state.timing.MeanGap = state.gaps / time.Duration(state.timing.Tokens-1)
+	}
+	return state.timing
+}
+
+// tryOnce runs one attempt. It returns nil when the answer is whole.
+func (s *run) tryOnce(ctx context.Context) error {
+	if s.Poisoned(s.request.Fingerprint) {
+		return &Refusal{Code: CodePoison, Message: "targets died running this request"}
+	}
+	slot, err := s.Acquire(ctx, s.request, s.excluded)
+	if err != nil {
+		return err
+	}
+	s.timing.Wait += slot.Wait
+	start, before := s.Clock.Now(), s.answer.Received()
+	err = s.dispatch(ctx, slot)
+	slot.Release(Usage{
+		Tokens:    s.answer.Received() - before,
+		Duration:  s.Clock.Since(start),
+		Completed: err == nil,
+		Failed:    groupFailed(err),
+	})
+	if err != nil && !isRefusal(err) {
+		s.excluded = append(s.excluded, slot.Group)
+		s.Logger.Warn().Err(err).Str("request_id", s.request.ID).Int("attempt", s.attempt).
+			Str("group", slot.Group).Int("received", s.answer.Received()).Msg("attempt failed")
+	}
+	if groupFailed(err) && s.GroupDied(ctx, slot) {
+		s.ReportDeath(ctx, s.request.Fingerprint, slot)
+	}
+	return err
+}
+
+// dispatch sends the request to the group's leader and reads the stream. The permit is checked last
+// before anything is sent, because waiting for the slot may have taken longer than the permit lasts.
+func (s *run) dispatch(ctx context.Context, slot Slot) error {
+	if err := s.Permit(); err != nil {
+		return &Refusal{Code: CodeNotReady, Message: err.Error(), RetryAfter: time.Second}
+	}
+	s.ahead = false
+	received, text := s.answer.StartAttempt(s.attempt)
+	attemptContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.open(attemptContext, slot, received, text)
+	if err != nil {
+		s.sent = s.sent || !isNotSent(err)
+		return err
+	}
+	s.sent = true
+	defer stream.Close()
+	err = s.read(attemptContext, slot, stream)
+	if err != nil {
+		s.cancelAttempt(slot)
+	}
+	return err
+}
+
+// cancelAttempt tells the engine to drop the attempt, so that a stream that was given up on does not
+// hold a place in the batch.
+func (s *run) cancelAttempt(slot Slot) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.ProbeTimeout)
+	attempt := s.attempt
+	go func() {
+		defer cancel()
+		_ = s.Cancel(ctx, slot.Address, s.request.ID, attempt)
+	}()
+}
+
+// conclude decides whether the request ends after an attempt, and how.
+func (s *run) conclude(ctx context.Context, err error) (Result, bool) {
+	if err == nil {
+		result, _ := s.answer.Done()
+		return result, true
+	}
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return s.failure(refusal.Code, refusal.Message, refusal.RetryAfter), true
+	case errors.Is(err, ErrBadRequest):
+		return s.failure(CodeBadRequest, err.Error(), 0), true
+	case errors.Is(err, errAbandoned) || ctx.Err() != nil:
+		return s.failure(CodeAbandoned, "the caller left and did not come back", 0), true
+	case s.attempt >= s.MaxAttempts:
+		return s.failure(CodeRetryExhausted, err.Error(), time.Second), true
+	case s.answer.Received() == 0 && !s.Retry():
+		// A stream that has begun is always resumed; its caller waits for the rest.
+		return s.failure(CodeTargetFailed, "retry budget spent: "+err.Error(), time.Second), true
+	}
+	return Result{}, false
+}
+
+// failure returns a result with the outcome that is true for what was sent so far.
+func (s *run) failure(code, message string, retryAfter time.Duration) Result {
+	outcome := OutcomeNotRun
+	if s.sent {
+		outcome = OutcomeMayHaveRun
+	}
+	return Result{Outcome: outcome, Code: code, Message: message, RetryAfter: retryAfter}
+}
+
+func isRefusal(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal)
+}
+
+// isNotSent tells whether an error guarantees that the engine did not run the request.
+func isNotSent(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrBadRequest)
+}
+
+// groupFailed tells whether the error is the group's fault.
+func groupFailed(err error) bool {
+	for _, fault := range []error{ErrNotSent, ErrBroken, ErrMalformed, ErrGap, errSilent, errStraggler} {
+		if errors.Is(err, fault) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rudderd/rudderstream/runner_test.go
@@ -0,0 +1,271 @@
+package rudderstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// fakeEngine serves scripted streams: one script for each request that arrives.
+type fakeEngine struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	seen   []ruddertarget.WorkExtension
+}
+
+type script func(w http.ResponseWriter, extension ruddertarget.WorkExtension, r *http.Request)
+
+func newFakeEngine(t *testing.T, scripts ...script) *fakeEngine {
+	t.Helper()
+	e := &fakeEngine{}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var extension ruddertarget.WorkExtension
+		if err := json.NewDecoder(r.Body).Decode(&extension); err != nil {
+			panic(err)
+		}
+		e.mu.Lock()
+		n := len(e.seen)
+		e.seen = append(e.seen, extension)
+		e.mu.Unlock()
+		scripts[min(n, len(scripts)-1)](w, extension, r)
+	}))
+	t.Cleanup(func() {
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	return e
+}
+
+func (e *fakeEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+
+func (e *fakeEngine) requests() []ruddertarget.WorkExtension {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]ruddertarget.WorkExtension{}, e.seen...)
+}
+
+func writeToken(w http.ResponseWriter, x ruddertarget.WorkExtension, seq int, finish string) {
+	reason := "null"
+	text := fmt.Sprintf("t%d ", seq)
+	if finish != "" {
+		reason, text = `"`+finish+`"`, ""
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"rudder_request_id\":%q,\"rudder_attempt\":%d,\"rudder_seq\":%d,\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n",
+		x.RequestID, x.Attempt, seq, text, reason)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// tokens streams up to and including the last one, then ends as told.
+func tokens(last, total int) script {
+	return func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		for seq := x.ResumeAfter + 1; seq <= last; seq++ {
+			writeToken(w, x, seq, "")
+		}
+		if last == total {
+			writeToken(w, x, total, "stop")
+			_, _ = w.Write([]byte("data: [DONE]\n\n"))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// silent streams some tokens and then leaves the connection open.
+func silent(last int) script {
+	return func(w http.ResponseWriter, x ruddertarget.WorkExtension, r *http.Request) {
+		for seq := x.ResumeAfter + 1; seq <= last; seq++ {
+			writeToken(w, x, seq, "")
+		}
+		<-r.Context().Done()
+	}
+}
+
+func refuseRequest(w http.ResponseWriter, _ ruddertarget.WorkExtension, _ *http.Request) {
+	w.Header().Set(ruddertarget.HeaderNotRun, "true")
+	w.WriteHeader(http.StatusConflict)
+}
+
+// testRunner sends attempt n to the n-th address, staying on the last one.
+func testRunner(addresses ...string) *Runner {
+	next := 0
+	return &Runner{
+		Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(), Engine: &Engine{Client: &http.Client{}},
+		Permit: func() error { return nil },
+		Acquire: func(context.Context, Request, []string) (Slot, error) {
+			address := addresses[min(next, len(addresses)-1)]
+			next++
+			return Slot{Group: fmt.Sprintf("g%d", next), Address: address, Release: func(Usage) {}}, nil
+		},
+		Probe: func(context.Context, string, string) (ruddertarget.RequestStatus, error) {
+			return ruddertarget.RequestStatus{}, ruddertarget.ErrUnreachable
+		},
+		Cancel:      func(context.Context, string, string, int) error { return nil },
+		GroupDied:   func(context.Context, Slot) bool { return false },
+		ReportDeath: func(context.Context, uint64, Slot) {},
+		Poisoned:    func(uint64) bool { return false },
+		Retry:       func() bool { return true },
+		MaxAttempts: 4, SilenceAfter: 80 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond,
+		StragglerAfter: 400 * time.Millisecond, AbandonAfter: time.Minute,
+	}
+}
+
+func runRequest(t *testing.T, r *Runner) (Page, Timing) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a := NewAnswer("entry.1", "w", "m", time.Now())
+	timing := r.Run(ctx, Request{ID: "entry.1", Arrived: time.Now()}, a)
+	page, err := a.Read(ctx, 0)
+	require.NoError(t, err)
+	require.True(t, page.Done)
+	return page, timing
+}
+
+func wanted(n int) []string {
+	var list []string
+	for i := 1; i <= n; i++ {
+		list = append(list, fmt.Sprintf("t%d ", i))
+	}
+	return list
+}
+
+// Guards against answers that are cut, repeated or mixed when an engine fails in the middle.
+func TestAnswerIsWholeAfterEngineFailures(t *testing.T) {
+	otherRequest := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		x.RequestID = "entry.other"
+		writeToken(w, x, 1, "")
+	}
+	late := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		old := x
+		old.Attempt--
+		writeToken(w, old, x.ResumeAfter+1, "")
+		tokens(5, 5)(w, x, nil)
+	}
+	gap := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		writeToken(w, x, x.ResumeAfter+2, "")
+	}
+	earlyDone := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		writeToken(w, x, x.ResumeAfter+1, "")
+		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	}
+	notJSON := func(w http.ResponseWriter, _ ruddertarget.WorkExtension, _ *http.Request) {
+		_, _ = w.Write([]byte("data: {\n\n"))
+	}
+	tests := []struct {
+		name     string
+		first    script
+		attempts int
+	}{
+		{"no failure", tokens(5, 5), 1},
+		{"cut after three tokens", tokens(3, 5), 2},
+		{"cut before the first token", tokens(0, 5), 2},
+		{"silent after two tokens", silent(2), 2},
+		{"silent before the headers", silent(0), 2},
+		{"chunk of another request", otherRequest, 2},
+		{"late chunk of an older attempt", late, 1},
+		{"token missing", gap, 2},
+		{"end marker without the end", earlyDone, 2},
+		{"malformed chunk", notJSON, 2},
+		{"refused by the engine", refuseRequest, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engine := newFakeEngine(t, test.first, tokens(5, 5))
+			page, timing := runRequest(t, testRunner(engine.address()))
+			require.Equal(t, OutcomeComplete, page.Result.Outcome, page.Result.Message)
+			require.Equal(t, wanted(5), page.Tokens)
+			require.Equal(t, test.attempts, timing.Attempts)
+		})
+	}
+}
+
+// Guards against a request that is told as not run after a target may have run it, and the reverse.
+func TestOutcomeIsTrue(t *testing.T) {
+	refusal := &Refusal{Code: CodeNoCapacity, Message: "full", RetryAfter: time.Second}
+	tests := []struct {
+		name    string
+		change  func(r *Runner)
+		first   script
+		outcome Outcome
+		code    string
+	}{
+		{"no slot", func(r *Runner) {
+			r.Acquire = func(context.Context, Request, []string) (Slot, error) { return Slot{}, refusal }
+		}, nil, OutcomeNotRun, CodeNoCapacity},
+		{"no permit", func(r *Runner) { r.Permit = func() error { return errors.New("permit expired") } }, nil, OutcomeNotRun, CodeNotReady},
+		{"poison before the first attempt", func(r *Runner) { r.Poisoned = func(uint64) bool { return true } }, nil, OutcomeNotRun, CodePoison},
+		{"always refused", nil, refuseRequest, OutcomeNotRun, CodeRetryExhausted},
+		{"always cut", nil, tokens(0, 5), OutcomeMayHaveRun, CodeRetryExhausted},
+		{"cut without retry budget", func(r *Runner) { r.Retry = func() bool { return false } }, tokens(0, 5), OutcomeMayHaveRun, CodeTargetFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engine := newFakeEngine(t, test.first)
+			r := testRunner(engine.address())
+			if test.change != nil {
+				test.change(r)
+			}
+			page, _ := runRequest(t, r)
+			require.Equal(t, test.outcome, page.Result.Outcome)
+			require.Equal(t, test.code, page.Result.Code)
+			if test.outcome == OutcomeNotRun && test.first == nil {
+				require.Empty(t, engine.requests())
+			}
+		})
+	}
+}
+
+// Guards against a dead port that counts as a request that may have run.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	engine := newFakeEngine(t, tokens(5, 5))
+	address := engine.address()
+	engine.server.Close()
+	page, timing := runRequest(t, testRunner(address))
+	require.Equal(t, OutcomeNotRun, page.Result.Outcome)
+	require.Equal(t, 4, timing.Attempts)
+}
+
+// Guards against a request that keeps killing groups: suspicion must be shared before the next attempt.
+func TestSecondDeathStopsTheRequest(t *testing.T) {
+	engine := newFakeEngine(t, tokens(1, 5))
+	r := testRunner(engine.address())
+	deaths := 0
+	r.GroupDied = func(context.Context, Slot) bool { return true }
+	r.ReportDeath = func(context.Context, uint64, Slot) { deaths++ }
+	r.Poisoned = func(uint64) bool { return deaths >= 2 }
+	page, _ := runRequest(t, r)
+	require.Equal(t, CodePoison, page.Result.Code)
+	require.Equal(t, OutcomeMayHaveRun, page.Result.Outcome)
+	require.Len(t, engine.requests(), 2)
+}
+
+// Guards against taking a slow engine for a silent connection, which would start its work again.
+func TestSlowEngineIsNotGivenUp(t *testing.T) {
+	slow := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		writeToken(w, x, 1, "")
+		time.Sleep(250 * time.Millisecond)
+		x.ResumeAfter = 1
+		tokens(5, 5)(w, x, nil)
+	}
+	engine := newFakeEngine(t, slow)
+	r := testRunner(engine.address())
+	r.Probe = func(context.Context, string, string) (ruddertarget.RequestStatus, error) {
+		return ruddertarget.RequestStatus{Attempt: 1, Generated: 1}, nil
+	}
+	page, timing := runRequest(t, r)
+	require.Equal(t, wanted(5), page.Tokens)
+	require.Equal(t, 1, timing.Attempts)
+}
