Test the caller API's refusals, streams and pick-up

The routes of an echo group with middleware also caught unknown paths and wrong methods, which answered 401 in place of 404 and 405; the middleware now stands at each route. The test names each refusal's status, code, next step and outcome.

--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -104,12 +104,13 @@
 	server.Use(a.identify)
 	server.GET("/healthz", a.health)
 	server.GET("/v1/entries", a.entries)
-	caller := server.Group("", a.authenticate)
-	caller.GET("/v1/models", a.models)
-	caller.POST("/v1/chat/completions", a.chat, a.admit)
-	caller.GET("/v1/requests/:id/stream", a.pickUp)
-	caller.Any("/v1/services/:service", a.service, a.admit)
-	caller.Any("/v1/services/:service/*", a.service, a.admit)
+	// The middleware stands at each route and not at a group: echo's groups answer unknown paths
+	// with their middleware, which would tell 401 in place of 404.
+	server.GET("/v1/models", a.models, a.authenticate)
+	server.POST("/v1/chat/completions", a.chat, a.authenticate, a.admit)
+	server.GET("/v1/requests/:id/stream", a.pickUp, a.authenticate)
+	server.Any("/v1/services/:service", a.service, a.authenticate, a.admit)
+	server.Any("/v1/services/:service/*", a.service, a.authenticate, a.admit)
 	return server
 }
 
--- /dev/null
+++ b/rudderd/rudderhttp/api_test.go
@@ -0,0 +1,214 @@
+package rudderhttp
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// testAPI answers every model request with three tokens.
+func testAPI() *API {
+	document := &rudderconfig.Document{
+		Selectors: []rudderconfig.Selector{{Name: "chat", Firm: "umuvumu", Model: "ledger-7b"}},
+		Services:  []rudderconfig.Service{{Name: "ledger", Firm: "umuvumu"}, {Name: "booking", Firm: "verchères"}},
+		Workspaces: []rudderconfig.Workspace{
+			{Name: "kigali", Firm: "umuvumu", KeyHashes: []string{hashOf("key-kigali")}, Limits: rudderconfig.Limits{BodyBytes: 2000}},
+			{Name: "slow", Firm: "umuvumu", KeyHashes: []string{hashOf("key-slow")}, Limits: rudderconfig.Limits{RequestsPerSecond: 1, Concurrent: 1}},
+			{Name: "studio", Firm: "verchères", KeyHashes: []string{hashOf("key-studio")}},
+		},
+	}
+	return &API{
+		Name: "entry-1", Clock: clockwork.NewFakeClock(), Logger: zerolog.Nop(), MaxBodyBytes: 1 << 20,
+		Config:     func() *rudderconfig.Document { return document },
+		LimitShare: func() float64 { return 1 },
+		Refuse:     func() *Refusal { return nil },
+		Estimate: func(string, int, int) (int, rudderconfig.WorkClass) {
+			return 10, rudderconfig.ClassShort
+		},
+		Answers: &rudderstream.Registry{Retention: time.Minute, MaxBytes: 1 << 20},
+		Start: func(_ rudderstream.Request, a *rudderstream.Answer) {
+			a.StartAttempt(1)
+			for i, text := range []string{"one ", "two ", "three"} {
+				_, _ = a.Append(1, i+1, text)
+			}
+			a.Finish(rudderstream.Result{Outcome: rudderstream.OutcomeComplete, FinishReason: "stop", PromptTokens: 4})
+		},
+		ReadRemote: func(context.Context, string, string, string, int) (RemotePage, bool) { return RemotePage{}, false },
+		Call: func(context.Context, ServiceCall) ServiceAnswer {
+			return ServiceAnswer{Outcome: rudderstream.OutcomeComplete, Status: http.StatusCreated, Body: []byte("booked")}
+		},
+		Entries: func(string) ([]Entry, time.Duration) { return []Entry{{Address: "127.0.0.1:1"}}, 10 * time.Second },
+	}
+}
+
+type reply struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+}
+
+func do(t *testing.T, api *API, method, path, key, body string) reply {
+	t.Helper()
+	server := httptest.NewServer(api.Handler())
+	defer server.Close()
+	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return reply{response.StatusCode, response.Header, response.Trailer, string(text)}
+}
+
+const chatBody = `{"model":"ledger-7b","messages":[{"role":"user","content":"summarise"}]}`
+
+// Guards against errors that a program cannot act on, and against refusals that do not say "not run".
+func TestRefusals(t *testing.T) {
+	leaving := testAPI()
+	leaving.Refuse = func() *Refusal { return refuseNotReady("stopping") }
+	tests := []struct {
+		name, method, path, key, body string
+		api                           *API
+		status                        int
+		code                          string
+	}{
+		{"no key", "POST", "/v1/chat/completions", "", chatBody, nil, 401, "invalid_api_key"},
+		{"unknown key", "POST", "/v1/chat/completions", "key-nobody", chatBody, nil, 401, "invalid_api_key"},
+		{"not JSON", "POST", "/v1/chat/completions", "key-kigali", "{", nil, 400, "invalid_request"},
+		{"no messages", "POST", "/v1/chat/completions", "key-kigali", `{"model":"ledger-7b"}`, nil, 400, "invalid_request"},
+		{"model of another firm", "POST", "/v1/chat/completions", "key-studio", chatBody, nil, 404, "model_not_found"},
+		{"body too large", "POST", "/v1/chat/completions", "key-kigali", chatBody + strings.Repeat(" ", 3000), nil, 413, "body_too_large"},
+		{"service of another firm", "POST", "/v1/services/booking/x", "key-kigali", "", nil, 403, "service_of_other_firm"},
+		{"unknown service", "POST", "/v1/services/nothing/x", "key-kigali", "", nil, 404, "service_not_found"},
+		{"unknown path", "GET", "/v2/nothing", "", "", nil, 404, "not_found"},
+		{"wrong method", "DELETE", "/v1/entries", "", "", nil, 405, "method_not_allowed"},
+		{"request ID of the wrong form", "GET", "/v1/requests/nonsense/stream", "key-kigali", "", nil, 400, "invalid_request"},
+		{"after below 0", "GET", "/v1/requests/entry-1.a/stream?after=-1", "key-kigali", "", nil, 400, "invalid_request"},
+		{"host that may not serve", "POST", "/v1/chat/completions", "key-kigali", chatBody, leaving, 503, "entry_not_ready"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			api := test.api
+			if api == nil {
+				api = testAPI()
+			}
+			got := do(t, api, test.method, test.path, test.key, test.body)
+			require.Equal(t, test.status, got.status, got.body)
+			var body errorBody
+			require.NoError(t, json.Unmarshal([]byte(got.body), &body))
+			require.Equal(t, test.code, body.Error.Code)
+			require.NotEmpty(t, body.Error.NextStep)
+			require.Equal(t, string(rudderstream.OutcomeNotRun), got.header.Get(HeaderOutcome))
+			require.NotEmpty(t, got.header.Get(HeaderRequestID))
+		})
+	}
+}
+
+// Guards against a workspace that takes more than its rate, and against a refusal without a time.
+func TestRateLimit(t *testing.T) {
+	api := testAPI()
+	require.Equal(t, 200, do(t, api, "POST", "/v1/chat/completions", "key-slow", chatBody).status)
+	second := do(t, api, "POST", "/v1/chat/completions", "key-slow", chatBody)
+	require.Equal(t, 429, second.status)
+	require.Equal(t, "1", second.header.Get("Retry-After"))
+	require.Equal(t, 200, do(t, api, "POST", "/v1/chat/completions", "key-kigali", chatBody).status, "another workspace is not affected")
+}
+
+// Guards against an answer whose outcome the caller cannot see.
+func TestWholeAndStreamedAnswers(t *testing.T) {
+	whole := do(t, testAPI(), "POST", "/v1/chat/completions", "key-kigali", chatBody)
+	require.Equal(t, 200, whole.status)
+	require.Contains(t, whole.body, `"content":"one two three"`)
+	require.Equal(t, "complete", whole.header.Get(HeaderOutcome))
+
+	streamed := do(t, testAPI(), "POST", "/v1/chat/completions", "key-kigali", strings.Replace(chatBody, "{", `{"stream":true,`, 1))
+	require.Equal(t, "text/event-stream", streamed.header.Get("Content-Type"))
+	require.Equal(t, "complete", streamed.trailer.Get(HeaderOutcome))
+	require.Contains(t, streamed.body, `"rudder_outcome":"complete"`)
+	require.True(t, strings.HasSuffix(streamed.body, "data: [DONE]\n\n"))
+}
+
+// Guards against a stream that fails in the middle and looks whole.
+func TestStreamThatFailsInTheMiddle(t *testing.T) {
+	api := testAPI()
+	api.Start = func(_ rudderstream.Request, a *rudderstream.Answer) {
+		a.StartAttempt(1)
+		_, _ = a.Append(1, 1, "one ")
+		a.Finish(rudderstream.Result{Outcome: rudderstream.OutcomeMayHaveRun, Code: rudderstream.CodeRetryExhausted})
+	}
+	got := do(t, api, "POST", "/v1/chat/completions", "key-kigali", strings.Replace(chatBody, "{", `{"stream":true,`, 1))
+	require.Contains(t, got.body, `"code":"retries_exhausted"`)
+	require.NotContains(t, got.body, "[DONE]")
+	require.Equal(t, "may_have_run", got.trailer.Get(HeaderOutcome))
+}
+
+// Guards against a caller that picks up the answer of another workspace, and against repeated tokens.
+func TestPickUp(t *testing.T) {
+	api := testAPI()
+	id := do(t, api, "POST", "/v1/chat/completions", "key-kigali", chatBody).header.Get(HeaderRequestID)
+	got := do(t, api, "GET", "/v1/requests/"+id+"/stream?after=2", "key-kigali", "")
+	require.Equal(t, 200, got.status, got.body)
+	require.NotContains(t, got.body, "two")
+	require.Contains(t, got.body, `"content":"three"`)
+	require.Equal(t, id, got.header.Get(HeaderRequestID))
+
+	other := do(t, api, "GET", "/v1/requests/"+id+"/stream", "key-studio", "")
+	require.Equal(t, 404, other.status)
+	require.Contains(t, other.body, "answer_not_found")
+}
+
+// Guards against pick-up that works only at the entry host that serves the request.
+func TestPickUpAtAnotherEntryHost(t *testing.T) {
+	api := testAPI()
+	pages := []RemotePage{
+		{Page: rudderstream.Page{Tokens: []string{"two "}}, Model: "ledger-7b"},
+		{},
+		{Page: rudderstream.Page{Tokens: []string{"three"}, Done: true, Result: rudderstream.Result{Outcome: rudderstream.OutcomeComplete, FinishReason: "stop"}}},
+	}
+	var asked []int
+	api.ReadRemote = func(_ context.Context, member, id, workspace string, after int) (RemotePage, bool) {
+		require.Equal(t, "entry-2", member)
+		require.Equal(t, "kigali", workspace)
+		asked = append(asked, after)
+		page := pages[0]
+		pages = pages[1:]
+		return page, true
+	}
+	got := do(t, api, "GET", "/v1/requests/entry-2.abc/stream?after=1", "key-kigali", "")
+	require.Equal(t, 200, got.status, got.body)
+	require.Contains(t, got.body, `"content":"three"`)
+	require.Equal(t, []int{1, 2, 2}, asked)
+	require.Equal(t, "complete", got.trailer.Get(HeaderOutcome))
+}
+
+// Guards against a service answer that loses its status or its outcome.
+func TestServiceAnswerIsPassedOn(t *testing.T) {
+	got := do(t, testAPI(), "POST", "/v1/services/ledger/payments", "key-kigali", "{}")
+	require.Equal(t, 201, got.status)
+	require.Equal(t, "booked", got.body)
+	require.Equal(t, "complete", got.header.Get(HeaderOutcome))
+}
