Thin: add the stand-ins of the environment and the HTTP adapters to it

Other packages need something real to run against. This adds the key-value service, host list, weight store, engines and plain services as HTTP servers and in-process ports, the client adapters in shared, and layouts of 13 and 136 hosts with matching configurations.

The adapters tell a write that cannot have left the process from one that got no answer by the connection that the request was given. A host that is down keeps its port reserved by a bound socket that does not listen, so it refuses connections and returns at the same address.

--- /dev/null
+++ b/rudderstand/rudderengine/tokens.go
@@ -0,0 +1,64 @@
+package rudderengine
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Natural lengths of answers lie from minTokens to minTokens+spreadTokens-1.
+const (
+	minTokens    = 16
+	spreadTokens = 48
+)
+
+// lengthMark in a prompt sets the natural length of its answer, for example "[tokens=500]".
+var lengthMark = regexp.MustCompile(`\[tokens=(\d{1,6})\]`)
+
+// LengthMark is text that gives a prompt's answer a natural length.
+func LengthMark(tokens int) string { return "[tokens=" + strconv.Itoa(tokens) + "]" }
+
+// NaturalLength is how many tokens the answer to a prompt has when nothing limits it.
+func NaturalLength(prompt string) int {
+	if m := lengthMark.FindStringSubmatch(prompt); m != nil {
+		if n, err := strconv.Atoi(m[1]); err == nil && n > 0 {
+			return n
+		}
+	}
+	return minTokens + int(xxhash.Sum64String(prompt)%spreadTokens)
+}
+
+// ExpectedTokens is the whole answer to a prompt (ruddertarget.PromptText of the messages): a function
+// of the prompt only, so that a checker can tell a whole and correct answer. A maxTokens of 0 or less
+// means no limit.
+func ExpectedTokens(prompt string, maxTokens int) []string {
+	return tokensOf(xxhash.Sum64String(prompt), answerLength(prompt, maxTokens))
+}
+
+// ExpectedText is the text of ExpectedTokens.
+func ExpectedText(prompt string, maxTokens int) string {
+	return strings.Join(ExpectedTokens(prompt, maxTokens), "")
+}
+
+func answerLength(prompt string, maxTokens int) int {
+	length := NaturalLength(prompt)
+	if maxTokens > 0 {
+		length = min(length, maxTokens)
+	}
+	return length
+}
+
+func tokensOf(seed uint64, count int) []string {
+	tokens := make([]string, count)
+	for i := range tokens {
+		tokens[i] = tokenAt(seed, i)
+	}
+	return tokens
+}
+
+func tokenAt(seed uint64, index int) string {
+	sum := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "/" + strconv.Itoa(index))
+	return " " + strconv.FormatUint(sum%(36*36*36*36*36), 36)
+}
--- /dev/null
+++ b/rudderstand/rudderfleetstand/fleet.go
@@ -0,0 +1,222 @@
+// Package rudderfleetstand builds a whole environment in one process on 127.0.0.1: the key-value
+// service, the host list, the weight store, engine hosts over fabric domains and plain services.
+package rudderfleetstand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrudder.example/rudderstand/rudderbackend"
+	"comfreyrudder.example/rudderstand/rudderengine"
+	"comfreyrudder.example/rudderstand/rudderfront"
+	"comfreyrudder.example/rudderstand/rudderinventory"
+	"comfreyrudder.example/rudderstand/rudderkv"
+	"comfreyrudder.example/rudderstand/rudderweights"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// Rates of the platform's services.
+const (
+	readsPerSecond  = 2000
+	writesPerSecond = 400
+	// weightBytesPerSecond loads one model on all 130 hosts of TwoFirms in about 3.4 s.
+	weightBytesPerSecond = 4 << 30
+	// adapterBytes is the size of weights that the configuration has no size for.
+	adapterBytes = 10 << 20
+	listLag      = 500 * time.Millisecond
+)
+
+// Host is one target host. Exactly one of Engine and Backend is set.
+type Host struct {
+	rudderhost.Host
+	Engine  *rudderengine.Engine
+	Backend *rudderbackend.Backend
+
+	labels        map[string]string
+	checksFencing bool
+}
+
+// Fleet is the environment. Set the exported fields above the line before Start; read those below it
+// afterwards.
+type Fleet struct {
+	Layout Layout
+	// Clock drives everything; nil takes the real clock.
+	Clock clockwork.Clock
+	// Timing of the engines; nil takes rudderengine.DefaultTiming.
+	Timing *rudderengine.Timing
+	// Tune changes an engine or a service before it starts; nil changes nothing.
+	Tune func(engine *rudderengine.Engine, backend *rudderbackend.Backend)
+	// NoConfig leaves the key-value service empty. Otherwise Start writes Document to it.
+	NoConfig bool
+
+	KV        *rudderkv.Server
+	Inventory *rudderinventory.Inventory
+	Weights   *rudderweights.Store
+	Fabric    *rudderengine.Fabric
+	Calls     *rudderbackend.Ledger
+	Hosts     []*Host
+	// Document is the first configuration.
+	Document rudderconfig.Document
+
+	kvFront        rudderfront.Front
+	inventoryFront rudderfront.Front
+}
+
+// Start builds and starts everything. After an error Close ends what had started.
+func (f *Fleet) Start() error {
+	if f.Clock == nil {
+		f.Clock = clockwork.NewRealClock()
+	}
+	f.KV = &rudderkv.Server{Clock: f.Clock, ReadsPerSecond: readsPerSecond, WritesPerSecond: writesPerSecond}
+	f.Inventory = &rudderinventory.Inventory{Clock: f.Clock, Lag: listLag}
+	f.Fabric = &rudderengine.Fabric{}
+	f.Calls = &rudderbackend.Ledger{}
+	f.Weights = &rudderweights.Store{
+		Clock: f.Clock, BytesPerSecond: weightBytesPerSecond, DefaultBytes: adapterBytes, Sizes: map[string]int64{},
+	}
+	for _, m := range f.Layout.Document.Models {
+		f.Weights.Sizes[m.Name+"@"+m.Version] = m.WeightBytes
+	}
+	if err := f.startHosts(); err != nil {
+		return err
+	}
+	f.Document = f.document()
+	if err := f.seed(); err != nil {
+		return err
+	}
+	f.kvFront.Handler = f.KV.Handler()
+	f.inventoryFront.Handler = f.Inventory.Handler()
+	return errors.CombineErrors(f.kvFront.Start(), f.inventoryFront.Start())
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, h := range f.Hosts {
+		if h.Engine != nil {
+			h.Engine.Close()
+		} else {
+			h.Backend.Close()
+		}
+	}
+	f.kvFront.Close()
+	f.inventoryFront.Close()
+}
+
+// KVURL is the key-value service's base URL.
+func (f *Fleet) KVURL() string { return "http://" + f.kvFront.Address() }
+
+// InventoryURL is the host list's base URL.
+func (f *Fleet) InventoryURL() string { return "http://" + f.inventoryFront.Address() }
+
+// Host returns a host by its name, or nil.
+func (f *Fleet) Host(name string) *Host {
+	for _, h := range f.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// HostAt returns a host by its address, or nil.
+func (f *Fleet) HostAt(address string) *Host {
+	for _, h := range f.Hosts {
+		if h.Address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) seed() error {
+	if f.NoConfig {
+		return nil
+	}
+	value, err := json.Marshal(f.Document)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	request := rudderstore.PutRequest{Key: rudderconfig.Key, Value: value}
+	_, err = f.KV.Store().Put(context.Background(), request)
+	return errors.Wrap(err, "write configuration")
+}
+
+func (f *Fleet) startHosts() error {
+	for _, d := range f.Layout.Domains {
+		for i := range d.Hosts {
+			if err := f.startEngine(d, i); err != nil {
+				return err
+			}
+		}
+	}
+	for _, s := range f.Layout.Services {
+		if err := f.startBackend(s); err != nil {
+			return err
+		}
+	}
+	list := make([]rudderhost.Host, 0, len(f.Hosts))
+	for _, h := range f.Hosts {
+		list = append(list, h.Host)
+	}
+	f.Inventory.Set(list)
+	return nil
+}
+
+func (f *Fleet) startEngine(d Domain, index int) error {
+	timing := rudderengine.DefaultTiming()
+	if f.Timing != nil {
+		timing = *f.Timing
+	}
+	name := fmt.Sprintf("%s-%02d", d.Name, index+1)
+	checks := d.SomeCheckFencing && index%2 == 1
+	engine := &rudderengine.Engine{
+		Host: name, Clock: f.Clock, Fabric: f.Fabric, Weights: f.Weights, Timing: timing,
+		ChecksFencing: checks, Slots: slotsPerGroup,
+	}
+	if f.Tune != nil {
+		f.Tune(engine, nil)
+	}
+	if err := engine.Start(); err != nil {
+		return err
+	}
+	f.Hosts = append(f.Hosts, &Host{
+		Host: rudderhost.Host{
+			Name: name, Address: engine.Address(), Kind: rudderhost.KindEngine, Region: d.Region,
+			DataCentre: d.DataCentre, FabricDomain: d.Name, Accelerators: d.Accelerators,
+			State: rudderhost.StateLive,
+		},
+		Engine:        engine,
+		labels:        map[string]string{LabelFirm: d.Firm, LabelRegion: d.Region, LabelAccelerator: d.Accelerator},
+		checksFencing: engine.ChecksFencing,
+	})
+	return nil
+}
+
+func (f *Fleet) startBackend(s ServiceHost) error {
+	backend := &rudderbackend.Backend{
+		Host: s.Name, Service: s.Service, Clock: f.Clock, Ledger: f.Calls, ChecksFencing: true,
+	}
+	if f.Tune != nil {
+		f.Tune(nil, backend)
+	}
+	if err := backend.Start(); err != nil {
+		return err
+	}
+	f.Hosts = append(f.Hosts, &Host{
+		Host: rudderhost.Host{
+			Name: s.Name, Address: backend.Address(), Kind: rudderhost.KindService, Region: s.Region,
+			DataCentre: s.DataCentre, FabricDomain: s.Name, State: rudderhost.StateLive,
+		},
+		Backend:       backend,
+		labels:        map[string]string{LabelFirm: s.Firm, LabelRegion: s.Region, LabelService: s.Service},
+		checksFencing: backend.ChecksFencing,
+	})
+	return nil
+}
--- /dev/null
+++ b/rudderstand/rudderfront/conn.go
@@ -0,0 +1,98 @@
+package rudderfront
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// gate lets traffic pass until it is shut.
+type gate struct {
+	mu       sync.Mutex
+	released chan struct{} // nil while open
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.released == nil {
+		g.released = make(chan struct{})
+	}
+}
+
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.released != nil {
+		close(g.released)
+		g.released = nil
+	}
+}
+
+// wait returns when the gate is open, or reports false when closed ends first.
+func (g *gate) wait(closed <-chan struct{}) bool {
+	for {
+		g.mu.Lock()
+		released := g.released
+		g.mu.Unlock()
+		if released == nil {
+			return true
+		}
+		select {
+		case <-released:
+		case <-closed:
+			return false
+		}
+	}
+}
+
+type listener struct {
+	net.Listener
+	front *Front
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.front.accept(inner), nil
+}
+
+type conn struct {
+	net.Conn
+	front  *Front
+	gate   *gate
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read hands data and the peer's close on only while the gate is open. Timeouts pass at once: the HTTP
+// server interrupts its own reads with deadlines.
+func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	var timeout net.Error
+	if n == 0 && errors.As(err, &timeout) && timeout.Timeout() {
+		return n, err
+	}
+	if !c.gate.wait(c.closed) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *conn) Write(data []byte) (int, error) {
+	if !c.gate.wait(c.closed) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.front.forget(c)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/rudderstand/rudderfront/front.go
@@ -0,0 +1,193 @@
+// Package rudderfront is the network side of a stand-in host: a TCP port whose connections can be
+// cut, refused or made silent.
+package rudderfront
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// loopback is the only address that stand-ins listen on.
+const loopback = "127.0.0.1"
+
+// readHeaderTimeout bounds how long a connection may take to send its request's header.
+const readHeaderTimeout = 10 * time.Second
+
+// Front listens on a loopback port. Set Handler before Start. The port stays reserved from Start to
+// Close, so a host that is down refuses connections and comes back at the same address.
+type Front struct {
+	Handler http.Handler
+
+	mu      sync.Mutex
+	holder  int // a bound socket that does not listen
+	port    int
+	server  *http.Server
+	conns   map[*conn]struct{}
+	open    *gate // for connections that exist now
+	silent  bool  // new connections are silent as well
+	running bool
+	closed  bool
+}
+
+// ErrClosed reports a restart after Close.
+var ErrClosed = errors.New("front: closed")
+
+// Start reserves a port and listens.
+func (f *Front) Start() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.reserve(); err != nil {
+		return err
+	}
+	f.open = &gate{}
+	f.conns = map[*conn]struct{}{}
+	return f.listen()
+}
+
+// reserve binds a socket without listening. The kernel refuses connections to it and gives its port
+// to nobody who does not ask for it by number.
+func (f *Front) reserve() error {
+	holder, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return errors.Wrap(err, "reserve port")
+	}
+	f.holder = holder
+	// Both sockets of the port need this option, and net.Listen sets it on its own.
+	if err := syscall.SetsockoptInt(holder, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return errors.Wrap(err, "reserve port")
+	}
+	if err := syscall.Bind(holder, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return errors.Wrap(err, "reserve port")
+	}
+	name, err := syscall.Getsockname(holder)
+	if err != nil {
+		return errors.Wrap(err, "reserve port")
+	}
+	if address, ok := name.(*syscall.SockaddrInet4); ok {
+		f.port = address.Port
+	}
+	return nil
+}
+
+// listen needs the mutex.
+func (f *Front) listen() error {
+	inner, err := net.Listen("tcp4", f.address())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	f.server = &http.Server{Handler: f.Handler, ReadHeaderTimeout: readHeaderTimeout}
+	f.running = true
+	server := f.server
+	// Serve ends with an error whenever the listener is closed.
+	go func() { _ = server.Serve(&listener{Listener: inner, front: f}) }()
+	return nil
+}
+
+func (f *Front) address() string { return net.JoinHostPort(loopback, strconv.Itoa(f.port)) }
+
+// Address is the host:port that the front listens on after Start.
+func (f *Front) Address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.address()
+}
+
+// Kill cuts all connections and refuses new ones.
+func (f *Front) Kill() {
+	f.mu.Lock()
+	server, conns := f.server, f.conns
+	wasRunning := f.running
+	f.running = false
+	f.conns = map[*conn]struct{}{}
+	f.mu.Unlock()
+	if !wasRunning {
+		return
+	}
+	// The error only says that a connection was closed already.
+	_ = server.Close()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Restart listens again after Kill.
+func (f *Front) Restart() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return ErrClosed
+	}
+	if f.running {
+		return nil
+	}
+	f.open = &gate{}
+	f.silent = false
+	return f.listen()
+}
+
+// SilenceOpen stops all traffic on the connections that exist now, for good. New ones work.
+func (f *Front) SilenceOpen() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open.shut()
+	if !f.silent {
+		f.open = &gate{}
+	}
+}
+
+// Silence stops all traffic on existing and new connections, or lets it continue.
+func (f *Front) Silence(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+	if silent {
+		f.open.shut()
+		return
+	}
+	f.open.release()
+}
+
+// CutOpen closes the connections that exist now. New ones work.
+func (f *Front) CutOpen() {
+	f.mu.Lock()
+	conns := f.conns
+	f.conns = map[*conn]struct{}{}
+	f.mu.Unlock()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Close kills the front and gives its port back.
+func (f *Front) Close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	f.Kill()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holder > 0 {
+		_ = syscall.Close(f.holder)
+		f.holder = 0
+	}
+}
+
+func (f *Front) accept(inner net.Conn) net.Conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &conn{Conn: inner, front: f, gate: f.open, closed: make(chan struct{})}
+	f.conns[c] = struct{}{}
+	return c
+}
+
+func (f *Front) forget(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
--- /dev/null
+++ b/rudderstand/rudderkv/http.go
@@ -0,0 +1,130 @@
+package rudderkv
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// maxBodyBytes covers a value of rudderstore.MaxValueBytes in base64 with its key. The value's own
+// size is checked after decoding.
+const maxBodyBytes = 2 << 20
+
+// Handler returns the service's HTTP API.
+func (s *Server) Handler() http.Handler {
+	s.init()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", s.handle(s.serveGet))
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.handle(s.servePut))
+	mux.HandleFunc("DELETE /v1/kv/{key...}", s.handle(s.serveDelete))
+	mux.HandleFunc("GET /v1/list", s.handle(s.serveList))
+	mux.HandleFunc("POST /v1/leases", s.handle(s.serveGrant))
+	mux.HandleFunc("POST /v1/leases/{id}/keepalive", s.handle(s.serveKeepAlive))
+	mux.HandleFunc("DELETE /v1/leases/{id}", s.handle(s.serveRevoke))
+	mux.HandleFunc("GET /v1/watch", s.handle(s.serveWatch))
+	return mux
+}
+
+type serve func(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error)
+
+// errBadRequest reports a request that is not in the protocol.
+var errBadRequest = errors.New("key-value service: bad request")
+
+func (s *Server) handle(call serve) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		answer, err := call(s.StoreFor(r.Header.Get(rudderstore.HeaderClient)), r)
+		if errors.Is(err, rudderstore.ErrUnknownOutcome) {
+			// The caller must not see an answer: the connection is cut.
+			panic(http.ErrAbortHandler)
+		}
+		status := http.StatusOK
+		if err != nil {
+			answer.Error, status = rudderstore.CodeOf(err)
+		}
+		if errors.Is(err, errBadRequest) {
+			answer.Error, status = "bad_request", http.StatusBadRequest
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set(rudderstore.HeaderRevision, strconv.FormatInt(answer.Revision, 10))
+		w.WriteHeader(status)
+		// A failed write means that the caller has gone.
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func (s *Server) serveGet(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	entry, revision, err := store.Get(r.Context(), r.PathValue("key"))
+	return rudderstore.Answer{Revision: revision, Entry: &entry}, err
+}
+
+func (s *Server) serveList(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	entries, revision, err := store.List(r.Context(), r.URL.Query().Get("prefix"))
+	return rudderstore.Answer{Revision: revision, Entries: entries}, err
+}
+
+func (s *Server) servePut(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	var request rudderstore.PutRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return rudderstore.Answer{}, rudderstore.ErrTooLarge
+		}
+		return rudderstore.Answer{}, errBadRequest
+	}
+	request.Key = r.PathValue("key")
+	revision, err := store.Put(r.Context(), request)
+	return rudderstore.Answer{Revision: revision}, err
+}
+
+func (s *Server) serveDelete(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
+	if err != nil {
+		return rudderstore.Answer{}, errBadRequest
+	}
+	revision, err := store.Delete(r.Context(), r.PathValue("key"), expected)
+	return rudderstore.Answer{Revision: revision}, err
+}
+
+func (s *Server) serveGrant(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	var request rudderstore.LeaseRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.TTLMillis <= 0 {
+		return rudderstore.Answer{}, errBadRequest
+	}
+	lease, err := store.GrantLease(r.Context(), time.Duration(request.TTLMillis)*time.Millisecond)
+	return rudderstore.Answer{Lease: lease}, err
+}
+
+func (s *Server) serveKeepAlive(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return rudderstore.Answer{}, errBadRequest
+	}
+	return rudderstore.Answer{}, store.KeepAlive(r.Context(), id)
+}
+
+func (s *Server) serveRevoke(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return rudderstore.Answer{}, errBadRequest
+	}
+	return rudderstore.Answer{}, store.RevokeLease(r.Context(), id)
+}
+
+func (s *Server) serveWatch(store *rudderstore.Store, r *http.Request) (rudderstore.Answer, error) {
+	query := r.URL.Query()
+	after, errAfter := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if errAfter != nil || errWait != nil || len(query["prefix"]) == 0 {
+		return rudderstore.Answer{}, errBadRequest
+	}
+	result, err := store.Watch(r.Context(), rudderstore.WatchRequest{
+		Prefixes: query["prefix"], After: after, Wait: time.Duration(wait) * time.Millisecond,
+	})
+	return rudderstore.Answer{Revision: result.Revision, Events: result.Events}, err
+}
--- /dev/null
+++ b/shared/rudderstore/wire.go
@@ -0,0 +1,66 @@
+package rudderstore
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Headers of the wire protocol.
+const (
+	// HeaderClient names the calling process, so that a stand-in can cut off single processes.
+	HeaderClient = "Rudder-Client"
+	// HeaderRevision carries the store revision on every answer.
+	HeaderRevision = "Rudder-Store-Revision"
+)
+
+// Answer is the body of an answer of the key-value service. Fields that a call does not return are
+// left out.
+type Answer struct {
+	Revision int64 `json:"revision"`
+	// Error is a code of CodeOf; it is empty when the call succeeded.
+	Error   string  `json:"error,omitempty"`
+	Entry   *Entry  `json:"entry,omitempty"`
+	Entries []Entry `json:"entries,omitempty"`
+	Events  []Event `json:"events,omitempty"`
+	Lease   int64   `json:"lease,omitempty"`
+}
+
+// LeaseRequest is the body of POST /v1/leases.
+type LeaseRequest struct {
+	TTLMillis int64 `json:"ttl_ms"`
+}
+
+type wireError struct {
+	err    error
+	code   string
+	status int
+}
+
+var wireErrors = []wireError{
+	{ErrNotFound, "not_found", http.StatusNotFound},
+	{ErrConflict, "conflict", http.StatusConflict},
+	{ErrRateLimited, "rate_limited", http.StatusTooManyRequests},
+	{ErrCompacted, "compacted", http.StatusGone},
+	{ErrTooLarge, "too_large", http.StatusRequestEntityTooLarge},
+	{ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+}
+
+// CodeOf returns the wire code and HTTP status of an error of this package.
+func CodeOf(err error) (code string, status int) {
+	for _, w := range wireErrors {
+		if errors.Is(err, w.err) {
+			return w.code, w.status
+		}
+	}
+	return "internal", http.StatusInternalServerError
+}
+
+func errorOf(code string) error {
+	for _, w := range wireErrors {
+		if w.code == code {
+			return w.err
+		}
+	}
+	return nil
+}
