Thin: match hosts, divide and form groups, plan domains and say which groups serve

rudderconfig matches labels and evaluates time windows. rudderplan divides the wanted groups over fabric domains and steps one domain; rudderplanner runs it under a lease with fencing numbers; rudderfleet keeps plans and confirmations and says which groups may take new work.

--- /dev/null
+++ b/rudderd/rudderfleet/fleet.go
@@ -0,0 +1,261 @@
+// Package rudderfleet keeps an entry host's view of plans and member confirmations, and says which
+// groups may take new work. It does no I/O and is safe for concurrent use.
+package rudderfleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// DefaultConfirmTTL is how long a member's own report counts.
+const DefaultConfirmTTL = 3 * time.Second
+
+// Confirmation is a target's own report with the local time at which it was made, at the latest.
+type Confirmation struct {
+	Domain  string
+	Host    string
+	Address string
+	Status  ruddertarget.Status
+	At      time.Time
+}
+
+// Fleet is the view. The zero value is ready to use.
+type Fleet struct {
+	// ConfirmTTL is DefaultConfirmTTL if zero.
+	ConfirmTTL time.Duration
+
+	mu            sync.RWMutex
+	plans         map[string]ruddergroup.Plan
+	confirmations map[string]Confirmation
+	byModel       map[string][]Group
+	byService     map[string][]Group
+	downtime      accounting
+}
+
+// ObservePlan takes a plan and reports whether it is newer than the known one. A plan never goes back
+// in sequence; among plans of one sequence the higher fencing number wins.
+func (f *Fleet) ObservePlan(p ruddergroup.Plan) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.plans[p.Domain]; ok && (p.Seq < old.Seq || (p.Seq == old.Seq && p.Fencing <= old.Fencing)) {
+		return false
+	}
+	if f.plans == nil {
+		f.plans = map[string]ruddergroup.Plan{}
+	}
+	f.plans[p.Domain] = p
+	f.index()
+	return true
+}
+
+// index rebuilds the lists that queries start from.
+func (f *Fleet) index() {
+	f.byModel, f.byService = map[string][]Group{}, map[string][]Group{}
+	for _, p := range f.plans {
+		for _, g := range p.Groups {
+			if g.State != ruddergroup.StateServing || len(g.Members) == 0 {
+				continue
+			}
+			placed := Group{Group: g, Domain: p.Domain, DataCentre: p.DataCentre, Region: p.Region}
+			if g.Service != "" {
+				f.byService[g.Service] = append(f.byService[g.Service], placed)
+			} else {
+				f.byModel[g.Model] = append(f.byModel[g.Model], placed)
+			}
+		}
+	}
+	for _, lists := range []map[string][]Group{f.byModel, f.byService} {
+		for _, l := range lists {
+			slices.SortFunc(l, func(a, b Group) int { return compareGroups(a.Group, b.Group) })
+		}
+	}
+}
+
+// ObserveStatus takes a target's report made at the given local time (now less its age) and reports
+// whether it is newer than the known one.
+func (f *Fleet) ObserveStatus(c Confirmation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.confirmations[c.Host]; ok && !c.At.After(old.At) {
+		return false
+	}
+	if f.confirmations == nil {
+		f.confirmations = map[string]Confirmation{}
+	}
+	f.confirmations[c.Host] = c
+	return true
+}
+
+// Plan returns the known plan of a domain.
+func (f *Fleet) Plan(domain string) (ruddergroup.Plan, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	p, ok := f.plans[domain]
+	return p, ok
+}
+
+// Confirmations returns the newest reports of a domain's hosts, for relaying; "" means all domains.
+func (f *Fleet) Confirmations(domain string) []Confirmation {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var out []Confirmation
+	for _, c := range f.confirmations {
+		if domain == "" || c.Domain == domain {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Confirmation) int { return strings.Compare(a.Host, b.Host) })
+	return out
+}
+
+// Forget drops the reports of hosts that are older than the given time.
+func (f *Fleet) Forget(before time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for h, c := range f.confirmations {
+		if c.At.Before(before) {
+			delete(f.confirmations, h)
+		}
+	}
+}
+
+// Filter selects groups. Empty fields match everything, but Model or Service should be set on the
+// request path.
+type Filter struct {
+	Model        string
+	ModelVersion string
+	Adapter      string
+	Service      string
+	Firm         string
+	Workspace    string
+	Class        rudderconfig.WorkClass
+	Domain       string
+	DataCentre   string
+	// Config is the configuration in force. With it, a group counts only if its selector exists and
+	// names the workspace and the class. Without it, Workspace and Class are not checked.
+	Config *rudderconfig.Document
+}
+
+// Group is a group with its place and the newest load report of its leader.
+type Group struct {
+	ruddergroup.Group
+	Domain     string
+	DataCentre string
+	Region     string
+	Load       ruddertarget.Load
+	// ConfirmedFor is how long all confirmations stay valid.
+	ConfirmedFor time.Duration
+}
+
+// Serving returns the groups that may take new work now, in the order of their identifiers: the plan
+// says serving, and every member itself reported the group, its rank and readiness within ConfirmTTL.
+func (f *Fleet) Serving(now time.Time, filter Filter) []Group {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var out []Group
+	for _, g := range f.candidates(filter) {
+		if !filter.matches(g) {
+			continue
+		}
+		if valid, why := f.confirmed(now, g.Group); why == "" {
+			g.ConfirmedFor, g.Load = valid, f.confirmations[g.Members[0].Host].Status.Load
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+func (f *Fleet) candidates(filter Filter) []Group {
+	switch {
+	case filter.Model != "":
+		return f.byModel[filter.Model]
+	case filter.Service != "":
+		return f.byService[filter.Service]
+	}
+	var all []Group
+	for _, lists := range []map[string][]Group{f.byModel, f.byService} {
+		for _, l := range lists {
+			all = append(all, l...)
+		}
+	}
+	slices.SortFunc(all, func(a, b Group) int { return compareGroups(a.Group, b.Group) })
+	return all
+}
+
+func (filter Filter) matches(g Group) bool {
+	return filter.place(g) && filter.work(g) && filter.allowed(g)
+}
+
+// wanted reports whether a filter field is unset or equal to the value.
+func wanted(field, value string) bool { return field == "" || field == value }
+
+func (filter Filter) place(g Group) bool {
+	return wanted(filter.Domain, g.Domain) && wanted(filter.DataCentre, g.DataCentre)
+}
+
+func (filter Filter) work(g Group) bool {
+	return wanted(filter.Firm, g.Firm) && wanted(filter.Service, g.Service) && wanted(filter.ModelVersion, g.ModelVersion) &&
+		(filter.Adapter == "" || slices.Contains(g.Adapters, filter.Adapter))
+}
+
+// allowed reports whether the configuration lets the group do this work.
+func (filter Filter) allowed(g Group) bool {
+	if filter.Config == nil {
+		return true
+	}
+	i := slices.IndexFunc(filter.Config.Selectors, func(s rudderconfig.Selector) bool { return s.Name == g.Selector })
+	if i < 0 {
+		return false
+	}
+	s := filter.Config.Selectors[i]
+	return s.Firm == g.Firm && (filter.Workspace == "" || len(s.Workspaces) == 0 || slices.Contains(s.Workspaces, filter.Workspace)) &&
+		(filter.Class == "" || len(s.Classes) == 0 || slices.Contains(s.Classes, filter.Class))
+}
+
+// confirmed returns how long the members' confirmations stay valid, or why they are not.
+func (f *Fleet) confirmed(now time.Time, g ruddergroup.Group) (time.Duration, Why) {
+	ttl := f.ConfirmTTL
+	if ttl == 0 {
+		ttl = DefaultConfirmTTL
+	}
+	valid := ttl
+	for rank, m := range g.Members {
+		c, ok := f.confirmations[m.Host]
+		if !ok {
+			return 0, WhyNoReport
+		}
+		left := ttl - now.Sub(c.At)
+		if left <= 0 {
+			return 0, WhyOldReport
+		}
+		if why := disagrees(g, rank, c.Status); why != "" {
+			return 0, why
+		}
+		valid = min(valid, left)
+	}
+	return valid, ""
+}
+
+// disagrees says how a member's report contradicts the plan. A plain service takes no orders, so it
+// needs no role.
+func disagrees(g ruddergroup.Group, rank int, s ruddertarget.Status) Why {
+	switch {
+	case g.Members[rank].Incarnation != s.Incarnation:
+		return WhyRestarted
+	case s.Leaving:
+		return WhyLeaving
+	case g.Service != "" && s.Role.Group == "":
+		return ""
+	case s.Role.Group != g.ID || s.Role.Rank != rank:
+		return WhyOtherRole
+	case g.Service == "" && s.Phase != ruddertarget.PhaseReady:
+		return WhyNotReady
+	}
+	return ""
+}
--- /dev/null
+++ b/rudderd/rudderfleet/fleet_test.go
@@ -0,0 +1,105 @@
+package rudderfleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+var now = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func fixture() *Fleet {
+	f := &Fleet{}
+	f.ObservePlan(ruddergroup.Plan{Domain: "d1", Seq: 4, Fencing: 2, Groups: []ruddergroup.Group{
+		{ID: "g1", Selector: "a", Firm: "umuvumu", Model: "m", State: ruddergroup.StateServing,
+			Members: []ruddergroup.Member{{Host: "h0", Incarnation: "1"}, {Host: "h1", Incarnation: "1"}}},
+		{ID: "s1", Selector: "ledger", Firm: "umuvumu", Service: "ledger", State: ruddergroup.StateServing,
+			Members: []ruddergroup.Member{{Host: "h2", Incarnation: "1"}}}}})
+	f.ObserveStatus(report("h0", 0, now))
+	f.ObserveStatus(report("h1", 1, now))
+	f.ObserveStatus(Confirmation{Domain: "d1", Host: "h2", At: now, Status: ruddertarget.Status{Incarnation: "1"}})
+	return f
+}
+
+func report(host string, rank int, at time.Time) Confirmation {
+	return Confirmation{Domain: "d1", Host: host, At: at, Status: ruddertarget.Status{Incarnation: "1", Phase: ruddertarget.PhaseReady,
+		Role: ruddertarget.Role{Group: "g1", Rank: rank}}}
+}
+
+// Guards against serving through a group whose members do not all confirm it now.
+func TestServingNeedsEveryMembersWord(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(c *Confirmation)
+		why    Why
+	}{
+		{"agrees", func(*Confirmation) {}, ""},
+		{"other rank", func(c *Confirmation) { c.Status.Role.Rank = 0 }, WhyOtherRole},
+		{"no role", func(c *Confirmation) { c.Status.Role = ruddertarget.Role{} }, WhyOtherRole},
+		{"restarted", func(c *Confirmation) { c.Status.Incarnation = "2" }, WhyRestarted},
+		{"loading", func(c *Confirmation) { c.Status.Phase = ruddertarget.PhaseLoading }, WhyNotReady},
+		{"leaving", func(c *Confirmation) { c.Status.Leaving = true }, WhyLeaving},
+	}
+	for _, tt := range tests {
+		f := fixture()
+		c := report("h1", 1, now.Add(time.Second))
+		tt.change(&c)
+		require.True(t, f.ObserveStatus(c))
+		require.Equal(t, tt.why, f.Groups(now.Add(time.Second))[0].Why, tt.name)
+		require.Equal(t, tt.why == "", len(f.Serving(now.Add(time.Second), Filter{Model: "m"})) == 1, tt.name)
+	}
+	f := fixture()
+	require.Len(t, f.Serving(now.Add(2999*time.Millisecond), Filter{}), 2)
+	require.Empty(t, f.Serving(now.Add(3*time.Second), Filter{}), "confirmations are too old")
+	require.Len(t, f.Stranded(now, []rudderhost.Host{{Name: "h0"}, {Name: "h9"}}), 0, "hosts in use or silent are not stranded")
+}
+
+// Guards against a relayed old report or an old plan that replaces a newer one.
+func TestObservationsNeverGoBack(t *testing.T) {
+	f := fixture()
+	old := report("h1", 1, now.Add(-time.Second))
+	old.Status.Incarnation = "0"
+	require.False(t, f.ObserveStatus(old))
+	require.False(t, f.ObservePlan(ruddergroup.Plan{Domain: "d1", Seq: 3, Fencing: 9}))
+	require.False(t, f.ObservePlan(ruddergroup.Plan{Domain: "d1", Seq: 4, Fencing: 2}))
+	require.Len(t, f.Serving(now, Filter{}), 2)
+	require.True(t, f.ObservePlan(ruddergroup.Plan{Domain: "d1", Seq: 5, Fencing: 2}))
+	require.Empty(t, f.Serving(now, Filter{}))
+}
+
+// Guards against serving a workspace, class or firm that the selector does not name.
+func TestFilter(t *testing.T) {
+	config := &rudderconfig.Document{Selectors: []rudderconfig.Selector{{Name: "a", Firm: "umuvumu", Workspaces: []string{"w1"},
+		Classes: []rudderconfig.WorkClass{rudderconfig.ClassShort}}}}
+	tests := []struct {
+		filter Filter
+		ids    int
+	}{
+		{Filter{Model: "m", Firm: "umuvumu", Workspace: "w1", Class: rudderconfig.ClassShort, Config: config}, 1},
+		{Filter{Model: "m", Firm: "umuvumu", Workspace: "w2", Config: config}, 0},
+		{Filter{Model: "m", Workspace: "w1", Class: rudderconfig.ClassLong, Config: config}, 0},
+		{Filter{Model: "m", Firm: "vercheres"}, 0},
+		{Filter{Service: "ledger"}, 1},
+		{Filter{Service: "ledger", Config: config}, 0}, // its selector was removed
+		{Filter{Domain: "d2"}, 0},
+	}
+	for i, tt := range tests {
+		require.Len(t, fixture().Serving(now, tt.filter), tt.ids, "case %d", i)
+	}
+}
+
+// Guards against downtime that is counted late, early or per host.
+func TestDowntime(t *testing.T) {
+	f := fixture()
+	f.SampleDowntime(now, map[string]int{"a": 2})
+	f.SampleDowntime(now.Add(2*time.Second), map[string]int{"a": 2})
+	f.SampleDowntime(now.Add(4*time.Second), map[string]int{"a": 1})
+	f.SampleDowntime(now.Add(5*time.Second), map[string]int{"a": 1})
+	require.Equal(t, map[string]time.Duration{"a": 5 * time.Second}, f.Downtime())
+}
--- /dev/null
+++ b/rudderd/rudderfleet/report.go
@@ -0,0 +1,137 @@
+package rudderfleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
+)
+
+// Why says why a group takes no new work. The empty value means that it does.
+type Why string
+
+// Reasons why a group takes no new work.
+const (
+	WhyLoading   Why = "loading"          // the plan says loading
+	WhyDraining  Why = "draining"         // the plan says draining
+	WhyNoReport  Why = "no_report"        // a member has not reported yet
+	WhyOldReport Why = "old_report"       // a member's last report is too old
+	WhyRestarted Why = "member_restarted" // a member's process is another one
+	WhyLeaving   Why = "member_leaving"
+	WhyOtherRole Why = "other_role" // a member reports another group, another rank or none
+	WhyNotReady  Why = "not_ready"
+)
+
+// GroupReport is one group of a plan with the reason why it does not serve.
+type GroupReport struct {
+	ruddergroup.Group
+	Domain string
+	Why    Why
+}
+
+// Groups returns all groups of all plans by domain and identifier.
+func (f *Fleet) Groups(now time.Time) []GroupReport {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.groups(now)
+}
+
+func (f *Fleet) groups(now time.Time) []GroupReport {
+	var out []GroupReport
+	for domain, p := range f.plans {
+		for _, g := range p.Groups {
+			r := GroupReport{Group: g, Domain: domain}
+			switch g.State {
+			case ruddergroup.StateLoading:
+				r.Why = WhyLoading
+			case ruddergroup.StateDraining:
+				r.Why = WhyDraining
+			default:
+				_, r.Why = f.confirmed(now, g)
+			}
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b GroupReport) int {
+		if c := strings.Compare(a.Domain, b.Domain); c != 0 {
+			return c
+		}
+		return compareGroups(a.Group, b.Group)
+	})
+	return out
+}
+
+// Stranded returns, in name order, the hosts that reported within ConfirmTTL and are in no group that
+// takes new work.
+func (f *Fleet) Stranded(now time.Time, hosts []rudderhost.Host) []rudderhost.Host {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	ttl := f.ConfirmTTL
+	if ttl == 0 {
+		ttl = DefaultConfirmTTL
+	}
+	working := map[string]bool{}
+	for _, g := range f.groups(now) {
+		if g.Why == "" {
+			for _, m := range g.Members {
+				working[m.Host] = true
+			}
+		}
+	}
+	var out []rudderhost.Host
+	for _, h := range hosts {
+		if c, ok := f.confirmations[h.Name]; ok && now.Sub(c.At) < ttl && !working[h.Name] {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b rudderhost.Host) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// accounting sums group downtime.
+type accounting struct {
+	last    time.Time
+	missing map[string]int
+	sum     map[string]time.Duration
+}
+
+// SampleDowntime adds the time since the last sample, times the groups that were missing then, to the
+// downtime of each selector. wanted is the number of groups by selector that should serve now.
+func (f *Fleet) SampleDowntime(now time.Time, wanted map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := &f.downtime
+	if a.sum == nil {
+		a.sum = map[string]time.Duration{}
+	}
+	if passed := now.Sub(a.last); !a.last.IsZero() && passed > 0 {
+		for s, n := range a.missing {
+			a.sum[s] += passed * time.Duration(n)
+		}
+	}
+	serving := map[string]int{}
+	for _, g := range f.groups(now) {
+		if g.Why == "" {
+			serving[g.Selector]++
+		}
+	}
+	a.last, a.missing = now, map[string]int{}
+	for s, n := range wanted {
+		a.missing[s] = max(0, n-serving[s])
+	}
+}
+
+// Downtime returns the group downtime by selector: the sum over missing groups of the time missed.
+func (f *Fleet) Downtime() map[string]time.Duration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := make(map[string]time.Duration, len(f.downtime.sum))
+	for s, d := range f.downtime.sum {
+		out[s] = d
+	}
+	return out
+}
+
+func compareGroups(a, b ruddergroup.Group) int { return strings.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/rudderd/rudderplan/orders.go
@@ -0,0 +1,92 @@
+package rudderplan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// ordersFor compares the plan with what the hosts report.
+func ordersFor(in Input, plan ruddergroup.Plan) []Order {
+	var out []Order
+	planned := map[string]bool{}
+	add := func(host, address string, o ruddertarget.Order, r Reason) {
+		o.Fencing, o.PlanSeq, o.ExpectGroup = in.Fencing, plan.Seq, in.Observed[host].Status.Role.Group
+		r.Host = host
+		out = append(out, Order{Host: host, Address: address, Order: o, Reason: r})
+	}
+	for _, g := range plan.Groups {
+		release := g.State == ruddergroup.StateDraining && quiet(in, g)
+		for rank, m := range g.Members {
+			planned[m.Host] = true
+			o := in.Observed[m.Host]
+			if g.Service != "" || !o.fresh(in.Timing) {
+				continue
+			}
+			switch {
+			case release && o.Status.Role.Group == g.ID:
+				add(m.Host, m.Address, ruddertarget.Order{Kind: ruddertarget.OrderRelease},
+					Reason{Code: CodeReleased, Group: g.ID, Text: "nothing runs in the draining group"})
+			case g.State == ruddergroup.StateLoading && (o.Status.Role.Group != g.ID || o.Status.Role.Rank != rank):
+				add(m.Host, m.Address, ruddertarget.Order{Kind: ruddertarget.OrderAssign, Role: roleOf(g, rank)},
+					Reason{Code: CodeFormed, Group: g.ID, Text: fmt.Sprintf("host joins with rank %d", rank)})
+			}
+		}
+	}
+	for _, h := range in.Hosts {
+		o := in.Observed[h.Name]
+		if role := o.Status.Role; !planned[h.Name] && o.fresh(in.Timing) && role.Group != "" && !busyWhole(in, role) {
+			add(h.Name, h.Address, ruddertarget.Order{Kind: ruddertarget.OrderRelease},
+				Reason{Code: CodeStaleRole, Group: role.Group, Text: "host reports a group that the plan does not list"})
+		}
+	}
+	for _, p := range preloads(in) {
+		add(p.host.Name, p.host.Address, ruddertarget.Order{Kind: ruddertarget.OrderPreload, Role: p.role},
+			Reason{Code: CodePreload, Text: "selector " + p.selector + " opens soon"})
+	}
+	return out
+}
+
+func roleOf(g ruddergroup.Group, rank int) ruddertarget.Role {
+	r := ruddertarget.Role{Group: g.ID, Rank: rank, Size: len(g.Members), Model: g.Model, ModelVersion: g.ModelVersion,
+		Adapters: slices.Clone(g.Adapters)}
+	for _, m := range g.Members {
+		r.Members = append(r.Members, m.Address)
+	}
+	return r
+}
+
+// quiet reports that nothing runs in a draining group and nothing can still arrive: every entry host
+// has had DrainSettle to notice, and every member's load was sampled after that.
+func quiet(in Input, g ruddergroup.Group) bool {
+	settled := time.UnixMilli(g.SinceUnixMS).Add(in.Timing.DrainSettle)
+	if in.Now.Before(settled) || in.InFlight[g.ID] > 0 {
+		return false
+	}
+	for _, m := range g.Members {
+		o := in.Observed[m.Host]
+		if !o.fresh(in.Timing) {
+			return false
+		}
+		if g.Service == "" && o.Status.Role.Group != g.ID {
+			continue // released already, or never assigned
+		}
+		if o.Status.Load.Running+o.Status.Load.Waiting > 0 || (!o.Status.Load.At.IsZero() && o.Status.Load.At.Before(settled)) {
+			return false
+		}
+	}
+	return true
+}
+
+// released reports whether a draining group has ended: nothing runs, and no member reports it.
+func (st *stepper) released(g ruddergroup.Group) bool {
+	if !quiet(st.in, g) {
+		return false
+	}
+	return g.Service != "" || !slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool {
+		return st.in.Observed[m.Host].Status.Role.Group == g.ID
+	})
+}
--- /dev/null
+++ b/rudderd/rudderplan/reason.go
@@ -0,0 +1,29 @@
+package rudderplan
+
+// Code names a reason for machines.
+type Code string
+
+// Codes of reasons for changes and orders.
+const (
+	CodeFormed          Code = "formed"
+	CodeReady           Code = "ready"
+	CodeReleased        Code = "released"
+	CodeMemberDead      Code = "member_dead"
+	CodeMemberRestarted Code = "member_restarted"
+	CodeOtherRole       Code = "other_role"
+	CodeSelectorRemoved Code = "selector_removed"
+	CodeSelectorChanged Code = "selector_changed"
+	CodeWindowClosed    Code = "window_closed"
+	CodeLeaving         Code = "leaving"
+	CodeSurplus         Code = "surplus"
+	CodeStaleRole       Code = "stale_role"
+	CodePreload         Code = "preload"
+)
+
+// Reason says why something is as it is, with a text for operators.
+type Reason struct {
+	Code  Code   `json:"code"`
+	Group string `json:"group,omitempty"`
+	Host  string `json:"host,omitempty"`
+	Text  string `json:"text"`
+}
--- /dev/null
+++ b/rudderd/rudderplan/step.go
@@ -0,0 +1,272 @@
+package rudderplan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// Timing holds the time constants of the step function.
+type Timing struct {
+	// FreshFor is how old a status may be to count as a member's word.
+	FreshFor time.Duration
+	// DeadAfterMisses is how many polls in a row a member must miss to count as dead.
+	DeadAfterMisses int
+	// MinimumHold is how long a group is kept, and a window must stay open for a new group, so that
+	// small changes do not cause loads.
+	MinimumHold time.Duration
+	// DrainSettle is how long after the plan says draining an entry host may still send new work, plus
+	// the lag of load reports.
+	DrainSettle time.Duration
+	// PreloadMargin is added to the time that fetching weights takes.
+	PreloadMargin time.Duration
+	// WeightBytesPerSecond is the rate at which one host fetches weights.
+	WeightBytesPerSecond float64
+}
+
+// DefaultTiming returns the constants for polls every second and a confirmation age of 3 s.
+func DefaultTiming() Timing {
+	return Timing{FreshFor: 3 * time.Second, DeadAfterMisses: 3, MinimumHold: time.Minute,
+		DrainSettle: 5 * time.Second, PreloadMargin: 30 * time.Second, WeightBytesPerSecond: 100e6}
+}
+
+// Observation is what a planner knows about one host from its polls.
+type Observation struct {
+	Status ruddertarget.Status
+	// Age of the last status; meaningless unless Known.
+	Age time.Duration
+	// Known is false until the host has answered once.
+	Known bool
+	// Missed counts the polls in a row that got no answer.
+	Missed int
+}
+
+// Dead reports whether so many polls in a row were missed that the host counts as dead.
+func (o Observation) Dead(t Timing) bool { return o.Missed >= t.DeadAfterMisses }
+
+func (o Observation) fresh(t Timing) bool { return o.Known && o.Age <= t.FreshFor }
+
+// Input is the state of one domain.
+type Input struct {
+	Now    time.Time
+	Domain string
+	Config *rudderconfig.Document
+	// Hosts of the domain.
+	Hosts []rudderhost.Host
+	// Observed by host name.
+	Observed map[string]Observation
+	Plan     ruddergroup.Plan
+	// Want is the number of groups by selector from the Allocation.
+	Want map[string]int
+	// Upcoming is the allocation for selectors that open soon (see Upcoming).
+	Upcoming []Opening
+	// InFlight requests by group; a group that is absent is judged by its leader's report alone.
+	InFlight map[string]int
+	Fencing  int64
+	Planner  string
+	Timing   Timing
+}
+
+// Order is one command for a target with its reason. The planner fills in the order's ID and NotAfter.
+type Order struct {
+	Host    string
+	Address string
+	Order   ruddertarget.Order
+	Reason  Reason
+}
+
+// Result is the outcome of a step.
+type Result struct {
+	// Plan is the next plan. It has a new sequence if Changed.
+	Plan    ruddergroup.Plan
+	Changed bool
+	// Orders may be sent only after Plan is stored.
+	Orders []Order
+	// Reasons lists why the plan changed.
+	Reasons []Reason
+}
+
+type stepper struct {
+	in        Input
+	hosts     map[string]rudderhost.Host
+	groups    []ruddergroup.Group
+	selectors []rudderconfig.Selector
+	reasons   []Reason
+	seq       int64
+	changed   bool
+}
+
+// Step computes the next plan of a domain and the orders that lead to it.
+func Step(in Input) Result {
+	st := &stepper{in: in, hosts: map[string]rudderhost.Host{}, seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now)}
+	for _, h := range in.Hosts {
+		st.hosts[h.Name] = h
+	}
+	for _, g := range in.Plan.Groups {
+		if g, keep := st.keep(cloneGroup(g)); keep {
+			st.groups = append(st.groups, g)
+		}
+	}
+	st.drainSurplus()
+	st.form()
+	next := in.Plan
+	next.Groups = st.groups
+	if st.changed {
+		next.Domain, next.Seq, next.Fencing, next.Planner = in.Domain, st.seq, in.Fencing, in.Planner
+		next.ConfigVersion = in.Config.Version
+		if len(in.Hosts) > 0 {
+			next.Region, next.DataCentre = in.Hosts[0].Region, in.Hosts[0].DataCentre
+		}
+	}
+	return Result{Plan: next, Changed: st.changed, Orders: ordersFor(in, next), Reasons: st.reasons}
+}
+
+func cloneGroup(g ruddergroup.Group) ruddergroup.Group {
+	g.Members = slices.Clone(g.Members)
+	g.Adapters = slices.Clone(g.Adapters)
+	return g
+}
+
+// note records a change of the plan.
+func (st *stepper) note(r Reason) {
+	st.changed = true
+	st.reasons = append(st.reasons, r)
+}
+
+func (st *stepper) setState(g *ruddergroup.Group, s ruddergroup.State, r Reason) {
+	g.State, g.SinceUnixMS, g.Reason = s, st.in.Now.UnixMilli(), ""
+	if s == ruddergroup.StateDraining {
+		g.Reason = r.Text
+	}
+	st.note(r)
+}
+
+// keep moves one group through its states, or drops it.
+func (st *stepper) keep(g ruddergroup.Group) (ruddergroup.Group, bool) {
+	if r, broken := st.broken(g); broken {
+		r.Group = g.ID
+		st.note(r)
+		return g, false
+	}
+	if g.State == ruddergroup.StateDraining {
+		if st.released(g) {
+			st.note(Reason{Code: CodeReleased, Group: g.ID, Text: "group is drained and its hosts are released"})
+			return g, false
+		}
+		return g, true
+	}
+	if r, drain := st.mustDrain(g); drain {
+		r.Group = g.ID
+		st.setState(&g, ruddergroup.StateDraining, r)
+		return g, true
+	}
+	if g.State == ruddergroup.StateLoading && st.ready(g) {
+		st.setState(&g, ruddergroup.StateServing, Reason{Code: CodeReady, Group: g.ID, Text: "every member is ready"})
+	}
+	return g, true
+}
+
+// broken reports a group that cannot run: a member is dead or restarted, or a serving group's member
+// reports another role. Its hosts become free at once; the replica is lost either way.
+func (st *stepper) broken(g ruddergroup.Group) (Reason, bool) {
+	for rank, m := range g.Members {
+		o := st.in.Observed[m.Host]
+		if o.Dead(st.in.Timing) {
+			return Reason{Code: CodeMemberDead, Host: m.Host, Text: fmt.Sprintf("member missed %d polls", o.Missed)}, true
+		}
+		if !o.fresh(st.in.Timing) {
+			continue
+		}
+		if o.Status.Incarnation != m.Incarnation {
+			return Reason{Code: CodeMemberRestarted, Host: m.Host, Text: "member restarted"}, true
+		}
+		if g.State == ruddergroup.StateServing && !confirms(g, rank, o.Status) {
+			return Reason{Code: CodeOtherRole, Host: m.Host,
+				Text: fmt.Sprintf("member reports group %q rank %d phase %s", o.Status.Role.Group, o.Status.Role.Rank, o.Status.Phase)}, true
+		}
+	}
+	return Reason{}, false
+}
+
+// confirms reports whether a member's own word agrees with its place in the group. A plain service
+// takes no orders, so it needs no role.
+func confirms(g ruddergroup.Group, rank int, s ruddertarget.Status) bool {
+	if g.Service != "" {
+		return s.Role.Group == "" || s.Role.Group == g.ID
+	}
+	return s.Role.Group == g.ID && s.Role.Rank == rank && s.Phase == ruddertarget.PhaseReady
+}
+
+func (st *stepper) ready(g ruddergroup.Group) bool {
+	for rank, m := range g.Members {
+		o := st.in.Observed[m.Host]
+		if !o.fresh(st.in.Timing) || o.Status.Incarnation != m.Incarnation || !confirms(g, rank, o.Status) {
+			return false
+		}
+	}
+	return true
+}
+
+// mustDrain reports whether a group must stop taking new work.
+func (st *stepper) mustDrain(g ruddergroup.Group) (Reason, bool) {
+	s, ok := findSelector(st.in.Config, g.Selector)
+	if !ok {
+		return Reason{Code: CodeSelectorRemoved, Text: "selector was removed"}, true
+	}
+	if !s.ActiveAt(st.in.Now) {
+		return Reason{Code: CodeWindowClosed, Text: "selector's window closed"}, true
+	}
+	if changed(st.in.Config, s, g) {
+		return Reason{Code: CodeSelectorChanged, Text: "selector was changed"}, true
+	}
+	for _, m := range g.Members {
+		h, listed := st.hosts[m.Host]
+		if o := st.in.Observed[m.Host]; o.Known && o.Status.Leaving {
+			return Reason{Code: CodeLeaving, Host: m.Host, Text: "host is leaving"}, true
+		}
+		if !listed {
+			continue // the list lags; polls decide
+		}
+		if why := departing(st.in.Config, h); why != "" {
+			return Reason{Code: CodeLeaving, Host: m.Host, Text: why}, true
+		}
+		if !fits(st.in.Config, s, h) {
+			return Reason{Code: CodeSelectorChanged, Host: m.Host, Text: "host no longer matches the selector"}, true
+		}
+	}
+	return Reason{}, false
+}
+
+// changed reports whether a group no longer serves what its selector asks for.
+func changed(config *rudderconfig.Document, s rudderconfig.Selector, g ruddergroup.Group) bool {
+	want := newGroup(config, s)
+	return g.Firm != want.Firm || g.Model != want.Model || g.ModelVersion != want.ModelVersion || g.Service != want.Service ||
+		!slices.Equal(g.Adapters, want.Adapters) || len(g.Members) != groupSize(s)
+}
+
+// newGroup returns a group of the selector without members.
+func newGroup(config *rudderconfig.Document, s rudderconfig.Selector) ruddergroup.Group {
+	g := ruddergroup.Group{Selector: s.Name, Firm: s.Firm, Service: s.Service, State: ruddergroup.StateLoading}
+	if s.Service != "" {
+		g.State = ruddergroup.StateServing
+		g.Slots = defaultServiceSlots
+		for _, v := range config.Services {
+			if v.Name == s.Service && v.Firm == s.Firm && v.MaxConcurrent > 0 {
+				g.Slots = v.MaxConcurrent
+			}
+		}
+		return g
+	}
+	m := findModel(config, s.Model, s.ModelVersion)
+	g.Model, g.ModelVersion, g.Adapters, g.Slots = m.Name, m.Version, slices.Clone(s.Adapters), max(m.SlotsPerGroup, 1)
+	return g
+}
+
+// defaultServiceSlots is the number of concurrent calls to one host of a plain service whose
+// configuration names none.
+const defaultServiceSlots = 32
--- /dev/null
+++ b/rudderd/rudderplanner/plan.go
@@ -0,0 +1,128 @@
+package rudderplanner
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// errReplaced reports that another planner wrote the plan or the lease key, so the lease is lost.
+var errReplaced = errors.New("another planner holds the domain")
+
+// readPlan returns the stored plan, or the zero plan if there is none, and its revision.
+func (w *worker) readPlan(ctx context.Context) (ruddergroup.Plan, int64, error) {
+	entry, _, err := w.p.Store.Get(ctx, ruddergroup.PlanPrefix+w.domain)
+	if errors.Is(err, rudderstore.ErrNotFound) {
+		return ruddergroup.Plan{Domain: w.domain}, 0, nil
+	}
+	if err != nil {
+		return ruddergroup.Plan{}, 0, errors.Wrap(err, "read plan")
+	}
+	var plan ruddergroup.Plan
+	if err := json.Unmarshal(entry.Value, &plan); err != nil {
+		return ruddergroup.Plan{}, 0, errors.Wrap(err, "decode plan")
+	}
+	return plan, entry.Revision, nil
+}
+
+// newestKnown returns the newest plan that this entry host has seen.
+func (w *worker) newestKnown() ruddergroup.Plan {
+	newest := w.known
+	if w.p.KnownPlan != nil {
+		if plan, ok := w.p.KnownPlan(w.domain); ok && plan.Seq > newest.Seq {
+			newest = plan
+		}
+	}
+	return newest
+}
+
+// write stores a plan by CAS. When the answer is lost, the plan stays pending: no other plan is
+// written and no order is sent until a read shows which of the two values is stored.
+func (w *worker) write(ctx context.Context, plan ruddergroup.Plan) error {
+	value, err := json.Marshal(plan)
+	if err != nil {
+		return errors.Wrap(err, "encode plan")
+	}
+	revision, err := w.p.Store.Put(ctx, rudderstore.PutRequest{Key: ruddergroup.PlanPrefix + w.domain, Value: value, Expected: w.revision})
+	switch {
+	case err == nil:
+		w.stored(plan, revision)
+		return nil
+	case errors.Is(err, rudderstore.ErrUnknownOutcome):
+		w.pending = &plan
+		return w.settle(ctx)
+	case errors.Is(err, rudderstore.ErrConflict):
+		return w.resolve(ctx)
+	}
+	return errors.Wrap(err, "write plan")
+}
+
+func (w *worker) stored(plan ruddergroup.Plan, revision int64) {
+	w.known, w.revision, w.pending = plan, revision, nil
+	w.p.OnPlan(plan)
+}
+
+// settle finds out whether the pending plan was stored. If it was not, the same value is written
+// again under the same expected revision, so that at most one of the two writes takes effect.
+func (w *worker) settle(ctx context.Context) error {
+	plan, revision, err := w.readPlan(ctx)
+	if err != nil {
+		return err
+	}
+	if same(plan, *w.pending) {
+		w.stored(plan, revision)
+		return nil
+	}
+	if revision != w.revision {
+		w.pending = nil
+		return w.resolve(ctx)
+	}
+	value, err := json.Marshal(*w.pending)
+	if err != nil {
+		return errors.Wrap(err, "encode plan")
+	}
+	revision, err = w.p.Store.Put(ctx, rudderstore.PutRequest{Key: ruddergroup.PlanPrefix + w.domain, Value: value, Expected: w.revision})
+	if err != nil {
+		return errors.Wrap(err, "write pending plan") // settled in the next tick
+	}
+	w.stored(*w.pending, revision)
+	return nil
+}
+
+func same(a, b ruddergroup.Plan) bool {
+	return a.Seq == b.Seq && a.Fencing == b.Fencing && a.Planner == b.Planner
+}
+
+// resolve compares the stored plan with the known one. A newer plan of another planner ends the
+// lease. An older plan means that the platform was restored: the known groups are written back with a
+// higher sequence.
+func (w *worker) resolve(ctx context.Context) error {
+	plan, revision, err := w.readPlan(ctx)
+	if err != nil {
+		return err
+	}
+	known := w.newestKnown()
+	switch {
+	case plan.Fencing > w.lease.fencing:
+		w.known = plan
+		w.p.OnPlan(plan)
+		return errReplaced
+	case plan.Seq > known.Seq:
+		w.known, w.revision = plan, revision
+		w.p.OnPlan(plan)
+		return nil
+	case same(plan, known):
+		w.known, w.revision = plan, revision
+		return nil
+	}
+	w.p.Logger.Warn().Str("domain", w.domain).Int64("stored_seq", plan.Seq).Int64("known_seq", known.Seq).
+		Msg("platform holds an older plan; the known groups are written back")
+	w.known, w.revision = known, revision
+	known.Seq = max(known.Seq, plan.Seq) + 1
+	known.Domain, known.Fencing, known.Planner = w.domain, w.lease.fencing, w.p.Name
+	return w.write(ctx, known)
+}
--- /dev/null
+++ b/rudderd/rudderplanner/targets.go
@@ -0,0 +1,143 @@
+package rudderplanner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrudder.example/rudderd/rudderplan"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// observed is the last word of a host.
+type observed struct {
+	status ruddertarget.Status
+	known  bool
+	at     time.Time // before the call that got the status was sent
+	missed int
+}
+
+// answer is the result of one call to a target.
+type answer struct {
+	host, address string
+	status        ruddertarget.Status
+	at            time.Time
+	err           error
+}
+
+// poll asks every host of the domain, and every member of the known plan, for its status.
+func (w *worker) poll(ctx context.Context) {
+	addresses := map[string]string{}
+	for _, g := range w.known.Groups {
+		for _, m := range g.Members {
+			addresses[m.Host] = m.Address
+		}
+	}
+	for _, h := range w.hosts() {
+		addresses[h.Name] = h.Address
+	}
+	var mu sync.Mutex
+	var answers []answer
+	var calls errgroup.Group
+	calls.SetLimit(parallelCalls)
+	for host, address := range addresses {
+		calls.Go(func() error {
+			call, cancel := context.WithTimeout(ctx, w.p.Times.PollTimeout)
+			defer cancel()
+			a := answer{host: host, address: address, at: w.p.Clock.Now()}
+			a.status, a.err = w.p.Control.Status(call, address)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+			return nil
+		})
+	}
+	_ = calls.Wait() // errors are in the answers
+	for host := range w.observed {
+		if _, ok := addresses[host]; !ok {
+			delete(w.observed, host)
+		}
+	}
+	for _, a := range answers {
+		w.take(a, true)
+	}
+}
+
+// take records an answer. Only polls count as missed.
+func (w *worker) take(a answer, poll bool) {
+	o := w.observed[a.host]
+	if a.err != nil {
+		if poll {
+			o.missed++
+			w.observed[a.host] = o
+		}
+		return
+	}
+	if o.known && a.at.Before(o.at) {
+		return
+	}
+	w.observed[a.host] = observed{status: a.status, known: true, at: a.at}
+	w.p.OnStatus(w.domain, a.host, a.address, a.status, w.p.Clock.Now().Sub(a.at))
+}
+
+// send sends orders concurrently. The lease is checked right before each one, and the call ends
+// before the lease does.
+func (w *worker) send(ctx context.Context, orders []rudderplan.Order) {
+	var mu sync.Mutex
+	var answers []answer
+	var calls errgroup.Group
+	calls.SetLimit(parallelCalls)
+	for i, o := range orders {
+		if w.repeatedPreload(o) {
+			continue
+		}
+		calls.Go(func() error {
+			a, sent := w.sendOne(ctx, i, o)
+			if sent {
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // errors are in the answers
+	for _, a := range answers {
+		if a.err != nil {
+			w.p.Logger.Warn().Err(a.err).Str("domain", w.domain).Str("host", a.host).Msg("order failed")
+		}
+		w.take(a, false)
+	}
+}
+
+func (w *worker) sendOne(ctx context.Context, i int, o rudderplan.Order) (answer, bool) {
+	order := o.Order
+	order.ID = fmt.Sprintf("%s.f%d.s%d.%s.%d.%d", w.domain, order.Fencing, order.PlanSeq, order.Kind, i, w.p.Clock.Now().UnixMilli())
+	now := w.p.Clock.Now()
+	limit := min(w.p.Times.OrderTTL, w.lease.remaining(now))
+	if limit <= 0 {
+		return answer{}, false
+	}
+	order.NotAfter = now.Add(limit)
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	a := answer{host: o.Host, address: o.Address, at: now}
+	a.status, a.err = w.p.Control.Send(call, o.Address, order)
+	return a, true
+}
+
+// repeatedPreload reports whether the same weights were ordered recently; a fetch takes many polls.
+func (w *worker) repeatedPreload(o rudderplan.Order) bool {
+	if o.Order.Kind != ruddertarget.OrderPreload {
+		return false
+	}
+	key, now := o.Host+"\x00"+o.Order.Role.Model+"@"+o.Order.Role.ModelVersion, w.p.Clock.Now()
+	if last, ok := w.preloads[key]; ok && now.Sub(last) < w.p.Times.PreloadRepeat {
+		return true
+	}
+	w.preloads[key] = now
+	return false
+}
