--- /dev/null
+++ b/rudderd/rudderadmission/shard.go
@@ -0,0 +1,250 @@
+package rudderadmission
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// LeaseTTL is how long a slot stays held without a renewal by its holder. It is longer than the
+// suspicion time of members (3 s), so that a live holder gets three tries to renew.
+const LeaseTTL = 6 * time.Second
+
+// unlistedGrace is how old a slot must be before its absence from its holder's list frees it: the
+// answer that grants it may still be on its way.
+const unlistedGrace = 2 * time.Second
+
+// Shard is the owner's state for one shard of groups. It is not safe for concurrent use.
+type Shard struct {
+	policies   func(rudderconfig.Preset) Policy
+	groups     []*groupState
+	lanes      []*lane
+	held       map[string]*slot
+	slotRate   float64 // decayed estimated tokens per second of one slot
+	medianRate float64
+	shortPeak  float64
+	shortAt    time.Time
+}
+
+// NewShard returns an empty shard. A nil policies takes PolicyFor.
+func NewShard(policies func(rudderconfig.Preset) Policy) *Shard {
+	if policies == nil {
+		policies = PolicyFor
+	}
+	return &Shard{policies: policies, held: map[string]*slot{}}
+}
+
+// SetGroups replaces the groups of the shard. Held slots of a removed group stay until they are
+// released; queued work goes to the groups that remain, or is answered NoGroup when none does.
+func (s *Shard) SetGroups(now time.Time, groups []Group) []Decision {
+	known := map[string]*groupState{}
+	for _, g := range s.groups {
+		known[g.ID] = g
+	}
+	s.groups = s.groups[:0:0]
+	for _, g := range groups {
+		state := known[g.ID]
+		if state == nil {
+			state = &groupState{}
+		}
+		delete(known, g.ID)
+		state.Group = g
+		s.groups = append(s.groups, state)
+	}
+	for _, g := range known {
+		if g.held() > 0 {
+			g.Draining = true
+			s.groups = append(s.groups, g)
+		}
+	}
+	slices.SortFunc(s.groups, func(a, b *groupState) int { return strings.Compare(a.ID, b.ID) })
+	s.updateMedian()
+	return append(s.dropUnservable(), s.dispatch(now)...)
+}
+
+func (s *Shard) servable(work Work) bool {
+	return slices.ContainsFunc(s.groups, func(g *groupState) bool {
+		return !g.Draining && !work.avoids(g.ID)
+	})
+}
+
+func (s *Shard) dropUnservable() []Decision {
+	var decisions []Decision
+	for _, l := range s.lanes {
+		for _, e := range l.remove(func(e *entry) bool { return !s.servable(e.work) }) {
+			decisions = append(decisions, Decision{RequestID: e.work.RequestID, Kind: NoGroup, Reason: "no group left"})
+		}
+	}
+	return decisions
+}
+
+// Offer asks for a slot. The answer is Granted, Queued or final. An offer of a request that already
+// holds a slot or waits is answered the same way again, so that a retried call is harmless.
+func (s *Shard) Offer(now time.Time, work Work) Decision {
+	if held := s.held[work.RequestID]; held != nil {
+		return granted(held)
+	}
+	if s.waiting(work.RequestID) {
+		return Decision{RequestID: work.RequestID, Kind: Queued}
+	}
+	if !s.servable(work) {
+		return Decision{RequestID: work.RequestID, Kind: NoGroup, Reason: "no group serves the work"}
+	}
+	policy := s.policies(work.Preset)
+	e := &entry{work: work, policy: policy, since: now, deadline: work.Deadline}
+	if e.deadline.IsZero() {
+		e.deadline = now.Add(policy.deadline(work.Class))
+	}
+	if s.laneFor(work).entries == 0 && s.canPlace(work, policy) {
+		return s.grant(now, work, policy)
+	}
+	wait := s.expectedWait(work, policy)
+	refuse := func(reason string) Decision {
+		after := s.retryAfter(work, policy, wait-e.deadline.Sub(now))
+		return Decision{RequestID: work.RequestID, Kind: Refused, RetryAfter: after, Reason: reason}
+	}
+	if s.Waiting() >= s.queueLimit(policy) {
+		return refuse("queue full")
+	}
+	if wait > e.deadline.Sub(now) {
+		return refuse("expected wait above the deadline")
+	}
+	s.laneFor(work).push(e)
+	s.notePeak(now)
+	return Decision{RequestID: work.RequestID, Kind: Queued}
+}
+
+func (s *Shard) waiting(requestID string) bool {
+	for _, l := range s.lanes {
+		for _, f := range l.flows {
+			if slices.ContainsFunc(f.entries, func(e *entry) bool { return e.work.RequestID == requestID }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Shard) queueLimit(policy Policy) int {
+	slots := 0
+	for _, g := range s.groups {
+		if !g.Draining {
+			slots += g.Slots
+		}
+	}
+	return int(math.Ceil(policy.QueuePerSlot * float64(slots)))
+}
+
+func (s *Shard) canPlace(work Work, policy Policy) bool {
+	return s.leavesHeadroom(work, policy) && s.place(work, policy) != nil
+}
+
+func (s *Shard) grant(now time.Time, work Work, policy Policy) Decision {
+	g := s.place(work, policy)
+	held := &slot{work: work, group: g, since: now, leaseEnd: now.Add(LeaseTTL)}
+	s.held[work.RequestID] = held
+	g.count(work.Class, 1, now)
+	s.notePeak(now)
+	return granted(held)
+}
+
+func granted(held *slot) Decision {
+	return Decision{
+		RequestID: held.work.RequestID, Kind: Granted, Group: held.group.ID,
+		Leader: held.group.Leader, LeaseEnd: held.leaseEnd,
+	}
+}
+
+// Release frees a slot and returns the grants that this makes possible. An unknown request is
+// ignored: the release may have been sent twice.
+func (s *Shard) Release(now time.Time, requestID string, outcome Outcome) []Decision {
+	held := s.held[requestID]
+	if held == nil {
+		return nil
+	}
+	s.unhold(now, held)
+	elapsed := now.Sub(held.since)
+	if !outcome.Failed && elapsed > 0 {
+		held.group.observe(outcome.Tokens, elapsed)
+		rate := float64(held.work.cost()) / elapsed.Seconds()
+		if s.slotRate == 0 {
+			s.slotRate = rate
+		}
+		s.slotRate += rateDecay * (rate - s.slotRate)
+		s.updateMedian()
+	}
+	return s.dispatch(now)
+}
+
+func (s *Shard) unhold(now time.Time, held *slot) {
+	delete(s.held, held.work.RequestID)
+	g := held.group
+	g.count(held.work.Class, -1, now)
+	s.notePeak(now)
+	if g.Draining && g.held() == 0 {
+		s.groups = slices.DeleteFunc(s.groups, func(other *groupState) bool { return other == g })
+	}
+}
+
+// Abandon takes a request out of the queue and returns its final answer at once; a held slot is
+// freed. It reports false for a request that neither waits nor holds.
+func (s *Shard) Abandon(now time.Time, requestID string) (Decision, bool) {
+	for _, l := range s.lanes {
+		if removed := l.remove(func(e *entry) bool { return e.work.RequestID == requestID }); len(removed) > 0 {
+			return Decision{RequestID: requestID, Kind: Expired, Reason: "given up"}, true
+		}
+	}
+	held := s.held[requestID]
+	if held == nil {
+		return Decision{}, false
+	}
+	s.unhold(now, held)
+	return Decision{RequestID: requestID, Kind: Expired, Reason: "given up"}, true
+}
+
+// Tick ends waits past their deadline, frees slots whose lease has ended and grants what fits.
+func (s *Shard) Tick(now time.Time) []Decision {
+	var decisions []Decision
+	for _, l := range s.lanes {
+		for _, e := range l.remove(func(e *entry) bool { return !now.Before(e.deadline) }) {
+			decisions = append(decisions, Decision{RequestID: e.work.RequestID, Kind: Expired, Reason: "deadline passed in the queue"})
+		}
+	}
+	for _, held := range s.held {
+		if !now.Before(held.leaseEnd) {
+			s.unhold(now, held)
+		}
+	}
+	return append(decisions, s.dispatch(now)...)
+}
+
+func (s *Shard) dispatch(now time.Time) []Decision {
+	var decisions []Decision
+	for {
+		e := s.next(now)
+		if e == nil {
+			return decisions
+		}
+		decisions = append(decisions, s.grant(now, e.work, e.policy))
+	}
+}
+
+// next takes the entry to serve: aged long work of the best priority first, then lanes in order.
+func (s *Shard) next(now time.Time) *entry {
+	place := func(e *entry) bool { return s.canPlace(e.work, e.policy) }
+	for i, l := range s.lanes {
+		if i+1 < len(s.lanes) && s.lanes[i+1].priority == l.priority {
+			aged := func(e *entry) bool { return e.aged(now) && place(e) }
+			if e := s.lanes[i+1].pop(aged); e != nil {
+				return e
+			}
+		}
+		if e := l.pop(place); e != nil {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/rudderd/rudderowner/acquire.go
@@ -0,0 +1,216 @@
+package rudderowner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderpeer"
+)
+
+const (
+	// maxTries bounds the shards that are asked for one request.
+	maxTries = 3
+	// suspectTTL is how long an owner that gave no answer is passed over, so that not each request
+	// waits for callTimeout until the members notice the death.
+	suspectTTL = time.Second
+	// loadTTL is how long the load in an answer is preferred over the digest.
+	loadTTL = 2 * time.Second
+	// unknownLoad stands for the load of a shard without any report.
+	unknownLoad = 0.5
+)
+
+// Work describes a request that needs a slot.
+type Work struct {
+	RequestID string
+	Wanted    rudderrouter.Wanted
+	Workspace string
+	// Weight of the workspace in fair queueing; 0 means 1.
+	Weight int
+	Preset rudderconfig.Preset
+	Class  rudderconfig.WorkClass
+	// Tokens is the estimated work, see rudderadmission.Estimator.
+	Tokens int
+	// Priority orders the queue strictly; a lower number runs first.
+	Priority int
+	// Deadline ends the wait; zero takes the policy's.
+	Deadline time.Time
+	// Avoid names groups that must not run the work.
+	Avoid []string
+	// Blocks are the prompt's prefix blocks, see rudderrouter.PrefixBlocks.
+	Blocks []uint64
+}
+
+// Acquire gets a slot for the work, waiting in the owner's queue if need be. When the context ends
+// it returns at once, and the owner is told in the background.
+func (o *Owner) Acquire(ctx context.Context, work Work) (*Slot, error) {
+	o.init()
+	o.mu.Lock()
+	o.budget.request(o.Clock.Now())
+	o.mu.Unlock()
+	var tried []string
+	var last error
+	for try := range maxTries {
+		shard, owner, err := o.choose(work, tried)
+		if err != nil {
+			return nil, errors.CombineErrors(last, err)
+		}
+		if try > 0 && !o.mayRetry() {
+			return nil, last
+		}
+		tried = append(tried, shard)
+		slot, again, err := o.acquireFrom(ctx, shard, owner, work)
+		if err == nil || !again {
+			return slot, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func (o *Owner) mayRetry() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.budget.take()
+}
+
+// choose picks a shard that wasn't tried, and its owner.
+func (o *Owner) choose(work Work, tried []string) (string, ruddermember.Member, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	o.refresh(now)
+	var candidates []rudderrouter.Candidate
+	for _, s := range o.view.shards {
+		if len(o.view.owners[s.ID()]) == 0 || slices.Contains(tried, s.ID()) || !s.Serves(work.Wanted) ||
+			!hasGroupFor(s, work) {
+			continue
+		}
+		candidates = append(candidates, rudderrouter.Candidate{
+			Shard: s, Load: o.loadOf(now, s.ID()), Near: s.Groups()[0].Region == o.Self.Region,
+		})
+	}
+	i := o.chooser.Choose(candidates, work.Blocks)
+	if i < 0 {
+		return "", ruddermember.Member{}, ErrNoGroup
+	}
+	id := candidates[i].Shard.ID()
+	return id, o.view.owners[id][0], nil
+}
+
+func hasGroupFor(s rudderrouter.Shard, work Work) bool {
+	return slices.ContainsFunc(s.Groups(), func(g rudderrouter.Servable) bool {
+		return !g.Draining && !slices.Contains(work.Avoid, g.ID)
+	})
+}
+
+func (o *Owner) loadOf(now time.Time, shard string) float64 {
+	if known, ok := o.loads[shard]; ok && now.Sub(known.at) < loadTTL {
+		return known.load
+	}
+	if o.DigestedLoad != nil {
+		if load, ok := o.DigestedLoad(shard, o.view.owners[shard][0].Name); ok {
+			return load
+		}
+	}
+	return unknownLoad
+}
+
+// acquireFrom asks one owner. again reports that another shard may be tried.
+func (o *Owner) acquireFrom(ctx context.Context, shard string, owner ruddermember.Member, work Work) (slot *Slot, again bool, err error) {
+	request := &rudderpeer.GrantRequest{Shard: shard, Work: o.workToWire(work)}
+	if o.isSuspect(owner) {
+		return o.fromLocalShare(shard, work)
+	}
+	for {
+		now := o.Clock.Now()
+		if !work.Deadline.IsZero() {
+			if !now.Before(work.Deadline) {
+				o.abandon(shard, work)
+				return nil, false, ErrDeadline
+			}
+			request.DeadlineMs = max(1, work.Deadline.Sub(now).Milliseconds())
+		}
+		response, err := o.grant(ctx, owner, request)
+		if ctx.Err() != nil {
+			o.abandon(shard, work)
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return nil, false, ErrDeadline
+			}
+			return nil, false, errors.Wrap(ctx.Err(), "admission: given up")
+		}
+		if err != nil {
+			o.abandon(shard, work)
+			o.markSuspect(owner)
+			return o.fromLocalShare(shard, work)
+		}
+		if response.GetState() == rudderpeer.GrantResponse_QUEUED {
+			request.WaitMs = pollWait.Milliseconds()
+			continue
+		}
+		return o.settle(shard, work, response)
+	}
+}
+
+// grant makes one call. Its time limit is callTimeout beyond the wait that the owner was asked for.
+func (o *Owner) grant(ctx context.Context, owner ruddermember.Member, request *rudderpeer.GrantRequest) (*rudderpeer.GrantResponse, error) {
+	o.mu.Lock()
+	admission := o.admission(owner)
+	o.mu.Unlock()
+	limit := callTimeout + time.Duration(request.GetWaitMs())*time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	response, err := admission.Grant(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	o.loads[request.GetShard()] = loadAt{response.GetLoad(), o.Clock.Now()}
+	o.mu.Unlock()
+	return response, nil
+}
+
+// settle turns a final answer into a slot or an error.
+func (o *Owner) settle(shard string, work Work, r *rudderpeer.GrantResponse) (*Slot, bool, error) {
+	switch r.GetState() {
+	case rudderpeer.GrantResponse_GRANTED:
+		return o.hold(shard, work, r.GetGroup(), r.GetLeader(), false), false, nil
+	case rudderpeer.GrantResponse_REFUSED:
+		after := time.Duration(r.GetRetryAfterMs()) * time.Millisecond
+		return nil, true, &refusedError{after: after, reason: r.GetReason()}
+	case rudderpeer.GrantResponse_EXPIRED:
+		return nil, false, ErrDeadline
+	case rudderpeer.GrantResponse_NO_GROUP:
+		return nil, true, ErrNoGroup
+	case rudderpeer.GrantResponse_NOT_OWNER:
+		return o.fromLocalShare(shard, work)
+	}
+	return nil, true, &refusedError{after: callTimeout, reason: "unknown answer of the shard owner"}
+}
+
+func (o *Owner) hold(shard string, work Work, group, leader string, local bool) *Slot {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.holdLocked(shard, work, group, leader, local)
+}
+
+func (o *Owner) holdLocked(shard string, work Work, group, leader string, local bool) *Slot {
+	slot := &Slot{
+		owner: o, work: work, group: group, leader: leader, shard: shard, local: local, since: o.Clock.Now(),
+	}
+	o.slots[work.RequestID] = slot
+	o.hints.Placed(group, work.Blocks)
+	return slot
+}
+
+// abandon takes the work out of the owner's queue in the background.
+func (o *Owner) abandon(shard string, work Work) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sendRelease(shard, &rudderpeer.ReleasedSlot{RequestId: work.RequestID, Abandoned: true})
+}
--- /dev/null
+++ b/rudderd/rudderowner/budget.go
@@ -0,0 +1,34 @@
+package rudderowner
+
+import "time"
+
+const (
+	// retryShare of requests may be sent a second time, plus retriesPerSecond.
+	retryShare       = 0.1
+	retriesPerSecond = 1.0
+	// maxRetryCredit bounds the retries after a quiet time.
+	maxRetryCredit = 10.0
+)
+
+// retryBudget bounds retries to a share of requests plus a constant rate.
+type retryBudget struct {
+	credit float64
+	at     time.Time
+}
+
+func (b *retryBudget) request(now time.Time) {
+	if b.at.IsZero() {
+		b.credit, b.at = retriesPerSecond, now
+	}
+	b.credit += retryShare + retriesPerSecond*max(0, now.Sub(b.at).Seconds())
+	b.credit = min(b.credit, maxRetryCredit)
+	b.at = now
+}
+
+func (b *retryBudget) take() bool {
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
--- /dev/null
+++ b/rudderd/rudderowner/owner_test.go
@@ -0,0 +1,186 @@
+package rudderowner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// fleet is a set of entry hosts over HTTP with one shard of groups.
+type fleet struct {
+	owners  []*Owner
+	members atomic.Pointer[[]ruddermember.Member]
+	servers []*httptest.Server
+}
+
+func newFleet(t *testing.T, hosts int, groups ...rudderrouter.Servable) *fleet {
+	f := &fleet{}
+	var members []ruddermember.Member
+	for i := range hosts {
+		o := &Owner{
+			Clock: clockwork.NewRealClock(), HTTPClient: http.DefaultClient, Logger: zerolog.Nop(),
+			Members: func() []ruddermember.Member { return *f.members.Load() },
+			Groups:  func() []rudderrouter.Servable { return groups },
+		}
+		server := httptest.NewServer(o.Handler())
+		t.Cleanup(server.Close)
+		o.Self = ruddermember.Member{
+			Name: fmt.Sprint("entry-", i), PeerAddress: strings.TrimPrefix(server.URL, "http://"), Region: "r",
+		}
+		members = append(members, o.Self)
+		f.owners = append(f.owners, o)
+		f.servers = append(f.servers, server)
+	}
+	f.members.Store(&members)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, hosts)
+	for _, o := range f.owners {
+		go func() { _ = o.Run(ctx); done <- struct{}{} }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range hosts {
+			<-done
+		}
+	})
+	return f
+}
+
+// roles returns the first two in rank for the only shard and a host that is neither.
+func (f *fleet) roles() (first, second, other *Owner) {
+	shard := rudderrouter.Split(f.owners[0].Groups())[0]
+	ranked := rudderrouter.Owners(shard, *f.members.Load())
+	for _, o := range f.owners {
+		switch o.Self.Name {
+		case ranked[0].Name:
+			first = o
+		case ranked[1].Name:
+			second = o
+		default:
+			other = o
+		}
+	}
+	return first, second, other
+}
+
+func work(id string) Work {
+	return Work{
+		RequestID: id, Workspace: "w", Wanted: rudderrouter.Wanted{Firm: "f", Model: "m", Workspace: "w"},
+		Class: rudderconfig.ClassShort, Tokens: 20,
+	}
+}
+
+func group(id string, slots int) rudderrouter.Servable {
+	return rudderrouter.Servable{ID: id, Firm: "f", Model: "m", Region: "r", Slots: slots, Leader: id + ":1"}
+}
+
+// Guards against a queued request that isn't served when a slot is released elsewhere, against a
+// wait past the deadline, and against requests for which no group exists.
+func TestAcquireWaitsAndReleases(t *testing.T) {
+	f := newFleet(t, 3, group("g", 1))
+	_, second, other := f.roles()
+	ctx := context.Background()
+	slot, err := other.Acquire(ctx, work("a"))
+	require.NoError(t, err)
+	require.Equal(t, "g:1", slot.Leader())
+	require.False(t, slot.Local())
+	got := make(chan error, 1)
+	go func() {
+		_, err := second.Acquire(ctx, work("b"))
+		got <- err
+	}()
+	select {
+	case err := <-got:
+		t.Fatal("two requests hold one slot", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	slot.Release(Outcome{Tokens: 20})
+	require.NoError(t, <-got)
+
+	late := work("c")
+	late.Deadline = time.Now().Add(1400 * time.Millisecond)
+	begin := time.Now()
+	_, err = other.Acquire(ctx, late)
+	require.ErrorIs(t, err, ErrDeadline)
+	require.Less(t, time.Since(begin), 2*time.Second)
+	cancelled, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	begin = time.Now()
+	_, err = other.Acquire(cancelled, work("d"))
+	require.ErrorIs(t, err, ErrDeadline)
+	require.Less(t, time.Since(begin), 200*time.Millisecond, "the final answer is not held back")
+
+	unknown := work("e")
+	unknown.Wanted.Model = "other"
+	_, err = other.Acquire(ctx, unknown)
+	require.ErrorIs(t, err, ErrNoGroup)
+}
+
+// Guards against an outage of the owner that stops admission, and against a new owner that grants
+// slots still held.
+func TestOwnerDies(t *testing.T) {
+	f := newFleet(t, 3, group("g", 2))
+	first, second, other := f.roles()
+	ctx := context.Background()
+	kept, err := other.Acquire(ctx, work("a"))
+	require.NoError(t, err)
+	for i, o := range f.owners {
+		if o == first {
+			f.servers[i].Close()
+		}
+	}
+	local, err := other.Acquire(ctx, work("b"))
+	require.NoError(t, err)
+	require.True(t, local.Local())
+	_, err = other.Acquire(ctx, work("c"))
+	require.ErrorIs(t, err, ErrRefused)
+	require.Positive(t, RetryAfter(err))
+
+	var rest []ruddermember.Member
+	for _, m := range *f.members.Load() {
+		if m.Name != first.Self.Name {
+			rest = append(rest, m)
+		}
+	}
+	f.members.Store(&rest)
+	require.Eventually(t, func() bool {
+		for _, load := range second.OwnedLoads() {
+			return load == 1
+		}
+		return false
+	}, 2*time.Second, 20*time.Millisecond, "both slots are registered with the new owner")
+	kept.Release(Outcome{})
+	local.Release(Outcome{})
+	require.Eventually(t, func() bool {
+		for _, load := range second.OwnedLoads() {
+			return load == 0
+		}
+		return false
+	}, time.Second, 20*time.Millisecond)
+}
+
+// Guards against retries that multiply the load when shards refuse.
+func TestRetryBudget(t *testing.T) {
+	now, b, taken := time.Unix(0, 0), retryBudget{}, 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		b.request(now)
+		if b.take() {
+			taken++
+		}
+	}
+	require.InDelta(t, 0.1*1000+1, taken, 2)
+}
--- /dev/null
+++ b/rudderd/rudderowner/view.go
@@ -0,0 +1,89 @@
+package rudderowner
+
+import (
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderadmission"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderrouter"
+)
+
+// view is what this entry host knows of shards and their owners.
+type view struct {
+	at      time.Time
+	shards  []rudderrouter.Shard
+	owners  map[string][]ruddermember.Member // by shard ID, in rank order
+	byID    map[string]rudderrouter.Shard
+	byGroup map[string]string // group ID to shard ID
+}
+
+// refresh recomputes the view when it is older than viewInterval. o.mu is held.
+func (o *Owner) refresh(now time.Time) {
+	if o.view.byID != nil && now.Sub(o.view.at) < viewInterval {
+		return
+	}
+	members := o.Members()
+	v := view{
+		at: now, shards: rudderrouter.Split(o.Groups()), owners: map[string][]ruddermember.Member{},
+		byID: map[string]rudderrouter.Shard{}, byGroup: map[string]string{},
+	}
+	for _, s := range v.shards {
+		v.byID[s.ID()] = s
+		v.owners[s.ID()] = rudderrouter.Owners(s, members)
+		for _, g := range s.Groups() {
+			v.byGroup[g.ID] = s.ID()
+		}
+	}
+	o.view = v
+	o.hints.Advance(now)
+	o.hints.Forget(func(group string) bool { return v.byGroup[group] != "" })
+	o.followGroups(now)
+	for id := range o.loads {
+		if _, known := v.byID[id]; !known {
+			delete(o.loads, id)
+			delete(o.renewed, id)
+		}
+	}
+}
+
+// rank is the place of this entry host among the owners of a shard: 0 owns it.
+func (o *Owner) rank(shard string) int {
+	for i, m := range o.view.owners[shard] {
+		if m.Name == o.Self.Name {
+			return i
+		}
+	}
+	return len(o.view.owners[shard])
+}
+
+// followGroups brings the owned shards up to date and gives up those that moved away.
+func (o *Owner) followGroups(now time.Time) {
+	for id, owned := range o.owned {
+		shard, exists := o.view.byID[id]
+		switch rank := o.rank(id); {
+		case !exists || rank > 1:
+			owned.handOver(now)
+			delete(o.owned, id)
+			continue
+		case rank == 1:
+			owned.handOver(now)
+		}
+		owned.follow(now, shard)
+	}
+}
+
+func (s *ownedShard) follow(now time.Time, shard rudderrouter.Shard) {
+	groups := make([]rudderadmission.Group, 0, len(shard.Groups()))
+	for _, g := range shard.Groups() {
+		groups = append(groups, rudderadmission.Group{
+			ID: g.ID, Leader: g.Leader, Slots: g.Slots, ShortShare: g.ShortShare, Draining: g.Draining,
+		})
+	}
+	s.deliver(now, s.shard.SetGroups(now, groups))
+	for _, g := range shard.Groups() {
+		if g.LoadAtUnixMS > s.reported[g.ID] {
+			s.reported[g.ID] = g.LoadAtUnixMS
+			s.shard.Report(g.ID, g.Load, time.UnixMilli(g.LoadAtUnixMS))
+		}
+	}
+}
--- /dev/null
+++ b/rudderd/rudderrouter/choose.go
@@ -0,0 +1,132 @@
+package rudderrouter
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// affinitySlack is how far a shard's digested load may be above the mean of all shards, in used
+	// slots per slot, and still be chosen for its prefix.
+	affinitySlack = 0.15
+	// affinityLimit is the digested load above which affinity is given up: a full shard queues the
+	// request while others may have room.
+	affinityLimit = 0.9
+)
+
+// Candidate is a shard that serves the request, with its digested load.
+type Candidate struct {
+	Shard Shard
+	// Load is used slots plus queued requests over slots, as the owner's last digest says.
+	Load float64
+	// Near marks a shard of the caller's region.
+	Near bool
+}
+
+// Chooser chooses shards. It is not safe for concurrent use.
+type Chooser struct {
+	// Rand is the source of the random choices.
+	Rand *rand.Rand
+	// Hints of prompt prefixes; nil for none.
+	Hints *Hints
+}
+
+// Choose returns the index of the shard for a request with these prefix blocks, or -1 when there is
+// no candidate. Shards of the own region are preferred until each of them is full.
+func (c *Chooser) Choose(candidates []Candidate, blocks []uint64) int {
+	eligible := nearWithRoom(candidates)
+	if len(eligible) == 0 {
+		return -1
+	}
+	mean := 0.0
+	for _, i := range eligible {
+		mean += candidates[i].Load / float64(len(eligible))
+	}
+	bound := min(mean+affinitySlack, affinityLimit)
+	if i := c.byPrefix(candidates, eligible, blocks); i >= 0 && candidates[i].Load <= bound {
+		return i
+	}
+	first, second := c.draw(candidates, eligible), c.draw(candidates, eligible)
+	if candidates[second].Load < candidates[first].Load {
+		return second
+	}
+	return first
+}
+
+func nearWithRoom(candidates []Candidate) []int {
+	var near, room, all []int
+	for i, candidate := range candidates {
+		all = append(all, i)
+		if candidate.Near {
+			near = append(near, i)
+		}
+		if candidate.Near && candidate.Load < 1 {
+			room = append(room, i)
+		}
+	}
+	switch {
+	case len(room) > 0:
+		return near
+	default:
+		return all
+	}
+}
+
+// byPrefix returns the shard that holds the longest known prefix, else the home shard of the
+// prompt's beginning. The home is the same at each entry host, so that a prefix that is new
+// everywhere is computed in one place without messages.
+func (c *Chooser) byPrefix(candidates []Candidate, eligible []int, blocks []uint64) int {
+	if len(blocks) == 0 {
+		return -1
+	}
+	best, bestShare := -1, 0.0
+	if c.Hints != nil {
+		shares := c.Hints.Match(blocks)
+		for _, i := range eligible {
+			for _, g := range candidates[i].Shard.groups {
+				if share := shares[g.ID]; share > bestShare {
+					best, bestShare = i, share
+				}
+			}
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	var highest uint64
+	for _, i := range eligible {
+		score := xxhash.Sum64String(candidates[i].Shard.id) ^ blocks[0]
+		score = mix(score)
+		if best < 0 || score > highest {
+			best, highest = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads a 64-bit value (finalizer of splitmix64).
+func mix(v uint64) uint64 {
+	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
+	v = (v ^ v>>27) * 0x94d049bb133111eb
+	return v ^ v>>31
+}
+
+// draw picks a shard at random with a probability in proportion to its free slots, with a floor so
+// that a shard whose digest is late isn't left out.
+func (c *Chooser) draw(candidates []Candidate, eligible []int) int {
+	weight := func(i int) float64 {
+		return float64(max(1, candidates[i].Shard.Slots())) * max(0.1, 1-candidates[i].Load)
+	}
+	total := 0.0
+	for _, i := range eligible {
+		total += weight(i)
+	}
+	at := c.Rand.Float64() * total
+	for _, i := range eligible {
+		if at -= weight(i); at < 0 {
+			return i
+		}
+	}
+	return eligible[len(eligible)-1]
+}
--- /dev/null
+++ b/rudderd/rudderrouter/hints.go
@@ -0,0 +1,204 @@
+package rudderrouter
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+const (
+	// groupsPerBlock bounds the groups remembered for one prefix block.
+	groupsPerBlock = 4
+	// hintTTL is how long a hint lives without being used or confirmed.
+	hintTTL = 10 * time.Minute
+	// doubtfulTTL applies to hints learned before a gap in the group's cache events: an eviction may
+	// have been missed.
+	doubtfulTTL = time.Minute
+	// eventLag is how late cache events may be: an eviction doesn't cancel a younger placement.
+	eventLag = 2 * time.Second
+	// defaultMaxBlocks bounds the memory of hints; a block takes about 200 bytes.
+	defaultMaxBlocks = 32768
+	// maxSampledBlocks bounds the blocks that stand for one prompt.
+	maxSampledBlocks = 24
+)
+
+// PrefixBlocks returns the hashes of the prompt's beginnings that end at block borders, shortest
+// first. Every block is listed up to eight blocks, then four per doubling, so that a prompt of any
+// length sends few hashes and a shared beginning is matched to within a fifth of its length.
+func PrefixBlocks(prompt string) []uint64 {
+	var blocks []uint64
+	digest := xxhash.New()
+	step, next := 1, 1
+	for n := 1; n*ruddertarget.PrefixBlockBytes <= len(prompt); n++ {
+		_, _ = digest.WriteString(prompt[(n-1)*ruddertarget.PrefixBlockBytes : n*ruddertarget.PrefixBlockBytes])
+		if n < next {
+			continue
+		}
+		blocks = append(blocks, digest.Sum64())
+		if len(blocks) == maxSampledBlocks {
+			break
+		}
+		if n >= 8*step {
+			step *= 2
+		}
+		next = n + step
+	}
+	return blocks
+}
+
+type hint struct {
+	group string
+	at    time.Time
+}
+
+type hintBlock struct {
+	block uint64
+	hints []hint
+}
+
+type eventState struct {
+	seq int64
+	gap time.Time
+}
+
+// Hints remembers which groups hold which prefix blocks, from own placements and from cache events.
+// The least recently used block is forgotten first. It is not safe for concurrent use.
+type Hints struct {
+	maxBlocks int
+	blocks    map[uint64]*list.Element
+	used      *list.List // of *hintBlock, most recently used first
+	events    map[string]*eventState
+	now       time.Time
+}
+
+// NewHints returns empty hints bounded to a number of blocks; 0 takes the default.
+func NewHints(maxBlocks int) *Hints {
+	if maxBlocks <= 0 {
+		maxBlocks = defaultMaxBlocks
+	}
+	return &Hints{
+		maxBlocks: maxBlocks, blocks: map[uint64]*list.Element{}, used: list.New(),
+		events: map[string]*eventState{},
+	}
+}
+
+// Advance sets the time that hints are aged against.
+func (h *Hints) Advance(now time.Time) { h.now = now }
+
+// Match returns for each group the share of the blocks that it is thought to hold.
+func (h *Hints) Match(blocks []uint64) map[string]float64 {
+	shares := map[string]float64{}
+	for i, block := range blocks {
+		element := h.blocks[block]
+		if element == nil {
+			continue
+		}
+		for _, known := range element.Value.(*hintBlock).hints {
+			if h.valid(known) {
+				shares[known.group] = float64(i+1) / float64(len(blocks))
+			}
+		}
+	}
+	return shares
+}
+
+func (h *Hints) valid(known hint) bool {
+	ttl := hintTTL
+	if state := h.events[known.group]; state != nil && known.at.Before(state.gap) {
+		ttl = doubtfulTTL
+	}
+	return h.now.Sub(known.at) <= ttl
+}
+
+// Placed records that a prompt with these blocks was sent to a group.
+func (h *Hints) Placed(group string, blocks []uint64) {
+	for _, block := range blocks {
+		h.store(group, block, h.now)
+	}
+}
+
+func (h *Hints) store(group string, block uint64, at time.Time) {
+	element := h.blocks[block]
+	if element == nil {
+		element = h.used.PushFront(&hintBlock{block: block})
+		h.blocks[block] = element
+		if h.used.Len() > h.maxBlocks {
+			oldest := h.used.Remove(h.used.Back()).(*hintBlock)
+			delete(h.blocks, oldest.block)
+		}
+	}
+	h.used.MoveToFront(element)
+	known := element.Value.(*hintBlock)
+	oldest := 0
+	for i := range known.hints {
+		if known.hints[i].group == group {
+			known.hints[i].at = at
+			return
+		}
+		if known.hints[i].at.Before(known.hints[oldest].at) {
+			oldest = i
+		}
+	}
+	if len(known.hints) < groupsPerBlock {
+		known.hints = append(known.hints, hint{group, at})
+		return
+	}
+	known.hints[oldest] = hint{group, at}
+}
+
+// Observe takes cache events of a group in order. Events that were seen before are ignored. A gap in
+// the sequence makes the older hints of the group doubtful.
+func (h *Hints) Observe(group string, events []ruddertarget.CacheEvent) {
+	state := h.events[group]
+	if state == nil {
+		state = &eventState{}
+		h.events[group] = state
+	}
+	for _, event := range events {
+		if event.Seq <= state.seq {
+			continue
+		}
+		if state.seq > 0 && event.Seq != state.seq+1 {
+			state.gap = h.now
+		}
+		state.seq = event.Seq
+		if event.Stored {
+			h.store(group, event.Block, h.now)
+			continue
+		}
+		h.evicted(group, event.Block)
+	}
+}
+
+func (h *Hints) evicted(group string, block uint64) {
+	element := h.blocks[block]
+	if element == nil {
+		return
+	}
+	known := element.Value.(*hintBlock)
+	for i, old := range known.hints {
+		if old.group == group && h.now.Sub(old.at) > eventLag {
+			known.hints = append(known.hints[:i], known.hints[i+1:]...)
+			break
+		}
+	}
+	if len(known.hints) == 0 {
+		h.used.Remove(element)
+		delete(h.blocks, block)
+	}
+}
+
+// Forget drops what is known of the event sequence of groups that are not kept.
+func (h *Hints) Forget(keep func(group string) bool) {
+	for group := range h.events {
+		if !keep(group) {
+			delete(h.events, group)
+		}
+	}
+}
+
+// Len is the number of blocks remembered.
+func (h *Hints) Len() int { return h.used.Len() }
--- /dev/null
+++ b/rudderd/rudderrouter/router_test.go
@@ -0,0 +1,132 @@
+package rudderrouter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+func groups(n int) []Servable {
+	var all []Servable
+	for i := range n {
+		all = append(all, Servable{
+			ID: fmt.Sprintf("dom%d-%d-%d", i%30, i, i), Firm: "umuvumu", Model: "m", Slots: 8,
+			Region: "kigali", DataCentre: fmt.Sprint("kgl-", i%3),
+		})
+	}
+	return all
+}
+
+// Guards against a group change that moves groups between shards, and against shards far from four
+// groups.
+func TestSplitIsStable(t *testing.T) {
+	all := groups(91)
+	place := func(gs []Servable) map[string]string {
+		where := map[string]string{}
+		for _, s := range Split(gs) {
+			require.LessOrEqual(t, len(s.Groups()), maxShardGroups)
+			for _, g := range s.Groups() {
+				where[g.ID] = s.ID()
+			}
+		}
+		return where
+	}
+	require.InDelta(t, 91/4.0, len(Split(all)), 6)
+	before, moved := place(all), 0
+	for i := range all {
+		after := place(append(append([]Servable{}, all[:i]...), all[i+1:]...))
+		for id, shard := range after {
+			if before[id] != shard {
+				moved++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(moved)/91, 1.0, "mean number of groups moved by one removal")
+}
+
+// Guards against one shard for work that differs, and against a choice of groups that do not serve.
+func TestSplitSeparatesWork(t *testing.T) {
+	all := groups(2)
+	all[1].Workspaces, all[1].Classes = []string{"w1"}, []rudderconfig.WorkClass{rudderconfig.ClassLong}
+	shards := Split(all)
+	require.Len(t, shards, 2)
+	served := 0
+	for _, s := range shards {
+		if s.Serves(Wanted{Firm: "umuvumu", Model: "m", Workspace: "w2"}) {
+			served++
+		}
+	}
+	require.Equal(t, 1, served)
+}
+
+// Guards against an owner far from the groups while a near member lives.
+func TestOwnersAreNear(t *testing.T) {
+	var members []ruddermember.Member
+	for i := range 9 {
+		members = append(members, ruddermember.Member{
+			Name: fmt.Sprint("e", i), Region: []string{"kigali", "laurentie"}[i%2], DataCentre: fmt.Sprint("kgl-", i%5),
+		})
+	}
+	shard := Shard{id: "s", groups: groups(1)}
+	ranked := Owners(shard, members)
+	require.Len(t, ranked, 9)
+	require.Equal(t, "kgl-0", ranked[0].DataCentre)
+	require.Equal(t, "kgl-0", ranked[1].DataCentre)
+	require.Equal(t, "kigali", ranked[2].Region)
+}
+
+// Guards against a herd on a hot prefix: affinity ends at the load bound.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	shards := Split(groups(24))
+	hints := NewHints(0)
+	blocks := PrefixBlocks(strings.Repeat("season ledger ", 50))
+	hot := shards[2]
+	hints.Placed(hot.Groups()[0].ID, blocks)
+	c := &Chooser{Rand: rand.New(rand.NewPCG(1, 2)), Hints: hints}
+	candidates := make([]Candidate, len(shards))
+	for i, s := range shards {
+		candidates[i] = Candidate{Shard: s, Load: 0.5, Near: true}
+	}
+	require.Equal(t, 2, c.Choose(candidates, blocks))
+	candidates[2].Load = 0.9
+	for range 50 {
+		require.NotEqual(t, 2, c.Choose(candidates, blocks))
+	}
+	require.Equal(t, -1, c.Choose(nil, blocks))
+}
+
+// Guards against hints that grow without bound or trust a cache whose events have a gap.
+func TestHintsForgetAndDoubt(t *testing.T) {
+	h := NewHints(10)
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	h.Advance(now)
+	for i := range 100 {
+		h.Placed("g", []uint64{uint64(i)})
+	}
+	require.Equal(t, 10, h.Len())
+	require.Equal(t, 1.0, h.Match([]uint64{1, 99})["g"])
+	h.Advance(now.Add(10 * time.Second))
+	h.Observe("g", []ruddertarget.CacheEvent{{Seq: 4, Block: 99}, {Seq: 5, Block: 7, Stored: true}})
+	require.Empty(t, h.Match([]uint64{99}), "evicted")
+	require.NotEmpty(t, h.Match([]uint64{98}))
+	h.Observe("g", []ruddertarget.CacheEvent{{Seq: 9, Block: 8, Stored: true}})
+	h.Advance(now.Add(2 * time.Minute))
+	require.Empty(t, h.Match([]uint64{98}), "a missed eviction makes old hints doubtful")
+}
+
+// Guards against hashes that differ from the engine's, which hashes the prompt up to a block's end.
+func TestPrefixBlocks(t *testing.T) {
+	prompt := strings.Repeat("x", 64*100)
+	blocks := PrefixBlocks(prompt)
+	require.Equal(t, blocks[:3], PrefixBlocks(prompt[:64*3+10]))
+	require.LessOrEqual(t, len(PrefixBlocks(strings.Repeat("y", 1<<20))), maxSampledBlocks)
+	require.Empty(t, PrefixBlocks("short"))
+}
--- /dev/null
+++ b/rudderd/rudderrouter/shard.go
@@ -0,0 +1,153 @@
+// Package rudderrouter chooses, for each request, the shard of groups and its owner, and keeps hints
+// of which group holds which prompt prefix. It does no I/O.
+package rudderrouter
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// Servable is a group that may serve now, or that is draining, as the fleet view describes it.
+type Servable struct {
+	ID           string
+	Selector     string
+	Firm         string
+	Model        string
+	ModelVersion string
+	Service      string
+	// Workspaces and Classes served; empty means all.
+	Workspaces []string
+	Classes    []rudderconfig.WorkClass
+	DataCentre string
+	Region     string
+	Slots      int
+	// ShortShare of the slots is reserved for short work; nil takes the preset's.
+	ShortShare *float64
+	// Leader is the address that takes the group's requests.
+	Leader   string
+	Draining bool
+	// Load is what the engine reports as running and waiting, sampled at LoadAtUnixMS, in
+	// milliseconds since the Unix epoch; 0 means that there is no report.
+	Load         int
+	LoadAtUnixMS int64
+}
+
+// Wanted describes what a request needs of a group.
+type Wanted struct {
+	Firm      string
+	Model     string
+	Version   string // empty takes any version
+	Service   string
+	Workspace string
+	Class     rudderconfig.WorkClass
+}
+
+// Serves reports whether the group's selector admits the request.
+func (g Servable) Serves(w Wanted) bool {
+	return g.Firm == w.Firm && g.Model == w.Model && g.Service == w.Service &&
+		(w.Version == "" || g.ModelVersion == w.Version) &&
+		(len(g.Workspaces) == 0 || slices.Contains(g.Workspaces, w.Workspace)) &&
+		(len(g.Classes) == 0 || slices.Contains(g.Classes, w.Class))
+}
+
+// servingKey is equal for groups that serve the same work in the same region. The data centres of a
+// region are at most a millisecond apart, so a shard may span them.
+func (g Servable) servingKey() string {
+	workspaces, classes := slices.Clone(g.Workspaces), slices.Clone(g.Classes)
+	slices.Sort(workspaces)
+	slices.Sort(classes)
+	return fmt.Sprintf("%s|%s|%s|%s|%s|%s|%v", g.Region, g.Firm, g.Model, g.ModelVersion, g.Service,
+		strings.Join(workspaces, ","), classes)
+}
+
+// maxShardGroups is the size above which a shard is split. Halves of 7 hold 3 or 4 groups, and
+// sizes between splits average about 4.
+const maxShardGroups = 6
+
+// Shard is a set of groups that one owner admits work to.
+type Shard struct {
+	id     string
+	groups []Servable
+}
+
+// ID is the same at each entry host that sees the same groups.
+func (s Shard) ID() string { return s.id }
+
+// Groups of the shard, ordered by ID.
+func (s Shard) Groups() []Servable { return s.groups }
+
+// Slots of the groups that take new work.
+func (s Shard) Slots() int {
+	slots := 0
+	for _, g := range s.groups {
+		if !g.Draining {
+			slots += g.Slots
+		}
+	}
+	return slots
+}
+
+// Serves reports whether a group of the shard takes the request.
+func (s Shard) Serves(w Wanted) bool {
+	return slices.ContainsFunc(s.groups, func(g Servable) bool { return !g.Draining && g.Serves(w) })
+}
+
+// Split divides groups into shards. The groups of one kind are the leaves of a binary trie over the
+// hashes of their IDs, and a node with at most maxShardGroups is a shard. A group that comes or goes
+// changes one shard, or splits or joins one pair. The lower half of a split keeps the shard's ID and
+// so its owner.
+func Split(groups []Servable) []Shard {
+	kinds := map[string][]Servable{}
+	for _, g := range groups {
+		key := g.servingKey()
+		kinds[key] = append(kinds[key], g)
+	}
+	var shards []Shard
+	for key, members := range kinds {
+		slices.SortFunc(members, func(a, b Servable) int { return strings.Compare(a.ID, b.ID) })
+		shards = splitNode(shards, key, "", 0, members)
+	}
+	slices.SortFunc(shards, func(a, b Shard) int { return strings.Compare(a.id, b.id) })
+	return shards
+}
+
+func splitNode(shards []Shard, key, path string, depth int, groups []Servable) []Shard {
+	if len(groups) == 0 {
+		return shards
+	}
+	if len(groups) <= maxShardGroups || depth == 64 {
+		return append(shards, Shard{id: key + "#" + strings.TrimRight(path, "0"), groups: groups})
+	}
+	var halves [2][]Servable
+	for _, g := range groups {
+		bit := xxhash.Sum64String(g.ID) >> (63 - depth) & 1
+		halves[bit] = append(halves[bit], g)
+	}
+	shards = splitNode(shards, key, path+"0", depth+1, halves[0])
+	return splitNode(shards, key, path+"1", depth+1, halves[1])
+}
+
+// Owners ranks the live members for a shard: those in the data centres of its groups first, then
+// those of its region, then all others. The first one owns the shard.
+func Owners(shard Shard, members []ruddermember.Member) []ruddermember.Member {
+	var near, region, far []ruddermember.Member
+	for _, m := range members {
+		switch {
+		case slices.ContainsFunc(shard.groups, func(g Servable) bool { return g.DataCentre == m.DataCentre }):
+			near = append(near, m)
+		case slices.ContainsFunc(shard.groups, func(g Servable) bool { return g.Region == m.Region }):
+			region = append(region, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	ranked := ruddermember.Rank(shard.id, near)
+	ranked = append(ranked, ruddermember.Rank(shard.id, region)...)
+	return append(ranked, ruddermember.Rank(shard.id, far)...)
+}
