Thin: claim idempotency keys and dispatch plain calls

Calls that must not be repeated need a record of their key before they are sent. rudderclaim adds a pure core for a shard (verdicts, one CAS for all waiting claims, segments, read-back of lost answers, write-back after a restore), the collector around it, the twirp service Claims and the client for entry hosts. rudderservice dispatches plain calls with one outcome each; calls that must not be repeated use a new connection, because net/http resends keyed and body-less requests on reused ones.

Compaction, fuzz targets, the property test and measurements are not there yet.

--- /dev/null
+++ b/rudderd/rudderclaim/batch.go
@@ -0,0 +1,269 @@
+package rudderclaim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// batch is one write of the head with everything it carries.
+type batch struct {
+	ops     []op
+	replies []Reply
+	changes map[string]Record
+	spills  []spill
+	written int // spills written so far
+	head    Head
+	value   []byte
+	repair  bool // carries the records that a restored service lost
+}
+
+// spill is a segment that must be written before the head refers to it.
+type spill struct {
+	ref     SegmentRef
+	value   []byte
+	records []Record
+}
+
+// startBatch takes operations off the queue and makes the batch that carries them. It leaves no batch
+// when nothing needs a write.
+func (s *Shard) startBatch(now time.Time) []Reply {
+	b := &batch{changes: map[string]Record{}, repair: len(s.lost) > 0}
+	if b.repair {
+		maps.Copy(b.changes, s.lost)
+	} else {
+		s.takeOperations(b, now)
+	}
+	if len(b.changes) == 0 {
+		return b.replies
+	}
+	s.buildHead(b, now)
+	s.batch = b
+	s.phase = phaseWrite
+	if len(b.spills) > 0 {
+		s.phase = phaseSpill
+	}
+	return nil
+}
+
+// takeOperations judges waiting operations up to the batch's size, changes before claims.
+func (s *Shard) takeOperations(b *batch, now time.Time) {
+	slices.SortStableFunc(s.queue, func(x, y op) int {
+		return int(min(y.kind, opSettle)) - int(min(x.kind, opSettle))
+	})
+	taken, size, added := 0, 0, 0
+	for _, o := range s.queue {
+		if size += o.bytes(); taken > 0 && size > s.limits.BatchBytes {
+			break
+		}
+		taken++
+		key := short(o.request.key)
+		known := s.ledger.index[key]
+		if changed, ok := b.changes[key]; ok {
+			known = entry{Record: changed}
+		}
+		d, record := s.apply(o, known, added, now)
+		if record != nil {
+			added += remembered(*record) - remembered(known.Record)
+			b.changes[key] = *record
+		}
+		b.ops = append(b.ops, o)
+		b.replies = append(b.replies, o.reply(d))
+	}
+	s.queue = slices.Delete(s.queue, 0, taken)
+}
+
+// apply decides one operation and returns the record that it writes, if any.
+func (s *Shard) apply(o op, known entry, added int, now time.Time) (Decision, *Record) {
+	switch o.kind {
+	case opSettle:
+		return Decision{Verdict: VerdictChanged}, s.settle(o, known, now)
+	case opRelease:
+		return Decision{Verdict: VerdictChanged}, s.release(o, known, now)
+	}
+	d := judge(o.request, known, s.limits, s.ledger.opaque+added, now)
+	if d.Verdict != VerdictGranted || (known.Token == o.request.token && known.State == StateClaimed) {
+		return d, nil
+	}
+	r := o.request.record(s.limits, now, StateClaimed, nil)
+	return d, &r
+}
+
+// settle stores the answer of the call whose token it names. A record that is missing, or that
+// another token released, is written anew: the call is known to have run.
+func (s *Shard) settle(o op, known entry, now time.Time) *Record {
+	exists := known.Key != "" && !known.forgettable(now)
+	if exists && (known.State == StateSettled || known.expired(now)) {
+		return nil
+	}
+	r := o.request.record(s.limits, now, StateSettled, o.answer)
+	if exists {
+		r.ExpiresMS = max(r.ExpiresMS, known.ExpiresMS)
+	}
+	return &r
+}
+
+// release frees a key whose call was not dispatched. It leaves the token behind even when no claim is
+// known, so that a delayed claim with this token is refused.
+func (s *Shard) release(o op, known entry, now time.Time) *Record {
+	if known.Key != "" && !known.forgettable(now) && known.State != StateReleased {
+		if known.expired(now) || known.Token != o.request.token || known.State != StateClaimed {
+			return nil
+		}
+	}
+	r := o.request.record(s.limits, now, StateReleased, nil)
+	return &r
+}
+
+// buildHead makes the next head from the confirmed one and the batch's changes. When the head is
+// large, its records move to segments.
+func (s *Shard) buildHead(b *batch, now time.Time) {
+	b.head = Head{Seq: s.ledger.seq + 1, Batch: s.newToken(), Segments: slices.Clone(s.ledger.segments)}
+	records := map[string]Record{}
+	for key, r := range s.ledger.head {
+		if !r.forgettable(now) {
+			records[key] = r
+		}
+	}
+	maps.Copy(records, b.changes)
+	s.spillRecords(b, records)
+	for _, sp := range b.spills {
+		b.head.Segments = append(b.head.Segments, sp.ref)
+	}
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		b.head.Records = append(b.head.Records, records[key])
+	}
+	b.value = encode(b.head)
+}
+
+// spillRecords moves records out of a large head: confirmed settled ones first, then all confirmed
+// ones. Changes of this batch stay in the head unless it writes back what a restore lost.
+func (s *Shard) spillRecords(b *batch, records map[string]Record) {
+	rules := []func(key string, r Record) bool{
+		func(key string, r Record) bool { return !changed(b, key) && r.State != StateClaimed },
+		func(key string, _ Record) bool { return !changed(b, key) },
+		func(string, Record) bool { return b.repair },
+	}
+	for _, rule := range rules {
+		if headBytes(records) <= s.limits.HeadBytes {
+			return
+		}
+		var moved []Record
+		for _, key := range slices.Sorted(maps.Keys(records)) {
+			if rule(key, records[key]) {
+				moved = append(moved, records[key])
+				delete(records, key)
+			}
+		}
+		s.addSpills(b, moved)
+	}
+}
+
+func changed(b *batch, key string) bool {
+	_, ok := b.changes[key]
+	return ok
+}
+
+func headBytes(records map[string]Record) int {
+	size := 0
+	for _, r := range records {
+		size += recordBytes(r)
+	}
+	return size
+}
+
+// addSpills packs records into segments of bounded size.
+func (s *Shard) addSpills(b *batch, records []Record) {
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size+recordBytes(records[n]) <= s.limits.SegmentBytes) {
+			size += recordBytes(records[n])
+			n++
+		}
+		name := fmt.Sprintf("%d-%s", b.head.Seq, s.newToken())
+		value, ref := newSegment(name, records[:n])
+		b.spills = append(b.spills, spill{ref: ref, value: value, records: records[:n]})
+		records = records[n:]
+	}
+}
+
+// finishSpill goes on to the next segment or to the head. A segment that may have been written is no
+// harm: nothing refers to it.
+func (s *Shard) finishSpill(result Result) []Reply {
+	if result.Err != nil {
+		return s.abandon(result.Err)
+	}
+	s.storeRevision = max(s.storeRevision, result.Revision)
+	if s.batch.written++; s.batch.written == len(s.batch.spills) {
+		s.phase = phaseWrite
+	}
+	return nil
+}
+
+// finishWrite takes the result of the head's write.
+func (s *Shard) finishWrite(result Result, now time.Time) []Reply {
+	switch {
+	case result.Err == nil && result.Revision <= s.storeRevision:
+		// The store's revision went back: check what the restored service still holds.
+		s.requeue(true)
+		return nil
+	case result.Err == nil:
+		return s.commit(result.Revision, now)
+	case errors.Is(result.Err, rudderstore.ErrConflict):
+		s.conflicts++
+		s.requeue(false)
+		return nil
+	case errors.Is(result.Err, rudderstore.ErrUnknownOutcome):
+		// The write may have taken effect or may still do so. Reading the head shows the first; for
+		// the second, the next write expects the revision that was read, so only one of them succeeds.
+		s.requeue(true)
+		return nil
+	}
+	return s.abandon(result.Err)
+}
+
+// requeue puts the batch's operations back to be judged against the head that is read next.
+func (s *Shard) requeue(unknown bool) {
+	for i := range s.batch.ops {
+		s.batch.ops[i].unknown = s.batch.ops[i].unknown || unknown
+	}
+	s.queue = append(s.batch.ops, s.queue...)
+	s.batch = nil
+	s.phase = phaseRead
+}
+
+// abandon answers the batch's operations after a write that did not take effect.
+func (s *Shard) abandon(error) []Reply {
+	s.requeue(false)
+	return s.refuseAll()
+}
+
+// commit makes a written head the confirmed one.
+func (s *Shard) commit(revision int64, now time.Time) []Reply {
+	b, l := s.batch, &s.ledger
+	l.seq, l.revision, l.segments = b.head.Seq, revision, b.head.Segments
+	s.storeRevision = max(s.storeRevision, revision)
+	for key, r := range l.head {
+		if r.forgettable(now) && !changed(b, key) {
+			l.unset(key)
+		}
+	}
+	for _, r := range b.changes {
+		l.setHead(r)
+	}
+	for _, sp := range b.spills {
+		for _, r := range sp.records {
+			l.moveToSegment(r, sp.ref.Name)
+		}
+	}
+	if b.repair {
+		s.lost = map[string]Record{}
+	}
+	s.batch, s.phase = nil, phaseReady
+	return b.replies
+}
--- /dev/null
+++ b/rudderd/rudderclaim/limits.go
@@ -0,0 +1,56 @@
+package rudderclaim
+
+import "time"
+
+// Shards is the number of shards that keys are spread over.
+const Shards = 16
+
+// Limits bound what one shard remembers and how often it writes.
+type Limits struct {
+	// Retention is how long a key's record is kept in full.
+	Retention time.Duration
+	// ClockSkew is the largest difference between clocks of callers and entry hosts.
+	ClockSkew time.Duration
+	// ReleasedFor is how long a released token is remembered, so that its delayed claim is refused.
+	ReleasedFor time.Duration
+	// OpaqueKeys is how many opaque keys one shard remembers, live and expired.
+	OpaqueKeys int
+	// HeadBytes is the encoded size of the head above which records move to a segment.
+	HeadBytes int
+	// SegmentBytes bounds a segment's encoded size.
+	SegmentBytes int
+	// BatchBytes bounds the answers that one write carries.
+	BatchBytes int
+	// WritesPerSecond is the write rate of one shard.
+	WritesPerSecond float64
+	// WriteBurst is how many writes a shard may do before it waits for its rate.
+	WriteBurst float64
+	// MinLinger is how long a claim waits for company on an idle shard.
+	MinLinger time.Duration
+	// SettleLinger is how long settlements and releases wait for claims to share a write with.
+	SettleLinger time.Duration
+	// ReadAfter is the time without contact after which the head is read before it is written, so
+	// that a service restored to an older state is noticed.
+	ReadAfter time.Duration
+	// RetryAfter is the pause before the service is called again after it failed.
+	RetryAfter time.Duration
+}
+
+// DefaultLimits keep 16 shards below 150 writes a second.
+func DefaultLimits() Limits {
+	return Limits{
+		Retention:       24 * time.Hour,
+		ClockSkew:       5 * time.Minute,
+		ReleasedFor:     24 * time.Hour,
+		OpaqueKeys:      100_000,
+		HeadBytes:       32 << 10,
+		SegmentBytes:    512 << 10,
+		BatchBytes:      256 << 10,
+		WritesPerSecond: 9, // 16 shards: 144 writes a second
+		WriteBurst:      6,
+		MinLinger:       time.Millisecond,
+		SettleLinger:    250 * time.Millisecond,
+		ReadAfter:       time.Second,
+		RetryAfter:      100 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/rudderd/rudderclaim/load.go
@@ -0,0 +1,129 @@
+package rudderclaim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// load is a head that was read and the segments of it that are not in memory yet.
+type load struct {
+	head     Head
+	revision int64
+	store    int64 // store revision of the read
+	missing  []SegmentRef
+	loaded   map[string][]Record
+}
+
+// finishHeadRead takes the head. An absent head is an empty one.
+func (s *Shard) finishHeadRead(result Result, now time.Time) []Reply {
+	var head Head
+	if result.Err == nil {
+		decoded, err := DecodeHead(result.Entry.Value)
+		if err != nil {
+			return s.refuseAll()
+		}
+		head = decoded
+	} else if !errors.Is(result.Err, rudderstore.ErrNotFound) {
+		return s.refuseAll()
+	}
+	s.load = &load{head: head, revision: result.Entry.Revision, store: result.Revision, loaded: map[string][]Record{}}
+	for _, ref := range head.Segments {
+		if !slices.ContainsFunc(s.ledger.segments, func(k SegmentRef) bool { return k.Name == ref.Name }) {
+			s.load.missing = append(s.load.missing, ref)
+		}
+	}
+	s.finishLoad(now)
+	return nil
+}
+
+// finishSegmentRead takes one segment. A segment that is gone was replaced by a newer head.
+func (s *Shard) finishSegmentRead(result Result, now time.Time) []Reply {
+	if errors.Is(result.Err, rudderstore.ErrNotFound) {
+		s.phase = phaseRead
+		return nil
+	}
+	if result.Err != nil {
+		s.phase = phaseRead
+		return s.refuseAll()
+	}
+	segment, err := DecodeSegment(result.Entry.Value)
+	if err != nil {
+		s.phase = phaseRead
+		return s.refuseAll()
+	}
+	s.load.loaded[s.load.missing[0].Name] = segment.expand()
+	s.load.missing = s.load.missing[1:]
+	s.finishLoad(now)
+	return nil
+}
+
+// finishLoad makes the head that was read the confirmed one when all its segments are in memory, and
+// finds what it lost.
+func (s *Shard) finishLoad(now time.Time) {
+	if s.phase = phaseSegments; len(s.load.missing) > 0 {
+		return
+	}
+	before, after := s.ledger, s.load.ledger(s.ledger)
+	restored := s.load.head.Seq < before.seq || s.load.store < s.storeRevision
+	for key, r := range missingRecords(before, after, restored, now) {
+		s.lost[key] = r
+		restored = true
+	}
+	if restored {
+		s.restores++
+		// A write-back continues the higher sequence, so that other collectors see the restore too.
+		after.seq = max(after.seq, before.seq)
+	}
+	s.storeRevision = s.load.store
+	s.ledger, s.load, s.phase = after, nil, phaseReady
+}
+
+// ledger builds the state that the load shows, taking segments that stay from the former state.
+func (l *load) ledger(before ledger) ledger {
+	after := newLedger()
+	after.seq, after.revision, after.segments = l.head.Seq, l.revision, l.head.Segments
+	position := map[string]int{}
+	for i, ref := range l.head.Segments {
+		position[ref.Name] = i + 1
+	}
+	for _, e := range before.index {
+		if e.segment != "" && position[e.segment] > 0 {
+			after.set(e)
+		}
+	}
+	for _, ref := range l.head.Segments {
+		for _, r := range l.loaded[ref.Name] {
+			if known, ok := after.index[short(r.Key)]; !ok || position[known.segment] <= position[ref.Name] {
+				stored := r
+				stored.Answer = nil
+				after.set(entry{Record: stored, segment: ref.Name})
+			}
+		}
+	}
+	for _, r := range l.head.Records {
+		after.setHead(r)
+	}
+	return after
+}
+
+// missingRecords returns records of the former state that a later state must still hold but does not.
+// A later state may only settle a claim, release it, or let it expire.
+func missingRecords(before, after ledger, restored bool, now time.Time) map[string]Record {
+	lost := map[string]Record{}
+	for key, b := range before.index {
+		if b.State == StateReleased || b.forgettable(now) {
+			continue
+		}
+		a, found := after.index[key]
+		progressed := found && (a.precedence() >= b.precedence() || b.State == StateClaimed && !restored)
+		released := found && b.State == StateClaimed && a.State == StateReleased && a.Token == b.Token
+		if !progressed && !released {
+			lost[key] = b.Record
+		}
+	}
+	return lost
+}
--- /dev/null
+++ b/rudderd/rudderclaim/shard.go
@@ -0,0 +1,236 @@
+package rudderclaim
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+type phase int
+
+const (
+	phaseRead     phase = iota // the head must be read
+	phaseSegments              // segments of the head that was read must be read
+	phaseReady                 // the ledger shows the head
+	phaseSpill                 // a batch's segments are being written
+	phaseWrite                 // a batch's head is being written
+)
+
+// Shard is the pure core of a collector for one shard of claims. Its owner adds operations, does the
+// steps that Next asks for one at a time, and hands each result to Finish. It does no I/O and has no
+// clock. It is not safe for concurrent use.
+type Shard struct {
+	index    int
+	limits   Limits
+	newToken func() string
+
+	queue  []op
+	nextID uint64
+	pace   pacer
+	phase  phase
+	ledger ledger
+	batch  *batch
+	load   *load
+	// lost holds records that were confirmed but are missing from the head that was read last: the
+	// service was restored to an older state. They are written back before claims are granted.
+	lost map[string]Record
+	// storeRevision is the highest store revision seen; contact is when the service last answered.
+	storeRevision int64
+	contact       time.Time
+	retryAt       time.Time // no read before, after the service failed
+	restores      int
+	conflicts     int
+}
+
+// NewShard makes the core of a shard. newToken returns a new unique token with each call.
+func NewShard(index int, limits Limits, newToken func() string) *Shard {
+	return &Shard{
+		index: index, limits: limits, newToken: newToken,
+		pace: newPacer(limits), ledger: newLedger(), lost: map[string]Record{},
+	}
+}
+
+// Restores counts how often the service was seen in an older state.
+func (s *Shard) Restores() int { return s.restores }
+
+// Conflicts counts writes that lost against another collector.
+func (s *Shard) Conflicts() int { return s.conflicts }
+
+// Claim adds a claim and returns its identifier.
+func (s *Shard) Claim(r Request, now, deadline time.Time) uint64 {
+	return s.add(op{kind: opClaim, request: r, at: now, deadline: deadline})
+}
+
+// Settle adds the settlement of a granted claim; answer is nil when it is too large to store.
+func (s *Shard) Settle(r Request, answer *Answer, now, deadline time.Time) uint64 {
+	return s.add(op{kind: opSettle, request: r, answer: answer, at: now, deadline: deadline})
+}
+
+// Release adds the withdrawal of a claim that was not dispatched.
+func (s *Shard) Release(r Request, now, deadline time.Time) uint64 {
+	return s.add(op{kind: opRelease, request: r, at: now, deadline: deadline})
+}
+
+func (s *Shard) add(o op) uint64 {
+	s.nextID++
+	o.id = s.nextID
+	s.queue = append(s.queue, o)
+	return o.id
+}
+
+// Next returns the next step and the operations that are decided without one.
+func (s *Shard) Next(now time.Time) (Step, []Reply) {
+	switch s.phase {
+	case phaseRead:
+		replies := s.dropLate(now)
+		if len(s.queue) == 0 && len(s.lost) == 0 {
+			return Step{Kind: StepIdle}, replies
+		}
+		if s.retryAt.After(now) {
+			return Step{Kind: StepWait, At: s.retryAt}, replies
+		}
+		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
+	case phaseSegments:
+		return Step{Kind: StepGet, Key: segmentKey(s.index, s.load.missing[0].Name)}, nil
+	case phaseSpill:
+		sp := s.batch.spills[s.batch.written]
+		return s.put(now, segmentKey(s.index, sp.ref.Name), sp.value, 0), nil
+	case phaseWrite:
+		return s.put(now, headKey(s.index), s.batch.value, s.ledger.revision), nil
+	}
+	replies := s.dropLate(now)
+	if len(s.lost) > 0 {
+		replies = append(replies, s.refuseClaims()...)
+	}
+	replies = append(replies, s.answerReadOnly(now)...)
+	return s.nextWrite(now, replies)
+}
+
+func (s *Shard) put(now time.Time, key string, value []byte, expected int64) Step {
+	s.pace.spend(now)
+	return Step{Kind: StepPut, Put: rudderstore.PutRequest{Key: key, Value: value, Expected: expected}}
+}
+
+// nextWrite starts a batch when one is due.
+func (s *Shard) nextWrite(now time.Time, replies []Reply) (Step, []Reply) {
+	if len(s.queue) == 0 && len(s.lost) == 0 {
+		return Step{Kind: StepIdle}, replies
+	}
+	if at := s.dueAt(now); at.After(now) {
+		return Step{Kind: StepWait, At: at}, replies
+	}
+	if now.Sub(s.contact) > s.limits.ReadAfter {
+		s.phase = phaseRead
+		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
+	}
+	more := s.startBatch(now)
+	replies = append(replies, more...)
+	if s.batch == nil {
+		return Step{Kind: StepWait, At: now}, replies
+	}
+	step, _ := s.Next(now)
+	return step, replies
+}
+
+// dueAt returns when the next write is due: soon after a claim, later after a settlement.
+func (s *Shard) dueAt(now time.Time) time.Time {
+	oldest := now.Add(s.limits.SettleLinger)
+	for _, o := range s.queue {
+		at := o.at
+		if o.kind != opClaim {
+			at = at.Add(s.limits.SettleLinger)
+		}
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	if len(s.lost) > 0 {
+		oldest = s.contact.Add(-time.Second) // a write-back does not linger
+	}
+	return s.pace.due(now, oldest)
+}
+
+// Finish takes the result of the step that Next returned last.
+func (s *Shard) Finish(result Result, now time.Time) []Reply {
+	answered := result.Err == nil || errors.Is(result.Err, rudderstore.ErrNotFound) ||
+		errors.Is(result.Err, rudderstore.ErrConflict)
+	if answered {
+		s.contact = now
+	} else {
+		s.retryAt = now.Add(s.limits.RetryAfter)
+	}
+	switch s.phase {
+	case phaseRead:
+		return s.finishHeadRead(result, now)
+	case phaseSegments:
+		return s.finishSegmentRead(result, now)
+	case phaseSpill:
+		return s.finishSpill(result)
+	case phaseWrite:
+		return s.finishWrite(result, now)
+	}
+	return nil
+}
+
+// dropLate answers operations whose deadline has passed.
+func (s *Shard) dropLate(now time.Time) []Reply {
+	return s.remove(func(o op) bool { return now.After(o.deadline) })
+}
+
+// refuseClaims answers all waiting claims as not run.
+func (s *Shard) refuseClaims() []Reply {
+	return s.remove(func(o op) bool { return o.kind == opClaim })
+}
+
+// refuseAll answers everything that waits, because the service cannot be reached.
+func (s *Shard) refuseAll() []Reply {
+	return s.remove(func(op) bool { return true })
+}
+
+func (s *Shard) remove(drop func(op) bool) []Reply {
+	var replies []Reply
+	kept := s.queue[:0]
+	for _, o := range s.queue {
+		if drop(o) {
+			replies = append(replies, o.unavailable())
+			continue
+		}
+		kept = append(kept, o)
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return replies
+}
+
+// answerReadOnly answers claims that need no write: those that are refused, and repeats. A claim
+// whose key has a change waiting keeps its place in the queue.
+func (s *Shard) answerReadOnly(now time.Time) []Reply {
+	changing := map[string]bool{}
+	for _, o := range s.queue {
+		if o.kind != opClaim {
+			changing[short(o.request.key)] = true
+		}
+	}
+	var replies []Reply
+	kept := s.queue[:0]
+	for _, o := range s.queue {
+		key := short(o.request.key)
+		if o.kind != opClaim || changing[key] {
+			kept = append(kept, o)
+			continue
+		}
+		known := s.ledger.index[key]
+		d := judge(o.request, known, s.limits, s.ledger.opaque, now)
+		if d.Verdict == VerdictGranted && known.Token != o.request.token {
+			changing[key] = true
+			kept = append(kept, o)
+			continue
+		}
+		replies = append(replies, o.reply(d))
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return replies
+}
--- /dev/null
+++ b/rudderd/rudderservice/attempt.go
@@ -0,0 +1,157 @@
+package rudderservice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// errSilent is the cause of an attempt that was given up because probes found its connection silent.
+var errSilent = errors.New("service: connection silent")
+
+func newTransport(connectTimeout time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
+
+// attempt sends the call to one target and reads the whole answer.
+func (d *Dispatcher) attempt(ctx context.Context, transport http.RoundTripper, address string, call *Call) Result {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
+	defer cancel(nil)
+	request, err := newTargetRequest(ctx, address, call)
+	if err != nil {
+		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
+	}
+	if d.Probe != nil {
+		go d.watch(ctx, cancel, address)
+	}
+	result := d.exchange(ctx, transport, request, &connected)
+	result.Target = address
+	return result
+}
+
+func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, connected *atomic.Bool) Result {
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return failure(ctx, err, connected.Load())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get(ruddertarget.HeaderNotRun) == "true" {
+		return notRun(http.StatusServiceUnavailable, CodeRefused, "the target refused the call")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, d.MaxAnswerBytes+1))
+	if err != nil {
+		return failure(ctx, err, true)
+	}
+	if int64(len(body)) > d.MaxAnswerBytes {
+		return mayHaveRun(http.StatusBadGateway, CodeAnswerTooLarge, "the target's answer is larger than the limit")
+	}
+	return Result{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header, "Content-Length"), Body: body}
+}
+
+// failure judges an attempt without a whole answer. Once a connection was obtained, bytes may have
+// reached the target.
+func failure(ctx context.Context, err error, connected bool) Result {
+	status, code := http.StatusBadGateway, CodeInterrupted
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		status, code = http.StatusGatewayTimeout, CodeSilent
+	case errors.Is(cause, context.DeadlineExceeded):
+		status, code = http.StatusGatewayTimeout, CodeTimeout
+	case cause != nil:
+		status, code = http.StatusServiceUnavailable, CodeCancelled
+	case !connected:
+		status, code = http.StatusServiceUnavailable, CodeUnreachable
+	}
+	if connected {
+		return mayHaveRun(status, code, err.Error())
+	}
+	return notRun(status, code, err.Error())
+}
+
+// watch probes the target while the call is open. It gives the call up when two probes in a row fail,
+// or find that the target runs and queues nothing although the call is open.
+func (d *Dispatcher) watch(ctx context.Context, cancel context.CancelCauseFunc, address string) {
+	const limit = 2
+	for silent := 0; silent < limit; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Clock.After(d.ProbeAfter):
+		}
+		probe, stop := context.WithTimeout(ctx, d.ConnectTimeout)
+		status, err := d.Probe(probe, address)
+		stop()
+		if err == nil && status.Load.Running+status.Load.Waiting > 0 {
+			silent = 0
+			continue
+		}
+		silent++
+	}
+	cancel(errSilent)
+}
+
+// newTargetRequest makes the request to a target, without the caller's credentials.
+func newTargetRequest(ctx context.Context, address string, call *Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Newf("path %q does not start with a slash", call.Path)
+	}
+	target := url.URL{Scheme: "http", Host: address, Path: call.Path, RawQuery: call.RawQuery}
+	var body io.Reader
+	if len(call.Body) > 0 {
+		// Hides the reader's type, so that net/http has no way to read the body a second time.
+		body = struct{ io.Reader }{bytes.NewReader(call.Body)}
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	request.Header = endToEnd(call.Header, "Authorization", "Content-Length", "Expect", "Host")
+	request.Header.Set("Rudder-Request-Id", call.RequestID)
+	return request, nil
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd copies a header without hop-by-hop fields, those that Connection names, and the given ones.
+func endToEnd(header http.Header, drop ...string) http.Header {
+	drop = append(slices.Clone(hopByHop), drop...)
+	for _, line := range header.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			drop = append(drop, strings.TrimSpace(name))
+		}
+	}
+	kept := http.Header{}
+	for name, values := range header {
+		for _, v := range values {
+			kept.Add(name, strings.ToValidUTF8(v, "?"))
+		}
+	}
+	for _, name := range drop {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/rudderd/rudderservice/dispatcher.go
@@ -0,0 +1,270 @@
+// Package rudderservice dispatches calls to plain services. Calls declared idempotent are retried;
+// calls with an idempotency key are claimed and dispatched once; other calls are dispatched at most
+// once. Each call ends with exactly one outcome.
+package rudderservice
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// Outcome says what became of a call.
+type Outcome string
+
+// Outcomes. OutcomeNotRun is reported only when no byte of the call can have reached a target, or the
+// target itself refused it.
+const (
+	OutcomeComplete   Outcome = "complete"
+	OutcomeNotRun     Outcome = "not_run"
+	OutcomeMayHaveRun Outcome = "may_have_run"
+)
+
+// Code names the reason of an outcome other than complete, for the caller's error body.
+type Code string
+
+// Codes.
+const (
+	CodeNoTarget         Code = "no_target"
+	CodeUnreachable      Code = "target_unreachable"
+	CodeRefused          Code = "target_refused"
+	CodeInterrupted      Code = "target_interrupted"
+	CodeSilent           Code = "target_silent"
+	CodeTimeout          Code = "timeout"
+	CodeCancelled        Code = "cancelled"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeAnswerTooLarge   Code = "answer_too_large"
+	CodeBadRequest       Code = "bad_request"
+	CodeKeyRequired      Code = "idempotency_key_required"
+	CodeBadKey           Code = "bad_idempotency_key"
+	CodeKeyConflict      Code = "idempotency_key_conflict"
+	CodeKeyExpired       Code = "idempotency_key_expired"
+	CodeKeyInUse         Code = "idempotency_key_in_use"
+	CodeClaimsFull       Code = "claims_full"
+	CodeClaimUnavailable Code = "claims_unavailable"
+)
+
+// Headers of keyed calls.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderKeyTime = "Idempotency-Key-Time"
+)
+
+// Call is one call to a plain service.
+type Call struct {
+	RequestID string
+	Workspace string
+	Service   string
+	Method    string
+	Path      string // below /v1/services/{service}, starting with a slash
+	RawQuery  string
+	Header    http.Header
+	Body      []byte
+	// RequireKey refuses the call when it is neither declared idempotent nor carries a key.
+	RequireKey bool
+}
+
+// Result is the end of a call. Status, Header and Body are the target's answer when the outcome is
+// complete; otherwise Status is the one to answer with, and Code and Reason explain it.
+type Result struct {
+	Outcome Outcome
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Code    Code
+	Reason  string
+	// Stored is set when the answer is that of an earlier send of the same key.
+	Stored bool
+	// Target is the address of the last target that was tried.
+	Target string
+}
+
+// Dispatcher dispatches calls to plain services. The exported fields are set before the first call.
+type Dispatcher struct {
+	// Acquire chooses a target for the call, leaving out the given addresses, and reserves a slot on
+	// it; release frees the slot.
+	Acquire func(ctx context.Context, call *Call, exclude []string) (address string, release func(), err error)
+	// Idempotent tells whether the configuration declares the call repeatable.
+	Idempotent func(service, method, path string) bool
+	// Claim, Settle and Release are those of rudderclaim.Claims.
+	Claim   func(ctx context.Context, request rudderclaim.Request) (rudderclaim.Decision, error)
+	Settle  func(request rudderclaim.Request, answer *rudderclaim.Answer)
+	Release func(request rudderclaim.Request)
+	// Probe reads the target's status on a new connection. Nil disables probing.
+	Probe func(ctx context.Context, address string) (ruddertarget.Status, error)
+	// RetryAllowed takes one retry from the retry budget.
+	RetryAllowed func() bool
+	Clock        clockwork.Clock
+	Logger       zerolog.Logger
+
+	Timeout        time.Duration // of a whole call; 0 takes 60 s
+	ConnectTimeout time.Duration // 0 takes 1 s
+	ProbeAfter     time.Duration // silence before each probe; 0 takes 3 s
+	MaxBodyBytes   int64         // 0 takes 4 MiB
+	MaxAnswerBytes int64         // 0 takes 16 MiB
+
+	once       sync.Once
+	fresh      *http.Transport // one connection for each call
+	persistent *http.Transport
+}
+
+// Do dispatches a call and returns its only outcome.
+func (d *Dispatcher) Do(ctx context.Context, call Call) Result {
+	d.init()
+	if int64(len(call.Body)) > d.MaxBodyBytes {
+		return notRun(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is larger than the limit")
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, d.Timeout)
+	defer cancel()
+	switch {
+	case d.Idempotent(call.Service, call.Method, call.Path):
+		return d.doIdempotent(ctx, &call)
+	case call.Header.Get(HeaderKey) != "":
+		return d.doKeyed(ctx, &call)
+	case call.RequireKey:
+		return notRun(http.StatusBadRequest, CodeKeyRequired, "the workspace requires an Idempotency-Key for this call")
+	}
+	return d.attemptOnce(ctx, &call)
+}
+
+func (d *Dispatcher) init() {
+	d.once.Do(func() {
+		setDefault(&d.Timeout, time.Minute)
+		setDefault(&d.ConnectTimeout, time.Second)
+		setDefault(&d.ProbeAfter, 3*time.Second)
+		setDefault(&d.MaxBodyBytes, 4<<20)
+		setDefault(&d.MaxAnswerBytes, 16<<20)
+		d.fresh = newTransport(d.ConnectTimeout)
+		// net/http resends a request by itself when a reused connection breaks and the request looks
+		// repeatable: it has no body, and its method is GET or it carries an Idempotency-Key. A new
+		// connection for each call rules that out, and a connection that went silent is not reused.
+		d.fresh.DisableKeepAlives = true
+		d.persistent = newTransport(d.ConnectTimeout)
+	})
+}
+
+func setDefault[T time.Duration | int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func notRun(status int, code Code, reason string) Result {
+	return Result{Outcome: OutcomeNotRun, Status: status, Code: code, Reason: reason}
+}
+
+func mayHaveRun(status int, code Code, reason string) Result {
+	return Result{Outcome: OutcomeMayHaveRun, Status: status, Code: code, Reason: reason}
+}
+
+// attemptOnce dispatches a call that must not be repeated.
+func (d *Dispatcher) attemptOnce(ctx context.Context, call *Call) Result {
+	address, release, err := d.Acquire(ctx, call, nil)
+	if err != nil {
+		return noTarget(err)
+	}
+	defer release()
+	return d.attempt(ctx, d.fresh, address, call)
+}
+
+func noTarget(err error) Result {
+	return notRun(http.StatusServiceUnavailable, CodeNoTarget, err.Error())
+}
+
+// doIdempotent retries on other targets until an answer, the deadline or the end of the retry budget.
+func (d *Dispatcher) doIdempotent(ctx context.Context, call *Call) Result {
+	var tried []string
+	var last Result
+	for {
+		address, release, err := d.Acquire(ctx, call, tried)
+		if err != nil {
+			if len(tried) == 0 {
+				return noTarget(err)
+			}
+			return last
+		}
+		result := d.attempt(ctx, d.persistent, address, call)
+		release()
+		last = merge(last, result)
+		final := result.Outcome == OutcomeComplete || result.Code == CodeAnswerTooLarge || result.Code == CodeBadRequest
+		if final || ctx.Err() != nil || !d.RetryAllowed() {
+			return last
+		}
+		tried = append(slices.Clone(tried), address)
+	}
+}
+
+// merge keeps may_have_run when an earlier attempt of an unfinished call may have run.
+func merge(earlier, latest Result) Result {
+	if latest.Outcome == OutcomeNotRun && earlier.Outcome == OutcomeMayHaveRun {
+		latest.Outcome = OutcomeMayHaveRun
+	}
+	return latest
+}
+
+// doKeyed claims the key, dispatches once and settles the claim.
+func (d *Dispatcher) doKeyed(ctx context.Context, call *Call) Result {
+	request, err := rudderclaim.NewRequest(rudderclaim.Call{
+		Workspace: call.Workspace, Service: call.Service,
+		Key: call.Header.Get(HeaderKey), KeyTime: call.Header.Get(HeaderKeyTime),
+		Method: call.Method, Path: call.Path + "?" + call.RawQuery, Body: call.Body,
+	})
+	if err != nil {
+		return notRun(http.StatusBadRequest, CodeBadKey, err.Error())
+	}
+	decision, err := d.Claim(ctx, request)
+	if err != nil {
+		if !errors.Is(err, rudderclaim.ErrUnavailable) {
+			d.Logger.Error().Err(err).Str("request", call.RequestID).Msg("claim failed")
+		}
+		return notRun(http.StatusServiceUnavailable, CodeClaimUnavailable, "the idempotency key could not be recorded")
+	}
+	if decision.Verdict != rudderclaim.VerdictGranted {
+		return refusal(decision)
+	}
+	result := d.attemptOnce(ctx, call)
+	switch result.Outcome {
+	case OutcomeNotRun:
+		d.Release(request)
+	case OutcomeComplete:
+		d.Settle(request, storedAnswer(result))
+	}
+	return result
+}
+
+// refusal turns a claim that was not granted into a result.
+func refusal(decision rudderclaim.Decision) Result {
+	switch decision.Verdict {
+	case rudderclaim.VerdictStored:
+		a := decision.Answer
+		return Result{Outcome: OutcomeComplete, Status: a.Status, Header: a.Header, Body: a.Body, Stored: true}
+	case rudderclaim.VerdictMayHaveRun:
+		return mayHaveRun(http.StatusConflict, CodeKeyInUse, "the key was used before and its answer is not known")
+	case rudderclaim.VerdictConflict:
+		return notRun(http.StatusConflict, CodeKeyConflict, "the key was used with another request")
+	case rudderclaim.VerdictExpired:
+		return notRun(http.StatusUnprocessableEntity, CodeKeyExpired, "the key is older than the retention")
+	case rudderclaim.VerdictFuture:
+		return notRun(http.StatusUnprocessableEntity, CodeBadKey, "the key's time is in the future")
+	case rudderclaim.VerdictFull:
+		return notRun(http.StatusServiceUnavailable, CodeClaimsFull, "no space for opaque keys; use UUIDv7 keys or Idempotency-Key-Time")
+	}
+	return notRun(http.StatusServiceUnavailable, CodeClaimUnavailable, "the idempotency key could not be recorded")
+}
+
+// storedAnswer returns the answer that a settlement stores, or nil when it is too large.
+func storedAnswer(r Result) *rudderclaim.Answer {
+	if len(r.Body) > rudderclaim.MaxAnswerBytes {
+		return nil
+	}
+	return &rudderclaim.Answer{Status: r.Status, Header: r.Header, Body: r.Body}
+}
--- /dev/null
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -0,0 +1,191 @@
+package rudderservice
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// newDispatcher tries the addresses in order and counts claim changes.
+func newDispatcher(addresses ...string) (*Dispatcher, *changes) {
+	var c changes
+	return &Dispatcher{
+		Acquire: func(_ context.Context, _ *Call, exclude []string) (string, func(), error) {
+			if len(exclude) >= len(addresses) {
+				return "", nil, errors.New("no target left")
+			}
+			return addresses[len(exclude)], func() {}, nil
+		},
+		Idempotent: func(_, method, _ string) bool { return method == http.MethodGet },
+		Claim: func(context.Context, rudderclaim.Request) (rudderclaim.Decision, error) {
+			return rudderclaim.Decision{Verdict: rudderclaim.VerdictGranted}, nil
+		},
+		Settle:       func(_ rudderclaim.Request, a *rudderclaim.Answer) { c.settled++; c.answer = a },
+		Release:      func(rudderclaim.Request) { c.released++ },
+		RetryAllowed: func() bool { return true },
+		Clock:        clockwork.NewRealClock(),
+		Timeout:      2 * time.Second,
+	}, &c
+}
+
+type changes struct {
+	settled, released int
+	answer            *rudderclaim.Answer
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// closedAddress is an address that refuses connections.
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// dropper reads each request and closes the connection without an answer.
+func dropper(t *testing.T, runs *atomic.Int64) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				runs.Add(1)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func keyedCall(body string) Call {
+	return Call{Method: http.MethodPost, Path: "/pay", Body: []byte(body), Header: http.Header{HeaderKey: {"k"}}}
+}
+
+// Guards against a call that is sent again, by the dispatcher or by net/http, and a false outcome.
+func TestACallThatMustNotRepeatIsSentOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		call Call
+	}{
+		{name: "keyed with a body", call: keyedCall("100")},
+		{name: "keyed without a body", call: keyedCall("")},
+		{name: "neither declared nor keyed", call: Call{Method: http.MethodPost, Path: "/pay", Header: http.Header{}}},
+		{name: "head request", call: Call{Method: http.MethodHead, Path: "/pay", Header: http.Header{}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			target := dropper(t, &runs)
+			d, changes := newDispatcher(target, target)
+			result := d.Do(context.Background(), c.call)
+			require.Equal(t, OutcomeMayHaveRun, result.Outcome)
+			require.Equal(t, int64(1), runs.Load())
+			require.Zero(t, changes.settled+changes.released, "the claim stays")
+		})
+	}
+}
+
+// Guards against a reused connection, on which net/http repeats keyed requests by itself.
+func TestKeyedCallsUseNewConnections(t *testing.T) {
+	var connections atomic.Int64
+	target := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	target.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	target.Start()
+	defer target.Close()
+	d, _ := newDispatcher(address(target))
+	for range 3 {
+		require.Equal(t, OutcomeComplete, d.Do(context.Background(), keyedCall("")).Outcome)
+	}
+	require.Equal(t, int64(3), connections.Load())
+}
+
+// Guards against a key that is burned although nothing reached the target.
+func TestNotRunReleasesTheClaim(t *testing.T) {
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(ruddertarget.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer refusing.Close()
+	for _, target := range []string{closedAddress(t), address(refusing)} {
+		d, changes := newDispatcher(target)
+		require.Equal(t, OutcomeNotRun, d.Do(context.Background(), keyedCall("100")).Outcome)
+		require.Equal(t, 1, changes.released)
+	}
+}
+
+// Guards against idempotent calls that fail although another target can answer.
+func TestIdempotentCallsAreRetriedWithinTheBudget(t *testing.T) {
+	var runs atomic.Int64
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "free") }))
+	defer good.Close()
+	call := Call{Method: http.MethodGet, Path: "/booths", Header: http.Header{}}
+	d, _ := newDispatcher(dropper(t, &runs), closedAddress(t), address(good))
+	result := d.Do(context.Background(), call)
+	require.Equal(t, "free", string(result.Body))
+
+	d, _ = newDispatcher(dropper(t, &runs), address(good))
+	d.RetryAllowed = func() bool { return false }
+	require.Equal(t, OutcomeMayHaveRun, d.Do(context.Background(), call).Outcome)
+}
+
+// Guards against a call that hangs on a connection that went silent.
+func TestSilentConnectionIsProbed(t *testing.T) {
+	stop := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
+	defer target.Close()
+	defer close(stop)
+	d, _ := newDispatcher(address(target))
+	d.ProbeAfter, d.Timeout = 5*time.Millisecond, time.Minute
+	d.Probe = func(context.Context, string) (ruddertarget.Status, error) {
+		return ruddertarget.Status{}, ruddertarget.ErrUnreachable
+	}
+	result := d.Do(context.Background(), keyedCall("100"))
+	require.Equal(t, []any{OutcomeMayHaveRun, CodeSilent}, []any{result.Outcome, result.Code})
+}
+
+// Guards against headers of one connection, or the caller's credentials, that reach the other side.
+func TestHeadersOfOneConnectionAreDropped(t *testing.T) {
+	var seen http.Header
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("X-Receipt", "7")
+	}))
+	defer target.Close()
+	d, changes := newDispatcher(address(target))
+	call := keyedCall("100")
+	call.Header.Set("Connection", "X-Hop")
+	call.Header.Set("X-Hop", "1")
+	call.Header.Set("Authorization", "Bearer secret")
+	call.Header.Set("X-Note", "kept")
+	result := d.Do(context.Background(), call)
+	require.Empty(t, seen.Get("X-Hop")+seen.Get("Authorization"))
+	require.Equal(t, "kept", seen.Get("X-Note"))
+	require.Empty(t, result.Header.Get("Keep-Alive"))
+	require.Equal(t, "7", changes.answer.Header["X-Receipt"][0])
+}
