Wire the parts of an entry host in rudderapp

The app package holds no decisions: it opens the sockets, sets the exported fields of the parts and connects their function fields.

--- /dev/null
+++ b/rudderd/rudderapp/admission.go
@@ -0,0 +1,131 @@
+package rudderapp
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderadmission"
+	"comfreyrudder.example/rudderd/rudderowner"
+	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/rudderd/rudderservice"
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// workHistory estimates work; rudderadmission's estimator is not safe for concurrent use.
+type workHistory struct {
+	mu        sync.Mutex
+	estimator rudderadmission.Estimator
+}
+
+func (w *workHistory) estimate(workspace string, promptTokens, maxTokens int) (int, rudderconfig.WorkClass) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.estimator.Estimate(workspace, promptTokens, maxTokens)
+}
+
+func (w *workHistory) observe(workspace string, promptTokens, generated int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.estimator.Observe(workspace, promptTokens, generated)
+}
+
+func (a *App) wireAdmission() {
+	a.owner = &rudderowner.Owner{
+		Self: a.self, Members: a.node.Live, Groups: a.servable, Clock: a.Clock, HTTPClient: a.peers,
+		Logger: a.Logger, Seed: xxhash.Sum64String(a.self.Name),
+	}
+}
+
+// workspace returns the configuration of a workspace, or the zero value.
+func (a *App) workspace(name string) rudderconfig.Workspace {
+	if document := a.keeper.Current(); document != nil {
+		for _, w := range document.Workspaces {
+			if w.Name == name {
+				return w
+			}
+		}
+	}
+	return rudderconfig.Workspace{}
+}
+
+// acquireChat waits for a slot of a model group.
+func (a *App) acquireChat(ctx context.Context, q rudderstream.Request, exclude []string) (rudderstream.Slot, error) {
+	workspace := a.workspace(q.Workspace)
+	start := a.Clock.Now()
+	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
+		RequestID: q.ID, Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		Wanted: rudderrouter.Wanted{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
+		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: start.Add(a.Settings.QueueDeadline),
+		Avoid: exclude, Blocks: rudderrouter.PrefixBlocks(q.Prompt),
+	})
+	if err != nil {
+		return rudderstream.Slot{}, refusalOf(err)
+	}
+	return rudderstream.Slot{
+		Group: slot.Group(), Address: slot.Leader(), Domain: a.domainOf(slot.Group()), Wait: a.Clock.Since(start),
+		Release: func(u rudderstream.Usage) {
+			slot.Release(rudderowner.Outcome{Tokens: u.Tokens, Failed: u.Failed})
+		},
+	}, nil
+}
+
+// acquireService waits for a slot on a host of a plain service.
+func (a *App) acquireService(ctx context.Context, call *rudderservice.Call, exclude []string) (string, func(), error) {
+	workspace := a.workspace(call.Workspace)
+	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
+		RequestID: call.RequestID, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		Wanted: rudderrouter.Wanted{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
+		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.Clock.Now().Add(a.Settings.QueueDeadline),
+		Avoid: a.groupsAt(exclude),
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	return slot.Leader(), func() { slot.Release(rudderowner.Outcome{}) }, nil
+}
+
+// refusalOf turns an error of admission into what the caller is told.
+func refusalOf(err error) error {
+	refusal := &rudderstream.Refusal{
+		Code: rudderstream.CodeNoCapacity, Message: err.Error(), RetryAfter: rudderowner.RetryAfter(err),
+	}
+	if refusal.RetryAfter <= 0 {
+		refusal.RetryAfter = time.Second
+	}
+	if errors.Is(err, context.Canceled) {
+		refusal.Code = rudderstream.CodeAbandoned
+	}
+	return refusal
+}
+
+// domainOf returns the fabric domain of a group, or "".
+func (a *App) domainOf(group string) string {
+	for _, plan := range a.fleet.Plans() {
+		for _, g := range plan.Groups {
+			if g.ID == group {
+				return plan.Domain
+			}
+		}
+	}
+	return ""
+}
+
+// groupsAt returns the groups whose leaders have the addresses.
+func (a *App) groupsAt(addresses []string) []string {
+	var groups []string
+	for _, plan := range a.fleet.Plans() {
+		for _, g := range plan.Groups {
+			for _, address := range addresses {
+				if g.Leader() == address {
+					groups = append(groups, g.ID)
+				}
+			}
+		}
+	}
+	return groups
+}
--- /dev/null
+++ b/rudderd/rudderapp/app.go
@@ -0,0 +1,137 @@
+package rudderapp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/rudderhttp"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderowner"
+	"comfreyrudder.example/rudderd/rudderplanner"
+	"comfreyrudder.example/rudderd/rudderrelay"
+	"comfreyrudder.example/rudderd/rudderrequests"
+	"comfreyrudder.example/rudderd/rudderservice"
+	"comfreyrudder.example/rudderd/ruddersettings"
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// App is one entry host. Set the exported fields, then call Listen and Run.
+type App struct {
+	Settings ruddersettings.Settings
+	Logger   zerolog.Logger
+	Clock    clockwork.Clock
+	// DialTarget and DialPeer replace the way connections are opened, to cut them in tests; nil takes
+	// the network.
+	PlatformTransport http.RoundTripper
+	TargetTransport   http.RoundTripper
+	PeerTransport     http.RoundTripper
+
+	self      ruddermember.Member
+	listeners listeners
+
+	store   *rudderstore.Store
+	hosts   *rudderhost.List
+	control *ruddertarget.Control
+	peers   *http.Client
+
+	node      *ruddermember.Node
+	enrolment *ruddermember.Enrolment
+	keeper    *rudderchange.Keeper
+	fleet     *rudderfleet.Fleet
+	planner   *rudderplanner.Planner
+	relay     *rudderrelay.Relay
+	owner     *rudderowner.Owner
+	claims    *rudderclaim.Claims
+	services  *rudderservice.Dispatcher
+	runner    *rudderstream.Runner
+	answers   *rudderstream.Registry
+	requests  *rudderrequests.Peers
+	callers   *rudderhttp.API
+
+	work     workHistory
+	suspects suspects
+	stopping stopState
+	// lifetime is the context of Run, for requests that outlive their caller's connection.
+	lifetime context.Context
+}
+
+// CallerAddress is where callers reach this entry host, valid after Listen.
+func (a *App) CallerAddress() string { return a.self.CallerAddress }
+
+// AdminAddress is where operators reach this entry host, valid after Listen.
+func (a *App) AdminAddress() string { return a.listeners.admin.Addr().String() }
+
+// PeerAddress is where other entry hosts reach this one, valid after Listen.
+func (a *App) PeerAddress() string { return a.self.PeerAddress }
+
+// Listen opens the listening sockets and wires the parts.
+func (a *App) Listen() error {
+	if a.Clock == nil {
+		a.Clock = clockwork.NewRealClock()
+	}
+	if err := a.listen(); err != nil {
+		return err
+	}
+	a.wirePlatform()
+	a.wireMembers()
+	a.wireFleet()
+	a.wireAdmission()
+	a.wireChat()
+	a.wireServices()
+	a.wireCallers()
+	return nil
+}
+
+// Run serves until the context ends and then stops as planned: the entry host leaves the list, serves
+// until callers have stopped using its address and its requests are done, and ends.
+func (a *App) Run(ctx context.Context) error {
+	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	a.lifetime = lifetime
+	group, running := errgroup.WithContext(lifetime)
+	for _, part := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"membership", a.node.Run},
+		{"registry", a.enrolment.Run},
+		{"configuration", a.keeper.Run},
+		{"planner", a.planner.Run},
+		{"relay", a.relay.Run},
+		{"admission", a.owner.Run},
+		{"claims", a.claims.Run},
+	} {
+		group.Go(func() error {
+			err := part.run(running)
+			if err != nil && running.Err() == nil {
+				return errors.Wrap(err, part.name)
+			}
+			return nil
+		})
+	}
+	group.Go(func() error { return a.serve(running) })
+	a.Logger.Info().Str("caller_address", a.CallerAddress()).Str("admin_address", a.AdminAddress()).
+		Str("peer_address", a.PeerAddress()).Msg("entry host started")
+	select {
+	case <-ctx.Done():
+		a.stop(running)
+	case <-running.Done():
+	}
+	end()
+	return group.Wait()
+}
+
+// stopPoll is the time between two looks at the requests in flight while stopping.
+const stopPoll = 50 * time.Millisecond
--- /dev/null
+++ b/rudderd/rudderapp/callers.go
@@ -0,0 +1,58 @@
+package rudderapp
+
+import (
+	"net/http"
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderhttp"
+	"comfreyrudder.example/rudderd/rudderstream"
+)
+
+// limitShareHosts is the number of entry hosts that a workspace's callers are assumed to spread over
+// unevenly: each host grants this many even shares of the workspace's limits, at most the whole.
+const limitShareHosts = 3
+
+func (a *App) wireCallers() {
+	a.callers = &rudderhttp.API{
+		Name: a.self.Name, Clock: a.Clock, Logger: a.Logger, Config: a.keeper.Current,
+		MaxBodyBytes: a.Settings.MaxBodyBytes, LimitShare: a.limitShare, Refuse: a.refuse,
+		Estimate: a.work.estimate, Start: a.startChat, Answers: a.answers,
+		ReadRemote: a.requests.ReadRemote, Call: a.callService, Entries: a.entries,
+	}
+}
+
+func (a *App) limitShare() float64 {
+	live := len(a.node.Live())
+	return min(1, limitShareHosts/float64(max(1, live)))
+}
+
+// refuse tells why this entry host takes no new requests now.
+func (a *App) refuse() *rudderhttp.Refusal {
+	if a.stopping.closed() {
+		return a.notReady("this entry host is stopping")
+	}
+	if err := a.keeper.Permit(a.Clock.Now()); err != nil {
+		return a.notReady(err.Error())
+	}
+	return nil
+}
+
+// notReady names another entry host, so that the caller need not ask for one.
+func (a *App) notReady(message string) *rudderhttp.Refusal {
+	r := &rudderhttp.Refusal{
+		Status: http.StatusServiceUnavailable, Code: rudderstream.CodeNotReady, Message: message,
+		NextStep: "send the request to the address in better_entry, or ask GET /v1/entries at another address",
+		Outcome:  rudderstream.OutcomeNotRun, RetryAfter: time.Second,
+	}
+	for _, e := range a.ranked("") {
+		if e.Name != a.self.Name {
+			r.BetterEntry = e.Address
+			break
+		}
+	}
+	return r
+}
+
+func (a *App) entries(dataCentre string) ([]rudderhttp.Entry, time.Duration) {
+	return a.ranked(dataCentre), a.Settings.EntryLifetime
+}
--- /dev/null
+++ b/rudderd/rudderapp/chat.go
@@ -0,0 +1,131 @@
+package rudderapp
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderpoison"
+	"comfreyrudder.example/rudderd/rudderrequests"
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+const (
+	probeTimeout = time.Second
+	// stragglerFactor times the silence limit is how long a live engine may make no progress.
+	stragglerFactor = 5
+	// abandonAfter is how long a request runs on without a caller, who may pick its answer up again.
+	abandonAfter = 30 * time.Second
+	maxDeaths    = 4096
+)
+
+// suspects guards the tracker of poison requests, which is not safe for concurrent use.
+type suspects struct {
+	mu      sync.Mutex
+	tracker *rudderpoison.Tracker
+}
+
+func (s *suspects) record(now time.Time, deaths ...rudderpoison.Death) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Record(now, deaths...)
+}
+
+func (s *suspects) poisoned(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Judge(rudderpoison.Fingerprint(fingerprint)) == rudderpoison.Poison
+}
+
+// wireChat connects the runner of model requests.
+func (a *App) wireChat() {
+	a.suspects.tracker = rudderpoison.NewTracker(maxDeaths)
+	a.answers = &rudderstream.Registry{Retention: a.Settings.AnswerRetention, MaxBytes: a.Settings.AnswerBytes}
+	a.requests = &rudderrequests.Peers{
+		Self: a.self.Name, Members: a.node.Live, HTTPClient: a.peers, Answers: a.answers, OnDeaths: a.takeDeaths,
+	}
+	a.runner = &rudderstream.Runner{
+		Clock: a.Clock, Logger: a.Logger,
+		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: orTransport(a.TargetTransport, targetIdleConnections)}},
+		Permit:      func() error { return a.keeper.Permit(a.Clock.Now()) },
+		Acquire:     a.acquireChat,
+		Probe:       a.control.RequestStatus,
+		Cancel:      a.control.Cancel,
+		GroupDied:   a.groupDied,
+		ReportDeath: a.reportDeath,
+		Poisoned:    a.suspects.poisoned,
+		Retry:       a.owner.TakeRetry,
+		MaxAttempts: a.Settings.MaxAttempts, SilenceAfter: a.Settings.SilenceAfter, ProbeTimeout: probeTimeout,
+		StragglerAfter: stragglerFactor * a.Settings.SilenceAfter, AbandonAfter: abandonAfter,
+	}
+}
+
+// startChat runs a request to its end, whether or not its caller stays.
+func (a *App) startChat(q rudderstream.Request, answer *rudderstream.Answer) {
+	go func() {
+		timing := a.runner.Run(a.lifetime, q, answer)
+		now := a.Clock.Now()
+		a.answers.Finished(answer, now)
+		result, _ := answer.Done()
+		if result.Outcome == rudderstream.OutcomeComplete {
+			a.work.observe(q.Workspace, q.PromptTokens, timing.Tokens)
+		}
+		a.Logger.Info().Str("request_id", q.ID).Str("workspace", q.Workspace).Str("model", q.Model).
+			Str("class", string(q.Class)).Int("attempts", timing.Attempts).Int("tokens", timing.Tokens).
+			Dur("wait_ms", timing.Wait).Dur("first_token_ms", timing.FirstToken).Dur("max_gap_ms", timing.MaxGap).
+			Str("outcome", string(result.Outcome)).Str("code", result.Code).Msg("model request ended")
+	}()
+}
+
+// groupDied asks the members of a group whether their processes are those that joined it. A member
+// that does not answer in time counts as paused, not as dead.
+func (a *App) groupDied(ctx context.Context, slot rudderstream.Slot) bool {
+	plan, _ := a.fleet.Plan(slot.Domain)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	died := make(chan bool)
+	asked := 0
+	for _, g := range plan.Groups {
+		if g.ID != slot.Group {
+			continue
+		}
+		for _, m := range g.Members {
+			asked++
+			go func() {
+				status, err := a.control.Status(ctx, m.Address)
+				gone := errors.Is(err, ruddertarget.ErrUnreachable) && ctx.Err() == nil
+				died <- gone || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
+			}()
+		}
+	}
+	dead := false
+	for range asked {
+		dead = <-died || dead
+	}
+	return dead
+}
+
+// reportDeath records the death and tells all other entry hosts before the next attempt, so that the
+// request cannot kill one group at each of them.
+func (a *App) reportDeath(ctx context.Context, fingerprint uint64, slot rudderstream.Slot) {
+	now := a.Clock.Now()
+	a.suspects.record(now, rudderpoison.Death{
+		Group: slot.Group, Domain: slot.Domain, AtUnixMS: now.UnixMilli(),
+		InFlight: []rudderpoison.Fingerprint{rudderpoison.Fingerprint(fingerprint)},
+	})
+	a.requests.ShareDeath(ctx, rudderrequests.Death{Fingerprint: fingerprint, Group: slot.Group, Domain: slot.Domain})
+}
+
+func (a *App) takeDeaths(deaths []rudderrequests.Death) {
+	now := a.Clock.Now()
+	for _, d := range deaths {
+		a.suspects.record(now, rudderpoison.Death{
+			Group: d.Group, Domain: d.Domain, AtUnixMS: now.Add(-d.Age).UnixMilli(),
+			InFlight: []rudderpoison.Fingerprint{rudderpoison.Fingerprint(d.Fingerprint)},
+		})
+	}
+}
--- /dev/null
+++ b/rudderd/rudderapp/fleet.go
@@ -0,0 +1,120 @@
+package rudderapp
+
+import (
+	"context"
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderplan"
+	"comfreyrudder.example/rudderd/rudderplanner"
+	"comfreyrudder.example/rudderd/rudderrelay"
+	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// plannerCandidates is how many entry hosts stand ready to plan a fabric domain.
+const plannerCandidates = 3
+
+// wireFleet connects the planner, the fleet view and the relay of confirmations.
+func (a *App) wireFleet() {
+	a.fleet = &rudderfleet.Fleet{ConfirmTTL: a.Settings.ConfirmTTL}
+	times := rudderplanner.DefaultTimes()
+	times.PollInterval, times.LeaseTTL, times.OrderTTL = a.Settings.PollInterval, a.Settings.LeaseTTL, a.Settings.OrderTTL
+	timing := rudderplan.DefaultTiming()
+	timing.FreshFor, timing.WeightBytesPerSecond = a.Settings.ConfirmTTL, float64(a.Settings.WeightRate)
+	a.planner = &rudderplanner.Planner{
+		Store: a.store, Control: a.control, Clock: a.Clock, Name: a.self.Name,
+		Hosts:     func(ctx context.Context) ([]rudderhost.Host, error) { return a.hosts.Hosts(ctx) },
+		Config:    a.keeper.Current,
+		Candidate: a.plannerRank,
+		OnStatus: func(domain, host, address string, status ruddertarget.Status, age time.Duration) {
+			a.fleet.ObserveStatus(rudderfleet.Confirmation{
+				Domain: domain, Host: host, Address: address, Status: status, At: a.Clock.Now().Add(-age),
+			})
+		},
+		OnPlan:    func(p ruddergroup.Plan) { a.fleet.ObservePlan(p) },
+		KnownPlan: a.fleet.Plan,
+		Logger:    a.Logger, Times: times, Timing: timing,
+	}
+	a.relay = &rudderrelay.Relay{
+		Self: a.self.Name, Fleet: a.fleet, Members: a.node.Live, HTTPClient: a.peers, Clock: a.Clock,
+		Interval: a.Settings.PollInterval, ConfirmTTL: a.Settings.ConfirmTTL, Planners: a.planners,
+	}
+}
+
+// plannerRank ranks this entry host among the planners of a domain. Hosts of the domain's data centre
+// come first, since they lose the domain and nothing else.
+func (a *App) plannerRank(domain string) int {
+	near, far := []ruddermember.Member{}, []ruddermember.Member{}
+	plan, known := a.fleet.Plan(domain)
+	for _, m := range a.node.Live() {
+		if known && m.DataCentre == plan.DataCentre {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	ranked := append(ruddermember.Rank(domain, near), ruddermember.Rank(domain, far)...)
+	for i, m := range ranked {
+		if i < plannerCandidates && m.Name == a.self.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// planners lists the domains by the entry host that plans them.
+func (a *App) planners() map[string][]string {
+	planners := make(map[string][]string)
+	for _, plan := range a.fleet.Plans() {
+		planners[plan.Planner] = append(planners[plan.Planner], plan.Domain)
+	}
+	return planners
+}
+
+// servable lists the groups that take work or drain, for admission.
+func (a *App) servable() []rudderrouter.Servable {
+	document := a.keeper.Current()
+	if document == nil {
+		return nil
+	}
+	selectors := make(map[string]rudderconfig.Selector, len(document.Selectors))
+	for _, s := range document.Selectors {
+		selectors[s.Name] = s
+	}
+	now := a.Clock.Now()
+	confirmed := make(map[string]ruddertarget.Load)
+	for _, g := range a.fleet.Serving(now, rudderfleet.Filter{}) {
+		confirmed[g.ID] = g.Load
+	}
+	var groups []rudderrouter.Servable
+	for _, plan := range a.fleet.Plans() {
+		for _, g := range plan.Groups {
+			if g.State == ruddergroup.StateLoading {
+				continue
+			}
+			load, serves := confirmed[g.ID]
+			selector, exists := selectors[g.Selector]
+			groups = append(groups, rudderrouter.Servable{
+				ID: g.ID, Selector: g.Selector, Firm: g.Firm, Model: g.Model, ModelVersion: g.ModelVersion, Service: g.Service,
+				Workspaces: selector.Workspaces, Classes: selector.Classes, ShortShare: selector.ShortShare,
+				DataCentre: plan.DataCentre, Region: plan.Region, Slots: g.Slots, Leader: g.Leader(),
+				// A group whose members do not all confirm stays in its shard, but takes no new work.
+				Draining: !serves || !exists,
+				Load:     load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
+			})
+		}
+	}
+	return groups
+}
+
+func unixMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
--- /dev/null
+++ b/rudderd/rudderapp/listen.go
@@ -0,0 +1,124 @@
+package rudderapp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderpeer"
+)
+
+const (
+	// readHeaderTimeout and idleTimeout keep slow or silent callers from holding connections for good.
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = 60 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// shutdownTimeout bounds the wait for connections once all requests are done.
+	shutdownTimeout = 5 * time.Second
+	// maxPeerBodyBytes bounds the calls between entry hosts.
+	maxPeerBodyBytes = 2 << 20
+	// peerClockSkew is the largest accepted difference between two entry hosts' clocks.
+	peerClockSkew = 30 * time.Second
+)
+
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+// listen opens the sockets and learns the addresses that port 0 leaves open.
+func (a *App) listen() error {
+	s := &a.Settings
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.CallerListen, &a.listeners.caller},
+		{s.PeerListen, &a.listeners.peer},
+		{s.AdminListen, &a.listeners.admin},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listening on %s", l.address)
+		}
+		*l.into = listener
+	}
+	a.self = ruddermember.Member{
+		Name: s.Name, Region: s.Region, DataCentre: s.DataCentre,
+		CallerAddress: firstOf(s.CallerAdvertise, a.listeners.caller.Addr().String()),
+		PeerAddress:   firstOf(s.PeerAdvertise, a.listeners.peer.Addr().String()),
+	}
+	return nil
+}
+
+func firstOf(candidates ...string) string {
+	for _, c := range candidates {
+		if c != "" {
+			return c
+		}
+	}
+	return ""
+}
+
+// serve runs the three HTTP servers until the context ends.
+func (a *App) serve(ctx context.Context) error {
+	peer := rudderpeer.NewServer(a.peerHandler())
+	servers := []struct {
+		server   *http.Server
+		listener net.Listener
+	}{
+		{newServer(a.callers.Handler()), a.listeners.caller},
+		{newServer(a.adminHandler()), a.listeners.admin},
+		{peer, a.listeners.peer},
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.server.Serve(s.listener) }()
+	}
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "HTTP server")
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.server.Shutdown(shutdown); err != nil {
+			_ = s.server.Close()
+		}
+	}
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// peerHandler serves the calls of other entry hosts, which must be signed.
+func (a *App) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rudderpeer.MembershipPathPrefix, rudderpeer.NewMembershipServer(a.node))
+	mux.Handle(rudderpeer.FleetPathPrefix, a.relay.Handler())
+	mux.Handle(rudderpeer.AdmissionPathPrefix, a.owner.Handler())
+	mux.Handle(rudderpeer.ClaimsPathPrefix, a.claims.Handler())
+	mux.Handle(rudderpeer.RequestsPathPrefix, a.requests.Handler())
+	verifier := &rudderpeer.Verifier{
+		Keys: a.keyring(), Clock: a.Clock, Host: a.self.PeerAddress,
+		TimestampBound: peerClockSkew, MaxBodyBytes: maxPeerBodyBytes,
+	}
+	return verifier.Wrap(mux)
+}
+
+func (a *App) keyring() *rudderpeer.Keyring {
+	if a.Settings.OldPeerSecret == "" {
+		return rudderpeer.NewKeyring([]byte(a.Settings.PeerSecret))
+	}
+	return rudderpeer.NewKeyring([]byte(a.Settings.PeerSecret), []byte(a.Settings.OldPeerSecret))
+}
--- /dev/null
+++ b/rudderd/rudderapp/members.go
@@ -0,0 +1,90 @@
+package rudderapp
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// incarnationUnit is the resolution of incarnation numbers: a process that starts a tenth of a second
+// after its predecessor has a higher one.
+const incarnationUnit = 100 * time.Millisecond
+
+// wireMembers connects membership, registry and configuration.
+func (a *App) wireMembers() {
+	a.node = &ruddermember.Node{
+		Self:        a.self,
+		Incarnation: uint32(a.Clock.Now().UnixNano() / int64(incarnationUnit)),
+		Clock:       a.Clock,
+		Peer:        ruddermember.NewPeer(a.peers),
+		Seeds:       a.Settings.Seeds,
+		Load:        a.load,
+	}
+	a.enrolment = &ruddermember.Enrolment{
+		Node: a.node, Store: *a.store, Clock: a.Clock, PermitTTL: a.Settings.PermitTTL,
+		OnError: a.warn("member registry"),
+	}
+	a.keeper = &rudderchange.Keeper{
+		Node: a.node, Enrolment: a.enrolment, Store: *a.store, Clock: a.Clock,
+		PermitTTL:     a.Settings.PermitTTL,
+		WatchPrefixes: []string{ruddergroup.PlanPrefix},
+		OnEvents:      a.takeEvents,
+		OnRelist:      a.relistPlans,
+		OnError:       a.warn("configuration"),
+	}
+	a.keeper.Connect()
+}
+
+// load is what this entry host says about itself in its digests.
+func (a *App) load() ruddermember.Load {
+	return ruddermember.Load{InFlight: a.answers.Running()}
+}
+
+func (a *App) warn(part string) func(error) {
+	return func(err error) {
+		a.Logger.Warn().Str("part", part).Err(err).Msg("failed, will be tried again")
+	}
+}
+
+// takeEvents takes changed plans from the watch.
+func (a *App) takeEvents(events []rudderstore.Event) {
+	for _, e := range events {
+		if strings.HasPrefix(e.Key, ruddergroup.PlanPrefix) && !e.Deleted {
+			a.takePlan(e.Key, e.Value)
+		}
+	}
+}
+
+// takePlan is used by the watch and by lists; the fleet view ignores plans that are older than known.
+func (a *App) takePlan(key string, value []byte) {
+	var plan ruddergroup.Plan
+	if err := json.Unmarshal(value, &plan); err != nil {
+		a.Logger.Error().Err(err).Str("key", key).Msg("plan cannot be read")
+		return
+	}
+	a.fleet.ObservePlan(plan)
+}
+
+const relistTimeout = 5 * time.Second
+
+// relistPlans reads all plans after the watch may have missed some.
+func (a *App) relistPlans() {
+	go func() {
+		ctx, cancel := context.WithTimeout(a.lifetime, relistTimeout)
+		defer cancel()
+		entries, _, err := a.store.List(ctx, ruddergroup.PlanPrefix)
+		if err != nil {
+			a.warn("plans")(err)
+			return
+		}
+		for _, e := range entries {
+			a.takePlan(e.Key, e.Value)
+		}
+	}()
+}
--- /dev/null
+++ b/rudderd/rudderapp/platform.go
@@ -0,0 +1,59 @@
+package rudderapp
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderpeer"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+const (
+	// dialTimeout is short because all hosts of a region answer within milliseconds.
+	dialTimeout = time.Second
+	// platformIdleConnections per address; more would be opened and closed under load.
+	platformIdleConnections = 8
+	targetIdleConnections   = 64
+)
+
+// wirePlatform connects the ports to the platform, to targets and to other entry hosts.
+func (a *App) wirePlatform() {
+	platform := &http.Client{Transport: orTransport(a.PlatformTransport, platformIdleConnections)}
+	store := &rudderstore.HTTP{BaseURL: a.Settings.KeyValueURL, Client: platform}
+	a.store = store.Store()
+	list := &rudderhost.HTTP{BaseURL: a.Settings.HostListURL, Client: platform}
+	a.hosts = list.List()
+	// Each control call opens a connection of its own: a pooled one may have gone silent, and a probe
+	// must tell a silent connection from a dead target.
+	fresh := newTransport(targetIdleConnections)
+	fresh.DisableKeepAlives = true
+	var transport http.RoundTripper = fresh
+	if a.TargetTransport != nil {
+		transport = a.TargetTransport
+	}
+	control := &ruddertarget.HTTP{Client: &http.Client{Transport: transport}}
+	a.control = control.Control()
+	base := a.PeerTransport
+	if base == nil {
+		base = rudderpeer.NewBase()
+	}
+	a.peers = &http.Client{Transport: &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base}}
+}
+
+func orTransport(given http.RoundTripper, idle int) http.RoundTripper {
+	if given != nil {
+		return given
+	}
+	return newTransport(idle)
+}
+
+func newTransport(idle int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
--- /dev/null
+++ b/rudderd/rudderapp/services.go
@@ -0,0 +1,81 @@
+package rudderapp
+
+import (
+	"context"
+	"net/http"
+	"path"
+
+	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/rudderd/rudderhttp"
+	"comfreyrudder.example/rudderd/rudderservice"
+	"comfreyrudder.example/rudderd/rudderstream"
+)
+
+// wireServices connects claims and the dispatcher of plain services.
+func (a *App) wireServices() {
+	limits := rudderclaim.DefaultLimits()
+	limits.Retention = a.Settings.ClaimRetention
+	a.claims = &rudderclaim.Claims{
+		Store: *a.store, Members: a.node.Live, Self: a.self.Name, HTTPClient: a.peers,
+		Clock: a.Clock, Logger: a.Logger, Limits: limits,
+	}
+	a.services = &rudderservice.Dispatcher{
+		Acquire: a.acquireService, Idempotent: a.declaredIdempotent,
+		Claim: a.claims.Claim, Settle: a.claims.Settle, Release: a.claims.Release,
+		Probe: a.control.Status, RetryAllowed: a.owner.TakeRetry,
+		Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
+	}
+}
+
+// declaredIdempotent tells whether the configuration declares a call repeatable.
+func (a *App) declaredIdempotent(service, method, callPath string) bool {
+	document := a.keeper.Current()
+	if document == nil {
+		return false
+	}
+	for _, s := range document.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, rule := range s.Idempotent {
+			if matched, err := path.Match(rule.Path, callPath); rule.Method == method && err == nil && matched {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// callService runs a call of a plain service for the caller API.
+func (a *App) callService(ctx context.Context, call rudderhttp.ServiceCall) rudderhttp.ServiceAnswer {
+	result := a.services.Do(ctx, rudderservice.Call{
+		RequestID: call.RequestID, Workspace: call.Workspace.Name, Service: call.Service.Name,
+		Method: call.Method, Path: call.Path, RawQuery: call.Query, Header: call.Header, Body: call.Body,
+		RequireKey: call.Workspace.RequireIdempotencyKey,
+	})
+	a.Logger.Info().Str("request_id", call.RequestID).Str("workspace", call.Workspace.Name).
+		Str("service", call.Service.Name).Str("method", call.Method).Str("target", result.Target).
+		Str("outcome", string(result.Outcome)).Str("code", string(result.Code)).Msg("service call ended")
+	answer := rudderhttp.ServiceAnswer{
+		Outcome: rudderstream.Outcome(result.Outcome), Status: result.Status, Header: result.Header,
+		Body: result.Body, Replayed: result.Stored,
+	}
+	if result.Outcome != rudderservice.OutcomeComplete {
+		answer.Refusal = serviceRefusal(result)
+	}
+	return answer
+}
+
+func serviceRefusal(result rudderservice.Result) *rudderhttp.Refusal {
+	refusal := &rudderhttp.Refusal{
+		Status: result.Status, Code: string(result.Code), Message: result.Reason,
+		Outcome: rudderstream.Outcome(result.Outcome), NextStep: "the call did not run; send it again",
+	}
+	if result.Outcome == rudderservice.OutcomeMayHaveRun {
+		refusal.NextStep = "find out whether the call ran before sending it with a new key"
+		refusal.NoRetry = true
+	} else if result.Status == http.StatusServiceUnavailable || result.Status == http.StatusTooManyRequests {
+		refusal.RetryAfter = probeTimeout
+	}
+	return refusal
+}
--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -7,10 +7,11 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
+	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
@@ -21,21 +22,16 @@
 
 // chatRequest is what the system needs to know of a chat request; the rest is passed on unread.
 type chatRequest struct {
-	Model               string        `json:"model"`
-	Messages            []chatMessage `json:"messages"`
-	Stream              bool          `json:"stream"`
-	MaxTokens           int           `json:"max_tokens"`
-	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Model               string                 `json:"model"`
+	Messages            []ruddertarget.Message `json:"messages"`
+	Stream              bool                   `json:"stream"`
+	MaxTokens           int                    `json:"max_tokens"`
+	MaxCompletionTokens int                    `json:"max_completion_tokens"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
 
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
 // chat serves POST /v1/chat/completions.
 func (a *API) chat(c echo.Context) error {
 	body, err := a.readBody(c)
@@ -79,14 +75,14 @@
 			delete(fields, name) // callers may not set the fields that the system sends to engines
 		}
 	}
-	prompt := promptText(parsed.Messages)
+	prompt := ruddertarget.PromptText(parsed.Messages)
 	promptTokens := len(prompt)/bytesPerToken + 1
 	estimated, class := a.Estimate(workspace.Name, promptTokens, parsed.MaxTokens)
 	return rudderstream.Request{
 		ID: requestIDOf(c), Workspace: workspace.Name, Firm: workspace.Firm, Model: parsed.Model,
 		Body: fields, Prompt: prompt, PromptTokens: promptTokens,
 		EstimatedTokens: estimated, Class: class,
-		Fingerprint: fingerprint(workspace.Name, body), Arrived: a.Clock.Now(),
+		Fingerprint: uint64(rudderpoison.FingerprintOf(workspace.Name, body)), Arrived: a.Clock.Now(),
 	}, parsed, nil
 }
 
@@ -118,31 +114,6 @@
 	return nil
 }
 
-// promptText joins the messages in the way that prefix caching goes by.
-func promptText(messages []chatMessage) string {
-	var b strings.Builder
-	for _, m := range messages {
-		b.WriteString(m.Role)
-		b.WriteString(": ")
-		var text string
-		if err := json.Unmarshal(m.Content, &text); err != nil {
-			text = string(m.Content) // parts in OpenAI's list form
-		}
-		b.WriteString(text)
-		b.WriteString("\n")
-	}
-	return b.String()
-}
-
-// fingerprint identifies a request that is sent again.
-func fingerprint(workspace string, body []byte) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(workspace)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.Write(body)
-	return digest.Sum64()
-}
-
 // quote shortens text from outside for an error message.
 func quote(text string) string {
 	const longest = 64
--- /dev/null
+++ b/rudderd/rudderrelay/relay.go
@@ -0,0 +1,123 @@
+// Package rudderrelay passes the confirmations of group members from the planner that polls them to
+// the entry hosts that route to them.
+package rudderrelay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderpeer"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// Relay pulls confirmations from planners and answers the pulls of others. Set the exported fields
+// before Run.
+type Relay struct {
+	Self       string
+	Fleet      *rudderfleet.Fleet
+	Members    func() []ruddermember.Member
+	HTTPClient *http.Client
+	Clock      clockwork.Clock
+	// Interval between two pulls from one planner.
+	Interval time.Duration
+	// Planners returns the fabric domains whose confirmations this entry host needs, by the name of
+	// the entry host that plans them.
+	Planners func() map[string][]string
+	// ConfirmTTL is the age above which a confirmation is of no use.
+	ConfirmTTL time.Duration
+}
+
+// Handler serves the pulls of other entry hosts.
+func (r *Relay) Handler() rudderpeer.TwirpServer { return rudderpeer.NewFleetServer(r) }
+
+// Confirmations implements the twirp service.
+func (r *Relay) Confirmations(_ context.Context, request *rudderpeer.ConfirmationsRequest) (*rudderpeer.ConfirmationsResponse, error) {
+	now := r.Clock.Now()
+	longest := time.Duration(request.GetMaxAgeMs()) * time.Millisecond
+	response := &rudderpeer.ConfirmationsResponse{}
+	for _, domain := range request.GetDomains() {
+		for _, c := range r.Fleet.Confirmations(domain) {
+			if age := now.Sub(c.At); longest == 0 || age < longest {
+				response.Confirmations = append(response.Confirmations, toWire(c, age))
+			}
+		}
+	}
+	return response, nil
+}
+
+// Run pulls until the context ends.
+func (r *Relay) Run(ctx context.Context) error {
+	ticker := r.Clock.NewTicker(r.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			r.pullAll(ctx)
+		}
+	}
+}
+
+// pullAll starts one pull for each planner. A pull that hangs must not delay those from others.
+func (r *Relay) pullAll(ctx context.Context) {
+	members := make(map[string]ruddermember.Member)
+	for _, m := range r.Members() {
+		members[m.Name] = m
+	}
+	for planner, domains := range r.Planners() {
+		if m, ok := members[planner]; ok && planner != r.Self {
+			go r.pull(ctx, m, domains)
+		}
+	}
+}
+
+func (r *Relay) pull(ctx context.Context, m ruddermember.Member, domains []string) {
+	ctx, cancel := context.WithTimeout(ctx, r.Interval)
+	defer cancel()
+	// Ages count from before the call, so that the time on the way is part of them.
+	start := r.Clock.Now()
+	client := rudderpeer.NewFleetProtobufClient("http://"+m.PeerAddress, r.HTTPClient)
+	response, err := client.Confirmations(ctx, &rudderpeer.ConfirmationsRequest{
+		Domains: domains, MaxAgeMs: uint32(r.ConfirmTTL.Milliseconds()),
+	})
+	if err != nil {
+		return // the next pull tries again; without one the confirmations expire
+	}
+	for _, c := range response.GetConfirmations() {
+		r.Fleet.ObserveStatus(fromWire(c, start))
+	}
+}
+
+func toWire(c rudderfleet.Confirmation, age time.Duration) *rudderpeer.Confirmation {
+	s := c.Status
+	return &rudderpeer.Confirmation{
+		Domain: c.Domain, Host: c.Host, Address: c.Address, Incarnation: s.Incarnation, Phase: string(s.Phase),
+		Group: s.Role.Group, Rank: uint32(s.Role.Rank), Size: uint32(s.Role.Size),
+		Model: s.Role.Model, ModelVersion: s.Role.ModelVersion, Adapters: s.Role.Adapters,
+		HighestFencing: s.HighestFencing, Leaving: s.Leaving,
+		Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), Slots: uint32(s.Load.Slots),
+		AgeMs: uint32(age.Milliseconds()) + 1, // rounded up
+	}
+}
+
+func fromWire(c *rudderpeer.Confirmation, start time.Time) rudderfleet.Confirmation {
+	at := start.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+	return rudderfleet.Confirmation{
+		Domain: c.GetDomain(), Host: c.GetHost(), Address: c.GetAddress(), At: at,
+		Status: ruddertarget.Status{
+			Host: c.GetHost(), Incarnation: c.GetIncarnation(), Phase: ruddertarget.Phase(c.GetPhase()),
+			Role: ruddertarget.Role{
+				Group: c.GetGroup(), Rank: int(c.GetRank()), Size: int(c.GetSize()),
+				Model: c.GetModel(), ModelVersion: c.GetModelVersion(), Adapters: c.GetAdapters(),
+			},
+			HighestFencing: c.GetHighestFencing(), Leaving: c.GetLeaving(),
+			Load: ruddertarget.Load{Running: int(c.GetRunning()), Waiting: int(c.GetWaiting()), Slots: int(c.GetSlots()), At: at},
+		},
+	}
+}
