--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -23,6 +23,7 @@
 	"comfreyrudder.example/rudderd/ruddersettings"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -32,8 +33,7 @@
 	Settings ruddersettings.Settings
 	Logger   zerolog.Logger
 	Clock    clockwork.Clock
-	// DialTarget and DialPeer replace the way connections are opened, to cut them in tests; nil takes
-	// the network.
+	// The transports replace the way calls are sent, so that tests can cut them; nil takes the network.
 	PlatformTransport http.RoundTripper
 	TargetTransport   http.RoundTripper
 	PeerTransport     http.RoundTripper
@@ -65,6 +65,9 @@
 	stopping stopState
 	// lifetime is the context of Run, for requests that outlive their caller's connection.
 	lifetime context.Context
+	end      context.CancelFunc
+	servers  []*http.Server
+	started  chan struct{} // closed when Run has set up what Kill ends
 }
 
 // CallerAddress is where callers reach this entry host, valid after Listen.
@@ -81,6 +84,7 @@
 	if a.Clock == nil {
 		a.Clock = clockwork.NewRealClock()
 	}
+	a.started = make(chan struct{})
 	if err := a.listen(); err != nil {
 		return err
 	}
@@ -91,6 +95,9 @@
 	a.wireChat()
 	a.wireServices()
 	a.wireCallers()
+	a.servers = []*http.Server{
+		newServer(a.callers.Handler()), newServer(a.adminHandler()), rudderpeer.NewServer(a.peerHandler()),
+	}
 	return nil
 }
 
@@ -99,7 +106,7 @@
 func (a *App) Run(ctx context.Context) error {
 	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	a.lifetime = lifetime
+	a.lifetime, a.end = lifetime, end
 	group, running := errgroup.WithContext(lifetime)
 	for _, part := range []struct {
 		name string
@@ -122,6 +129,7 @@
 		})
 	}
 	group.Go(func() error { return a.serve(running) })
+	close(a.started)
 	a.Logger.Info().Str("caller_address", a.CallerAddress()).Str("admin_address", a.AdminAddress()).
 		Str("peer_address", a.PeerAddress()).Msg("entry host started")
 	select {
@@ -133,5 +141,15 @@
 	return group.Wait()
 }
 
+// Kill ends the entry host at once, as the loss of its process does: connections are cut and nothing
+// is given back. Run returns.
+func (a *App) Kill() {
+	<-a.started
+	for _, s := range a.servers {
+		_ = s.Close()
+	}
+	a.end()
+}
+
 // stopPoll is the time between two looks at the requests in flight while stopping.
 const stopPoll = 50 * time.Millisecond
--- a/rudderd/rudderapp/command.go
+++ b/rudderd/rudderapp/command.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"comfreyrudder.example/rudderd/ruddersettings"
@@ -72,4 +73,15 @@
 	return root
 }
 
-func run(_ context.Context, _ ruddersettings.Settings, _ io.Writer) error { return nil }
+func run(ctx context.Context, settings ruddersettings.Settings, output io.Writer) error {
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return errors.Mark(err, ruddersettings.ErrInvalid)
+	}
+	logger := zerolog.New(output).Level(level).With().Timestamp().Str("entry", settings.Name).Logger()
+	app := &App{Settings: settings, Logger: logger}
+	if err := app.Listen(); err != nil {
+		return err
+	}
+	return app.Run(ctx)
+}
--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -66,29 +66,24 @@
 
 // serve runs the three HTTP servers until the context ends.
 func (a *App) serve(ctx context.Context) error {
-	peer := rudderpeer.NewServer(a.peerHandler())
-	servers := []struct {
-		server   *http.Server
-		listener net.Listener
-	}{
-		{newServer(a.callers.Handler()), a.listeners.caller},
-		{newServer(a.adminHandler()), a.listeners.admin},
-		{peer, a.listeners.peer},
-	}
-	failed := make(chan error, len(servers))
-	for _, s := range servers {
-		go func() { failed <- s.server.Serve(s.listener) }()
+	sockets := []net.Listener{a.listeners.caller, a.listeners.admin, a.listeners.peer}
+	failed := make(chan error, len(a.servers))
+	for i, s := range a.servers {
+		go func() { failed <- s.Serve(sockets[i]) }()
 	}
 	select {
 	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil // killed
+		}
 		return errors.Wrap(err, "HTTP server")
 	case <-ctx.Done():
 	}
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	for _, s := range servers {
-		if err := s.server.Shutdown(shutdown); err != nil {
-			_ = s.server.Close()
+	for _, s := range a.servers {
+		if err := s.Shutdown(shutdown); err != nil {
+			_ = s.Close()
 		}
 	}
 	return nil
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -23,6 +23,7 @@
 type limits struct {
 	mu         sync.Mutex
 	workspaces map[string]*workspaceLimit
+	running    int
 }
 
 type workspaceLimit struct {
@@ -79,6 +80,7 @@
 		return tooMany("rate_limit", "the workspace sends requests too fast")
 	}
 	limit.running++
+	l.running++
 	return nil
 }
 
@@ -86,6 +88,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.workspaces[workspace].running--
+	l.running--
+}
+
+// InFlight is the number of requests that callers wait for now.
+func (a *API) InFlight() int {
+	a.limits.mu.Lock()
+	defer a.limits.mu.Unlock()
+	return a.limits.running
 }
 
 func tooMany(code, message string) *Refusal {
