--- a/rudderstand/rudderscene/scene.go
+++ b/rudderstand/rudderscene/scene.go
@@ -151,3 +151,20 @@
 	}
 	return nil
 }
+
+// PlacesOf returns a number of places in each data centre of a layout.
+func PlacesOf(layout rudderfleetstand.Layout, perDataCentre int) []Place {
+	var places []Place
+	known := make(map[Place]bool)
+	for _, d := range layout.Domains {
+		place := Place{Region: d.Region, DataCentre: d.DataCentre}
+		if known[place] {
+			continue
+		}
+		known[place] = true
+		for range perDataCentre {
+			places = append(places, place)
+		}
+	}
+	return places
+}
--- /dev/null
+++ b/rudderstand/rudderstandapp/command.go
@@ -0,0 +1,34 @@
+// Package rudderstandapp is the command line of rudderstand. Each command stands in a file of its own.
+package rudderstandapp
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of rudderstand.
+const (
+	exitOK    = 0
+	exitError = 1
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(arguments []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:           "rudderstand",
+		Short:         "Run stand-ins for the environment of comfreyrudder",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	root.AddCommand(newUp(stdout, stderr))
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	return exitOK
+}
