--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 lint: $(BIN)/golangci-lint-$(LINTER_VERSION)
 	@for module in $(MODULES); do \
 		echo "lint $$module"; \
-		(cd $$module && $(BIN)/golangci-lint-$(LINTER_VERSION) run --config ../.golangci.yml ./...) || exit 1; \
+		(cd $$module && $(BIN)/golangci-lint-$(LINTER_VERSION) run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; \
 	done
 
 format: $(BIN)/golangci-lint-$(LINTER_VERSION)
