Explain groups, keep divisions, roll changed selectors and compare packings

A changed selector replaces its groups of a domain one after the other, because draining all at once takes the model out of service. A group that does not load in time is formed anew. A group that moves to another domain keeps serving until its successor does.

--- a/rudderd/rudderplan/allocate.go
+++ b/rudderd/rudderplan/allocate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -55,6 +56,15 @@
 	return n
 }
 
+// Totals returns the number of groups by selector over all domains.
+func (a Allocation) Totals() map[string]int {
+	out := make(map[string]int, len(a.counts))
+	for s := range a.counts {
+		out[s] = a.Total(s)
+	}
+	return out
+}
+
 // Missing returns how many wanted groups of a selector found no room.
 func (a Allocation) Missing(selector string) int { return a.missing[selector] }
 
@@ -76,14 +86,25 @@
 	domains   []string
 	pools     []pool
 	counts    [][]int
+	// cost holds, by domain, the hosts that one more group of each selector wastes. An entry is nil
+	// after a change of the domain's counts.
+	cost [][]int
 }
 
+// noRoom is the cost of a group that does not fit.
+const noRoom = math.MaxInt
+
 // Allocate divides the wanted groups over the fabric domains. Wanted groups of higher priority come
 // first; each goes to the domain where it wastes the fewest hosts, then where the selector has the
 // fewest groups, then by a hash, so that a change in one domain moves few groups of the others.
 // Selectors with 0 wanted groups fill what is left.
+//
+// The result is never worse than FirstFit's.
 func Allocate(in AllocationInput) Allocation {
 	p := newPacking(in)
+	if len(p.domains) == 0 {
+		return p.result()
+	}
 	for s, selector := range p.selectors {
 		for range selector.WantedGroups {
 			if !p.add(s) && !p.makeRoom(s) {
@@ -92,24 +113,25 @@
 		}
 	}
 	p.improve()
+	first := newPacking(in)
+	first.firstFit()
+	if slices.Compare(first.score(), p.score()) < 0 {
+		return first.result()
+	}
 	return p.result()
 }
 
 func newPacking(in AllocationInput) *packing {
 	p := &packing{selectors: ordered(in.Config, in.Now)}
 	byDomain := map[string]map[string]*class{}
-	settings := make(map[string]rudderconfig.HostSettings, len(in.Config.Hosts))
-	for _, s := range in.Config.Hosts {
-		settings[s.Name] = s
-	}
+	hosts := newCatalogue(in.Config, in.Hosts)
 	for _, h := range in.Hosts {
-		if in.Down[h.Name] || settings[h.Name].Drain || h.State == rudderhost.StateLeaving {
+		if in.Down[h.Name] || hosts.departing(h.Name) != "" {
 			continue
 		}
-		labels := rudderconfig.HostLabels(h, settings[h.Name])
 		suits, key, some := make([]bool, len(p.selectors)), make([]byte, len(p.selectors)), false
 		for i, s := range p.selectors {
-			if (s.Service != "") == (h.Kind == rudderhost.KindService) && s.Matches(labels) {
+			if hosts.fits(s, h.Name) {
 				suits[i], key[i], some = true, 1, true
 			}
 		}
@@ -126,14 +148,15 @@
 	}
 	p.domains = slices.Sorted(maps.Keys(byDomain))
 	for _, d := range p.domains {
-		var hosts pool
+		var classes pool
 		for _, key := range slices.Sorted(maps.Keys(byDomain[d])) {
-			hosts = append(hosts, *byDomain[d][key])
+			classes = append(classes, *byDomain[d][key])
 		}
-		slices.SortStableFunc(hosts, func(a, b class) int { return cmp.Compare(a.flexibility(), b.flexibility()) })
-		p.pools = append(p.pools, hosts)
+		slices.SortStableFunc(classes, func(a, b class) int { return cmp.Compare(a.flexibility(), b.flexibility()) })
+		p.pools = append(p.pools, classes)
 		p.counts = append(p.counts, make([]int, len(p.selectors)))
 	}
+	p.cost = make([][]int, len(p.domains))
 	return p
 }
 
@@ -145,14 +168,13 @@
 	}
 	var options []option
 	for d := range p.domains {
-		before, _ := p.pools[d].place(p.selectors, p.counts[d])
-		after := slices.Clone(before)
-		if !after.take(s, groupSize(p.selectors[s])) {
-			continue
+		if p.cost[d] == nil {
+			p.cost[d] = p.costs(d)
+		}
+		if p.cost[d][s] != noRoom {
+			options = append(options, option{domain: d, held: p.counts[d][s], waste: p.cost[d][s],
+				hash: xxhash.Sum64String(p.selectors[s].Name + "\x00" + p.domains[d])})
 		}
-		options = append(options, option{domain: d, held: p.counts[d][s],
-			waste: after.waste(p.selectors) - before.waste(p.selectors),
-			hash:  xxhash.Sum64String(p.selectors[s].Name + "\x00" + p.domains[d])})
 	}
 	if len(options) == 0 {
 		return false
@@ -161,14 +183,31 @@
 		return cmp.Or(cmp.Compare(a.waste, b.waste), cmp.Compare(a.held, b.held), cmp.Compare(a.hash, b.hash))
 	})
 	p.counts[best.domain][s]++
+	p.cost[best.domain] = nil
 	return true
 }
 
+func (p *packing) costs(d int) []int {
+	before, _ := p.pools[d].place(p.selectors, p.counts[d])
+	waste := before.waste(p.selectors)
+	out := make([]int, len(p.selectors))
+	for s, selector := range p.selectors {
+		after := slices.Clone(before)
+		if !after.take(s, groupSize(selector)) {
+			out[s] = noRoom
+			continue
+		}
+		out[s] = after.waste(p.selectors) - waste
+	}
+	return out
+}
+
 // makeRoom moves one group of another selector to another domain so that a group of s fits.
 func (p *packing) makeRoom(s int) bool {
 	return p.move(func(from, to, moved int) bool {
 		p.counts[from][s]++
 		if p.valid(from) && p.valid(to) {
+			p.cost[from], p.cost[to] = nil, nil
 			return true
 		}
 		p.counts[from][s]--
--- /dev/null
+++ b/rudderd/rudderplan/allocate_test.go
@@ -0,0 +1,104 @@
+package rudderplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderhost"
+)
+
+func fleetHosts(perDomain ...int) []rudderhost.Host {
+	var out []rudderhost.Host
+	for d, n := range perDomain {
+		for i := range n {
+			out = append(out, rudderhost.Host{Name: fmt.Sprintf("d%d-h%02d", d, i), Kind: rudderhost.KindEngine,
+				FabricDomain: fmt.Sprintf("d%d", d), State: rudderhost.StateLive})
+		}
+	}
+	return out
+}
+
+// Guards against stranding hosts that another division would use.
+func TestAllocate(t *testing.T) {
+	tests := []struct {
+		name      string
+		hosts     []int
+		selectors []rudderconfig.Selector
+		totals    map[string]int
+		stranded  int
+	}{
+		{"remainder only", []int{10, 9}, []rudderconfig.Selector{model("a", 4, 0, 0)}, map[string]int{"a": 4}, 3},
+		{"wanted first", []int{8}, []rudderconfig.Selector{model("a", 2, 0, 0), model("b", 6, 1, 0)}, map[string]int{"a": 1, "b": 1}, 0},
+		{"leaves room for the large", []int{8, 3}, []rudderconfig.Selector{model("a", 3, 1, 9), model("b", 8, 1, 0)}, map[string]int{"a": 1, "b": 1}, 0},
+		{"mixes equal priorities", []int{11}, []rudderconfig.Selector{model("a", 8, 0, 0), model("b", 3, 0, 0)}, map[string]int{"a": 1, "b": 1}, 0},
+		{"no mix beats a higher priority", []int{12}, []rudderconfig.Selector{model("a", 8, 0, 1), model("b", 3, 0, 0)}, map[string]int{"a": 1, "b": 1}, 1},
+		{"moves to fill", []int{7, 8}, []rudderconfig.Selector{model("a", 4, 1, 1), model("b", 3, 0, 0)}, map[string]int{"a": 1, "b": 3}, 2},
+		{"too few", []int{7, 7}, []rudderconfig.Selector{model("a", 8, 1, 0)}, map[string]int{"a": 0}, 14},
+	}
+	for _, tt := range tests {
+		a := Allocate(AllocationInput{Now: start, Config: &rudderconfig.Document{Selectors: tt.selectors}, Hosts: fleetHosts(tt.hosts...)})
+		for s, n := range tt.totals {
+			require.Equal(t, n, a.Total(s), "%s: groups of %s", tt.name, s)
+		}
+		require.Equal(t, tt.stranded, a.StrandedTotal(), tt.name)
+	}
+}
+
+// Guards against groups in a dark domain, against a share that is lost with it, and against moves
+// between the domains that stay.
+func TestDarkDomainsShareMoves(t *testing.T) {
+	in := AllocationInput{Now: start, Config: &rudderconfig.Document{Selectors: []rudderconfig.Selector{model("a", 8, 6, 0)}},
+		Hosts: fleetHosts(24, 24, 24), Down: map[string]bool{}}
+	before := Allocate(in).Selector("a")
+	for _, h := range in.Hosts {
+		in.Down[h.Name] = h.FabricDomain == "d1"
+	}
+	after := Allocate(in)
+	require.Equal(t, map[string]int{"d0": 2, "d1": 2, "d2": 2}, before)
+	require.Equal(t, map[string]int{"d0": 3, "d2": 3}, after.Selector("a"))
+	require.Zero(t, after.Missing("a"))
+}
+
+// Guards against a division that is worse than first fit or differs from call to call, and keeps the
+// share of small cases in which the best division is found from falling.
+func TestAllocateAgainstBaselines(t *testing.T) {
+	cases, best := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		in := AllocationInput{Now: start, Config: &rudderconfig.Document{}, Hosts: fleetHosts(rapid.SliceOfN(rapid.IntRange(0, 13), 1, 3).Draw(t, "hosts")...)}
+		var names []string
+		for _, s := range []string{"a", "b", "c"} {
+			in.Config.Selectors = append(in.Config.Selectors, model(s, rapid.IntRange(1, 6).Draw(t, "size"), rapid.IntRange(0, 3).Draw(t, "wanted"), 0))
+			names = append(names, s)
+		}
+		got := Allocate(in)
+		require.Equal(t, got, Allocate(in))
+		require.True(t, got.AsGoodAs(FirstFit(in), names))
+		optimum, ok := BestPacking(in, 1e6)
+		require.True(t, ok)
+		require.True(t, optimum.AsGoodAs(got, names), "the exhaustive search is the bound")
+		cases++
+		if got.AsGoodAs(optimum, names) {
+			best++
+		}
+	})
+	t.Logf("best division found in %d of %d cases", best, cases)
+	require.Greater(t, float64(best), 0.95*float64(cases))
+}
+
+// A fleet of the size to build towards: 30 domains, 730 hosts.
+func BenchmarkAllocate(b *testing.B) {
+	sizes := make([]int, 30)
+	for i := range sizes {
+		sizes[i] = 24 + i%2
+	}
+	in := AllocationInput{Now: start.Add(time.Hour), Hosts: fleetHosts(sizes...), Config: &rudderconfig.Document{Selectors: []rudderconfig.Selector{
+		model("a", 8, 30, 5), model("b", 8, 20, 4), model("c", 4, 30, 3), model("d", 3, 10, 2), model("e", 8, 0, 1), model("f", 2, 0, 0)}}}
+	for b.Loop() {
+		Allocate(in)
+	}
+}
--- /dev/null
+++ b/rudderd/rudderplan/compare.go
@@ -0,0 +1,112 @@
+package rudderplan
+
+import "slices"
+
+// FirstFit divides the groups greedily: selectors in order, each group to the first domain with room.
+// It is a baseline for measurements.
+func FirstFit(in AllocationInput) Allocation {
+	p := newPacking(in)
+	p.firstFit()
+	return p.result()
+}
+
+func (p *packing) firstFit() {
+	for s, selector := range p.selectors {
+		for range selector.WantedGroups {
+			if !p.addFirst(s) {
+				break
+			}
+		}
+	}
+}
+
+func (p *packing) addFirst(s int) bool {
+	for d := range p.domains {
+		p.counts[d][s]++
+		if p.valid(d) {
+			return true
+		}
+		p.counts[d][s]--
+	}
+	return false
+}
+
+// score orders packings, better ones first: the wanted groups without room by priority, then the
+// stranded hosts.
+func (p *packing) score() []int {
+	score := make([]int, 0, len(p.selectors)+1)
+	for s, selector := range p.selectors {
+		missing := selector.WantedGroups
+		for d := range p.domains {
+			missing -= p.counts[d][s]
+		}
+		score = append(score, missing)
+	}
+	stranded := 0
+	for d := range p.domains {
+		stranded += p.stranded(d)
+	}
+	return append(score, stranded)
+}
+
+// BestPacking searches all divisions for the best one: the most wanted groups by priority, then the
+// fewest stranded hosts. It reports false if that takes more than the given number of steps.
+func BestPacking(in AllocationInput, steps int) (Allocation, bool) {
+	p := newPacking(in)
+	best := p.score()
+	bestCounts := cloneCounts(p.counts)
+	var search func(s, d, left int) bool
+	search = func(s, d, left int) bool {
+		if steps--; steps < 0 {
+			return false
+		}
+		if s == len(p.selectors) {
+			if score := p.score(); slices.Compare(score, best) < 0 {
+				best, bestCounts = score, cloneCounts(p.counts)
+			}
+			return true
+		}
+		if d == len(p.domains) {
+			next := 0
+			if s+1 < len(p.selectors) {
+				next = p.selectors[s+1].WantedGroups
+			}
+			return search(s+1, 0, next)
+		}
+		for n := 0; n <= left; n++ {
+			p.counts[d][s] = n
+			if !p.valid(d) {
+				break
+			}
+			if !search(s, d+1, left-n) {
+				return false
+			}
+		}
+		p.counts[d][s] = 0
+		return true
+	}
+	if len(p.selectors) > 0 && !search(0, 0, p.selectors[0].WantedGroups) {
+		return Allocation{}, false
+	}
+	p.counts = bestCounts
+	return p.result(), true
+}
+
+func cloneCounts(counts [][]int) [][]int {
+	out := make([][]int, len(counts))
+	for i, c := range counts {
+		out[i] = slices.Clone(c)
+	}
+	return out
+}
+
+// AsGoodAs reports whether the allocation places as many wanted groups of every selector, in the order
+// of the names given, and strands no more hosts than the other one.
+func (a Allocation) AsGoodAs(other Allocation, selectors []string) bool {
+	for _, s := range selectors {
+		if a.Missing(s) != other.Missing(s) {
+			return a.Missing(s) < other.Missing(s)
+		}
+	}
+	return a.StrandedTotal() <= other.StrandedTotal()
+}
--- a/rudderd/rudderplan/eligible.go
+++ b/rudderd/rudderplan/eligible.go
@@ -32,20 +32,40 @@
 	return s.GroupSize
 }
 
+// catalogue holds what the configuration says about each host.
+type catalogue struct {
+	hosts    map[string]rudderhost.Host
+	labels   map[string]map[string]string
+	settings map[string]rudderconfig.HostSettings
+}
+
+func newCatalogue(config *rudderconfig.Document, hosts []rudderhost.Host) catalogue {
+	c := catalogue{hosts: make(map[string]rudderhost.Host, len(hosts)), labels: make(map[string]map[string]string, len(hosts)),
+		settings: make(map[string]rudderconfig.HostSettings, len(config.Hosts))}
+	for _, s := range config.Hosts {
+		c.settings[s.Name] = s
+	}
+	for _, h := range hosts {
+		c.hosts[h.Name] = h
+		c.labels[h.Name] = rudderconfig.HostLabels(h, c.settings[h.Name])
+	}
+	return c
+}
+
 // fits reports whether the selector's labels and kind of work suit the host.
-func fits(config *rudderconfig.Document, s rudderconfig.Selector, h rudderhost.Host) bool {
+func (c catalogue) fits(s rudderconfig.Selector, host string) bool {
 	kind := rudderhost.KindEngine
 	if s.Service != "" {
 		kind = rudderhost.KindService
 	}
-	return h.Kind == kind && s.Matches(config.LabelsOf(h))
+	return c.hosts[host].Kind == kind && s.Matches(c.labels[host])
 }
 
 // flexibility counts the selectors that suit the host.
-func flexibility(config *rudderconfig.Document, selectors []rudderconfig.Selector, h rudderhost.Host) int {
+func (c catalogue) flexibility(selectors []rudderconfig.Selector, host string) int {
 	n := 0
 	for _, s := range selectors {
-		if fits(config, s, h) {
+		if c.fits(s, host) {
 			n++
 		}
 	}
@@ -53,11 +73,11 @@
 }
 
 // departing says why operators or the platform take a host out, or "" if they do not.
-func departing(config *rudderconfig.Document, h rudderhost.Host) string {
+func (c catalogue) departing(host string) string {
 	switch {
-	case h.State == rudderhost.StateLeaving:
+	case c.hosts[host].State == rudderhost.StateLeaving:
 		return "host is leaving"
-	case config.SettingsOf(h.Name).Drain:
+	case c.settings[host].Drain:
 		return "host is drained by operators"
 	}
 	return ""
--- /dev/null
+++ b/rudderd/rudderplan/explain.go
@@ -0,0 +1,228 @@
+package rudderplan
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
+)
+
+// Situation is what explanations are drawn from.
+type Situation struct {
+	Now      time.Time
+	Config   *rudderconfig.Document
+	Hosts    []rudderhost.Host
+	Plans    []ruddergroup.Plan
+	Observed map[string]Observation
+	Timing   Timing
+}
+
+// DomainShare is what one fabric domain holds of a selector.
+type DomainShare struct {
+	Domain   string `json:"domain"`
+	Matching int    `json:"matching"` // hosts that the labels match
+	Usable   int    `json:"usable"`   // of these, hosts that answer and stay
+	Share    int    `json:"share"`    // groups that this domain should hold
+	Loading  int    `json:"loading"`
+	Serving  int    `json:"serving"`
+	Draining int    `json:"draining"`
+}
+
+// Explanation says what a selector gets and why.
+type Explanation struct {
+	Selector string `json:"selector"`
+	Active   bool   `json:"active"`
+	// NextChange of Active; zero if there is none within a week.
+	NextChange time.Time `json:"next_change,omitzero"`
+	Wanted     int       `json:"wanted"` // 0 means as many as possible
+	Missing    int       `json:"missing"`
+	// Domains in name order.
+	Domains []DomainShare `json:"domains"`
+	Reasons []Reason      `json:"reasons"`
+}
+
+func (s Situation) allocation() Allocation {
+	down := map[string]bool{}
+	for host, o := range s.Observed {
+		down[host] = o.Dead(s.Timing)
+	}
+	return Allocate(AllocationInput{Now: s.Now, Config: s.Config, Hosts: s.Hosts, Down: down})
+}
+
+// Explain says what a selector gets, or false if there is no such selector.
+func (s Situation) Explain(selector string) (Explanation, bool) {
+	sel, ok := findSelector(s.Config, selector)
+	if !ok {
+		return Explanation{}, false
+	}
+	allocation := s.allocation()
+	e := Explanation{Selector: selector, Active: sel.ActiveAt(s.Now), Wanted: sel.WantedGroups, Missing: allocation.Missing(selector)}
+	if next, ok := sel.NextChange(s.Now); ok {
+		e.NextChange = next
+	}
+	shares := s.shares(sel, allocation)
+	matching, usable, placed := 0, 0, 0
+	for _, d := range slices.Sorted(maps.Keys(shares)) {
+		e.Domains = append(e.Domains, *shares[d])
+		matching += shares[d].Matching
+		usable += shares[d].Usable
+		placed += shares[d].Share
+	}
+	add := func(c Code, format string, args ...any) {
+		e.Reasons = append(e.Reasons, Reason{Code: c, Text: fmt.Sprintf(format, args...)})
+	}
+	switch {
+	case !e.Active:
+		add(CodeWindowClosed, "no window is open; %s", opening(sel, s.Now))
+	case matching == 0:
+		add(CodeNoMatch, "no host's labels match")
+	case usable == 0:
+		add(CodeMemberDead, "none of the %d matching hosts answers and stays", matching)
+	case e.Missing > 0:
+		add(CodeNoRoom, "%d of %d wanted groups of %d hosts find no room in a single domain beside selectors that get hosts first",
+			e.Missing, sel.WantedGroups, groupSize(sel))
+	case placed == 0:
+		add(CodeNoRoom, "no domain has %d free hosts left", groupSize(sel))
+	default:
+		add(CodeFormed, "%d groups have a place", placed)
+	}
+	return e, true
+}
+
+func opening(sel rudderconfig.Selector, now time.Time) string {
+	if next, ok := sel.NextChange(now); ok {
+		return "the next one opens at " + next.Format(time.RFC3339)
+	}
+	return "none opens within a week"
+}
+
+func (s Situation) shares(sel rudderconfig.Selector, allocation Allocation) map[string]*DomainShare {
+	shares := map[string]*DomainShare{}
+	at := func(domain string) *DomainShare {
+		if shares[domain] == nil {
+			shares[domain] = &DomainShare{Domain: domain, Share: allocation.Groups(sel.Name, domain)}
+		}
+		return shares[domain]
+	}
+	hosts := newCatalogue(s.Config, s.Hosts)
+	for _, h := range s.Hosts {
+		if !hosts.fits(sel, h.Name) {
+			continue
+		}
+		at(h.FabricDomain).Matching++
+		if hosts.departing(h.Name) == "" && !s.Observed[h.Name].Dead(s.Timing) {
+			at(h.FabricDomain).Usable++
+		}
+	}
+	for _, p := range s.Plans {
+		for _, g := range p.Groups {
+			if g.Selector != sel.Name {
+				continue
+			}
+			switch g.State {
+			case ruddergroup.StateLoading:
+				at(p.Domain).Loading++
+			case ruddergroup.StateServing:
+				at(p.Domain).Serving++
+			case ruddergroup.StateDraining:
+				at(p.Domain).Draining++
+			}
+		}
+	}
+	return shares
+}
+
+// WhyNot says why a host is in no serving group. A host in one gets the single reason CodeServing.
+func (s Situation) WhyNot(host string) []Reason {
+	hosts := newCatalogue(s.Config, s.Hosts)
+	h, ok := hosts.hosts[host]
+	if !ok {
+		return []Reason{{Code: CodeUnknownHost, Host: host, Text: "the platform does not list this host"}}
+	}
+	var out []Reason
+	add := func(c Code, group, format string, args ...any) {
+		out = append(out, Reason{Code: c, Host: host, Group: group, Text: fmt.Sprintf(format, args...)})
+	}
+	if why := hosts.departing(host); why != "" {
+		add(CodeLeaving, "", "%s", why)
+	}
+	switch o := s.Observed[host]; {
+	case o.Dead(s.Timing):
+		add(CodeMemberDead, "", "host missed %d polls", o.Missed)
+	case !o.Known:
+		add(CodeNoReport, "", "host has not answered a poll yet")
+	case o.Status.Leaving:
+		add(CodeLeaving, "", "host says that it is leaving")
+	}
+	if g, ok := s.groupOf(host); ok {
+		return append(out, s.groupReason(g, host))
+	}
+	out = append(out, s.selectorReasons(hosts, h)...)
+	if role := s.Observed[host].Status.Role; role.Group != "" {
+		add(CodeStaleRole, role.Group, "host still reports a group that the plan does not list")
+	}
+	return out
+}
+
+func (s Situation) groupOf(host string) (ruddergroup.Group, bool) {
+	for _, p := range s.Plans {
+		for _, g := range p.Groups {
+			if slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool { return m.Host == host }) {
+				return g, true
+			}
+		}
+	}
+	return ruddergroup.Group{}, false
+}
+
+func (s Situation) groupReason(g ruddergroup.Group, host string) Reason {
+	r := Reason{Host: host, Group: g.ID}
+	switch g.State {
+	case ruddergroup.StateLoading:
+		r.Code, r.Text = CodeLoading, "its group is loading"
+		for rank, m := range g.Members {
+			if o := s.Observed[m.Host]; !confirms(g, rank, o.Status) {
+				r.Text = fmt.Sprintf("its group is loading; %s reports phase %q, %.0f%% loaded", m.Host, o.Status.Phase, o.Status.LoadFraction*100)
+				break
+			}
+		}
+	case ruddergroup.StateDraining:
+		r.Code, r.Text = CodeDraining, "its group is draining: "+g.Reason
+	default:
+		r.Code, r.Text = CodeServing, "its group is in service"
+	}
+	return r
+}
+
+// selectorReasons says why no selector uses a host that is in no group.
+func (s Situation) selectorReasons(hosts catalogue, h rudderhost.Host) []Reason {
+	var out []Reason
+	allocation := s.allocation()
+	matched := false
+	for _, sel := range s.Config.Selectors {
+		if !hosts.fits(sel, h.Name) {
+			continue
+		}
+		matched = true
+		r := Reason{Host: h.Name}
+		share := allocation.Groups(sel.Name, h.FabricDomain)
+		switch {
+		case !sel.ActiveAt(s.Now):
+			r.Code, r.Text = CodeWindowClosed, fmt.Sprintf("selector %s: no window is open; %s", sel.Name, opening(sel, s.Now))
+		case sel.WantedGroups > 0 && allocation.Missing(sel.Name) == 0:
+			r.Code, r.Text = CodeEnough, fmt.Sprintf("selector %s has all %d wanted groups, %d in this domain", sel.Name, sel.WantedGroups, share)
+		default:
+			r.Code, r.Text = CodeRemainder, fmt.Sprintf("selector %s has %d groups in this domain; %d hosts are left over, a group needs %d",
+				sel.Name, share, allocation.Stranded(h.FabricDomain), groupSize(sel))
+		}
+		out = append(out, r)
+	}
+	if !matched {
+		out = append(out, Reason{Code: CodeNoMatch, Host: h.Name, Text: "no selector matches the host's labels and kind"})
+	}
+	return out
+}
--- a/rudderd/rudderplan/form.go
+++ b/rudderd/rudderplan/form.go
@@ -22,13 +22,13 @@
 	return held
 }
 
-// drainSurplus drains groups above the wanted number that are older than the minimum hold: loading
+// drainSurplus drains groups above this domain's share that are older than the minimum hold: loading
 // ones first, then those with the least running, then the newest.
 func (st *stepper) drainSurplus() {
 	held := st.held()
 	for _, s := range st.selectors {
 		surplus := held[s.Name] - st.in.Want[s.Name]
-		if surplus <= 0 {
+		if surplus <= 0 || (!st.deficit(held) && st.in.ServingTotal != nil && st.in.ServingTotal[s.Name] <= st.in.WantTotal[s.Name]) {
 			continue
 		}
 		var own []*ruddergroup.Group
@@ -54,6 +54,11 @@
 	}
 }
 
+// deficit reports whether a selector has fewer groups than its share of this domain.
+func (st *stepper) deficit(held map[string]int) bool {
+	return slices.ContainsFunc(st.selectors, func(s rudderconfig.Selector) bool { return held[s.Name] < st.in.Want[s.Name] })
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -110,12 +115,12 @@
 	var free []candidate
 	for _, h := range st.in.Hosts {
 		o := st.in.Observed[h.Name]
-		if !fits(st.in.Config, s, h) || !st.free(h, o) {
+		if !st.hosts.fits(s, h.Name) || !st.free(h, o) {
 			continue
 		}
 		c := candidate{host: h, o: o}
 		c.weights = s.Service != "" || slices.Contains(o.Status.Weights, weightsName(want.Model, want.ModelVersion))
-		c.flexibility = flexibility(st.in.Config, st.selectors, h)
+		c.flexibility = st.hosts.flexibility(st.selectors, h.Name)
 		free = append(free, c)
 	}
 	if len(free) < groupSize(s) {
@@ -136,7 +141,7 @@
 // free reports whether a host can join a new group now: it is in no group, it answers, it stays, and
 // nothing runs on it under an older role that is still whole.
 func (st *stepper) free(h rudderhost.Host, o Observation) bool {
-	if departing(st.in.Config, h) != "" || !o.fresh(st.in.Timing) || o.Dead(st.in.Timing) || o.Status.Leaving {
+	if st.hosts.departing(h.Name) != "" || !o.fresh(st.in.Timing) || o.Dead(st.in.Timing) || o.Status.Leaving {
 		return false
 	}
 	for _, g := range st.groups {
--- a/rudderd/rudderplan/orders.go
+++ b/rudderd/rudderplan/orders.go
@@ -10,7 +10,7 @@
 )
 
 // ordersFor compares the plan with what the hosts report.
-func ordersFor(in Input, plan ruddergroup.Plan) []Order {
+func ordersFor(in Input, hosts catalogue, plan ruddergroup.Plan) []Order {
 	var out []Order
 	planned := map[string]bool{}
 	add := func(host, address string, o ruddertarget.Order, r Reason) {
@@ -43,7 +43,7 @@
 				Reason{Code: CodeStaleRole, Group: role.Group, Text: "host reports a group that the plan does not list"})
 		}
 	}
-	for _, p := range preloads(in) {
+	for _, p := range preloads(in, hosts) {
 		add(p.host.Name, p.host.Address, ruddertarget.Order{Kind: ruddertarget.OrderPreload, Role: p.role},
 			Reason{Code: CodePreload, Text: "selector " + p.selector + " opens soon"})
 	}
--- a/rudderd/rudderplan/preload.go
+++ b/rudderd/rudderplan/preload.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -21,8 +22,8 @@
 func Upcoming(in AllocationInput, t Timing) map[string][]Opening {
 	out := map[string][]Opening{}
 	for _, s := range in.Config.Selectors {
-		opens, ok := s.NextChange(in.Now)
-		if !ok || s.Service != "" || s.ActiveAt(in.Now) || opens.Sub(in.Now) > LeadTime(findModel(in.Config, s.Model, s.ModelVersion).WeightBytes, t) {
+		opens, ok := opensSoon(in, s, t)
+		if !ok {
 			continue
 		}
 		later := in
@@ -34,6 +35,15 @@
 	return out
 }
 
+// opensSoon returns when the selector's window opens, if that is within its lead time.
+func opensSoon(in AllocationInput, s rudderconfig.Selector, t Timing) (time.Time, bool) {
+	if s.Service != "" || len(s.Windows) == 0 || s.ActiveAt(in.Now) {
+		return time.Time{}, false
+	}
+	opens, ok := s.NextChange(in.Now)
+	return opens, ok && opens.Sub(in.Now) <= LeadTime(findModel(in.Config, s.Model, s.ModelVersion).WeightBytes, t)
+}
+
 // LeadTime is how long before a window opens its weights are fetched.
 func LeadTime(weightBytes int64, t Timing) time.Duration {
 	lead := t.PreloadMargin
@@ -50,7 +60,7 @@
 }
 
 // preloads picks the hosts that will serve an opening selector, in the order of choose, and lack its weights.
-func preloads(in Input) []preload {
+func preloads(in Input, known catalogue) []preload {
 	var out []preload
 	taken := map[string]bool{}
 	for _, opening := range in.Upcoming {
@@ -64,12 +74,12 @@
 		}
 		var hosts []rudderhost.Host
 		for _, h := range in.Hosts {
-			if !taken[h.Name] && departing(in.Config, h) == "" && fits(in.Config, s, h) && in.Observed[h.Name].fresh(in.Timing) {
+			if !taken[h.Name] && known.departing(h.Name) == "" && known.fits(s, h.Name) && in.Observed[h.Name].fresh(in.Timing) {
 				hosts = append(hosts, h)
 			}
 		}
 		slices.SortFunc(hosts, func(a, b rudderhost.Host) int {
-			return cmp.Or(cmp.Compare(flexibility(in.Config, then, a), flexibility(in.Config, then, b)),
+			return cmp.Or(cmp.Compare(known.flexibility(then, a.Name), known.flexibility(then, b.Name)),
 				-compareBool(has(a), has(b)), cmp.Compare(a.Name, b.Name))
 		})
 		for _, h := range hosts[:min(len(hosts), opening.Groups*groupSize(s))] {
--- a/rudderd/rudderplan/reason.go
+++ b/rudderd/rudderplan/reason.go
@@ -18,6 +18,20 @@
 	CodeSurplus         Code = "surplus"
 	CodeStaleRole       Code = "stale_role"
 	CodePreload         Code = "preload"
+	CodeLoadTimeout     Code = "load_timeout"
+)
+
+// Codes of reasons that only explanations use.
+const (
+	CodeServing     Code = "serving"
+	CodeLoading     Code = "loading"
+	CodeDraining    Code = "draining"
+	CodeUnknownHost Code = "unknown_host"
+	CodeNoReport    Code = "no_report"
+	CodeNoMatch     Code = "no_match"
+	CodeNoRoom      Code = "no_room"
+	CodeEnough      Code = "enough_groups"
+	CodeRemainder   Code = "remainder"
 )
 
 // Reason says why something is as it is, with a text for operators.
--- a/rudderd/rudderplan/step.go
+++ b/rudderd/rudderplan/step.go
@@ -23,6 +23,8 @@
 	// DrainSettle is how long after the plan says draining an entry host may still send new work, plus
 	// the lag of load reports.
 	DrainSettle time.Duration
+	// LoadTimeout is how long a group may load, beyond the time that fetching its weights takes.
+	LoadTimeout time.Duration
 	// PreloadMargin is added to the time that fetching weights takes.
 	PreloadMargin time.Duration
 	// WeightBytesPerSecond is the rate at which one host fetches weights.
@@ -32,7 +34,7 @@
 // DefaultTiming returns the constants for polls every second and a confirmation age of 3 s.
 func DefaultTiming() Timing {
 	return Timing{FreshFor: 3 * time.Second, DeadAfterMisses: 3, MinimumHold: time.Minute,
-		DrainSettle: 5 * time.Second, PreloadMargin: 30 * time.Second, WeightBytesPerSecond: 100e6}
+		DrainSettle: 5 * time.Second, PreloadMargin: 30 * time.Second, LoadTimeout: 3 * time.Minute, WeightBytesPerSecond: 100e6}
 }
 
 // Observation is what a planner knows about one host from its polls.
@@ -63,6 +65,10 @@
 	Plan     ruddergroup.Plan
 	// Want is the number of groups by selector from the Allocation.
 	Want map[string]int
+	// WantTotal and ServingTotal are the numbers of groups by selector in the whole fleet. With them, a
+	// group above this domain's share keeps serving until its successor in another domain serves,
+	// unless another selector needs its hosts. Optional.
+	WantTotal, ServingTotal map[string]int
 	// Upcoming is the allocation for selectors that open soon (see Upcoming).
 	Upcoming []Opening
 	// InFlight requests by group; a group that is absent is judged by its leader's report alone.
@@ -93,7 +99,7 @@
 
 type stepper struct {
 	in        Input
-	hosts     map[string]rudderhost.Host
+	hosts     catalogue
 	groups    []ruddergroup.Group
 	selectors []rudderconfig.Selector
 	reasons   []Reason
@@ -103,10 +109,7 @@
 
 // Step computes the next plan of a domain and the orders that lead to it.
 func Step(in Input) Result {
-	st := &stepper{in: in, hosts: map[string]rudderhost.Host{}, seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now)}
-	for _, h := range in.Hosts {
-		st.hosts[h.Name] = h
-	}
+	st := &stepper{in: in, hosts: newCatalogue(in.Config, in.Hosts), seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now)}
 	for _, g := range in.Plan.Groups {
 		if g, keep := st.keep(cloneGroup(g)); keep {
 			st.groups = append(st.groups, g)
@@ -123,7 +126,7 @@
 			next.Region, next.DataCentre = in.Hosts[0].Region, in.Hosts[0].DataCentre
 		}
 	}
-	return Result{Plan: next, Changed: st.changed, Orders: ordersFor(in, next), Reasons: st.reasons}
+	return Result{Plan: next, Changed: st.changed, Orders: ordersFor(in, st.hosts, next), Reasons: st.reasons}
 }
 
 func cloneGroup(g ruddergroup.Group) ruddergroup.Group {
@@ -190,9 +193,18 @@
 				Text: fmt.Sprintf("member reports group %q rank %d phase %s", o.Status.Role.Group, o.Status.Role.Rank, o.Status.Phase)}, true
 		}
 	}
+	if limit := st.loadLimit(g); g.State == ruddergroup.StateLoading && st.in.Now.Sub(time.UnixMilli(g.SinceUnixMS)) > limit {
+		return Reason{Code: CodeLoadTimeout, Text: fmt.Sprintf("group did not become ready within %s", limit)}, true
+	}
 	return Reason{}, false
 }
 
+// loadLimit is how long a group may load before it is formed anew. The next attempt prefers hosts that
+// have the weights, so it leaves out a straggler if there is a spare.
+func (st *stepper) loadLimit(g ruddergroup.Group) time.Duration {
+	return st.in.Timing.LoadTimeout + LeadTime(findModel(st.in.Config, g.Model, g.ModelVersion).WeightBytes, st.in.Timing)
+}
+
 // confirms reports whether a member's own word agrees with its place in the group. A plain service
 // takes no orders, so it needs no role.
 func confirms(g ruddergroup.Group, rank int, s ruddertarget.Status) bool {
@@ -221,27 +233,40 @@
 	if !s.ActiveAt(st.in.Now) {
 		return Reason{Code: CodeWindowClosed, Text: "selector's window closed"}, true
 	}
-	if changed(st.in.Config, s, g) {
+	if changed(st.in.Config, s, g) && (g.Firm != s.Firm || g.State == ruddergroup.StateLoading || st.mayRoll(s)) {
 		return Reason{Code: CodeSelectorChanged, Text: "selector was changed"}, true
 	}
 	for _, m := range g.Members {
-		h, listed := st.hosts[m.Host]
+		_, listed := st.hosts.hosts[m.Host]
 		if o := st.in.Observed[m.Host]; o.Known && o.Status.Leaving {
 			return Reason{Code: CodeLeaving, Host: m.Host, Text: "host is leaving"}, true
 		}
 		if !listed {
 			continue // the list lags; polls decide
 		}
-		if why := departing(st.in.Config, h); why != "" {
+		if why := st.hosts.departing(m.Host); why != "" {
 			return Reason{Code: CodeLeaving, Host: m.Host, Text: why}, true
 		}
-		if !fits(st.in.Config, s, h) {
+		if !st.hosts.fits(s, m.Host) {
 			return Reason{Code: CodeSelectorChanged, Host: m.Host, Text: "host no longer matches the selector"}, true
 		}
 	}
 	return Reason{}, false
 }
 
+// mayRoll reports whether every group of the selector in this domain serves, so that a changed
+// selector replaces one group after the other instead of all at once.
+func (st *stepper) mayRoll(s rudderconfig.Selector) bool {
+	for _, groups := range [][]ruddergroup.Group{st.groups, st.in.Plan.Groups} {
+		if slices.ContainsFunc(groups, func(g ruddergroup.Group) bool {
+			return g.Selector == s.Name && g.State != ruddergroup.StateServing
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // changed reports whether a group no longer serves what its selector asks for.
 func changed(config *rudderconfig.Document, s rudderconfig.Selector, g ruddergroup.Group) bool {
 	want := newGroup(config, s)
--- a/rudderd/rudderplan/step_test.go
+++ b/rudderd/rudderplan/step_test.go
@@ -23,10 +23,11 @@
 	silent  map[string]bool
 	last    Result
 	orders  []Order
+	formed  map[string]ruddergroup.Group // all groups ever seen
 }
 
 func newDomain(hosts int, selectors ...rudderconfig.Selector) *domain {
-	d := &domain{targets: map[string]*ruddertarget.Status{}, silent: map[string]bool{}}
+	d := &domain{targets: map[string]*ruddertarget.Status{}, silent: map[string]bool{}, formed: map[string]ruddergroup.Group{}}
 	d.in = Input{Now: start, Domain: "d1", Fencing: 7, Planner: "entry-1", Timing: DefaultTiming(), Observed: map[string]Observation{},
 		Config: &rudderconfig.Document{Version: 3, Selectors: selectors,
 			Models: []rudderconfig.Model{{Name: "m", Version: "1", WeightBytes: 1e9, SlotsPerGroup: 4}, {Name: "n", Version: "1", WeightBytes: 1e9}}}}
@@ -39,8 +40,17 @@
 	return d
 }
 
-// tick lets a second pass: polls, allocates, steps and applies the orders.
+// tick lets a second pass and applies the orders.
 func (d *domain) tick() Result {
+	d.decide()
+	for _, o := range d.orders {
+		d.apply(o)
+	}
+	return d.last
+}
+
+// decide lets a second pass: polls, allocates and steps.
+func (d *domain) decide() {
 	d.in.Now = d.in.Now.Add(time.Second)
 	down := map[string]bool{}
 	for name, s := range d.targets {
@@ -59,10 +69,6 @@
 	d.in.Upcoming = Upcoming(allocation, d.in.Timing)["d1"]
 	d.last = Step(d.in)
 	d.in.Plan, d.orders = d.last.Plan, d.last.Orders
-	for _, o := range d.orders {
-		d.apply(o)
-	}
-	return d.last
 }
 
 func (d *domain) apply(o Order) {
--- a/rudderd/rudderplanner/fake_test.go
+++ b/rudderd/rudderplanner/fake_test.go
@@ -192,6 +192,14 @@
 	return newWorker(p, "d1")
 }
 
+// configure puts a changed copy of the configuration in force.
+func (w *world) configure(selectors ...rudderconfig.Selector) {
+	next := *w.config
+	next.Version++
+	next.Selectors = selectors
+	w.config = &next
+}
+
 func (w *world) ticks(n int, workers ...*worker) {
 	for range n {
 		for _, k := range workers {
--- a/rudderd/rudderplanner/planner.go
+++ b/rudderd/rudderplanner/planner.go
@@ -70,9 +70,12 @@
 	Down func() map[string]bool
 	// InFlight returns the requests by group known to shard owners (optional).
 	InFlight func(domain string) map[string]int
-	Logger   zerolog.Logger
-	Times    Times
-	Timing   rudderplan.Timing
+	// Serving returns the groups by selector that take new work in the whole fleet (optional). With it, a
+	// group that moves to another domain keeps serving until its successor does.
+	Serving func() map[string]int
+	Logger  zerolog.Logger
+	Times   Times
+	Timing  rudderplan.Timing
 
 	mu    sync.Mutex
 	hosts []rudderhost.Host
--- a/rudderd/rudderplanner/planner_test.go
+++ b/rudderd/rudderplanner/planner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -62,7 +63,7 @@
 		a, b := w.planner("a"), w.planner("b")
 		w.ticks(3, a)
 		w.clock.Advance(6 * time.Second) // a has died
-		w.config.Selectors[0].GroupSize = 4
+		w.configure(rudderconfig.Selector{Name: "a", Firm: "umuvumu", Model: "m", GroupSize: 4})
 		b.tick(context.Background())
 		require.Equal(t, int64(2), b.lease.fencing)
 		if checks {
@@ -83,7 +84,7 @@
 		a := w.planner("a")
 		a.tick(context.Background())
 		require.Len(t, storedPlan(t, a).Groups, 1)
-		w.config.Selectors = nil
+		w.configure()
 		if took {
 			w.loseNext = planKey
 		} else {
--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -36,6 +36,7 @@
 
 	observed map[string]observed
 	preloads map[string]time.Time
+	divider  rudderplan.Divider
 }
 
 func newWorker(p *Planner, domain string) *worker {
@@ -224,8 +225,11 @@
 		down[host] = o.missed >= w.p.Timing.DeadAfterMisses
 	}
 	allocation := rudderplan.AllocationInput{Now: now, Config: config, Hosts: w.p.hostList(), Down: down}
-	in.Want = rudderplan.Allocate(allocation).Domain(w.domain)
-	in.Upcoming = rudderplan.Upcoming(allocation, w.p.Timing)[w.domain]
+	shares, upcoming := w.divider.Divide(allocation, w.p.Timing)
+	in.Want, in.Upcoming = shares.Domain(w.domain), upcoming[w.domain]
+	if w.p.Serving != nil {
+		in.ServingTotal, in.WantTotal = w.p.Serving(), shares.Totals()
+	}
 	if w.p.InFlight != nil {
 		in.InFlight = w.p.InFlight(w.domain)
 	}
