--- a/rudderd/rudderclaim/batch.go
+++ b/rudderd/rudderclaim/batch.go
@@ -20,7 +20,10 @@
 	written int // spills written so far
 	head    Head
 	value   []byte
-	repair  bool // carries the records that a restored service lost
+	// compaction is the one that this write completes; its segments are the first replaced spills.
+	compaction *compaction
+	replaced   int
+	repair     bool // carries the records that a restored service lost
 }
 
 // spill is a segment that must be written before the head refers to it.
@@ -91,6 +94,7 @@
 		return d, nil
 	}
 	r := o.request.record(s.limits, now, StateClaimed, nil)
+	r.Earlier = known.releasedTokens()
 	return d, &r
 }
 
@@ -112,11 +116,17 @@
 // known, so that a delayed claim with this token is refused.
 func (s *Shard) release(o op, known entry, now time.Time) *Record {
 	if known.Key != "" && !known.forgettable(now) && known.State != StateReleased {
-		if known.expired(now) || known.Token != o.request.token || known.State != StateClaimed {
+		if known.expired(now) || known.State != StateClaimed {
 			return nil
 		}
+		if known.Token != o.request.token {
+			r := known.Record
+			r.Earlier = r.withReleased(o.request.token)
+			return &r
+		}
 	}
 	r := o.request.record(s.limits, now, StateReleased, nil)
+	r.Earlier = known.releasedTokens()
 	return &r
 }
 
@@ -131,11 +141,12 @@
 		}
 	}
 	maps.Copy(records, b.changes)
+	s.replaceSegments(b)
 	s.spillRecords(b, records)
-	for _, sp := range b.spills {
+	for _, sp := range b.spills[b.replaced:] {
 		b.head.Segments = append(b.head.Segments, sp.ref)
 	}
-	for _, key := range slices.Sorted(maps.Keys(records)) {
+	for _, key := range sortedKeys(records) {
 		b.head.Records = append(b.head.Records, records[key])
 	}
 	b.value = encode(b.head)
@@ -154,7 +165,7 @@
 			return
 		}
 		var moved []Record
-		for _, key := range slices.Sorted(maps.Keys(records)) {
+		for _, key := range sortedKeys(records) {
 			if rule(key, records[key]) {
 				moved = append(moved, records[key])
 				delete(records, key)
@@ -164,6 +175,10 @@
 	}
 }
 
+func sortedKeys(records map[string]Record) []string {
+	return slices.Sorted(maps.Keys(records))
+}
+
 func changed(b *batch, key string) bool {
 	_, ok := b.changes[key]
 	return ok
@@ -195,6 +210,7 @@
 // finishSpill goes on to the next segment or to the head. A segment that may have been written is no
 // harm: nothing refers to it.
 func (s *Shard) finishSpill(result Result) []Reply {
+	s.written = append(s.written, s.batch.spills[s.batch.written].ref.Name)
 	if result.Err != nil {
 		return s.abandon(result.Err)
 	}
@@ -256,7 +272,8 @@
 	for _, r := range b.changes {
 		l.setHead(r)
 	}
-	for _, sp := range b.spills {
+	s.commitCompaction(b)
+	for _, sp := range b.spills[b.replaced:] {
 		for _, r := range sp.records {
 			l.moveToSegment(r, sp.ref.Name)
 		}
@@ -265,5 +282,6 @@
 		s.lost = map[string]Record{}
 	}
 	s.batch, s.phase = nil, phaseReady
+	s.collectObsolete()
 	return b.replies
 }
--- a/rudderd/rudderclaim/ledger.go
+++ b/rudderd/rudderclaim/ledger.go
@@ -1,6 +1,9 @@
 package rudderclaim
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // entry is a record in memory. A record that lives in a segment has no answer here.
 type entry struct {
@@ -71,6 +74,9 @@
 	if known.Token == request.token {
 		return judgeOwn(known)
 	}
+	if slices.Contains(known.Earlier, request.token) {
+		return Decision{Verdict: VerdictReleased}
+	}
 	if known.State == StateReleased {
 		return judgeNew(request, limits, opaque)
 	}
--- a/rudderd/rudderclaim/limits.go
+++ b/rudderd/rudderclaim/limits.go
@@ -19,6 +19,8 @@
 	HeadBytes int
 	// SegmentBytes bounds a segment's encoded size.
 	SegmentBytes int
+	// CompactRun is how many adjacent segments that fit into one are replaced together.
+	CompactRun int
 	// BatchBytes bounds the answers that one write carries.
 	BatchBytes int
 	// WritesPerSecond is the write rate of one shard.
@@ -45,6 +47,7 @@
 		OpaqueKeys:      100_000,
 		HeadBytes:       32 << 10,
 		SegmentBytes:    512 << 10,
+		CompactRun:      8,
 		BatchBytes:      256 << 10,
 		WritesPerSecond: 9, // 16 shards: 144 writes a second
 		WriteBurst:      6,
--- a/rudderd/rudderclaim/load.go
+++ b/rudderd/rudderclaim/load.go
@@ -40,10 +40,21 @@
 	return nil
 }
 
-// finishSegmentRead takes one segment. A segment that is gone was replaced by a newer head.
+// finishSegmentRead takes one segment. A segment that is gone was replaced by a newer head. When the
+// head is still the same, the service lost it: what is in memory is written back, and a collector
+// without memory of the shard refuses claims, because it cannot know which keys were used.
 func (s *Shard) finishSegmentRead(result Result, now time.Time) []Reply {
 	if errors.Is(result.Err, rudderstore.ErrNotFound) {
-		s.phase = phaseRead
+		if s.load.revision != s.missedAt {
+			s.missedAt, s.phase = s.load.revision, phaseRead
+			return nil
+		}
+		if s.ledger.seq == 0 {
+			s.phase, s.retryAt = phaseRead, now.Add(s.limits.RetryAfter)
+			return s.refuseAll()
+		}
+		s.load.drop(s.load.missing[0].Name)
+		s.finishLoad(now)
 		return nil
 	}
 	if result.Err != nil {
@@ -61,6 +72,13 @@
 	return nil
 }
 
+// drop leaves out a segment that the service lost.
+func (l *load) drop(name string) {
+	gone := func(r SegmentRef) bool { return r.Name == name }
+	l.missing = slices.DeleteFunc(l.missing, gone)
+	l.head.Segments = slices.DeleteFunc(l.head.Segments, gone)
+}
+
 // finishLoad makes the head that was read the confirmed one when all its segments are in memory, and
 // finds what it lost.
 func (s *Shard) finishLoad(now time.Time) {
@@ -80,6 +98,7 @@
 	}
 	s.storeRevision = s.load.store
 	s.ledger, s.load, s.phase = after, nil, phaseReady
+	s.dropStaleCompaction()
 }
 
 // ledger builds the state that the load shows, taking segments that stay from the former state.
--- a/rudderd/rudderclaim/record.go
+++ b/rudderd/rudderclaim/record.go
@@ -4,6 +4,7 @@
 package rudderclaim
 
 import (
+	"slices"
 	"time"
 )
 
@@ -38,6 +39,29 @@
 	Opaque    bool    `json:"opaque,omitempty"`
 	ExpiresMS int64   `json:"expires_ms"` // milliseconds since the Unix epoch
 	Answer    *Answer `json:"answer,omitempty"`
+	// Earlier are tokens that were released before, so that their delayed claims are refused.
+	Earlier []string `json:"earlier,omitempty"`
+}
+
+// maxEarlier bounds the released tokens of one key. A delayed claim of a token beyond the bound could
+// claim a free key for nobody, which makes the key's next call may_have_run.
+const maxEarlier = 8
+
+// withReleased returns the record's released tokens and one more.
+func (r Record) withReleased(token string) []string {
+	tokens := slices.Clone(r.Earlier)
+	if token != "" && !slices.Contains(tokens, token) {
+		tokens = append(tokens, token)
+	}
+	return tokens[max(0, len(tokens)-maxEarlier):]
+}
+
+// releasedTokens returns the tokens that a record which replaces this one must keep.
+func (r Record) releasedTokens() []string {
+	if r.State == StateReleased {
+		return r.withReleased(r.Token)
+	}
+	return r.Earlier
 }
 
 // shortDigestChars is the length of the digest that remains of an expired opaque key: 64 bits.
--- a/rudderd/rudderclaim/shard.go
+++ b/rudderd/rudderclaim/shard.go
@@ -14,6 +14,8 @@
 	phaseRead     phase = iota // the head must be read
 	phaseSegments              // segments of the head that was read must be read
 	phaseReady                 // the ledger shows the head
+	phaseCompact               // segments that are to be replaced are being read
+	phaseDelete                // a segment that no head refers to is being deleted
 	phaseSpill                 // a batch's segments are being written
 	phaseWrite                 // a batch's head is being written
 )
@@ -26,19 +28,23 @@
 	limits   Limits
 	newToken func() string
 
-	queue  []op
-	nextID uint64
-	pace   pacer
-	phase  phase
-	ledger ledger
-	batch  *batch
-	load   *load
+	queue      []op
+	nextID     uint64
+	pace       pacer
+	phase      phase
+	ledger     ledger
+	batch      *batch
+	load       *load
+	compaction *compaction
+	written    []string // names of segments written or replaced since the last commit
+	obsolete   []string // names of segments to delete
 	// lost holds records that were confirmed but are missing from the head that was read last: the
 	// service was restored to an older state. They are written back before claims are granted.
 	lost map[string]Record
 	// storeRevision is the highest store revision seen; contact is when the service last answered.
 	storeRevision int64
 	contact       time.Time
+	missedAt      int64     // revision of the head that referred to a segment that is gone
 	retryAt       time.Time // no read before, after the service failed
 	restores      int
 	conflicts     int
@@ -94,6 +100,8 @@
 		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
 	case phaseSegments:
 		return Step{Kind: StepGet, Key: segmentKey(s.index, s.load.missing[0].Name)}, nil
+	case phaseCompact:
+		return Step{Kind: StepGet, Key: segmentKey(s.index, s.compaction.refs[s.compaction.read].Name)}, nil
 	case phaseSpill:
 		sp := s.batch.spills[s.batch.written]
 		return s.put(now, segmentKey(s.index, sp.ref.Name), sp.value, 0), nil
@@ -116,9 +124,15 @@
 // nextWrite starts a batch when one is due.
 func (s *Shard) nextWrite(now time.Time, replies []Reply) (Step, []Reply) {
 	if len(s.queue) == 0 && len(s.lost) == 0 {
+		if step, ok := s.maintain(now); ok {
+			return step, replies
+		}
 		return Step{Kind: StepIdle}, replies
 	}
 	if at := s.dueAt(now); at.After(now) {
+		if step, ok := s.maintain(now); ok {
+			return step, replies
+		}
 		return Step{Kind: StepWait, At: at}, replies
 	}
 	if now.Sub(s.contact) > s.limits.ReadAfter {
@@ -134,6 +148,24 @@
 	return step, replies
 }
 
+// maintain deletes and compacts segments while no write is due. Deletions leave half of the burst to
+// claims; reads for a compaction cost no writes.
+func (s *Shard) maintain(now time.Time) (Step, bool) {
+	s.pace.refill(now)
+	// A restored head may refer to an obsolete segment again, so the head must have been seen lately.
+	seen := now.Sub(s.contact) <= s.limits.ReadAfter
+	if len(s.obsolete) > 0 && seen && s.pace.tokens > s.pace.burst/2 && !s.ledger.refers(s.obsolete[0]) {
+		s.phase = phaseDelete
+		s.pace.spend(now)
+		return Step{Kind: StepDelete, Key: segmentKey(s.index, s.obsolete[0])}, true
+	}
+	if len(s.lost) > 0 || !s.startCompaction(now) {
+		return Step{}, false
+	}
+	step, _ := s.Next(now)
+	return step, true
+}
+
 // dueAt returns when the next write is due: soon after a claim, later after a settlement.
 func (s *Shard) dueAt(now time.Time) time.Time {
 	oldest := now.Add(s.limits.SettleLinger)
@@ -166,6 +198,11 @@
 		return s.finishHeadRead(result, now)
 	case phaseSegments:
 		return s.finishSegmentRead(result, now)
+	case phaseCompact:
+		return s.finishCompactRead(result, now)
+	case phaseDelete:
+		// A segment that stays because its deletion failed only takes space.
+		s.obsolete, s.phase = s.obsolete[1:], phaseReady
 	case phaseSpill:
 		return s.finishSpill(result)
 	case phaseWrite:
--- a/rudderd/rudderclaim/shard_test.go
+++ b/rudderd/rudderclaim/shard_test.go
@@ -1,6 +1,7 @@
 package rudderclaim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,6 +33,11 @@
 	require.Equal(t, VerdictReleased, d.claim(first))
 	require.Equal(t, VerdictGranted, d.claim(keyed("k", "200")))
 
+	second := keyed("k", "300")
+	require.Equal(t, VerdictChanged, d.release(second), "a claim that never arrived")
+	require.Equal(t, VerdictReleased, d.claim(second), "the key is in use by another token")
+	require.Equal(t, VerdictReleased, d.claim(first), "a later claim of the key does not hide the release")
+
 	early := keyed("other", "100")
 	require.Equal(t, VerdictChanged, d.release(early))
 	require.Equal(t, VerdictReleased, d.claim(early), "the release overtook the claim")
@@ -108,6 +114,47 @@
 	require.Equal(t, VerdictStored, newDriver(store, DefaultLimits()).claim(keyed("paid", "1")), "another collector sees it")
 }
 
+// Guards against compaction that loses records or grows without bound, and expiry that forgets keys.
+func TestCompactionAndExpiryKeepWhatMustBeRemembered(t *testing.T) {
+	limits := DefaultLimits()
+	limits.HeadBytes, limits.CompactRun = 1000, 4
+	store := newFakeStore()
+	d := newDriver(store, limits)
+	var keys []string
+	for i := range 200 {
+		keys = append(keys, fmt.Sprint("key", i))
+		r := keyed(keys[i], "1")
+		require.Equal(t, VerdictGranted, d.claim(r))
+		if i%2 == 0 {
+			require.Equal(t, VerdictChanged, d.settle(r, &Answer{Status: 200}))
+		}
+		d.now = d.now.Add(time.Second)
+	}
+	require.Less(t, len(d.core.ledger.segments), 2*limits.CompactRun)
+	require.Less(t, len(store.entries), 2*limits.CompactRun, "replaced segments are deleted")
+	for i, key := range keys {
+		want := VerdictStored
+		if i%2 == 1 {
+			want = VerdictMayHaveRun
+		}
+		require.Equal(t, want, newDriver(store, limits).claim(keyed(key, "1")), key)
+	}
+	d.now = d.now.Add(25 * time.Hour)
+	for range 20 {
+		require.Equal(t, VerdictGranted, d.claim(keyed(newToken(), "1")))
+	}
+	digests := 0
+	for _, ref := range d.core.ledger.segments {
+		digests += ref.Digests
+	}
+	require.Greater(t, digests, 150, "expired records are cut down to digests")
+	reader := newDriver(store, limits)
+	reader.now = d.now
+	for _, key := range keys {
+		require.Equal(t, VerdictExpired, reader.claim(keyed(key, "1")), key)
+	}
+}
+
 // Guards against records that are lost when the head moves to segments, and answers kept in memory.
 func TestSegmentsKeepWhatTheHeadDrops(t *testing.T) {
 	limits := DefaultLimits()
@@ -131,3 +178,26 @@
 		}
 	}
 }
+
+// Guards against a lost segment that makes a shard grant used keys, or stops it for good while a
+// collector still remembers them.
+func TestLostSegment(t *testing.T) {
+	limits := DefaultLimits()
+	limits.HeadBytes = 1000
+	store := newFakeStore()
+	d := newDriver(store, limits)
+	for i := range 12 {
+		require.Equal(t, VerdictGranted, d.claim(keyed(fmt.Sprint(i), "1")))
+	}
+	delete(store.entries, segmentKey(0, d.core.ledger.segments[0].Name))
+	fresh := newDriver(store, limits)
+	require.Equal(t, VerdictUnavailable, fresh.claim(keyed("new", "1")))
+	d.now = d.now.Add(time.Minute)
+	require.Equal(t, VerdictGranted, d.claim(keyed("new", "1")), "segments in memory are not read again")
+	d.core.ledger.segments = nil // reads all segments at the next read
+	d.now = d.now.Add(time.Minute)
+	require.Equal(t, VerdictUnavailable, d.claim(keyed("newer", "1")))
+	for i := range 12 {
+		require.Equal(t, VerdictMayHaveRun, newDriver(store, limits).claim(keyed(fmt.Sprint(i), "1")), i)
+	}
+}
--- a/rudderd/rudderclaim/store_test.go
+++ b/rudderd/rudderclaim/store_test.go
@@ -80,6 +80,11 @@
 	return f.revision, nil
 }
 
+// putRequest writes a key whatever its revision.
+func putRequest(key string, value []byte) rudderstore.PutRequest {
+	return rudderstore.PutRequest{Key: key, Value: value, Expected: rudderstore.AnyRevision}
+}
+
 func (f *fakeStore) deleteCall(_ context.Context, key string, _ int64) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
