--- a/rudderctl/main.go
+++ b/rudderctl/main.go
@@ -1,4 +1,12 @@
-// Command rudderctl is the command line for operators of comfreyrudder.
+// Command rudderctl is the operators' command line of comfreyrudder.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"comfreyrudder.example/rudderctl/rudderctlapp"
+)
+
+func main() {
+	os.Exit(rudderctlapp.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, os.LookupEnv))
+}
--- /dev/null
+++ b/rudderctl/rudderctlapp/host.go
@@ -0,0 +1,131 @@
+package rudderctlapp
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"comfreyrudder.example/shared/rudderadmin"
+)
+
+func (c *control) hostCommand() *cobra.Command {
+	command := &cobra.Command{Use: "host", Short: "List hosts and change their labels"}
+	command.AddCommand(c.hostList(), c.hostLabel())
+	return command
+}
+
+type hostsAnswer struct {
+	Hosts []rudderadmin.Host `json:"hosts"`
+}
+
+func (c *control) hostList() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the hosts with their labels and groups",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return get(c, cmd, "/hosts", nil, func(a hostsAnswer) []any {
+				t := &table{header: []string{"NAME", "DOMAIN", "DATA CENTRE", "STATE", "GROUP", "LABELS"}}
+				for _, h := range a.Hosts {
+					state := h.State
+					if h.Drain {
+						state += ",drain"
+					}
+					t.add(h.Name, h.FabricDomain, h.DataCentre, state, h.Group, labelText(h.Labels))
+				}
+				return []any{t}
+			})
+		},
+	}
+}
+
+func labelText(labels map[string]string) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		parts = append(parts, key+"="+labels[key])
+	}
+	return strings.Join(parts, ",")
+}
+
+func (c *control) hostLabel() *cobra.Command {
+	var options changeOptions
+	command := &cobra.Command{
+		Use:     "label HOST KEY=VALUE... [KEY-...]",
+		Short:   "Set labels of a host, or remove those that end in a hyphen",
+		Example: "  rudderctl host label kgl-1-a-03 firm=umuvumu tier=fast\n  rudderctl host label kgl-1-a-03 tier-",
+		Args:    minimumArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			change, err := parseLabels(args[1:])
+			if err != nil {
+				return err
+			}
+			return c.change(cmd, &options, http.MethodPatch, "/hosts/"+args[0]+"/labels", change)
+		},
+	}
+	options.addFlags(command)
+	return command
+}
+
+func parseLabels(arguments []string) (rudderadmin.LabelChange, error) {
+	change := rudderadmin.LabelChange{Set: map[string]string{}}
+	for _, argument := range arguments {
+		if key, value, found := strings.Cut(argument, "="); found && key != "" {
+			change.Set[key] = value
+			continue
+		}
+		key, removes := strings.CutSuffix(argument, "-")
+		if !removes || key == "" {
+			return change, errors.Mark(errors.Newf("%q is neither KEY=VALUE nor KEY-", argument), errUsage)
+		}
+		change.Remove = append(change.Remove, key)
+	}
+	return change, nil
+}
+
+func (c *control) drainCommand() *cobra.Command {
+	return c.drainLike("drain", "Take a host out of service without cutting its requests", http.MethodPut)
+}
+
+func (c *control) undrainCommand() *cobra.Command {
+	return c.drainLike("undrain", "Let a drained host serve again", http.MethodDelete)
+}
+
+func (c *control) drainLike(name, short, method string) *cobra.Command {
+	var options changeOptions
+	command := &cobra.Command{
+		Use: name + " HOST", Short: short, Example: "  rudderctl " + name + " kgl-1-a-03", Args: exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.change(cmd, &options, method, "/hosts/"+args[0]+"/drain", nil)
+		},
+	}
+	options.addFlags(command)
+	return command
+}
+
+func (c *control) whyNotCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "why-not HOST",
+		Short:   "Say why a host is in no serving group",
+		Example: "  rudderctl why-not kgl-1-a-03",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			type answer struct {
+				Host    string               `json:"host"`
+				Reasons []rudderadmin.Reason `json:"reasons"`
+			}
+			return get(c, cmd, "/why-not/"+args[0], nil, func(a answer) []any { return []any{reasonTable(a.Reasons)} })
+		},
+	}
+}
+
+func reasonTable(reasons []rudderadmin.Reason) *table {
+	t := &table{header: []string{"REASON", "GROUP", "HOST", "EXPLANATION"}}
+	for _, r := range reasons {
+		t.add(r.Code, r.Group, r.Host, r.Text)
+	}
+	return t
+}
--- /dev/null
+++ b/rudderctl/rudderctlapp/root.go
@@ -0,0 +1,132 @@
+// Package rudderctlapp holds the commands of rudderctl, one file for each concern.
+package rudderctlapp
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"comfreyrudder.example/shared/rudderadmin"
+)
+
+// Exit codes of rudderctl.
+const (
+	ExitOK       = 0
+	ExitError    = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitPending  = 4
+)
+
+// callTimeout is longer than an entry host waits for a change to be in force.
+const callTimeout = 45 * time.Second
+
+var (
+	errUsage = errors.New("usage")
+	// errPending reports a change that was written but is not known to be in force everywhere.
+	errPending = errors.New("the change is written, but not every entry host has confirmed it; see `rudderctl config await`")
+)
+
+// control is what the commands share.
+type control struct {
+	stdin          io.Reader
+	stdout, stderr io.Writer
+
+	addresses, token, output string
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(arguments []string, stdin io.Reader, stdout, stderr io.Writer, environment func(string) (string, bool)) int {
+	c := &control{stdin: stdin, stdout: stdout, stderr: stderr}
+	root := c.command(environment)
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "error: "+err.Error())
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errPending):
+		return ExitPending
+	case errors.Is(err, rudderadmin.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	default:
+		return ExitError
+	}
+}
+
+func (c *control) command(environment func(string) (string, bool)) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rudderctl",
+		Short:         "Operate comfreyrudder: labels, selectors, workspaces, status and reports",
+		Long:          "rudderctl changes and reads the configuration at any entry host.\n\nExit codes: 0 ok, 1 error, 2 usage, 3 conflict with another change, 4 written but pending.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if c.output != outputTable && c.output != outputJSON {
+				return errors.Mark(errors.Newf("--output: %q is neither table nor json", c.output), errUsage)
+			}
+			return nil
+		},
+	}
+	fallback := func(name string) string {
+		value, _ := environment(name)
+		return value
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&c.addresses, "admin", fallback("RUDDER_ADMIN"), "admin addresses of entry hosts, IP:PORT, comma separated [RUDDER_ADMIN]")
+	flags.StringVar(&c.token, "token", "", "operator token; prefer the environment, which other users cannot read [RUDDER_TOKEN]")
+	flags.StringVarP(&c.output, "output", "o", outputTable, "table or json")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	cobra.EnableTraverseRunHooks = true
+	if c.token == "" {
+		c.token = fallback("RUDDER_TOKEN")
+	}
+	root.AddCommand(c.applyCommand(), c.configCommand(), c.hostCommand(), c.drainCommand(), c.undrainCommand(),
+		c.selectorCommand(), c.workspaceCommand(), c.statusCommand(), c.groupCommand(), c.whyNotCommand(), c.reportCommand())
+	return root
+}
+
+// client returns the client of the admin API.
+func (c *control) client() (*rudderadmin.Client, error) {
+	var addresses []string
+	for _, a := range strings.Split(c.addresses, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			addresses = append(addresses, a)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, errors.Mark(errors.New("no entry host: set --admin or RUDDER_ADMIN to IP:PORT"), errUsage)
+	}
+	if c.token == "" {
+		return nil, errors.Mark(errors.New("no operator token: set RUDDER_TOKEN or --token"), errUsage)
+	}
+	return &rudderadmin.Client{Addresses: addresses, Token: c.token, HTTP: &http.Client{Timeout: callTimeout}}, nil
+}
+
+// exactArgs is cobra's check with the exit code for usage.
+func exactArgs(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		return errors.Mark(cobra.ExactArgs(n)(cmd, args), errUsage)
+	}
+}
+
+func minimumArgs(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		return errors.Mark(cobra.MinimumNArgs(n)(cmd, args), errUsage)
+	}
+}
--- /dev/null
+++ b/rudderctl/rudderctlapp/status.go
@@ -0,0 +1,71 @@
+package rudderctlapp
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"comfreyrudder.example/shared/rudderadmin"
+)
+
+func (c *control) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show entry hosts, selectors and stranded hosts",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return get(c, cmd, "/status", nil, statusParts)
+		},
+	}
+}
+
+func statusParts(s rudderadmin.Status) []any {
+	entries := &table{header: []string{"ENTRY HOST", "DATA CENTRE", "ADDRESS", "STATE", "VERSION", "IN FLIGHT", "SEEN"}}
+	for _, e := range s.EntryHosts {
+		state := "live"
+		switch {
+		case e.Leaving:
+			state = "leaving"
+		case !e.Live:
+			state = "silent"
+		}
+		entries.add(e.Name, e.DataCentre, e.CallerAddress, state, e.ConfigVersion, e.InFlight, fmt.Sprintf("%d ms ago", e.AgeMS))
+	}
+	selectors := &table{header: []string{"SELECTOR", "ACTIVE", "WANTED", "SERVING", "MISSING"}}
+	for _, x := range s.Selectors {
+		selectors.add(x.Name, x.Active, wantedText(x.Wanted), x.Serving, x.Missing)
+	}
+	stranded := "none"
+	if len(s.Stranded) > 0 {
+		stranded = strings.Join(s.Stranded, ", ")
+	}
+	return []any{
+		fmt.Sprintf("entry host %s, configuration version %d, permit %t (%s)", s.Entry, s.ConfigVersion, s.Permit, s.PermitRule),
+		"", entries, "", selectors, "",
+		fmt.Sprintf("%d hosts; stranded: %s", s.Hosts, stranded),
+	}
+}
+
+func (c *control) groupCommand() *cobra.Command {
+	command := &cobra.Command{Use: "group", Short: "Look at groups of hosts"}
+	command.AddCommand(&cobra.Command{
+		Use:   "list",
+		Short: "List all groups with their hosts and why one takes no new work",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			type answer struct {
+				Groups []rudderadmin.Group `json:"groups"`
+			}
+			return get(c, cmd, "/groups", nil, func(a answer) []any {
+				t := &table{header: []string{"GROUP", "DOMAIN", "SELECTOR", "WORK", "STATE", "WHY NOT", "LOAD", "HOSTS"}}
+				for _, g := range a.Groups {
+					load := fmt.Sprintf("%d+%d/%d", g.Running, g.Waiting, g.Slots)
+					t.add(g.ID, g.Domain, g.Selector, g.Work, g.State, g.Why, load, strings.Join(g.Hosts, ","))
+				}
+				return []any{t}
+			})
+		},
+	})
+	return command
+}
--- /dev/null
+++ b/shared/rudderadmin/client.go
@@ -0,0 +1,135 @@
+package rudderadmin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of the client. Callers test them with errors.Is.
+var (
+	// ErrConflict reports that another change came first; the text names it.
+	ErrConflict = errors.New("admin API: conflict")
+	// ErrNoEntry reports that no entry host could be reached. Nothing was changed.
+	ErrNoEntry = errors.New("admin API: no entry host can be reached")
+)
+
+// Error is an error answer of the admin API.
+type Error struct {
+	Status   int       `json:"-"`
+	Code     string    `json:"code"`
+	Message  string    `json:"message"`
+	NextStep string    `json:"next_step"`
+	Conflict *Conflict `json:"conflict,omitempty"`
+	Findings []Finding `json:"findings,omitempty"`
+}
+
+// Error tells message, findings and next step.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.Message)
+	for _, f := range e.Findings {
+		b.WriteString("\n  " + f.Severity + ": " + f.Path + ": " + f.Message)
+	}
+	if e.NextStep != "" {
+		b.WriteString("\n  next step: " + e.NextStep)
+	}
+	return b.String()
+}
+
+// Is makes a conflict answer match ErrConflict.
+func (e *Error) Is(target error) bool { return target == ErrConflict && e.Code == CodeConflict }
+
+// Client calls the admin API at any of several entry hosts.
+type Client struct {
+	// Addresses are IP:PORT of entry hosts' admin listeners, tried in order.
+	Addresses []string
+	Token     string
+	HTTP      *http.Client
+}
+
+// Get reads a path below the prefix into answer.
+func (c *Client) Get(ctx context.Context, path string, query url.Values, answer any) error {
+	return c.Do(ctx, http.MethodGet, path, query, 0, nil, answer)
+}
+
+// Do calls the API. A version above 0 is sent as If-Match. body may be nil, a []byte that is sent as
+// it is, or a value that is sent as JSON. The next address is tried only when no connection could be
+// opened, so that a change is never sent twice.
+func (c *Client) Do(ctx context.Context, method, path string, query url.Values, version int64, body, answer any) error {
+	payload, err := encode(body)
+	if err != nil {
+		return err
+	}
+	last := ErrNoEntry
+	for _, address := range c.Addresses {
+		target := url.URL{Scheme: "http", Host: address, Path: PathPrefix + path, RawQuery: query.Encode()}
+		request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(payload))
+		if err != nil {
+			return errors.Wrap(err, "admin API")
+		}
+		request.Header.Set("Authorization", "Bearer "+c.Token)
+		request.Header.Set("Content-Type", "application/json")
+		if version > 0 {
+			request.Header.Set("If-Match", strconv.FormatInt(version, 10))
+		}
+		err = c.call(request, answer)
+		if !isDialError(err) {
+			return err
+		}
+		last = errors.Mark(err, ErrNoEntry)
+	}
+	return last
+}
+
+func (c *Client) call(request *http.Request, answer any) error {
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "admin API")
+	}
+	defer func() { _ = response.Body.Close() }()
+	return decode(response, answer)
+}
+
+func encode(body any) ([]byte, error) {
+	switch b := body.(type) {
+	case nil:
+		return nil, nil
+	case []byte:
+		return b, nil
+	default:
+		payload, err := json.Marshal(b)
+		return payload, errors.Wrap(err, "encoding the request")
+	}
+}
+
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func decode(response *http.Response, answer any) error {
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrap(err, "reading the answer")
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		failure := &Error{Status: response.StatusCode}
+		if json.Unmarshal(text, failure) != nil || failure.Message == "" {
+			failure.Message = "the entry host answered " + response.Status
+		}
+		return failure
+	}
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(text, answer), "reading the answer")
+}
