Add the switch API, per-caller cuts and tests of the rarer faults

Fault tests need one place that sets every fault of an environment, and partitions that part single processes. rudderswitch offers all switches over HTTP and as Go calls; docs/stand-ins.md describes them. A pause, a dark network and a cut from one caller's IP are now separate states of a host, so ending one does not end another.

The adapters read an answer to its end before closing it, because otherwise the connection is not reused.

--- a/rudderstand/rudderbackend/faults.go
+++ b/rudderstand/rudderbackend/faults.go
@@ -24,7 +24,7 @@
 // Pause stops the process as a signal does: its connections stay open and silent, and calls that run
 // go on only after Resume.
 func (b *Backend) Pause() {
-	b.front.Silence(true)
+	b.front.Pause(true)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.resumed == nil {
@@ -37,7 +37,7 @@
 	b.mu.Lock()
 	b.wakePaused()
 	b.mu.Unlock()
-	b.front.Silence(false)
+	b.front.Pause(false)
 }
 
 // wakePaused needs the mutex.
@@ -58,7 +58,10 @@
 }
 
 // SetDark cuts the host off the network while its calls go on, or ends that.
-func (b *Backend) SetDark(dark bool) { b.front.Silence(dark) }
+func (b *Backend) SetDark(dark bool) { b.front.SetDark(dark) }
+
+// Cut parts the host from the callers at one IP, or ends that.
+func (b *Backend) Cut(ip string, cut bool) { b.front.Cut(ip, cut) }
 
 // SilenceOpen makes the connections that exist now silent for good. New ones work.
 func (b *Backend) SilenceOpen() { b.front.SilenceOpen() }
--- a/rudderstand/rudderengine/faults.go
+++ b/rudderstand/rudderengine/faults.go
@@ -28,14 +28,14 @@
 
 // Pause stops the process as a signal does: its connections stay open and silent.
 func (e *Engine) Pause() {
-	e.front.Silence(true)
+	e.front.Pause(true)
 	e.setPaused(true)
 }
 
 // Resume lets a paused process go on as if nothing had happened.
 func (e *Engine) Resume() {
 	e.setPaused(false)
-	e.front.Silence(false)
+	e.front.Pause(false)
 	e.notify()
 }
 
@@ -46,7 +46,10 @@
 }
 
 // SetDark cuts the host off the network while its process and its group go on, or ends that.
-func (e *Engine) SetDark(dark bool) { e.front.Silence(dark) }
+func (e *Engine) SetDark(dark bool) { e.front.SetDark(dark) }
+
+// Cut parts the host from the callers at one IP, or ends that.
+func (e *Engine) Cut(ip string, cut bool) { e.front.Cut(ip, cut) }
 
 // SilenceOpen makes the connections that exist now silent for good. New ones work.
 func (e *Engine) SilenceOpen() { e.front.SilenceOpen() }
--- a/rudderstand/rudderfleetstand/fleet.go
+++ b/rudderstand/rudderfleetstand/fleet.go
@@ -16,6 +16,7 @@
 	"comfreyrudder.example/rudderstand/rudderfront"
 	"comfreyrudder.example/rudderstand/rudderinventory"
 	"comfreyrudder.example/rudderstand/rudderkv"
+	"comfreyrudder.example/rudderstand/rudderswitch"
 	"comfreyrudder.example/rudderstand/rudderweights"
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderhost"
@@ -31,13 +32,13 @@
 	// adapterBytes is the size of weights that the configuration has no size for.
 	adapterBytes = 10 << 20
 	listLag      = 500 * time.Millisecond
+	// cacheGapEvery loses every 17th cache event, so that routing never rests on a whole picture.
+	cacheGapEvery = 17
 )
 
-// Host is one target host. Exactly one of Engine and Backend is set.
+// Host is one target host.
 type Host struct {
-	rudderhost.Host
-	Engine  *rudderengine.Engine
-	Backend *rudderbackend.Backend
+	rudderswitch.Host
 
 	labels        map[string]string
 	checksFencing bool
@@ -62,11 +63,13 @@
 	Fabric    *rudderengine.Fabric
 	Calls     *rudderbackend.Ledger
 	Hosts     []*Host
+	Switch    *rudderswitch.Server
 	// Document is the first configuration.
 	Document rudderconfig.Document
 
 	kvFront        rudderfront.Front
 	inventoryFront rudderfront.Front
+	switchFront    rudderfront.Front
 }
 
 // Start builds and starts everything. After an error Close ends what had started.
@@ -93,20 +96,34 @@
 	}
 	f.kvFront.Handler = f.KV.Handler()
 	f.inventoryFront.Handler = f.Inventory.Handler()
-	return errors.CombineErrors(f.kvFront.Start(), f.inventoryFront.Start())
+	f.startSwitch()
+	for _, front := range []*rudderfront.Front{&f.kvFront, &f.inventoryFront, &f.switchFront} {
+		if err := front.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startSwitch() {
+	f.Switch = &rudderswitch.Server{
+		KV: f.KV, KVFront: &f.kvFront, Inventory: f.Inventory, InventoryFront: &f.inventoryFront,
+		Runs: &f.Fabric.Ledger, Calls: f.Calls,
+	}
+	for _, h := range f.Hosts {
+		f.Switch.Hosts = append(f.Switch.Hosts, &h.Host)
+	}
+	f.switchFront.Handler = f.Switch.Handler()
 }
 
 // Close ends everything.
 func (f *Fleet) Close() {
 	for _, h := range f.Hosts {
-		if h.Engine != nil {
-			h.Engine.Close()
-		} else {
-			h.Backend.Close()
-		}
+		h.Close()
 	}
 	f.kvFront.Close()
 	f.inventoryFront.Close()
+	f.switchFront.Close()
 }
 
 // KVURL is the key-value service's base URL.
@@ -115,6 +132,9 @@
 // InventoryURL is the host list's base URL.
 func (f *Fleet) InventoryURL() string { return "http://" + f.inventoryFront.Address() }
 
+// SwitchURL is the base URL of the switch API.
+func (f *Fleet) SwitchURL() string { return "http://" + f.switchFront.Address() }
+
 // Host returns a host by its name, or nil.
 func (f *Fleet) Host(name string) *Host {
 	for _, h := range f.Hosts {
@@ -163,22 +183,25 @@
 	}
 	list := make([]rudderhost.Host, 0, len(f.Hosts))
 	for _, h := range f.Hosts {
-		list = append(list, h.Host)
+		list = append(list, h.Host.Host)
 	}
 	f.Inventory.Set(list)
 	return nil
 }
 
-func (f *Fleet) startEngine(d Domain, index int) error {
-	timing := rudderengine.DefaultTiming()
+func (f *Fleet) timing() rudderengine.Timing {
 	if f.Timing != nil {
-		timing = *f.Timing
+		return *f.Timing
 	}
+	return rudderengine.DefaultTiming()
+}
+
+func (f *Fleet) startEngine(d Domain, index int) error {
 	name := fmt.Sprintf("%s-%02d", d.Name, index+1)
 	checks := d.SomeCheckFencing && index%2 == 1
 	engine := &rudderengine.Engine{
-		Host: name, Clock: f.Clock, Fabric: f.Fabric, Weights: f.Weights, Timing: timing,
-		ChecksFencing: checks, Slots: slotsPerGroup,
+		Host: name, Clock: f.Clock, Fabric: f.Fabric, Weights: f.Weights, Timing: f.timing(),
+		ChecksFencing: checks, Slots: slotsPerGroup, CacheGapEvery: cacheGapEvery,
 	}
 	if f.Tune != nil {
 		f.Tune(engine, nil)
@@ -186,13 +209,13 @@
 	if err := engine.Start(); err != nil {
 		return err
 	}
+	listed := rudderhost.Host{
+		Name: name, Address: engine.Address(), Kind: rudderhost.KindEngine, Region: d.Region,
+		DataCentre: d.DataCentre, FabricDomain: d.Name, Accelerators: d.Accelerators,
+		State: rudderhost.StateLive,
+	}
 	f.Hosts = append(f.Hosts, &Host{
-		Host: rudderhost.Host{
-			Name: name, Address: engine.Address(), Kind: rudderhost.KindEngine, Region: d.Region,
-			DataCentre: d.DataCentre, FabricDomain: d.Name, Accelerators: d.Accelerators,
-			State: rudderhost.StateLive,
-		},
-		Engine:        engine,
+		Host:          rudderswitch.Host{Host: listed, Engine: engine},
 		labels:        map[string]string{LabelFirm: d.Firm, LabelRegion: d.Region, LabelAccelerator: d.Accelerator},
 		checksFencing: engine.ChecksFencing,
 	})
@@ -202,6 +225,7 @@
 func (f *Fleet) startBackend(s ServiceHost) error {
 	backend := &rudderbackend.Backend{
 		Host: s.Name, Service: s.Service, Clock: f.Clock, Ledger: f.Calls, ChecksFencing: true,
+		LoadLag: f.timing().LoadLag,
 	}
 	if f.Tune != nil {
 		f.Tune(nil, backend)
@@ -209,12 +233,12 @@
 	if err := backend.Start(); err != nil {
 		return err
 	}
+	listed := rudderhost.Host{
+		Name: s.Name, Address: backend.Address(), Kind: rudderhost.KindService, Region: s.Region,
+		DataCentre: s.DataCentre, FabricDomain: s.Name, State: rudderhost.StateLive,
+	}
 	f.Hosts = append(f.Hosts, &Host{
-		Host: rudderhost.Host{
-			Name: s.Name, Address: backend.Address(), Kind: rudderhost.KindService, Region: s.Region,
-			DataCentre: s.DataCentre, FabricDomain: s.Name, State: rudderhost.StateLive,
-		},
-		Backend:       backend,
+		Host:          rudderswitch.Host{Host: listed, Backend: backend},
 		labels:        map[string]string{LabelFirm: s.Firm, LabelRegion: s.Region, LabelService: s.Service},
 		checksFencing: backend.ChecksFencing,
 	})
--- a/rudderstand/rudderfront/conn.go
+++ b/rudderstand/rudderfront/conn.go
@@ -13,18 +13,13 @@
 	released chan struct{} // nil while open
 }
 
-func (g *gate) shut() {
+func (g *gate) set(shut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.released == nil {
+	switch {
+	case shut && g.released == nil:
 		g.released = make(chan struct{})
-	}
-}
-
-func (g *gate) release() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.released != nil {
+	case !shut && g.released != nil:
 		close(g.released)
 		g.released = nil
 	}
@@ -63,7 +58,7 @@
 type conn struct {
 	net.Conn
 	front  *Front
-	gate   *gate
+	gates  []*gate
 	once   sync.Once
 	closed chan struct{}
 }
@@ -76,14 +71,24 @@
 	if n == 0 && errors.As(err, &timeout) && timeout.Timeout() {
 		return n, err
 	}
-	if !c.gate.wait(c.closed) {
+	if !c.pass() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// pass waits for all gates and reports false when the connection is closed.
+func (c *conn) pass() bool {
+	for _, g := range c.gates {
+		if !g.wait(c.closed) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *conn) Write(data []byte) (int, error) {
-	if !c.gate.wait(c.closed) {
+	if !c.pass() {
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(data)
--- a/rudderstand/rudderfront/front.go
+++ b/rudderstand/rudderfront/front.go
@@ -29,8 +29,10 @@
 	port    int
 	server  *http.Server
 	conns   map[*conn]struct{}
-	open    *gate // for connections that exist now
-	silent  bool  // new connections are silent as well
+	open    *gate // for the connections since the last SilenceOpen
+	paused  gate
+	dark    gate
+	cut     map[string]*gate // by the caller's IP
 	running bool
 	closed  bool
 }
@@ -46,6 +48,7 @@
 		return err
 	}
 	f.open = &gate{}
+	f.cut = map[string]*gate{}
 	f.conns = map[*conn]struct{}{}
 	return f.listen()
 }
@@ -116,7 +119,7 @@
 	}
 }
 
-// Restart listens again after Kill.
+// Restart listens again after Kill. A new process is not paused; the state of the network stays.
 func (f *Front) Restart() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,7 +130,7 @@
 		return nil
 	}
 	f.open = &gate{}
-	f.silent = false
+	f.paused.set(false)
 	return f.listen()
 }
 
@@ -135,22 +138,34 @@
 func (f *Front) SilenceOpen() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open.shut()
-	if !f.silent {
-		f.open = &gate{}
-	}
+	f.open.set(true)
+	f.open = &gate{}
 }
 
-// Silence stops all traffic on existing and new connections, or lets it continue.
-func (f *Front) Silence(silent bool) {
+// Pause stops all traffic, on existing and new connections, as a paused process does, or lets it
+// continue.
+func (f *Front) Pause(pause bool) { f.paused.set(pause) }
+
+// SetDark stops all traffic, on existing and new connections, as a network fault does, or lets it
+// continue.
+func (f *Front) SetDark(dark bool) { f.dark.set(dark) }
+
+// Cut stops all traffic with the callers at one IP, or lets it continue. It parts single processes
+// when each of them calls from its own loopback address.
+func (f *Front) Cut(ip string, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.silent = silent
-	if silent {
-		f.open.shut()
-		return
+	f.cutGate(ip).set(cut)
+}
+
+// cutGate needs the mutex.
+func (f *Front) cutGate(ip string) *gate {
+	g, found := f.cut[ip]
+	if !found {
+		g = &gate{}
+		f.cut[ip] = g
 	}
-	f.open.release()
+	return g
 }
 
 // CutOpen closes the connections that exist now. New ones work.
@@ -181,7 +196,10 @@
 func (f *Front) accept(inner net.Conn) net.Conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := &conn{Conn: inner, front: f, gate: f.open, closed: make(chan struct{})}
+	// The address of a TCP connection always splits.
+	ip, _, _ := net.SplitHostPort(inner.RemoteAddr().String())
+	gates := []*gate{f.open, &f.paused, &f.dark, f.cutGate(ip)}
+	c := &conn{Conn: inner, front: f, gates: gates, closed: make(chan struct{})}
 	f.conns[c] = struct{}{}
 	return c
 }
--- a/rudderstand/rudderfront/front_test.go
+++ b/rudderstand/rudderfront/front_test.go
@@ -40,10 +40,14 @@
 	require.ErrorIs(t, get(open, address, short), context.DeadlineExceeded, "an open connection is silent")
 	require.NoError(t, get(fresh(), address, long), "a new connection works")
 
-	f.Silence(true)
-	require.ErrorIs(t, get(fresh(), address, short), context.DeadlineExceeded, "a new connection is silent")
-	f.Silence(false)
-	require.NoError(t, get(fresh(), address, long))
+	for _, set := range []func(bool){f.Pause, f.SetDark, func(cut bool) { f.Cut("127.0.0.1", cut) }} {
+		set(true)
+		require.ErrorIs(t, get(fresh(), address, short), context.DeadlineExceeded, "a new connection is silent")
+		set(false)
+		require.NoError(t, get(fresh(), address, long))
+	}
+	f.Cut("127.0.0.9", true)
+	require.NoError(t, get(fresh(), address, long), "another caller is cut off")
 
 	f.Kill()
 	for range 3 {
--- /dev/null
+++ b/rudderstand/rudderswitch/fault.go
@@ -0,0 +1,189 @@
+// Package rudderswitch offers all fault switches of an environment over HTTP. The API is described in
+// docs/stand-ins.md.
+package rudderswitch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderstand/rudderbackend"
+	"comfreyrudder.example/rudderstand/rudderengine"
+	"comfreyrudder.example/shared/rudderhost"
+)
+
+// Errors of the switches.
+var (
+	// ErrUnknown reports a host, domain, data centre or snapshot that does not exist.
+	ErrUnknown = errors.New("switch: unknown name")
+	// ErrUnsupported reports a fault that its object cannot have.
+	ErrUnsupported = errors.New("switch: unsupported fault")
+)
+
+// Kind says what a fault does.
+type Kind string
+
+// Faults of hosts.
+const (
+	KindKill        Kind = "kill"         // cut connections, refuse new ones
+	KindRestart     Kind = "restart"      // a new process without weights and role
+	KindPause       Kind = "pause"        // Off resumes
+	KindDark        Kind = "dark"         // no traffic, the process goes on; Off ends it
+	KindCut         Kind = "cut"          // no traffic with the callers at From; Off ends it
+	KindSilenceOpen Kind = "silence_open" // existing connections are silent for good
+	KindLeaving     Kind = "leaving"      // marked in the status and the host list; Off ends it
+	KindUnlist      Kind = "unlist"       // taken off the host list; Off puts it back
+)
+
+// Faults of engine hosts only.
+const (
+	KindStraggle    Kind = "straggle"     // slower by Factor; Off ends it
+	KindCrashMarker Kind = "crash_marker" // crash on prompts that contain Marker; Off ends it
+	KindMalform     Kind = "malform"      // malformed event in the next Count streams
+	KindStaleChunks Kind = "stale_chunks" // late duplicates of chunks; Off ends it
+)
+
+// Faults of hosts of plain services only.
+const (
+	KindKillBeforeRun Kind = "kill_before_run" // at the next Count calls
+	KindKillAfterRun  Kind = "kill_after_run"  // at the next Count calls
+)
+
+// Faults of the key-value service; the host list has KindDown and KindDark.
+const (
+	KindDown         Kind = "down"          // refuses all calls; Off ends it
+	KindLoseAnswers  Kind = "lose_answers"  // of the next Count writes, or of all under Prefix; Off ends it
+	KindRefuseClient Kind = "refuse_client" // the client named Client; Off ends it
+	KindSnapshot     Kind = "snapshot"      // keep a copy of the state as Name
+	KindRestore      Kind = "restore"       // go back to the copy Name
+	KindClear        Kind = "clear"         // end all faults of the service
+)
+
+// KindDelay makes the key-value service or the calls of a plain service take DelayMS longer.
+const KindDelay Kind = "delay"
+
+// Fault is one setting of a switch.
+type Fault struct {
+	Kind Kind `json:"kind"`
+	// Off ends a lasting fault.
+	Off     bool    `json:"off,omitempty"`
+	Factor  float64 `json:"factor,omitempty"`
+	Marker  string  `json:"marker,omitempty"`
+	Count   int     `json:"count,omitempty"`
+	DelayMS int64   `json:"delay_ms,omitempty"`
+	From    string  `json:"from,omitempty"`
+	Client  string  `json:"client,omitempty"`
+	Prefix  string  `json:"prefix,omitempty"`
+	Name    string  `json:"name,omitempty"`
+}
+
+func (f Fault) delay() time.Duration {
+	if f.Off {
+		return 0
+	}
+	return time.Duration(f.DelayMS) * time.Millisecond
+}
+
+func (f Fault) unsupported() error { return errors.Wrapf(ErrUnsupported, "%q", f.Kind) }
+
+// Host is one target host. Exactly one of Engine and Backend is set.
+type Host struct {
+	rudderhost.Host
+	Engine  *rudderengine.Engine
+	Backend *rudderbackend.Backend
+}
+
+// target is what engines and services have in common.
+type target interface {
+	Kill()
+	Restart() error
+	Pause()
+	Resume()
+	SetDark(dark bool)
+	Cut(ip string, cut bool)
+	SilenceOpen()
+	SetLeaving(leaving bool)
+	Alive() bool
+	Close()
+}
+
+func (h *Host) target() target {
+	if h.Engine != nil {
+		return h.Engine
+	}
+	return h.Backend
+}
+
+// Alive reports whether the host's process runs, paused or not.
+func (h *Host) Alive() bool { return h.target().Alive() }
+
+// Close ends the host.
+func (h *Host) Close() { h.target().Close() }
+
+// Set sets one switch of the host. KindLeaving changes only the host's own mark here, and KindUnlist
+// belongs to Server.
+func (h *Host) Set(f Fault) error {
+	t := h.target()
+	switch f.Kind {
+	case KindKill:
+		t.Kill()
+	case KindRestart:
+		return t.Restart()
+	case KindPause:
+		if f.Off {
+			t.Resume()
+		} else {
+			t.Pause()
+		}
+	case KindDark:
+		t.SetDark(!f.Off)
+	case KindCut:
+		t.Cut(f.From, !f.Off)
+	case KindSilenceOpen:
+		t.SilenceOpen()
+	case KindLeaving:
+		t.SetLeaving(!f.Off)
+	default:
+		if h.Engine != nil {
+			return setEngine(h.Engine, f)
+		}
+		return setBackend(h.Backend, f)
+	}
+	return nil
+}
+
+func setEngine(e *rudderengine.Engine, f Fault) error {
+	switch f.Kind {
+	case KindStraggle:
+		if f.Off {
+			f.Factor = 1
+		}
+		e.SetStraggle(f.Factor)
+	case KindCrashMarker:
+		if f.Off {
+			f.Marker = ""
+		}
+		e.SetCrashMarker(f.Marker)
+	case KindMalform:
+		e.MalformNext(f.Count)
+	case KindStaleChunks:
+		e.SetStaleChunks(!f.Off)
+	default:
+		return f.unsupported()
+	}
+	return nil
+}
+
+func setBackend(b *rudderbackend.Backend, f Fault) error {
+	switch f.Kind {
+	case KindDelay:
+		b.SetDelay(f.delay())
+	case KindKillBeforeRun:
+		b.KillBeforeRun(f.Count)
+	case KindKillAfterRun:
+		b.KillAfterRun(f.Count)
+	default:
+		return f.unsupported()
+	}
+	return nil
+}
--- a/shared/rudderhost/http.go
+++ b/shared/rudderhost/http.go
@@ -16,6 +16,9 @@
 // maxListBytes bounds an answer of the host list; 730 hosts take about 300 KB.
 const maxListBytes = 16 << 20
 
+// maxDrainBytes bounds what is read after an answer's JSON value.
+const maxDrainBytes = 4 << 10
+
 // HTTP is the client adapter to the host list. Set the fields before List is called.
 type HTTP struct {
 	// BaseURL is the service's URL without a trailing slash.
@@ -40,7 +43,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer func() {
+		// The connection is reused only after its answer has been read to the end.
+		_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+		_ = response.Body.Close()
+	}()
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "status %d", response.StatusCode)
 	}
--- a/shared/rudderstore/http.go
+++ b/shared/rudderstore/http.go
@@ -19,6 +19,9 @@
 // maxAnswerBytes bounds an answer; a list may hold several values of MaxValueBytes.
 const maxAnswerBytes = 256 << 20
 
+// maxDrainBytes bounds what is read after an answer's JSON value.
+const maxDrainBytes = 4 << 10
+
 // HTTP is the client adapter to the key-value service. Set the fields before Store is called.
 type HTTP struct {
 	// BaseURL is the service's URL without a trailing slash, for example "http://127.0.0.1:7000".
@@ -118,7 +121,11 @@
 		}
 		return Answer{}, fmt.Errorf("%w: %w", lost, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer func() {
+		// The connection is reused only after its answer has been read to the end.
+		_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+		_ = response.Body.Close()
+	}()
 	var a Answer
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&a); err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", lost, err)
--- a/shared/ruddertarget/http.go
+++ b/shared/ruddertarget/http.go
@@ -38,6 +38,9 @@
 	Attempt int `json:"attempt"`
 }
 
+// maxDrainBytes bounds what is read after an answer's JSON value.
+const maxDrainBytes = 4 << 10
+
 // HTTP is the client adapter to the control protocol. Set the fields before Control is called.
 type HTTP struct {
 	// Client sends the requests; nil takes http.DefaultClient.
@@ -114,7 +117,11 @@
 	if err != nil {
 		return ErrorBody{}, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer func() {
+		// The connection is reused only after its answer has been read to the end.
+		_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+		_ = response.Body.Close()
+	}()
 	return decode(response, result)
 }
 
