--- a/rudderd/rudderapp/admin.go
+++ b/rudderd/rudderapp/admin.go
@@ -1,20 +1,71 @@
 package rudderapp
 
 import (
+	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
+
+	"comfreyrudder.example/rudderd/rudderadminhttp"
+	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderconfig"
 )
 
 // adminHandler serves operators.
 func (a *App) adminHandler() http.Handler {
 	server := echo.New()
 	server.HideBanner, server.HidePort = true, true
-	server.GET("/healthz", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, struct {
-			ConfigVersion int64 `json:"config_version"`
-			Permit        bool  `json:"permit"`
-		}{a.keeper.Version().Number, a.keeper.Permit(a.Clock.Now()) == nil})
-	})
+	server.GET("/healthz", a.adminHealth)
+	api := &rudderadminhttp.API{
+		Clock: a.Clock, Logger: a.Logger,
+		Current: a.keeper.Current, Change: a.keeper.Change, Await: a.keeper.Await, Check: a.checkDocument,
+		Parse: rudderconfig.Parse, Merge: rudderconfig.Merge, Diff: diffLines,
+		History: a.configHistory, Version: a.configVersion,
+		Status: a.statusReport, Hosts: a.hostReports, Groups: a.groupReports, Explain: a.explainSelector, WhyNot: a.whyNot,
+		BootstrapTokenHash: a.Settings.BootstrapTokenHash,
+	}
+	api.Register(server)
 	return server
 }
+
+func (a *App) adminHealth(c echo.Context) error {
+	permit := a.keeper.Permit(a.Clock.Now())
+	status := http.StatusOK
+	if permit != nil {
+		status = http.StatusServiceUnavailable
+	}
+	return c.JSON(status, struct {
+		ConfigVersion int64 `json:"config_version"`
+		Permit        bool  `json:"permit"`
+	}{a.keeper.Version().Number, permit == nil})
+}
+
+// configHistory lists the kept versions, newest first.
+func (a *App) configHistory(ctx context.Context) ([]rudderadmin.HistoryEntry, error) {
+	entries, _, err := a.store.List(ctx, rudderconfig.HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	history := make([]rudderadmin.HistoryEntry, 0, len(entries))
+	for _, e := range slices.Backward(entries) {
+		var version rudderadmin.HistoryEntry
+		if err := json.Unmarshal(e.Value, &version); err != nil {
+			return nil, errors.Wrapf(err, "history entry %s", e.Key)
+		}
+		history = append(history, version)
+	}
+	return history, nil
+}
+
+func (a *App) configVersion(ctx context.Context, number int64) (*rudderconfig.Document, error) {
+	entry, _, err := a.store.Get(ctx, rudderchange.HistoryKey(number))
+	if err != nil {
+		return nil, err
+	}
+	var document rudderconfig.Document
+	return &document, errors.Wrapf(json.Unmarshal(entry.Value, &document), "history entry %d", number)
+}
--- a/rudderd/ruddersettings/load.go
+++ b/rudderd/ruddersettings/load.go
@@ -119,7 +119,10 @@
 	return list
 }
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9-]*$`)
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9-]*$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
+)
 
 // faults checks the values and returns one text for each fault.
 func (s *Settings) faults() []string {
@@ -136,6 +139,7 @@
 	report(s.OldPeerSecret != "" && len(s.OldPeerSecret) < minPeerSecretLength, "--old-peer-secret: wanted at least 16 characters")
 	report(!validURL(s.KeyValueURL), "--key-value-url: wanted http://IP:PORT")
 	report(!validURL(s.HostListURL), "--host-list-url: wanted http://IP:PORT")
+	report(s.BootstrapTokenHash != "" && !hashPattern.MatchString(s.BootstrapTokenHash), "--bootstrap-token-hash: wanted 64 hexadecimal digits")
 	report(s.MaxAttempts < 1, "--max-attempts: wanted at least 1")
 	report(s.MaxBodyBytes < 1, "--max-body-bytes: wanted at least 1")
 	report(s.WeightRate < 1, "--weight-rate: wanted at least 1")
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -24,6 +24,8 @@
 	PeerSecret    string `name:"peer-secret" secret:"true" doc:"Secret shared by all entry hosts that signs calls between them. At least 16 characters."`
 	OldPeerSecret string `name:"old-peer-secret" secret:"true" doc:"Previous peer secret, still accepted while a new one is rolled out."`
 
+	BootstrapTokenHash string `name:"bootstrap-token-hash" doc:"Hex SHA-256 of a token that may write the first configuration. It has no effect once a configuration names operators."`
+
 	PermitTTL      time.Duration `name:"permit-ttl" default:"5s" doc:"How long a read of the configuration, or a majority's acknowledgement, lets this host serve. 12s suits 330 entry hosts."`
 	DigestInterval time.Duration `name:"digest-interval" default:"500ms" doc:"Time between two digest exchanges with other entry hosts. 1s suits 330 entry hosts."`
 	ConfirmTTL     time.Duration `name:"confirm-ttl" default:"3s" doc:"Greatest age of a group member's own confirmation for the group to take new work."`
--- /dev/null
+++ b/rudderstand/rudderoracle/oracle.go
@@ -0,0 +1,185 @@
+// Package rudderoracle checks the promises of the system against what callers were told, what targets
+// ran and what the platform held. It knows nothing of how the system works inside.
+package rudderoracle
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"comfreyrudder.example/rudderstand/rudderbackend"
+	"comfreyrudder.example/rudderstand/rudderengine"
+	"comfreyrudder.example/shared/ruddergroup"
+)
+
+// Promise names one of the eight promises.
+type Promise string
+
+// The promises, as docs/design.md lists them.
+const (
+	WholeGroup       Promise = "whole_group"
+	SingleMembership Promise = "single_membership"
+	OwnAnswer        Promise = "own_answer"
+	NotRun           Promise = "not_run"
+	AtMostOnce       Promise = "at_most_once"
+	Leaving          Promise = "leaving"
+	PlannedStop      Promise = "planned_stop"
+	Config           Promise = "config"
+)
+
+// Promises lists all of them in the order of docs/design.md.
+func Promises() []Promise {
+	return []Promise{WholeGroup, SingleMembership, OwnAnswer, NotRun, AtMostOnce, Leaving, PlannedStop, Config}
+}
+
+// Outcomes that callers are told.
+const (
+	OutcomeComplete   = "complete"
+	OutcomeNotRun     = "not_run"
+	OutcomeMayHaveRun = "may_have_run"
+	// OutcomeUnknown is for callers whose connection was lost before they were told anything.
+	OutcomeUnknown = ""
+)
+
+// Answer is what a caller saw of one request.
+type Answer struct {
+	RequestID string
+	// Entry is the name of the entry host that served it.
+	Entry     string
+	Workspace string
+	Outcome   string
+	SentAt    time.Time
+	EndedAt   time.Time
+	Status    int
+	Code      string
+
+	// Prompt and MaxTokens of a model request, and the text that arrived.
+	Prompt    string
+	MaxTokens int
+	Text      string
+
+	// Service is set for calls of plain services.
+	Service    string
+	Key        string // idempotency key, if any
+	Idempotent bool   // declared so by the configuration
+}
+
+// Stop is a planned stop of a target host or an entry host.
+type Stop struct {
+	// Host is a target's name and Address where it listens, or Entry is an entry host's name.
+	Host    string
+	Address string
+	Entry   string
+	From    time.Time
+	To      time.Time // zero while it lasts
+}
+
+// ServedVersion is a configuration version that an entry host held a permit for at a time.
+type ServedVersion struct {
+	Entry   string
+	Version int64
+	At      time.Time // before the entry host was asked
+}
+
+// AcceptedVersion is a change that an operator was told is in force.
+type AcceptedVersion struct {
+	Version int64
+	At      time.Time // when the operator was told
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise Promise `json:"promise"`
+	Detail  string  `json:"detail"`
+}
+
+// Evidence is everything that a check goes by.
+type Evidence struct {
+	Answers  []Answer
+	Runs     []rudderengine.Run
+	Calls    []rudderbackend.Call
+	Plans    []ruddergroup.Plan
+	Leaving  []Stop // when a target was told to leave
+	Stops    []Stop
+	Served   []ServedVersion
+	Accepted []AcceptedVersion
+}
+
+// LeavingGrace is the "few seconds" after which a leaving target receives no new work.
+const LeavingGrace = 5 * time.Second
+
+// Recorder collects evidence from several goroutines.
+type Recorder struct {
+	mu       sync.Mutex
+	evidence Evidence
+}
+
+// Answer records what a caller saw.
+func (r *Recorder) Answer(a Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Answers = append(r.evidence.Answers, a)
+}
+
+// Plan records a plan that the platform held.
+func (r *Recorder) Plan(p ruddergroup.Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Plans = append(r.evidence.Plans, p)
+}
+
+// Leaving records that a target was told to leave.
+func (r *Recorder) Leaving(s Stop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Leaving = append(r.evidence.Leaving, s)
+}
+
+// Stop records a planned stop.
+func (r *Recorder) Stop(s Stop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Stops = append(r.evidence.Stops, s)
+}
+
+// Served records a version that an entry host may serve under.
+func (r *Recorder) Served(v ServedVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Served = append(r.evidence.Served, v)
+}
+
+// Accepted records a change that was reported as in force.
+func (r *Recorder) Accepted(v AcceptedVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Accepted = append(r.evidence.Accepted, v)
+}
+
+// Evidence returns what was recorded, together with the ledgers of the targets.
+func (r *Recorder) Evidence(runs []rudderengine.Run, calls []rudderbackend.Call) Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	evidence := r.evidence
+	evidence.Runs, evidence.Calls = runs, calls
+	return evidence
+}
+
+// Check returns all violations.
+func Check(e Evidence) []Violation {
+	var found []Violation
+	report := func(p Promise, format string, arguments ...any) {
+		found = append(found, Violation{Promise: p, Detail: fmt.Sprintf(format, arguments...)})
+	}
+	checkWholeGroup(e, report)
+	checkSingleMembership(e, report)
+	checkOwnAnswer(e, report)
+	checkNotRun(e, report)
+	checkAtMostOnce(e, report)
+	checkLeaving(e, report)
+	checkPlannedStop(e, report)
+	checkConfig(e, report)
+	return found
+}
+
+type reporter func(p Promise, format string, arguments ...any)
