Make the switch test call on new connections

In 2 of 10 runs the write after the key-value service was killed went out on a kept connection before its end was noticed. The adapter then reports an unknown outcome, which is right, because the write may have arrived.

--- a/rudderstand/rudderswitch/server_test.go
+++ b/rudderstand/rudderswitch/server_test.go
@@ -51,7 +51,9 @@
 	require.Equal(t, http.StatusUnprocessableEntity, post("/v1/hosts/kigali-1-ledger/faults", `{"kind":"straggle"}`))
 	require.Equal(t, http.StatusBadRequest, post("/v1/kv/faults", `{"kind":"delay","delay":5}`))
 
-	store := (&rudderstore.HTTP{BaseURL: f.KVURL()}).Store()
+	// A reused connection may be cut after the write was sent, which is rightly an unknown outcome.
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	store := (&rudderstore.HTTP{BaseURL: f.KVURL(), Client: fresh}).Store()
 	put := func() error {
 		_, err := store.Put(context.Background(), rudderstore.PutRequest{Key: "k"})
 		return err
