Tell checking targets a new planner's fencing number

A target that checks fencing numbers only learns the number of a new planner from an order. A planner that took over a settled domain sent none, so a delayed order of the former planner was still taken. The new planner now sends orders without effect to such targets. Orders time out like polls, because a target that hangs delayed the next poll beyond the confirmation age. A member that did not load in time is chosen last.

--- a/rudderd/rudderplan/form.go
+++ b/rudderd/rudderplan/form.go
@@ -127,7 +127,8 @@
 		return nil
 	}
 	slices.SortFunc(free, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.flexibility, b.flexibility), -compareBool(a.weights, b.weights),
+		return cmp.Or(cmp.Compare(a.flexibility, b.flexibility), compareBool(st.slow[a.host.Name], st.slow[b.host.Name]),
+			-compareBool(a.weights, b.weights),
 			cmp.Compare(b.o.Status.Role.Group, a.o.Status.Role.Group), cmp.Compare(a.o.Status.Role.Rank, b.o.Status.Role.Rank),
 			cmp.Compare(a.host.Name, b.host.Name))
 	})
--- a/rudderd/rudderplan/orders.go
+++ b/rudderd/rudderplan/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -47,6 +48,27 @@
 		add(p.host.Name, p.host.Address, ruddertarget.Order{Kind: ruddertarget.OrderPreload, Role: p.role},
 			Reason{Code: CodePreload, Text: "selector " + p.selector + " opens soon"})
 	}
+	return append(out, fences(in, hosts, plan, out)...)
+}
+
+// fences are orders that change nothing but tell every target that checks fencing numbers the number of
+// a new planner. Without them such a target would take a delayed order of the former one.
+func fences(in Input, hosts catalogue, plan ruddergroup.Plan, others []Order) []Order {
+	var out []Order
+	for _, h := range in.Hosts {
+		o := in.Observed[h.Name]
+		if !hosts.settings[h.Name].ChecksFencing || h.Kind != rudderhost.KindEngine || !o.fresh(in.Timing) ||
+			o.Status.HighestFencing >= in.Fencing || slices.ContainsFunc(others, func(x Order) bool { return x.Host == h.Name }) {
+			continue
+		}
+		order := ruddertarget.Order{Kind: ruddertarget.OrderRelease, Fencing: in.Fencing, PlanSeq: plan.Seq, ExpectGroup: o.Status.Role.Group}
+		if role := o.Status.Role; role.Group != "" {
+			order.Kind = ruddertarget.OrderPreload // of weights that are there
+			order.Role = ruddertarget.Role{Model: role.Model, ModelVersion: role.ModelVersion, Adapters: role.Adapters}
+		}
+		out = append(out, Order{Host: h.Name, Address: h.Address, Order: order,
+			Reason: Reason{Code: CodeFence, Host: h.Name, Text: "target has not seen this planner's fencing number"}})
+	}
 	return out
 }
 
--- a/rudderd/rudderplan/reason.go
+++ b/rudderd/rudderplan/reason.go
@@ -19,6 +19,7 @@
 	CodeStaleRole       Code = "stale_role"
 	CodePreload         Code = "preload"
 	CodeLoadTimeout     Code = "load_timeout"
+	CodeFence           Code = "fence"
 )
 
 // Codes of reasons that only explanations use.
--- a/rudderd/rudderplan/step.go
+++ b/rudderd/rudderplan/step.go
@@ -105,11 +105,12 @@
 	reasons   []Reason
 	seq       int64
 	changed   bool
+	slow      map[string]bool // hosts that did not load in time
 }
 
 // Step computes the next plan of a domain and the orders that lead to it.
 func Step(in Input) Result {
-	st := &stepper{in: in, hosts: newCatalogue(in.Config, in.Hosts), seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now)}
+	st := &stepper{in: in, hosts: newCatalogue(in.Config, in.Hosts), seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now), slow: map[string]bool{}}
 	for _, g := range in.Plan.Groups {
 		if g, keep := st.keep(cloneGroup(g)); keep {
 			st.groups = append(st.groups, g)
@@ -154,6 +155,11 @@
 	if r, broken := st.broken(g); broken {
 		r.Group = g.ID
 		st.note(r)
+		if r.Code == CodeLoadTimeout {
+			for rank, m := range g.Members {
+				st.slow[m.Host] = !confirms(g, rank, st.in.Observed[m.Host].Status)
+			}
+		}
 		return g, false
 	}
 	if g.State == ruddergroup.StateDraining {
@@ -199,8 +205,8 @@
 	return Reason{}, false
 }
 
-// loadLimit is how long a group may load before it is formed anew. The next attempt prefers hosts that
-// have the weights, so it leaves out a straggler if there is a spare.
+// loadLimit is how long a group may load before it is formed anew. The next attempt leaves out the
+// members that were not ready if there are spares.
 func (st *stepper) loadLimit(g ruddergroup.Group) time.Duration {
 	return st.in.Timing.LoadTimeout + LeadTime(findModel(st.in.Config, g.Model, g.ModelVersion).WeightBytes, st.in.Timing)
 }
--- a/rudderd/rudderplan/step_test.go
+++ b/rudderd/rudderplan/step_test.go
@@ -155,3 +155,165 @@
 	d.ticks(2)
 	require.Empty(t, d.targets["h01"].Role.Group)
 }
+
+// Guards against a planned stop that cuts a long answer, and against work that still arrives after the
+// plan says draining.
+func TestLeavingHostDrains(t *testing.T) {
+	d := newDomain(4, model("a", 2, 0, 0))
+	d.ticks(3)
+	leader := d.targets[d.hostsOf(0)[0]]
+	leader.Load.Running = 1
+	d.in.Hosts[1].State = rudderhost.StateLeaving
+	d.ticks(60)
+	require.Equal(t, ruddergroup.StateDraining, d.in.Plan.Groups[0].State, "the long answer finishes")
+	require.Equal(t, "host is leaving", d.in.Plan.Groups[0].Reason)
+	leader.Load.Running = 0
+	d.in.InFlight = map[string]int{d.in.Plan.Groups[0].ID: 1}
+	d.ticks(5)
+	require.NotEmpty(t, leader.Role.Group, "a shard owner knows of a request that the report lacks")
+	d.in.InFlight = nil
+	d.ticks(3)
+	require.Empty(t, leader.Role.Group)
+	require.Len(t, d.in.Plan.Groups, 1)
+}
+
+// Guards against releasing a group whose load report is older than the drain.
+func TestDrainNeedsNewLoadReport(t *testing.T) {
+	d := newDomain(2, model("a", 2, 0, 0))
+	d.ticks(3)
+	g := d.in.Plan.Groups[0]
+	g.State, g.SinceUnixMS = ruddergroup.StateDraining, d.in.Now.Add(-time.Minute).UnixMilli()
+	require.True(t, quiet(d.in, g))
+	o := d.in.Observed["h00"]
+	o.Status.Load.At = d.in.Now.Add(-56 * time.Second)
+	d.in.Observed["h00"] = o
+	require.False(t, quiet(d.in, g))
+}
+
+// Guards against a group that waits for a member that died, restarted or hangs while it loads.
+func TestMemberFailsDuringLoad(t *testing.T) {
+	for _, fault := range []string{"dead", "restarted", "hangs"} {
+		d := newDomain(3, model("a", 2, 1, 0))
+		d.tick()
+		s := d.targets[d.hostsOf(0)[1]]
+		switch fault {
+		case "dead":
+			d.silent[s.Host] = true
+		case "restarted":
+			*s = ruddertarget.Status{Host: s.Host, Incarnation: "2", Phase: ruddertarget.PhaseIdle}
+		case "hangs":
+			s.Phase, s.Weights = ruddertarget.PhaseLoading, nil
+		}
+		d.ticks(300)
+		require.Equal(t, []ruddergroup.State{ruddergroup.StateServing}, d.states(), fault)
+		if fault != "restarted" {
+			require.NotContains(t, d.hostsOf(0), s.Host, fault)
+		}
+	}
+}
+
+// Guards against hosts that idle after one firm's window while they fetch the other firm's weights,
+// against overlapping groups at the hand-over, and against loads for a window that is about to close.
+func TestTwoWindowsMeet(t *testing.T) {
+	a, b := model("a", 2, 0, 0), model("b", 4, 0, 0)
+	b.Model = "n"
+	a.Windows = []rudderconfig.Window{{From: "08:00", To: "10:05", TimeZone: "UTC"}}
+	b.Windows = []rudderconfig.Window{{From: "10:05", To: "20:00", TimeZone: "UTC"}}
+	d := newDomain(4, a, b)
+	d.ticks(250)
+	require.Empty(t, d.targets["h00"].Weights[1:], "no fetch before the lead time of 40 s")
+	d.targets["h00"].Load.Running = 1
+	d.ticks(45)
+	require.Contains(t, d.targets["h03"].Weights, "n@1")
+	require.Len(t, d.in.Plan.Groups, 2)
+	d.ticks(30)
+	require.Equal(t, []ruddergroup.State{ruddergroup.StateDraining}, d.states(), "one group still answers")
+	d.targets["h00"].Load.Running = 0
+	d.ticks(6)
+	require.Equal(t, []ruddergroup.State{ruddergroup.StateServing}, d.states())
+	require.Equal(t, "b", d.in.Plan.Groups[0].Selector)
+
+	late := newDomain(4, a)
+	late.in.Now = time.Date(2026, 12, 4, 10, 4, 10, 0, time.UTC)
+	late.tick()
+	require.Empty(t, late.in.Plan.Groups)
+}
+
+// Guards against a changed model version that takes all groups out of service at once.
+func TestChangedSelectorRolls(t *testing.T) {
+	d := newDomain(6, model("a", 2, 0, 0))
+	d.ticks(3)
+	d.in.Config.Models[0].Version = "2"
+	for range 60 {
+		d.tick()
+		serving := 0
+		for _, g := range d.in.Plan.Groups {
+			if g.State == ruddergroup.StateServing {
+				serving++
+			}
+		}
+		require.GreaterOrEqual(t, serving, 2)
+	}
+	for _, g := range d.in.Plan.Groups {
+		require.Equal(t, "2", g.ModelVersion)
+	}
+}
+
+// Guards against a move to another domain that drains before the successor serves.
+func TestSurplusWaitsForSuccessor(t *testing.T) {
+	d := newDomain(4, model("a", 2, 2, 0))
+	d.ticks(70)
+	d.in.Config.Selectors[0].WantedGroups = 1
+	d.in.WantTotal, d.in.ServingTotal = map[string]int{"a": 2}, map[string]int{"a": 2}
+	d.ticks(5)
+	require.Equal(t, []ruddergroup.State{ruddergroup.StateServing, ruddergroup.StateServing}, d.states())
+	d.in.ServingTotal["a"] = 3
+	d.tick()
+	require.Contains(t, d.states(), ruddergroup.StateDraining)
+}
+
+// Guards against orders and loads for plain services, which take none.
+func TestServiceGroups(t *testing.T) {
+	s := rudderconfig.Selector{Name: "s", Firm: "umuvumu", Service: "ledger", GroupSize: 1}
+	d := newDomain(3, s, model("a", 3, 0, 9))
+	d.in.Hosts[2].Kind = rudderhost.KindService
+	d.tick()
+	require.Equal(t, []ruddergroup.State{ruddergroup.StateServing}, d.states())
+	require.Equal(t, []string{"h02"}, d.hostsOf(0))
+	require.Empty(t, d.orders)
+	d.targets["h02"].Incarnation = "2"
+	d.tick()
+	require.Equal(t, "d1.f7.s2.0", d.in.Plan.Groups[0].ID, "a restarted service is a new group")
+}
+
+// Guards against explanations that name the wrong reason.
+func TestExplain(t *testing.T) {
+	closed := model("night", 2, 0, 0)
+	closed.Windows = []rudderconfig.Window{{From: "22:00", To: "23:00", TimeZone: "UTC"}}
+	d := newDomain(6, model("a", 2, 2, 1), closed)
+	d.in.Hosts[4].State = rudderhost.StateLeaving
+	d.ticks(3)
+	d.targets["h00"].Incarnation, d.in.Hosts[3].Kind = "2", rudderhost.KindService
+	d.tick()
+	s := Situation{Now: d.in.Now, Config: d.in.Config, Hosts: d.in.Hosts, Plans: []ruddergroup.Plan{d.in.Plan}, Observed: d.in.Observed, Timing: d.in.Timing}
+	tests := []struct {
+		host  string
+		codes []Code
+	}{
+		{"h00", []Code{CodeLoading}}, {"h03", []Code{CodeDraining}}, {"h04", []Code{CodeLeaving, CodeEnough, CodeWindowClosed}},
+		{"h05", []Code{CodeEnough, CodeWindowClosed}}, {"h09", []Code{CodeUnknownHost}},
+	}
+	for _, tt := range tests {
+		var codes []Code
+		for _, r := range s.WhyNot(tt.host) {
+			require.NotEmpty(t, r.Text)
+			codes = append(codes, r.Code)
+		}
+		require.Equal(t, tt.codes, codes, tt.host)
+	}
+	e, ok := s.Explain("night")
+	require.True(t, ok)
+	require.Equal(t, CodeWindowClosed, e.Reasons[0].Code)
+	e, _ = s.Explain("a")
+	require.Equal(t, DomainShare{Domain: "d1", Matching: 5, Usable: 4, Share: 2, Loading: 1, Draining: 1}, e.Domains[0])
+}
--- a/rudderd/rudderplanner/lease.go
+++ b/rudderd/rudderplanner/lease.go
@@ -81,7 +81,7 @@
 	return err
 }
 
-// renew keeps the lease alive, and reports whether it is still held.
+// renew keeps the lease alive. It reports whether the lease is held and the platform answered, if asked.
 func (w *worker) renew(ctx context.Context) bool {
 	before := w.p.Clock.Now()
 	if w.lease.expired(before) {
@@ -96,13 +96,14 @@
 		w.lease.renewed, w.lease.deadline = before, before.Add(w.p.Times.LeaseTTL)
 	case errors.Is(err, rudderstore.ErrNotFound):
 		return w.lose("lease ended at the platform")
-	default:
-		w.p.Logger.Warn().Err(err).Str("domain", w.domain).Msg("lease not renewed")
 	}
 	if w.lease.expired(w.p.Clock.Now()) {
 		return w.lose("lease expired")
 	}
-	return true
+	if err != nil {
+		w.p.Logger.Warn().Err(err).Str("domain", w.domain).Msg("lease not renewed")
+	}
+	return err == nil
 }
 
 func (w *worker) lose(why string) bool {
--- a/rudderd/rudderplanner/planner.go
+++ b/rudderd/rudderplanner/planner.go
@@ -22,9 +22,10 @@
 type Times struct {
 	// PollInterval between two polls of a target, and between two steps.
 	PollInterval time.Duration
-	// PollTimeout of one poll; it must be shorter than PollInterval.
+	// PollTimeout of one call to a target; it must be shorter than PollInterval.
 	PollTimeout time.Duration
-	// StoreTimeout of one call to the key-value service.
+	// StoreTimeout of the calls to the key-value service before and after a poll. It keeps polls frequent
+	// enough for the confirmation age while the service hangs.
 	StoreTimeout time.Duration
 	LeaseTTL     time.Duration
 	// OrderTTL is the longest time between the check of the lease and the effect of an order.
@@ -37,7 +38,7 @@
 
 // DefaultTimes returns the constants for polls every second.
 func DefaultTimes() Times {
-	return Times{PollInterval: time.Second, PollTimeout: 700 * time.Millisecond, StoreTimeout: time.Second, LeaseTTL: 6 * time.Second,
+	return Times{PollInterval: time.Second, PollTimeout: 700 * time.Millisecond, StoreTimeout: 500 * time.Millisecond, LeaseTTL: 6 * time.Second,
 		OrderTTL: 2 * time.Second, CandidateDelay: 2 * time.Second, PreloadRepeat: 30 * time.Second}
 }
 
--- a/rudderd/rudderplanner/planner_test.go
+++ b/rudderd/rudderplanner/planner_test.go
@@ -11,6 +11,7 @@
 
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -30,29 +31,63 @@
 	}
 }
 
-// Guards against a holder that is paused between polling and sending and then sends its orders
-// although another planner took over, on targets that check fencing numbers and on others.
+// Guards against a holder that is paused before it writes the plan, or between that and its orders, and
+// then sends them although its lease has expired; on targets that check fencing numbers and on others.
 func TestPausedHolderSendsNothing(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		w := newWorld(4, checks)
-		a, b := w.planner("a"), w.planner("b")
-		poll := a.p.Control.Status
-		var pause sync.Once
-		a.p.Control = &ruddertarget.Control{Send: w.send, Status: func(ctx context.Context, address string) (ruddertarget.Status, error) {
-			s, err := poll(ctx, address)
-			if a.lease != nil {
-				pause.Do(func() { w.clock.Advance(7 * time.Second) })
+		for _, at := range []string{"poll", "plan"} {
+			w := newWorld(4, checks)
+			a, b := w.planner("a"), w.planner("b")
+			var once sync.Once
+			pause := func() { once.Do(func() { w.clock.Advance(7 * time.Second) }) }
+			a.p.Control = &ruddertarget.Control{Send: w.send, Status: func(ctx context.Context, address string) (ruddertarget.Status, error) {
+				if at == "poll" && a.lease != nil {
+					pause()
+				}
+				return w.status(ctx, address)
+			}}
+			a.p.OnPlan = func(p ruddergroup.Plan) {
+				if at == "plan" && len(p.Groups) > 0 {
+					pause()
+				}
 			}
-			return s, err
-		}}
-		a.tick(context.Background())
-		require.Empty(t, w.sent, "the lease expired during the pause")
+			a.tick(context.Background())
+			require.Empty(t, w.sent, "checks=%v, paused at %s", checks, at)
+			w.ticks(12, b)
+			require.NotEmpty(t, w.sent)
+			plan, sent := storedPlan(t, b), len(w.sent)
+			w.ticks(2, a)
+			require.Len(t, w.sent, sent, "the former holder is silent")
+			require.Equal(t, plan, storedPlan(t, b))
+		}
+	}
+}
+
+// Guards against a group that keeps serving after an old order, delayed in the network, changed a
+// member's role.
+func TestLateOldOrder(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(2, checks)
+		a, b := w.planner("a"), w.planner("b")
+		w.ticks(3, a)
+		old := w.sent[0]
+		w.clock.Advance(7 * time.Second)
 		w.ticks(12, b)
-		plan := storedPlan(t, b)
-		sent := len(w.sent)
-		w.ticks(2, a)
-		require.Len(t, w.sent, sent, "checks=%v", checks)
-		require.Equal(t, plan.Fencing, storedPlan(t, b).Fencing)
+		before := storedPlan(t, b)
+		require.Equal(t, int64(2), before.Fencing)
+		old.Role.Group = "old"
+		_, err := w.send(context.Background(), "h0", old)
+		w.ticks(1, b)
+		after := storedPlan(t, b)
+		if checks {
+			require.ErrorIs(t, err, ruddertarget.ErrStaleFencing)
+			require.Equal(t, before, after)
+			continue
+		}
+		require.NotEqual(t, before.Groups[0].ID, after.Groups[0].ID)
+		require.Equal(t, ruddergroup.StateLoading, after.Groups[0].State)
+		w.ticks(3, b)
+		require.Equal(t, ruddergroup.StateServing, storedPlan(t, b).Groups[0].State)
 	}
 }
 
@@ -114,3 +149,89 @@
 	require.Greater(t, after.Seq, before.Seq)
 	require.Equal(t, before.Groups, after.Groups)
 }
+
+// Guards against stale confirmations, orders and plan changes while the platform is down, and against a
+// holder that does not resume after it.
+func TestPlatformOutage(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	b.p.Candidate = func(string) int { return 1 }
+	confirmed := map[string]int{}
+	a.p.OnStatus = func(_, host, _ string, _ ruddertarget.Status, _ time.Duration) { confirmed[host]++ }
+	w.ticks(3, a, b)
+	plan := storedPlan(t, a)
+	w.down = true
+	clear(confirmed)
+	sent := len(w.sent)
+	w.targets["h0"].Role = ruddertarget.Role{}
+	w.ticks(20, a, b)
+	require.Nil(t, a.lease)
+	require.Equal(t, map[string]int{"h0": 20, "h1": 20, "h2": 20, "h3": 20}, confirmed)
+	require.Len(t, w.sent, sent, "no order without a plan")
+	w.down = false
+	w.ticks(4, a, b)
+	require.NotNil(t, a.lease)
+	require.Greater(t, storedPlan(t, a).Fencing, plan.Fencing)
+	require.NotEqual(t, plan.Groups[0].ID, storedPlan(t, a).Groups[0].ID, "the broken group is formed anew")
+}
+
+// Guards against a holder that goes on although the platform ended its lease, and against a lease that
+// nobody uses because the answer to its write was lost.
+func TestLeaseLostAndUnanswered(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	w.loseNext = ruddergroup.LeasePrefix + "d1"
+	w.ticks(3, a)
+	require.NotNil(t, a.lease)
+	w.end(a.lease.id)
+	b.tick(context.Background())
+	require.NotNil(t, b.lease)
+	sent := len(w.sent)
+	w.configure()
+	w.ticks(2, a)
+	require.Nil(t, a.lease)
+	require.Len(t, w.sent, sent)
+}
+
+// Guards against a new holder that trusts an older plan of the platform although its own entry host
+// knows a newer one, and against a fencing number below one that a target has seen.
+func TestNewHolderKnowsNewerPlan(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	w.ticks(3, a)
+	known := storedPlan(t, a)
+	w.entries, w.revision = map[string]rudderstore.Entry{}, 0
+	w.targets["h3"].HighestFencing = 9
+	b.p.KnownPlan = func(string) (ruddergroup.Plan, bool) { return known, true }
+	w.ticks(1, b)
+	plan := storedPlan(t, b)
+	require.Equal(t, known.Groups, plan.Groups)
+	require.Greater(t, plan.Seq, known.Seq)
+	require.Equal(t, int64(10), plan.Fencing)
+}
+
+// Guards against a planner that holds on to its leases after it stopped.
+func TestRunGivesLeaseBack(t *testing.T) {
+	w := newWorld(2, true)
+	p := w.planner("a").p
+	ctx, cancel := context.WithCancel(context.Background())
+	served, done := make(chan struct{}), make(chan error)
+	p.OnPlan = func(plan ruddergroup.Plan) {
+		if len(plan.Groups) == 1 && plan.Groups[0].State == ruddergroup.StateServing {
+			close(served)
+		}
+	}
+	go func() { done <- p.Run(ctx) }()
+	for waiting := true; waiting; {
+		select {
+		case <-served:
+			waiting = false
+		case <-time.After(5 * time.Millisecond):
+			w.clock.Advance(time.Second)
+		}
+	}
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+	_, _, err := w.get(context.Background(), ruddergroup.LeasePrefix+"d1")
+	require.ErrorIs(t, err, rudderstore.ErrNotFound)
+}
--- a/rudderd/rudderplanner/targets.go
+++ b/rudderd/rudderplanner/targets.go
@@ -122,7 +122,8 @@
 		return answer{}, false
 	}
 	order.NotAfter = now.Add(limit)
-	call, cancel := context.WithTimeout(ctx, limit)
+	// A target that hangs must not delay the next poll.
+	call, cancel := context.WithTimeout(ctx, min(limit, w.p.Times.PollTimeout))
 	defer cancel()
 	a := answer{host: o.Host, address: o.Address, at: now}
 	a.status, a.err = w.p.Control.Send(call, o.Address, order)
@@ -134,7 +135,7 @@
 	if o.Order.Kind != ruddertarget.OrderPreload {
 		return false
 	}
-	key, now := o.Host+"\x00"+o.Order.Role.Model+"@"+o.Order.Role.ModelVersion, w.p.Clock.Now()
+	key, now := fmt.Sprintf("%s\x00%d\x00", o.Host, o.Order.Fencing)+o.Order.Role.Model+"@"+o.Order.Role.ModelVersion, w.p.Clock.Now()
 	if last, ok := w.preloads[key]; ok && now.Sub(last) < w.p.Times.PreloadRepeat {
 		return true
 	}
--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -45,9 +45,10 @@
 
 // tick does what is due in one poll interval.
 func (w *worker) tick(ctx context.Context) {
+	answers := true
 	if w.lease != nil {
 		call, cancel := w.storeContext(ctx)
-		w.renew(call)
+		answers = w.renew(call)
 		cancel()
 	}
 	if w.lease == nil {
@@ -57,6 +58,9 @@
 		return
 	}
 	w.poll(ctx)
+	if !answers {
+		return
+	}
 	if err := w.plan(ctx); err != nil {
 		w.p.Logger.Warn().Err(err).Str("domain", w.domain).Msg("no plan in this interval")
 		if errors.Is(err, errReplaced) && w.lease != nil {
