Parse, validate, merge and compare configuration documents

A faulty document was only noticed where it took effect. Validate tells all faults at once with path, rule and severity; CheckAgainstHosts warns of selectors that the given hosts cannot meet; Parse is strict and refuses a second YAML document, which the library would drop; Merge applies a partial document by name; Diff gives typed changes with a text.

ErrParse, ErrCorrupt and ErrUnavailable are wrapped rather than marked, because the standard library's errors.Is does not see marks.

--- a/rudderd/rudderclaim/collector.go
+++ b/rudderd/rudderclaim/collector.go
@@ -43,13 +43,13 @@
 	select {
 	case c.added <- s:
 	case <-ctx.Done():
-		return Decision{}, errors.Mark(ctx.Err(), ErrUnavailable)
+		return Decision{}, errors.Wrapf(ErrUnavailable, "%v", ctx.Err())
 	}
 	select {
 	case d := <-decided:
 		return c.withAnswer(ctx, s.request, d), nil
 	case <-ctx.Done():
-		return Decision{}, errors.Mark(ctx.Err(), ErrUnavailable)
+		return Decision{}, errors.Wrapf(ErrUnavailable, "%v", ctx.Err())
 	}
 }
 
--- a/rudderd/rudderclaim/encoding.go
+++ b/rudderd/rudderclaim/encoding.go
@@ -51,7 +51,7 @@
 func DecodeHead(value []byte) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(value, &h); err != nil {
-		return Head{}, errors.Mark(errors.Wrap(err, "decode claims head"), ErrCorrupt)
+		return Head{}, errors.Wrapf(ErrCorrupt, "decode head: %v", err)
 	}
 	if h.Seq < 0 {
 		return Head{}, errors.Wrapf(ErrCorrupt, "head sequence %d", h.Seq)
@@ -73,7 +73,7 @@
 func DecodeSegment(value []byte) (Segment, error) {
 	var s Segment
 	if err := json.Unmarshal(value, &s); err != nil {
-		return Segment{}, errors.Mark(errors.Wrap(err, "decode claims segment"), ErrCorrupt)
+		return Segment{}, errors.Wrapf(ErrCorrupt, "decode segment: %v", err)
 	}
 	if len(s.Digests)%(shortDigestChars/2) != 0 {
 		return Segment{}, errors.Wrapf(ErrCorrupt, "%d bytes of digests", len(s.Digests))
--- /dev/null
+++ b/shared/rudderconfig/merge.go
@@ -0,0 +1,47 @@
+package rudderconfig
+
+import "slices"
+
+// Identities of items within their section.
+func hostIdentity(h HostSettings) string   { return h.Name }
+func modelIdentity(m Model) string         { return m.Name + "@" + m.Version }
+func selectorIdentity(s Selector) string   { return s.Name }
+func serviceIdentity(s Service) string     { return s.Name }
+func workspaceIdentity(w Workspace) string { return w.Name }
+func operatorIdentity(o Operator) string   { return o.Name }
+func objectiveIdentity(o Objective) string {
+	if o.Workspace == "" {
+		return o.Firm
+	}
+	return o.Firm + "/" + o.Workspace
+}
+
+// Merge returns the base with the items of a partial document: items with the same name are replaced
+// as a whole, others are added, nothing is removed. Version and authorship stay those of the base.
+func Merge(base, partial Document) Document {
+	merged := base
+	merged.Hosts = mergeItems(base.Hosts, partial.Hosts, hostIdentity)
+	merged.Models = mergeItems(base.Models, partial.Models, modelIdentity)
+	merged.Selectors = mergeItems(base.Selectors, partial.Selectors, selectorIdentity)
+	merged.Services = mergeItems(base.Services, partial.Services, serviceIdentity)
+	merged.Workspaces = mergeItems(base.Workspaces, partial.Workspaces, workspaceIdentity)
+	merged.Operators = mergeItems(base.Operators, partial.Operators, operatorIdentity)
+	merged.Objectives = mergeItems(base.Objectives, partial.Objectives, objectiveIdentity)
+	if partial.Summary != "" {
+		merged.Summary = partial.Summary
+	}
+	return merged
+}
+
+func mergeItems[T any](base, partial []T, identity func(T) string) []T {
+	merged := slices.Clone(base)
+	for _, p := range partial {
+		i := slices.IndexFunc(merged, func(b T) bool { return identity(b) == identity(p) })
+		if i < 0 {
+			merged = append(merged, p)
+			continue
+		}
+		merged[i] = p
+	}
+	return merged
+}
--- /dev/null
+++ b/shared/rudderconfig/validate.go
@@ -0,0 +1,214 @@
+package rudderconfig
+
+import (
+	"encoding/hex"
+	"fmt"
+	"path"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid reports a document with faults that are errors.
+var ErrInvalid = errors.New("configuration: invalid document")
+
+// Severity says whether a fault keeps a document from being accepted.
+type Severity string
+
+// Severities.
+const (
+	SeverityError   Severity = "error"
+	SeverityWarning Severity = "warning"
+)
+
+// Rule names what a fault offends against.
+type Rule string
+
+// Rules.
+const (
+	RuleName             Rule = "name"
+	RuleDuplicate        Rule = "duplicate"
+	RuleUnknownReference Rule = "unknown_reference"
+	RuleOtherFirm        Rule = "other_firm"
+	RuleRange            Rule = "range"
+	RuleValue            Rule = "value"
+	RuleHash             Rule = "hash"
+	RulePattern          Rule = "pattern"
+	RuleWindow           Rule = "window"
+	RuleNeverMatches     Rule = "never_matches"
+	RuleOverlap          Rule = "overlap"
+	RuleAmbiguous        Rule = "ambiguous"
+	RuleNoEffect         Rule = "no_effect"
+	RuleNotEnoughHosts   Rule = "not_enough_hosts"
+)
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	Path     string   `json:"path"` // for example selectors[2].group_size
+	Rule     Rule     `json:"rule"`
+	Severity Severity `json:"severity"`
+	Message  string   `json:"message"`
+}
+
+// String is the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s: %s (%s)", f.Severity, f.Path, f.Message, f.Rule)
+}
+
+// Faults lists everything that is wrong with a document.
+type Faults []Fault
+
+// Errors returns the faults that keep the document from being accepted.
+func (f Faults) Errors() Faults { return f.of(SeverityError) }
+
+// Warnings returns the faults that are only told.
+func (f Faults) Warnings() Faults { return f.of(SeverityWarning) }
+
+func (f Faults) of(s Severity) Faults {
+	var kept Faults
+	for _, fault := range f {
+		if fault.Severity == s {
+			kept = append(kept, fault)
+		}
+	}
+	return kept
+}
+
+// Err returns ErrInvalid with all errors in its text, or nil when there are none.
+func (f Faults) Err() error {
+	faults := f.Errors()
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fault.String()
+	}
+	return errors.Wrap(ErrInvalid, strings.Join(lines, "; "))
+}
+
+// Validate returns all faults of a document at once, in document order.
+func Validate(d Document) Faults {
+	v := validation{document: &d, firms: d.Firms()}
+	v.hosts()
+	v.models()
+	v.selectors()
+	v.services()
+	v.workspaces()
+	v.operators()
+	v.objectives()
+	return v.faults
+}
+
+// validation collects the faults of one document.
+type validation struct {
+	document *Document
+	firms    map[string]bool
+	faults   Faults
+}
+
+func (v *validation) fail(rule Rule, path, format string, args ...any) {
+	v.faults = append(v.faults, Fault{Path: path, Rule: rule, Severity: SeverityError, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validation) warn(rule Rule, path, format string, args ...any) {
+	v.faults = append(v.faults, Fault{Path: path, Rule: rule, Severity: SeverityWarning, Message: fmt.Sprintf(format, args...)})
+}
+
+// names checks that names are usable in paths and used once.
+func (v *validation) names(section string, count int, identity, name func(i int) string) {
+	first := map[string]int{}
+	for i := range count {
+		at := fmt.Sprintf("%s[%d].name", section, i)
+		if n := name(i); !usableName(n) {
+			v.fail(RuleName, at, "name %q is empty or has a space, slash or control character", n)
+		}
+		id := identity(i)
+		if j, ok := first[id]; ok {
+			v.fail(RuleDuplicate, at, "%q is already used by %s[%d]", id, section, j)
+			continue
+		}
+		first[id] = i
+	}
+}
+
+func usableName(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool {
+		return r == '/' || unicode.IsSpace(r) || unicode.IsControl(r)
+	})
+}
+
+func (v *validation) hosts() {
+	items := v.document.Hosts
+	v.names("hosts", len(items), func(i int) string { return items[i].Name }, func(i int) string { return items[i].Name })
+	builtIn := []string{LabelFabricDomain, LabelDataCentre, LabelRegion, LabelKind, LabelName}
+	for i, h := range items {
+		for _, label := range builtIn {
+			if _, ok := h.Labels[label]; ok {
+				v.warn(RuleNoEffect, fmt.Sprintf("hosts[%d].labels.%s", i, label), "the label is set by the platform")
+			}
+		}
+	}
+}
+
+func (v *validation) models() {
+	items := v.document.Models
+	v.names("models", len(items), func(i int) string { return modelIdentity(items[i]) }, func(i int) string { return items[i].Name })
+	for i, m := range items {
+		at := fmt.Sprintf("models[%d]", i)
+		if m.WeightBytes < 0 {
+			v.fail(RuleRange, at+".weight_bytes", "%d is negative", m.WeightBytes)
+		}
+		if m.SlotsPerGroup < 1 {
+			v.fail(RuleRange, at+".slots_per_group", "%d is below 1", m.SlotsPerGroup)
+		}
+	}
+}
+
+func (v *validation) services() {
+	items := v.document.Services
+	v.names("services", len(items), func(i int) string { return items[i].Name }, func(i int) string { return items[i].Name })
+	for i, s := range items {
+		at := fmt.Sprintf("services[%d]", i)
+		v.firmName(at+".firm", s.Firm)
+		if s.MaxConcurrent < 0 {
+			v.fail(RuleRange, at+".max_concurrent", "%d is negative", s.MaxConcurrent)
+		}
+		for j, rule := range s.Idempotent {
+			in := fmt.Sprintf("%s.idempotent[%d]", at, j)
+			if rule.Method == "" || rule.Method != strings.ToUpper(rule.Method) {
+				v.fail(RuleValue, in+".method", "%q is not a method in capitals", rule.Method)
+			}
+			if _, err := path.Match(rule.Path, "/"); err != nil || rule.Path == "" {
+				v.fail(RulePattern, in+".path", "%q is not a path pattern", rule.Path)
+			}
+		}
+	}
+}
+
+// firmName checks the firm of an item that makes its firm known.
+func (v *validation) firmName(at, firm string) {
+	if firm == "" {
+		v.fail(RuleName, at, "the firm is empty")
+	}
+}
+
+// knownFirm checks a reference to a firm.
+func (v *validation) knownFirm(at, firm string) {
+	if !v.firms[firm] {
+		v.fail(RuleUnknownReference, at, "firm %q has no workspace and no service", firm)
+	}
+}
+
+func (v *validation) hash(at, hash string, seen map[string]string) {
+	if raw, err := hex.DecodeString(hash); err != nil || len(raw) != 32 || hash != strings.ToLower(hash) {
+		v.fail(RuleHash, at, "not a SHA-256 hash in lower-case hex")
+		return
+	}
+	if first, ok := seen[hash]; ok {
+		v.fail(RuleDuplicate, at, "the hash is already used at %s", first)
+		return
+	}
+	seen[hash] = at
+}
