--- a/rudderctl/rudderctlapp/output.go
+++ b/rudderctl/rudderctlapp/output.go
@@ -77,7 +77,11 @@
 		case rudderadmin.StatePending:
 			parts = append(parts, fmt.Sprintf("version %d is written and pending at: %s", result.Version, strings.Join(result.Missing, ", ")))
 		default:
-			parts = append(parts, fmt.Sprintf("version %d is in force everywhere after %d ms (slowest: %s)", result.Version, result.InForceMS, result.Slowest))
+			text := fmt.Sprintf("version %d is in force everywhere after %d ms", result.Version, result.InForceMS)
+			if result.Slowest != "" {
+				text += ", slowest " + result.Slowest
+			}
+			parts = append(parts, text)
 		}
 		return parts
 	})
--- a/rudderd/rudderapp/admin.go
+++ b/rudderd/rudderapp/admin.go
@@ -23,7 +23,7 @@
 	api := &rudderadminhttp.API{
 		Clock: a.Clock, Logger: a.Logger,
 		Current: a.keeper.Current, Change: a.keeper.Change, Await: a.keeper.Await, Check: a.checkDocument,
-		Parse: rudderconfig.Parse, Merge: rudderconfig.Merge, Diff: diffLines,
+		Parse: parseDocument, Merge: mergeDocuments, Diff: diffLines,
 		History: a.configHistory, Version: a.configVersion,
 		Status: a.statusReport, Hosts: a.hostReports, Groups: a.groupReports, Explain: a.explainSelector, WhyNot: a.whyNot,
 		BootstrapTokenHash: a.Settings.BootstrapTokenHash,
--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -44,11 +44,8 @@
 // workspace returns the configuration of a workspace, or the zero value.
 func (a *App) workspace(name string) rudderconfig.Workspace {
 	if document := a.keeper.Current(); document != nil {
-		for _, w := range document.Workspaces {
-			if w.Name == name {
-				return w
-			}
-		}
+		workspace, _ := document.Workspace(name)
+		return workspace
 	}
 	return rudderconfig.Workspace{}
 }
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -153,3 +153,13 @@
 
 // stopPoll is the time between two looks at the requests in flight while stopping.
 const stopPoll = 50 * time.Millisecond
+
+// ServingVersion is the configuration version that this entry host serves under; ok is false while it
+// holds no permit.
+func (a *App) ServingVersion() (version int64, ok bool) {
+	document, err := a.keeper.Serving(a.Clock.Now())
+	if err != nil {
+		return 0, false
+	}
+	return document.Version, true
+}
--- a/rudderd/rudderapp/members.go
+++ b/rudderd/rudderapp/members.go
@@ -37,6 +37,7 @@
 		OnEvents:      a.takeEvents,
 		OnRelist:      a.relistPlans,
 		OnError:       a.warn("configuration"),
+		Validate:      validateDocument,
 	}
 	a.keeper.Connect()
 }
--- a/rudderd/rudderapp/reports.go
+++ b/rudderd/rudderapp/reports.go
@@ -7,6 +7,7 @@
 	"comfreyrudder.example/rudderd/rudderfleet"
 	"comfreyrudder.example/rudderd/rudderplan"
 	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderhost"
 )
 
@@ -118,21 +119,11 @@
 	report := rudderadmin.Host{
 		Name: h.Name, Address: h.Address, Kind: string(h.Kind), Region: h.Region, DataCentre: h.DataCentre,
 		FabricDomain: h.FabricDomain, Accelerators: h.Accelerators, State: string(h.State), Group: group,
-		Labels: make(map[string]string),
-	}
-	for key, value := range h.Labels {
-		report.Labels[key] = value
+		Labels: h.Labels,
 	}
 	if document := a.keeper.Current(); document != nil {
-		for _, settings := range document.Hosts {
-			if settings.Name != h.Name {
-				continue
-			}
-			report.Drain = settings.Drain
-			for key, value := range settings.Labels {
-				report.Labels[key] = value
-			}
-		}
+		settings := document.SettingsOf(h.Name)
+		report.Drain, report.Labels = settings.Drain, rudderconfig.HostLabels(h, settings)
 	}
 	return report
 }
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -33,14 +33,10 @@
 	if document == nil {
 		return false
 	}
-	for _, s := range document.Services {
-		if s.Name != service {
-			continue
-		}
-		for _, rule := range s.Idempotent {
-			if matched, err := path.Match(rule.Path, callPath); rule.Method == method && err == nil && matched {
-				return true
-			}
+	declared, _ := document.Service(service)
+	for _, rule := range declared.Idempotent {
+		if matched, err := path.Match(rule.Path, callPath); rule.Method == method && err == nil && matched {
+			return true
 		}
 	}
 	return false
--- a/rudderd/rudderhttp/service.go
+++ b/rudderd/rudderhttp/service.go
@@ -7,7 +7,6 @@
 	"github.com/labstack/echo/v4"
 
 	"comfreyrudder.example/rudderd/rudderstream"
-	"comfreyrudder.example/shared/rudderconfig"
 )
 
 // HeaderReplayed marks an answer that was stored by an earlier send of the same idempotency key.
@@ -16,7 +15,7 @@
 // service serves /v1/services/{service}/….
 func (a *API) service(c echo.Context) error {
 	workspace := workspaceOf(c)
-	declared, found := findService(a.Config(), c.Param("service"))
+	declared, found := a.Config().Service(c.Param("service"))
 	if !found {
 		return refuse(http.StatusNotFound, "service_not_found", "no service "+quote(c.Param("service")), "check the name with the operators")
 	}
@@ -56,12 +55,3 @@
 	_, err := c.Response().Write(answer.Body)
 	return err
 }
-
-func findService(document *rudderconfig.Document, name string) (rudderconfig.Service, bool) {
-	for _, declared := range document.Services {
-		if declared.Name == name {
-			return declared, true
-		}
-	}
-	return rudderconfig.Service{}, false
-}
