Let watches of a silent key-value service sleep

A watch whose time had passed looked every millisecond for as long as the service was silent. It now waits until the fault ends or its caller leaves.

--- a/rudderstand/rudderkv/store.go
+++ b/rudderstand/rudderkv/store.go
@@ -197,6 +197,9 @@
 	}
 }
 
+// silentWait is how long a watch of a silent service sleeps; a change of the faults wakes it earlier.
+const silentWait = time.Hour
+
 // poll looks once for events. Without any it returns how long to wait at most, until the deadline or
 // the next lease ends, and the channel that a change closes.
 func (s *Server) poll(client string, request rudderstore.WatchRequest, deadline time.Time) (
@@ -215,7 +218,7 @@
 		wait = next.Sub(now)
 	}
 	if s.faults.silent {
-		return result, max(wait, time.Millisecond), s.change, nil
+		return result, silentWait, s.change, nil
 	}
 	result.Events, err = s.eventsAfter(request.Prefixes, request.After)
 	return result, wait, s.change, err
