Keep groups when the planner is cut off, its configuration lags or its holder dies

A planner that reaches no target of its domain took all members for dead and broke up the groups; it now leaves the plan alone and gives the lease to the next candidate. A holder with an older configuration than the plan's does not plan. Candidates poll when the holder's confirmations grow old, because the lease of a dead holder outlasts them. Orders follow only if the stored plan is the one that the step computed, not merely one of the same sequence.

--- a/rudderd/rudderfleet/fleet_test.go
+++ b/rudderd/rudderfleet/fleet_test.go
@@ -103,3 +103,14 @@
 	f.SampleDowntime(now.Add(5*time.Second), map[string]int{"a": 1})
 	require.Equal(t, map[string]time.Duration{"a": 5 * time.Second}, f.Downtime())
 }
+
+// Guards against a silent domain that keeps its share, and against an entry host that has just started
+// and takes every other domain for dark.
+func TestSilentHosts(t *testing.T) {
+	f := fixture()
+	require.Empty(t, f.Silent(now, time.Minute))
+	require.Len(t, f.Silent(now.Add(2*time.Minute), time.Minute), 3)
+	require.Empty(t, (&Fleet{}).Silent(now, time.Minute))
+	require.Equal(t, 2*time.Second, f.OldestReport(now.Add(2*time.Second), "d1"))
+	require.Equal(t, map[string]int{"a": 1, "ledger": 1}, f.ServingCounts(now))
+}
--- a/rudderd/rudderfleet/report.go
+++ b/rudderd/rudderfleet/report.go
@@ -90,6 +90,56 @@
 	return out
 }
 
+// ServingCounts returns the number of groups by selector that take new work.
+func (f *Fleet) ServingCounts(now time.Time) map[string]int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.servingCounts(now)
+}
+
+func (f *Fleet) servingCounts(now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, g := range f.groups(now) {
+		if g.Why == "" {
+			out[g.Selector]++
+		}
+	}
+	return out
+}
+
+// Silent returns the hosts whose last report is older than after. A host that never reported is not
+// among them: an entry host that has just started knows nothing about other domains.
+func (f *Fleet) Silent(now time.Time, after time.Duration) map[string]bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := map[string]bool{}
+	for h, c := range f.confirmations {
+		if now.Sub(c.At) > after {
+			out[h] = true
+		}
+	}
+	return out
+}
+
+// OldestReport returns the largest age of the reports of the members of a domain's serving groups.
+// Members that never reported are left out.
+func (f *Fleet) OldestReport(now time.Time, domain string) time.Duration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var oldest time.Duration
+	for _, g := range f.plans[domain].Groups {
+		if g.State != ruddergroup.StateServing {
+			continue
+		}
+		for _, m := range g.Members {
+			if c, ok := f.confirmations[m.Host]; ok {
+				oldest = max(oldest, now.Sub(c.At))
+			}
+		}
+	}
+	return oldest
+}
+
 // accounting sums group downtime.
 type accounting struct {
 	last    time.Time
@@ -111,12 +161,7 @@
 			a.sum[s] += passed * time.Duration(n)
 		}
 	}
-	serving := map[string]int{}
-	for _, g := range f.groups(now) {
-		if g.Why == "" {
-			serving[g.Selector]++
-		}
-	}
+	serving := f.servingCounts(now)
 	a.last, a.missing = now, map[string]int{}
 	for s, n := range wanted {
 		a.missing[s] = max(0, n-serving[s])
--- a/rudderd/rudderplan/step.go
+++ b/rudderd/rudderplan/step.go
@@ -106,11 +106,15 @@
 	seq       int64
 	changed   bool
 	slow      map[string]bool // hosts that did not load in time
+	// dark means that no host answers. Either the domain is down, and then there is no spare, or the
+	// planner is cut off, and then the groups may still serve: members are not replaced.
+	dark bool
 }
 
 // Step computes the next plan of a domain and the orders that lead to it.
 func Step(in Input) Result {
 	st := &stepper{in: in, hosts: newCatalogue(in.Config, in.Hosts), seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now), slow: map[string]bool{}}
+	st.dark = Dark(in.Hosts, in.Observed, in.Timing)
 	for _, g := range in.Plan.Groups {
 		if g, keep := st.keep(cloneGroup(g)); keep {
 			st.groups = append(st.groups, g)
@@ -130,6 +134,11 @@
 	return Result{Plan: next, Changed: st.changed, Orders: ordersFor(in, st.hosts, next), Reasons: st.reasons}
 }
 
+// Dark reports whether every host counts as dead.
+func Dark(hosts []rudderhost.Host, observed map[string]Observation, t Timing) bool {
+	return len(hosts) > 0 && !slices.ContainsFunc(hosts, func(h rudderhost.Host) bool { return !observed[h.Name].Dead(t) })
+}
+
 func cloneGroup(g ruddergroup.Group) ruddergroup.Group {
 	g.Members = slices.Clone(g.Members)
 	g.Adapters = slices.Clone(g.Adapters)
@@ -185,7 +194,7 @@
 func (st *stepper) broken(g ruddergroup.Group) (Reason, bool) {
 	for rank, m := range g.Members {
 		o := st.in.Observed[m.Host]
-		if o.Dead(st.in.Timing) {
+		if o.Dead(st.in.Timing) && !st.dark {
 			return Reason{Code: CodeMemberDead, Host: m.Host, Text: fmt.Sprintf("member missed %d polls", o.Missed)}, true
 		}
 		if !o.fresh(st.in.Timing) {
--- a/rudderd/rudderplanner/fake_test.go
+++ b/rudderd/rudderplanner/fake_test.go
@@ -34,6 +34,7 @@
 	hosts    []rudderhost.Host
 	targets  map[string]*ruddertarget.Status // by address
 	checks   bool
+	cutOff   string // this planner reaches no target
 	onSend   func(ruddertarget.Order)
 	sent     []ruddertarget.Order
 	config   *rudderconfig.Document
@@ -183,7 +184,13 @@
 
 // planner returns a planner of rank 0 and its worker for the domain.
 func (w *world) planner(name string) *worker {
-	p := &Planner{Store: w.store(), Control: &ruddertarget.Control{Status: w.status, Send: w.send},
+	status := func(ctx context.Context, address string) (ruddertarget.Status, error) {
+		if w.cutOff == name {
+			return ruddertarget.Status{}, ruddertarget.ErrUnreachable
+		}
+		return w.status(ctx, address)
+	}
+	p := &Planner{Store: w.store(), Control: &ruddertarget.Control{Status: status, Send: w.send},
 		Hosts:  func(context.Context) ([]rudderhost.Host, error) { return slices.Clone(w.hosts), nil },
 		Config: func() *rudderconfig.Document { return w.config }, Clock: w.clock, Name: name,
 		Candidate: func(string) int { return 0 }, OnStatus: func(string, string, string, ruddertarget.Status, time.Duration) {},
--- a/rudderd/rudderplanner/planner.go
+++ b/rudderd/rudderplanner/planner.go
@@ -71,6 +71,9 @@
 	Down func() map[string]bool
 	// InFlight returns the requests by group known to shard owners (optional).
 	InFlight func(domain string) map[string]int
+	// Stale reports whether a domain's confirmations are about to expire (optional). Candidates then poll
+	// beside the holder.
+	Stale func(domain string) bool
 	// Serving returns the groups by selector that take new work in the whole fleet (optional). With it, a
 	// group that moves to another domain keeps serving until its successor does.
 	Serving func() map[string]int
--- a/rudderd/rudderplanner/planner_test.go
+++ b/rudderd/rudderplanner/planner_test.go
@@ -210,6 +210,47 @@
 	require.Equal(t, int64(10), plan.Fencing)
 }
 
+// Guards against a planner that breaks up all groups of a domain because it is itself cut off from them.
+func TestPlannerCutOffFromTargets(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	w.ticks(3, a, b)
+	before := storedPlan(t, a)
+	w.cutOff = "a"
+	w.ticks(6, a, b)
+	require.Nil(t, a.lease)
+	require.NotNil(t, b.lease)
+	require.Equal(t, before.Groups, storedPlan(t, a).Groups)
+}
+
+// Guards against groups that leave service because their planner died and its lease has not ended yet.
+func TestCandidatePollsForDeadHolder(t *testing.T) {
+	w := newWorld(2, true)
+	a, b := w.planner("a"), w.planner("b")
+	w.ticks(3, a)
+	polled := 0
+	b.p.OnStatus = func(string, string, string, ruddertarget.Status, time.Duration) { polled++ }
+	b.p.Stale = func(string) bool { return true }
+	w.ticks(2, b)
+	require.Nil(t, b.lease)
+	require.Equal(t, 4, polled)
+}
+
+// Guards against a new holder that undoes a configuration change that it has not heard of.
+func TestOlderConfigurationDoesNotPlan(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	old := w.config
+	b.p.Config = func() *rudderconfig.Document { return old }
+	w.configure(rudderconfig.Selector{Name: "new", Firm: "umuvumu", Model: "m", GroupSize: 4})
+	w.ticks(3, a)
+	w.end(a.lease.id)
+	w.ticks(3, b)
+	require.NotNil(t, b.lease)
+	require.Equal(t, "new", storedPlan(t, b).Groups[0].Selector)
+	require.Len(t, storedPlan(t, b).Groups, 1)
+}
+
 // Guards against a planner that holds on to its leases after it stopped.
 func TestRunGivesLeaseBack(t *testing.T) {
 	w := newWorld(2, true)
--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -30,6 +30,9 @@
 	// wasHolder keeps the last holder polling while the platform cannot name another one.
 	wasHolder bool
 
+	// standAsideUntil keeps a holder that could reach no target from taking the lease again at once.
+	standAsideUntil time.Time
+
 	known    ruddergroup.Plan
 	revision int64
 	pending  *ruddergroup.Plan
@@ -86,7 +89,7 @@
 		if w.freeSince.IsZero() {
 			w.freeSince = now
 		}
-		if rank >= 0 && now.Sub(w.freeSince) >= time.Duration(rank)*w.p.Times.CandidateDelay {
+		if rank >= 0 && !now.Before(w.standAsideUntil) && now.Sub(w.freeSince) >= time.Duration(rank)*w.p.Times.CandidateDelay {
 			w.takeOver(ctx)
 		} else if w.wasHolder {
 			w.poll(ctx)
@@ -101,6 +104,9 @@
 		if json.Unmarshal(entry.Value, &v) == nil && v.Holder != w.p.Name {
 			w.wasHolder = false
 		}
+		if rank >= 0 && w.p.Stale != nil && w.p.Stale(w.domain) {
+			w.poll(ctx) // the holder may have died; its lease has not ended yet
+		}
 	}
 }
 
@@ -166,7 +172,14 @@
 	if err := w.agree(call); err != nil {
 		return err
 	}
+	if config.Version < w.known.ConfigVersion {
+		return errors.Newf("configuration %d is older than the plan's %d", config.Version, w.known.ConfigVersion)
+	}
 	in := w.input(config)
+	if rudderplan.Dark(in.Hosts, in.Observed, in.Timing) {
+		w.standAside()
+		return nil
+	}
 	result := rudderplan.Step(in)
 	if result.Changed {
 		if w.lease.expired(w.p.Clock.Now()) {
@@ -179,7 +192,7 @@
 			w.p.Logger.Info().Str("domain", w.domain).Int64("seq", result.Plan.Seq).Str("code", string(r.Code)).
 				Str("group", r.Group).Str("host", r.Host).Msg(r.Text)
 		}
-		if w.known.Seq != result.Plan.Seq {
+		if !same(w.known, result.Plan) {
 			return nil // another plan is in force now; its orders follow in the next tick
 		}
 	}
@@ -187,6 +200,18 @@
 	return nil
 }
 
+// standAside gives the lease to another candidate, because this entry host may be the one that is cut
+// off from the domain.
+func (w *worker) standAside() {
+	w.p.Logger.Warn().Str("domain", w.domain).Msg("no target answers; the lease is given back")
+	w.resign()
+	w.wasHolder = false
+	w.standAsideUntil = w.p.Clock.Now().Add(standAsideLeases * w.p.Times.LeaseTTL)
+}
+
+// standAsideLeases is how many lease times the next candidate gets before the former holder tries again.
+const standAsideLeases = 3
+
 // agree makes sure that the stored plan is the known one and carries this holder's fencing number.
 func (w *worker) agree(ctx context.Context) error {
 	if w.pending != nil {
