Test payments end to end with entry hosts, collectors and a faulty platform

Claims and the dispatcher were only tested apart. The scenarios send one payment to several entry hosts at once with one collector and with a collector on every host, lose answers of writes, kill the entry host and collector in mid-call, and take the platform down or back to older state.

--- /dev/null
+++ b/rudderd/rudderclaim/scenario_test.go
@@ -0,0 +1,191 @@
+package rudderclaim_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderservice"
+)
+
+// payments is a service that counts its runs by key. A call with the header Hold waits for release.
+type payments struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	started chan string
+	release chan struct{}
+	server  *httptest.Server
+}
+
+func newPayments(t *testing.T) *payments {
+	p := &payments{runs: map[string]int{}, started: make(chan string, 64), release: make(chan struct{})}
+	p.server = httptest.NewServer(p)
+	t.Cleanup(p.server.Close)
+	return p
+}
+
+// ServeHTTP counts a run.
+func (p *payments) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(rudderservice.HeaderKey)
+	p.mu.Lock()
+	p.runs[key]++
+	p.mu.Unlock()
+	p.started <- key
+	if r.Header.Get("Hold") != "" {
+		<-p.release
+	}
+	_, _ = fmt.Fprint(w, "paid ", key)
+}
+
+func (p *payments) runsOf(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[key]
+}
+
+// entry is one entry host: its claims and its dispatcher.
+type entry struct {
+	rudderservice.Dispatcher
+	claims *rudderclaim.Claims
+	peers  *httptest.Server
+	stop   context.CancelFunc
+}
+
+// world runs entry hosts in front of the payments service. view may give each host its own member list.
+func world(t *testing.T, store rudderclaim.FakeStore, p *payments, count int, view func(self int, all []ruddermember.Member) []ruddermember.Member) []*entry {
+	var members []ruddermember.Member
+	entries := make([]*entry, count)
+	for i := range entries {
+		ctx, stop := context.WithCancel(context.Background())
+		e := &entry{stop: stop, claims: &rudderclaim.Claims{
+			Store: store.Port(), Self: fmt.Sprint("entry", i), HTTPClient: &http.Client{}, Clock: clockwork.NewRealClock(),
+			Members: func() []ruddermember.Member { return view(i, members) },
+		}}
+		e.peers = httptest.NewServer(e.claims.Handler())
+		members = append(members, ruddermember.Member{Name: e.claims.Self, PeerAddress: strings.TrimPrefix(e.peers.URL, "http://")})
+		e.Acquire = func(context.Context, *rudderservice.Call, []string) (string, func(), error) {
+			return strings.TrimPrefix(p.server.URL, "http://"), func() {}, nil
+		}
+		e.Idempotent = func(string, string, string) bool { return false }
+		e.Claim, e.Settle, e.Release = e.claims.Claim, e.claims.Settle, e.claims.Release
+		e.Clock = clockwork.NewRealClock()
+		entries[i] = e
+		t.Cleanup(e.peers.Close)
+		t.Cleanup(stop)
+		go func() { _ = e.claims.Run(ctx) }()
+	}
+	return entries
+}
+
+func all(_ int, members []ruddermember.Member) []ruddermember.Member { return members }
+
+// pay sends a payment through an entry host.
+func (e *entry) pay(key, body string, header ...string) rudderservice.Result {
+	call := rudderservice.Call{Workspace: "clerks", Service: "ledger", Method: http.MethodPost, Path: "/pay", Body: []byte(body), Header: http.Header{}}
+	call.Header.Set(rudderservice.HeaderKey, key)
+	for _, h := range header {
+		call.Header.Set(h, "1")
+	}
+	return e.Do(context.Background(), call)
+}
+
+// payEverywhere sends one payment through all entry hosts at the same moment.
+func payEverywhere(entries []*entry, key string) map[rudderservice.Outcome]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	outcomes := map[rudderservice.Outcome]int{}
+	for _, e := range entries {
+		wg.Go(func() {
+			r := e.pay(key, "100")
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[r.Outcome]++
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
+
+// Guards against a payment that runs twice when it is sent to several entry hosts at once, with one
+// collector for each shard, with a collector on every host, and while answers of writes are lost.
+func TestOnePaymentAtSeveralEntryHosts(t *testing.T) {
+	cases := []struct {
+		name string
+		view func(int, []ruddermember.Member) []ruddermember.Member
+		lose int
+	}{
+		{name: "one collector", view: all},
+		{name: "every host collects", view: func(i int, m []ruddermember.Member) []ruddermember.Member { return m[i : i+1] }},
+		{name: "answers of writes are lost", view: all, lose: 1},
+		{name: "both", view: func(i int, m []ruddermember.Member) []ruddermember.Member { return m[i : i+1] }, lose: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store, p := rudderclaim.NewFakeStore(), newPayments(t)
+			entries := world(t, store, p, 3, c.view)
+			for i := range 12 {
+				key := fmt.Sprint("payment", i)
+				store.LoseAnswers(c.lose)
+				outcomes := payEverywhere(entries, key)
+				require.Equal(t, 1, p.runsOf(key), "%v", outcomes)
+				require.Zero(t, outcomes[rudderservice.OutcomeNotRun])
+				require.Equal(t, rudderservice.CodeKeyConflict, entries[0].pay(key, "200").Code)
+				require.Equal(t, 1, p.runsOf(key))
+			}
+		})
+	}
+}
+
+// Guards against a second run after the entry host, which is also the collector, died in mid-call, and
+// against an answer that another entry host does not know.
+func TestPaymentAfterItsEntryHostDied(t *testing.T) {
+	store, p := rudderclaim.NewFakeStore(), newPayments(t)
+	entries := world(t, store, p, 3, all)
+	go entries[0].pay("held", "100", "Hold")
+	require.Equal(t, "held", <-p.started)
+	entries[0].stop()
+	entries[0].peers.Close()
+	again := entries[1].pay("held", "100")
+	require.Equal(t, rudderservice.OutcomeMayHaveRun, again.Outcome)
+	close(p.release)
+	require.Equal(t, 1, p.runsOf("held"))
+
+	first := entries[1].pay("answered", "100")
+	require.Eventually(t, func() bool {
+		r := entries[2].pay("answered", "100")
+		return r.Stored && r.Outcome == rudderservice.OutcomeComplete && string(r.Body) == string(first.Body)
+	}, 5*time.Second, 20*time.Millisecond)
+	require.Equal(t, 1, p.runsOf("answered"))
+}
+
+// Guards against a payment that runs while the platform is down, or again after it was restored.
+func TestPaymentsWhilePlatformIsDownOrRestored(t *testing.T) {
+	store, p := rudderclaim.NewFakeStore(), newPayments(t)
+	entries := world(t, store, p, 2, all)
+	require.Equal(t, rudderservice.OutcomeComplete, entries[0].pay("before", "100").Outcome)
+	rewind := store.Rewind()
+	require.Equal(t, rudderservice.OutcomeComplete, entries[0].pay("lost", "100").Outcome)
+	rewind()
+	require.NotEqual(t, rudderservice.OutcomeNotRun, entries[1].pay("lost", "100").Outcome)
+	require.Equal(t, 1, p.runsOf("lost"))
+
+	store.SetDown(true)
+	r := entries[1].pay("down", "100")
+	require.Equal(t, []any{rudderservice.OutcomeNotRun, rudderservice.CodeClaimUnavailable}, []any{r.Outcome, r.Code})
+	require.Zero(t, p.runsOf("down"))
+	store.SetDown(false)
+	require.Eventually(t, func() bool {
+		return entries[0].pay("down", "100").Outcome == rudderservice.OutcomeComplete
+	}, 5*time.Second, 20*time.Millisecond, "a claim that was refused does not burn the key")
+	require.Equal(t, 1, p.runsOf("down"))
+}
