Count service levels and report their burn

Counts of all entry hosts are merged by twirp; those of a host that cannot be asked come from the key-value service, and the report names what is missing.

--- /dev/null
+++ b/rudderd/rudderapp/burn.go
@@ -0,0 +1,90 @@
+package rudderapp
+
+import (
+	"context"
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderburn"
+	"comfreyrudder.example/rudderd/rudderreport"
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// downtimeInterval between two looks at which groups are missing.
+const downtimeInterval = time.Second
+
+func (a *App) wireReports() {
+	a.book = &rudderburn.Book{}
+	a.collector = &rudderreport.Collector{
+		Self: a.self.Name, Book: a.book, Store: a.store, Members: a.node.Members, HTTPClient: a.peers,
+		Clock: a.Clock, OnError: a.warn("burn report"),
+	}
+}
+
+// recordEnding counts a model request against its firm's objective.
+func (a *App) recordEnding(q rudderstream.Request, timing rudderstream.Timing, result rudderstream.Result) {
+	a.countEnding(rudderburn.Ending{
+		Firm: q.Firm, Workspace: q.Workspace, Class: q.Class, Outcome: string(result.Outcome),
+		Wait: timing.Wait, FirstToken: timing.FirstToken, MeanGap: timing.MeanGap, Tokens: timing.Tokens,
+	})
+}
+
+func (a *App) countEnding(e rudderburn.Ending) {
+	e.At = a.Clock.Now()
+	a.metrics.ended(e)
+	if document := a.keeper.Current(); document != nil {
+		a.book.Record(e, rudderburn.LimitsFor(document, e.Firm, e.Workspace))
+	}
+}
+
+// burnReport makes the report from the counts of all entry hosts.
+func (a *App) burnReport(ctx context.Context) (rudderburn.Report, error) {
+	snapshots, sources := a.collector.Collect(ctx)
+	now := a.Clock.Now()
+	report := rudderburn.Report{
+		MadeUnixMS: now.UnixMilli(), Entries: sources, Objectives: []rudderburn.ObjectiveReport{},
+		GroupDowntimeMS: make(map[string]int64), Stranded: []string{},
+	}
+	if document := a.keeper.Current(); document != nil {
+		report.Objectives = rudderburn.Make(now, rudderburn.Objectives(document), snapshots)
+	}
+	for selector, downtime := range a.fleet.Downtime() {
+		report.GroupDowntimeMS[selector] = downtime.Milliseconds()
+	}
+	hosts, err := a.hosts.Hosts(ctx)
+	if err != nil {
+		return report, err
+	}
+	for _, h := range a.fleet.Stranded(now, hosts) {
+		report.Stranded = append(report.Stranded, h.Name)
+		report.StrandedAccelerators += h.Accelerators
+	}
+	return report, nil
+}
+
+// sampleDowntime measures how long groups that should serve are missing. Only selectors with a wanted
+// number count: the others have no number to miss.
+func (a *App) sampleDowntime(ctx context.Context) error {
+	ticker := a.Clock.NewTicker(downtimeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			if document := a.keeper.Current(); document != nil {
+				a.fleet.SampleDowntime(a.Clock.Now(), wantedNow(document, a.Clock.Now()))
+			}
+		}
+	}
+}
+
+func wantedNow(document *rudderconfig.Document, now time.Time) map[string]int {
+	wanted := make(map[string]int)
+	for _, s := range document.Selectors {
+		if s.WantedGroups > 0 && s.ActiveAt(now) {
+			wanted[s.Name] = s.WantedGroups
+		}
+	}
+	return wanted
+}
--- /dev/null
+++ b/rudderd/rudderburn/burn_test.go
@@ -0,0 +1,106 @@
+package rudderburn
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+var (
+	noon      = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	objective = rudderconfig.Objective{Firm: "umuvumu", Availability: 0.99, FirstTokenMS: 320, TokenGapMS: 63, ShortWaitMS: 100, LatencyShare: 0.95}
+)
+
+func ending(at time.Time, outcome string) Ending {
+	return Ending{At: at, Firm: "umuvumu", Workspace: "kigali", Class: rudderconfig.ClassShort, Outcome: outcome, FirstToken: 200 * time.Millisecond, MeanGap: 20 * time.Millisecond, Tokens: 5}
+}
+
+func levelOf(t *testing.T, r ObjectiveReport, name Level) LevelReport {
+	t.Helper()
+	for _, l := range r.Levels {
+		if l.Level == name {
+			return l
+		}
+	}
+	require.Fail(t, "level missing", name)
+	return LevelReport{}
+}
+
+// Guards against counts that are lost, doubled or put into the wrong window when hosts are merged.
+func TestBurnOverWindowsAndHosts(t *testing.T) {
+	var first, second Book
+	for range 98 {
+		first.Record(ending(noon.Add(-2*time.Hour), outcomeComplete), objective)
+	}
+	first.Record(ending(noon.Add(-time.Minute), outcomeComplete), objective)
+	second.Record(ending(noon.Add(-time.Minute), outcomeNotRun), objective)
+	snapshots := []Snapshot{first.Snapshot("e1", noon), second.Snapshot("e2", noon)}
+	report := Make(noon, []rudderconfig.Objective{objective}, snapshots)[0]
+
+	availability := levelOf(t, report, LevelAvailability)
+	require.Equal(t, []int64{2, 2, 100, 100}, []int64{
+		availability.Windows[0].Total, availability.Windows[1].Total, availability.Windows[2].Total, availability.Windows[3].Total,
+	})
+	require.InDelta(t, 50, availability.Windows[0].Burn, 0.01, "half of the requests failed where 1 in 100 may")
+	require.InDelta(t, 1, availability.Windows[3].Burn, 0.01)
+	require.InDelta(t, 0, availability.BudgetLeft, 0.01)
+	require.Equal(t, int64(1), report.Causes.Refused)
+}
+
+// Guards against requests that are counted as late below the limit, or as cut when nothing arrived.
+func TestJudge(t *testing.T) {
+	cut, lost, slow := ending(noon, "may_have_run"), ending(noon, "may_have_run"), ending(noon, outcomeComplete)
+	lost.Tokens, lost.FirstToken, lost.MeanGap = 0, 0, 0
+	slow.FirstToken, slow.MeanGap, slow.Wait = 321*time.Millisecond, 64*time.Millisecond, 101*time.Millisecond
+	long := slow
+	long.Class = rudderconfig.ClassLong
+	tests := []struct {
+		name   string
+		ending Ending
+		want   Counts
+	}{
+		{"in time", ending(noon, outcomeComplete), Counts{Asked: 1, Complete: 1, FirstToken: 1, TokenGap: 1, ShortWait: 1}},
+		{"late", slow, Counts{Asked: 1, Complete: 1, FirstToken: 1, LateFirstToken: 1, TokenGap: 1, LateTokenGap: 1, ShortWait: 1, LateShortWait: 1}},
+		{"long work waits without limit", long, Counts{Asked: 1, Complete: 1, FirstToken: 1, LateFirstToken: 1, TokenGap: 1, LateTokenGap: 1}},
+		{"cut", cut, Counts{Asked: 1, Cut: 1, FirstToken: 1, TokenGap: 1}},
+		{"lost", lost, Counts{Asked: 1, MayHaveRun: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { require.Equal(t, test.want, judge(test.ending, objective)) })
+	}
+}
+
+// Guards against a restart that loses the day's counts, and against buckets that grow without bound.
+func TestRestoreAndBound(t *testing.T) {
+	var before Book
+	for minute := range 3000 {
+		before.Record(ending(noon.Add(time.Duration(minute-3000)*time.Minute), outcomeComplete), objective)
+	}
+	raw, err := json.Marshal(before.Snapshot("e1", noon))
+	require.NoError(t, err)
+	require.Less(t, len(raw), 64<<10, "a stored snapshot of one workspace")
+	var stored Snapshot
+	require.NoError(t, json.Unmarshal(raw, &stored))
+	var after Book
+	after.Restore(stored)
+	after.Record(ending(noon, outcomeComplete), objective)
+	total := levelOf(t, Make(noon, []rudderconfig.Objective{objective}, []Snapshot{after.Snapshot("e1", noon)})[0], LevelAvailability).Windows[3].Total
+	require.InDelta(t, 24*60, total, 16)
+}
+
+// Guards against a workspace that is judged by its firm's limits although it has its own.
+func TestLimitsFor(t *testing.T) {
+	own := objective
+	own.Workspace, own.FirstTokenMS = "kigali", 500
+	document := &rudderconfig.Document{
+		Objectives: []rudderconfig.Objective{objective, own},
+		Workspaces: []rudderconfig.Workspace{{Name: "kigali", Firm: "umuvumu"}, {Name: "studio", Firm: "other"}},
+	}
+	require.Equal(t, 500, LimitsFor(document, "umuvumu", "kigali").FirstTokenMS)
+	require.Equal(t, 320, LimitsFor(document, "umuvumu", "rubavu").FirstTokenMS)
+	require.Equal(t, "other", Objectives(document)[2].Firm, "a firm without an objective gets the default one")
+}
