Keep the plan of a dark domain as it is

The step function left the members of a dark domain alone but still drained its groups, because the allocation gives such a domain no share.

--- a/rudderd/rudderplan/property_test.go
+++ b/rudderd/rudderplan/property_test.go
@@ -128,6 +128,13 @@
 	for _, s := range d.targets {
 		s.Load.Running = 0
 	}
+	d.repeat(t, d.in.Timing.DeadAfterMisses)
+	if Dark(d.in.Hosts, d.in.Observed, d.in.Timing) {
+		kept := d.in.Plan
+		d.repeat(t, 100)
+		require.Equal(t, kept, d.in.Plan, "a dark domain keeps its plan")
+		clear(d.silent) // a domain at rest is compared with the allocation below
+	}
 	d.repeat(t, 400)
 	require.False(t, d.last.Changed, "the domain does not come to rest: %v", d.last.Reasons)
 	down := map[string]bool{}
--- a/rudderd/rudderplan/step.go
+++ b/rudderd/rudderplan/step.go
@@ -106,15 +106,16 @@
 	seq       int64
 	changed   bool
 	slow      map[string]bool // hosts that did not load in time
-	// dark means that no host answers. Either the domain is down, and then there is no spare, or the
-	// planner is cut off, and then the groups may still serve: members are not replaced.
-	dark bool
 }
 
-// Step computes the next plan of a domain and the orders that lead to it.
+// Step computes the next plan of a domain and the orders that lead to it. A dark domain keeps its plan:
+// either it is down, and then there is no spare, or the planner is cut off from it, and then its groups
+// may still serve.
 func Step(in Input) Result {
+	if Dark(in.Hosts, in.Observed, in.Timing) {
+		return Result{Plan: in.Plan}
+	}
 	st := &stepper{in: in, hosts: newCatalogue(in.Config, in.Hosts), seq: in.Plan.Seq + 1, selectors: ordered(in.Config, in.Now), slow: map[string]bool{}}
-	st.dark = Dark(in.Hosts, in.Observed, in.Timing)
 	for _, g := range in.Plan.Groups {
 		if g, keep := st.keep(cloneGroup(g)); keep {
 			st.groups = append(st.groups, g)
@@ -194,7 +195,7 @@
 func (st *stepper) broken(g ruddergroup.Group) (Reason, bool) {
 	for rank, m := range g.Members {
 		o := st.in.Observed[m.Host]
-		if o.Dead(st.in.Timing) && !st.dark {
+		if o.Dead(st.in.Timing) {
 			return Reason{Code: CodeMemberDead, Host: m.Host, Text: fmt.Sprintf("member missed %d polls", o.Missed)}, true
 		}
 		if !o.fresh(st.in.Timing) {
