--- a/rudderd/rudderchange/events_test.go
+++ b/rudderd/rudderchange/events_test.go
@@ -130,6 +130,20 @@
 			require.ErrorIs(t, err, ErrConflict)
 			require.Equal(t, "kigali", result.ChangedBy)
 		}},
+		{"start on an older platform without peers", func(t *testing.T, w *world) {
+			older := w.platform.snapshot()
+			_, err := w.change(0, 1, "kigali", 30*time.Second)
+			require.NoError(t, err)
+			w.kill(4)
+			w.set(func() { w.platformCut, w.peersCut[4] = []bool{true, true, true, true, false}, true })
+			older()
+			w.start(4)
+			time.Sleep(2*testTTL - time.Second)
+			w.requireServing(0, 4)
+			w.set(func() { clear(w.platformCut) })
+			time.Sleep(2 * testTTL)
+			w.requireServing(2)
+		}},
 		{"two operators race", func(t *testing.T, w *world) {
 			var both sync.WaitGroup
 			results, errs := make([]Result, 2), make([]error, 2)
--- a/rudderd/rudderchange/world_test.go
+++ b/rudderd/rudderchange/world_test.go
@@ -116,6 +116,7 @@
 // host is one entry host process with its keeper.
 type host struct {
 	keeper *Keeper
+	life   context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -125,6 +126,7 @@
 	t        *testing.T
 	platform *platform
 
+	judging     sync.Mutex
 	mu          sync.Mutex
 	hosts       []*host // nil while stopped
 	starts      int
@@ -136,6 +138,7 @@
 	accepted    rudderpermit.Version
 	highest     []rudderpermit.Version // served by each process
 	faults      []string
+	back        func() // brings an older state of the platform back
 	stop        chan struct{}
 	watching    sync.WaitGroup
 }
@@ -199,7 +202,7 @@
 	k := &Keeper{Node: node, Enrolment: enrolment, Store: store, Clock: clock, PermitTTL: testTTL}
 	k.Connect()
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &host{keeper: k, cancel: cancel}
+	h := &host{keeper: k, life: ctx, cancel: cancel}
 	h.done.Go(func() { _ = node.Run(ctx) })
 	h.done.Go(func() { _ = enrolment.Run(ctx) })
 	h.done.Go(func() { _ = k.Run(ctx) })
@@ -257,7 +260,9 @@
 
 func (w *world) store(i int) rudderstore.Store {
 	pass := func(ctx context.Context) error {
+		w.judgeHost(i)
 		time.Sleep(testLatency)
+		w.judgeHost(i)
 		if !w.running(ctx, i) || !w.platformReachable(i) {
 			return rudderstore.ErrUnavailable
 		}
@@ -314,7 +319,9 @@
 	if _, err := fmt.Sscanf(to, "10.0.0.%d:7000", &j); err != nil {
 		return none, err
 	}
+	w.judgeHost(from)
 	time.Sleep(testLatency)
+	w.judgeHost(from)
 	h := w.reachable(from, j)
 	if h == nil || !w.running(ctx, from) || !w.running(ctx, j) {
 		<-ctx.Done()
@@ -360,21 +367,27 @@
 // its number serve its document, and no process goes back to an older version.
 func (w *world) judge() {
 	for i := range w.hosts {
-		w.mu.Lock()
-		accepted := w.accepted
-		w.mu.Unlock()
-		v := w.serving(i)
-		w.mu.Lock()
-		switch {
-		case v.Number == 0:
-		case v.Number < accepted.Number || v.Number == accepted.Number && v != accepted:
-			w.faults = append(w.faults, fmt.Sprintf("host %d serves %s after %s was accepted", i, v, accepted))
-		case v.Number < w.highest[i].Number:
-			w.faults = append(w.faults, fmt.Sprintf("host %d went back from %s to %s", i, w.highest[i], v))
-		default:
-			w.highest[i] = v
-		}
-		w.mu.Unlock()
+		w.judgeHost(i)
+	}
+}
+
+func (w *world) judgeHost(i int) {
+	w.judging.Lock() // else a version read earlier could be compared later
+	defer w.judging.Unlock()
+	w.mu.Lock()
+	before := w.accepted
+	w.mu.Unlock()
+	v := w.serving(i)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case v.Number == 0:
+	case v.Number < before.Number || v.Number == before.Number && before.Hash != 0 && v != before:
+		w.faults = append(w.faults, fmt.Sprintf("host %d serves %s after %s was accepted", i, v, before))
+	case v.Number < w.highest[i].Number:
+		w.faults = append(w.faults, fmt.Sprintf("host %d went back from %s to %s", i, w.highest[i], v))
+	default:
+		w.highest[i] = v
 	}
 }
 
@@ -383,15 +396,20 @@
 	w.mu.Lock()
 	h := w.hosts[i]
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	if h == nil {
+		return Result{}, rudderpermit.ErrExpired
+	}
+	ctx, cancel := context.WithTimeout(h.life, limit) // a change ends with its process
 	defer cancel()
 	result, err := h.keeper.Change(ctx, expected, &rudderconfig.Document{}, author, "by "+author)
 	if err == nil && result.State == StateAccepted {
+		accepted := rudderpermit.Version{Number: result.Version}
+		if v := h.keeper.Version(); v.Number == result.Version {
+			accepted = v
+		}
 		w.mu.Lock()
-		if v := h.keeper.Version(); v.Number >= result.Version && result.Version > w.accepted.Number {
-			if v.Number == result.Version {
-				w.accepted = v
-			}
+		if accepted.Number > w.accepted.Number {
+			w.accepted = accepted
 		}
 		w.mu.Unlock()
 		w.judge()
@@ -429,3 +447,15 @@
 func putMembers(value string, expected int64) rudderstore.PutRequest {
 	return rudderstore.PutRequest{Key: ruddermember.RegistryKey, Value: []byte(value), Expected: expected}
 }
+
+// older brings the platform back to the state that older recorded last, and records the present one.
+func (w *world) older() {
+	now := w.platform.snapshot()
+	w.mu.Lock()
+	back := w.back
+	w.back = now
+	w.mu.Unlock()
+	if back != nil {
+		back()
+	}
+}
