--- a/rudderd/rudderadminhttp/api.go
+++ b/rudderd/rudderadminhttp/api.go
@@ -43,6 +43,9 @@
 	Explain func(ctx context.Context, selector string) (rudderadmin.Explanation, bool, error)
 	WhyNot  func(ctx context.Context, host string) ([]rudderadmin.Reason, error)
 
+	// Burn makes the report on service-level burn.
+	Burn func(ctx context.Context) (rudderadmin.BurnReport, error)
+
 	// BootstrapTokenHash is the hex SHA-256 of a token that may write the first configuration, while
 	// none names an operator.
 	BootstrapTokenHash string
@@ -80,6 +83,7 @@
 		{http.MethodDelete, "/workspaces/:name/keys/:hash", a.removeKey, true},
 		{http.MethodGet, "/status", a.status, false},
 		{http.MethodGet, "/groups", a.groups, false},
+		{http.MethodGet, "/report/burn", a.burn, false},
 		{http.MethodGet, "/why-not/:host", a.whyNot, false},
 	}
 	for _, r := range routes {
--- a/rudderd/rudderadminhttp/report.go
+++ b/rudderd/rudderadminhttp/report.go
@@ -53,3 +53,11 @@
 		Reasons []rudderadmin.Reason `json:"reasons"`
 	}{c.Param("host"), reasons})
 }
+
+func (a *API) burn(c echo.Context) error {
+	report, err := a.Burn(c.Request().Context())
+	if err != nil {
+		return unavailable(err.Error())
+	}
+	return c.JSON(http.StatusOK, report)
+}
--- a/rudderd/rudderapp/admin.go
+++ b/rudderd/rudderapp/admin.go
@@ -11,6 +11,7 @@
 
 	"comfreyrudder.example/rudderd/rudderadminhttp"
 	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/rudderd/rudderpage"
 	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 )
@@ -20,15 +21,17 @@
 	server := echo.New()
 	server.HideBanner, server.HidePort = true, true
 	server.GET("/healthz", a.adminHealth)
+	server.GET("/report", func(c echo.Context) error { return c.HTMLBlob(http.StatusOK, rudderpage.Burn()) })
 	api := &rudderadminhttp.API{
 		Clock: a.Clock, Logger: a.Logger,
 		Current: a.keeper.Current, Change: a.keeper.Change, Await: a.keeper.Await, Check: a.checkDocument,
 		Parse: parseDocument, Merge: mergeDocuments, Diff: diffLines,
 		History: a.configHistory, Version: a.configVersion,
 		Status: a.statusReport, Hosts: a.hostReports, Groups: a.groupReports, Explain: a.explainSelector, WhyNot: a.whyNot,
-		BootstrapTokenHash: a.Settings.BootstrapTokenHash,
+		Burn: a.burnReport, BootstrapTokenHash: a.Settings.BootstrapTokenHash,
 	}
 	api.Register(server)
+	server.GET("/metrics", a.writeMetrics)
 	return server
 }
 
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderchange"
 	"comfreyrudder.example/rudderd/rudderclaim"
 	"comfreyrudder.example/rudderd/rudderfleet"
@@ -18,6 +19,7 @@
 	"comfreyrudder.example/rudderd/rudderowner"
 	"comfreyrudder.example/rudderd/rudderplanner"
 	"comfreyrudder.example/rudderd/rudderrelay"
+	"comfreyrudder.example/rudderd/rudderreport"
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderservice"
 	"comfreyrudder.example/rudderd/ruddersettings"
@@ -60,6 +62,11 @@
 	requests  *rudderrequests.Peers
 	callers   *rudderhttp.API
 
+	book      *rudderburn.Book
+	collector *rudderreport.Collector
+	metrics   appMetrics
+	verifier  *rudderpeer.Verifier
+
 	work     workHistory
 	suspects suspects
 	stopping stopState
@@ -94,7 +101,10 @@
 	a.wireAdmission()
 	a.wireChat()
 	a.wireServices()
+	a.wireReports()
 	a.wireCallers()
+	a.wireVerifier()
+	a.wireMetrics()
 	a.servers = []*http.Server{
 		newServer(a.callers.Handler()), newServer(a.adminHandler()), rudderpeer.NewServer(a.peerHandler()),
 	}
@@ -119,6 +129,8 @@
 		{"relay", a.relay.Run},
 		{"admission", a.owner.Run},
 		{"claims", a.claims.Run},
+		{"service levels", a.collector.Run},
+		{"group downtime", a.sampleDowntime},
 	} {
 		group.Go(func() error {
 			err := part.run(running)
--- a/rudderd/rudderapp/burn.go
+++ b/rudderd/rudderapp/burn.go
@@ -7,6 +7,7 @@
 	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderreport"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
@@ -38,11 +39,11 @@
 }
 
 // burnReport makes the report from the counts of all entry hosts.
-func (a *App) burnReport(ctx context.Context) (rudderburn.Report, error) {
+func (a *App) burnReport(ctx context.Context) (rudderadmin.BurnReport, error) {
 	snapshots, sources := a.collector.Collect(ctx)
 	now := a.Clock.Now()
-	report := rudderburn.Report{
-		MadeUnixMS: now.UnixMilli(), Entries: sources, Objectives: []rudderburn.ObjectiveReport{},
+	report := rudderadmin.BurnReport{
+		MadeUnixMS: now.UnixMilli(), Entries: sources, Objectives: []rudderadmin.ObjectiveReport{},
 		GroupDowntimeMS: make(map[string]int64), Stranded: []string{},
 	}
 	if document := a.keeper.Current(); document != nil {
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -74,6 +74,7 @@
 		if result.Outcome == rudderstream.OutcomeComplete {
 			a.work.observe(q.Workspace, q.PromptTokens, timing.Tokens)
 		}
+		a.recordEnding(q, timing, result)
 		a.Logger.Info().Str("request_id", q.ID).Str("workspace", q.Workspace).Str("model", q.Model).
 			Str("class", string(q.Class)).Int("attempts", timing.Attempts).Int("tokens", timing.Tokens).
 			Dur("wait_ms", timing.Wait).Dur("first_token_ms", timing.FirstToken).Dur("max_gap_ms", timing.MaxGap).
--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -38,6 +38,9 @@
 		},
 		OnPlan:    func(p ruddergroup.Plan) { a.fleet.ObservePlan(p) },
 		KnownPlan: a.fleet.Plan,
+		Down:      func() map[string]bool { return a.fleet.Silent(a.Clock.Now(), a.Settings.ConfirmTTL) },
+		Stale:     a.stale,
+		Serving:   func() map[string]int { return a.fleet.ServingCounts(a.Clock.Now()) },
 		Logger:    a.Logger, Times: times, Timing: timing,
 	}
 	a.relay = &rudderrelay.Relay{
@@ -67,6 +70,12 @@
 	return -1
 }
 
+// stale tells whether the confirmations of a domain's members are about to expire here, because its
+// planner no longer relays them; this entry host then polls the members itself.
+func (a *App) stale(domain string) bool {
+	return a.fleet.OldestReport(a.Clock.Now(), domain) > a.Settings.ConfirmTTL/2
+}
+
 // planners lists the domains by the entry host that plans them.
 func (a *App) planners() map[string][]string {
 	planners := make(map[string][]string)
--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -104,11 +104,15 @@
 	mux.Handle(rudderpeer.AdmissionPathPrefix, a.owner.Handler())
 	mux.Handle(rudderpeer.ClaimsPathPrefix, a.claims.Handler())
 	mux.Handle(rudderpeer.RequestsPathPrefix, a.requests.Handler())
-	verifier := &rudderpeer.Verifier{
+	mux.Handle(rudderpeer.ReportsPathPrefix, a.collector.Handler())
+	return a.verifier.Wrap(mux)
+}
+
+func (a *App) wireVerifier() {
+	a.verifier = &rudderpeer.Verifier{
 		Keys: a.keyring(), Clock: a.Clock, Host: a.self.PeerAddress,
 		TimestampBound: peerClockSkew, MaxBodyBytes: maxPeerBodyBytes,
 	}
-	return verifier.Wrap(mux)
 }
 
 func (a *App) keyring() *rudderpeer.Keyring {
--- a/rudderd/rudderapp/metrics.go
+++ b/rudderd/rudderapp/metrics.go
@@ -64,8 +64,8 @@
 		}
 		return 1
 	})
-	a.metrics.gauge("peers.bad_signature", func() int64 { return int64(a.verifier.Refusals().BadSignature) })
-	a.metrics.gauge("peers.replayed", func() int64 { return int64(a.verifier.Refusals().Replayed) })
+	a.metrics.gauge("peers.bad_signature", func() int64 { return a.verifier.Refusals().Signature })
+	a.metrics.gauge("peers.replayed", func() int64 { return a.verifier.Refusals().Replay })
 	metrics.RegisterRuntimeMemStats(a.metrics.registry)
 }
 
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"path"
 
+	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderclaim"
 	"comfreyrudder.example/rudderd/rudderhttp"
 	"comfreyrudder.example/rudderd/rudderservice"
@@ -52,6 +53,9 @@
 	a.Logger.Info().Str("request_id", call.RequestID).Str("workspace", call.Workspace.Name).
 		Str("service", call.Service.Name).Str("method", call.Method).Str("target", result.Target).
 		Str("outcome", string(result.Outcome)).Str("code", string(result.Code)).Msg("service call ended")
+	a.countEnding(rudderburn.Ending{
+		Firm: call.Workspace.Firm, Workspace: call.Workspace.Name, Outcome: string(result.Outcome),
+	})
 	answer := rudderhttp.ServiceAnswer{
 		Outcome: rudderstream.Outcome(result.Outcome), Status: result.Status, Header: result.Header,
 		Body: result.Body, Replayed: result.Stored,
--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -28,6 +28,7 @@
 	for a.busy() && a.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		a.wait(ctx, stopPoll)
 	}
+	a.collector.Keep(ctx)
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := a.enrolment.Leave(leave); err != nil {
--- a/rudderd/rudderburn/book.go
+++ b/rudderd/rudderburn/book.go
@@ -54,8 +54,8 @@
 		a = &account{fine: series{span: fineSpan, length: fineLength}, coarse: series{span: coarseSpan, length: coarseLength}}
 		b.workspaces[key] = a
 	}
-	a.fine.bucket(e.At).add(counts)
-	a.coarse.bucket(e.At).add(counts)
+	add(a.fine.bucket(e.At), counts)
+	add(a.coarse.bucket(e.At), counts)
 }
 
 // judge turns one ending into counts.
--- a/rudderd/rudderburn/burn_test.go
+++ b/rudderd/rudderburn/burn_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
@@ -19,7 +20,7 @@
 	return Ending{At: at, Firm: "umuvumu", Workspace: "kigali", Class: rudderconfig.ClassShort, Outcome: outcome, FirstToken: 200 * time.Millisecond, MeanGap: 20 * time.Millisecond, Tokens: 5}
 }
 
-func levelOf(t *testing.T, r ObjectiveReport, name Level) LevelReport {
+func levelOf(t *testing.T, r rudderadmin.ObjectiveReport, name rudderadmin.Level) rudderadmin.LevelReport {
 	t.Helper()
 	for _, l := range r.Levels {
 		if l.Level == name {
@@ -27,7 +28,7 @@
 		}
 	}
 	require.Fail(t, "level missing", name)
-	return LevelReport{}
+	return rudderadmin.LevelReport{}
 }
 
 // Guards against counts that are lost, doubled or put into the wrong window when hosts are merged.
@@ -41,7 +42,7 @@
 	snapshots := []Snapshot{first.Snapshot("e1", noon), second.Snapshot("e2", noon)}
 	report := Make(noon, []rudderconfig.Objective{objective}, snapshots)[0]
 
-	availability := levelOf(t, report, LevelAvailability)
+	availability := levelOf(t, report, rudderadmin.LevelAvailability)
 	require.Equal(t, []int64{2, 2, 100, 100}, []int64{
 		availability.Windows[0].Total, availability.Windows[1].Total, availability.Windows[2].Total, availability.Windows[3].Total,
 	})
@@ -88,7 +89,7 @@
 	var after Book
 	after.Restore(stored)
 	after.Record(ending(noon, outcomeComplete), objective)
-	total := levelOf(t, Make(noon, []rudderconfig.Objective{objective}, []Snapshot{after.Snapshot("e1", noon)})[0], LevelAvailability).Windows[3].Total
+	total := levelOf(t, Make(noon, []rudderconfig.Objective{objective}, []Snapshot{after.Snapshot("e1", noon)})[0], rudderadmin.LevelAvailability).Windows[3].Total
 	require.InDelta(t, 24*60, total, 16)
 }
 
--- a/rudderd/rudderburn/counts.go
+++ b/rudderd/rudderburn/counts.go
@@ -2,25 +2,19 @@
 // objectives, merges the counts of all entry hosts and reports how fast the error budgets burn.
 package rudderburn
 
-import "time"
+import (
+	"time"
 
-// Counts of requests in a span of time. They add up over spans and entry hosts.
-type Counts struct {
-	Asked      int64 `json:"asked"`
-	Complete   int64 `json:"complete"`
-	Refused    int64 `json:"refused"`      // ended as not_run
-	MayHaveRun int64 `json:"may_have_run"` // ended as may_have_run before anything reached the caller
-	Cut        int64 `json:"cut"`          // ended as may_have_run after a part had reached the caller
+	"comfreyrudder.example/shared/rudderadmin"
+)
 
-	FirstToken     int64 `json:"first_token"`      // requests whose first token counts
-	LateFirstToken int64 `json:"late_first_token"` // of these, above the limit
-	TokenGap       int64 `json:"token_gap"`
-	LateTokenGap   int64 `json:"late_token_gap"`
-	ShortWait      int64 `json:"short_wait"`
-	LateShortWait  int64 `json:"late_short_wait"`
-}
+// Counts of requests in a span of time.
+type Counts = rudderadmin.BurnCounts
+
+// Bucket holds the counts of one span.
+type Bucket = rudderadmin.BurnBucket
 
-func (c *Counts) add(o Counts) {
+func add(c *Counts, o Counts) {
 	c.Asked += o.Asked
 	c.Complete += o.Complete
 	c.Refused += o.Refused
@@ -34,13 +28,6 @@
 	c.LateShortWait += o.LateShortWait
 }
 
-// Bucket holds the counts of one span.
-type Bucket struct {
-	// StartUnix is the start of the span in seconds since the Unix epoch.
-	StartUnix int64 `json:"start_unix"`
-	Counts
-}
-
 // Spans of the two series of each workspace: a fine one for short windows, a coarse one for the day.
 const (
 	fineSpan     = time.Minute
@@ -66,5 +53,5 @@
 			s.buckets = append([]Bucket{}, s.buckets[len(s.buckets)-s.length:]...)
 		}
 	}
-	return &s.buckets[len(s.buckets)-1].Counts
+	return &s.buckets[len(s.buckets)-1].BurnCounts
 }
--- a/rudderd/rudderburn/report.go
+++ b/rudderd/rudderburn/report.go
@@ -5,20 +5,10 @@
 	"sort"
 	"time"
 
+	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
-// Level names what an objective is about.
-type Level string
-
-// Service levels.
-const (
-	LevelAvailability Level = "availability" // complete answers over asked
-	LevelFirstToken   Level = "first_token"
-	LevelTokenGap     Level = "token_gap"
-	LevelShortWait    Level = "short_wait"
-)
-
 // defaultLatencyShare of requests must keep a limit when the objective names no share.
 const defaultLatencyShare = 0.95
 
@@ -34,74 +24,6 @@
 	{"24h", 24 * time.Hour, false},
 }
 
-// Window is the burn of one level over one window. A burn of 1 spends the error budget exactly.
-type Window struct {
-	Window string  `json:"window"`
-	Total  int64   `json:"total"`
-	Bad    int64   `json:"bad"`
-	Burn   float64 `json:"burn"`
-}
-
-// Causes tell what burnt the budget over 24 hours.
-type Causes struct {
-	Refused    int64 `json:"refused"`
-	Late       int64 `json:"late"`
-	Cut        int64 `json:"cut"`
-	MayHaveRun int64 `json:"may_have_run"`
-}
-
-// LevelReport is one service level of one objective.
-type LevelReport struct {
-	Level Level `json:"level"`
-	// Target is the wanted share of good requests; LimitMS the limit that makes one good.
-	Target  float64  `json:"target"`
-	LimitMS int      `json:"limit_ms,omitempty"`
-	Windows []Window `json:"windows"`
-	// BudgetLeft is the share of the 24-hour error budget that is left; below 0 it is overspent.
-	BudgetLeft float64 `json:"budget_left"`
-}
-
-// ObjectiveReport is one objective of a firm or a workspace.
-type ObjectiveReport struct {
-	Firm      string        `json:"firm"`
-	Workspace string        `json:"workspace,omitempty"`
-	Levels    []LevelReport `json:"levels"`
-	Causes    Causes        `json:"causes"`
-	// Series holds 24 hours for plots.
-	Series []Bucket `json:"series"`
-}
-
-// Source says where an entry host's counts come from.
-type Source string
-
-// Sources of counts.
-const (
-	SourceLive    Source = "live"    // the entry host answered
-	SourceStored  Source = "stored"  // it did not; its last stored counts are used
-	SourceMissing Source = "missing" // there are no counts of it
-)
-
-// EntrySource says what a report knows of one entry host.
-type EntrySource struct {
-	Entry  string `json:"entry"`
-	Source Source `json:"source"`
-	// AgeMS is the age of the counts in milliseconds.
-	AgeMS int64 `json:"age_ms"`
-}
-
-// Report is the report on service-level burn.
-type Report struct {
-	MadeUnixMS int64             `json:"made_unix_ms"`
-	Entries    []EntrySource     `json:"entries"`
-	Objectives []ObjectiveReport `json:"objectives"`
-	// GroupDowntimeMS by selector is the time missed, summed over missing groups, since the reporting
-	// entry host started.
-	GroupDowntimeMS map[string]int64 `json:"group_downtime_ms"`
-	Stranded        []string         `json:"stranded"`
-	// StrandedAccelerators on hosts that are up but in no serving group.
-	StrandedAccelerators int `json:"stranded_accelerators"`
-}
-
 // Objectives returns the document's objectives and, for each firm that has none, a default one.
 func Objectives(document *rudderconfig.Document) []rudderconfig.Objective {
 	objectives := slices.Clone(document.Objectives)
@@ -139,15 +61,15 @@
 }
 
 // Make reports on the objectives from the snapshots of all entry hosts.
-func Make(now time.Time, objectives []rudderconfig.Objective, snapshots []Snapshot) []ObjectiveReport {
-	reports := make([]ObjectiveReport, 0, len(objectives))
+func Make(now time.Time, objectives []rudderconfig.Objective, snapshots []Snapshot) []rudderadmin.ObjectiveReport {
+	reports := make([]rudderadmin.ObjectiveReport, 0, len(objectives))
 	for _, o := range objectives {
 		reports = append(reports, reportOn(now, o, snapshots))
 	}
 	return reports
 }
 
-func reportOn(now time.Time, o rudderconfig.Objective, snapshots []Snapshot) ObjectiveReport {
+func reportOn(now time.Time, o rudderconfig.Objective, snapshots []Snapshot) rudderadmin.ObjectiveReport {
 	fine, coarse := make(map[int64]Counts), make(map[int64]Counts)
 	for _, s := range snapshots {
 		for _, w := range s.Workspaces {
@@ -157,9 +79,9 @@
 			}
 		}
 	}
-	report := ObjectiveReport{Firm: o.Firm, Workspace: o.Workspace, Series: sorted(coarse)}
+	report := rudderadmin.ObjectiveReport{Firm: o.Firm, Workspace: o.Workspace, Series: sorted(coarse)}
 	day := over(coarse, now, 24*time.Hour)
-	report.Causes = Causes{
+	report.Causes = rudderadmin.Causes{
 		Refused: day.Refused, Cut: day.Cut, MayHaveRun: day.MayHaveRun,
 		Late: day.LateFirstToken + day.LateTokenGap + day.LateShortWait,
 	}
@@ -170,7 +92,7 @@
 				source = fine
 			}
 			bad, total := level.share(over(source, now, w.span))
-			level.Windows = append(level.Windows, Window{Window: w.name, Total: total, Bad: bad, Burn: burn(bad, total, level.Target)})
+			level.Windows = append(level.Windows, rudderadmin.BurnWindow{Window: w.name, Total: total, Bad: bad, Burn: burn(bad, total, level.Target)})
 		}
 		level.BudgetLeft = 1 - level.Windows[len(level.Windows)-1].Burn
 		report.Levels = append(report.Levels, level.LevelReport)
@@ -180,7 +102,7 @@
 
 // level is a level report with the way to count it.
 type level struct {
-	LevelReport
+	rudderadmin.LevelReport
 	share func(Counts) (bad, total int64)
 }
 
@@ -190,12 +112,12 @@
 		latency = defaultLatencyShare
 	}
 	all := []level{
-		{LevelReport{Level: LevelAvailability, Target: o.Availability}, func(c Counts) (int64, int64) { return c.Asked - c.Complete, c.Asked }},
-		{LevelReport{Level: LevelFirstToken, Target: latency, LimitMS: o.FirstTokenMS}, func(c Counts) (int64, int64) { return c.LateFirstToken, c.FirstToken }},
-		{LevelReport{Level: LevelTokenGap, Target: latency, LimitMS: o.TokenGapMS}, func(c Counts) (int64, int64) { return c.LateTokenGap, c.TokenGap }},
-		{LevelReport{Level: LevelShortWait, Target: latency, LimitMS: o.ShortWaitMS}, func(c Counts) (int64, int64) { return c.LateShortWait, c.ShortWait }},
+		{rudderadmin.LevelReport{Level: rudderadmin.LevelAvailability, Target: o.Availability}, func(c Counts) (int64, int64) { return c.Asked - c.Complete, c.Asked }},
+		{rudderadmin.LevelReport{Level: rudderadmin.LevelFirstToken, Target: latency, LimitMS: o.FirstTokenMS}, func(c Counts) (int64, int64) { return c.LateFirstToken, c.FirstToken }},
+		{rudderadmin.LevelReport{Level: rudderadmin.LevelTokenGap, Target: latency, LimitMS: o.TokenGapMS}, func(c Counts) (int64, int64) { return c.LateTokenGap, c.TokenGap }},
+		{rudderadmin.LevelReport{Level: rudderadmin.LevelShortWait, Target: latency, LimitMS: o.ShortWaitMS}, func(c Counts) (int64, int64) { return c.LateShortWait, c.ShortWait }},
 	}
-	return slices.DeleteFunc(all, func(l level) bool { return l.Level != LevelAvailability && l.LimitMS <= 0 })
+	return slices.DeleteFunc(all, func(l level) bool { return l.Level != rudderadmin.LevelAvailability && l.LimitMS <= 0 })
 }
 
 // burn is the share of bad requests over the share that the target allows.
@@ -211,7 +133,7 @@
 func sum(into map[int64]Counts, buckets []Bucket) {
 	for _, b := range buckets {
 		c := into[b.StartUnix]
-		c.add(b.Counts)
+		add(&c, b.BurnCounts)
 		into[b.StartUnix] = c
 	}
 }
@@ -221,7 +143,7 @@
 	oldest := now.Add(-span).Unix()
 	for start, c := range buckets {
 		if start > oldest {
-			total.add(c)
+			add(&total, c)
 		}
 	}
 	return total
@@ -230,7 +152,7 @@
 func sorted(buckets map[int64]Counts) []Bucket {
 	list := make([]Bucket, 0, len(buckets))
 	for start, c := range buckets {
-		list = append(list, Bucket{StartUnix: start, Counts: c})
+		list = append(list, Bucket{StartUnix: start, BurnCounts: c})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].StartUnix < list[j].StartUnix })
 	return list
--- a/rudderd/rudderreport/report.go
+++ b/rudderd/rudderreport/report.go
@@ -15,6 +15,7 @@
 
 	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
 )
@@ -100,7 +101,7 @@
 
 // Collect returns the counts of all entry hosts: from themselves, or as they were stored when they
 // cannot be asked, and says for each where they come from.
-func (c *Collector) Collect(ctx context.Context) ([]rudderburn.Snapshot, []rudderburn.EntrySource) {
+func (c *Collector) Collect(ctx context.Context) ([]rudderburn.Snapshot, []rudderadmin.EntrySource) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := c.Clock.Now()
@@ -108,26 +109,26 @@
 	members := c.Members()
 	live := c.askAll(ctx, members)
 	var snapshots []rudderburn.Snapshot
-	var sources []rudderburn.EntrySource
-	add := func(name string, source rudderburn.Source, s rudderburn.Snapshot) {
+	var sources []rudderadmin.EntrySource
+	add := func(name string, source rudderadmin.Source, s rudderburn.Snapshot) {
 		snapshots = append(snapshots, s)
 		age := now.Sub(time.UnixMilli(s.TakenUnixMS))
-		sources = append(sources, rudderburn.EntrySource{Entry: name, Source: source, AgeMS: max(0, age.Milliseconds())})
+		sources = append(sources, rudderadmin.EntrySource{Entry: name, Source: source, AgeMS: max(0, age.Milliseconds())})
 	}
 	for i, m := range members {
 		kept, isStored := stored[m.Name]
 		delete(stored, m.Name)
 		switch {
 		case live[i] != nil:
-			add(m.Name, rudderburn.SourceLive, *live[i])
+			add(m.Name, rudderadmin.SourceLive, *live[i])
 		case isStored:
-			add(m.Name, rudderburn.SourceStored, kept)
+			add(m.Name, rudderadmin.SourceStored, kept)
 		default:
-			sources = append(sources, rudderburn.EntrySource{Entry: m.Name, Source: rudderburn.SourceMissing})
+			sources = append(sources, rudderadmin.EntrySource{Entry: m.Name, Source: rudderadmin.SourceMissing})
 		}
 	}
 	for name, kept := range stored { // entry hosts that left the registry
-		add(name, rudderburn.SourceStored, kept)
+		add(name, rudderadmin.SourceStored, kept)
 	}
 	return snapshots, sources
 }
