Rank entry addresses by load and refuse above a number of requests in flight

An entry host that is stopping or overloaded names a less loaded one in its refusal. Answers are read from all registered entry hosts, because one that leaves still keeps them.

--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -163,9 +162,6 @@
 	a.end()
 }
 
-// stopPoll is the time between two looks at the requests in flight while stopping.
-const stopPoll = 50 * time.Millisecond
-
 // ServingVersion is the configuration version that this entry host serves under; ok is false while it
 // holds no permit.
 func (a *App) ServingVersion() (version int64, ok bool) {
--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -12,6 +12,8 @@
 // unevenly: each host grants this many even shares of the workspace's limits, at most the whole.
 const limitShareHosts = 3
 
+const codeOverloaded = "entry_overloaded"
+
 func (a *App) wireCallers() {
 	a.callers = &rudderhttp.API{
 		Name: a.self.Name, Clock: a.Clock, Logger: a.Logger, Config: a.keeper.Current,
@@ -28,31 +30,27 @@
 
 // refuse tells why this entry host takes no new requests now.
 func (a *App) refuse() *rudderhttp.Refusal {
-	if a.stopping.closed() {
-		return a.notReady("this entry host is stopping")
+	if !a.stopping.takesNewWork() {
+		return a.notReady(rudderstream.CodeNotReady, "this entry host is stopping")
 	}
 	if err := a.keeper.Permit(a.Clock.Now()); err != nil {
-		return a.notReady(err.Error())
+		return a.notReady(rudderstream.CodeNotReady, err.Error())
+	}
+	if a.callers.InFlight() >= a.Settings.MaxInFlight {
+		return a.notReady(codeOverloaded, "this entry host has too many requests in flight")
 	}
 	return nil
 }
 
 // notReady names another entry host, so that the caller need not ask for one.
-func (a *App) notReady(message string) *rudderhttp.Refusal {
-	r := &rudderhttp.Refusal{
-		Status: http.StatusServiceUnavailable, Code: rudderstream.CodeNotReady, Message: message,
+func (a *App) notReady(code, message string) *rudderhttp.Refusal {
+	return &rudderhttp.Refusal{
+		Status: http.StatusServiceUnavailable, Code: code, Message: message,
 		NextStep: "send the request to the address in better_entry, or ask GET /v1/entries at another address",
-		Outcome:  rudderstream.OutcomeNotRun, RetryAfter: time.Second,
-	}
-	for _, e := range a.ranked("") {
-		if e.Name != a.self.Name {
-			r.BetterEntry = e.Address
-			break
-		}
+		Outcome:  rudderstream.OutcomeNotRun, RetryAfter: time.Second, BetterEntry: a.betterEntry(),
 	}
-	return r
 }
 
-func (a *App) entries(dataCentre string) ([]rudderhttp.Entry, time.Duration) {
-	return a.ranked(dataCentre), a.Settings.EntryLifetime
+func (a *App) entries(key, dataCentre string) ([]rudderhttp.Entry, time.Duration) {
+	return a.ranked(key, dataCentre), a.Settings.EntryLifetime
 }
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -46,7 +46,7 @@
 	a.suspects.tracker = rudderpoison.NewTracker(maxDeaths)
 	a.answers = &rudderstream.Registry{Retention: a.Settings.AnswerRetention, MaxBytes: a.Settings.AnswerBytes}
 	a.requests = &rudderrequests.Peers{
-		Self: a.self.Name, Members: a.node.Live, HTTPClient: a.peers, Answers: a.answers, OnDeaths: a.takeDeaths,
+		Self: a.self.Name, Members: a.node.Members, HTTPClient: a.peers, Answers: a.answers, OnDeaths: a.takeDeaths,
 	}
 	a.runner = &rudderstream.Runner{
 		Clock: a.Clock, Logger: a.Logger,
--- a/rudderd/rudderapp/entries.go
+++ b/rudderd/rudderapp/entries.go
@@ -1,41 +1,72 @@
 package rudderapp
 
 import (
-	"sort"
-
+	"comfreyrudder.example/rudderd/rudderentry"
 	"comfreyrudder.example/rudderd/rudderhttp"
-	"comfreyrudder.example/rudderd/ruddermember"
 )
 
-// ranked lists the live entry hosts for a caller in a data centre, nearest and least loaded first.
-func (a *App) ranked(dataCentre string) []rudderhttp.Entry {
-	if dataCentre == "" {
-		dataCentre = a.self.DataCentre
-	}
-	live := a.node.Live()
-	distance := func(m ruddermember.Member) int {
-		switch {
-		case m.DataCentre == dataCentre:
-			return 0
-		case m.Region == a.self.Region:
-			return 1
-		default:
-			return 2
-		}
+// entryHosts lists the entry hosts with what this one knows of them.
+func (a *App) entryHosts() []rudderentry.Host {
+	live := make(map[string]bool)
+	for _, m := range a.node.Live() {
+		live[m.Name] = true
 	}
-	inFlight := func(m ruddermember.Member) int {
+	members := a.node.Members()
+	hosts := make([]rudderentry.Host, 0, len(members))
+	for _, m := range members {
 		entry, _ := a.node.Entry(m.Name)
-		return entry.Load().InFlight
+		hosts = append(hosts, rudderentry.Host{
+			Name: m.Name, Address: m.CallerAddress, Region: m.Region, DataCentre: m.DataCentre,
+			Live: live[m.Name], Leaving: entry.Leaving(),
+			InFlight: entry.Load().InFlight, QueuePermille: entry.Load().QueuePermille,
+		})
 	}
-	sort.SliceStable(live, func(i, j int) bool {
-		if distance(live[i]) != distance(live[j]) {
-			return distance(live[i]) < distance(live[j])
+	return hosts
+}
+
+// caller places a caller; one that does not name its data centre is taken to be near this host.
+func (a *App) caller(key, dataCentre string) rudderentry.Caller {
+	c := rudderentry.Caller{Key: key, Region: a.self.Region, DataCentre: dataCentre}
+	if dataCentre == "" {
+		c.DataCentre = a.self.DataCentre
+		return c
+	}
+	for _, m := range a.node.Members() {
+		if m.DataCentre == dataCentre {
+			c.Region = m.Region
 		}
-		return inFlight(live[i]) < inFlight(live[j])
-	})
-	entries := make([]rudderhttp.Entry, 0, len(live))
-	for _, m := range live {
-		entries = append(entries, rudderhttp.Entry{Address: m.CallerAddress, Name: m.Name, Region: m.Region, DataCentre: m.DataCentre})
+	}
+	return c
+}
+
+// ranked lists the addresses for a caller, best first.
+func (a *App) ranked(key, dataCentre string) []rudderhttp.Entry {
+	regions := make(map[string]string)
+	for _, m := range a.node.Members() {
+		regions[m.Name] = m.Region
+	}
+	entries := []rudderhttp.Entry{}
+	for _, r := range rudderentry.Rank(a.caller(key, dataCentre), a.entryHosts()) {
+		entries = append(entries, rudderhttp.Entry{Address: r.Address, Name: r.Name, Region: regions[r.Name], DataCentre: r.DataCentre})
 	}
 	return entries
 }
+
+// betterEntry names a less loaded entry host, or "".
+func (a *App) betterEntry() string {
+	hosts := a.entryHosts()
+	for _, h := range hosts {
+		if h.Name != a.self.Name {
+			continue
+		}
+		if better, found := rudderentry.Better(a.caller("", ""), h, hosts); found {
+			return better.Address
+		}
+	}
+	for _, e := range a.ranked("", "") {
+		if e.Name != a.self.Name {
+			return e.Address
+		}
+	}
+	return ""
+}
--- a/rudderd/rudderentry/leave.go
+++ b/rudderd/rudderentry/leave.go
@@ -24,6 +24,9 @@
 // Leaving is the sequence in which an entry host stops. The zero value is serving. It is not safe for
 // concurrent use.
 type Leaving struct {
+	// Lifetime is how long callers keep a ranking; 0 takes the constant.
+	Lifetime time.Duration
+
 	phase     Phase
 	began     time.Time
 	drainedBy time.Time
@@ -37,13 +40,13 @@
 	}
 	l.phase, l.began = PhaseLeaving, now
 	if drainLimit > 0 {
-		l.drainedBy = now.Add(gossipMargin + Lifetime + drainLimit)
+		l.drainedBy = now.Add(l.listedFor() + drainLimit)
 	}
 }
 
 // Advance returns the phase at the time now, with running requests and streams.
 func (l *Leaving) Advance(now time.Time, running int) Phase {
-	if l.phase == PhaseLeaving && now.Sub(l.began) >= gossipMargin+Lifetime {
+	if l.phase == PhaseLeaving && now.Sub(l.began) >= l.listedFor() {
 		l.phase = PhaseDraining
 	}
 	overdue := !l.drainedBy.IsZero() && !now.Before(l.drainedBy)
@@ -68,3 +71,11 @@
 func (l *Leaving) TakesNewWork() bool {
 	return l.Phase() == PhaseServing || l.Phase() == PhaseLeaving
 }
+
+// listedFor is how long after the begin callers may still hold a ranking with this entry host.
+func (l *Leaving) listedFor() time.Duration {
+	if l.Lifetime > 0 {
+		return gossipMargin + l.Lifetime
+	}
+	return gossipMargin + Lifetime
+}
--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -50,8 +50,8 @@
 
 	// Call runs a call of a plain service.
 	Call func(ctx context.Context, call ServiceCall) ServiceAnswer
-	// Entries ranks entry addresses for a caller in a data centre ("" for unknown).
-	Entries func(dataCentre string) ([]Entry, time.Duration)
+	// Entries ranks entry addresses for a caller, told apart by a key, in a data centre ("" for unknown).
+	Entries func(key, dataCentre string) ([]Entry, time.Duration)
 
 	limits limits
 }
@@ -134,7 +134,7 @@
 }
 
 func (a *API) entries(c echo.Context) error {
-	list, lifetime := a.Entries(c.QueryParam("data_centre"))
+	list, lifetime := a.Entries(c.RealIP(), c.QueryParam("data_centre"))
 	return c.JSON(http.StatusOK, struct {
 		Entries         []Entry `json:"entries"`
 		LifetimeSeconds int     `json:"lifetime_seconds"`
--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -56,7 +56,9 @@
 		Call: func(context.Context, ServiceCall) ServiceAnswer {
 			return ServiceAnswer{Outcome: rudderstream.OutcomeComplete, Status: http.StatusCreated, Body: []byte("booked")}
 		},
-		Entries: func(string) ([]Entry, time.Duration) { return []Entry{{Address: "127.0.0.1:1"}}, 10 * time.Second },
+		Entries: func(string, string) ([]Entry, time.Duration) {
+			return []Entry{{Address: "127.0.0.1:1"}}, 10 * time.Second
+		},
 	}
 }
 
--- a/rudderd/rudderrequests/requests.go
+++ b/rudderd/rudderrequests/requests.go
@@ -35,7 +35,8 @@
 
 // Peers calls other entry hosts and serves their calls. Set the exported fields before use.
 type Peers struct {
-	Self       string
+	Self string
+	// Members lists the registered entry hosts: one that leaves still keeps answers and runs requests.
 	Members    func() []ruddermember.Member
 	HTTPClient *http.Client
 	Answers    *rudderstream.Registry
--- a/rudderd/ruddersettings/load.go
+++ b/rudderd/ruddersettings/load.go
@@ -141,6 +141,7 @@
 	report(!validURL(s.HostListURL), "--host-list-url: wanted http://IP:PORT")
 	report(s.BootstrapTokenHash != "" && !hashPattern.MatchString(s.BootstrapTokenHash), "--bootstrap-token-hash: wanted 64 hexadecimal digits")
 	report(s.MaxAttempts < 1, "--max-attempts: wanted at least 1")
+	report(s.MaxInFlight < 1, "--max-in-flight: wanted at least 1")
 	report(s.MaxBodyBytes < 1, "--max-body-bytes: wanted at least 1")
 	report(s.WeightRate < 1, "--weight-rate: wanted at least 1")
 	report(s.ConfirmTTL <= s.PollInterval, "--confirm-ttl: must be longer than --poll-interval")
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -43,6 +43,7 @@
 	AnswerBytes     int64         `name:"answer-bytes" default:"33554432" doc:"Memory for finished answers, in bytes. The oldest ones are dropped first."`
 	ClaimRetention  time.Duration `name:"claim-retention" default:"24h" doc:"How long an idempotency key and its stored answer are kept."`
 
+	MaxInFlight   int           `name:"max-in-flight" default:"2000" doc:"Requests in flight above which this host refuses new ones and names another host."`
 	MaxBodyBytes  int64         `name:"max-body-bytes" default:"4194304" doc:"Largest request body, in bytes."`
 	EntryLifetime time.Duration `name:"entry-lifetime" default:"10s" doc:"How long callers may keep an answer of GET /v1/entries."`
 	StopGrace     time.Duration `name:"stop-grace" default:"10m" doc:"Longest time a stopping entry host waits for its requests in flight."`
