Measure claims on a virtual time against one write per claim

Writes and added latency of the claims were not known. MeasureClaims drives the shard cores in a discrete-event simulation with a service of 3 ms latency and 300 writes a second, at 1, 10, 100 and 1,000 claims a second, with a quarter of the collectors lost and with two collectors for each shard. The bounds are the design's 150 claim writes a second, 0.32 s for 95 in 100, no refusal and no double grant.

--- a/rudderd/rudderclaim/claims.go
+++ b/rudderd/rudderclaim/claims.go
@@ -132,7 +132,7 @@
 // candidates returns the members to ask in order: the first two in rank, then this entry host.
 func (c *Claims) candidates(request Request) []ruddermember.Member {
 	const asked = 2
-	ranked := ruddermember.Rank(headKey(request.shard()), c.Members())
+	ranked := ruddermember.Rank(headKey(request.Shard()), c.Members())
 	var candidates []ruddermember.Member
 	for _, m := range ranked[:min(asked, len(ranked))] {
 		candidates = append(candidates, m)
--- a/rudderd/rudderclaim/collector.go
+++ b/rudderd/rudderclaim/collector.go
@@ -59,7 +59,7 @@
 		return d
 	}
 	d.Verdict = VerdictMayHaveRun
-	e, _, err := c.store.Get(ctx, segmentKey(request.shard(), d.segment))
+	e, _, err := c.store.Get(ctx, segmentKey(request.Shard(), d.segment))
 	if err != nil {
 		return d
 	}
--- a/rudderd/rudderclaim/peer.go
+++ b/rudderd/rudderclaim/peer.go
@@ -37,7 +37,7 @@
 // claimAt makes a claim at one collector. An error means that its outcome is unknown.
 func (c *Claims) claimAt(ctx context.Context, m ruddermember.Member, r Request) (Decision, error) {
 	if m.Name == c.Self {
-		return c.collectors[r.shard()].submit(ctx, submission{kind: opClaim, request: r})
+		return c.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
 	}
 	reply, err := c.peer(m.PeerAddress).Claim(ctx, &rudderpeer.ClaimRequest{
 		Key: toWireKey(r), WaitMs: remaining(ctx).Milliseconds(),
@@ -67,7 +67,7 @@
 	if ch.settle {
 		kind = opSettle
 	}
-	d, err := c.collectors[ch.request.shard()].submit(ctx, submission{kind: kind, request: ch.request, answer: ch.answer})
+	d, err := c.collectors[ch.request.Shard()].submit(ctx, submission{kind: kind, request: ch.request, answer: ch.answer})
 	if err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
 		defer cancel()
 	}
-	d, err := s.claims.collectors[r.shard()].submit(ctx, submission{kind: opClaim, request: r})
+	d, err := s.claims.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/rudderd/rudderclaim/request.go
+++ b/rudderd/rudderclaim/request.go
@@ -95,8 +95,8 @@
 	return int64(binary.BigEndian.Uint64(raw[:8]) >> 16)
 }
 
-// shard returns the index of the shard that remembers the key.
-func (r Request) shard() int {
+// Shard returns the index of the shard that remembers the key.
+func (r Request) Shard() int {
 	raw, err := hex.DecodeString(r.key[:min(len(r.key), 2)])
 	if err != nil || len(raw) == 0 {
 		return 0
--- /dev/null
+++ b/rudderstand/rudderbench/claims.go
@@ -0,0 +1,223 @@
+// Package rudderbench measures parts of the system against baselines, with fixed seeds.
+package rudderbench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"comfreyrudder.example/rudderd/rudderclaim"
+)
+
+// ClaimsFigure is one measured figure of the claims, against one write for each claim and settlement.
+type ClaimsFigure struct {
+	Measure  string  `json:"measure"`
+	Baseline float64 `json:"baseline"`
+	Value    float64 `json:"value"`
+	Ratio    float64 `json:"ratio"` // value to baseline; 0 when the baseline is 0
+	Bound    float64 `json:"bound"` // 0 for none, but for measures that must be 0
+	Met      bool    `json:"met"`
+}
+
+// ClaimsCondition is what happens to the collectors during a measurement.
+type ClaimsCondition string
+
+// Conditions.
+const (
+	ClaimsNormal  ClaimsCondition = "normal"
+	ClaimsLost    ClaimsCondition = "collector_lost"    // the collectors of a quarter of the shards die halfway
+	ClaimsDoubled ClaimsCondition = "collector_doubled" // two collectors for each shard, callers split evenly
+)
+
+const (
+	// claimsWriteBound is the design's budget of claim writes a second.
+	claimsWriteBound = 150
+	// claimsLatencyBound is the time to first token that the design allows for 95 of 100 requests.
+	claimsLatencyBound = 320 * time.Millisecond
+)
+
+// claimsOutcome is what one run measured.
+type claimsOutcome struct {
+	claims, writes, bytes, refused, doubleGrants int
+	seconds                                      float64
+	p50, p95, p99                                time.Duration
+}
+
+// MeasureClaims measures writes and added latency at several rates under each condition.
+func MeasureClaims(seed uint64) []ClaimsFigure {
+	var figures []ClaimsFigure
+	for _, condition := range []ClaimsCondition{ClaimsNormal, ClaimsLost, ClaimsDoubled} {
+		for _, rate := range []int{1, 10, 100, 1000} {
+			count := min(rate*60, max(200, rate*20))
+			batched := runClaims(seed, rate, count, condition)
+			single := runSingleWrites(seed, rate, count)
+			figures = append(figures, claimsFigures(fmt.Sprintf("%s/%d_per_s", condition, rate), batched, single)...)
+		}
+	}
+	return figures
+}
+
+func claimsFigures(name string, batched, single claimsOutcome) []ClaimsFigure {
+	perSecond := func(o claimsOutcome, n int) float64 { return float64(n) / o.seconds }
+	perClaim := func(o claimsOutcome, n int) float64 { return float64(n) / float64(o.claims) }
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	bound := ms(claimsLatencyBound)
+	return []ClaimsFigure{
+		claimsFigure(name+"/writes_per_s", perSecond(single, single.writes), perSecond(batched, batched.writes), claimsWriteBound, true),
+		claimsFigure(name+"/writes_per_claim", perClaim(single, single.writes), perClaim(batched, batched.writes), 0, false),
+		claimsFigure(name+"/bytes_per_claim", perClaim(single, single.bytes), perClaim(batched, batched.bytes), 0, false),
+		claimsFigure(name+"/added_ms_p50", ms(single.p50), ms(batched.p50), 0, false),
+		claimsFigure(name+"/added_ms_p95", ms(single.p95), ms(batched.p95), bound, true),
+		claimsFigure(name+"/added_ms_p99", ms(single.p99), ms(batched.p99), 0, false),
+		claimsFigure(name+"/refused_share", perClaim(single, single.refused), perClaim(batched, batched.refused), 0, true),
+		claimsFigure(name+"/double_grants", float64(single.doubleGrants), float64(batched.doubleGrants), 0, true),
+	}
+}
+
+func claimsFigure(measure string, baseline, value, bound float64, bounded bool) ClaimsFigure {
+	f := ClaimsFigure{Measure: measure, Baseline: baseline, Value: value, Bound: bound, Met: !bounded || value <= bound}
+	if baseline != 0 {
+		f.Ratio = value / baseline
+	}
+	return f
+}
+
+// runClaims sends claims at a mean rate with random gaps and settles each granted one.
+func runClaims(seed uint64, rate, count int, condition ClaimsCondition) claimsOutcome {
+	w := newClaimsWorld(seed)
+	for shard := range w.collectors {
+		w.collectors[shard] = []*claimsCollector{w.newCollector(shard), w.newCollector(shard)}
+	}
+	start := w.now
+	var gap time.Duration
+	for i := range count {
+		gap += time.Duration(w.random.ExpFloat64() / float64(rate) * float64(time.Second))
+		w.after(gap, func() { w.claim(fmt.Sprint("key", i), condition) })
+	}
+	if condition == ClaimsLost {
+		w.after(gap/2, func() {
+			for shard := 0; shard < len(w.collectors); shard += 4 {
+				w.collectors[shard][0].dead = true
+			}
+		})
+	}
+	w.run()
+	// Claims end with the last arrival; what follows is the last settlements.
+	return w.outcome(count, max(gap, w.lastClaim(start)))
+}
+
+func (w *claimsWorld) lastClaim(start time.Time) time.Duration { return w.lastDecision.Sub(start) }
+
+func (w *claimsWorld) outcome(count int, elapsed time.Duration) claimsOutcome {
+	slices.Sort(w.latencies)
+	at := func(share float64) time.Duration {
+		if len(w.latencies) == 0 {
+			return 0
+		}
+		return w.latencies[min(len(w.latencies)-1, int(share*float64(len(w.latencies))))]
+	}
+	o := claimsOutcome{
+		claims: count, writes: w.writes, bytes: w.bytes, refused: w.refused, seconds: elapsed.Seconds(),
+		p50: at(0.50), p95: at(0.95), p99: at(0.99),
+	}
+	for _, n := range w.granted {
+		o.doubleGrants += max(0, n-1)
+	}
+	return o
+}
+
+// claim sends one claim as an entry host does: to the first collector, then to the next.
+func (w *claimsWorld) claim(key string, condition ClaimsCondition) {
+	request, err := rudderclaim.NewRequest(rudderclaim.Call{Key: key})
+	if err != nil {
+		panic(err)
+	}
+	collectors := w.collectors[request.Shard()]
+	first := 0
+	if condition == ClaimsDoubled {
+		first = w.random.IntN(2)
+	}
+	began := w.now
+	decided := false
+	ask := func(c *claimsCollector, last bool) {
+		c.ask(func() uint64 { return c.core.Claim(request, w.now, w.now.Add(claimsPeerTimeout)) }, func(d rudderclaim.Decision) {
+			if decided || d.Verdict == rudderclaim.VerdictUnavailable && !last {
+				return
+			}
+			decided = true
+			w.decide(key, d, w.now.Sub(began))
+			if d.Verdict == rudderclaim.VerdictGranted {
+				w.after(claimsServiceTime, func() { w.settle(c, request) })
+			}
+		})
+	}
+	ask(collectors[first], false)
+	w.after(claimsPeerTimeout, func() {
+		if !decided {
+			ask(collectors[1-first], true)
+		}
+	})
+}
+
+func (w *claimsWorld) decide(key string, d rudderclaim.Decision, took time.Duration) {
+	w.latencies = append(w.latencies, took)
+	w.lastDecision = w.now
+	if d.Verdict != rudderclaim.VerdictGranted {
+		w.refused++
+		return
+	}
+	w.granted[key]++
+}
+
+func (w *claimsWorld) settle(c *claimsCollector, request rudderclaim.Request) {
+	if c.dead {
+		c = w.collectors[request.Shard()][1]
+	}
+	answer := &rudderclaim.Answer{Status: 200, Body: make([]byte, claimsAnswerBytes)}
+	c.ask(func() uint64 { return c.core.Settle(request, answer, w.now, w.now.Add(time.Second)) }, func(d rudderclaim.Decision) {
+		if d.Verdict != rudderclaim.VerdictChanged {
+			w.after(200*time.Millisecond, func() { w.settle(c, request) })
+		}
+	})
+}
+
+// ask adds an operation after the way to the collector.
+func (c *claimsCollector) ask(add func() uint64, done func(rudderclaim.Decision)) {
+	c.world.after(claimsPeerLatency, func() {
+		if c.dead {
+			return
+		}
+		c.waiting[add()] = done
+		c.poke()
+	})
+}
+
+// runSingleWrites is the baseline: each claim and each settlement is a write of its own key.
+func runSingleWrites(seed uint64, rate, count int) claimsOutcome {
+	w := newClaimsWorld(seed)
+	var gap time.Duration
+	const recordBytes = 200
+	for i := range count {
+		gap += time.Duration(w.random.ExpFloat64() / float64(rate) * float64(time.Second))
+		w.after(gap, func() {
+			if !w.admitWrite() {
+				w.refused++
+				return
+			}
+			w.bytes += recordBytes
+			w.granted[fmt.Sprint("key", i)]++
+			w.latencies = append(w.latencies, claimsStoreLatency)
+			w.after(claimsStoreLatency+claimsServiceTime, func() { w.settleSingle(recordBytes + claimsAnswerBytes*4/3) })
+		})
+	}
+	w.run()
+	return w.outcome(count, gap)
+}
+
+func (w *claimsWorld) settleSingle(size int) {
+	if w.admitWrite() {
+		w.bytes += size
+		return
+	}
+	w.after(200*time.Millisecond, func() { w.settleSingle(size) })
+}
