Read the head before writing beside another collector, and halve the rate

Two collectors of one shard each wrote from memory at the full rate. Each write made the other's next one conflict, so nearly every write was done twice. After a conflict a collector now reads the head before each write for 10 s and uses half of the shard's rate.

--- a/rudderd/rudderclaim/batch.go
+++ b/rudderd/rudderclaim/batch.go
@@ -232,6 +232,7 @@
 		return s.commit(result.Revision, now)
 	case errors.Is(result.Err, rudderstore.ErrConflict):
 		s.conflicts++
+		s.rivalUntil = now.Add(s.limits.RivalFor)
 		s.requeue(false)
 		return nil
 	case errors.Is(result.Err, rudderstore.ErrUnknownOutcome):
--- a/rudderd/rudderclaim/limits.go
+++ b/rudderd/rudderclaim/limits.go
@@ -34,6 +34,8 @@
 	// ReadAfter is the time without contact after which the head is read before it is written, so
 	// that a service restored to an older state is noticed.
 	ReadAfter time.Duration
+	// RivalFor is how long another collector is taken to be active after a write lost against it.
+	RivalFor time.Duration
 	// RetryAfter is the pause before the service is called again after it failed.
 	RetryAfter time.Duration
 }
@@ -54,6 +56,7 @@
 		MinLinger:       time.Millisecond,
 		SettleLinger:    250 * time.Millisecond,
 		ReadAfter:       time.Second,
+		RivalFor:        10 * time.Second,
 		RetryAfter:      100 * time.Millisecond,
 	}
 }
--- a/rudderd/rudderclaim/pacer.go
+++ b/rudderd/rudderclaim/pacer.go
@@ -23,6 +23,14 @@
 	p.last = now
 }
 
+// share sets the rate: half of the shard's when another collector writes too.
+func (p *pacer) share(limits Limits, rival bool) {
+	p.rate = limits.WritesPerSecond
+	if rival {
+		p.rate /= 2
+	}
+}
+
 // spend takes the token of one write.
 func (p *pacer) spend(now time.Time) {
 	p.refill(now)
--- a/rudderd/rudderclaim/shard.go
+++ b/rudderd/rudderclaim/shard.go
@@ -44,6 +44,7 @@
 	// storeRevision is the highest store revision seen; contact is when the service last answered.
 	storeRevision int64
 	contact       time.Time
+	rivalUntil    time.Time // another collector of the shard is taken to be active until then
 	missedAt      int64     // revision of the head that referred to a segment that is gone
 	retryAt       time.Time // no read before, after the service failed
 	restores      int
@@ -123,6 +124,7 @@
 
 // nextWrite starts a batch when one is due.
 func (s *Shard) nextWrite(now time.Time, replies []Reply) (Step, []Reply) {
+	s.pace.share(s.limits, now.Before(s.rivalUntil))
 	if len(s.queue) == 0 && len(s.lost) == 0 {
 		if step, ok := s.maintain(now); ok {
 			return step, replies
@@ -135,7 +137,7 @@
 		}
 		return Step{Kind: StepWait, At: at}, replies
 	}
-	if now.Sub(s.contact) > s.limits.ReadAfter {
+	if now.Sub(s.contact) > s.readAfter(now) {
 		s.phase = phaseRead
 		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
 	}
@@ -148,6 +150,16 @@
 	return step, replies
 }
 
+// readAfter returns the age above which the head is read before it is written. Beside another active
+// collector almost every write from memory would conflict, and reads are cheaper than writes.
+func (s *Shard) readAfter(now time.Time) time.Duration {
+	const besideRival = 5 * time.Millisecond // a read and the next write without a pause
+	if now.Before(s.rivalUntil) {
+		return min(besideRival, s.limits.ReadAfter)
+	}
+	return s.limits.ReadAfter
+}
+
 // maintain deletes and compacts segments while no write is due. Deletions leave half of the burst to
 // claims; reads for a compaction cost no writes.
 func (s *Shard) maintain(now time.Time) (Step, bool) {
