--- a/rudderd/rudderadmission/policy.go
+++ b/rudderd/rudderadmission/policy.go
@@ -12,8 +12,8 @@
 type Policy struct {
 	// ShortShare of each group's slots is kept free of long work where the group sets none, 0 to 1.
 	ShortShare float64
-	// Headroom multiplies the recent peak of short work in the shard; long work leaves that many
-	// slots free beyond ShortShare. 0 turns the adaptive reservation off.
+	// Headroom sets the slots of the shard that long work leaves to short work: the mean of short
+	// work in the shard plus this many standard deviations. A negative value turns this off.
 	Headroom float64
 	// ShortDeadline and LongDeadline bound the time in the queue where the request sets none.
 	ShortDeadline time.Duration
@@ -37,13 +37,13 @@
 // rather than refused.
 func PolicyFor(preset rudderconfig.Preset) Policy {
 	policy := Policy{
-		ShortShare: 0.25, Headroom: 1.5,
-		ShortDeadline: 2 * time.Second, LongDeadline: 20 * time.Second,
+		ShortShare: 0.25, Headroom: 2.5,
+		ShortDeadline: 2 * time.Second, LongDeadline: 60 * time.Second,
 		QueuePerSlot: 1, Quantum: 256, PreferSlack: 0.25, AgeShare: 0.5,
 	}
 	if preset == rudderconfig.PresetCrestFirst {
-		policy.ShortShare, policy.Headroom = 0.125, 1
-		policy.ShortDeadline, policy.LongDeadline = 8*time.Second, 60*time.Second
+		policy.ShortShare, policy.Headroom = 0.125, -1
+		policy.ShortDeadline, policy.LongDeadline = 8*time.Second, 120*time.Second
 		policy.QueuePerSlot = 4
 	}
 	return policy
--- a/rudderd/rudderadmission/reports.go
+++ b/rudderd/rudderadmission/reports.go
@@ -8,11 +8,24 @@
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
-// shortPeakHalfLife is how fast the remembered peak of short work fades.
-const shortPeakHalfLife = 20 * time.Second
+// demandTime is the time constant of the decayed mean and variance of short work. It spans several
+// short runs, so that the variance is that of the demand and not of single requests.
+const demandTime = 30 * time.Second
 
-// notePeak remembers the decayed peak of short work that runs or waits.
-func (s *Shard) notePeak(now time.Time) {
+// noteDemand follows the mean and the variance over time of short work that runs or waits. It is
+// called after each change of the number.
+func (s *Shard) noteDemand(now time.Time) {
+	if elapsed := now.Sub(s.demandAt); elapsed > 0 {
+		weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
+		difference := s.demand - s.demandMean
+		s.demandMean += weight * difference
+		s.demandVariance = (1 - weight) * (s.demandVariance + weight*difference*difference)
+		s.demandAt = now
+	}
+	s.demand = float64(s.shortDemand())
+}
+
+func (s *Shard) shortDemand() int {
 	short := 0
 	for _, g := range s.groups {
 		short += g.short
@@ -22,17 +35,13 @@
 			short += l.entries
 		}
 	}
-	if elapsed := now.Sub(s.shortAt); elapsed > 0 {
-		s.shortPeak *= math.Exp2(-elapsed.Seconds() / shortPeakHalfLife.Seconds())
-		s.shortAt = now
-	}
-	s.shortPeak = max(s.shortPeak, float64(short))
+	return short
 }
 
-// leavesHeadroom reports whether long work leaves enough slots of the shard for the recent peak of
-// short work. Long work can't be interrupted, so the slots must be free before the peak returns.
+// leavesHeadroom reports whether long work leaves enough slots of the shard for the usual demand of
+// short work. Long work can't be interrupted, so the slots must be free before the demand comes.
 func (s *Shard) leavesHeadroom(work Work, policy Policy) bool {
-	if work.Class != rudderconfig.ClassLong || policy.Headroom == 0 {
+	if work.Class != rudderconfig.ClassLong || policy.Headroom < 0 {
 		return true
 	}
 	slots, long := 0, 0
@@ -42,8 +51,9 @@
 			long += g.long
 		}
 	}
-	// Long work keeps one slot, so that it isn't shut out by a peak that fills the shard.
-	limit := max(1, slots-int(math.Ceil(policy.Headroom*s.shortPeak)))
+	// Long work keeps one slot, so that it isn't shut out by short work that fills the shard.
+	reserve := s.demandMean + policy.Headroom*math.Sqrt(s.demandVariance)
+	limit := max(1, slots-int(math.Ceil(reserve)))
 	return long < limit
 }
 
@@ -102,16 +112,12 @@
 	g.count(h.Work.Class, 1, now)
 	// The engine's report already counted this slot.
 	g.external = max(0, g.external-1)
-	s.notePeak(now)
+	s.noteDemand(now)
 }
 
 // Waiting is the number of queued requests.
 func (s *Shard) Waiting() int {
-	n := 0
-	for _, l := range s.lanes {
-		n += l.entries
-	}
-	return n
+	return len(s.queued)
 }
 
 // Load is the number of used slots and queued requests over the number of slots, for digests.
--- a/rudderd/rudderadmission/shard.go
+++ b/rudderd/rudderadmission/shard.go
@@ -23,10 +23,13 @@
 	groups     []*groupState
 	lanes      []*lane
 	held       map[string]*slot
+	queued     map[string]bool
 	slotRate   float64 // decayed estimated tokens per second of one slot
 	medianRate float64
-	shortPeak  float64
-	shortAt    time.Time
+
+	// Short work that runs or waits, with its decayed mean and variance over time.
+	demand, demandMean, demandVariance float64
+	demandAt                           time.Time
 }
 
 // NewShard returns an empty shard. A nil policies takes PolicyFor.
@@ -34,7 +37,7 @@
 	if policies == nil {
 		policies = PolicyFor
 	}
-	return &Shard{policies: policies, held: map[string]*slot{}}
+	return &Shard{policies: policies, held: map[string]*slot{}, queued: map[string]bool{}}
 }
 
 // SetGroups replaces the groups of the shard. Held slots of a removed group stay until they are
@@ -74,7 +77,7 @@
 func (s *Shard) dropUnservable() []Decision {
 	var decisions []Decision
 	for _, l := range s.lanes {
-		for _, e := range l.remove(func(e *entry) bool { return !s.servable(e.work) }) {
+		for _, e := range s.remove(l, func(e *entry) bool { return !s.servable(e.work) }) {
 			decisions = append(decisions, Decision{RequestID: e.work.RequestID, Kind: NoGroup, Reason: "no group left"})
 		}
 	}
@@ -87,7 +90,7 @@
 	if held := s.held[work.RequestID]; held != nil {
 		return granted(held)
 	}
-	if s.waiting(work.RequestID) {
+	if s.queued[work.RequestID] {
 		return Decision{RequestID: work.RequestID, Kind: Queued}
 	}
 	if !s.servable(work) {
@@ -113,19 +116,22 @@
 		return refuse("expected wait above the deadline")
 	}
 	s.laneFor(work).push(e)
-	s.notePeak(now)
+	s.queued[work.RequestID] = true
+	s.noteDemand(now)
 	return Decision{RequestID: work.RequestID, Kind: Queued}
 }
 
-func (s *Shard) waiting(requestID string) bool {
-	for _, l := range s.lanes {
-		for _, f := range l.flows {
-			if slices.ContainsFunc(f.entries, func(e *entry) bool { return e.work.RequestID == requestID }) {
-				return true
-			}
-		}
+// remove takes matching entries out of a lane.
+func (s *Shard) remove(l *lane, match func(*entry) bool) []*entry {
+	removed := l.remove(match)
+	for _, e := range removed {
+		delete(s.queued, e.work.RequestID)
 	}
-	return false
+	return removed
+}
+
+func (s *Shard) anyOpen() bool {
+	return slices.ContainsFunc(s.groups, func(g *groupState) bool { return s.free(g, rudderconfig.ClassShort, Policy{}) > 0 })
 }
 
 func (s *Shard) queueLimit(policy Policy) int {
@@ -147,7 +153,7 @@
 	held := &slot{work: work, group: g, since: now, leaseEnd: now.Add(LeaseTTL)}
 	s.held[work.RequestID] = held
 	g.count(work.Class, 1, now)
-	s.notePeak(now)
+	s.noteDemand(now)
 	return granted(held)
 }
 
@@ -183,7 +189,7 @@
 	delete(s.held, held.work.RequestID)
 	g := held.group
 	g.count(held.work.Class, -1, now)
-	s.notePeak(now)
+	s.noteDemand(now)
 	if g.Draining && g.held() == 0 {
 		s.groups = slices.DeleteFunc(s.groups, func(other *groupState) bool { return other == g })
 	}
@@ -193,7 +199,10 @@
 // freed. It reports false for a request that neither waits nor holds.
 func (s *Shard) Abandon(now time.Time, requestID string) (Decision, bool) {
 	for _, l := range s.lanes {
-		if removed := l.remove(func(e *entry) bool { return e.work.RequestID == requestID }); len(removed) > 0 {
+		if !s.queued[requestID] {
+			break
+		}
+		if removed := s.remove(l, func(e *entry) bool { return e.work.RequestID == requestID }); len(removed) > 0 {
 			return Decision{RequestID: requestID, Kind: Expired, Reason: "given up"}, true
 		}
 	}
@@ -209,7 +218,7 @@
 func (s *Shard) Tick(now time.Time) []Decision {
 	var decisions []Decision
 	for _, l := range s.lanes {
-		for _, e := range l.remove(func(e *entry) bool { return !now.Before(e.deadline) }) {
+		for _, e := range s.remove(l, func(e *entry) bool { return !now.Before(e.deadline) }) {
 			decisions = append(decisions, Decision{RequestID: e.work.RequestID, Kind: Expired, Reason: "deadline passed in the queue"})
 		}
 	}
@@ -228,12 +237,16 @@
 		if e == nil {
 			return decisions
 		}
+		delete(s.queued, e.work.RequestID)
 		decisions = append(decisions, s.grant(now, e.work, e.policy))
 	}
 }
 
 // next takes the entry to serve: aged long work of the best priority first, then lanes in order.
 func (s *Shard) next(now time.Time) *entry {
+	if len(s.queued) == 0 || !s.anyOpen() {
+		return nil
+	}
 	place := func(e *entry) bool { return s.canPlace(e.work, e.policy) }
 	for i, l := range s.lanes {
 		if i+1 < len(s.lanes) && s.lanes[i+1].priority == l.priority {
--- a/rudderd/rudderrouter/shard.go
+++ b/rudderd/rudderrouter/shard.go
@@ -70,6 +70,11 @@
 // sizes between splits average about 4.
 const maxShardGroups = 6
 
+// wholeKindGroups is the number of groups of one kind up to which they form a single shard. A firm
+// of today's size has about 8 groups of 16 slots. One pool of them needs fewer slots kept free for
+// short work than two pools: with two, 2 to 3 times as much long work went unserved.
+const wholeKindGroups = 8
+
 // Shard is a set of groups that one owner admits work to.
 type Shard struct {
 	id     string
@@ -111,6 +116,10 @@
 	var shards []Shard
 	for key, members := range kinds {
 		slices.SortFunc(members, func(a, b Servable) int { return strings.Compare(a.ID, b.ID) })
+		if len(members) <= wholeKindGroups {
+			shards = append(shards, Shard{id: key + "#", groups: members})
+			continue
+		}
 		shards = splitNode(shards, key, "", 0, members)
 	}
 	slices.SortFunc(shards, func(a, b Shard) int { return strings.Compare(a.id, b.id) })
