Check the permit right before a plain call is dispatched

The permit was checked when a call arrived only; a claim or a slot may take longer than it lasts, for example when the process is paused meanwhile.

--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -23,7 +23,8 @@
 	a.services = &rudderservice.Dispatcher{
 		Acquire: a.acquireService, Idempotent: a.declaredIdempotent,
 		Claim: a.claims.Claim, Settle: a.claims.Settle, Release: a.claims.Release,
-		Probe: a.control.Status, RetryAllowed: a.owner.TakeRetry,
+		Permit: func() error { return a.keeper.Permit(a.Clock.Now()) },
+		Probe:  a.control.Status, RetryAllowed: a.owner.TakeRetry,
 		Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
 	}
 }
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -32,6 +32,11 @@
 
 // attempt sends the call to one target and reads the whole answer.
 func (d *Dispatcher) attempt(ctx context.Context, transport http.RoundTripper, address string, call *Call) Result {
+	if d.Permit != nil {
+		if err := d.Permit(); err != nil {
+			return notRun(http.StatusServiceUnavailable, CodeNoPermit, err.Error())
+		}
+	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -49,6 +49,7 @@
 	CodeKeyConflict      Code = "idempotency_key_conflict"
 	CodeKeyExpired       Code = "idempotency_key_expired"
 	CodeKeyInUse         Code = "idempotency_key_in_use"
+	CodeNoPermit         Code = "entry_not_ready"
 	CodeClaimsFull       Code = "claims_full"
 	CodeClaimUnavailable Code = "claims_unavailable"
 )
@@ -101,6 +102,9 @@
 	Release func(request rudderclaim.Request)
 	// Probe reads the target's status on a new connection. Nil disables probing.
 	Probe func(ctx context.Context, address string) (ruddertarget.Status, error)
+	// Permit returns an error when this entry host may not dispatch now; nil allows always. It is asked
+	// right before each attempt, since waiting for a claim or a slot may outlast the permit.
+	Permit func() error
 	// RetryAllowed takes one retry from the retry budget.
 	RetryAllowed func() bool
 	Clock        clockwork.Clock
--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -189,3 +189,16 @@
 	require.Empty(t, result.Header.Get("Keep-Alive"))
 	require.Equal(t, "7", changes.answer.Header["X-Receipt"][0])
 }
+
+// Guards against a call that is dispatched after its claim or slot took longer than the permit: nothing
+// may be sent then, and the claim must not burn the key.
+func TestNothingIsDispatchedWithoutAPermit(t *testing.T) {
+	var runs atomic.Int64
+	d, c := newDispatcher(dropper(t, &runs))
+	d.Permit = func() error { return errors.New("permit expired") }
+	result := d.Do(context.Background(), Call{Service: "ledger", Method: http.MethodPost, Path: "/payments", Header: http.Header{HeaderKey: {"k1"}}})
+	require.Equal(t, OutcomeNotRun, result.Outcome)
+	require.Equal(t, CodeNoPermit, result.Code)
+	require.Equal(t, 1, c.released)
+	require.Zero(t, runs.Load())
+}
