--- /dev/null
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -0,0 +1,210 @@
+package rudderadminhttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// fakeKeeper accepts each change at once.
+type fakeKeeper struct {
+	mu       sync.Mutex
+	document *rudderconfig.Document
+	// overtake makes another operator's change come first.
+	overtake bool
+	state    rudderchange.State
+}
+
+func (k *fakeKeeper) current() *rudderconfig.Document {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.document
+}
+
+func (k *fakeKeeper) change(_ context.Context, expected int64, d *rudderconfig.Document, author, summary string) (rudderchange.Result, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.overtake {
+		return rudderchange.Result{Version: expected + 1, ChangedBy: "other", Summary: "label host h9"}, rudderchange.ErrConflict
+	}
+	d.Version, d.ChangedBy, d.Summary = expected+1, author, summary
+	k.document = d
+	return rudderchange.Result{Version: d.Version, State: k.state, Missing: []string{"entry-3"}}, nil
+}
+
+func testServer(t *testing.T) (*httptest.Server, *fakeKeeper) {
+	t.Helper()
+	k := &fakeKeeper{state: rudderchange.StateAccepted, document: &rudderconfig.Document{
+		Version: 7, ChangedBy: "ada", Summary: "first",
+		Operators: []rudderconfig.Operator{
+			{Name: "ada", TokenHash: HashOf("token-admin"), Role: rudderconfig.RoleAdmin},
+			{Name: "eve", TokenHash: HashOf("token-editor"), Role: rudderconfig.RoleEditor, Firms: []string{"umuvumu"}},
+			{Name: "vic", TokenHash: HashOf("token-viewer"), Role: rudderconfig.RoleViewer},
+		},
+		Selectors:  []rudderconfig.Selector{{Name: "notes", Firm: "umuvumu", Model: "m", GroupSize: 2}, {Name: "cues", Firm: "vercheres", Model: "m", GroupSize: 2}},
+		Workspaces: []rudderconfig.Workspace{{Name: "kigali", Firm: "umuvumu", KeyHashes: []string{HashOf("k")}}},
+	}}
+	api := &API{
+		Clock: clockwork.NewFakeClock(), Logger: zerolog.Nop(), Current: k.current, Change: k.change,
+		Check: func(_ context.Context, d *rudderconfig.Document) []rudderadmin.Finding {
+			var findings []rudderadmin.Finding
+			for _, s := range d.Selectors {
+				if s.GroupSize < 1 {
+					findings = append(findings, rudderadmin.Finding{Severity: "error", Path: "selectors." + s.Name, Message: "group_size below 1"})
+				}
+			}
+			return findings
+		},
+		Parse: func(text []byte) (*rudderconfig.Document, error) {
+			var d rudderconfig.Document
+			return &d, json.Unmarshal(text, &d)
+		},
+		Merge: func(base, _ *rudderconfig.Document) *rudderconfig.Document { return base },
+		Diff:  func(_, _ *rudderconfig.Document) []string { return []string{"changed"} },
+		Version: func(context.Context, int64) (*rudderconfig.Document, error) {
+			return nil, errors.Wrap(rudderstore.ErrNotFound, "history")
+		},
+		Hosts: func(context.Context) ([]rudderadmin.Host, error) { return []rudderadmin.Host{{Name: "h1"}}, nil },
+		Explain: func(context.Context, string) (rudderadmin.Explanation, bool, error) {
+			return rudderadmin.Explanation{}, false, nil
+		},
+		BootstrapTokenHash: HashOf("token-bootstrap"),
+	}
+	server := echo.New()
+	api.Register(server)
+	s := httptest.NewServer(server)
+	t.Cleanup(s.Close)
+	return s, k
+}
+
+func call(t *testing.T, s *httptest.Server, method, path, token, version, body string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, s.URL+rudderadmin.PathPrefix+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	if version != "" {
+		request.Header.Set("If-Match", version)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(text)
+}
+
+// Guards against calls that change something they must not, or that fail without a reason to act on.
+func TestRefusedCallsChangeNothing(t *testing.T) {
+	label := `{"set":{"tier":"fast"}}`
+	tests := []struct {
+		name, method, path, token, version, body string
+		status                                   int
+		code                                     string
+	}{
+		{"unknown token", "GET", "/config", "nobody", "", "", 401, "unauthorized"},
+		{"bootstrap token beside operators", "GET", "/config", "token-bootstrap", "", "", 401, "unauthorized"},
+		{"viewer changes", "PATCH", "/hosts/h1/labels", "token-viewer", "", label, 403, "forbidden"},
+		{"editor changes another firm", "DELETE", "/selectors/cues", "token-editor", "", "", 403, "forbidden"},
+		{"editor makes an operator", "PUT", "/config", "token-editor", "", `{"operators":[{"name":"eve","role":"admin"}]}`, 403, "forbidden"},
+		{"unknown host", "PATCH", "/hosts/h2/labels", "token-admin", "", label, 404, "not_found"},
+		{"unknown selector", "DELETE", "/selectors/none", "token-admin", "", "", 404, "not_found"},
+		{"unknown version", "GET", "/config/history/3", "token-admin", "", "", 404, "not_found"},
+		{"version not a number", "GET", "/config/history/x", "token-admin", "", "", 400, "invalid"},
+		{"older version", "PATCH", "/hosts/h1/labels", "token-admin", "6", label, 409, "conflict"},
+		{"not JSON", "PATCH", "/hosts/h1/labels", "token-admin", "", "{", 400, "invalid"},
+		{"invalid document", "PUT", "/selectors/notes", "token-admin", "", `{"name":"notes","firm":"umuvumu"}`, 422, "invalid"},
+		{"name differs", "PUT", "/selectors/notes", "token-admin", "", `{"name":"other"}`, 400, "invalid"},
+		{"dry run", "PATCH", "/hosts/h1/labels?dry_run=true", "token-admin", "", label, 200, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, k := testServer(t)
+			status, body := call(t, s, test.method, test.path, test.token, test.version, test.body)
+			require.Equal(t, test.status, status, body)
+			require.Equal(t, int64(7), k.current().Version)
+			if test.code == "" {
+				return
+			}
+			var failure rudderadmin.Error
+			require.NoError(t, json.Unmarshal([]byte(body), &failure))
+			require.Equal(t, test.code, failure.Code)
+			require.NotEmpty(t, failure.NextStep)
+		})
+	}
+}
+
+// Guards against a conflict that does not say whose change came first.
+func TestConflictNamesTheWinner(t *testing.T) {
+	s, k := testServer(t)
+	k.overtake = true
+	status, body := call(t, s, "PATCH", "/hosts/h1/labels", "token-admin", "7", `{"set":{"a":"b"}}`)
+	require.Equal(t, 409, status)
+	require.Contains(t, body, `"changed_by":"other"`)
+	require.Contains(t, body, "label host h9")
+}
+
+// Guards against a pending change that looks accepted, and against edits that lose other settings.
+func TestChanges(t *testing.T) {
+	s, k := testServer(t)
+	k.state = rudderchange.StatePending
+	status, body := call(t, s, "PATCH", "/hosts/h1/labels", "token-editor", "7", `{"set":{"tier":"fast"}}`)
+	require.Equal(t, 202, status, body)
+	require.Contains(t, body, `"missing":["entry-3"]`)
+
+	k.state = rudderchange.StateAccepted
+	status, _ = call(t, s, "PUT", "/hosts/h1/drain", "token-admin", "", "")
+	require.Equal(t, 200, status)
+	require.Equal(t, rudderconfig.HostSettings{Name: "h1", Labels: map[string]string{"tier": "fast"}, Drain: true}, k.current().Hosts[0])
+	require.Equal(t, "drain host h1", k.current().Summary)
+
+	status, body = call(t, s, "POST", "/workspaces/kigali/keys", "token-editor", "", "")
+	require.Equal(t, 200, status, body)
+	var made rudderadmin.NewKey
+	require.NoError(t, json.Unmarshal([]byte(body), &made))
+	require.Equal(t, []string{HashOf("k"), HashOf(made.Key)}, k.current().Workspaces[0].KeyHashes)
+
+	status, _ = call(t, s, "PUT", "/workspaces/kigali", "token-editor", "", `{"name":"kigali","firm":"umuvumu","key_hashes":["hidden"],"weight":3}`)
+	require.Equal(t, 200, status)
+	require.Len(t, k.current().Workspaces[0].KeyHashes, 2, "a workspace sent back without its hashes keeps them")
+}
+
+// Guards against hashes of keys and tokens in answers to operators who may not change them.
+func TestHashesAreHidden(t *testing.T) {
+	s, _ := testServer(t)
+	for _, path := range []string{"/config", "/workspaces"} {
+		_, body := call(t, s, "GET", path, "token-viewer", "", "")
+		require.NotContains(t, body, HashOf("k"))
+		require.NotContains(t, body, HashOf("token-admin"))
+	}
+}
+
+// Guards against a system that nobody can configure first, and a bootstrap token that stays open.
+func TestBootstrap(t *testing.T) {
+	s, k := testServer(t)
+	first := k.document
+	k.document = nil
+	body, err := json.Marshal(first)
+	require.NoError(t, err)
+	status, text := call(t, s, "PUT", "/config", "token-bootstrap", "", string(body))
+	require.Equal(t, 200, status, text)
+	require.Equal(t, int64(1), k.current().Version)
+	status, _ = call(t, s, "GET", "/config", "token-bootstrap", "", "")
+	require.Equal(t, 401, status)
+}
--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderhttp"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/rudderconfig"
 )
 
 // limitShareHosts is the number of entry hosts that a workspace's callers are assumed to spread over
@@ -20,6 +22,9 @@
 		MaxBodyBytes: a.Settings.MaxBodyBytes, LimitShare: a.limitShare, Refuse: a.refuse,
 		Estimate: a.work.estimate, Start: a.startChat, Answers: a.answers,
 		ReadRemote: a.requests.ReadRemote, Call: a.callService, Entries: a.entries,
+		OnRefused: func(w rudderconfig.Workspace, r *rudderhttp.Refusal) {
+			a.countEnding(rudderburn.Ending{Firm: w.Firm, Workspace: w.Name, Outcome: string(r.Outcome)})
+		},
 	}
 }
 
--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -39,6 +39,9 @@
 	// Refuse returns why this entry host takes no new requests now, or nil.
 	Refuse func() *Refusal
 
+	// OnRefused is told of requests that Refuse turned away, which callers feel as lost service; may be nil.
+	OnRefused func(workspace rudderconfig.Workspace, refusal *Refusal)
+
 	// Estimate returns the expected output tokens of a request and its class.
 	Estimate func(workspace string, promptTokens, maxTokens int) (int, rudderconfig.WorkClass)
 	// Start runs a request in the background; its answer is in the registry.
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -34,10 +34,13 @@
 // admit refuses requests of hosts that may not serve and of workspaces above their limits.
 func (a *API) admit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		workspace := workspaceOf(c)
 		if refusal := a.Refuse(); refusal != nil {
+			if a.OnRefused != nil {
+				a.OnRefused(workspace, refusal)
+			}
 			return refusal
 		}
-		workspace := workspaceOf(c)
 		if refusal := a.limits.enter(workspace, a.LimitShare(), a.Clock.Now()); refusal != nil {
 			return refusal
 		}
