Bound what a silent member adds to a change, and spread the pulls of a round

Calls now end as soon as the answers decide, later ones are limited to 0.4 s, and the wait ends when the permits do.

The pulls of a round started together and each returned the same news; they are now spread over the round. The remote pull goes to the member that was silent for longest: random choice let a live one be suspected at 6 and at 72 nodes.

A planted fault (serving without being in the committed registry) survived the tests; there is a case for it now.

--- a/rudderd/rudderchange/await.go
+++ b/rudderd/rudderchange/await.go
@@ -14,6 +14,9 @@
 	// askAgainAfter separates the calls to members that have not acknowledged. The platform's watch
 	// informs most of them within milliseconds.
 	askAgainAfter = 200 * time.Millisecond
+	// askLimit bounds a call to a member that has not acknowledged. A silent member delays the end of
+	// the wait by at most this.
+	askLimit = 400 * time.Millisecond
 	// driftShare of the permit's time is added when waiting for its end, for clocks that differ in
 	// speed.
 	driftShare = 50
@@ -51,7 +54,7 @@
 			result.Slowest = missing[0]
 		}
 		// The monotonic clock alone: a wall clock that is set forward must not shorten the wait.
-		waited := !majorityAt.IsZero() && now.Sub(majorityAt) > k.PermitTTL+k.PermitTTL/driftShare
+		waited := !majorityAt.IsZero() && now.Sub(majorityAt) > k.permitsEnd()
 		if !majorityAt.IsZero() && (len(missing) == 0 || waited) {
 			result.State, result.InForceAfter = StateAccepted, now.Sub(began)
 			return result, nil
@@ -59,7 +62,11 @@
 		if own := k.Version(); own.Number == version.Number && own != version {
 			return conflictWith(k.Current()), errors.Wrap(ErrConflict, "replaced after the platform went back to an older state")
 		}
-		if k.wait(ctx, askAgainAfter) != nil {
+		pause := askAgainAfter
+		if !majorityAt.IsZero() {
+			pause = min(pause, k.permitsEnd()-now.Sub(majorityAt)+time.Millisecond)
+		}
+		if k.wait(ctx, pause) != nil {
 			return result, nil
 		}
 	}
@@ -81,13 +88,20 @@
 			open = append(open, m)
 		}
 	}
-	for _, a := range k.ask(ctx, open) {
+	registry := k.Node.Registry()
+	hadMajority := registry.Quorum(acked)
+	k.ask(ctx, open, askLimit, func(answers []answer) bool {
+		a := answers[len(answers)-1]
 		if a.acknowledges && covers(a.Version, version) {
 			acked[a.Member] = true
 		}
-	}
+		return !hadMajority && registry.Quorum(acked)
+	})
 }
 
+// permitsEnd is the time after a majority's acknowledgement when no older permit is left.
+func (k *Keeper) permitsEnd() time.Duration { return k.PermitTTL + k.PermitTTL/driftShare }
+
 func missingOf(r ruddermember.Registry, acked map[string]bool) []string {
 	var missing []string
 	for _, name := range r.Names() {
--- a/rudderd/rudderchange/events_test.go
+++ b/rudderd/rudderchange/events_test.go
@@ -1,6 +1,7 @@
 package rudderchange
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -144,6 +145,27 @@
 			time.Sleep(2 * testTTL)
 			w.requireServing(2)
 		}},
+		{"host that no majority knows", func(t *testing.T, w *world) {
+			k := w.hosts[4].keeper
+			without, _ := k.Node.Registry().Without("entry-04")
+			k.Node.AdoptRegistry(without.Committed().Encode())
+			require.ErrorIs(t, k.Permit(time.Now()), rudderpermit.ErrNotAdmitted)
+			time.Sleep(10 * time.Second)
+			w.requireServing(1)
+		}},
+		{"silent and leaving hosts are taken off the registry", func(t *testing.T, w *world) {
+			w.kill(4)
+			time.Sleep(testRemoveAfter / 2)
+			require.Len(t, w.hosts[0].keeper.Node.Members(), 5)
+			time.Sleep(testRemoveAfter)
+			require.NoError(t, w.hosts[3].keeper.Enrolment.Leave(context.Background()))
+			w.kill(3)
+			time.Sleep(20 * time.Second)
+			r := w.hosts[0].keeper.Node.Registry()
+			require.Equal(t, []string{"entry-00", "entry-01", "entry-02"}, r.Names())
+			require.False(t, r.Uncommitted)
+			w.requireServing(1, 0, 1, 2)
+		}},
 		{"two operators race", func(t *testing.T, w *world) {
 			var both sync.WaitGroup
 			results, errs := make([]Result, 2), make([]error, 2)
--- a/rudderd/rudderchange/round.go
+++ b/rudderd/rudderchange/round.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,21 +103,33 @@
 	r := round{started: k.Clock.Now(), answers: map[string]bool{k.Node.Self.Name: true}}
 	first, rest := k.waves()
 	for _, wave := range [][]ruddermember.Member{first, rest} {
-		for _, a := range k.ask(ctx, wave) {
-			r.answers[a.Member] = true
-			if a.acknowledges {
-				r.acks = append(r.acks, a.Ack)
+		k.ask(ctx, wave, k.callTimeout(), func(answers []answer) bool {
+			r.add(answers[len(answers)-1])
+			r.answered = k.Node.Registry().Quorum(r.answers)
+			if r.answered {
+				r.verdict = k.judge(r.acks, r.started)
 			}
+			return r.decided()
+		})
+		if !r.answered {
+			r.verdict = k.judge(r.acks, r.started)
 		}
-		r.verdict = k.judge(r.acks, r.started)
-		r.answered = k.Node.Registry().Quorum(r.answers)
-		if r.verdict.Majority || r.verdict.Behind {
+		if r.decided() {
 			break
 		}
 	}
 	return r
 }
 
+func (r *round) add(a answer) {
+	r.answers[a.Member] = true
+	if a.acknowledges {
+		r.acks = append(r.acks, a.Ack)
+	}
+}
+
+func (r *round) decided() bool { return r.verdict.Majority || r.verdict.Behind }
+
 // waves orders the members to ask: live ones of the own region first.
 func (k *Keeper) waves() (first, rest []ruddermember.Member) {
 	registry, self := k.Node.Registry(), k.Node.Self
@@ -156,41 +167,53 @@
 	acknowledges bool
 }
 
-// ask calls members in parallel and adopts newer registries that they have.
-func (k *Keeper) ask(ctx context.Context, members []ruddermember.Member) []answer {
-	ctx, cancel := context.WithTimeout(ctx, k.callTimeout())
+// ask calls members in parallel and adopts newer registries that they have. It returns when all
+// answered or the limit passed, or earlier when the answers are enough: a silent member must not
+// delay what a majority can decide.
+func (k *Keeper) ask(ctx context.Context, members []ruddermember.Member, limit time.Duration, enough func([]answer) bool) []answer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	adopted, _ := k.version()
 	q := &rudderpeer.AcknowledgeRequest{
 		Caller: k.Node.Self.PeerAddress, ConfigVersion: adopted.Number, ConfigHash: adopted.Hash,
 		RegistryVersion: k.Node.Registry().Version,
 	}
-	var mu sync.Mutex
-	var answers []answer
-	var calls sync.WaitGroup
+	results := make(chan answer, len(members)) // room for all, so that late calls end
+	calls := 0
 	for _, m := range members {
-		if m.Name == k.Node.Self.Name {
+		if m.Name != k.Node.Self.Name {
+			calls++
+			go func() { results <- k.askOne(ctx, m, q) }()
+		}
+	}
+	var answers []answer
+	for range calls {
+		a := <-results
+		if a.Member == "" {
 			continue
 		}
-		calls.Go(func() {
-			sent := k.Clock.Now()
-			a, err := k.Node.Peer.Acknowledge(ctx, m.PeerAddress, q)
-			if err != nil {
-				return
-			}
-			k.Node.AdoptRegistry(a.Registry)
-			version := rudderpermit.Version{Number: a.ConfigVersion, Hash: a.ConfigHash}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, answer{
-				Ack: rudderpermit.Ack{Member: m.Name, Version: version, At: sent}, acknowledges: a.HasConfig,
-			})
-		})
+		answers = append(answers, a)
+		if enough(answers) {
+			break
+		}
 	}
-	calls.Wait()
 	return answers
 }
 
+// askOne returns a member's answer, an empty one if it gave none.
+func (k *Keeper) askOne(ctx context.Context, m ruddermember.Member, q *rudderpeer.AcknowledgeRequest) answer {
+	sent := k.Clock.Now()
+	a, err := k.Node.Peer.Acknowledge(ctx, m.PeerAddress, q)
+	if err != nil {
+		return answer{}
+	}
+	k.Node.AdoptRegistry(a.Registry)
+	version := rudderpermit.Version{Number: a.ConfigVersion, Hash: a.ConfigHash}
+	return answer{
+		Ack: rudderpermit.Ack{Member: m.Name, Version: version, At: sent}, acknowledges: a.HasConfig,
+	}
+}
+
 // adoptFrom takes over the configuration that a verdict found to be newer.
 func (k *Keeper) adoptFrom(ctx context.Context, v rudderpermit.Verdict) error {
 	m, found := k.Node.Registry().Member(v.Newest.Member)
--- a/rudderd/rudderchange/world_test.go
+++ b/rudderd/rudderchange/world_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,99 +18,11 @@
 )
 
 const (
-	testTTL     = 5 * time.Second
-	testLatency = 2 * time.Millisecond
+	testTTL         = 5 * time.Second
+	testRemoveAfter = 3 * time.Minute
+	testLatency     = 2 * time.Millisecond
 )
 
-// platform is a key-value store in memory that can be down, lose answers and go back to an older state.
-type platform struct {
-	mu       sync.Mutex
-	entries  map[string]rudderstore.Entry
-	revision int64
-	changed  chan struct{}
-	down     bool
-	lose     int // answers of writes to control/config to lose
-}
-
-func newPlatform() *platform {
-	return &platform{entries: map[string]rudderstore.Entry{}, changed: make(chan struct{})}
-}
-
-func (p *platform) notify() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *platform) get(key string) (rudderstore.Entry, int64, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e, found := p.entries[key]
-	if !found {
-		return e, p.revision, rudderstore.ErrNotFound
-	}
-	return e, p.revision, nil
-}
-
-func (p *platform) put(r rudderstore.PutRequest) (int64, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r.Expected != rudderstore.AnyRevision && p.entries[r.Key].Revision != r.Expected {
-		return 0, rudderstore.ErrConflict
-	}
-	p.revision++
-	p.entries[r.Key] = rudderstore.Entry{Key: r.Key, Value: r.Value, Revision: p.revision}
-	p.notify()
-	if r.Key == rudderconfig.Key && p.lose > 0 {
-		p.lose--
-		return 0, rudderstore.ErrUnknownOutcome
-	}
-	return p.revision, nil
-}
-
-func (p *platform) watch(ctx context.Context, q rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
-	timeout := time.After(q.Wait)
-	for {
-		p.mu.Lock()
-		result, changed := rudderstore.WatchResult{Revision: p.revision}, p.changed
-		compacted := q.After > p.revision
-		for key, e := range p.entries {
-			for _, prefix := range q.Prefixes {
-				if strings.HasPrefix(key, prefix) && e.Revision > q.After {
-					result.Events = append(result.Events, rudderstore.Event{Entry: e})
-					break
-				}
-			}
-		}
-		p.mu.Unlock()
-		switch {
-		case compacted:
-			return rudderstore.WatchResult{}, rudderstore.ErrCompacted
-		case len(result.Events) > 0:
-			return result, nil
-		}
-		select {
-		case <-ctx.Done():
-			return rudderstore.WatchResult{}, rudderstore.ErrUnavailable
-		case <-timeout:
-			return result, nil
-		case <-changed:
-		}
-	}
-}
-
-// snapshot returns a function that brings the present state back.
-func (p *platform) snapshot() func() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	entries, revision := maps.Clone(p.entries), p.revision
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.entries, p.revision = maps.Clone(entries), revision
-		p.notify()
-	}
-}
-
 // host is one entry host process with its keeper.
 type host struct {
 	keeper *Keeper
@@ -198,7 +108,7 @@
 		Incarnation: incarnation, Clock: clock, Peer: w.peer(i), Seeds: []string{address(0), address(1), address(2)},
 	}
 	store := w.store(i)
-	enrolment := &ruddermember.Enrolment{Node: node, Store: store, Clock: clock, PermitTTL: testTTL}
+	enrolment := &ruddermember.Enrolment{Node: node, Store: store, Clock: clock, PermitTTL: testTTL, RemoveAfter: testRemoveAfter}
 	k := &Keeper{Node: node, Enrolment: enrolment, Store: store, Clock: clock, PermitTTL: testTTL}
 	k.Connect()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -444,10 +354,6 @@
 	}
 }
 
-func putMembers(value string, expected int64) rudderstore.PutRequest {
-	return rudderstore.PutRequest{Key: ruddermember.RegistryKey, Value: []byte(value), Expected: expected}
-}
-
 // older brings the platform back to the state that older recorded last, and records the present one.
 func (w *world) older() {
 	now := w.platform.snapshot()
--- a/rudderd/ruddermember/choose.go
+++ b/rudderd/ruddermember/choose.go
@@ -94,7 +94,7 @@
 	sort.SliceStable(silent, func(i, j int) bool { return v.silence(silent[i]) < v.silence(silent[j]) })
 	chosen = append(chosen, silent[:min(maxProbes, len(silent))]...)
 	if round%remoteRounds == 0 {
-		chosen = append(chosen, sample(remote, 1, random)...)
+		chosen = append(chosen, v.mostSilent(remote, random)...)
 	}
 	addresses := make([]string, 0, len(chosen)+1)
 	for _, m := range chosen {
@@ -106,6 +106,21 @@
 	return distinct(addresses, v.self.PeerAddress)
 }
 
+// mostSilent returns the member that has been silent for longest, so that none is suspected only
+// because no pull happened to reach it. Members of equal silence are taken at random.
+func (v view) mostSilent(members []Member, random *rand.Rand) []Member {
+	if len(members) == 0 {
+		return nil
+	}
+	most := members[random.IntN(len(members))]
+	for _, m := range members {
+		if v.silence(m) > v.silence(most) {
+			most = m
+		}
+	}
+	return []Member{most}
+}
+
 func sample(members []Member, count int, random *rand.Rand) []Member {
 	if len(members) <= count {
 		return members
--- a/rudderd/ruddermember/node.go
+++ b/rudderd/ruddermember/node.go
@@ -94,10 +94,23 @@
 	peers := choosePeers(n.view(), n.Seeds, n.round, n.Random)
 	n.round++
 	n.mu.Unlock()
-	for _, address := range peers {
+	go n.pullAll(ctx, peers)
+	n.report()
+}
+
+// pullAll spreads the pulls of a round over the interval. Pulls at the same time would each return
+// the same news.
+func (n *Node) pullAll(ctx context.Context, peers []string) {
+	for i, address := range peers {
+		if i > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.Clock.After(Interval * 9 / 10 / time.Duration(len(peers))):
+			}
+		}
 		go n.pull(ctx, address)
 	}
-	n.report()
 }
 
 // Touch takes a new snapshot of this member at once. Call it after a change of the configuration
