Ask the next collector after 250 ms, and suspect one that did not answer

A lost collector held each claim of its shards for 500 ms until the member list dropped it, and a slow platform looked like a lost collector and brought in a second one. A live collector now answers that a claim is pending and is asked again with the same token; one without an answer for 250 ms is asked last for 3 s.

--- a/rudderd/rudderclaim/claims.go
+++ b/rudderd/rudderclaim/claims.go
@@ -19,8 +19,11 @@
 var ErrUnavailable = errors.New("claim: unavailable")
 
 const (
-	// defaultPeerTimeout exceeds the longest linger (111 ms) and a few writes.
-	defaultPeerTimeout = 500 * time.Millisecond
+	// defaultPeerTimeout is after how long a collector without an answer is taken for dead. A live one
+	// answers earlier, if only that the claim is still pending.
+	defaultPeerTimeout = 250 * time.Millisecond
+	// claimTimeout bounds a whole claim: a slow platform must not hold callers for long.
+	claimTimeout = 2 * time.Second
 	// storeTimeout bounds one call to the key-value service.
 	storeTimeout = 2 * time.Second
 	// operationTimeout bounds how long a shard holds an operation whose caller gave no deadline.
@@ -50,6 +53,7 @@
 	peersMu    sync.Mutex
 	peers      map[string]rudderpeer.Claims
 	background chan change
+	suspects   Suspects
 }
 
 // change is a settlement or release that is retried until it is done.
@@ -112,12 +116,13 @@
 
 // claim asks the first and the next collector in rank, then collects itself, all with one token.
 func (c *Claims) claim(ctx context.Context, request Request) (Decision, bool) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	unknown := false
 	for _, m := range c.candidates(request) {
-		attempt, cancel := context.WithTimeout(ctx, c.PeerTimeout)
-		d, err := c.claimAt(attempt, m, request)
-		cancel()
-		if err == nil && d.Verdict != VerdictUnavailable {
+		d, err := c.claimUntilDecided(ctx, m, request)
+		c.noteAnswer(ctx, m.Name, err)
+		if err == nil && d.Verdict != VerdictUnavailable && d.Verdict != VerdictPending {
 			return d, unknown
 		}
 		unknown = unknown || err != nil || d.Unknown
@@ -129,15 +134,42 @@
 	return Decision{Verdict: VerdictUnavailable, Unknown: unknown}, unknown
 }
 
-// candidates returns the members to ask in order: the first two in rank, then this entry host.
+// claimUntilDecided asks one collector again while it answers that the claim is pending, so that a slow
+// platform does not look like a dead collector and bring in a second one.
+func (c *Claims) claimUntilDecided(ctx context.Context, m ruddermember.Member, request Request) (Decision, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, c.PeerTimeout)
+		d, err := c.claimAt(attempt, m, request)
+		cancel()
+		pending := err == nil && d.Verdict == VerdictPending
+		if !pending || ctx.Err() != nil {
+			return d, err
+		}
+	}
+}
+
+// noteAnswer remembers whether a collector answered. A caller that gave up says nothing about it.
+func (c *Claims) noteAnswer(ctx context.Context, name string, err error) {
+	switch {
+	case err == nil:
+		c.suspects.Remove(name)
+	case ctx.Err() == nil && name != c.Self:
+		c.suspects.Add(name, c.Clock.Now())
+	}
+}
+
+// candidates returns the members to ask in order: the first two in rank that are not suspected, then
+// this entry host, which collects itself.
 func (c *Claims) candidates(request Request) []ruddermember.Member {
 	const asked = 2
 	ranked := ruddermember.Rank(headKey(request.Shard()), c.Members())
 	var candidates []ruddermember.Member
-	for _, m := range ranked[:min(asked, len(ranked))] {
-		candidates = append(candidates, m)
+	for _, m := range ranked {
 		if m.Name == c.Self {
-			return candidates
+			return append(candidates, m)
+		}
+		if len(candidates) < asked && !c.suspects.Has(m.Name, c.Clock.Now()) {
+			candidates = append(candidates, m)
 		}
 	}
 	return append(candidates, ruddermember.Member{Name: c.Self})
@@ -193,7 +225,7 @@
 // change sends one settlement or release to the collectors in rank.
 func (c *Claims) change(ctx context.Context, ch change) bool {
 	for _, m := range c.candidates(ch.request) {
-		attempt, cancel := context.WithTimeout(ctx, c.PeerTimeout+c.Limits.SettleLinger)
+		attempt, cancel := context.WithTimeout(ctx, operationTimeout)
 		err := c.changeAt(attempt, m, ch)
 		cancel()
 		if err == nil {
--- a/rudderd/rudderclaim/claims_test.go
+++ b/rudderd/rudderclaim/claims_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -69,3 +71,36 @@
 		require.Equal(t, map[Verdict]int{VerdictGranted: 1, VerdictMayHaveRun: 2}, verdicts, "round %d", round)
 	}
 }
+
+// Guards against a slow platform that is taken for a dead collector and brings in a second one.
+func TestSlowPlatformKeepsOneCollector(t *testing.T) {
+	store := newFakeStore()
+	store.slow = 600 * time.Millisecond
+	hosts, _ := entryHosts(t, store, 3)
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		wg.Go(func() {
+			_, err := h.Claim(context.Background(), keyed("slow", "100"))
+			require.NoError(t, err)
+		})
+	}
+	wg.Wait()
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	require.Equal(t, []int{1, 1}, []int{store.reads, store.writes})
+}
+
+// Guards against each claim waiting for a collector that does not answer any more.
+func TestSilentCollectorIsAskedLast(t *testing.T) {
+	hosts, servers := entryHosts(t, newFakeStore(), 2)
+	stop := make(chan struct{})
+	servers[1].Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop })
+	defer close(stop)
+	began := time.Now()
+	for i := range 30 {
+		d, err := hosts[0].Claim(context.Background(), keyed(fmt.Sprint("key", i), "100"))
+		require.NoError(t, err)
+		require.Equal(t, VerdictGranted, d.Verdict)
+	}
+	require.Less(t, time.Since(began), 2*time.Second, "one wait of 250 ms, not one for each claim")
+}
--- a/rudderd/rudderclaim/peer.go
+++ b/rudderd/rudderclaim/peer.go
@@ -37,10 +37,11 @@
 // claimAt makes a claim at one collector. An error means that its outcome is unknown.
 func (c *Claims) claimAt(ctx context.Context, m ruddermember.Member, r Request) (Decision, error) {
 	if m.Name == c.Self {
-		return c.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
+		return c.claimHere(ctx, r)
 	}
+	// The collector answers that the claim is pending before this call gives up.
 	reply, err := c.peer(m.PeerAddress).Claim(ctx, &rudderpeer.ClaimRequest{
-		Key: toWireKey(r), WaitMs: remaining(ctx).Milliseconds(),
+		Key: toWireKey(r), WaitMs: remaining(ctx).Milliseconds() * 3 / 4,
 	})
 	if err != nil {
 		return Decision{}, err
@@ -48,6 +49,16 @@
 	return Decision{Verdict: Verdict(reply.Verdict), Answer: fromWireAnswer(reply.Answer), Unknown: reply.Unknown}, nil
 }
 
+// claimHere makes a claim at this entry host's collector. A claim that is not decided in time is
+// pending: its write may still succeed.
+func (c *Claims) claimHere(ctx context.Context, r Request) (Decision, error) {
+	d, err := c.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
+	if errors.Is(err, ErrUnavailable) {
+		return Decision{Verdict: VerdictPending, Unknown: true}, nil
+	}
+	return d, err
+}
+
 // changeAt sends a settlement or release to one collector.
 func (c *Claims) changeAt(ctx context.Context, m ruddermember.Member, ch change) error {
 	if m.Name == c.Self {
@@ -101,7 +112,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
 		defer cancel()
 	}
-	d, err := s.claims.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
+	d, err := s.claims.claimHere(ctx, r)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/rudderd/rudderclaim/record.go
+++ b/rudderd/rudderclaim/record.go
@@ -112,6 +112,7 @@
 	VerdictFull        Verdict = "full"         // no space for another opaque key
 	VerdictReleased    Verdict = "released"     // the token was released before its claim arrived
 	VerdictUnavailable Verdict = "unavailable"  // the claim could not be written
+	VerdictPending     Verdict = "pending"      // not decided yet; ask again with the same token
 	VerdictChanged     Verdict = "changed"      // a settlement or release is done
 )
 
--- a/rudderd/rudderclaim/store_test.go
+++ b/rudderd/rudderclaim/store_test.go
@@ -22,6 +22,8 @@
 	delayWrites int
 	delayed     []rudderstore.PutRequest
 	limited     bool
+	slow        time.Duration // real time that each write takes
+	reads       int
 }
 
 type fakeSnapshot struct {
@@ -38,6 +40,7 @@
 func (f *fakeStore) get(_ context.Context, key string) (rudderstore.Entry, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reads++
 	if f.down {
 		return rudderstore.Entry{}, 0, rudderstore.ErrUnavailable
 	}
@@ -49,6 +52,7 @@
 }
 
 func (f *fakeStore) putCall(_ context.Context, r rudderstore.PutRequest) (int64, error) {
+	time.Sleep(f.slow)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/rudderstand/rudderbench/claims.go
+++ b/rudderstand/rudderbench/claims.go
@@ -102,6 +102,7 @@
 		w.after(gap/2, func() {
 			for shard := 0; shard < len(w.collectors); shard += 4 {
 				w.collectors[shard][0].dead = true
+				w.after(claimsSuspicion, func() { w.collectors[shard][0].dropped = true })
 			}
 		})
 	}
@@ -144,7 +145,7 @@
 	began := w.now
 	decided := false
 	ask := func(c *claimsCollector, last bool) {
-		c.ask(func() uint64 { return c.core.Claim(request, w.now, w.now.Add(claimsPeerTimeout)) }, func(d rudderclaim.Decision) {
+		c.ask(func() uint64 { return c.core.Claim(request, w.now, w.now.Add(2*time.Second)) }, func(d rudderclaim.Decision) {
 			if decided || d.Verdict == rudderclaim.VerdictUnavailable && !last {
 				return
 			}
@@ -155,9 +156,17 @@
 			}
 		})
 	}
+	suspects := &w.suspects[w.random.IntN(claimsEntryHosts)]
+	name := fmt.Sprint(request.Shard(), "/", first)
+	if collectors[first].dropped || suspects.Has(name, w.now) {
+		ask(collectors[1-first], true)
+		return
+	}
 	ask(collectors[first], false)
 	w.after(claimsPeerTimeout, func() {
-		if !decided {
+		// A live collector answers that the claim is pending, and is asked again.
+		if !decided && collectors[first].dead {
+			suspects.Add(name, w.now)
 			ask(collectors[1-first], true)
 		}
 	})
--- a/rudderstand/rudderbench/claims_world.go
+++ b/rudderstand/rudderbench/claims_world.go
@@ -15,7 +15,10 @@
 	claimsStoreWrites  = 300 // writes a second that the key-value service takes
 	claimsPeerLatency  = time.Millisecond
 	// claimsPeerTimeout is after how long a claim is sent to the next collector, as in rudderclaim.
-	claimsPeerTimeout = 500 * time.Millisecond
+	claimsPeerTimeout = 250 * time.Millisecond
+	// claimsSuspicion is after how long the member list drops a dead host, as the design has it.
+	claimsSuspicion   = 3 * time.Second
+	claimsEntryHosts  = 18
 	claimsServiceTime = 20 * time.Millisecond
 	claimsAnswerBytes = 300
 )
@@ -66,6 +69,7 @@
 	collectors [rudderclaim.Shards][]*claimsCollector
 
 	latencies    []time.Duration
+	suspects     [claimsEntryHosts]rudderclaim.Suspects
 	lastDecision time.Time
 	granted      map[string]int
 	refused      int
@@ -143,7 +147,8 @@
 	core    *rudderclaim.Shard
 	busy    bool
 	dead    bool
-	timer   int // generation of the timer that counts
+	dropped bool // from the member list
+	timer   int  // generation of the timer that counts
 	waiting map[uint64]func(rudderclaim.Decision)
 }
 
