Take the variance of short demand from its mean

The measured variance of short work took the swing itself for noise, and long work had to leave far too many slots.

--- a/rudderd/rudderadmission/policy.go
+++ b/rudderd/rudderadmission/policy.go
@@ -13,7 +13,7 @@
 	// ShortShare of each group's slots is kept free of long work where the group sets none, 0 to 1.
 	ShortShare float64
 	// Headroom sets the slots of the shard that long work leaves to short work: the mean of short
-	// work in the shard plus this many standard deviations. A negative value turns this off.
+	// work in the shard plus this many of its square roots. A negative value turns this off.
 	Headroom float64
 	// ShortDeadline and LongDeadline bound the time in the queue where the request sets none.
 	ShortDeadline time.Duration
--- a/rudderd/rudderadmission/reports.go
+++ b/rudderd/rudderadmission/reports.go
@@ -7,18 +7,15 @@
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
-// demandTime is the time constant of the decayed mean and variance of short work. It spans several
-// short runs, so that the variance is that of the demand and not of single requests.
+// demandTime is the time constant of the decayed mean of short work. It spans several short runs.
 const demandTime = 30 * time.Second
 
-// noteDemand follows the mean and the variance over time of short work that runs or waits. It is
+// noteDemand follows the mean over time of short work that runs or waits. It is
 // called after each change of the number.
 func (s *Shard) noteDemand(now time.Time) {
 	if elapsed := now.Sub(s.demandAt); elapsed > 0 {
 		weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
-		difference := s.demand - s.demandMean
-		s.demandMean += weight * difference
-		s.demandVariance = (1 - weight) * (s.demandVariance + weight*difference*difference)
+		s.demandMean += weight * (s.demand - s.demandMean)
 		s.demandAt = now
 	}
 	s.demand = float64(s.shortDemand())
@@ -51,7 +48,9 @@
 		}
 	}
 	// Long work keeps one slot, so that it isn't shut out by short work that fills the shard.
-	reserve := s.demandMean + policy.Headroom*math.Sqrt(s.demandVariance)
+	// The number of independent requests that run at a time has a variance equal to its mean. The
+	// measured variance takes a swing of the demand for noise: it cost a fifth of the fleet there.
+	reserve := s.demandMean + policy.Headroom*math.Sqrt(s.demandMean)
 	limit := max(1, slots-int(math.Ceil(reserve)))
 	return long < limit
 }
--- a/rudderd/rudderadmission/shard.go
+++ b/rudderd/rudderadmission/shard.go
@@ -29,9 +29,9 @@
 	slotRate   float64 // decayed estimated tokens per second of one slot
 	medianRate float64
 
-	// Short work that runs or waits, with its decayed mean and variance over time.
-	demand, demandMean, demandVariance float64
-	demandAt                           time.Time
+	// Short work that runs or waits, with its decayed mean over time.
+	demand, demandMean float64
+	demandAt           time.Time
 }
 
 // NewShard returns an empty shard. A nil policies takes PolicyFor.
