--- a/rudderd/ruddermember/choose.go
+++ b/rudderd/ruddermember/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -22,7 +23,7 @@
 	// maxProbes in a round go to members that have been silent for probeAfter.
 	maxProbes = 3
 
-	probeAfter = 2 * time.Second
+	probeAfter = 1500 * time.Millisecond
 	// SuspectAfter is the silence after which a member of the own region is not live.
 	SuspectAfter = 3 * time.Second
 	// SuspectRemoteAfter is the same for members of other regions, whose digests come less often.
@@ -90,9 +91,16 @@
 			}
 		}
 	}
-	chosen := sample(regional, regionalPulls, random)
-	sort.SliceStable(silent, func(i, j int) bool { return v.silence(silent[i]) < v.silence(silent[j]) })
-	chosen = append(chosen, silent[:min(maxProbes, len(silent))]...)
+	// Probes come first, because pulls are spread over the round: a live member must be heard of
+	// before it is suspected. Suspected ones wait.
+	sort.SliceStable(silent, func(i, j int) bool {
+		if a, b := v.suspected(silent[i]), v.suspected(silent[j]); a != b {
+			return b
+		}
+		return v.silence(silent[i]) > v.silence(silent[j])
+	})
+	chosen := slices.Clone(silent[:min(maxProbes, len(silent))])
+	chosen = append(chosen, sample(regional, regionalPulls, random)...)
 	if round%remoteRounds == 0 {
 		chosen = append(chosen, v.mostSilent(remote, random)...)
 	}
--- /dev/null
+++ b/rudderstand/ruddercapacity/gossip_estimate.go
@@ -0,0 +1,88 @@
+package ruddercapacity
+
+import (
+	"slices"
+	"time"
+)
+
+// Line is a linear regression over the node count.
+type Line struct {
+	Intercept, Slope float64
+	// RSquared is the share of the variance that the line explains.
+	RSquared float64
+}
+
+// At is the line's value for a node count.
+func (l Line) At(nodes int) float64 { return l.Intercept + l.Slope*float64(nodes) }
+
+// GossipEstimate extrapolates the cost of a node to the target size. The time until a change is in
+// force is that with a silent member.
+type GossipEstimate struct {
+	BytesPerSecond, CoreShare, MemoryBytes, InForceSeconds Line
+}
+
+// Missed lists the parts of the budget that the estimate exceeds at the target size.
+func (e GossipEstimate) Missed() []string {
+	parts := []struct {
+		name   string
+		line   Line
+		budget float64
+	}{
+		{"bytes per second", e.BytesPerSecond, budgetBytesPerSec},
+		{"share of a core", e.CoreShare, budgetCoreShare},
+		{"memory", e.MemoryBytes, budgetMemoryBytes},
+		{"time until in force", e.InForceSeconds, budgetInForce.Seconds()},
+	}
+	var missed []string
+	for _, p := range parts {
+		if p.line.At(targetNodes) > p.budget {
+			missed = append(missed, p.name)
+		}
+	}
+	return missed
+}
+
+// EstimateGossip fits lines through samples of at least two sizes.
+func EstimateGossip(samples []GossipSample) GossipEstimate {
+	fit := func(value func(GossipSample) float64) Line {
+		var x, y []float64
+		for _, s := range samples {
+			x, y = append(x, float64(s.Nodes)), append(y, value(s))
+		}
+		return fitLine(x, y)
+	}
+	return GossipEstimate{
+		BytesPerSecond: fit(func(s GossipSample) float64 { return s.BytesPerSecond }),
+		CoreShare:      fit(func(s GossipSample) float64 { return s.CoreShare }),
+		MemoryBytes:    fit(func(s GossipSample) float64 { return s.MemoryBytes }),
+		InForceSeconds: fit(func(s GossipSample) float64 { return s.InForceSilent.Seconds() }),
+	}
+}
+
+// fitLine is the least-squares line through the points.
+func fitLine(x, y []float64) Line {
+	n := float64(len(x))
+	var sumX, sumY float64
+	for i := range x {
+		sumX, sumY = sumX+x[i], sumY+y[i]
+	}
+	var xx, xy, yy float64
+	for i := range x {
+		dx, dy := x[i]-sumX/n, y[i]-sumY/n
+		xx, xy, yy = xx+dx*dx, xy+dx*dy, yy+dy*dy
+	}
+	l := Line{Slope: xy / xx, RSquared: 1}
+	l.Intercept = sumY/n - l.Slope*sumX/n
+	if yy > 0 {
+		l.RSquared = xy * xy / (xx * yy)
+	}
+	return l
+}
+
+func medianAndMax(values []time.Duration) (median, longest time.Duration) {
+	if len(values) == 0 {
+		return 0, 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2], values[len(values)-1]
+}
--- a/shared/rudderpeer/auth_test.go
+++ b/shared/rudderpeer/auth_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,7 +139,7 @@
 				twirpServer.ServeHTTP(w, r)
 			}))
 			server.Start()
-			base := NewBase()
+			base := &Pool{}
 			client := NewMembershipProtobufClient(server.URL,
 				&http.Client{Transport: &Transport{Keys: steps[i], Clock: clock, Base: base}})
 			answer, err := client.Acknowledge(context.Background(), &AcknowledgeRequest{ConfigVersion: 7})
@@ -149,3 +151,47 @@
 		}
 	}
 }
+
+// Guards against calls that stay on a connection which went silent while new ones work.
+func TestPoolLeavesASilentConnection(t *testing.T) {
+	var silent atomic.Pointer[silentConn]
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(NewMembershipServer(echoMembership{}))
+	server.Start()
+	defer server.Close()
+	pool := &Pool{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		wrapped := &silentConn{Conn: c}
+		silent.Store(wrapped)
+		return wrapped, err
+	}}
+	defer pool.CloseIdleConnections()
+	keys, clock := NewKeyring([]byte("secret")), clockwork.NewRealClock()
+	client := NewMembershipProtobufClient(server.URL,
+		&http.Client{Transport: &Transport{Keys: keys, Clock: clock, Base: pool}})
+	acknowledge := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_, err := client.Acknowledge(ctx, &AcknowledgeRequest{})
+		return err
+	}
+	require.NoError(t, acknowledge(5*time.Second))
+	first := silent.Load()
+	first.muted.Store(true)
+	require.Error(t, acknowledge(100*time.Millisecond))
+	require.NoError(t, acknowledge(5*time.Second))
+	require.NotSame(t, first, silent.Load())
+}
+
+// silentConn can swallow what is written to it.
+type silentConn struct {
+	net.Conn
+	muted atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.muted.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
--- a/shared/rudderpeer/transport.go
+++ b/shared/rudderpeer/transport.go
@@ -13,33 +13,14 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// Bounds of the connections between entry hosts.
-const (
-	dialIdleTimeout = 90 * time.Second
-	// pingAfter and pingTimeout close connections that went silent while new ones work.
-	pingAfter   = 2 * time.Second
-	pingTimeout = time.Second
-)
-
 // Transport signs each request and sends it through Base.
 type Transport struct {
 	Keys  *Keyring
 	Clock clockwork.Clock
-	// Base sends the signed request; NewBase returns one for HTTP/2 cleartext.
+	// Base sends the signed request, for example a Pool.
 	Base http.RoundTripper
 }
 
-// NewBase returns an HTTP/2 cleartext transport.
-func NewBase() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		Protocols:       protocols,
-		IdleConnTimeout: dialIdleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
-}
-
 // NewServer returns a server that speaks HTTP/1 and HTTP/2 cleartext.
 func NewServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
