--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -38,7 +38,7 @@
 	a.control = control.Control()
 	base := a.PeerTransport
 	if base == nil {
-		base = rudderpeer.NewBase()
+		base = &rudderpeer.Pool{}
 	}
 	a.peers = &http.Client{Transport: &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base}}
 }
