--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -68,6 +68,7 @@
 	polls   map[*poll]bool
 	budget  retryBudget
 	calls   sync.WaitGroup
+	ended   bool // Run has ended
 	// sent counts calls to other owners, for measurements.
 	sent int64
 }
@@ -96,7 +97,7 @@
 	o.init()
 	ticker := o.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer o.calls.Wait()
+	defer o.endCalls()
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,6 +108,15 @@
 	}
 }
 
+// endCalls waits for the calls in the background. Later ones are not made: a slot that is released
+// after the end of Run ends with its lease.
+func (o *Owner) endCalls() {
+	o.mu.Lock()
+	o.ended = true
+	o.mu.Unlock()
+	o.calls.Wait()
+}
+
 func (o *Owner) tick() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/rudderd/rudderowner/slot.go
+++ b/rudderd/rudderowner/slot.go
@@ -74,7 +74,11 @@
 	})
 }
 
+// background makes a call that nobody waits for. o.mu is held.
 func (o *Owner) background(call func(context.Context) error) {
+	if o.ended {
+		return
+	}
 	o.calls.Add(1)
 	go func() {
 		defer o.calls.Done()
