Tell selectors of models and of services apart in configuration checks

The planner gives engines to models and service hosts to services, but Validate warned that a model's and a service's selector of the same priority want the same hosts, and CheckAgainstHosts counted hosts of both kinds. Both now compare the kind.

--- a/shared/rudderconfig/validate_selectors.go
+++ b/shared/rudderconfig/validate_selectors.go
@@ -124,7 +124,7 @@
 	items := v.document.Selectors
 	for i, s := range items {
 		for j, earlier := range items[:i] {
-			if s.Priority != earlier.Priority || s.Name == earlier.Name || !activeTogether(s, earlier) {
+			if s.Priority != earlier.Priority || s.Name == earlier.Name || hostKind(s) != hostKind(earlier) || !activeTogether(s, earlier) {
 				continue
 			}
 			if _, apart := contradiction(s, earlier); !apart {
@@ -135,6 +135,14 @@
 	}
 }
 
+// hostKind returns the kind of hosts that a selector can use.
+func hostKind(s Selector) rudderhost.Kind {
+	if s.Service != "" {
+		return rudderhost.KindService
+	}
+	return rudderhost.KindEngine
+}
+
 // contradiction returns a label key on which the selectors' requirements exclude each other.
 func contradiction(selectors ...Selector) (string, bool) {
 	// The label is absent, or has one of the values that are named, or any other value.
@@ -218,7 +226,8 @@
 		domains := map[string]int{}
 		matching, groups := 0, 0
 		for _, h := range hosts {
-			if h.State != rudderhost.StateLeaving && !d.SettingsOf(h.Name).Drain && s.Matches(d.LabelsOf(h)) {
+			usable := h.Kind == hostKind(s) && h.State != rudderhost.StateLeaving
+			if usable && !d.SettingsOf(h.Name).Drain && s.Matches(d.LabelsOf(h)) {
 				matching++
 				domains[h.FabricDomain]++
 			}
