List all plans when the watch starts and after it broke

An entry host that started on a running fleet never learned the plans written before its first watch: the keeper reads the configuration and the registry and then watches from the revision of that read, and plans were listed only when the watch had been compacted. The same happened after each broken watch (an outage, a pause, connections gone silent): plans written meanwhile stayed unknown until their next change. The host then refused all work with no_capacity.

The keeper now asks for a list whenever the revision it watches from differs from the one it watched up to, and the entry host repeats a list that fails. TestRelistAfterEachGapOfTheWatch fails without the change (0 lists, wanted 1).

The test world's start takes functions that prepare the keeper; no existing check changed.

--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -62,6 +62,7 @@
 
 	work     workHistory
 	suspects suspects
+	relists  chan struct{} // asks for a read of all plans
 	stopping stopState
 	// lifetime is the context of Run, for requests that outlive their caller's connection.
 	lifetime context.Context
@@ -84,7 +85,7 @@
 	if a.Clock == nil {
 		a.Clock = clockwork.NewRealClock()
 	}
-	a.started = make(chan struct{})
+	a.started, a.relists = make(chan struct{}), make(chan struct{}, 1)
 	if err := a.listen(); err != nil {
 		return err
 	}
@@ -115,6 +116,7 @@
 		{"membership", a.node.Run},
 		{"registry", a.enrolment.Run},
 		{"configuration", a.keeper.Run},
+		{"plans", a.runRelists},
 		{"planner", a.planner.Run},
 		{"relay", a.relay.Run},
 		{"admission", a.owner.Run},
--- a/rudderd/rudderapp/members.go
+++ b/rudderd/rudderapp/members.go
@@ -35,7 +35,7 @@
 		PermitTTL:     a.Settings.PermitTTL,
 		WatchPrefixes: []string{ruddergroup.PlanPrefix},
 		OnEvents:      a.takeEvents,
-		OnRelist:      a.relistPlans,
+		OnRelist:      a.askForRelist,
 		OnError:       a.warn("configuration"),
 		Validate:      validateDocument,
 	}
@@ -72,20 +72,49 @@
 	a.fleet.ObservePlan(plan)
 }
 
-const relistTimeout = 5 * time.Second
+const (
+	relistTimeout = 5 * time.Second
+	// relistPause between two tries keeps entry hosts from asking a platform in trouble too often.
+	relistPause = 500 * time.Millisecond
+)
 
-// relistPlans reads all plans after the watch may have missed some.
-func (a *App) relistPlans() {
-	go func() {
-		ctx, cancel := context.WithTimeout(a.lifetime, relistTimeout)
-		defer cancel()
-		entries, _, err := a.store.List(ctx, ruddergroup.PlanPrefix)
-		if err != nil {
-			a.warn("plans")(err)
-			return
+// askForRelist makes runRelists read all plans.
+func (a *App) askForRelist() {
+	select {
+	case a.relists <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// runRelists reads all plans whenever the watch may have missed some, and repeats a read that failed:
+// a plan that does not change is not told again.
+func (a *App) runRelists(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.relists:
 		}
-		for _, e := range entries {
-			a.takePlan(e.Key, e.Value)
+		for ctx.Err() == nil {
+			err := a.listPlans(ctx)
+			if err == nil {
+				break
+			}
+			a.warn("plans")(err)
+			a.wait(ctx, relistPause)
 		}
-	}()
+	}
+}
+
+func (a *App) listPlans(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, relistTimeout)
+	defer cancel()
+	entries, _, err := a.store.List(ctx, ruddergroup.PlanPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		a.takePlan(e.Key, e.Value)
+	}
+	return nil
 }
--- a/rudderd/rudderchange/events_test.go
+++ b/rudderd/rudderchange/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,3 +184,28 @@
 		})
 	}
 }
+
+// Guards against a host that never learns what the other watched prefixes held before its first watch,
+// or what changed while its watch was broken. A watch that goes on must not ask for a list.
+func TestRelistAfterEachGapOfTheWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.close()
+		w.settle()
+		var relists atomic.Int64
+		w.kill(2)
+		w.start(2, func(k *Keeper) { k.OnRelist = func() { relists.Add(1) } })
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 1, relists.Load(), "before the first watch")
+		_, err := w.change(0, 1, "kigali", 30*time.Second)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 1, relists.Load())
+		w.set(func() { w.platformCut[2] = true })
+		_, err = w.change(0, 2, "montréal", 30*time.Second)
+		require.NoError(t, err)
+		w.set(func() { w.platformCut[2] = false })
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 2, relists.Load(), "changes were missed")
+	})
+}
--- a/rudderd/rudderchange/keeper.go
+++ b/rudderd/rudderchange/keeper.go
@@ -52,7 +52,8 @@
 
 	// WatchPrefixes are watched along with the configuration, so that an entry host needs one watch.
 	WatchPrefixes []string
-	// OnEvents is told of what the watch found, OnRelist that changes may have been missed; may be nil.
+	// OnEvents is told of what the watch found, OnRelist that changes may have been missed and all must
+	// be listed, as before the first watch and after a broken one; may be nil.
 	OnEvents func([]rudderstore.Event)
 	OnRelist func()
 
@@ -65,6 +66,7 @@
 	fetching map[string]bool
 	lifetime context.Context // of Run, for work begun by callbacks
 	lastFail time.Time       // of a direct round
+	watched  int64           // revision up to which events were told; belongs to runPlatform
 }
 
 // Connect prepares the keeper and sets the callbacks of Node. Call it before Node or Keeper run.
--- a/rudderd/rudderchange/platform.go
+++ b/rudderd/rudderchange/platform.go
@@ -29,9 +29,6 @@
 			return ctx.Err()
 		}
 		if errors.Is(err, rudderstore.ErrCompacted) {
-			if k.OnRelist != nil {
-				k.OnRelist()
-			}
 			continue
 		}
 		k.report(err)
@@ -55,6 +52,12 @@
 	if err != nil {
 		return err
 	}
+	// The read tells nothing about the other watched prefixes, so what lies between the last watch and
+	// this one must be listed; before the first watch that is everything.
+	if revision != k.watched && k.OnRelist != nil {
+		k.OnRelist()
+	}
+	k.watched = revision
 	for rudderpermit.Elapsed(read, k.Clock.Now()) < rereadEvery {
 		started := k.Clock.Now()
 		result, err := k.watch(ctx, revision)
@@ -70,7 +73,7 @@
 		if err := k.platformHas(ctx, started, seen); err != nil {
 			return err
 		}
-		revision = result.Revision
+		revision, k.watched = result.Revision, result.Revision
 	}
 	return nil
 }
--- a/rudderd/rudderchange/world_test.go
+++ b/rudderd/rudderchange/world_test.go
@@ -182,7 +182,7 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
 
-func (w *world) start(i int) {
+func (w *world) start(i int, prepare ...func(*Keeper)) {
 	clock := clockwork.NewRealClock()
 	w.mu.Lock()
 	w.starts++
@@ -197,6 +197,9 @@
 	store := w.store(i)
 	enrolment := &ruddermember.Enrolment{Node: node, Store: store, Clock: clock, PermitTTL: testTTL}
 	k := &Keeper{Node: node, Enrolment: enrolment, Store: store, Clock: clock, PermitTTL: testTTL}
+	for _, p := range prepare {
+		p(k)
+	}
 	k.Connect()
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{keeper: k, cancel: cancel}
