Scale the planner's times with the poll interval and the lease

The poll timeout (700 ms), the store timeout (500 ms) and the candidates' delay (2 s) were fixed, while poll interval and lease are settings. With a poll interval below 700 ms one silent target delayed the poll of all others of its domain beyond the confirmation age, and their groups left service.

--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -10,6 +10,7 @@
 	"comfreyrudder.example/rudderd/rudderplanner"
 	"comfreyrudder.example/rudderd/rudderrelay"
 	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/rudderd/ruddersettings"
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/rudderhost"
@@ -22,8 +23,7 @@
 // wireFleet connects the planner, the fleet view and the relay of confirmations.
 func (a *App) wireFleet() {
 	a.fleet = &rudderfleet.Fleet{ConfirmTTL: a.Settings.ConfirmTTL}
-	times := rudderplanner.DefaultTimes()
-	times.PollInterval, times.LeaseTTL, times.OrderTTL = a.Settings.PollInterval, a.Settings.LeaseTTL, a.Settings.OrderTTL
+	times := plannerTimes(a.Settings)
 	timing := rudderplan.DefaultTiming()
 	timing.FreshFor, timing.WeightBytesPerSecond = a.Settings.ConfirmTTL, float64(a.Settings.WeightRate)
 	a.planner = &rudderplanner.Planner{
@@ -46,6 +46,18 @@
 	}
 }
 
+// plannerTimes scales the times that follow from the settings. A poll that takes longer than the poll
+// interval would let one silent target age the confirmations of all others beyond the confirmation age,
+// and candidates that wait longer than a lease lasts would leave a domain without a planner.
+func plannerTimes(s ruddersettings.Settings) rudderplanner.Times {
+	times := rudderplanner.DefaultTimes()
+	times.PollInterval, times.LeaseTTL, times.OrderTTL = s.PollInterval, s.LeaseTTL, s.OrderTTL
+	times.PollTimeout = min(times.PollTimeout, s.PollInterval*7/10)
+	times.StoreTimeout = min(times.StoreTimeout, s.PollInterval/2)
+	times.CandidateDelay = min(times.CandidateDelay, s.LeaseTTL/3)
+	return times
+}
+
 // plannerRank ranks this entry host among the planners of a domain. Hosts of the domain's data centre
 // come first, since they lose the domain and nothing else.
 func (a *App) plannerRank(domain string) int {
