Send calls of plain services through the entry host's target transport

App.TargetTransport replaced the way to engines and the control calls, but not the calls to plain services: the dispatcher built transports of its own.

The dispatcher takes an optional transport; without one nothing changes.

--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -23,7 +23,7 @@
 		Acquire: a.acquireService, Idempotent: a.declaredIdempotent,
 		Claim: a.claims.Claim, Settle: a.claims.Settle, Release: a.claims.Release,
 		Probe: a.control.Status, RetryAllowed: a.owner.TakeRetry,
-		Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
+		Transport: a.TargetTransport, Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
 	}
 }
 
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -103,8 +103,11 @@
 	Probe func(ctx context.Context, address string) (ruddertarget.Status, error)
 	// RetryAllowed takes one retry from the retry budget.
 	RetryAllowed func() bool
-	Clock        clockwork.Clock
-	Logger       zerolog.Logger
+	// Transport replaces the way calls are sent, so that tests can cut it; nil takes the network. It
+	// must open a connection for each call that is not declared idempotent.
+	Transport http.RoundTripper
+	Clock     clockwork.Clock
+	Logger    zerolog.Logger
 
 	Timeout        time.Duration // of a whole call; 0 takes 60 s
 	ConnectTimeout time.Duration // 0 takes 1 s
@@ -113,8 +116,8 @@
 	MaxAnswerBytes int64         // 0 takes 16 MiB
 
 	once       sync.Once
-	fresh      *http.Transport // one connection for each call
-	persistent *http.Transport
+	fresh      http.RoundTripper // one connection for each call
+	persistent http.RoundTripper
 }
 
 // Do dispatches a call and returns its only outcome.
@@ -143,12 +146,16 @@
 		setDefault(&d.ProbeAfter, 3*time.Second)
 		setDefault(&d.MaxBodyBytes, 4<<20)
 		setDefault(&d.MaxAnswerBytes, 16<<20)
-		d.fresh = newTransport(d.ConnectTimeout)
+		if d.Transport != nil {
+			d.fresh, d.persistent = d.Transport, d.Transport
+			return
+		}
+		fresh := newTransport(d.ConnectTimeout)
 		// net/http resends a request by itself when a reused connection breaks and the request looks
 		// repeatable: it has no body, and its method is GET or it carries an Idempotency-Key. A new
 		// connection for each call rules that out, and a connection that went silent is not reused.
-		d.fresh.DisableKeepAlives = true
-		d.persistent = newTransport(d.ConnectTimeout)
+		fresh.DisableKeepAlives = true
+		d.fresh, d.persistent = fresh, newTransport(d.ConnectTimeout)
 	})
 }
 
