--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -24,7 +24,7 @@
 		Acquire: a.acquireService, Idempotent: a.declaredIdempotent,
 		Claim: a.claims.Claim, Settle: a.claims.Settle, Release: a.claims.Release,
 		Permit: func() error { return a.keeper.Permit(a.Clock.Now()) },
-		Probe:  a.control.Status, RetryAllowed: a.owner.TakeRetry,
+		Probe:  a.control.Status, RetryAllowed: a.owner.TakeRetry, Transport: a.TargetTransport,
 		Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
 	}
 }
--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -48,10 +48,7 @@
 	a.node.Leave()
 	a.node.Touch()
 	for a.stopping.advance(a.Clock.Now(), a.running()) != rudderentry.PhaseStopped && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-a.Clock.After(stopPoll):
-		}
+		a.wait(ctx, stopPoll)
 	}
 	a.collector.Keep(ctx)
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
@@ -64,3 +61,11 @@
 
 // running counts requests whose work or whose caller's connection is not done.
 func (a *App) running() int { return max(a.answers.Running(), a.callers.InFlight()) }
+
+// wait returns after a time, or when the context ends.
+func (a *App) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-a.Clock.After(d):
+	}
+}
