--- a/rudderd/rudderadmission/shard.go
+++ b/rudderd/rudderadmission/shard.go
@@ -218,6 +218,8 @@
 // Tick ends waits past their deadline, frees slots whose lease has ended and grants what fits.
 func (s *Shard) Tick(now time.Time) []Decision {
 	var decisions []Decision
+	// Priorities come from callers, so empty lanes are not kept.
+	s.lanes = slices.DeleteFunc(s.lanes, func(l *lane) bool { return l.entries == 0 })
 	for _, l := range s.lanes {
 		for _, e := range s.remove(l, func(e *entry) bool { return !now.Before(e.deadline) }) {
 			decisions = append(decisions, Decision{RequestID: e.work.RequestID, Kind: Expired, Reason: "deadline passed in the queue"})
--- a/rudderd/rudderadmission/shard_test.go
+++ b/rudderd/rudderadmission/shard_test.go
@@ -199,6 +199,35 @@
 	}
 }
 
+// Guards against a prefix that is ignored, or that fills one group while others are idle, and
+// against long work that short work starves.
+func TestPreferenceAndAge(t *testing.T) {
+	s := newShard(Group{ID: "a", Slots: 10}, Group{ID: "b", Slots: 10})
+	chosen := map[string]int{}
+	for i := range 10 {
+		w := short(fmt.Sprint(i), "w")
+		w.Prefer = map[string]float64{"b": 0.9}
+		chosen[s.Offer(start, w).Group]++
+	}
+	require.InDelta(t, 8, chosen["b"], 1, "up to PreferSlack above the least utilised group")
+
+	s = newShard(Group{ID: "g", Slots: 4})
+	for i := range 4 {
+		s.Offer(start, short(fmt.Sprint(i), "w"))
+	}
+	w := long("long")
+	w.Deadline = start.Add(300 * time.Second)
+	require.Equal(t, Queued, s.Offer(start, w).Kind)
+	later := start.Add(200 * time.Second)
+	w = short("late", "w")
+	w.Deadline = later.Add(time.Minute)
+	s.Renew(later.Add(-time.Second), "h", Summary{})
+	require.Equal(t, Queued, s.Offer(later, w).Kind)
+	s.demandMean = 0
+	d := s.Release(later, "0", Outcome{Failed: true})
+	require.Equal(t, "long", d[0].RequestID, "aged work goes first")
+}
+
 // Guards against an estimate that follows the caller's limit rather than the workspace's history.
 func TestEstimatorLearns(t *testing.T) {
 	e := &Estimator{}
--- a/rudderd/rudderowner/local.go
+++ b/rudderd/rudderowner/local.go
@@ -43,7 +43,6 @@
 	if m.Name == o.Self.Name {
 		return (*server)(o)
 	}
-	o.sent++
 	client := o.clients[m.PeerAddress]
 	if client == nil {
 		client = rudderpeer.NewAdmissionProtobufClient("http://"+m.PeerAddress, o.HTTPClient)
--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,8 +69,6 @@
 	polls   map[*poll]bool
 	budget  retryBudget
 	calls   sync.WaitGroup
-	// sent counts calls to other owners, for measurements.
-	sent int64
 }
 
 type loadAt struct {
@@ -133,6 +132,20 @@
 	o.hints.Observe(group, events)
 }
 
+// OverAdmitted lists groups of owned shards whose engines report more work than was granted here.
+// It is empty within seconds of a change of owner unless a second owner grants slots as well.
+func (o *Owner) OverAdmitted() []string {
+	o.init()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var groups []string
+	for _, owned := range o.owned {
+		groups = append(groups, owned.shard.OverAdmitted()...)
+	}
+	slices.Sort(groups)
+	return groups
+}
+
 // OwnedLoads returns the load of each shard that this entry host owns, for its digest.
 func (o *Owner) OwnedLoads() map[string]float64 {
 	o.init()
--- a/rudderd/rudderowner/slot.go
+++ b/rudderd/rudderowner/slot.go
@@ -99,6 +99,12 @@
 		shard := s.currentShard()
 		held[shard] = held[shard].With(id, 1)
 	}
+	// A shard whose last slot was released is renewed until its owner agrees: the release may be lost.
+	for shard := range o.renewed {
+		if _, holds := held[shard]; !holds {
+			held[shard] = rudderadmission.Summary{}
+		}
+	}
 	for shard, summary := range held {
 		owners := o.view.owners[shard]
 		if len(owners) == 0 {
@@ -115,6 +121,7 @@
 				Shard: shard, Holder: o.Self.Name, Count: int32(summary.Count), Summary: summary.Hash,
 			})
 			if err != nil || !response.GetWantList() {
+				o.forgetRenewal(shard, err == nil && summary.Count == 0)
 				return err
 			}
 			_, err = admission.HeldSlots(ctx, o.heldList(shard))
@@ -123,6 +130,21 @@
 	}
 }
 
+// forgetRenewal ends the renewals of a shard without slots once its owner agrees.
+func (o *Owner) forgetRenewal(shard string, agreed bool) {
+	if !agreed {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.slots {
+		if s.currentShard() == shard {
+			return
+		}
+	}
+	delete(o.renewed, shard)
+}
+
 // heldList lists the held slots of a shard. Prompt blocks are left out: only a grant needs them.
 func (o *Owner) heldList(shard string) *rudderpeer.HeldSlotsRequest {
 	o.mu.Lock()
--- a/rudderd/rudderowner/view.go
+++ b/rudderd/rudderowner/view.go
@@ -1,11 +1,13 @@
 package rudderowner
 
 import (
+	"maps"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderrouter"
+	"comfreyrudder.example/shared/rudderpeer"
 )
 
 // view is what this entry host knows of shards and their owners.
@@ -38,13 +40,21 @@
 	o.hints.Advance(now)
 	o.hints.Forget(func(group string) bool { return v.byGroup[group] != "" })
 	o.followGroups(now, members)
+	o.pruneMembers(members)
 	o.endPolls()
-	for id := range o.loads {
-		if _, known := v.byID[id]; !known {
-			delete(o.loads, id)
-			delete(o.renewed, id)
-		}
+	gone := func(shard string) bool { _, known := v.byID[shard]; return !known }
+	maps.DeleteFunc(o.loads, func(shard string, _ loadAt) bool { return gone(shard) })
+	maps.DeleteFunc(o.renewed, func(shard string, _ renewal) bool { return gone(shard) })
+}
+
+// pruneMembers forgets clients of hosts that have left.
+func (o *Owner) pruneMembers(members []ruddermember.Member) {
+	addresses, names := map[string]bool{}, map[string]bool{}
+	for _, m := range members {
+		addresses[m.PeerAddress], names[m.Name] = true, true
 	}
+	maps.DeleteFunc(o.clients, func(address string, _ rudderpeer.Admission) bool { return !addresses[address] })
+	maps.DeleteFunc(o.suspect, func(name string, _ time.Time) bool { return !names[name] })
 }
 
 // rank is the place of this entry host among the owners of a shard: 0 owns it.
