Say that a slot's request ID names one attempt

Cause: releases are sent in the background, so a second attempt under the same ID could get the slot of the first, which is then freed under it.

Change: the field's comment tells callers to use an ID for each attempt.

--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -27,6 +27,8 @@
 
 // Work describes a request that needs a slot.
 type Work struct {
+	// RequestID names one attempt. A later attempt of a request needs another ID: the release of the
+	// first one may arrive after the call for the next, which would then return the slot being freed.
 	RequestID string
 	Wanted    rudderrouter.Wanted
 	Workspace string
