Use the presets' deadlines, cache events and suspicion in placements

Requests took a fixed deadline of 10 s, which overrode the presets (2 s and 60 s for waiting_first, 8 s and 120 s for crest_first). Each attempt now holds a slot of its own. Owners read their groups' cache events. A suspected request keeps away from the domains in which a group died running it, and from groups that run another suspect.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,29 +56,40 @@
 	workspace := a.workspace(q.Workspace)
 	start := a.Clock.Now()
 	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
-		RequestID: q.ID, Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		// Each attempt holds a slot of its own: the release of the last one may still be under way.
+		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Wanted{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
-		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: start.Add(a.Settings.QueueDeadline),
-		Avoid: exclude, Blocks: rudderrouter.PrefixBlocks(q.Prompt),
+		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: a.queueDeadline(start),
+		Avoid: append(a.suspectGroups(q.Fingerprint), exclude...), Blocks: rudderrouter.PrefixBlocks(q.Prompt),
 	})
 	if err != nil {
 		return rudderstream.Slot{}, refusalOf(err)
 	}
+	a.suspects.started(slot.Group(), q.Fingerprint)
 	return rudderstream.Slot{
 		Group: slot.Group(), Address: slot.Leader(), Domain: a.domainOf(slot.Group()), Wait: a.Clock.Since(start),
 		Release: func(u rudderstream.Usage) {
+			a.suspects.ended(slot.Group(), q.Fingerprint)
 			slot.Release(rudderowner.Outcome{Tokens: u.Tokens, Failed: u.Failed})
 		},
 	}, nil
 }
 
+// queueDeadline is the end of a wait for a slot; zero leaves it to the workspace's preset.
+func (a *App) queueDeadline(start time.Time) time.Time {
+	if a.Settings.QueueDeadline == 0 {
+		return time.Time{}
+	}
+	return start.Add(a.Settings.QueueDeadline)
+}
+
 // acquireService waits for a slot on a host of a plain service.
 func (a *App) acquireService(ctx context.Context, call *rudderservice.Call, exclude []string) (string, func(), error) {
 	workspace := a.workspace(call.Workspace)
 	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
 		RequestID: call.RequestID, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Wanted{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
-		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.Clock.Now().Add(a.Settings.QueueDeadline),
+		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.queueDeadline(a.Clock.Now()),
 		Avoid: a.groupsAt(exclude),
 	})
 	if err != nil {
@@ -91,6 +103,9 @@
 	refusal := &rudderstream.Refusal{
 		Code: rudderstream.CodeNoCapacity, Message: err.Error(), RetryAfter: rudderowner.RetryAfter(err),
 	}
+	if errors.Is(err, rudderowner.ErrNoGroup) {
+		refusal.Code = rudderstream.CodeNoGroup
+	}
 	if refusal.RetryAfter <= 0 {
 		refusal.RetryAfter = time.Second
 	}
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -130,6 +130,7 @@
 		{"relay", a.relay.Run},
 		{"admission", a.owner.Run},
 		{"claims", a.claims.Run},
+		{"prefix caches", a.followCaches},
 		{"service levels", a.collector.Run},
 		{"group downtime", a.sampleDowntime},
 	} {
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,24 +22,6 @@
 	maxDeaths    = 4096
 )
 
-// suspects guards the tracker of poison requests, which is not safe for concurrent use.
-type suspects struct {
-	mu      sync.Mutex
-	tracker *rudderpoison.Tracker
-}
-
-func (s *suspects) record(now time.Time, deaths ...rudderpoison.Death) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tracker.Record(now, deaths...)
-}
-
-func (s *suspects) poisoned(fingerprint uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker.Judge(rudderpoison.Fingerprint(fingerprint)) == rudderpoison.Poison
-}
-
 // wireChat connects the runner of model requests.
 func (a *App) wireChat() {
 	a.suspects.tracker = rudderpoison.NewTracker(maxDeaths)
--- a/rudderd/rudderhttp/refusal.go
+++ b/rudderd/rudderhttp/refusal.go
@@ -148,6 +148,8 @@
 	case rudderstream.CodeNoCapacity:
 		refusal.Status = http.StatusTooManyRequests
 		refusal.NextStep = "send the request again after the time in Retry-After"
+	case rudderstream.CodeNoGroup:
+		refusal.NextStep = "no group serves the model now; send the request again after the time in Retry-After"
 	case rudderstream.CodeNotReady:
 		refusal.NextStep = "ask GET /v1/entries at another address and send the request there"
 	}
--- a/rudderd/ruddersettings/load.go
+++ b/rudderd/ruddersettings/load.go
@@ -27,7 +27,7 @@
 // field describes one setting.
 type field struct {
 	name, fallback, doc string
-	secret              bool
+	secret, zero        bool
 	value               reflect.Value
 }
 
@@ -42,6 +42,7 @@
 			fallback: tag.Get("default"),
 			doc:      tag.Get("doc"),
 			secret:   tag.Get("secret") == "true",
+			zero:     tag.Get("zero") == "true",
 			value:    value.Field(i),
 		})
 	}
@@ -161,7 +162,7 @@
 		if isText && (listens || advertises) && !validAddress(text) {
 			faults = append(faults, "--"+f.name+": wanted IP:PORT")
 		}
-		if duration, ok := f.value.Interface().(time.Duration); ok && duration <= 0 {
+		if duration, ok := f.value.Interface().(time.Duration); ok && (duration < 0 || duration == 0 && !f.zero) {
 			faults = append(faults, "--"+f.name+": must be above 0")
 		}
 	}
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -34,7 +34,7 @@
 	OrderTTL       time.Duration `name:"order-ttl" default:"2s" doc:"Longest time an order to a target may take."`
 	WeightRate     int64         `name:"weight-rate" default:"2000000000" doc:"Bytes per second that the weight store gives one host; sets how early loads begin ahead of a window."`
 
-	QueueDeadline time.Duration `name:"queue-deadline" default:"10s" doc:"Longest time a request waits for a slot before it is refused as not run."`
+	QueueDeadline time.Duration `name:"queue-deadline" default:"0s" zero:"true" doc:"Longest time a request waits for a slot before it is refused as not run. 0s takes the deadlines of the workspace's preset."`
 	SilenceAfter  time.Duration `name:"silence-after" default:"2s" doc:"Time without a token after which the engine is probed on a new connection."`
 	MaxAttempts   int           `name:"max-attempts" default:"4" doc:"Greatest number of engines that one request is sent to."`
 	CallTimeout   time.Duration `name:"call-timeout" default:"30s" doc:"Longest time a call to a plain service may take."`
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -23,6 +23,8 @@
 	Class           rudderconfig.WorkClass
 	Fingerprint     uint64
 	Arrived         time.Time
+	// Attempt is set by the runner, from 1.
+	Attempt int
 }
 
 // Slot is the permission to run one request on a group.
@@ -70,6 +72,7 @@
 	CodeNotReady       = "entry_not_ready"
 	CodePoison         = "poison_request"
 	CodeNoCapacity     = "no_capacity"
+	CodeNoGroup        = "no_group"
 	CodeBadRequest     = "invalid_request"
 	CodeTargetFailed   = "target_failed"
 	CodeAbandoned      = "caller_gone"
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -64,6 +64,7 @@
 	state := &run{Runner: r, request: q, answer: a}
 	for {
 		state.attempt++
+		state.request.Attempt = state.attempt
 		err := state.tryOnce(ctx)
 		if result, ended := state.conclude(ctx, err); ended {
 			a.Finish(result)
