Pull from the most silent members so that a round has a fixed number of calls

Random pulls left many members silent, and the probes that followed made the calls grow with the node count: 1.3 a second at 6 nodes, 3.8 at 36. A round now has one random pull and two from the longest silent members of the region.

Run of the node now ends after its pulls; a test found one that outlived it.

--- a/rudderd/rudderchange/world_test.go
+++ b/rudderd/rudderchange/world_test.go
@@ -82,6 +82,7 @@
 		w.pause(i, false)
 		w.kill(i)
 	}
+	time.Sleep(5 * time.Second) // calls in the background end by their time limits
 }
 
 // set changes faults.
--- a/rudderd/ruddermember/choose.go
+++ b/rudderd/ruddermember/choose.go
@@ -1,9 +1,9 @@
 package ruddermember
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderpermit"
@@ -13,22 +13,21 @@
 const (
 	// Interval between rounds of gossip; the heartbeat advances once in each.
 	Interval = time.Second
-	// regionalPulls in each round go to random live members of the own region.
-	regionalPulls = 2
+	// randomPulls and silentPulls in each round go to live members of the own region, chosen at random
+	// and by the longest silence. The number of calls does not grow with the number of members.
+	randomPulls = 1
+	silentPulls = 2
 	// remoteRounds is the number of rounds between pulls from another region.
 	remoteRounds = 3
 	// seedRounds is the number of rounds between pulls from a seed while members are known. They join
 	// parts of the platform that know different registries.
 	seedRounds = 30
-	// maxProbes in a round go to members that have been silent for probeAfter.
-	maxProbes = 3
-
-	probeAfter = 1500 * time.Millisecond
 	// SuspectAfter is the silence after which a member of the own region is not live.
 	SuspectAfter = 3 * time.Second
 	// SuspectRemoteAfter is the same for members of other regions, whose digests come less often.
 	SuspectRemoteAfter = 12 * time.Second
-	// suspectProbeRounds is the mean number of rounds between probes of a suspected member.
+	// suspectProbeRounds is the mean number of rounds between probes of a suspected member, of which a
+	// round has at most one.
 	suspectProbeRounds = 5
 )
 
@@ -71,38 +70,30 @@
 	return live
 }
 
-// choosePeers picks the addresses to pull from in a round: some of the own region, silent members of
-// it, now and then a member of another region and a seed.
+// choosePeers picks the addresses to pull from in a round: members of the own region, now and then a
+// suspected one, a member of another region and a seed.
 func choosePeers(v view, seeds []string, round int, random *rand.Rand) []string {
-	var regional, remote, silent []Member
+	var regional, remote, suspected []Member
 	for _, m := range v.registry.Members {
 		switch {
 		case m.Name == v.self.Name:
 		case v.suspected(m):
 			if random.IntN(suspectProbeRounds) == 0 {
-				silent = append(silent, m)
+				suspected = append(suspected, m)
 			}
 		case m.Region != v.self.Region:
 			remote = append(remote, m)
 		default:
 			regional = append(regional, m)
-			if v.silence(m) > probeAfter {
-				silent = append(silent, m)
-			}
 		}
 	}
-	// Probes come first, because pulls are spread over the round: a live member must be heard of
-	// before it is suspected. Suspected ones wait.
-	sort.SliceStable(silent, func(i, j int) bool {
-		if a, b := v.suspected(silent[i]), v.suspected(silent[j]); a != b {
-			return b
-		}
-		return v.silence(silent[i]) > v.silence(silent[j])
-	})
-	chosen := slices.Clone(silent[:min(maxProbes, len(silent))])
-	chosen = append(chosen, sample(regional, regionalPulls, random)...)
+	// The most silent come first, because pulls are spread over the round: a live member must be heard
+	// of before it is suspected.
+	chosen := v.mostSilent(regional, silentPulls, random)
+	chosen = append(chosen, sample(regional, randomPulls, random)...)
+	chosen = append(chosen, sample(suspected, 1, random)...)
 	if round%remoteRounds == 0 {
-		chosen = append(chosen, v.mostSilent(remote, random)...)
+		chosen = append(chosen, v.mostSilent(remote, 1, random)...)
 	}
 	addresses := make([]string, 0, len(chosen)+1)
 	for _, m := range chosen {
@@ -114,24 +105,28 @@
 	return distinct(addresses, v.self.PeerAddress)
 }
 
-// mostSilent returns the member that has been silent for longest, so that none is suspected only
+// mostSilent returns the members that have been silent for longest, so that none is suspected only
 // because no pull happened to reach it. Members of equal silence are taken at random.
-func (v view) mostSilent(members []Member, random *rand.Rand) []Member {
-	if len(members) == 0 {
-		return nil
+func (v view) mostSilent(members []Member, count int, random *rand.Rand) []Member {
+	type candidate struct {
+		member  Member
+		silence time.Duration
 	}
-	most := members[random.IntN(len(members))]
-	for _, m := range members {
-		if v.silence(m) > v.silence(most) {
-			most = m
-		}
+	candidates := make([]candidate, len(members))
+	for i, j := range random.Perm(len(members)) {
+		candidates[i] = candidate{members[j], v.silence(members[j])}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.silence, a.silence) })
+	var chosen []Member
+	for _, c := range candidates[:min(count, len(candidates))] {
+		chosen = append(chosen, c.member)
 	}
-	return []Member{most}
+	return chosen
 }
 
 func sample(members []Member, count int, random *rand.Rand) []Member {
 	if len(members) <= count {
-		return members
+		return slices.Clone(members)
 	}
 	picked := make([]Member, 0, count)
 	for _, i := range random.Perm(len(members))[:count] {
--- a/rudderd/ruddermember/node.go
+++ b/rudderd/ruddermember/node.go
@@ -57,11 +57,13 @@
 	pulling   map[string]bool
 }
 
-// Run gossips until the context ends.
+// Run gossips until the context ends and its pulls are done.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
+	var pulls sync.WaitGroup
+	defer pulls.Wait()
 	for {
-		n.step(ctx)
+		n.step(ctx, &pulls)
 		n.mu.Lock()
 		wait := Interval*9/10 + time.Duration(n.Random.Int64N(int64(Interval/5)))
 		n.mu.Unlock()
@@ -88,19 +90,19 @@
 }
 
 // step advances the heartbeat and starts the pulls of a round.
-func (n *Node) step(ctx context.Context) {
+func (n *Node) step(ctx context.Context, pulls *sync.WaitGroup) {
 	n.Touch()
 	n.mu.Lock()
 	peers := choosePeers(n.view(), n.Seeds, n.round, n.Random)
 	n.round++
 	n.mu.Unlock()
-	go n.pullAll(ctx, peers)
+	pulls.Go(func() { n.pullAll(ctx, peers, pulls) })
 	n.report()
 }
 
 // pullAll spreads the pulls of a round over the interval. Pulls at the same time would each return
 // the same news.
-func (n *Node) pullAll(ctx context.Context, peers []string) {
+func (n *Node) pullAll(ctx context.Context, peers []string, pulls *sync.WaitGroup) {
 	for i, address := range peers {
 		if i > 0 {
 			select {
@@ -109,7 +111,7 @@
 			case <-n.Clock.After(Interval * 9 / 10 / time.Duration(len(peers))):
 			}
 		}
-		go n.pull(ctx, address)
+		pulls.Go(func() { n.pull(ctx, address) })
 	}
 }
 
--- a/rudderstand/ruddercapacity/gossip_node.go
+++ b/rudderstand/ruddercapacity/gossip_node.go
@@ -173,7 +173,10 @@
 			calls.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, ruddermember.Interval)
 				defer cancel()
-				q := &rudderpeer.AcknowledgeRequest{Caller: n.node.Self.PeerAddress, ConfigVersion: n.keeper.Version().Number}
+				q := &rudderpeer.AcknowledgeRequest{
+					Caller: n.node.Self.PeerAddress, ConfigVersion: n.keeper.Version().Number,
+					RegistryVersion: n.node.Registry().Version, // else each answer carries the registry
+				}
 				_, _ = n.node.Peer.Acknowledge(ctx, m.PeerAddress, q)
 			})
 		}
