Give the stand-ins' switch address in up and clean their first configuration

up did not tell where the fault switches listen. The layouts put the label region on hosts, which the platform sets, and the configuration check warned about it and about overlaps of selectors that can never match the same host. The first version was not in the history. The layouts' selectors now match the kind of host, and the test checks that the first document has no findings.

--- a/rudderstand/rudderfleetstand/fleet.go
+++ b/rudderstand/rudderfleetstand/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"comfreyrudder.example/rudderd/rudderchange"
 	"comfreyrudder.example/rudderstand/rudderbackend"
 	"comfreyrudder.example/rudderstand/rudderengine"
 	"comfreyrudder.example/rudderstand/rudderfront"
@@ -163,9 +164,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
-	request := rudderstore.PutRequest{Key: rudderconfig.Key, Value: value}
-	_, err = f.KV.Store().Put(context.Background(), request)
-	return errors.Wrap(err, "write configuration")
+	for _, key := range []string{rudderconfig.Key, rudderchange.HistoryKey(f.Document.Version)} {
+		if _, err := f.KV.Store().Put(context.Background(), rudderstore.PutRequest{Key: key, Value: value}); err != nil {
+			return errors.Wrapf(err, "write %s", key)
+		}
+	}
+	return nil
 }
 
 func (f *Fleet) startHosts() error {
@@ -216,7 +220,7 @@
 	}
 	f.Hosts = append(f.Hosts, &Host{
 		Host:          rudderswitch.Host{Host: listed, Engine: engine},
-		labels:        map[string]string{LabelFirm: d.Firm, LabelRegion: d.Region, LabelAccelerator: d.Accelerator},
+		labels:        map[string]string{LabelFirm: d.Firm, LabelAccelerator: d.Accelerator},
 		checksFencing: engine.ChecksFencing,
 	})
 	return nil
@@ -239,7 +243,7 @@
 	}
 	f.Hosts = append(f.Hosts, &Host{
 		Host:          rudderswitch.Host{Host: listed, Backend: backend},
-		labels:        map[string]string{LabelFirm: s.Firm, LabelRegion: s.Region, LabelService: s.Service},
+		labels:        map[string]string{LabelFirm: s.Firm, LabelService: s.Service},
 		checksFencing: backend.ChecksFencing,
 	})
 	return nil
--- a/rudderstand/rudderfleetstand/fleet_test.go
+++ b/rudderstand/rudderfleetstand/fleet_test.go
@@ -37,6 +37,11 @@
 			var d rudderconfig.Document
 			require.NoError(t, json.Unmarshal(entry.Value, &d))
 			require.Len(t, d.Workspaces, l.spaces)
+			require.Empty(t, rudderconfig.Validate(d))
+			require.Empty(t, rudderconfig.CheckAgainstHosts(d, hosts))
+			history, _, err := (&rudderstore.HTTP{BaseURL: f.KVURL()}).Store().Get(ctx, "history/config/0000000001")
+			require.NoError(t, err)
+			require.Equal(t, entry.Value, history.Value)
 			control := (&ruddertarget.HTTP{}).Control()
 			checking := 0
 			for _, settings := range d.Hosts {
--- a/rudderstand/rudderfleetstand/layout.go
+++ b/rudderstand/rudderfleetstand/layout.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderhost"
 )
 
 // Domain is one fabric domain of engine hosts.
@@ -48,7 +49,6 @@
 // Labels that the layouts put on hosts.
 const (
 	LabelFirm        = "firm"
-	LabelRegion      = "region"
 	LabelAccelerator = "accelerator"
 	LabelService     = "service"
 )
@@ -145,7 +145,9 @@
 
 func modelSelector(name, firm, region, model string, size, wanted, priority int) rudderconfig.Selector {
 	return rudderconfig.Selector{
-		Name: name, Firm: firm, MatchLabels: map[string]string{LabelRegion: region},
+		Name: name, Firm: firm, MatchLabels: map[string]string{
+			rudderconfig.LabelRegion: region, rudderconfig.LabelKind: string(rudderhost.KindEngine),
+		},
 		MatchExpressions: []rudderconfig.LabelRequirement{
 			{Key: LabelAccelerator, Operator: rudderconfig.OperatorExists},
 		},
@@ -162,7 +164,9 @@
 
 func serviceSelector(firm, service string) rudderconfig.Selector {
 	return rudderconfig.Selector{
-		Name: firm + "-" + service, Firm: firm, MatchLabels: map[string]string{LabelService: service},
+		Name: firm + "-" + service, Firm: firm, MatchLabels: map[string]string{
+			LabelService: service, rudderconfig.LabelKind: string(rudderhost.KindService),
+		},
 		GroupSize: 1, Service: service, Priority: 100,
 	}
 }
--- a/rudderstand/rudderstandapp/up.go
+++ b/rudderstand/rudderstandapp/up.go
@@ -76,12 +76,13 @@
 	OperatorToken   string            `json:"operator_token"`
 	KeyValueURL     string            `json:"key_value_url"`
 	HostListURL     string            `json:"host_list_url"`
+	SwitchURL       string            `json:"switch_url"`
 }
 
 func describe(scene *rudderscene.Scene) description {
 	d := description{
 		WorkspaceKeys: map[string]string{}, OperatorToken: rudderfleetstand.OperatorToken,
-		KeyValueURL: scene.Fleet.KVURL(), HostListURL: scene.Fleet.InventoryURL(),
+		KeyValueURL: scene.Fleet.KVURL(), HostListURL: scene.Fleet.InventoryURL(), SwitchURL: scene.Fleet.SwitchURL(),
 	}
 	for _, e := range scene.Entries() {
 		d.CallerAddresses = append(d.CallerAddresses, e.App.CallerAddress())
