Drop callers' copies of the system's fields whatever their case

A caller could send Rudder_Attempt or PRIORITY: the filter compared names with their case, and many JSON decoders do not. The field reached the engine beside the system's own.

--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -71,8 +71,10 @@
 		return rudderstream.Request{}, parsed, refusal
 	}
 	for name := range fields {
-		if strings.HasPrefix(name, "rudder_") || name == "priority" {
-			delete(fields, name) // callers may not set the fields that the system sends to engines
+		// Callers may not set the fields that the system sends to engines. Many JSON decoders match
+		// names without regard to case.
+		if lower := strings.ToLower(name); strings.HasPrefix(lower, "rudder_") || lower == "priority" {
+			delete(fields, name)
 		}
 	}
 	prompt := ruddertarget.PromptText(parsed.Messages)
