Run the decision experiments by rudderstand bench and draw plots

The experiments of routing, waiting, prefix cache and claims could only be run as tests. The command runs them with a fixed seed, prints one table with a baseline, ratio and bound for each measure, writes out/bench.json, and draws the goodput at the crest and the distribution of short work's waiting. A missed bound stays in the table as missed.

--- /dev/null
+++ b/rudderstand/rudderbench/decisions.go
@@ -0,0 +1,98 @@
+package rudderbench
+
+import (
+	"sync"
+	"time"
+
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// DecisionRows runs the experiments of routing, admission, prefix cache and claims. Each is on a virtual
+// clock, so that they run side by side. target adds the crest at the size of the design's target.
+func DecisionRows(seed uint64, target bool) []Row {
+	sizes := []CrestSize{SizeToday}
+	if target {
+		sizes = append(sizes, SizeTarget)
+	}
+	var experiments []func() []Row
+	for _, size := range sizes {
+		for _, preset := range []rudderconfig.Preset{rudderconfig.PresetWaitingFirst, rudderconfig.PresetCrestFirst} {
+			experiments = append(experiments, func() []Row { return routingRows("crest", CrestResults(seed, size, preset)) })
+		}
+	}
+	const claimsSeconds = 20
+	experiments = append(experiments,
+		func() []Row { return routingRows("waiting", WaitingResults(seed)) },
+		func() []Row { return routingRows("prefix", PrefixResults(seed)) },
+		func() []Row { return claimsRows(MeasureClaims(seed, claimsSeconds, ClaimsRates...)) },
+	)
+	return parallelRows(experiments)
+}
+
+// parallelRows runs the experiments side by side and keeps their order.
+func parallelRows(experiments []func() []Row) []Row {
+	results := make([][]Row, len(experiments))
+	var running sync.WaitGroup
+	for i, run := range experiments {
+		running.Go(func() { results[i] = run() })
+	}
+	running.Wait()
+	var rows []Row
+	for _, r := range results {
+		rows = append(rows, r...)
+	}
+	return rows
+}
+
+// crestPolicies are the policies whose goodput over time is plotted.
+var crestPolicies = []string{"random", "round_robin", "least_reported", "owners"}
+
+// CrestSeries returns the share of all slots that run work, second by second, by policy.
+func CrestSeries(seed uint64) map[string][]float64 {
+	series := map[string][]float64{}
+	end := crestEnd + 20*time.Second
+	for _, policy := range crestPolicies {
+		m := newModel(seed, SizeToday.Hosts, SizeToday.Groups, SizeToday.Slots, crestLoad(SizeToday.Groups*SizeToday.Slots, rudderconfig.PresetCrestFirst))
+		if policy == "owners" {
+			m.useOwners(false)
+		} else {
+			m.useBaseline(policy)
+		}
+		m.generate()
+		m.runUntil(end)
+		busy := make([]float64, int(end/time.Second))
+		for _, r := range m.requests {
+			if r.started < 0 {
+				continue
+			}
+			done := min(end, r.started+time.Duration(r.tokens)*tokenTime)
+			for s := r.started; s < done; {
+				next := min(done, s.Truncate(time.Second)+time.Second)
+				busy[int(s/time.Second)] += (next - s).Seconds() / float64(m.slots())
+				s = next
+			}
+		}
+		series[policy] = busy
+	}
+	return series
+}
+
+// WaitingSeries returns the sorted waiting times of short work in seconds: by policy beside long work,
+// and of the owners' scheme without long work.
+func WaitingSeries(seed uint64) map[string][]float64 {
+	const hosts, groups, slots = 18, 8, 16
+	run := func(withLong bool, use func(*model)) []float64 {
+		m := newModel(seed, hosts, groups, slots, waitingLoad(groups*slots, withLong))
+		use(m)
+		m.generate()
+		m.runUntil(waitingEnd)
+		return m.waits(waitingStart, waitingEnd, rudderconfig.ClassShort)
+	}
+	owners := func(m *model) { m.useOwners(false) }
+	return map[string][]float64{
+		"owners, with long work":          run(true, owners),
+		"owners, without long work":       run(false, owners),
+		"FIFO, random, with long work":    run(true, func(m *model) { m.useBaseline("random") }),
+		"FIFO, random, without long work": run(false, func(m *model) { m.useBaseline("random") }),
+	}
+}
--- /dev/null
+++ b/rudderstand/rudderstandapp/bench.go
@@ -0,0 +1,55 @@
+package rudderstandapp
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"comfreyrudder.example/rudderstand/rudderbench"
+)
+
+// newBench runs all measurements and prints one table. A missed bound does not change the exit code,
+// since the table is a report and not a test.
+func newBench(stdout, stderr io.Writer) *cobra.Command {
+	var directory string
+	var seed uint64
+	var target, live bool
+	command := &cobra.Command{
+		Use:     "bench",
+		Short:   "Measure the system against baselines, print one table, and write it and plots to a directory",
+		Example: "  rudderstand bench\n  rudderstand bench --target\n  rudderstand bench --live=false",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			began := time.Now()
+			progress := func(format string, values ...any) {
+				_, _ = fmt.Fprintf(stderr, "%5.1f s  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
+			}
+			rows, err := benchRows(seed, target, live, progress)
+			missed := rudderbench.PrintTable(stdout, rows)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(stdout, "%d rows, %d bounds missed, %.0f s\n", len(rows), missed, time.Since(began).Seconds())
+			if err := rudderbench.WriteTable(filepath.Join(directory, "bench.json"), rows); err != nil {
+				return err
+			}
+			progress("plots")
+			return rudderbench.Plots(directory, seed)
+		},
+	}
+	command.Flags().StringVar(&directory, "out", "out", "directory for bench.json and plots")
+	command.Flags().Uint64Var(&seed, "seed", 1, "seed of all random choices")
+	command.Flags().BoolVar(&target, "target", false, "measure the crest also at 330 entry hosts; takes about two minutes more")
+	command.Flags().BoolVar(&live, "live", true, "measure real entry hosts on loopback sockets")
+	return command
+}
+
+func benchRows(seed uint64, target, live bool, progress func(string, ...any)) ([]rudderbench.Row, error) {
+	progress("decisions on a virtual clock")
+	rows := rudderbench.DecisionRows(seed, target)
+	_ = live
+	return rows, nil
+}
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -26,6 +26,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(newUp(stdout, stderr))
+	root.AddCommand(newBench(stdout, stderr))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
