--- a/rudderd/ruddermember/enrol.go
+++ b/rudderd/ruddermember/enrol.go
@@ -18,9 +18,11 @@
 	RemoveAfter = 2 * time.Hour
 	upkeepEvery = time.Second
 	// rankDelay separates the attempts of members to write the same change.
-	rankDelay    = time.Second
-	storeTimeout = 3 * time.Second
-	maxAttempts  = 8
+	rankDelay = time.Second
+	// maxRankDelays keeps the wait short enough that other upkeep is not held up.
+	maxRankDelays = 10
+	storeTimeout  = 3 * time.Second
+	maxAttempts   = 8
 )
 
 // ErrContended reports that other writers changed the registry in each attempt.
@@ -126,7 +128,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-e.Clock.After(time.Duration(i) * rankDelay):
+		case <-e.Clock.After(time.Duration(min(i, maxRankDelays)) * rankDelay):
 		}
 	}
 	if e.Node.Registry().Version != before {
