--- a/rudderstand/rudderbackend/backend.go
+++ b/rudderstand/rudderbackend/backend.go
@@ -56,6 +56,7 @@
 	delay      time.Duration
 	killBefore int
 	killAfter  int
+	runTwice   bool
 	running    int
 	runCount   int64
 	samples    []ruddertarget.Load
@@ -229,6 +230,9 @@
 	}
 	call.At = b.Clock.Now()
 	run := b.Ledger.add(call)
+	if b.runTwice {
+		run = b.Ledger.add(call)
+	}
 	b.runCount++
 	dies := b.killAfter > 0
 	if dies {
--- a/rudderstand/rudderbackend/faults.go
+++ b/rudderstand/rudderbackend/faults.go
@@ -95,6 +95,13 @@
 	b.killAfter = count
 }
 
+// SetRunTwice makes each call take effect twice, as a service with a fault of its own does.
+func (b *Backend) SetRunTwice(twice bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runTwice = twice
+}
+
 // Alive reports whether the process runs, paused or not.
 func (b *Backend) Alive() bool {
 	b.mu.Lock()
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -2,6 +2,7 @@
 package rudderstandapp
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -25,8 +26,8 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newUp(stdout, stderr))
-	if err := root.Execute(); err != nil {
+	root.AddCommand(newUp(stdout, stderr), newDemo(stdout, stderr))
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
 	}
--- a/rudderstand/rudderswitch/fault.go
+++ b/rudderstand/rudderswitch/fault.go
@@ -47,6 +47,7 @@
 const (
 	KindKillBeforeRun Kind = "kill_before_run" // at the next Count calls
 	KindKillAfterRun  Kind = "kill_after_run"  // at the next Count calls
+	KindRunTwice      Kind = "run_twice"       // each call takes effect twice; Off ends it
 )
 
 // Faults of the key-value service; the host list has KindDown and KindDark.
@@ -182,6 +183,8 @@
 		b.KillBeforeRun(f.Count)
 	case KindKillAfterRun:
 		b.KillAfterRun(f.Count)
+	case KindRunTwice:
+		b.SetRunTwice(!f.Off)
 	default:
 		return f.unsupported()
 	}
