--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -2,6 +2,7 @@
 package rudderstandapp
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -26,8 +27,9 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(newUp(stdout, stderr))
+	root.AddCommand(newDemo(stdout, stderr))
 	root.AddCommand(newBench(stdout, stderr))
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
 	}
