Count the traffic of real entry hosts by kind

Nothing measured what entry hosts cost each other, the platform and the targets. A scene can now change an entry host before it listens, and ruddercapacity counts wire bytes and calls by kind over a span.

--- /dev/null
+++ b/rudderstand/ruddercapacity/capacity_fleet.go
@@ -0,0 +1,195 @@
+package ruddercapacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderstand/rudderfleetstand"
+	"comfreyrudder.example/rudderstand/rudderkv"
+	"comfreyrudder.example/rudderstand/rudderscene"
+	"comfreyrudder.example/shared/rudderadmin"
+)
+
+// Size is a size of fleet to run.
+type Size struct {
+	Nodes int
+	// DomainsTimes multiplies the fabric domains and service hosts of the layout with two firms.
+	DomainsTimes int
+}
+
+// Sample is what one running fleet cost. Rates are per second and for all entry hosts together.
+type Sample struct {
+	Nodes, Workers, Domains, Groups int
+	// PeerBytes, PlatformBytes, ListBytes and ControlBytes are bytes per second on the wire.
+	PeerBytes, PlatformBytes, ListBytes, ControlBytes float64
+	// Calls are peer calls by method, and "control" calls to targets.
+	Calls, Body map[string]float64
+	// Platform are key-value calls by kind and prefix; Reads and Writes their sums.
+	Platform      map[string]float64
+	Reads, Writes float64
+	// CPU is processor time in seconds per second, stand-ins included. Memory in bytes after a
+	// collection, stand-ins included.
+	CPU, Memory float64
+	// Load is the machine's load average over one minute at the end.
+	Load float64
+}
+
+// Fleet is a running system whose traffic is counted.
+type Fleet struct {
+	Scene   *rudderscene.Scene
+	Traffic *Traffic
+}
+
+const (
+	startTimeout = 60 * time.Second
+	// settleTime lets registries, leases and preloads come to rest after the first groups serve.
+	settleTime = 3 * time.Second
+)
+
+func layout(times int) rudderfleetstand.Layout {
+	l := rudderfleetstand.TwoFirms()
+	domains, services := l.Domains, l.Services
+	for i := 1; i < times; i++ {
+		for _, d := range domains {
+			d.Name = fmt.Sprintf("%s%d", d.Name, i)
+			l.Domains = append(l.Domains, d)
+		}
+		for _, s := range services {
+			s.Name = fmt.Sprintf("%s%d", s.Name, i)
+			l.Services = append(l.Services, s)
+		}
+	}
+	for i := range l.Document.Selectors {
+		l.Document.Selectors[i].WantedGroups *= times
+	}
+	return l
+}
+
+// StartFleet starts a fleet and waits until its groups serve.
+func StartFleet(size Size) (*Fleet, error) {
+	f := &Fleet{Traffic: &Traffic{}}
+	l := layout(max(1, size.DomainsTimes))
+	places := rudderscene.PlacesOf(l, (size.Nodes+5)/6)
+	spread := make([]rudderscene.Place, 0, size.Nodes)
+	for i := range size.Nodes {
+		spread = append(spread, places[i*len(places)/size.Nodes])
+	}
+	f.Scene = &rudderscene.Scene{
+		Fleet: &rudderfleetstand.Fleet{Layout: l}, Places: spread, Tune: f.Traffic.Tune,
+		Settings: map[string]string{"max-in-flight": "100000"},
+	}
+	if err := f.Scene.Start(); err != nil {
+		f.Scene.Close()
+		return nil, err
+	}
+	if err := rudderscene.Await(startTimeout, "all wanted groups serve", f.serves); err != nil {
+		f.Scene.Close()
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	return f, nil
+}
+
+// Close ends everything.
+func (f *Fleet) Close() { f.Scene.Close() }
+
+// Admin returns a client of the admin API.
+func (f *Fleet) Admin() *rudderadmin.Client {
+	c := &rudderadmin.Client{Token: rudderfleetstand.OperatorToken, HTTP: http.DefaultClient}
+	for _, e := range f.Scene.Entries() {
+		c.Addresses = append(c.Addresses, e.App.AdminAddress())
+	}
+	return c
+}
+
+func (f *Fleet) status() (rudderadmin.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var status rudderadmin.Status
+	err := f.Admin().Get(ctx, "/status", nil, &status)
+	return status, err
+}
+
+func (f *Fleet) serves() bool {
+	status, err := f.status()
+	if err != nil || len(status.EntryHosts) < len(f.Scene.Places) || len(status.Selectors) == 0 {
+		return false
+	}
+	for _, s := range status.Selectors {
+		if s.Active && s.Serving < s.Wanted {
+			return false
+		}
+	}
+	return true
+}
+
+// Measure counts for a span while something else, such as load, may run.
+func (f *Fleet) Measure(span time.Duration) (Sample, error) {
+	f.Scene.Fleet.KV.ResetCounts()
+	before, cpu, began := f.Traffic.snapshot(), processorTime(), time.Now()
+	time.Sleep(span)
+	after, counts, used := f.Traffic.snapshot(), f.Scene.Fleet.KV.Counts(), processorTime()-cpu
+	seconds := time.Since(began).Seconds()
+	status, err := f.status()
+	if err != nil {
+		return Sample{}, errors.Wrap(err, "status of the measured fleet")
+	}
+	s := Sample{
+		Nodes: len(f.Scene.Places), Workers: status.Hosts, Domains: len(f.Scene.Fleet.Layout.Domains) + len(f.Scene.Fleet.Layout.Services),
+		PeerBytes: float64(after.peer-before.peer) / seconds, PlatformBytes: float64(after.platform-before.platform) / seconds,
+		ListBytes: float64(after.list-before.list) / seconds, ControlBytes: float64(after.control-before.control) / seconds,
+		Calls: rates(before.calls, after.calls, seconds), Body: rates(before.body, after.body, seconds),
+		Platform: platformRates(counts, seconds), Reads: float64(counts.Reads) / seconds, Writes: float64(counts.Writes) / seconds,
+		CPU: used.Seconds() / seconds, Memory: memory(), Load: LoadAverage(),
+	}
+	for _, selector := range status.Selectors {
+		s.Groups += selector.Serving
+	}
+	return s, nil
+}
+
+func rates(before, after map[string]int64, seconds float64) map[string]float64 {
+	out := map[string]float64{}
+	for k, v := range after {
+		out[k] = float64(v-before[k]) / seconds
+	}
+	return out
+}
+
+func platformRates(counts rudderkv.Counts, seconds float64) map[string]float64 {
+	out := map[string]float64{}
+	for kind, n := range counts.ByPrefix {
+		if strings.HasPrefix(kind, rudderkv.KindWatch) {
+			continue // one watch has several prefixes; it is counted by kind
+		}
+		out[kind] = float64(n) / seconds
+	}
+	for _, kind := range []string{rudderkv.KindKeepAlive, rudderkv.KindGrantLease, rudderkv.KindRevokeLease, rudderkv.KindWatch} {
+		if n := counts.ByKind[kind]; n > 0 {
+			out[kind] = float64(n) / seconds
+		}
+	}
+	return out
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/rudderstand/rudderscene/scene.go
+++ b/rudderstand/rudderscene/scene.go
@@ -33,6 +33,8 @@
 	Settings map[string]string
 	// Logs takes the log lines of the entry hosts; nil drops them.
 	Logs io.Writer
+	// Tune changes an entry host before it listens, for instance its transports; nil changes nothing.
+	Tune func(*rudderapp.App)
 
 	entries []*Entry
 }
@@ -73,6 +75,9 @@
 		logger = zerolog.New(zerolog.SyncWriter(s.Logs)).With().Timestamp().Str("entry", settings.Name).Logger()
 	}
 	app := &rudderapp.App{Settings: settings, Logger: logger}
+	if s.Tune != nil {
+		s.Tune(app)
+	}
 	if err := app.Listen(); err != nil {
 		return nil, err
 	}
