Pull confirmations only where they are needed, and read leases and the list less

Each entry host pulled the confirmations of all domains once per poll interval, read the lease of each domain, and read the whole host list. All three grow with the product of nodes and workers.

An entry host now pulls the domains with groups in shards that it owns or would own next, and those that it stands ready to plan. Elsewhere the owner's grant is taken: owners grant only groups that they have confirmed, and an entry host without an owner asks the members itself before it uses its local share. The plan of a domain names its hosts that do not answer, so that planners of other domains need no confirmations. Only candidates read a lease. The host list is read every 80 hosts' poll by planners and six times less often by others.

The old test of Fleet.Silent went by the age of confirmations, which an entry host no longer has for all domains; the new ones test the plan's list.

--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderfleet"
@@ -38,14 +40,15 @@
 		},
 		OnPlan:    func(p ruddergroup.Plan) { a.fleet.ObservePlan(p) },
 		KnownPlan: a.fleet.Plan,
-		Down:      func() map[string]bool { return a.fleet.Silent(a.Clock.Now(), a.Settings.ConfirmTTL) },
+		Down:      a.fleet.Silent,
 		Stale:     a.stale,
 		Serving:   func() map[string]int { return a.fleet.ServingCounts(a.Clock.Now()) },
 		Logger:    a.Logger, Times: times, Timing: timing,
 	}
 	a.relay = &rudderrelay.Relay{
 		Self: a.self.Name, Fleet: a.fleet, Members: a.node.Live, HTTPClient: a.peers, Clock: a.Clock,
-		Interval: a.Settings.PollInterval, ConfirmTTL: a.Settings.ConfirmTTL, Planners: a.planners,
+		Interval: a.Settings.PollInterval, ConfirmTTL: a.Settings.ConfirmTTL, Planners: func() map[string][]string { return a.planners(a.followed()) },
+		AllPlanners: func() map[string][]string { return a.planners(func(ruddergroup.Plan) bool { return true }) },
 	}
 }
 
@@ -76,15 +79,52 @@
 	return a.fleet.OldestReport(a.Clock.Now(), domain) > a.Settings.ConfirmTTL/2
 }
 
-// planners lists the domains by the entry host that plans them.
-func (a *App) planners() map[string][]string {
+// planners lists the wanted domains by the entry host that plans them.
+func (a *App) planners(wanted func(ruddergroup.Plan) bool) map[string][]string {
 	planners := make(map[string][]string)
 	for _, plan := range a.fleet.Plans() {
-		planners[plan.Planner] = append(planners[plan.Planner], plan.Domain)
+		if wanted(plan) {
+			planners[plan.Planner] = append(planners[plan.Planner], plan.Domain)
+		}
 	}
 	return planners
 }
 
+// followed tells which domains' confirmations this entry host needs: those with groups that it grants or
+// would grant next, and those that it stands ready to plan.
+func (a *App) followed() func(ruddergroup.Plan) bool {
+	groups := a.owner.FollowedGroups()
+	return func(p ruddergroup.Plan) bool {
+		return a.plannerRank(p.Domain) >= 0 ||
+			slices.ContainsFunc(p.Groups, func(g ruddergroup.Group) bool { return groups[g.ID] })
+	}
+}
+
+// confirmGroup asks the members of a group for their status, and reports whether they confirm it.
+func (a *App) confirmGroup(ctx context.Context, id string) bool {
+	for _, plan := range a.fleet.Plans() {
+		i := slices.IndexFunc(plan.Groups, func(g ruddergroup.Group) bool { return g.ID == id })
+		if i < 0 {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, a.planner.Times.PollTimeout)
+		defer cancel()
+		var polls sync.WaitGroup
+		for _, m := range plan.Groups[i].Members {
+			polls.Go(func() {
+				at := a.Clock.Now()
+				if status, err := a.control.Status(ctx, m.Address); err == nil {
+					a.fleet.ObserveStatus(rudderfleet.Confirmation{Domain: plan.Domain, Host: m.Host, Address: m.Address, Status: status, At: at})
+				}
+			})
+		}
+		polls.Wait()
+		return slices.ContainsFunc(a.fleet.Serving(a.Clock.Now(), rudderfleet.Filter{Domain: plan.Domain}),
+			func(g rudderfleet.Group) bool { return g.ID == id })
+	}
+	return false
+}
+
 // servable lists the groups that take work or drain, for admission.
 func (a *App) servable() []rudderrouter.Servable {
 	document := a.keeper.Current()
@@ -107,14 +147,16 @@
 				continue
 			}
 			load, serves := confirmed[g.ID]
+			unconfirmed := !serves && g.State == ruddergroup.StateServing && a.fleet.Unconfirmed(now, plan.Domain, g)
 			selector, exists := selectors[g.Selector]
 			groups = append(groups, rudderrouter.Servable{
 				ID: g.ID, Selector: g.Selector, Firm: g.Firm, Model: g.Model, ModelVersion: g.ModelVersion, Service: g.Service,
 				Workspaces: selector.Workspaces, Classes: selector.Classes, ShortShare: selector.ShortShare,
 				DataCentre: plan.DataCentre, Region: plan.Region, Slots: g.Slots, Leader: g.Leader(),
-				// A group whose members do not all confirm stays in its shard, but takes no new work.
-				Draining: !serves || !exists,
-				Load:     load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
+				// A group whose members contradict the plan stays in its shard, but takes no new work. One
+				// whose confirmations are not known here may be granted by the shard's owner.
+				Draining: !serves && !unconfirmed || !exists, Unconfirmed: unconfirmed,
+				Load: load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
 			})
 		}
 	}
--- a/rudderd/rudderapp/reports.go
+++ b/rudderd/rudderapp/reports.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		return rudderplan.Situation{}, err
 	}
+	a.relay.Refresh(ctx)
 	now := a.Clock.Now()
 	observed := make(map[string]rudderplan.Observation)
 	for _, c := range a.fleet.Confirmations("") {
--- a/rudderd/rudderfleet/fleet.go
+++ b/rudderd/rudderfleet/fleet.go
@@ -36,6 +36,7 @@
 	byModel       map[string][]Group
 	byService     map[string][]Group
 	downtime      accounting
+	followed      map[string]bool // nil for all
 }
 
 // ObservePlan takes a plan and reports whether it is newer than the known one. A plan never goes back
--- a/rudderd/rudderfleet/report.go
+++ b/rudderd/rudderfleet/report.go
@@ -49,7 +49,7 @@
 			case ruddergroup.StateDraining:
 				r.Why = WhyDraining
 			default:
-				_, r.Why = f.confirmed(now, g)
+				r.Why = f.why(now, p, g)
 			}
 			out = append(out, r)
 		}
@@ -63,8 +63,8 @@
 	return out
 }
 
-// Stranded returns, in name order, the hosts that reported within ConfirmTTL and are in no group that
-// takes new work.
+// Stranded returns, in name order, the hosts that reported within ConfirmTTL, or that the plan of a domain
+// that is not followed does not name as silent, and that are in no group that takes new work.
 func (f *Fleet) Stranded(now time.Time, hosts []rudderhost.Host) []rudderhost.Host {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -82,7 +82,12 @@
 	}
 	var out []rudderhost.Host
 	for _, h := range hosts {
-		if c, ok := f.confirmations[h.Name]; ok && now.Sub(c.At) < ttl && !working[h.Name] {
+		c, ok := f.confirmations[h.Name]
+		up := ok && now.Sub(c.At) < ttl
+		if p, planned := f.plans[h.FabricDomain]; planned && !f.follows(h.FabricDomain) {
+			up = !slices.Contains(p.Silent, h.Name)
+		}
+		if up && !working[h.Name] {
 			out = append(out, h)
 		}
 	}
@@ -107,20 +112,6 @@
 	return out
 }
 
-// Silent returns the hosts whose last report is older than after. A host that never reported is not
-// among them: an entry host that has just started knows nothing about other domains.
-func (f *Fleet) Silent(now time.Time, after time.Duration) map[string]bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	out := map[string]bool{}
-	for h, c := range f.confirmations {
-		if now.Sub(c.At) > after {
-			out[h] = true
-		}
-	}
-	return out
-}
-
 // OldestReport returns the largest age of the reports of the members of a domain's serving groups.
 // Members that never reported are left out.
 func (f *Fleet) OldestReport(now time.Time, domain string) time.Duration {
--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -125,7 +125,7 @@
 func (o *Owner) acquireFrom(ctx context.Context, shard string, owner ruddermember.Member, work Work) (slot *Slot, again bool, err error) {
 	request := &rudderpeer.GrantRequest{Shard: shard, Work: o.workToWire(work)}
 	if o.isSuspect(owner) {
-		return o.fromLocalShare(shard, work)
+		return o.fromLocalShare(ctx, shard, work)
 	}
 	for {
 		now := o.Clock.Now()
@@ -147,13 +147,13 @@
 		if err != nil {
 			o.abandon(shard, work)
 			o.markSuspect(owner)
-			return o.fromLocalShare(shard, work)
+			return o.fromLocalShare(ctx, shard, work)
 		}
 		if response.GetState() == rudderpeer.GrantResponse_QUEUED {
 			request.WaitMs = min(max(pollWait.Milliseconds(), 2*request.WaitMs), maxPollWait.Milliseconds())
 			continue
 		}
-		return o.settle(shard, work, response)
+		return o.settle(ctx, shard, work, response)
 	}
 }
 
@@ -196,7 +196,7 @@
 }
 
 // settle turns a final answer into a slot or an error.
-func (o *Owner) settle(shard string, work Work, r *rudderpeer.GrantResponse) (*Slot, bool, error) {
+func (o *Owner) settle(ctx context.Context, shard string, work Work, r *rudderpeer.GrantResponse) (*Slot, bool, error) {
 	switch r.GetState() {
 	case rudderpeer.GrantResponse_GRANTED:
 		return o.hold(shard, work, r.GetGroup(), r.GetLeader(), false), false, nil
@@ -208,7 +208,7 @@
 	case rudderpeer.GrantResponse_NO_GROUP:
 		return nil, true, ErrNoGroup
 	case rudderpeer.GrantResponse_NOT_OWNER:
-		return o.fromLocalShare(shard, work)
+		return o.fromLocalShare(ctx, shard, work)
 	}
 	return nil, true, &refusedError{after: callTimeout, reason: "unknown answer of the shard owner"}
 }
--- a/rudderd/rudderowner/local.go
+++ b/rudderd/rudderowner/local.go
@@ -1,9 +1,12 @@
 package rudderowner
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -11,8 +14,47 @@
 // It lasts for the suspicion time of 3 s, and engines queue what exceeds their slots.
 const localShare = 0.25
 
-// fromLocalShare takes a slot of this entry host's local share without the owner. o.mu is not held.
-func (o *Owner) fromLocalShare(shard string, work Work) (*Slot, bool, error) {
+// fromLocalShare takes a slot of this entry host's local share without the owner. A group whose members
+// are not confirmed here is confirmed first. o.mu is not held.
+func (o *Owner) fromLocalShare(ctx context.Context, shard string, work Work) (*Slot, bool, error) {
+	slot, unconfirmed, err := o.takeLocal(shard, work)
+	if unconfirmed == "" {
+		return slot, err != nil, err
+	}
+	if !o.confirm(ctx, unconfirmed) {
+		return nil, true, err
+	}
+	slot, _, err = o.takeLocal(shard, work)
+	return slot, err != nil, err
+}
+
+// confirm asks the members of a group, with one question at a time for each group. A group that failed is
+// left alone for suspectTTL, so that not each request waits for members that do not answer.
+func (o *Owner) confirm(ctx context.Context, group string) bool {
+	if o.Confirm == nil {
+		return false
+	}
+	confirmed, _, _ := o.confirming.Do(group, func() (any, error) {
+		o.mu.Lock()
+		failed := o.Clock.Now().Before(o.unconfirmed[group])
+		o.mu.Unlock()
+		if failed {
+			return false, nil
+		}
+		confirmed := o.Confirm(context.WithoutCancel(ctx), group)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.view.at = time.Time{} // the next look sees the new confirmations
+		if o.refresh(o.Clock.Now()); !confirmed {
+			o.unconfirmed[group] = o.Clock.Now().Add(suspectTTL)
+		}
+		return confirmed, nil
+	})
+	return confirmed.(bool)
+}
+
+// takeLocal takes a slot of a confirmed group, or names a group that could be confirmed.
+func (o *Owner) takeLocal(shard string, work Work) (slot *Slot, unconfirmed string, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.view.byID[shard]
@@ -27,15 +69,24 @@
 	best, free := -1, 0
 	for i, g := range known.Groups() {
 		room := g.Slots - max(g.Load, mine[g.ID])
-		if !g.Draining && !slices.Contains(work.Avoid, g.ID) && room > free {
+		if g.Draining || slices.Contains(work.Avoid, g.ID) || room <= 0 {
+			continue
+		}
+		if g.Unconfirmed {
+			unconfirmed = g.ID
+		} else if room > free {
 			best, free = i, room
 		}
 	}
-	if used >= limit || best < 0 {
-		return nil, true, &refusedError{after: suspectTTL, reason: "shard owner unreachable, local share in use"}
+	refused := &refusedError{after: suspectTTL, reason: "shard owner unreachable, local share in use"}
+	switch {
+	case used >= limit:
+		return nil, "", refused
+	case best < 0:
+		return nil, unconfirmed, refused
 	}
 	g := known.Groups()[best]
-	return o.holdLocked(shard, work, g.ID, g.Leader, true), false, nil
+	return o.holdLocked(shard, work, g.ID, g.Leader, true), "", nil
 }
 
 // admission returns the owner's service: in process for this entry host. o.mu is held.
@@ -66,3 +117,35 @@
 	defer o.mu.Unlock()
 	return o.Clock.Now().Before(o.suspect[m.Name])
 }
+
+// FollowedGroups returns the IDs of the groups in the shards that this entry host owns or would own next.
+// Their confirmations must be fresh here.
+func (o *Owner) FollowedGroups() map[string]bool {
+	o.init()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh(o.Clock.Now())
+	followed := map[string]bool{}
+	for id, shard := range o.view.byID {
+		if o.rank(id) > 1 {
+			continue
+		}
+		for _, g := range shard.Groups() {
+			followed[g.ID] = true
+		}
+	}
+	return followed
+}
+
+// unknown reports that this entry host knows the confirmations of no group of a shard, as right after it
+// became the owner.
+func unknown(s rudderrouter.Shard) bool {
+	some := false
+	for _, g := range s.Groups() {
+		if !g.Draining && !g.Unconfirmed {
+			return false
+		}
+		some = some || g.Unconfirmed
+	}
+	return some
+}
--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
 	"comfreyrudder.example/rudderd/ruddermember"
@@ -49,6 +50,9 @@
 	// DigestedLoad returns the load of a shard as its owner's digest has it; nil for none. Loads in
 	// answers to own calls are used while they are fresh.
 	DigestedLoad func(shard, owner string) (float64, bool)
+	// Confirm asks the members of a group for their own reports, and reports whether Groups now has the
+	// group as confirmed. nil leaves groups that are not confirmed unused.
+	Confirm func(ctx context.Context, group string) bool
 	// Policies overrides the presets; nil takes rudderadmission.PolicyFor.
 	Policies func(rudderconfig.Preset) rudderadmission.Policy
 	// Seed of the random choices.
@@ -66,8 +70,11 @@
 	renewed map[string]renewal
 	clients map[string]rudderpeer.Admission
 	polls   map[*poll]bool
-	budget  retryBudget
-	calls   sync.WaitGroup
+	// unconfirmed holds until when a group whose members did not confirm it is left alone.
+	unconfirmed map[string]time.Time
+	confirming  singleflight.Group
+	budget      retryBudget
+	calls       sync.WaitGroup
 	// sent counts calls to other owners, for measurements.
 	sent int64
 }
@@ -87,6 +94,7 @@
 		o.suspect = map[string]time.Time{}
 		o.renewed = map[string]renewal{}
 		o.polls = map[*poll]bool{}
+		o.unconfirmed = map[string]time.Time{}
 		o.clients = map[string]rudderpeer.Admission{}
 	})
 }
--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -209,3 +210,54 @@
 	}
 	require.InDelta(t, 0.1*1000+1, taken, 2)
 }
+
+// Guards against work on a group whose members nobody asked: an owner grants only groups that it has
+// confirmed, and an entry host without an owner asks the members itself.
+func TestOnlyConfirmedGroupsServe(t *testing.T) {
+	confirmedAt := map[string]bool{} // by entry host; set before calls
+	f := newFleet(t, 3, group("g", 2))
+	first, second, other := f.roles()
+	asked := 0
+	for _, o := range f.owners {
+		groups := o.Groups
+		o.mu.Lock()
+		o.Groups = func() []rudderrouter.Servable {
+			g := groups()[0]
+			g.Unconfirmed = !confirmedAt[o.Self.Name]
+			return []rudderrouter.Servable{g}
+		}
+		o.view = view{}
+		o.mu.Unlock()
+	}
+	_, err := other.Acquire(context.Background(), work("a"))
+	require.Error(t, err, "neither the owner nor this entry host has confirmed the group")
+
+	change := func(o *Owner) {
+		for _, o := range f.owners {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.view = view{}
+		}
+		confirmedAt[o.Self.Name] = true
+	}
+	change(first)
+	slot, err := other.Acquire(context.Background(), work("b"))
+	require.NoError(t, err)
+	require.False(t, slot.Local(), "the owner's grant is enough")
+
+	f.servers[slices.Index(f.owners, first)].Close()
+	_, err = other.Acquire(context.Background(), work("c"))
+	require.Error(t, err, "no owner, and this entry host cannot ask the members")
+	other.mu.Lock()
+	other.Confirm = func(context.Context, string) bool {
+		asked++
+		change(other)
+		return true
+	}
+	other.mu.Unlock()
+	slot, err = other.Acquire(context.Background(), work("d"))
+	require.NoError(t, err)
+	require.True(t, slot.Local())
+	require.Equal(t, 1, asked)
+	require.NotEqual(t, first, second)
+}
--- a/rudderd/rudderowner/server.go
+++ b/rudderd/rudderowner/server.go
@@ -92,7 +92,7 @@
 	o.mu.Lock()
 	now := o.Clock.Now()
 	owned := o.ownedShard(now, r.GetShard())
-	if owned == nil {
+	if owned == nil || unknown(o.view.byID[r.GetShard()]) {
 		o.mu.Unlock()
 		return &rudderpeer.GrantResponse{State: rudderpeer.GrantResponse_NOT_OWNER}, nil
 	}
--- a/rudderd/rudderowner/view.go
+++ b/rudderd/rudderowner/view.go
@@ -82,7 +82,7 @@
 	groups := make([]rudderadmission.Group, 0, len(shard.Groups()))
 	for _, g := range shard.Groups() {
 		groups = append(groups, rudderadmission.Group{
-			ID: g.ID, Leader: g.Leader, Slots: g.Slots, ShortShare: g.ShortShare, Draining: g.Draining,
+			ID: g.ID, Leader: g.Leader, Slots: g.Slots, ShortShare: g.ShortShare, Draining: g.Draining || g.Unconfirmed,
 		})
 	}
 	s.deliver(now, s.shard.SetGroups(now, groups))
--- a/rudderd/rudderplanner/lease.go
+++ b/rudderd/rudderplanner/lease.go
@@ -109,6 +109,7 @@
 func (w *worker) lose(why string) bool {
 	w.p.Logger.Info().Str("domain", w.domain).Int64("fencing", w.lease.fencing).Msg("planner stops: " + why)
 	w.lease = nil
+	w.p.held.Add(-1)
 	return false
 }
 
@@ -121,4 +122,5 @@
 	defer cancel()
 	_ = w.p.Store.RevokeLease(ctx, w.lease.id) // ends by itself otherwise
 	w.lease = nil
+	w.p.held.Add(-1)
 }
--- a/rudderd/rudderplanner/planner.go
+++ b/rudderd/rudderplanner/planner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -83,6 +84,8 @@
 
 	mu    sync.Mutex
 	hosts []rudderhost.Host
+	// held counts the domains whose lease this entry host holds.
+	held atomic.Int64
 }
 
 // Run plans until the context ends, then gives the leases back.
@@ -92,8 +95,10 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	started := map[string]bool{}
-	for {
-		p.refreshHosts(ctx)
+	for polls := 0; ; polls++ {
+		if polls >= p.listPolls() && p.refreshHosts(ctx) || p.hostList() == nil && p.refreshHosts(ctx) {
+			polls = 0
+		}
 		for _, domain := range p.domains() {
 			if !started[domain] {
 				started[domain] = true
@@ -123,17 +128,36 @@
 	}
 }
 
-func (p *Planner) refreshHosts(ctx context.Context) {
+const (
+	// hostsPerPoll bounds the traffic of the host list, which has about 180 bytes for each host: a list of
+	// 730 hosts read at each poll would be 130 KB/s on each entry host.
+	hostsPerPoll = 80
+	// idleListFactor is how much less often an entry host that plans no domain reads the list. It needs
+	// it to learn of new domains and to take over from another planner.
+	idleListFactor = 6
+)
+
+// listPolls is the number of polls between two reads of the host list.
+func (p *Planner) listPolls() int {
+	polls := (len(p.hostList()) + hostsPerPoll - 1) / hostsPerPoll
+	if p.held.Load() == 0 {
+		polls *= idleListFactor
+	}
+	return polls
+}
+
+func (p *Planner) refreshHosts(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, p.Times.StoreTimeout)
 	defer cancel()
 	hosts, err := p.Hosts(call)
 	if err != nil {
 		p.Logger.Warn().Err(err).Msg("host list not available; the last one stays in use")
-		return
+		return false
 	}
 	p.mu.Lock()
 	p.hosts = hosts
 	p.mu.Unlock()
+	return true
 }
 
 func (p *Planner) hostList() []rudderhost.Host {
--- a/rudderd/rudderplanner/planner_test.go
+++ b/rudderd/rudderplanner/planner_test.go
@@ -276,3 +276,61 @@
 	_, _, err := w.get(context.Background(), ruddergroup.LeasePrefix+"d1")
 	require.ErrorIs(t, err, rudderstore.ErrNotFound)
 }
+
+// Guards against other domains that count on hosts which do not answer, against a new holder that names
+// them as live before it asked them, and against a dark domain that is not made known.
+func TestPlanNamesSilentHosts(t *testing.T) {
+	w := newWorld(4, true)
+	a, b := w.planner("a"), w.planner("b")
+	silent := map[string]bool{}
+	for _, k := range []*worker{a, b} {
+		answer := k.p.Control.Status
+		k.p.Control.Status = func(ctx context.Context, address string) (ruddertarget.Status, error) {
+			if silent[address] {
+				return ruddertarget.Status{}, ruddertarget.ErrUnreachable
+			}
+			return answer(ctx, address)
+		}
+		k.p.Control.Send = func(ctx context.Context, address string, o ruddertarget.Order) (ruddertarget.Status, error) {
+			if silent[address] {
+				return ruddertarget.Status{}, ruddertarget.ErrUnreachable
+			}
+			return w.send(ctx, address, o)
+		}
+	}
+	w.ticks(3, a)
+	silent["h3"] = true
+	w.ticks(4, a)
+	require.Equal(t, []string{"h3"}, storedPlan(t, a).Silent)
+	seq := storedPlan(t, a).Seq
+	w.ticks(5, a)
+	require.Equal(t, seq, storedPlan(t, a).Seq, "an unchanged list is not written again")
+	a.resign()
+	w.ticks(2, b)
+	require.NotNil(t, b.lease)
+	require.Equal(t, []string{"h3"}, storedPlan(t, b).Silent)
+	silent["h0"], silent["h1"], silent["h2"] = true, true, true
+	w.ticks(4, b)
+	require.Equal(t, []string{"h0", "h1", "h2", "h3"}, storedPlan(t, b).Silent)
+	clear(silent)
+	w.ticks(20, b)
+	require.Empty(t, storedPlan(t, b).Silent)
+}
+
+// Guards against lease reads by entry hosts that stand no chance to plan a domain: at 330 entry hosts
+// they were thousands a second.
+func TestOnlyCandidatesReadTheLease(t *testing.T) {
+	w := newWorld(2, true)
+	a := w.planner("a")
+	reads, rank, get := 0, -1, a.p.Store.Get
+	a.p.Store.Get = func(ctx context.Context, key string) (rudderstore.Entry, int64, error) {
+		reads++
+		return get(ctx, key)
+	}
+	a.p.Candidate = func(string) int { return rank }
+	w.ticks(3, a)
+	require.Zero(t, reads)
+	rank = 0
+	w.ticks(1, a)
+	require.NotNil(t, a.lease)
+}
--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -80,6 +80,10 @@
 // candidate keep polling, so that confirmations stay fresh under the unchanged plan.
 func (w *worker) stand(ctx context.Context) {
 	rank := w.p.Candidate(w.domain)
+	if rank < 0 && !w.wasHolder {
+		w.freeSince = time.Time{}
+		return // at 330 entry hosts, reads by all of them would be thousands a second
+	}
 	call, cancel := w.storeContext(ctx)
 	entry, _, err := w.p.Store.Get(call, ruddergroup.LeasePrefix+w.domain)
 	cancel()
@@ -125,6 +129,7 @@
 		return
 	}
 	w.lease, w.revision, w.pending = l, revision, nil
+	w.p.held.Add(1)
 	w.freeSince, w.takenOver, w.wasHolder = time.Time{}, false, true
 	w.ordersFrom = l.renewed
 	if l.fencing > 1 && w.someUnchecked() {
@@ -177,10 +182,18 @@
 	}
 	in := w.input(config)
 	if rudderplan.Dark(in.Hosts, in.Observed, in.Timing) {
+		err := w.writeSilent(call)
 		w.standAside()
-		return nil
+		return err
 	}
 	result := rudderplan.Step(in)
+	if silent := w.silent(); !slices.Equal(silent, result.Plan.Silent) {
+		if !result.Changed {
+			result.Plan.Seq, result.Changed = result.Plan.Seq+1, true
+		}
+		result.Plan.Silent = silent
+		result.Plan.Domain, result.Plan.Fencing, result.Plan.Planner = w.domain, w.lease.fencing, w.p.Name
+	}
 	if result.Changed {
 		if w.lease.expired(w.p.Clock.Now()) {
 			return errors.New("lease expired before the plan was written")
--- a/rudderd/rudderrelay/relay.go
+++ b/rudderd/rudderrelay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -26,8 +27,10 @@
 	// Interval between two pulls from one planner.
 	Interval time.Duration
 	// Planners returns the fabric domains whose confirmations this entry host needs, by the name of
-	// the entry host that plans them.
+	// the entry host that plans them. They are the followed domains of the Fleet.
 	Planners func() map[string][]string
+	// AllPlanners returns all fabric domains in the same way, for Refresh.
+	AllPlanners func() map[string][]string
 	// ConfirmTTL is the age above which a confirmation is of no use.
 	ConfirmTTL time.Duration
 }
@@ -50,31 +53,64 @@
 	return response, nil
 }
 
+// looksPerInterval is how often in an interval the relay looks for domains that it newly needs: a new
+// owner of a shard grants nothing before it has their confirmations.
+const looksPerInterval = 4
+
 // Run pulls until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
-	ticker := r.Clock.NewTicker(r.Interval)
+	ticker := r.Clock.NewTicker(r.Interval / looksPerInterval)
 	defer ticker.Stop()
-	for {
+	known := map[string]bool{}
+	for look := 0; ; look++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
-			r.pullAll(ctx)
 		}
+		known = r.look(ctx, known, look%looksPerInterval == 0)
 	}
 }
 
-// pullAll starts one pull for each planner. A pull that hangs must not delay those from others.
-func (r *Relay) pullAll(ctx context.Context) {
-	members := make(map[string]ruddermember.Member)
-	for _, m := range r.Members() {
-		members[m.Name] = m
-	}
+// look starts one pull for each planner: for all its domains, or for those not known yet. A pull that
+// hangs must not delay those from others.
+func (r *Relay) look(ctx context.Context, known map[string]bool, all bool) map[string]bool {
+	members := r.members()
+	followed := map[string]bool{}
 	for planner, domains := range r.Planners() {
+		var wanted []string
+		for _, d := range domains {
+			followed[d] = true
+			if all || !known[d] {
+				wanted = append(wanted, d)
+			}
+		}
+		if m, ok := members[planner]; ok && planner != r.Self && len(wanted) > 0 {
+			go r.pull(ctx, m, wanted)
+		}
+	}
+	r.Fleet.SetFollowed(followed)
+	return followed
+}
+
+// Refresh pulls the confirmations of all domains once and waits for them, for reports to operators.
+func (r *Relay) Refresh(ctx context.Context) {
+	members := r.members()
+	var pulls sync.WaitGroup
+	for planner, domains := range r.AllPlanners() {
 		if m, ok := members[planner]; ok && planner != r.Self {
-			go r.pull(ctx, m, domains)
+			pulls.Go(func() { r.pull(ctx, m, domains) })
 		}
 	}
+	pulls.Wait()
+}
+
+func (r *Relay) members() map[string]ruddermember.Member {
+	members := make(map[string]ruddermember.Member)
+	for _, m := range r.Members() {
+		members[m.Name] = m
+	}
+	return members
 }
 
 func (r *Relay) pull(ctx context.Context, m ruddermember.Member, domains []string) {
--- a/rudderd/rudderrouter/shard.go
+++ b/rudderd/rudderrouter/shard.go
@@ -32,6 +32,9 @@
 	// Leader is the address that takes the group's requests.
 	Leader   string
 	Draining bool
+	// Unconfirmed marks a group whose members' confirmations are not known here. The shard's owner, which
+	// follows them, may grant it. Here it takes no work before its members were asked.
+	Unconfirmed bool
 	// Load is what the engine reports as running and waiting, sampled at LoadAtUnixMS, in
 	// milliseconds since the Unix epoch; 0 means that there is no report.
 	Load         int
