--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
 	"comfreyrudder.example/rudderd/ruddermember"
@@ -50,6 +51,9 @@
 	// DigestedLoad returns the load of a shard as its owner's digest has it; nil for none. Loads in
 	// answers to own calls are used while they are fresh.
 	DigestedLoad func(shard, owner string) (float64, bool)
+	// Confirm asks the members of a group for their own reports, and reports whether Groups now has the
+	// group as confirmed. nil leaves groups that are not confirmed unused.
+	Confirm func(ctx context.Context, group string) bool
 	// Policies overrides the presets; nil takes rudderadmission.PolicyFor.
 	Policies func(rudderconfig.Preset) rudderadmission.Policy
 	// Seed of the random choices.
@@ -67,9 +71,12 @@
 	renewed map[string]renewal
 	clients map[string]rudderpeer.Admission
 	polls   map[*poll]bool
-	budget  retryBudget
-	calls   sync.WaitGroup
-	ended   bool // Run has ended
+	// unconfirmed holds until when a group whose members did not confirm it is left alone.
+	unconfirmed map[string]time.Time
+	confirming  singleflight.Group
+	budget      retryBudget
+	calls       sync.WaitGroup
+	ended       bool // Run has ended
 }
 
 type loadAt struct {
@@ -87,6 +94,7 @@
 		o.suspect = map[string]time.Time{}
 		o.renewed = map[string]renewal{}
 		o.polls = map[*poll]bool{}
+		o.unconfirmed = map[string]time.Time{}
 		o.clients = map[string]rudderpeer.Admission{}
 	})
 }
