--- a/rudderd/rudderowner/leaders.go
+++ b/rudderd/rudderowner/leaders.go
@@ -1,7 +1,8 @@
 package rudderowner
 
-// OwnedLeaders returns the leaders' addresses of the groups in shards that this entry host owns, by
-// group ID. It reads their cache events for ObserveCache.
+// OwnedLeaders returns the leaders' addresses of the model groups in shards that this entry host owns,
+// by group ID. The caller reads their cache events for ObserveCache. Plain services are left out: they
+// take any path as a call.
 func (o *Owner) OwnedLeaders() map[string]string {
 	o.init()
 	o.mu.Lock()
@@ -12,7 +13,9 @@
 			continue
 		}
 		for _, g := range o.view.byID[id].Groups() {
-			leaders[g.ID] = g.Leader
+			if g.Model != "" {
+				leaders[g.ID] = g.Leader
+			}
 		}
 	}
 	return leaders
--- a/rudderd/rudderowner/retry_test.go
+++ b/rudderd/rudderowner/retry_test.go
@@ -33,3 +33,26 @@
 	o.sendRelease("s1", &rudderpeer.ReleasedSlot{})
 	o.calls.Wait()
 }
+
+// Guards against control calls that a plain service takes for work: the demo's oracle found reads of
+// cache events in a service's ledger.
+func TestOwnedLeadersAreModelGroups(t *testing.T) {
+	member := ruddermember.Member{Name: "e1", PeerAddress: "127.0.0.1:1"}
+	clock := clockwork.NewFakeClock()
+	groups := []rudderrouter.Servable{
+		{ID: "g1", Model: "m", Leader: "127.0.0.1:2", Slots: 1},
+		{ID: "g2", Service: "ledger", Leader: "127.0.0.1:3", Slots: 1},
+	}
+	o := &Owner{
+		Self: member, Clock: clock, Logger: zerolog.Nop(),
+		Members: func() []ruddermember.Member { return []ruddermember.Member{member} },
+		Groups:  func() []rudderrouter.Servable { return groups },
+	}
+	o.init()
+	for _, s := range rudderrouter.Split(groups) {
+		o.mu.Lock()
+		o.ownedShard(clock.Now(), s.ID())
+		o.mu.Unlock()
+	}
+	require.Equal(t, map[string]string{"g1": "127.0.0.1:2"}, o.OwnedLeaders())
+}
