Start no release calls after the admission part has ended

A request that ended while its entry host stopped sent its slot's release in the background, and the call's Add raced with the Wait at the end of Run. The race detector reported it in 1 of 6 runs of TestWholePath. Calls are refused once Run waits; the shard's owner frees such a slot by itself.

--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -65,6 +65,7 @@
 	clients map[string]rudderpeer.Admission
 	budget  retryBudget
 	calls   sync.WaitGroup
+	ended   bool // Run waits for the last calls; no further ones may start
 	// sent counts calls to other owners, for measurements.
 	sent int64
 }
@@ -92,7 +93,7 @@
 	o.init()
 	ticker := o.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer o.calls.Wait()
+	defer o.finish()
 	for {
 		select {
 		case <-ctx.Done():
@@ -103,6 +104,15 @@
 	}
 }
 
+// finish waits for calls in the background. A request that ends later releases its slot without one;
+// the shard's owner frees it when this host's liveness expires.
+func (o *Owner) finish() {
+	o.mu.Lock()
+	o.ended = true
+	o.mu.Unlock()
+	o.calls.Wait()
+}
+
 func (o *Owner) tick() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -184,3 +184,17 @@
 	}
 	require.InDelta(t, 0.1*1000+1, taken, 2)
 }
+
+// Guards against a data race of a slot's release with the end of Run, which waits for such calls.
+func TestNoCallStartsAfterRun(t *testing.T) {
+	o := &Owner{Clock: clockwork.NewRealClock(), Logger: zerolog.Nop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, o.Run(ctx), context.Canceled)
+	var started atomic.Bool
+	o.mu.Lock()
+	o.background(func(context.Context) error { started.Store(true); return nil })
+	o.mu.Unlock()
+	o.calls.Wait()
+	require.False(t, started.Load())
+}
--- a/rudderd/rudderowner/slot.go
+++ b/rudderd/rudderowner/slot.go
@@ -73,7 +73,11 @@
 	})
 }
 
+// background runs a call to another owner, unless Run has ended. o.mu is held.
 func (o *Owner) background(call func(context.Context) error) {
+	if o.ended {
+		return
+	}
 	o.calls.Add(1)
 	go func() {
 		defer o.calls.Done()
