--- a/rudderstand/ruddercapacity/capacity_meter.go
+++ b/rudderstand/ruddercapacity/capacity_meter.go
@@ -58,26 +58,6 @@
 	t.body[method] += bytes
 }
 
-// countedConn adds what it carries to a counter.
-type countedConn struct {
-	net.Conn
-	count *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.count.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.count.Add(int64(n))
-	return n, err
-}
-
 const (
 	dialTimeout     = time.Second
 	idleConnections = 64
