--- a/rudderstand/ruddercapacity/capacity_meter.go
+++ b/rudderstand/ruddercapacity/capacity_meter.go
@@ -82,8 +82,7 @@
 
 // Tune makes an entry host count its calls. Its transports are otherwise those of rudderapp.
 func (t *Traffic) Tune(app *rudderapp.App) {
-	peer := rudderpeer.NewBase()
-	peer.DialContext = dialCounted(&t.PeerBytes)
+	peer := &rudderpeer.Pool{Dial: dialCounted(&t.PeerBytes)}
 	app.PeerTransport = roundTrip(func(r *http.Request) (*http.Response, error) {
 		method := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 		t.add(method, 1, max(0, r.ContentLength))
