--- a/rudderd/rudderchange/world_test.go
+++ b/rudderd/rudderchange/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"strings"
@@ -381,11 +382,17 @@
 	}
 }
 
+// errStopped reports a change at a host that does not run.
+var errStopped = errors.New("the host is stopped")
+
 // change makes a change through a host and tells the oracle when it is accepted.
 func (w *world) change(i int, expected int64, author string, limit time.Duration) (Result, error) {
 	w.mu.Lock()
 	h := w.hosts[i]
 	w.mu.Unlock()
+	if h == nil {
+		return Result{}, errStopped
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	result, err := h.keeper.Change(ctx, expected, &rudderconfig.Document{}, author, "by "+author)
