--- a/rudderd/rudderstream/fuzz_test.go
+++ b/rudderd/rudderstream/fuzz_test.go
@@ -36,7 +36,7 @@
 		reader := bufio.NewReaderSize(bytes.NewReader(data), 16)
 		for range len(data) + 1 {
 			if _, err := nextEvent(reader); err != nil {
-				require.True(t, err == io.EOF || errors.Is(err, ErrBroken) || errors.Is(err, ErrMalformed), err)
+				require.True(t, errors.Is(err, io.EOF) || errors.Is(err, ErrBroken) || errors.Is(err, ErrMalformed), err)
 				return
 			}
 		}
