Add the fault matrix, random histories and make fuzz

rudderfaults crosses 19 faults with 13 steps. Cells are generated; six rules with reasons exclude 10 single cells of 247 and 488 pairs of 2,470. A cell runs 4 real entry hosts and the stand-ins in one process, injects the faults while the step's event is held back, runs a fixed workload, heals, requires progress and lets rudderoracle judge. The network between all parties can be cut in single directions, entry hosts are paused by holding their clock and their bytes, and killed ones lose all connections at once.

TestPlantedFaultsAreFound shows that a cell reports a repeated call and a wrong answer.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,9 @@
 TWIRP_VERSION := v8.1.3+incompatible
 PROTOC_GEN_GO_VERSION := v1.36.12
 FUZZ_TIME ?= 60s
+# Seed of the random histories; the native fuzz targets draw their own.
+FUZZ_SEED ?= $(shell date +%s)
+FUZZ_HISTORIES ?= 500
 
 .PHONY: all build test lint format generate demo up bench capacity faults fuzz settings clean
 
@@ -54,6 +57,19 @@
 faults: build
 	$(BIN)/rudderstand faults
 
+# Runs random histories from FUZZ_SEED on and each native fuzz target, each for FUZZ_TIME. The pure
+# histories are bounded by their number, FUZZ_HISTORIES.
+fuzz:
+	@echo "FUZZ_SEED=$(FUZZ_SEED) FUZZ_TIME=$(FUZZ_TIME)"
+	FUZZ_SEED=$(FUZZ_SEED) FUZZ_TIME=$(FUZZ_TIME) go test ./rudderstand/rudderfaults -run '^TestHistories$$' -count=1 -timeout 0
+	go test ./rudderd/rudderchange -run '^TestRandomHistories$$' -count=1 -timeout 0 -rapid.seed=$(FUZZ_SEED) -rapid.checks=$(FUZZ_HISTORIES)
+	go test ./rudderd/rudderclaim ./rudderd/rudderplan -count=1 -timeout 0 -rapid.seed=$(FUZZ_SEED)
+	@grep -rE '^func Fuzz' --include='*_test.go' $(MODULES) | sed -E 's/^(.*)\/[^/]*:func (Fuzz[A-Za-z0-9]*).*/\1 \2/' | \
+	while read -r package target; do \
+		echo "fuzz $$package $$target"; \
+		go test ./$$package -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) || exit 1; \
+	done
+
 settings:
 	go run ./rudderd settings > docs/settings.md
 
--- /dev/null
+++ b/rudderstand/rudderfaults/operator.go
@@ -0,0 +1,102 @@
+package rudderfaults
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderstand/rudderfleetstand"
+	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/rudderstand/rudderscene"
+	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// operatorPatience is how long an operator waits for a change to be in force.
+const operatorPatience = 8 * time.Second
+
+// change sends a change to the admin API of an entry host and records it when it is accepted. A
+// version above 0 is the one that the change is based on.
+func (w *World) change(e *rudderscene.Entry, method, path string, version int64, body any) (rudderadmin.ChangeResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
+	defer cancel()
+	client := &rudderadmin.Client{
+		Addresses: []string{e.App.AdminAddress()}, Token: rudderfleetstand.OperatorToken, HTTP: w.client,
+	}
+	var result rudderadmin.ChangeResult
+	err := client.Do(ctx, method, path, nil, version, body, &result)
+	if err == nil && result.State == rudderadmin.StateAccepted {
+		w.recorder.Accepted(rudderoracle.AcceptedVersion{Version: result.Version, At: time.Now()})
+	}
+	return result, err
+}
+
+// label changes a label that no selector looks at: a change of the configuration without other effect.
+func (w *World) label(e *rudderscene.Entry, value string, version int64) (rudderadmin.ChangeResult, error) {
+	host := w.fleet.Hosts[0].Name
+	return w.change(e, http.MethodPatch, "/hosts/"+host+"/labels", version, rudderadmin.LabelChange{Set: map[string]string{"shift": value}})
+}
+
+// drain tells a host to leave. Its evidence starts when the change is in force.
+func (w *World) drain(e *rudderscene.Entry, host string) error {
+	result, err := w.change(e, http.MethodPut, "/hosts/"+host+"/drain", 0, nil)
+	if err != nil || result.State != rudderadmin.StateAccepted {
+		return errors.Newf("drain of %s is %q: %v", host, result.State, err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving[host] = rudderoracle.Stop{Host: host, Address: w.fleet.Host(host).Address, From: time.Now()}
+	return nil
+}
+
+// undrain takes a drained host into service again.
+func (w *World) undrain(e *rudderscene.Entry, host string) error {
+	w.mu.Lock()
+	if s, drained := w.leaving[host]; drained && s.To.IsZero() {
+		s.To = time.Now()
+		w.recorder.Leaving(s)
+		delete(w.leaving, host)
+	}
+	w.mu.Unlock()
+	_, err := w.change(e, http.MethodDelete, "/hosts/"+host+"/drain", 0, nil)
+	return err
+}
+
+// handOver gives the hosts of one selector to the other model.
+func (w *World) handOver(e *rudderscene.Entry) error {
+	var selector rudderconfig.Selector
+	for _, s := range w.fleet.Document.Selectors {
+		if s.Name == selectorCues {
+			selector = s
+		}
+	}
+	selector.Model = rudderfleetstand.ModelLedger
+	_, err := w.change(e, http.MethodPut, "/selectors/"+selectorCues, 0, selector)
+	return err
+}
+
+// race lets two operators change the same version at two entry hosts. At most one may win.
+func (w *World) race() {
+	live := w.live()
+	version, ok := live[0].App.ServingVersion()
+	if !ok || len(live) < 2 {
+		return
+	}
+	type end struct {
+		result rudderadmin.ChangeResult
+		err    error
+	}
+	ends := make(chan end, 2)
+	for i, value := range []string{"morning", "evening"} {
+		go func() {
+			result, err := w.label(live[i], value, version)
+			ends <- end{result, err}
+		}()
+	}
+	first, second := <-ends, <-ends
+	if first.err == nil && second.err == nil && first.result.Version == second.result.Version {
+		w.violate(rudderoracle.Config, "two operators both changed version %d into %d", version, first.result.Version)
+	}
+}
--- a/rudderstand/rudderoracle/change.go
+++ b/rudderstand/rudderoracle/change.go
@@ -45,7 +45,7 @@
 	for _, a := range e.Answers {
 		inFlight := a.Entry == s.Entry && within(a.EndedAt, s)
 		if inFlight && a.Outcome != OutcomeComplete && a.Outcome != OutcomeNotRun {
-			report(PlannedStop, "request %s ended as %q during the planned stop of entry host %s", a.RequestID, a.Outcome, s.Entry)
+			report(PlannedStop, "request %s ended as %q (%s) during the planned stop of entry host %s", a.RequestID, a.Outcome, a.Code, s.Entry)
 		}
 	}
 }
--- a/rudderstand/rudderscene/scene.go
+++ b/rudderstand/rudderscene/scene.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +34,12 @@
 	Settings map[string]string
 	// Logs takes the log lines of the entry hosts; nil drops them.
 	Logs io.Writer
+	// Prepare changes an entry host before it listens, and Listening is told its addresses before it
+	// runs; nil does nothing.
+	Prepare   func(place int, app *rudderapp.App)
+	Listening func(place int, app *rudderapp.App)
 
+	mu      sync.Mutex
 	entries []*Entry
 }
 
@@ -73,16 +79,24 @@
 		logger = zerolog.New(zerolog.SyncWriter(s.Logs)).With().Timestamp().Str("entry", settings.Name).Logger()
 	}
 	app := &rudderapp.App{Settings: settings, Logger: logger}
+	if s.Prepare != nil {
+		s.Prepare(place, app)
+	}
 	if err := app.Listen(); err != nil {
 		return nil, err
 	}
+	if s.Listening != nil {
+		s.Listening(place, app)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{App: app, Name: settings.Name, stop: stop, done: make(chan struct{})}
+	s.mu.Lock()
+	s.entries = append(s.entries, e)
+	s.mu.Unlock()
 	go func() {
 		defer close(e.done)
 		e.err = app.Run(ctx)
 	}()
-	s.entries = append(s.entries, e)
 	return e, nil
 }
 
@@ -94,7 +108,7 @@
 		"caller-listen": "127.0.0.1:0", "peer-listen": "127.0.0.1:0", "admin-listen": "127.0.0.1:0",
 		"key-value-url": s.Fleet.KVURL(), "host-list-url": s.Fleet.InventoryURL(), "peer-secret": peerSecret,
 	}
-	for _, e := range s.entries {
+	for _, e := range s.Entries() {
 		values["seeds"] += e.App.PeerAddress() + ","
 	}
 	for name, value := range s.Settings {
@@ -109,7 +123,11 @@
 }
 
 // Entries lists the entry hosts that were started, in that order.
-func (s *Scene) Entries() []*Entry { return s.entries }
+func (s *Scene) Entries() []*Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.entries)
+}
 
 // Stop stops an entry host as planned and waits for its end.
 func (e *Entry) Stop() error {
@@ -127,7 +145,7 @@
 // Close kills all entry hosts and ends the fleet.
 func (s *Scene) Close() {
 	var waiting sync.WaitGroup
-	for _, e := range s.entries {
+	for _, e := range s.Entries() {
 		waiting.Go(e.Kill)
 	}
 	waiting.Wait()
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -25,7 +25,7 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newUp(stdout, stderr))
+	root.AddCommand(newUp(stdout, stderr), newFaults(stdout))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
