--- a/rudderd/rudderchange/property_test.go
+++ b/rudderd/rudderchange/property_test.go
@@ -1,14 +1,12 @@
 package rudderchange
 
 import (
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -90,9 +88,6 @@
 // serve different versions although a change was accepted, a version goes back, or the hosts do not
 // agree again once all is healed.
 func TestNoSequenceOfFaultsBreaksTheConfiguration(t *testing.T) {
-	require.NoError(t, flag.Set("rapid.seed", "20261204"))
-	require.NoError(t, flag.Set("rapid.checks", "60"))
-	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
 	rapid.Check(t, func(r *rapid.T) {
 		steps := drawSteps(r, 5)
 		var problems []string
--- a/rudderstand/ruddercapacity/capacity_fleet.go
+++ b/rudderstand/ruddercapacity/capacity_fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderapp"
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
 	"comfreyrudder.example/rudderstand/rudderkv"
 	"comfreyrudder.example/rudderstand/rudderscene"
@@ -82,7 +83,8 @@
 		spread = append(spread, places[i*len(places)/size.Nodes])
 	}
 	f.Scene = &rudderscene.Scene{
-		Fleet: &rudderfleetstand.Fleet{Layout: l}, Places: spread, Tune: f.Traffic.Tune,
+		Fleet: &rudderfleetstand.Fleet{Layout: l}, Places: spread,
+		Prepare:  func(_ int, app *rudderapp.App) { f.Traffic.Tune(app) },
 		Settings: map[string]string{"max-in-flight": "100000"},
 	}
 	if err := f.Scene.Start(); err != nil {
