--- a/rudderstand/ruddercaller/caller.go
+++ b/rudderstand/ruddercaller/caller.go
@@ -74,6 +74,14 @@
 	Replayed bool
 }
 
+// From makes the caller use one address until it fails, as if the list of entries named only that one.
+func (c *Caller) From(address string) *Caller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries, c.expires = []entry{{Address: address}}, time.Now().Add(time.Hour)
+	return c
+}
+
 // choose returns an entry host: one of the nearest, in turn.
 func (c *Caller) choose(ctx context.Context) (entry, error) {
 	c.mu.Lock()
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -26,7 +26,7 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newUp(stdout, stderr), newDemo(stdout, stderr))
+	root.AddCommand(newUp(stdout, stderr), newDemo(stdout, stderr), newLoad(stdout))
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
