Make the whole-path test wait for every entry host and kill the group that runs

The test failed in 5 of 14 runs under the race detector: it sent its second request to an entry host that had not yet read the groups and rightly answered not run. It also chose whom to kill by load reports that lag by 500 ms, and passed when it killed nobody.

--- a/rudderstand/rudderscene/scene_test.go
+++ b/rudderstand/rudderscene/scene_test.go
@@ -64,6 +64,19 @@
 	return response.StatusCode, answer.Choices[0].Message.Content
 }
 
+// awaitAnswers waits until every entry host answers. Each learns of the groups a moment later than the
+// planner, and until then rightly answers that no group serves the work.
+func awaitAnswers(t *testing.T, s *Scene) {
+	t.Helper()
+	key, model := rudderfleetstand.WorkspaceKey(s.Fleet.Document.Workspaces[0].Name), s.Fleet.Document.Models[0].Name
+	for _, e := range s.Entries() {
+		require.NoError(t, Await(20*time.Second, "an answer of "+e.Name, func() bool {
+			status, _ := ask(t, e.App.CallerAddress(), key, model, "ready?", 1)
+			return status == http.StatusOK
+		}))
+	}
+}
+
 // Guards against a system whose parts work alone and not together: labels and selectors lead to whole
 // answers from whole groups, also when a member dies while it runs.
 func TestWholePath(t *testing.T) {
@@ -81,16 +94,22 @@
 	}), "%d %s", status, text)
 	require.Equal(t, expected, text)
 
+	awaitAnswers(t, s)
 	answers := make(chan string, 1)
 	go func() {
 		_, text := ask(t, s.Entries()[1].App.CallerAddress(), key, model, prompt, 40)
 		answers <- text
 	}()
-	time.Sleep(100 * time.Millisecond)
-	for _, h := range s.Fleet.Hosts {
-		if h.Engine != nil && h.Engine.Status().Load.Running > 0 {
-			h.Engine.Kill()
+	killed := ""
+	require.NoError(t, Await(10*time.Second, "a run", func() bool {
+		for _, run := range s.Fleet.Fabric.Ledger.Runs() {
+			if run.End.IsZero() {
+				killed = run.Host
+			}
 		}
-	}
+		return killed != ""
+	}))
+	time.Sleep(100 * time.Millisecond)
+	s.Fleet.Host(killed).Engine.Kill()
 	require.Equal(t, expected, <-answers)
 }
