--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -28,6 +28,7 @@
 	root.SetErr(stderr)
 	root.AddCommand(newUp(stdout, stderr))
 	root.AddCommand(newDemo(stdout, stderr))
+	root.AddCommand(newLoad(stdout))
 	root.AddCommand(newFaults(stdout))
 	root.AddCommand(newBench(stdout, stderr))
 	if err := root.ExecuteContext(context.Background()); err != nil {
