--- a/rudderstand/rudderfaults/transport.go
+++ b/rudderstand/rudderfaults/transport.go
@@ -14,6 +14,7 @@
 	From, To string
 	Method   string
 	Path     string
+	Header   http.Header
 	Body     []byte
 	// Answered is false before the request is sent.
 	Answered bool
@@ -74,7 +75,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	c := Call{From: t.from, To: t.network.partyAt(r.URL.Host), Method: r.Method, Path: r.URL.Path}
+	c := Call{From: t.from, To: t.network.partyAt(r.URL.Host), Method: r.Method, Path: r.URL.Path, Header: r.Header}
 	if r.Body != nil && r.ContentLength > 0 && r.ContentLength <= maxSeenBody {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/rudderstand/rudderfaults/world.go
+++ b/rudderstand/rudderfaults/world.go
@@ -44,6 +44,8 @@
 	Entries int
 	// Logs takes the log lines of the entry hosts; nil drops them.
 	Logs io.Writer
+	// Change changes the layout before the start; nil changes nothing.
+	Change func(l *rudderfleetstand.Layout)
 
 	fleet    *rudderfleetstand.Fleet
 	scene    *rudderscene.Scene
@@ -104,7 +106,11 @@
 func (w *World) Start() error {
 	w.clocks, w.dead = map[string]*Clock{}, map[string]bool{}
 	w.plans, w.leaving = map[string]ruddergroup.Plan{}, map[string]rudderoracle.Stop{}
-	w.fleet = &rudderfleetstand.Fleet{Layout: layout(), Timing: timing(), Tune: func(e *rudderengine.Engine, _ *rudderbackend.Backend) {
+	l := layout()
+	if w.Change != nil {
+		w.Change(&l)
+	}
+	w.fleet = &rudderfleetstand.Fleet{Layout: l, Timing: timing(), Tune: func(e *rudderengine.Engine, _ *rudderbackend.Backend) {
 		if e != nil {
 			e.RestartAfter = crashRestart
 		}
