Try groups again that failed a request when no other is left

A stream resumed elsewhere avoids the groups that failed it. With two groups that each broke one stream it ended as may_have_run with no_capacity, though both were sound and 2 of its 4 attempts were left. Found by TestHostileTargets, which let each group malform one stream.

When only avoided groups are left, they are tried again, within the same number of attempts; a poison request is still refused after its second death. The runner's test fails without the change; the hostile test now demands the whole answer.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -90,6 +90,7 @@
 func refusalOf(err error) error {
 	refusal := &rudderstream.Refusal{
 		Code: rudderstream.CodeNoCapacity, Message: err.Error(), RetryAfter: rudderowner.RetryAfter(err),
+		NoGroup: errors.Is(err, rudderowner.ErrNoGroup),
 	}
 	if refusal.RetryAfter <= 0 {
 		refusal.RetryAfter = time.Second
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -60,6 +60,8 @@
 	Code       string
 	Message    string
 	RetryAfter time.Duration
+	// NoGroup means that no group serves the request, but for those that it avoids.
+	NoGroup bool
 }
 
 // Error returns the message.
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -84,6 +84,11 @@
 		return &Refusal{Code: CodePoison, Message: "targets died running this request"}
 	}
 	slot, err := s.Acquire(ctx, s.request, s.excluded)
+	if noGroupLeft(err) && len(s.excluded) > 0 {
+		// A group that failed an attempt may be sound again, and nothing else can go on.
+		s.excluded = nil
+		slot, err = s.Acquire(ctx, s.request, nil)
+	}
 	if err != nil {
 		return err
 	}
@@ -174,6 +179,11 @@
 	return Result{Outcome: outcome, Code: code, Message: message, RetryAfter: retryAfter}
 }
 
+func noGroupLeft(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.NoGroup
+}
+
 func isRefusal(err error) bool {
 	var refusal *Refusal
 	return errors.As(err, &refusal)
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -269,3 +270,24 @@
 	require.Equal(t, wanted(5), page.Tokens)
 	require.Equal(t, 1, timing.Attempts)
 }
+
+// Guards against a stream that is given up although its attempts are not used up, because each group
+// failed it once.
+func TestGroupsThatFailedAreTriedAgainWhenNoneIsLeft(t *testing.T) {
+	engines := []*fakeEngine{newFakeEngine(t, tokens(2, 5), tokens(5, 5)), newFakeEngine(t, tokens(3, 5))}
+	r := testRunner()
+	r.Acquire = func(_ context.Context, _ Request, excluded []string) (Slot, error) {
+		for i, e := range engines {
+			if group := fmt.Sprintf("g%d", i); !slices.Contains(excluded, group) {
+				return Slot{Group: group, Address: e.address(), Release: func(Usage) {}}, nil
+			}
+		}
+		return Slot{}, &Refusal{Code: CodeNoCapacity, NoGroup: true}
+	}
+	a := NewAnswer("r", "w", "m", time.Now())
+	timing := r.Run(context.Background(), Request{ID: "r"}, a)
+	result, _ := a.Done()
+	require.Equal(t, OutcomeComplete, result.Outcome, result.Message)
+	require.Equal(t, 3, timing.Attempts)
+	require.Equal(t, 5, timing.Tokens)
+}
--- a/rudderstand/rudderfaults/hostile_test.go
+++ b/rudderstand/rudderfaults/hostile_test.go
@@ -18,7 +18,6 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderhttp"
-	"comfreyrudder.example/rudderstand/rudderengine"
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
 	"comfreyrudder.example/rudderstand/rudderoracle"
 	"comfreyrudder.example/rudderstand/rudderscene"
@@ -206,11 +205,9 @@
 		a := stream(e)
 		require.True(t, complete(a), "%+v", a)
 	}
-	malform("") // no group is left that did not fail the request
+	malform("") // each group fails the request once
 	a := stream(w.live()[0])
-	require.Equal(t, rudderoracle.OutcomeMayHaveRun, a.Outcome)
-	require.NotEmpty(t, a.Code)
-	require.True(t, strings.HasPrefix(rudderengine.ExpectedText(rudderoracle.PromptOf(a.Prompt), longAnswer), a.Text), a.Text)
+	require.True(t, complete(a), "%+v", a)
 	control := (&ruddertarget.HTTP{}).Control()
 	orders := []struct {
 		name    string
