Scale the timeout of platform calls with the permit's time

A watch on a connection that went silent was waited for T/4 + 2 s. With a permit time T below 2.7 s the permit expired meanwhile, and streams in flight that had to be resumed in that time were refused.

The timeout is now at most 2/5 of T, which leaves the default of 2 s at T = 5 s unchanged.

--- a/rudderd/rudderchange/change.go
+++ b/rudderd/rudderchange/change.go
@@ -165,14 +165,14 @@
 }
 
 func (k *Keeper) put(ctx context.Context, raw []byte, revision int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.storeTimeout())
 	defer cancel()
 	return k.Store.Put(ctx, rudderstore.PutRequest{Key: rudderconfig.Key, Value: raw, Expected: revision})
 }
 
 // readForWrite reads the key, after repairing a platform with an older state.
 func (k *Keeper) readForWrite(ctx context.Context) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.storeTimeout())
 	defer cancel()
 	seen, err := k.getConfig(ctx)
 	if err != nil || seen.version.Number >= k.Version().Number {
--- a/rudderd/rudderchange/events_test.go
+++ b/rudderd/rudderchange/events_test.go
@@ -209,3 +209,13 @@
 		require.EqualValues(t, 2, relists.Load(), "changes were missed")
 	})
 }
+
+// Guards against a permit that expires while a watch waits on a connection that went silent: the host
+// then refused to resume the streams in flight.
+func TestSilentWatchEndsBeforeThePermit(t *testing.T) {
+	for _, ttl := range []time.Duration{500 * time.Millisecond, time.Second, 5 * time.Second, 12 * time.Second} {
+		k := &Keeper{PermitTTL: ttl}
+		require.Less(t, ttl/4+k.storeTimeout(), ttl*2/3, ttl)
+	}
+	require.Equal(t, maxStoreTimeout, (&Keeper{PermitTTL: 5 * time.Second}).storeTimeout(), "the default stays")
+}
--- a/rudderd/rudderchange/platform.go
+++ b/rudderd/rudderchange/platform.go
@@ -17,8 +17,8 @@
 	// then moved past the watched revision would hide a difference from the watch. The document can be
 	// 1 MB, so reads are kept rare.
 	rereadEvery = 5 * time.Minute
-	// storeTimeout bounds a call to the platform, beside the wait of a watch.
-	storeTimeout = 2 * time.Second
+	// maxStoreTimeout bounds a call to the platform, beside the wait of a watch.
+	maxStoreTimeout = 2 * time.Second
 )
 
 // runPlatform reads and watches the platform until the context ends.
@@ -78,9 +78,13 @@
 	return nil
 }
 
+// storeTimeout leaves time to renew the permit after a watch whose connection went silent: with its wait
+// of a quarter of the permit's time it ends before two thirds of that time have passed.
+func (k *Keeper) storeTimeout() time.Duration { return min(maxStoreTimeout, k.PermitTTL*2/5) }
+
 func (k *Keeper) watch(ctx context.Context, after int64) (rudderstore.WatchResult, error) {
 	wait := k.PermitTTL / 4
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+k.storeTimeout())
 	defer cancel()
 	prefixes := append([]string{rudderconfig.Key, ruddermember.RegistryKey}, k.WatchPrefixes...)
 	return k.Store.Watch(ctx, rudderstore.WatchRequest{Prefixes: prefixes, After: after, Wait: wait})
@@ -88,7 +92,7 @@
 
 // readPlatform reads the registry and the configuration, and returns the revision to watch from.
 func (k *Keeper) readPlatform(ctx context.Context) (found, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.storeTimeout())
 	defer cancel()
 	started := k.Clock.Now()
 	registry, revision, err := k.Store.Get(ctx, ruddermember.RegistryKey)
@@ -180,7 +184,7 @@
 // Another write in between is left alone: the next read judges it.
 func (k *Keeper) writeBack(ctx context.Context, seen found) error {
 	_, raw := k.stored()
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.storeTimeout())
 	defer cancel()
 	_, err := k.Store.Put(ctx, rudderstore.PutRequest{Key: rudderconfig.Key, Value: raw, Expected: seen.revision})
 	if errors.Is(err, rudderstore.ErrConflict) {
