Judge planned stops of targets and wait for drains in the fault matrix

Cells of the steps drain and hand_over now last until the leaving grace has passed and no group drains, and under faults of the platform alone no attempt on a draining target may be cut.

--- a/rudderstand/rudderfaults/cell.go
+++ b/rudderstand/rudderfaults/cell.go
@@ -10,6 +10,7 @@
 
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
 	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // Cell is one or two faults at a step.
@@ -97,8 +98,11 @@
 	if err := repeat(time.Now().Add(progressWithin), undrained); err != nil {
 		return errors.Wrap(err, "undrain after healing")
 	}
-	if c.Step.Name == "drain" {
+	if c.Step.Drains {
 		w.awaitGrace()
+		if err := repeat(time.Now().Add(progressWithin), w.drained); err != nil {
+			return errors.Wrap(err, "a group is still draining after healing")
+		}
 	}
 	if err := w.progress(progressWithin); err != nil {
 		return errors.Wrap(err, "after healing")
@@ -119,6 +123,18 @@
 	return w.progress(time.Until(deadline))
 }
 
+// drained reports whether no group is draining.
+func (w *World) drained() bool {
+	for _, d := range w.fleet.Layout.Domains {
+		for _, g := range w.planOf(d.Name).Groups {
+			if g.State == ruddergroup.StateDraining {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // awaitGrace lasts until a drained host must get no new work, with requests all the time.
 func (w *World) awaitGrace() {
 	end := time.Now().Add(rudderoracle.LeavingGrace)
@@ -129,17 +145,22 @@
 	}
 }
 
-// judgeStops hands planned stops to the oracle unless the fault itself may cut work.
+// judgeStops hands planned stops to the oracle unless the fault itself may cut work. An attempt on a
+// target is also cut when its entry host fails, or its connection, and then goes on elsewhere.
 func (c Cell) judgeStops(w *World) {
+	platformOnly := true
 	for _, f := range c.Faults {
 		if f.Cuts {
 			return
 		}
+		platformOnly = platformOnly && f.Hits == OnPlatform
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.stops {
-		w.recorder.Stop(s)
+		if s.Entry != "" || platformOnly {
+			w.recorder.Stop(s)
+		}
 	}
 }
 
--- a/rudderstand/rudderfaults/parties.go
+++ b/rudderstand/rudderfaults/parties.go
@@ -121,6 +121,26 @@
 	w.stops = append(w.stops, s)
 }
 
+// plannedHost records that a target stops as planned from now to the end of the cell.
+func (w *World) plannedHost(name string) {
+	w.planned(rudderoracle.Stop{Host: name, Address: w.fleet.Host(name).Address, From: time.Now()})
+}
+
+// membersOf lists the hosts in groups of a selector.
+func (w *World) membersOf(selector string) []string {
+	var members []string
+	for _, d := range w.fleet.Layout.Domains {
+		for _, g := range w.planOf(d.Name).Groups {
+			for _, m := range g.Members {
+				if g.Selector == selector {
+					members = append(members, m.Host)
+				}
+			}
+		}
+	}
+	return members
+}
+
 // onList tells whether another entry host's list of entries names an entry host.
 func (w *World) onList(e, asked *rudderscene.Entry) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/rudderstand/rudderfaults/steps.go
+++ b/rudderstand/rudderfaults/steps.go
@@ -24,6 +24,8 @@
 	Drive func(w *World)
 	// Runs says what the step's operation runs on.
 	Runs Domain
+	// Drains is true when the operation drains groups, whose end the cell waits for.
+	Drains bool
 }
 
 // Domain says which part of the system an operation or a fault belongs to.
@@ -59,8 +61,8 @@
 			c.Answered = !c.Answered
 			return isDispatch(w, c)
 		}, Drive: driveKeyed},
-		{Name: "drain", Runs: OnEngines, Matches: putsUnder("control/plan/", `"draining"`), Drive: driveDrain},
-		{Name: "hand_over", Runs: OnEngines, Matches: func(_ *World, c Call) bool {
+		{Name: "drain", Runs: OnEngines, Drains: true, Matches: putsUnder("control/plan/", `"draining"`), Drive: driveDrain},
+		{Name: "hand_over", Runs: OnEngines, Drains: true, Matches: func(_ *World, c Call) bool {
 			return isOrder(c) && bytes.Contains(c.Body, []byte(`"assign"`)) && bytes.Contains(c.Body, []byte(rudderfleetstand.ModelLedger))
 		}, Drive: driveHandOver},
 		{Name: "accept_configuration", Runs: OnPlatform, Matches: putsUnder("control/config", ""), Drive: func(w *World) {
@@ -139,7 +141,10 @@
 		defer close(done)
 		driveStream(w)
 	}()
-	_ = w.drain(w.live()[0], w.servingMember())
+	member := w.servingMember()
+	if w.drain(w.live()[0], member) == nil {
+		w.plannedHost(member)
+	}
 	<-done
 }
 
@@ -149,7 +154,11 @@
 		defer close(done)
 		w.chat(w.live()[0], rudderfleetstand.ModelCues, w.prompt(longAnswer), longAnswer, true)
 	}()
-	_ = w.handOver(w.live()[0])
+	if w.handOver(w.live()[0]) == nil {
+		for _, member := range w.membersOf(selectorCues) {
+			w.plannedHost(member)
+		}
+	}
 	<-done
 }
 
