Record that a payment can run twice when the platform goes back and its collector is gone

A claim exists in the key-value service and in the memory of its shard's collector. Each may fail alone. When the service goes back to a state before the claim while the collector is dead or paused, the next collector reads a head without it and grants the key again.

The cause is the design's place for claims, so it is not fixed here.

--- a/rudderd/rudderclaim/scenario_test.go
+++ b/rudderd/rudderclaim/scenario_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +190,26 @@
 	}, 5*time.Second, 20*time.Millisecond, "a claim that was refused does not burn the key")
 	require.Equal(t, 1, p.runsOf("down"))
 }
+
+// Guards against a payment that runs again when the platform went back to a state before its claim while
+// the collector that remembers the claim is gone. The entry host that dispatched it still runs.
+func TestRestoredServiceWhoseCollectorIsGone(t *testing.T) {
+	store, p := rudderclaim.NewFakeStore(), newPayments(t)
+	var gone atomic.Bool
+	entries := world(t, store, p, 3, func(_ int, members []ruddermember.Member) []ruddermember.Member {
+		if gone.Load() {
+			return members[:2]
+		}
+		return members[2:]
+	})
+	rewind := store.Rewind()
+	require.Equal(t, rudderservice.OutcomeComplete, entries[0].pay("lost", "100").Outcome)
+	stored := func() bool { return entries[1].pay("lost", "100").Stored }
+	require.Eventually(t, stored, 5*time.Second, 20*time.Millisecond, "the answer is stored")
+	entries[2].stop()
+	entries[2].peers.Close()
+	gone.Store(true)
+	rewind()
+	entries[1].pay("lost", "100")
+	require.Equal(t, 1, p.runsOf("lost"))
+}
