Ask engines for the usage and tell callers the prompt's tokens

Engines send the usage in a chunk after the last token, and only when asked, so answers told 0 prompt tokens. An answer whose usage is lost is whole all the same, with the estimate.

--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	merged["stream"] = json.RawMessage("true")
+	merged["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	return json.Marshal(merged)
 }
 
--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -80,18 +80,29 @@
 		case r := <-events:
 			timer.Stop()
 			s.ahead = false
+			if s.finish != nil && (r.err != nil || r.event.PromptTokens > 0) {
+				s.finished(r.event.PromptTokens)
+				return nil
+			}
 			if r.err != nil {
 				return r.err
 			}
-			done, err := s.take(r.event)
-			if done || err != nil {
+			if err := s.take(r.event); err != nil {
 				return err
 			}
+			if s.finish != nil && r.event.PromptTokens > 0 {
+				s.finished(r.event.PromptTokens)
+				return nil
+			}
 			progress = s.Clock.Now()
 			if s.answer.abandoned(progress, s.AbandonAfter) {
 				return errAbandoned
 			}
 		case <-timer.Chan():
+			if s.finish != nil {
+				s.finished(0)
+				return nil
+			}
 			if err := s.judgeSilence(ctx, slot, progress); err != nil {
 				return err
 			}
@@ -129,31 +140,41 @@
 	}
 }
 
-// take adds an event to the answer. It returns done when the answer is whole.
-func (s *run) take(event Event) (done bool, err error) {
+// take adds an event to the answer. With the last token it sets finish.
+func (s *run) take(event Event) error {
 	if event.RequestID != s.request.ID {
-		return false, errors.Mark(errors.Newf("chunk of request %q", event.RequestID), ErrMalformed)
+		return errors.Mark(errors.Newf("chunk of request %q", event.RequestID), ErrMalformed)
 	}
 	if event.Attempt != s.attempt {
-		return false, nil // late chunk of an older attempt
+		return nil // late chunk of an older attempt
 	}
 	if event.Text != "" {
 		added, err := s.answer.Append(event.Attempt, event.Seq, event.Text)
 		if err != nil {
-			return false, err
+			return err
 		}
 		if added {
 			s.timeToken()
 		}
 	}
 	if event.FinishReason == "" {
-		return false, nil
+		return nil
 	}
 	if event.Seq > s.answer.Received() {
-		return false, ErrGap
+		return ErrGap
+	}
+	s.finish = &Result{Outcome: OutcomeComplete, FinishReason: event.FinishReason}
+	return nil
+}
+
+// finished ends a whole answer. The usage comes in a chunk of its own after the last token; an answer
+// whose usage is lost is whole all the same, with the estimated number of prompt tokens.
+func (s *run) finished(promptTokens int) {
+	s.finish.PromptTokens = promptTokens
+	if promptTokens == 0 {
+		s.finish.PromptTokens = s.request.PromptTokens
 	}
-	s.answer.Finish(Result{Outcome: OutcomeComplete, FinishReason: event.FinishReason, PromptTokens: event.PromptTokens})
-	return true, nil
+	s.answer.Finish(*s.finish)
 }
 
 func (s *run) timeToken() {
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -51,8 +51,9 @@
 	request  Request
 	answer   *Answer
 	attempt  int
-	sent     bool // a byte of the request may have reached a target
-	ahead    bool // the engine was ahead of the connection at the last probe
+	sent     bool    // a byte of the request may have reached a target
+	ahead    bool    // the engine was ahead of the connection at the last probe
+	finish   *Result // set with the last token, until the usage has come
 	excluded []string
 	timing   Timing
 	last     time.Time // of the last token
@@ -119,7 +120,7 @@
 	if err := s.Permit(); err != nil {
 		return &Refusal{Code: CodeNotReady, Message: err.Error(), RetryAfter: time.Second}
 	}
-	s.ahead = false
+	s.ahead, s.finish = false, nil
 	received, text := s.answer.StartAttempt(s.attempt)
 	attemptContext, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -291,3 +291,39 @@
 	require.Equal(t, 3, timing.Attempts)
 	require.Equal(t, 5, timing.Tokens)
 }
+
+// Guards against an answer without the engine's count of prompt tokens, which comes after the last
+// token, and against an answer that is not whole because that count is lost.
+func TestPromptTokens(t *testing.T) {
+	counted := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		writeToken(w, x, 1, "")
+		writeToken(w, x, 1, "stop")
+		_, _ = fmt.Fprintf(w, "data: {\"rudder_request_id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":17}}\n\ndata: [DONE]\n\n", x.RequestID)
+	}
+	cut := func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+		writeToken(w, x, 1, "")
+		writeToken(w, x, 1, "stop")
+		panic(http.ErrAbortHandler)
+	}
+	tests := []struct {
+		name   string
+		engine script
+		want   int
+	}{
+		{"counted", counted, 17},
+		{"cut after the last token", cut, 0},
+		{"silent after the last token", func(w http.ResponseWriter, x ruddertarget.WorkExtension, r *http.Request) {
+			writeToken(w, x, 1, "")
+			writeToken(w, x, 1, "stop")
+			<-r.Context().Done()
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			page, timing := runRequest(t, testRunner(newFakeEngine(t, test.engine).address()))
+			require.Equal(t, OutcomeComplete, page.Result.Outcome)
+			require.Equal(t, test.want, page.Result.PromptTokens)
+			require.Equal(t, 1, timing.Attempts)
+		})
+	}
+}
