--- a/rudderstand/rudderfaults/transport.go
+++ b/rudderstand/rudderfaults/transport.go
@@ -108,6 +108,14 @@
 	}}
 }
 
+// callerTransport opens a connection for each request, so that a connection gone silent costs a caller
+// one request and not one for each connection that it kept.
+func (w *World) callerTransport() *transport {
+	return &transport{from: partyCaller, network: &w.network, traps: &w.traps, pooled: &http.Transport{
+		DialContext: w.network.Dial(partyCaller), DisableKeepAlives: true,
+	}}
+}
+
 // targetTransport opens a connection of its own for each control call and each call of a plain service,
 // as rudderd does.
 func (w *World) targetTransport(from string) *transport {
--- a/rudderstand/rudderfaults/world.go
+++ b/rudderstand/rudderfaults/world.go
@@ -130,7 +130,7 @@
 		w.network.Name(h.Address, h.Name)
 	}
 	w.initial = w.fleet.KV.Snapshot()
-	w.client = &http.Client{Transport: w.plainTransport(partyCaller)}
+	w.client = &http.Client{Transport: w.callerTransport()}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	w.samples.Go(func() { w.samplePlans(ctx) })
