Take drained hosts out by the configuration, not only by the plan

An entry host that is cut off from the key-value service learns a drain from its peers with the configuration, but not the plan that drains the group.

A group with a member that the configuration drains now takes no new work at once.

--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderfleet"
@@ -115,8 +116,10 @@
 				ID: g.ID, Selector: g.Selector, Firm: g.Firm, Model: g.Model, ModelVersion: g.ModelVersion, Service: g.Service,
 				Workspaces: selector.Workspaces, Classes: selector.Classes, ShortShare: selector.ShortShare,
 				DataCentre: plan.DataCentre, Region: plan.Region, Slots: g.Slots, Leader: g.Leader(),
-				// A group whose members do not all confirm stays in its shard, but takes no new work.
-				Draining: !serves || !exists,
+				// A group whose members do not all confirm stays in its shard, but takes no new work. One
+				// that is told to leave by the configuration takes none even while this entry host cannot
+				// read the plan that drains it.
+				Draining: !serves || !exists || toldToLeave(document, g),
 				Load:     load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
 			})
 		}
@@ -124,6 +127,16 @@
 	return groups
 }
 
+// toldToLeave tells whether operators drain a member of the group.
+func toldToLeave(document *rudderconfig.Document, g ruddergroup.Group) bool {
+	for _, h := range document.Hosts {
+		if h.Drain && slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool { return m.Host == h.Name }) {
+			return true
+		}
+	}
+	return false
+}
+
 func unixMS(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
--- a/rudderd/rudderapp/fleet_test.go
+++ b/rudderd/rudderapp/fleet_test.go
@@ -8,6 +8,8 @@
 
 	"comfreyrudder.example/rudderd/rudderplanner"
 	"comfreyrudder.example/rudderd/ruddersettings"
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // Guards against a poll that takes longer than a short poll interval: one silent target then aged the
@@ -22,3 +24,13 @@
 	require.Less(t, short.StoreTimeout, s.PollInterval)
 	require.Less(t, short.CandidateDelay, s.LeaseTTL)
 }
+
+// Guards against an entry host cut off from the platform that sends new work to a drained host, because
+// it knows the configuration from its peers but not the plan.
+func TestDrainedHostTakesItsGroupOutByTheConfiguration(t *testing.T) {
+	g := ruddergroup.Group{Members: []ruddergroup.Member{{Host: "a"}, {Host: "b"}}}
+	document := &rudderconfig.Document{Hosts: []rudderconfig.HostSettings{{Name: "b"}, {Name: "c", Drain: true}}}
+	require.False(t, toldToLeave(document, g))
+	document.Hosts[0].Drain = true
+	require.True(t, toldToLeave(document, g))
+}
