--- a/rudderstand/rudderfaults/cell.go
+++ b/rudderstand/rudderfaults/cell.go
@@ -77,7 +77,7 @@
 		w.traps.set(injection.trap(w))
 		go func() {
 			defer close(driven)
-			c.Step.Drive(w)
+			c.Step.drive(w, injection.done)
 		}()
 	} else {
 		close(driven)
--- a/rudderstand/rudderfaults/steps.go
+++ b/rudderstand/rudderfaults/steps.go
@@ -24,6 +24,9 @@
 	Drive func(w *World)
 	// Runs says what the step's operation runs on.
 	Runs Domain
+	// Once is true when the operation cannot be repeated. Others are, until the event has happened: on a
+	// busy machine a request may be refused before it gets there.
+	Once bool
 	// Drains is true when the operation drains groups, whose end the cell waits for.
 	Drains bool
 }
@@ -61,17 +64,33 @@
 			c.Answered = !c.Answered
 			return isDispatch(w, c)
 		}, Drive: driveKeyed},
-		{Name: "drain", Runs: OnEngines, Drains: true, Matches: putsUnder("control/plan/", `"draining"`), Drive: driveDrain},
-		{Name: "hand_over", Runs: OnEngines, Drains: true, Matches: func(_ *World, c Call) bool {
+		{Name: "drain", Runs: OnEngines, Once: true, Drains: true, Matches: putsUnder("control/plan/", `"draining"`), Drive: driveDrain},
+		{Name: "hand_over", Runs: OnEngines, Once: true, Drains: true, Matches: func(_ *World, c Call) bool {
 			return isOrder(c) && bytes.Contains(c.Body, []byte(`"assign"`)) && bytes.Contains(c.Body, []byte(rudderfleetstand.ModelLedger))
 		}, Drive: driveHandOver},
 		{Name: "accept_configuration", Runs: OnPlatform, Matches: putsUnder("control/config", ""), Drive: func(w *World) {
 			_, _ = w.label(w.live()[0], "accept", 0)
 		}},
-		{Name: "start", Runs: OnEntries, Matches: func(w *World, c Call) bool {
+		{Name: "start", Runs: OnEntries, Once: true, Matches: func(w *World, c Call) bool {
 			return c.From == entryName(w.Entries) && c.To == partyKeyValue
 		}, Drive: driveStart},
-		{Name: "stop", Runs: OnEntries, Matches: func(_ *World, c Call) bool { return c.Method == methodOffList }, Drive: driveStop},
+		{Name: "stop", Runs: OnEntries, Once: true, Matches: func(_ *World, c Call) bool { return c.Method == methodOffList }, Drive: driveStop},
+	}
+}
+
+// drive carries the operation out until the step was reached.
+func (s Step) drive(w *World, reached <-chan struct{}) {
+	end := time.Now().Add(reachWithin)
+	for {
+		s.Drive(w)
+		select {
+		case <-reached:
+			return
+		case <-time.After(progressPause):
+		}
+		if s.Once || time.Now().After(end) {
+			return
+		}
 	}
 }
 
--- a/rudderstand/rudderfaults/world.go
+++ b/rudderstand/rudderfaults/world.go
@@ -226,14 +226,15 @@
 // samplePause between two samples of the versions in force.
 const samplePause = 20 * time.Millisecond
 
-// sampleVersions records the version that each entry host may serve under. A paused one serves nothing.
+// sampleVersions records the version that each entry host may serve under. A paused one serves nothing,
+// and neither does a killed one, whose object still holds its last permit.
 func (w *World) sampleVersions(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, e := range w.scene.Entries() {
+		for _, e := range w.live() {
 			w.mu.Lock()
-			clock, dead := w.clocks[e.Name], w.dead[e.Name]
+			clock := w.clocks[e.Name]
 			w.mu.Unlock()
-			if dead || clock.Held() {
+			if clock.Held() {
 				continue
 			}
 			at := time.Now()
