--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -166,15 +166,28 @@
 				Workspaces: selector.Workspaces, Classes: selector.Classes, ShortShare: selector.ShortShare,
 				DataCentre: plan.DataCentre, Region: plan.Region, Slots: g.Slots, Leader: g.Leader(),
 				// A group whose members contradict the plan stays in its shard, but takes no new work. One
-				// whose confirmations are not known here may be granted by the shard's owner.
-				Draining: !serves && !unconfirmed || !exists, Unconfirmed: unconfirmed,
-				Load: load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
+				// whose confirmations are not known here may be granted by the shard's owner. One that is
+				// told to leave by the configuration takes none even while this entry host cannot read the
+				// plan that drains it.
+				Draining:    !serves && !unconfirmed || !exists || toldToLeave(document, g),
+				Unconfirmed: unconfirmed,
+				Load:        load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
 			})
 		}
 	}
 	return groups
 }
 
+// toldToLeave tells whether operators drain a member of the group.
+func toldToLeave(document *rudderconfig.Document, g ruddergroup.Group) bool {
+	for _, h := range document.Hosts {
+		if h.Drain && slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool { return m.Host == h.Name }) {
+			return true
+		}
+	}
+	return false
+}
+
 func unixMS(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
--- a/rudderstand/rudderfaults/world.go
+++ b/rudderstand/rudderfaults/world.go
@@ -130,7 +130,7 @@
 		w.network.Name(h.Address, h.Name)
 	}
 	w.initial = w.fleet.KV.Snapshot()
-	w.client = &http.Client{Transport: w.plainTransport(partyCaller)}
+	w.client = &http.Client{Transport: w.callerTransport()}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	w.samples.Go(func() { w.samplePlans(ctx) })
@@ -226,14 +226,15 @@
 // samplePause between two samples of the versions in force.
 const samplePause = 20 * time.Millisecond
 
-// sampleVersions records the version that each entry host may serve under. A paused one serves nothing.
+// sampleVersions records the version that each entry host may serve under. A paused one serves nothing,
+// and neither does a killed one, whose object still holds its last permit.
 func (w *World) sampleVersions(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, e := range w.scene.Entries() {
+		for _, e := range w.live() {
 			w.mu.Lock()
-			clock, dead := w.clocks[e.Name], w.dead[e.Name]
+			clock := w.clocks[e.Name]
 			w.mu.Unlock()
-			if dead || clock.Held() {
+			if clock.Held() {
 				continue
 			}
 			at := time.Now()
