Leave groups where they are when groups are divided over domains

The division was a function of configuration and hosts alone, so that a host that died or came back moved groups of other domains: each move drains a group and loads another. The groups of the known plans are now placed first, and moved only if that strands fewer hosts.

--- a/rudderd/rudderplan/allocate.go
+++ b/rudderd/rudderplan/allocate.go
@@ -20,6 +20,9 @@
 	Hosts  []rudderhost.Host
 	// Down names hosts that are known not to answer.
 	Down map[string]bool
+	// Held is the number of groups by selector and domain that the plans have, draining ones left out. They
+	// stay where they are if that strands no more hosts. Optional.
+	Held map[string]map[string]int
 }
 
 // Allocation says how many groups of each selector each fabric domain should hold.
@@ -105,8 +108,9 @@
 	if len(p.domains) == 0 {
 		return p.result()
 	}
+	placed := p.keep(in.Held)
 	for s, selector := range p.selectors {
-		for range selector.WantedGroups {
+		for range selector.WantedGroups - placed[s] {
 			if !p.add(s) && !p.makeRoom(s) {
 				break
 			}
@@ -121,6 +125,27 @@
 	return p.result()
 }
 
+// keep places the held groups that fit, and returns how many of each selector.
+func (p *packing) keep(held map[string]map[string]int) []int {
+	placed := make([]int, len(p.selectors))
+	for s, selector := range p.selectors {
+		for d, domain := range p.domains {
+			for range held[selector.Name][domain] {
+				if placed[s] >= selector.WantedGroups {
+					break
+				}
+				p.counts[d][s]++
+				if !p.valid(d) {
+					p.counts[d][s]--
+					break
+				}
+				placed[s]++
+			}
+		}
+	}
+	return placed
+}
+
 func newPacking(in AllocationInput) *packing {
 	p := &packing{selectors: ordered(in.Config, in.Now)}
 	byDomain := map[string]map[string]*class{}
--- a/rudderd/rudderplan/divider.go
+++ b/rudderd/rudderplan/divider.go
@@ -51,6 +51,11 @@
 		write(strconv.FormatUint(labels, 16))
 	}
 	for _, s := range in.Config.Selectors {
+		var held uint64 // independent of the map's order
+		for domain, n := range in.Held[s.Name] {
+			held += xxhash.Sum64String(domain + "\x00" + strconv.Itoa(n))
+		}
+		write(strconv.FormatUint(held, 16))
 		if len(s.Windows) == 0 {
 			continue
 		}
--- /dev/null
+++ b/rudderd/rudderplan/held_test.go
@@ -0,0 +1,31 @@
+package rudderplan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/rudderhost"
+)
+
+// Guards against a division that moves groups which serve where they are: each move drains one group and
+// loads another. Both divisions strand as many hosts, so only the held groups tell them apart.
+func TestHeldGroupsStay(t *testing.T) {
+	in := AllocationInput{Config: &rudderconfig.Document{Selectors: []rudderconfig.Selector{
+		{Name: "a", Firm: "umuvumu", Model: "m", GroupSize: 2, WantedGroups: 3},
+	}}}
+	for i := range 10 {
+		name := fmt.Sprint("h", i)
+		in.Hosts = append(in.Hosts, rudderhost.Host{
+			Name: name, Kind: rudderhost.KindEngine, FabricDomain: fmt.Sprint("d", i%2), State: rudderhost.StateLive,
+		})
+	}
+	for _, held := range []map[string]int{{"d0": 1, "d1": 2}, {"d0": 2, "d1": 1}} {
+		in.Held = map[string]map[string]int{"a": held}
+		require.Equal(t, held, Allocate(in).Selector("a"))
+	}
+	in.Held = map[string]map[string]int{"a": {"d0": 5, "d1": 5, "gone": 2}}
+	require.Equal(t, 3, Allocate(in).Total("a"), "held groups beyond the wanted ones or the hosts do not count")
+}
--- a/rudderd/rudderplanner/silent.go
+++ b/rudderd/rudderplanner/silent.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"slices"
+
+	"comfreyrudder.example/rudderd/rudderplan"
+	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // silent lists the hosts that the plan names as not answering. A host that was named by an earlier
@@ -31,3 +34,17 @@
 	plan.Silent = silent
 	return w.write(ctx, plan)
 }
+
+// held counts the groups of all known plans, so that the division leaves them where they are.
+func (w *worker) held() map[string]map[string]int {
+	plans := []ruddergroup.Plan{w.known}
+	for _, domain := range w.p.domains() {
+		if w.p.KnownPlan == nil || domain == w.domain {
+			continue
+		}
+		if plan, ok := w.p.KnownPlan(domain); ok {
+			plans = append(plans, plan)
+		}
+	}
+	return rudderplan.HeldGroups(plans)
+}
--- /dev/null
+++ b/rudderstand/rudderbench/live.go
@@ -0,0 +1,118 @@
+package rudderbench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"comfreyrudder.example/rudderstand/ruddercapacity"
+)
+
+const (
+	liveSpan = 5 * time.Second
+	// Bounds of the design's sections 1 and 8.
+	configBoundTarget  = 17.0 // seconds at 330 nodes
+	configBoundToday   = 5.0  // "a few seconds" today: the permit's time
+	tokenGapBound      = 0.063
+	platformWriteBound = 400.0 // "several hundred" writes a second; the stand-in's limit
+	platformReadBound  = 2000.0
+	trafficNodeBound   = 19.0 // KB/s
+)
+
+// LiveRows measures real entry hosts with stand-ins on loopback sockets, one fleet after the other.
+func LiveRows(progress func(string, ...any)) ([]Row, error) {
+	var rows []Row
+	var samples []ruddercapacity.Sample
+	var slowest []float64
+	nodes := []int{3, 12, 18, 24}
+	for _, n := range nodes {
+		progress("%d real entry hosts, load average %.1f", n, ruddercapacity.LoadAverage())
+		size, sample, seconds, err := liveSize(n)
+		rows = append(rows, size...)
+		if err != nil {
+			return rows, err
+		}
+		samples, slowest = append(samples, sample), append(slowest, seconds)
+	}
+	rows = append(rows, configSlope(nodes, slowest))
+	return append(rows, platformRows(samples)...), nil
+}
+
+func liveSize(n int) (rows []Row, sample ruddercapacity.Sample, slowest float64, err error) {
+	f, err := ruddercapacity.StartFleet(ruddercapacity.Size{Nodes: n})
+	if err != nil {
+		return nil, sample, 0, err
+	}
+	defer f.Close()
+	if sample, err = f.Measure(liveSpan); err != nil {
+		return nil, sample, 0, err
+	}
+	times, err := f.ConfigChanges(5)
+	if err != nil {
+		return nil, sample, 0, err
+	}
+	slowest = times[len(times)-1].Seconds()
+	rows = append(rows, noted(atMost("config", fmt.Sprintf("time until a change is in force, slowest of 5, %d entry hosts (s)", n), "", math.NaN(), slowest, configBoundToday)))
+	if n != 18 {
+		return rows, sample, slowest, nil
+	}
+	direct, through, err := f.CompareLatency(60)
+	if err != nil {
+		return rows, sample, slowest, err
+	}
+	return append(rows, latencyRows(direct, through)...), sample, slowest, nil
+}
+
+func noted(r Row) Row {
+	r.Note = fmt.Sprintf("load average %.1f", ruddercapacity.LoadAverage())
+	return r
+}
+
+func latencyRows(direct, through ruddercapacity.Latency) []Row {
+	var rows []Row
+	for _, q := range []float64{0.50, 0.95} {
+		first := [2]float64{ruddercapacity.Quantile(direct.First, q).Seconds(), ruddercapacity.Quantile(through.First, q).Seconds()}
+		gap := [2]float64{ruddercapacity.Quantile(direct.Gap, q).Seconds(), ruddercapacity.Quantile(through.Gap, q).Seconds()}
+		rows = append(rows,
+			noted(atMost("latency", fmt.Sprintf("time to first token p%.0f (s)", 100*q), "straight to the engine", first[0], first[1], firstTokenBound)),
+			noted(atMost("latency", fmt.Sprintf("time between tokens p%.0f (s)", 100*q), "straight to the engine", gap[0], gap[1], tokenGapBound)),
+			noted(atMost("latency", fmt.Sprintf("added to first token p%.0f (s)", 100*q), "", math.NaN(), first[1]-first[0], firstTokenBound)),
+			noted(atMost("latency", fmt.Sprintf("added between tokens p%.0f (s)", 100*q), "", math.NaN(), gap[1]-gap[0], tokenGapBound)))
+	}
+	return rows
+}
+
+// configSlope extends the times from the smallest to the largest size to 330 nodes.
+func configSlope(nodes []int, seconds []float64) Row {
+	last := len(nodes) - 1
+	slope := max(0, (seconds[last]-seconds[0])/float64(nodes[last]-nodes[0]))
+	at := seconds[last] + slope*float64(ruddercapacity.TargetNodes-nodes[last])
+	r := atMost("config", "time until a change is in force, slope extended to 330 entry hosts (s)", "", math.NaN(), at, configBoundTarget)
+	r.Note = "extended from 3 to 24 real entry hosts"
+	return noted(r)
+}
+
+// platformRows are the calls a second at 18 entry hosts without requests, and their extension.
+func platformRows(samples []ruddercapacity.Sample) []Row {
+	at18, largest := samples[2], samples[len(samples)-1]
+	polls := at18.Calls["control"]
+	rows := []Row{
+		atMost("platform", "reads a second at 18 entry hosts, each watch counted", "one call for each poll", polls, at18.Reads, platformReadBound),
+		atMost("platform", "writes a second at 18 entry hosts, no requests", "one call for each poll", polls, at18.Writes, platformWriteBound),
+	}
+	for _, kind := range ruddercapacity.Kinds(at18.Platform) {
+		r := row("platform", "a second at 18 entry hosts: "+kind, "", math.NaN(), at18.Platform[kind], math.NaN(), true)
+		r.Detail = true
+		rows = append(rows, r)
+	}
+	reads, writes := ruddercapacity.PlatformAtTarget(largest)
+	perRequest := float64(ruddercapacity.TargetRequests + ruddercapacity.TargetWorkers)
+	rows = append(rows,
+		atMost("platform", "reads a second at 330 entry hosts, by slopes", "one call per request and poll", perRequest, reads, platformReadBound),
+		atMost("platform", "writes a second at 330 entry hosts, by slopes, with 150 claim writes", "one call per request and poll", perRequest, writes, platformWriteBound))
+	n := float64(largest.Nodes)
+	return append(rows,
+		atMost("control", "peer traffic of a node, both directions, 24 nodes, no requests (KB/s)", "", math.NaN(), 2*largest.PeerBytes/n/1000, trafficNodeBound),
+		atMost("control", "peer, platform, host list and control traffic of a node, 24 nodes (KB/s)", "", math.NaN(),
+			(2*largest.PeerBytes+largest.PlatformBytes+largest.ListBytes+largest.ControlBytes)/n/1000, trafficNodeBound))
+}
--- a/rudderstand/rudderbench/plots.go
+++ b/rudderstand/rudderbench/plots.go
@@ -73,11 +73,11 @@
 }
 
 // Plots draws all plots into a directory.
-func Plots(directory string, seed uint64) error {
+func Plots(directory string, seed uint64, curve []DayPoint) error {
 	for _, draw := range []func(string, uint64) error{PlotCrest, PlotWaiting} {
 		if err := draw(directory, seed); err != nil {
 			return err
 		}
 	}
-	return nil
+	return PlotDay(directory, curve)
 }
--- a/rudderstand/rudderbench/table.go
+++ b/rudderstand/rudderbench/table.go
@@ -47,6 +47,11 @@
 	return r
 }
 
+// atMost builds a line whose value must not exceed the bound.
+func atMost(section, measure, baselineName string, baseline, now, bound float64) Row {
+	return row(section, measure, baselineName, baseline, now, bound, math.IsNaN(bound) || now <= bound)
+}
+
 func routingRows(section string, results []RoutingResult) []Row {
 	var rows []Row
 	for _, r := range results {
--- a/rudderstand/ruddercapacity/capacity_meter.go
+++ b/rudderstand/ruddercapacity/capacity_meter.go
@@ -113,6 +113,7 @@
 	platform := &http.Transport{DialContext: dialCounted(&t.PlatformBytes), MaxIdleConnsPerHost: idleConnections}
 	app.PlatformTransport = roundTrip(func(r *http.Request) (*http.Response, error) {
 		if strings.HasPrefix(r.URL.Path, "/v1/hosts") {
+			t.add("host list", 1, 0)
 			return t.countBody("host list", list, r)
 		}
 		return platform.RoundTrip(r)
--- /dev/null
+++ b/rudderstand/ruddercapacity/capacity_target.go
@@ -0,0 +1,58 @@
+package ruddercapacity
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"comfreyrudder.example/rudderstand/rudderkv"
+)
+
+// The size that the design builds towards.
+const (
+	TargetNodes    = 330
+	TargetWorkers  = 730
+	TargetGroups   = 91
+	TargetRequests = 1900 // a second
+	// TargetDomains at 11 hosts each, and one for each of 6 service hosts; the design expects about 30
+	// larger ones, which cost less.
+	TargetDomains = 73
+	// TargetClaimWrites a second is the collectors' own limit.
+	TargetClaimWrites = 150
+	// burnInterval is the time between two writes of an entry host's burn counters, in seconds.
+	burnInterval = 30
+	// changesADay and the writes of each: value, history and one deletion of old history.
+	changesADay, writesPerChange = 580, 3
+	// plansADay is one plan change for each of 350 restarts and failures, with formed and ready.
+	plansADay  = 350 * 4
+	daySeconds = 24 * 60 * 60
+)
+
+// Kinds returns the kinds of calls in order.
+func Kinds(calls map[string]float64) []string { return slices.Sorted(maps.Keys(calls)) }
+
+// perDomain reports whether calls of a kind grow with fabric domains rather than entry hosts.
+func perDomain(kind string) bool {
+	return strings.Contains(kind, "control/lease") || strings.Contains(kind, "control/plan") || kind == rudderkv.KindKeepAlive
+}
+
+// AtTarget extends one kind of platform call from a sample without requests.
+func AtTarget(kind string, s Sample) float64 {
+	if perDomain(kind) {
+		return s.Platform[kind] / float64(s.Domains) * TargetDomains
+	}
+	return s.Platform[kind] / float64(s.Nodes) * TargetNodes
+}
+
+// PlatformAtTarget sums the reads and writes a second at the target size.
+func PlatformAtTarget(s Sample) (reads, writes float64) {
+	for kind := range s.Platform {
+		if strings.HasPrefix(kind, rudderkv.KindGet) || strings.HasPrefix(kind, rudderkv.KindList) || kind == rudderkv.KindWatch {
+			reads += AtTarget(kind, s)
+		} else {
+			writes += AtTarget(kind, s)
+		}
+	}
+	writes += TargetClaimWrites + float64(TargetNodes)/burnInterval + float64(changesADay*writesPerChange+plansADay)/daySeconds
+	return reads, writes
+}
--- a/rudderstand/rudderstandapp/bench.go
+++ b/rudderstand/rudderstandapp/bench.go
@@ -27,7 +27,7 @@
 			progress := func(format string, values ...any) {
 				_, _ = fmt.Fprintf(stderr, "%5.1f s  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
 			}
-			rows, err := benchRows(seed, target, live, progress)
+			rows, curve, err := benchRows(seed, target, live, progress)
 			missed := rudderbench.PrintTable(stdout, rows)
 			if err != nil {
 				return err
@@ -37,7 +37,7 @@
 				return err
 			}
 			progress("plots")
-			return rudderbench.Plots(directory, seed)
+			return rudderbench.Plots(directory, seed, curve)
 		},
 	}
 	command.Flags().StringVar(&directory, "out", "out", "directory for bench.json and plots")
@@ -47,9 +47,15 @@
 	return command
 }
 
-func benchRows(seed uint64, target, live bool, progress func(string, ...any)) ([]rudderbench.Row, error) {
+func benchRows(seed uint64, target, live bool, progress func(string, ...any)) ([]rudderbench.Row, []rudderbench.DayPoint, error) {
 	progress("decisions on a virtual clock")
 	rows := rudderbench.DecisionRows(seed, target)
-	_ = live
-	return rows, nil
+	progress("a day of groups on a virtual clock")
+	day, curve := rudderbench.DayRows(seed)
+	rows = append(rows, day...)
+	if !live {
+		return rows, curve, nil
+	}
+	measured, err := rudderbench.LiveRows(progress)
+	return append(rows, measured...), curve, err
 }
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -27,6 +27,7 @@
 	root.SetErr(stderr)
 	root.AddCommand(newUp(stdout, stderr))
 	root.AddCommand(newBench(stdout, stderr))
+	root.AddCommand(newCapacity(stdout, stderr))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
