Fetch a window's weights on hosts that its groups can get

Preloads took the hosts in the order of their names, also those of groups that stay beyond the opening. Hosts of groups with a wanted number that stay open now come last.

docs/CAPACITY.md has the run of rudderstand capacity; decisions 0007 and 0008 say how groups are formed and confirmations relayed.

--- a/rudderd/rudderplan/preload.go
+++ b/rudderd/rudderplan/preload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -78,8 +79,9 @@
 				hosts = append(hosts, h)
 			}
 		}
+		stays := staying(in, then)
 		slices.SortFunc(hosts, func(a, b rudderhost.Host) int {
-			return cmp.Or(cmp.Compare(known.flexibility(then, a.Name), known.flexibility(then, b.Name)),
+			return cmp.Or(compareBool(stays[a.Name], stays[b.Name]), cmp.Compare(known.flexibility(then, a.Name), known.flexibility(then, b.Name)),
 				-compareBool(has(a), has(b)), cmp.Compare(a.Name, b.Name))
 		})
 		for _, h := range hosts[:min(len(hosts), opening.Groups*groupSize(s))] {
@@ -91,3 +93,21 @@
 	}
 	return out
 }
+
+// staying returns the hosts in groups whose selectors want them beyond an opening. The opening selector
+// will not get these hosts, so that weights fetched there would be of no use. Groups that fill what is
+// left have no wanted number and give way.
+func staying(in Input, then []rudderconfig.Selector) map[string]bool {
+	out := map[string]bool{}
+	for _, g := range in.Plan.Groups {
+		if g.State == ruddergroup.StateDraining || !slices.ContainsFunc(then, func(s rudderconfig.Selector) bool {
+			return s.Name == g.Selector && s.WantedGroups > 0
+		}) {
+			continue
+		}
+		for _, m := range g.Members {
+			out[m.Host] = true
+		}
+	}
+	return out
+}
