--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -31,6 +31,7 @@
 	root.AddCommand(newLoad(stdout))
 	root.AddCommand(newFaults(stdout))
 	root.AddCommand(newBench(stdout, stderr))
+	root.AddCommand(newCapacity(stdout, stderr))
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
