Bound the number of shards that one entry host owns

Cause: rendezvous hashing of each shard alone gave several shards to one entry host of 330, and an owner's traffic is in proportion to its shards.

Change: rudderrouter.Owners assigns all shards together. A member owns at most its part of its region's shards, rounded up. Each shard goes to the best member that has no shard ranking it higher, so a member's death moves at most one other shard on average (TestOwnersAreBounded). The second in rank is the member that takes over. An entry host keeps the ranks while shards and members stay the same.

--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -62,8 +62,8 @@
 
 // roles returns the first two in rank for the only shard and a host that is neither.
 func (f *fleet) roles() (first, second, other *Owner) {
-	shard := rudderrouter.Split(f.owners[0].Groups())[0]
-	ranked := rudderrouter.Owners(shard, *f.members.Load())
+	shards := rudderrouter.Split(f.owners[0].Groups())
+	ranked := rudderrouter.Owners(shards, *f.members.Load())[shards[0].ID()]
 	for _, o := range f.owners {
 		switch o.Self.Name {
 		case ranked[0].Name:
--- a/rudderd/rudderowner/view.go
+++ b/rudderd/rudderowner/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
@@ -15,6 +16,7 @@
 	at      time.Time
 	shards  []rudderrouter.Shard
 	owners  map[string][]ruddermember.Member // by shard ID, in rank order
+	members []ruddermember.Member
 	byID    map[string]rudderrouter.Shard
 	byGroup map[string]string // group ID to shard ID
 }
@@ -26,12 +28,12 @@
 	}
 	members := o.Members()
 	v := view{
-		at: now, shards: rudderrouter.Split(o.Groups()), owners: map[string][]ruddermember.Member{},
+		at: now, shards: rudderrouter.Split(o.Groups()), members: members,
 		byID: map[string]rudderrouter.Shard{}, byGroup: map[string]string{},
 	}
+	v.owners = o.view.ownersOf(v.shards, members)
 	for _, s := range v.shards {
 		v.byID[s.ID()] = s
-		v.owners[s.ID()] = rudderrouter.Owners(s, members)
 		for _, g := range s.Groups() {
 			v.byGroup[g.ID] = s.ID()
 		}
@@ -47,6 +49,21 @@
 	maps.DeleteFunc(o.renewed, func(shard string, _ renewal) bool { return gone(shard) })
 }
 
+// ownersOf ranks the owners of shards. The ranks of the last view stay when nothing they depend on has
+// changed: ranking 330 members for each shard at each view would take much of an entry host's budget.
+func (v *view) ownersOf(shards []rudderrouter.Shard, members []ruddermember.Member) map[string][]ruddermember.Member {
+	same := v.owners != nil && slices.Equal(v.members, members) &&
+		slices.EqualFunc(v.shards, shards, func(a, b rudderrouter.Shard) bool {
+			return a.ID() == b.ID() && slices.EqualFunc(a.Groups(), b.Groups(), func(a, b rudderrouter.Servable) bool {
+				return a.DataCentre == b.DataCentre && a.Region == b.Region
+			})
+		})
+	if same {
+		return v.owners
+	}
+	return rudderrouter.Owners(shards, members)
+}
+
 // pruneMembers forgets clients of hosts that have left.
 func (o *Owner) pruneMembers(members []ruddermember.Member) {
 	addresses, names := map[string]bool{}, map[string]bool{}
--- a/rudderd/rudderrouter/router_test.go
+++ b/rudderd/rudderrouter/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -76,13 +77,46 @@
 		})
 	}
 	shard := Shard{id: "s", groups: groups(1)}
-	ranked := Owners(shard, members)
+	ranked := Owners([]Shard{shard}, members)["s"]
 	require.Len(t, ranked, 9)
 	require.Equal(t, "kgl-0", ranked[0].DataCentre)
 	require.Equal(t, "kgl-0", ranked[1].DataCentre)
 	require.Equal(t, "kigali", ranked[2].Region)
 }
 
+// Guards against a member that owns more shards than its part, against a second in rank that is not the
+// next owner, and against a member's death that moves many shards.
+func TestOwnersAreBounded(t *testing.T) {
+	var members []ruddermember.Member
+	for i := range 60 {
+		members = append(members, ruddermember.Member{Name: fmt.Sprint("e", i), Region: "kigali", DataCentre: fmt.Sprint("kgl-", i%3)})
+	}
+	shards := Split(groups(91))
+	owners := Owners(shards, members)
+	owned, moved := map[string]int{}, 0
+	for _, ranked := range owners {
+		owned[ranked[0].Name]++
+		require.Len(t, ranked, len(members))
+	}
+	for name, n := range owned {
+		require.Equal(t, 1, n, "shards of %s", name)
+	}
+	for i, m := range members {
+		rest := Owners(shards, slices.Delete(slices.Clone(members), i, i+1))
+		for id, ranked := range owners {
+			switch {
+			case ranked[0].Name == m.Name:
+				require.Equal(t, ranked[1].Name, rest[id][0].Name, "the second in rank takes over")
+			case ranked[0].Name != rest[id][0].Name:
+				moved++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(moved)/float64(len(members)), 1.0, "mean number of other shards moved by one death")
+	few := Owners(shards, members[:2])
+	require.Len(t, few, len(shards), "each shard has an owner when members are few")
+}
+
 // Guards against a herd on a hot prefix: affinity ends at the load bound.
 func TestAffinityIsBoundedByLoad(t *testing.T) {
 	shards := Split(groups(24))
--- a/rudderd/rudderrouter/shard.go
+++ b/rudderd/rudderrouter/shard.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
@@ -146,22 +145,3 @@
 	shards = splitNode(shards, key, path+"0", depth+1, halves[0])
 	return splitNode(shards, key, path+"1", depth+1, halves[1])
 }
-
-// Owners ranks the live members for a shard: those in the data centres of its groups first, then
-// those of its region, then all others. The first one owns the shard.
-func Owners(shard Shard, members []ruddermember.Member) []ruddermember.Member {
-	var near, region, far []ruddermember.Member
-	for _, m := range members {
-		switch {
-		case slices.ContainsFunc(shard.groups, func(g Servable) bool { return g.DataCentre == m.DataCentre }):
-			near = append(near, m)
-		case slices.ContainsFunc(shard.groups, func(g Servable) bool { return g.Region == m.Region }):
-			region = append(region, m)
-		default:
-			far = append(far, m)
-		}
-	}
-	ranked := ruddermember.Rank(shard.id, near)
-	ranked = append(ranked, ruddermember.Rank(shard.id, region)...)
-	return append(ranked, ruddermember.Rank(shard.id, far)...)
-}
--- a/rudderstand/rudderbench/routing_owner.go
+++ b/rudderstand/rudderbench/routing_owner.go
@@ -60,8 +60,10 @@
 	for h := range m.hosts {
 		members = append(members, ruddermember.Member{Name: "entry-" + itoa(h), Region: "r", DataCentre: itoa(h % 3)})
 	}
-	for _, info := range rudderrouter.Split(groups) {
-		s.addShard(info, members, central)
+	split := rudderrouter.Split(groups)
+	owners := rudderrouter.Owners(split, members)
+	for _, info := range split {
+		s.addShard(info, owners[info.ID()][0].Name, central)
 	}
 	for h := range m.hosts {
 		s.choosers = append(s.choosers, &rudderrouter.Chooser{
@@ -78,7 +80,7 @@
 	return s
 }
 
-func (s *ownerScheme) addShard(info rudderrouter.Shard, members []ruddermember.Member, central bool) {
+func (s *ownerScheme) addShard(info rudderrouter.Shard, owner string, central bool) {
 	var admit []rudderadmission.Group
 	for _, g := range info.Groups() {
 		admit = append(admit, rudderadmission.Group{ID: g.ID, Slots: g.Slots})
@@ -88,7 +90,7 @@
 	}
 	shard := &ownerShard{
 		info: info, state: rudderadmission.NewShard(nil), hints: rudderrouter.NewHints(0),
-		owner:  rudderrouter.Owners(info, members)[0].Name,
+		owner:  owner,
 		queued: map[string]*modelRequest{}, held: map[string]*modelRequest{},
 	}
 	if central {
