Wait a short time for a group that is about to be known

Cause: the view of shards is up to 200 ms old, and right after the start or while groups form an entry host knows no group, member or confirmation. It refused work with no_group although groups serve.

Change: the view is read anew when a plan, the configuration or the members change (at most each 10 ms). Work that a selector of the configuration serves now waits up to 500 ms, and at most a quarter of the time to its deadline, for a group to be known. Work without a selector, and work whose groups are all avoided, is refused at once.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,10 +39,26 @@
 func (a *App) wireAdmission() {
 	a.owner = &rudderowner.Owner{
 		Self: a.self, Members: a.node.Live, Groups: a.servable, Confirm: a.confirmGroup, Clock: a.Clock, HTTPClient: a.peers,
-		Logger: a.Logger, Seed: xxhash.Sum64String(a.self.Name),
+		Logger: a.Logger, Seed: xxhash.Sum64String(a.self.Name), Expected: a.expected,
 	}
 }
 
+// expected reports whether a selector of the configuration serves the work now.
+func (a *App) expected(w rudderrouter.Wanted) bool {
+	document := a.keeper.Current()
+	if document == nil {
+		return false
+	}
+	now := a.Clock.Now()
+	return slices.ContainsFunc(document.Selectors, func(s rudderconfig.Selector) bool {
+		group := rudderrouter.Servable{
+			Firm: s.Firm, Model: s.Model, ModelVersion: s.ModelVersion, Service: s.Service,
+			Workspaces: s.Workspaces, Classes: s.Classes,
+		}
+		return group.Serves(w) && s.ActiveAt(now)
+	})
+}
+
 // workspace returns the configuration of a workspace, or the zero value.
 func (a *App) workspace(name string) rudderconfig.Workspace {
 	if document := a.keeper.Current(); document != nil {
--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -38,7 +38,7 @@
 				Domain: domain, Host: host, Address: address, Status: status, At: a.Clock.Now().Add(-age),
 			})
 		},
-		OnPlan:    func(p ruddergroup.Plan) { a.fleet.ObservePlan(p) },
+		OnPlan:    a.observePlan,
 		KnownPlan: a.fleet.Plan,
 		Down:      a.fleet.Silent,
 		Stale:     a.stale,
@@ -52,6 +52,13 @@
 	}
 }
 
+// observePlan takes a plan into the fleet view and makes admission look at it at once.
+func (a *App) observePlan(p ruddergroup.Plan) {
+	if a.fleet.ObservePlan(p) {
+		a.owner.Changed()
+	}
+}
+
 // plannerTimes scales the times that follow from the settings. A poll that takes longer than the poll
 // interval would let one silent target age the confirmations of all others beyond the confirmation age,
 // and candidates that wait longer than a lease lasts would leave a domain without a planner.
--- a/rudderd/rudderapp/members.go
+++ b/rudderd/rudderapp/members.go
@@ -8,6 +8,7 @@
 
 	"comfreyrudder.example/rudderd/rudderchange"
 	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/rudderstore"
 )
@@ -39,6 +40,8 @@
 		OnError:       a.warn("configuration"),
 		Validate:      validateDocument,
 	}
+	a.keeper.OnChange = func(*rudderconfig.Document) { a.owner.Changed() }
+	a.node.OnChange = func([]ruddermember.Member) { a.owner.Changed() }
 	a.keeper.Connect()
 }
 
@@ -69,7 +72,7 @@
 		a.Logger.Error().Err(err).Str("key", key).Msg("plan cannot be read")
 		return
 	}
-	a.fleet.ObservePlan(plan)
+	a.observePlan(plan)
 }
 
 const (
--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -48,13 +48,25 @@
 	Blocks []uint64
 }
 
-// Acquire gets a slot for the work, waiting in the owner's queue if need be. When the context ends
-// it returns at once, and the owner is told in the background.
+// Acquire gets a slot for the work, waiting in the owner's queue if need be. While no group is known for
+// work that is Expected, it waits up to formingWait. When the context ends it returns at once, and the
+// owner is told in the background.
 func (o *Owner) Acquire(ctx context.Context, work Work) (*Slot, error) {
 	o.init()
 	o.mu.Lock()
 	o.budget.request(o.Clock.Now())
 	o.mu.Unlock()
+	until := o.formingLimit(work)
+	for {
+		slot, err := o.acquireNow(ctx, work)
+		if err == nil || !o.mayForm(work, err) || !o.awaitChange(ctx, until) {
+			return slot, err
+		}
+	}
+}
+
+// acquireNow tries the shards that are known now.
+func (o *Owner) acquireNow(ctx context.Context, work Work) (*Slot, error) {
 	var tried []string
 	var last error
 	for try := range maxTries {
--- a/rudderd/rudderowner/errors.go
+++ b/rudderd/rudderowner/errors.go
@@ -20,6 +20,8 @@
 type refusedError struct {
 	after  time.Duration
 	reason string
+	// unconfirmed marks work that has only groups without confirmations here.
+	unconfirmed bool
 }
 
 // Error implements error.
--- /dev/null
+++ b/rudderd/rudderowner/forming.go
@@ -0,0 +1,73 @@
+package rudderowner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderrouter"
+)
+
+const (
+	// formingWait is how long work waits for a group that is not known yet. Plans and confirmations
+	// reach each entry host within it when nothing fails.
+	formingWait = 500 * time.Millisecond
+	// formingShare of the time to the deadline is the most that the wait may take.
+	formingShare = 0.25
+	// formingInterval between two looks at the groups during the wait.
+	formingInterval = 25 * time.Millisecond
+)
+
+// Changed makes the next use of the groups and members read them anew. Callers use it when a plan, the
+// configuration or the members change; other changes are seen within viewInterval.
+func (o *Owner) Changed() { o.changed.Store(true) }
+
+// formingLimit is the end of the wait for a group.
+func (o *Owner) formingLimit(work Work) time.Time {
+	now := o.Clock.Now()
+	wait := formingWait
+	if !work.Deadline.IsZero() {
+		wait = min(wait, time.Duration(formingShare*float64(work.Deadline.Sub(now))))
+	}
+	return now.Add(wait)
+}
+
+// mayForm reports that work failed only because no group is known here or at the owner, and that one
+// should be.
+func (o *Owner) mayForm(work Work, err error) bool {
+	var refused *refusedError
+	unconfirmed := errors.As(err, &refused) && refused.unconfirmed
+	if !unconfirmed && !errors.Is(err, ErrNoGroup) {
+		return false
+	}
+	if o.Expected == nil || !o.Expected(work.Wanted) {
+		return false
+	}
+	// Groups that the work avoids do not become usable by waiting.
+	return len(work.Avoid) == 0 || !o.knowsGroup(work)
+}
+
+func (o *Owner) knowsGroup(work Work) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.ContainsFunc(o.view.shards, func(s rudderrouter.Shard) bool { return s.Serves(work.Wanted) })
+}
+
+// awaitChange waits for the next look at the groups. It returns false when the time is up.
+func (o *Owner) awaitChange(ctx context.Context, until time.Time) bool {
+	left := until.Sub(o.Clock.Now())
+	if left <= 0 {
+		return false
+	}
+	timer := o.Clock.NewTimer(min(left, formingInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+	}
+	o.Changed()
+	return true
+}
--- /dev/null
+++ b/rudderd/rudderowner/forming_test.go
@@ -0,0 +1,86 @@
+package rudderowner
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderrouter"
+)
+
+// formingFleet is a fleet whose entry hosts know no group until known is set. They expect the model m.
+func formingFleet(t *testing.T) (f *fleet, known *atomic.Bool) {
+	f, known = newFleet(t, 3, group("g", 2)), &atomic.Bool{}
+	for _, o := range f.owners {
+		groups := o.Groups
+		o.mu.Lock()
+		o.Groups = func() []rudderrouter.Servable {
+			if !known.Load() {
+				return nil
+			}
+			return groups()
+		}
+		o.Expected = func(w rudderrouter.Wanted) bool { return w.Model == "m" }
+		o.view = view{}
+		o.mu.Unlock()
+	}
+	return f, known
+}
+
+// Guards against a refusal of work while its group is about to be known, against a wait for work that no
+// selector serves or whose groups are all avoided, and against a wait without bound.
+func TestWorkWaitsForItsFirstGroup(t *testing.T) {
+	f, known := formingFleet(t)
+	ctx, o := context.Background(), f.owners[0]
+	begin := time.Now()
+	_, err := o.Acquire(ctx, work("never"))
+	require.ErrorIs(t, err, ErrNoGroup)
+	require.GreaterOrEqual(t, time.Since(begin), formingWait)
+	require.Less(t, time.Since(begin), 2*formingWait)
+
+	refusedAtOnce := func(w Work) {
+		begin := time.Now()
+		_, err := o.Acquire(ctx, w)
+		require.ErrorIs(t, err, ErrNoGroup)
+		require.Less(t, time.Since(begin), formingWait/2)
+	}
+	other := work("other model")
+	other.Wanted.Model = "other"
+	refusedAtOnce(other)
+	short := work("short deadline")
+	short.Deadline = time.Now().Add(formingWait / 2)
+	refusedAtOnce(short)
+
+	got := make(chan error, 1)
+	go func() {
+		_, err := o.Acquire(ctx, work("waits"))
+		got <- err
+	}()
+	time.Sleep(2 * formingInterval)
+	known.Store(true)
+	for _, each := range f.owners {
+		each.Changed()
+	}
+	require.NoError(t, <-got)
+	avoiding := work("avoids")
+	avoiding.Avoid = []string{"g"}
+	refusedAtOnce(avoiding)
+}
+
+// Guards against members that are not known yet, as right after the start, which end admission although
+// groups serve.
+func TestWorkWaitsForMembers(t *testing.T) {
+	f, known := formingFleet(t)
+	known.Store(true)
+	members := slices.Clone(*f.members.Load())
+	empty := members[:0:0]
+	f.members.Store(&empty)
+	o := f.owners[0]
+	time.AfterFunc(4*formingInterval, func() { f.members.Store(&members) })
+	_, err := o.Acquire(context.Background(), work("a"))
+	require.NoError(t, err)
+}
--- a/rudderd/rudderowner/local.go
+++ b/rudderd/rudderowner/local.go
@@ -83,6 +83,7 @@
 	case used >= limit:
 		return nil, "", refused
 	case best < 0:
+		refused.unconfirmed = unconfirmed != ""
 		return nil, unconfirmed, refused
 	}
 	g := known.Groups()[best]
--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -27,6 +28,8 @@
 	tickInterval = 50 * time.Millisecond
 	// viewInterval bounds how often shards are computed from the groups.
 	viewInterval = 200 * time.Millisecond
+	// changedInterval bounds it after Changed.
+	changedInterval = 10 * time.Millisecond
 	// callTimeout is when an owner that gives no answer counts as unreachable.
 	callTimeout = 250 * time.Millisecond
 	// pollWait is how long the first call waits for a queued request. It doubles up to maxPollWait: at
@@ -54,13 +57,17 @@
 	// Confirm asks the members of a group for their own reports, and reports whether Groups now has the
 	// group as confirmed. nil leaves groups that are not confirmed unused.
 	Confirm func(ctx context.Context, group string) bool
+	// Expected reports whether the configuration has a selector that serves the work now, so that a group
+	// may be about to be known. Other work without a group is refused at once; nil stands for all work.
+	Expected func(rudderrouter.Wanted) bool
 	// Policies overrides the presets; nil takes rudderadmission.PolicyFor.
 	Policies func(rudderconfig.Preset) rudderadmission.Policy
 	// Seed of the random choices.
 	Seed uint64
 
 	once    sync.Once
-	mu      sync.Mutex // guards all that follows
+	changed atomic.Bool // the view is out of date
+	mu      sync.Mutex  // guards all that follows
 	chooser *rudderrouter.Chooser
 	hints   *rudderrouter.Hints
 	view    view
--- a/rudderd/rudderowner/view.go
+++ b/rudderd/rudderowner/view.go
@@ -21,11 +21,16 @@
 	byGroup map[string]string // group ID to shard ID
 }
 
-// refresh recomputes the view when it is older than viewInterval. o.mu is held.
+// refresh recomputes the view when it is older than viewInterval, or out of date. o.mu is held.
 func (o *Owner) refresh(now time.Time) {
-	if o.view.byID != nil && now.Sub(o.view.at) < viewInterval {
+	interval := viewInterval
+	if o.changed.Load() {
+		interval = changedInterval
+	}
+	if o.view.byID != nil && now.Sub(o.view.at) < interval {
 		return
 	}
+	o.changed.Store(false)
 	members := o.Members()
 	v := view{
 		at: now, shards: rudderrouter.Split(o.Groups()), members: members,
