Add rollback, workspace get and the reason of a missing permit to rudderctl

A rollback keeps the operators and keys of today, so that a token or key that was removed since does not work again; a workspace that comes back has no keys.

--- a/rudderctl/rudderctlapp/config.go
+++ b/rudderctl/rudderctlapp/config.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
-	"sigs.k8s.io/yaml"
 
 	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
@@ -21,6 +20,8 @@
 	dryRun  bool
 	version int64
 	summary string
+	// rollback is the version to go back to.
+	rollback string
 }
 
 func (o *changeOptions) addFlags(command *cobra.Command) {
@@ -37,6 +38,9 @@
 	if o.summary != "" {
 		query.Set("summary", o.summary)
 	}
+	if o.rollback != "" {
+		query.Set("version", o.rollback)
+	}
 	return query
 }
 
@@ -105,9 +109,8 @@
 }
 
 func (c *control) configCommand() *cobra.Command {
-	command := &cobra.Command{Use: "config", Short: "Read the configuration and its history"}
-	command.AddCommand(c.configGet(), c.configHistory(), c.configDiff(), c.configAwait())
-	return command
+	return newParent("config", "Read the configuration and its history, and go back to an earlier version",
+		c.configGet(), c.configHistory(), c.configDiff(), c.configRollback(), c.configAwait())
 }
 
 func (c *control) configGet() *cobra.Command {
@@ -122,11 +125,7 @@
 				path = fmt.Sprintf("/config/history/%d", version)
 			}
 			return get(c, cmd, path, nil, func(document rudderconfig.Document) []any {
-				text, err := yaml.Marshal(document)
-				if err != nil {
-					return []any{err.Error()}
-				}
-				return []any{string(text)}
+				return []any{yamlText(document)}
 			})
 		},
 	}
@@ -170,6 +169,25 @@
 	}
 }
 
+func (c *control) configRollback() *cobra.Command {
+	var options changeOptions
+	command := &cobra.Command{
+		Use:   "rollback VERSION",
+		Short: "Write an earlier version as the next one; operators and keys stay as they are now",
+		Long: "Writes an earlier version of the history as the next version. Operators and the keys of workspaces stay as\n" +
+			"they are now, so that a token or key that was removed since does not work again. A workspace that was\n" +
+			"deleted since comes back without keys.",
+		Example: "  rudderctl config rollback 40 --dry-run\n  rudderctl config rollback 40 --summary \"the new selector took too many hosts\"",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			options.rollback = args[0]
+			return c.change(cmd, &options, http.MethodPost, "/config/rollback", nil)
+		},
+	}
+	options.addFlags(command)
+	return command
+}
+
 func (c *control) configAwait() *cobra.Command {
 	return &cobra.Command{
 		Use:   "await",
--- a/rudderctl/rudderctlapp/host.go
+++ b/rudderctl/rudderctlapp/host.go
@@ -13,9 +13,7 @@
 )
 
 func (c *control) hostCommand() *cobra.Command {
-	command := &cobra.Command{Use: "host", Short: "List hosts and change their labels"}
-	command.AddCommand(c.hostList(), c.hostLabel())
-	return command
+	return newParent("host", "List hosts and change their labels", c.hostList(), c.hostLabel())
 }
 
 type hostsAnswer struct {
@@ -59,6 +57,9 @@
 		Example: "  rudderctl host label kgl-1-a-03 firm=umuvumu tier=fast\n  rudderctl host label kgl-1-a-03 tier-",
 		Args:    minimumArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkNames(args[:1]); err != nil {
+				return err
+			}
 			change, err := parseLabels(args[1:])
 			if err != nil {
 				return err
--- a/rudderctl/rudderctlapp/report.go
+++ b/rudderctl/rudderctlapp/report.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -13,8 +12,7 @@
 )
 
 func (c *control) reportCommand() *cobra.Command {
-	command := &cobra.Command{Use: "report", Short: "Reports on service levels"}
-	command.AddCommand(&cobra.Command{
+	return newParent("report", "Reports on service levels", &cobra.Command{
 		Use:   "burn",
 		Short: "Show how fast each objective's error budget burns, and what burnt it",
 		Long: "Shows, for each objective, the burn over 5 minutes, 1 hour, 6 hours and 24 hours (1 spends the budget exactly),\n" +
@@ -24,7 +22,6 @@
 			return get(c, cmd, "/report/burn", nil, burnParts)
 		},
 	})
-	return command
 }
 
 func burnParts(r rudderadmin.BurnReport) []any {
@@ -45,7 +42,8 @@
 		downtime := time.Duration(r.GroupDowntimeMS[selector]) * time.Millisecond
 		parts = append(parts, fmt.Sprintf("group downtime of %s: %s", selector, downtime))
 	}
-	parts = append(parts, fmt.Sprintf("stranded accelerators: %d %s", r.StrandedAccelerators, strings.Join(r.Stranded, ", ")))
+	parts = append(parts, fmt.Sprintf("stranded accelerators: %d on %d hosts", r.StrandedAccelerators, len(r.Stranded)))
+	parts = append(parts, nameLines(r.Stranded)...)
 	return append(parts, entrySources(r)...)
 }
 
--- a/rudderctl/rudderctlapp/root.go
+++ b/rudderctl/rudderctlapp/root.go
@@ -76,6 +76,10 @@
 		Long:          "rudderctl changes and reads the configuration at any entry host.\n\nExit codes: 0 ok, 1 error, 2 usage, 3 conflict with another change, 4 written but pending.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args: func(cmd *cobra.Command, args []string) error {
+			return errors.Mark(cobra.NoArgs(cmd, args), errUsage)
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 		PersistentPreRunE: func(*cobra.Command, []string) error {
 			if c.output != outputTable && c.output != outputJSON {
 				return errors.Mark(errors.Newf("--output: %q is neither table nor json", c.output), errUsage)
@@ -118,11 +122,41 @@
 	return &rudderadmin.Client{Addresses: addresses, Token: c.token, HTTP: &http.Client{Timeout: callTimeout}}, nil
 }
 
-// exactArgs is cobra's check with the exit code for usage.
+// exactArgs is cobra's check with the exit code for usage. The arguments are names that become parts of
+// a path.
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
-		return errors.Mark(cobra.ExactArgs(n)(cmd, args), errUsage)
+		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+			return errors.Mark(err, errUsage)
+		}
+		return checkNames(args)
+	}
+}
+
+// checkNames refuses names that would lead to another path of the admin API.
+func checkNames(names []string) error {
+	for _, name := range names {
+		if name == "" || name == "." || name == ".." || strings.Contains(name, "/") {
+			return errors.Mark(errors.Newf("%q is not a name: names are not empty and have no slash", name), errUsage)
+		}
+	}
+	return nil
+}
+
+// newParent returns a command that only holds others. Cobra would answer an unknown subcommand of it
+// with its help and success.
+func newParent(use, short string, commands ...*cobra.Command) *cobra.Command {
+	parent := &cobra.Command{
+		Use: use, Short: short, Args: cobra.ArbitraryArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return cmd.Help()
+			}
+			return errors.Mark(errors.Newf("unknown command %q for %q; see %s --help", args[0], cmd.CommandPath(), cmd.CommandPath()), errUsage)
+		},
 	}
+	parent.AddCommand(commands...)
+	return parent
 }
 
 func minimumArgs(n int) cobra.PositionalArgs {
--- a/rudderctl/rudderctlapp/rudderctl_test.go
+++ b/rudderctl/rudderctlapp/rudderctl_test.go
@@ -61,6 +61,7 @@
 		{[]string{"selector", "delete", "night"}, "DELETE", "/selectors/night", "", ""},
 		{[]string{"apply", "-f", file}, "POST", "/config/apply", "", "name: night"},
 		{[]string{"apply", "-f", file, "--replace"}, "PUT", "/config", "", "name: night"},
+		{[]string{"config", "rollback", "5", "--dry-run"}, "POST", "/config/rollback", "dry_run=true&version=5", ""},
 		{[]string{"config", "await"}, "POST", "/config/await", "", ""},
 		{[]string{"workspace", "remove-key", "kigali", "abc"}, "DELETE", "/workspaces/kigali/keys/abc", "", ""},
 	}
@@ -100,6 +101,11 @@
 		{"missing argument", 200, nil, []string{"drain"}, ExitUsage, "accepts 1 arg"},
 		{"unknown flag", 200, nil, []string{"status", "--nothing"}, ExitUsage, "unknown flag"},
 		{"bad output", 200, nil, []string{"status", "-o", "xml"}, ExitUsage, "neither table nor json"},
+		{"unknown command", 200, nil, []string{"nothing"}, ExitUsage, "unknown command"},
+		{"unknown subcommand", 200, nil, []string{"config", "nothing"}, ExitUsage, "unknown command"},
+		{"name with a slash", 200, nil, []string{"drain", "a/b"}, ExitUsage, "no slash"},
+		{"label of a name with a slash", 200, nil, []string{"host", "label", "../config", "a=b"}, ExitUsage, "no slash"},
+		{"no permit", 200, rudderadmin.Status{Entry: "e1", PermitReason: "permit: expired"}, []string{"status"}, ExitOK, "permit none: permit: expired"},
 		{"bad label", 200, nil, []string{"host", "label", "h1", "nothing"}, ExitUsage, "neither KEY=VALUE nor KEY-"},
 	}
 	for _, test := range tests {
--- a/rudderctl/rudderctlapp/selector.go
+++ b/rudderctl/rudderctlapp/selector.go
@@ -15,9 +15,8 @@
 )
 
 func (c *control) selectorCommand() *cobra.Command {
-	command := &cobra.Command{Use: "selector", Short: "Read, change and explain selectors"}
-	command.AddCommand(c.selectorGet(), c.selectorApply(), c.selectorDelete(), c.selectorExplain())
-	return command
+	return newParent("selector", "Read, change and explain selectors",
+		c.selectorGet(), c.selectorApply(), c.selectorDelete(), c.selectorExplain())
 }
 
 func (c *control) selectorGet() *cobra.Command {
@@ -30,11 +29,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) == 1 {
 				return get(c, cmd, "/selectors/"+args[0], nil, func(s rudderconfig.Selector) []any {
-					text, err := yaml.Marshal(s)
-					if err != nil {
-						return []any{err.Error()}
-					}
-					return []any{string(text)}
+					return []any{yamlText(s)}
 				})
 			}
 			type answer struct {
--- a/rudderctl/rudderctlapp/status.go
+++ b/rudderctl/rudderctlapp/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -36,20 +37,32 @@
 	for _, x := range s.Selectors {
 		selectors.add(x.Name, x.Active, wantedText(x.Wanted), x.Serving, x.Missing)
 	}
-	stranded := "none"
-	if len(s.Stranded) > 0 {
-		stranded = strings.Join(s.Stranded, ", ")
+	permit := "by " + s.PermitRule
+	if !s.Permit {
+		permit = "none: " + s.PermitReason
 	}
-	return []any{
-		fmt.Sprintf("entry host %s, configuration version %d, permit %t (%s)", s.Entry, s.ConfigVersion, s.Permit, s.PermitRule),
+	parts := []any{
+		fmt.Sprintf("entry host %s, configuration version %d, permit %s", s.Entry, s.ConfigVersion, permit),
 		"", entries, "", selectors, "",
-		fmt.Sprintf("%d hosts; stranded: %s", s.Hosts, stranded),
+		fmt.Sprintf("%d hosts, %d stranded", s.Hosts, len(s.Stranded)),
 	}
+	return append(parts, nameLines(s.Stranded)...)
+}
+
+// namesPerLine keeps lines of host names within a usual terminal.
+const namesPerLine = 6
+
+// nameLines sets names out over lines.
+func nameLines(names []string) []any {
+	var parts []any
+	for chunk := range slices.Chunk(names, namesPerLine) {
+		parts = append(parts, "  "+strings.Join(chunk, " "))
+	}
+	return parts
 }
 
 func (c *control) groupCommand() *cobra.Command {
-	command := &cobra.Command{Use: "group", Short: "Look at groups of hosts"}
-	command.AddCommand(&cobra.Command{
+	return newParent("group", "Look at groups of hosts", &cobra.Command{
 		Use:   "list",
 		Short: "List all groups with their hosts and why one takes no new work",
 		Args:  exactArgs(0),
@@ -67,5 +80,4 @@
 			})
 		},
 	})
-	return command
 }
--- a/rudderctl/rudderctlapp/workspace.go
+++ b/rudderctl/rudderctlapp/workspace.go
@@ -1,7 +1,10 @@
 package rudderctlapp
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -12,9 +15,8 @@
 )
 
 func (c *control) workspaceCommand() *cobra.Command {
-	command := &cobra.Command{Use: "workspace", Short: "Read and change workspaces, their limits and keys"}
-	command.AddCommand(c.workspaceList(), c.workspaceApply(), c.workspaceDelete(), c.workspaceAddKey(), c.workspaceRemoveKey())
-	return command
+	return newParent("workspace", "Read and change workspaces, their limits and keys", c.workspaceList(), c.workspaceGet(),
+		c.workspaceApply(), c.workspaceDelete(), c.workspaceAddKey(), c.workspaceRemoveKey())
 }
 
 func (c *control) workspaceList() *cobra.Command {
@@ -37,13 +39,49 @@
 	}
 }
 
+func (c *control) workspaceGet() *cobra.Command {
+	return &cobra.Command{
+		Use:     "get NAME",
+		Short:   "Print a workspace as YAML, with the hashes of its keys",
+		Example: "  rudderctl workspace get umuvumu-01",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			client, err := c.client()
+			if err != nil {
+				return err
+			}
+			var answer struct {
+				Workspaces []rudderconfig.Workspace `json:"workspaces"`
+			}
+			if err := client.Get(cmd.Context(), "/workspaces", nil, &answer); err != nil {
+				return err
+			}
+			for _, w := range answer.Workspaces {
+				if w.Name == args[0] {
+					return c.print(w, func() []any { return []any{yamlText(w)} })
+				}
+			}
+			return errors.Newf("no workspace %s", args[0])
+		},
+	}
+}
+
+func yamlText(value any) string {
+	text, err := yaml.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimRight(string(text), "\n")
+}
+
 func (c *control) workspaceApply() *cobra.Command {
 	var options changeOptions
 	var file string
 	command := &cobra.Command{
-		Use:   "apply -f FILE",
-		Short: "Add or replace one workspace from YAML or JSON; keys that the file lacks are kept",
-		Args:  exactArgs(0),
+		Use:     "apply -f FILE",
+		Short:   "Add or replace one workspace from YAML or JSON; a file without keys keeps those that exist",
+		Example: "  rudderctl workspace apply -f umuvumu-01.yaml --dry-run",
+		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			text, err := c.readFile(file)
 			if err != nil {
@@ -78,9 +116,10 @@
 
 func (c *control) workspaceAddKey() *cobra.Command {
 	return &cobra.Command{
-		Use:   "add-key NAME",
-		Short: "Make a new key for a workspace and print it; only its hash is stored",
-		Args:  exactArgs(1),
+		Use:     "add-key NAME",
+		Short:   "Make a new key for a workspace and print it; only its hash is stored",
+		Example: "  rudderctl workspace add-key umuvumu-01 > key",
+		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client, err := c.client()
 			if err != nil {
@@ -93,6 +132,8 @@
 			if err := c.print(made, func() []any { return []any{made.Key} }); err != nil {
 				return err
 			}
+			// Apart from the key, so that a script can take standard output as it is.
+			_, _ = fmt.Fprintf(c.stderr, "hash %x, version %d, %s\n", sha256.Sum256([]byte(made.Key)), made.Change.Version, made.Change.State)
 			if made.Change.State == rudderadmin.StatePending {
 				return errPending
 			}
@@ -104,7 +145,12 @@
 func (c *control) workspaceRemoveKey() *cobra.Command {
 	var options changeOptions
 	command := &cobra.Command{
-		Use: "remove-key NAME HASH", Short: "Remove a key of a workspace by its SHA-256 hash", Args: exactArgs(2),
+		Use:   "remove-key NAME HASH",
+		Short: "Remove a key of a workspace by its SHA-256 hash",
+		Long: "Removes a key of a workspace by its SHA-256 hash, as `rudderctl workspace get NAME` shows it. The hash of a key:\n" +
+			"  printf %s \"$WORKSPACE_KEY\" | sha256sum",
+		Example: "  rudderctl workspace remove-key umuvumu-01 5f0c...",
+		Args:    exactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return c.change(cmd, &options, http.MethodDelete, "/workspaces/"+args[0]+"/keys/"+args[1], nil)
 		},
--- a/rudderd/rudderadminhttp/api.go
+++ b/rudderd/rudderadminhttp/api.go
@@ -63,6 +63,7 @@
 		{http.MethodGet, "/config", a.getConfig, false},
 		{http.MethodPut, "/config", a.putConfig, true},
 		{http.MethodPost, "/config/apply", a.applyConfig, true},
+		{http.MethodPost, "/config/rollback", a.rollbackConfig, true},
 		{http.MethodPost, "/config/await", a.awaitConfig, false},
 		{http.MethodGet, "/config/history", a.history, false},
 		{http.MethodGet, "/config/history/:version", a.version, false},
--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -77,7 +77,14 @@
 		},
 		Merge: func(base, _ *rudderconfig.Document) *rudderconfig.Document { return base },
 		Diff:  func(_, _ *rudderconfig.Document) []string { return []string{"changed"} },
-		Version: func(context.Context, int64) (*rudderconfig.Document, error) {
+		Version: func(_ context.Context, version int64) (*rudderconfig.Document, error) {
+			if version == 5 {
+				return &rudderconfig.Document{
+					Version: 5, Hosts: []rudderconfig.HostSettings{{Name: "h5"}},
+					Operators:  []rudderconfig.Operator{{Name: "old", TokenHash: HashOf("token-old"), Role: rudderconfig.RoleAdmin}},
+					Workspaces: []rudderconfig.Workspace{{Name: "kigali", Firm: "umuvumu", KeyHashes: []string{HashOf("revoked")}}, {Name: "gone", Firm: "umuvumu", KeyHashes: []string{HashOf("gone")}}},
+				}, nil
+			}
 			return nil, errors.Wrap(rudderstore.ErrNotFound, "history")
 		},
 		Hosts: func(context.Context) ([]rudderadmin.Host, error) { return []rudderadmin.Host{{Name: "h1"}}, nil },
@@ -131,6 +138,10 @@
 		{"not JSON", "PATCH", "/hosts/h1/labels", "token-admin", "", "{", 400, "invalid"},
 		{"invalid document", "PUT", "/selectors/notes", "token-admin", "", `{"name":"notes","firm":"umuvumu"}`, 422, "invalid"},
 		{"name differs", "PUT", "/selectors/notes", "token-admin", "", `{"name":"other"}`, 400, "invalid"},
+		{"rollback to an unknown version", "POST", "/config/rollback?version=3", "token-admin", "", "", 404, "not_found"},
+		{"editor rolls other parts back", "POST", "/config/rollback?version=5", "token-editor", "", "", 403, "forbidden"},
+		{"wrong method", "DELETE", "/config", "token-admin", "", "", 405, "method_not_allowed"},
+		{"encoded slash in a name", "PATCH", "/hosts/h1%2F..%2Fh1/labels", "token-admin", "", label, 404, "not_found"},
 		{"dry run", "PATCH", "/hosts/h1/labels?dry_run=true", "token-admin", "", label, 200, ""},
 	}
 	for _, test := range tests {
@@ -208,3 +219,26 @@
 	status, _ = call(t, s, "GET", "/config", "token-bootstrap", "", "")
 	require.Equal(t, 401, status)
 }
+
+// Guards against a rollback that makes removed keys and tokens work again, or that moves the version back.
+func TestRollbackKeepsCredentials(t *testing.T) {
+	s, k := testServer(t)
+	operators := k.current().Operators
+	status, body := call(t, s, "POST", "/config/rollback?version=5", "token-admin", "", "")
+	require.Equal(t, 200, status, body)
+	now := k.current()
+	require.Equal(t, int64(8), now.Version)
+	require.Equal(t, "go back to version 5", now.Summary)
+	require.Equal(t, "h5", now.Hosts[0].Name)
+	require.Equal(t, operators, now.Operators)
+	require.Equal(t, []string{HashOf("k")}, now.Workspaces[0].KeyHashes)
+	require.Empty(t, now.Workspaces[1].KeyHashes)
+}
+
+// Guards against an operator's summary that only some changes record.
+func TestEveryChangeTakesASummary(t *testing.T) {
+	s, k := testServer(t)
+	status, body := call(t, s, "PUT", "/hosts/h1/drain?summary=new+fan", "token-admin", "", "")
+	require.Equal(t, 200, status, body)
+	require.Equal(t, "new fan", k.current().Summary)
+}
--- a/rudderd/rudderadminhttp/change.go
+++ b/rudderd/rudderadminhttp/change.go
@@ -57,7 +57,7 @@
 	if err := checkScope(operatorOf(c), before, after); err != nil {
 		return rudderadmin.ChangeResult{}, err
 	}
-	return a.write(c, expected, before, after, summary)
+	return a.write(c, expected, before, after, summaryOf(c, summary))
 }
 
 // write checks the document and writes it, unless the call is a dry run.
@@ -167,6 +167,18 @@
 	}
 }
 
+// codeOf names the statuses that the server itself answers.
+func codeOf(status int) string {
+	switch status {
+	case http.StatusNotFound:
+		return rudderadmin.CodeNotFound
+	case http.StatusMethodNotAllowed:
+		return rudderadmin.CodeMethodNotAllowed
+	default:
+		return rudderadmin.CodeInvalid
+	}
+}
+
 // handleError writes any error in the admin API's format.
 func (a *API) handleError(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -178,8 +190,8 @@
 	case errors.As(err, &failure):
 	case errors.As(err, &httpError):
 		failure = &rudderadmin.Error{
-			Status: httpError.Code, Code: rudderadmin.CodeNotFound, Message: http.StatusText(httpError.Code),
-			NextStep: "see docs/operators.md for the paths",
+			Status: httpError.Code, Code: codeOf(httpError.Code), NextStep: "see docs/operators.md for the paths",
+			Message: http.StatusText(httpError.Code) + ": " + c.Request().Method + " " + c.Request().URL.EscapedPath(),
 		}
 	default:
 		failure = &rudderadmin.Error{Status: http.StatusInternalServerError, Code: rudderadmin.CodeUnknown, Message: err.Error(), NextStep: "try again"}
--- a/rudderd/rudderadminhttp/config.go
+++ b/rudderd/rudderadminhttp/config.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	return a.edit(c, summaryOf(c, "replace the configuration"), func(document *rudderconfig.Document) error {
+	return a.edit(c, "replace the configuration", func(document *rudderconfig.Document) error {
 		keep := *document
 		*document = *wanted
 		document.Version, document.ChangedBy, document.ChangedAt = keep.Version, keep.ChangedBy, keep.ChangedAt
@@ -83,12 +83,36 @@
 	if err != nil {
 		return err
 	}
-	return a.edit(c, summaryOf(c, "apply a file"), func(document *rudderconfig.Document) error {
+	return a.edit(c, "apply a file", func(document *rudderconfig.Document) error {
 		*document = *a.Merge(document, partial)
 		return nil
 	})
 }
 
+// rollbackConfig writes an earlier version as the next one. Operators and keys stay as they are now, so
+// that a token or key that was removed since then does not work again.
+func (a *API) rollbackConfig(c echo.Context) error {
+	earlier, err := a.readVersion(c, c.QueryParam("version"))
+	if err != nil {
+		return err
+	}
+	summary := "go back to version " + strconv.FormatInt(earlier.Version, 10)
+	return a.edit(c, summary, func(document *rudderconfig.Document) error {
+		now := *document
+		*document = *earlier
+		document.Version, document.ChangedBy, document.ChangedAt = now.Version, now.ChangedBy, now.ChangedAt
+		document.Operators = now.Operators
+		for i := range document.Workspaces {
+			w := &document.Workspaces[i]
+			w.KeyHashes = []string{}
+			if j := find(now.Workspaces, w.Name, workspaceName); j >= 0 {
+				w.KeyHashes = now.Workspaces[j].KeyHashes
+			}
+		}
+		return nil
+	})
+}
+
 // summaryOf takes the operator's own summary of a change, if there is one.
 func summaryOf(c echo.Context, fallback string) string {
 	const longest = 200
--- a/rudderd/rudderapp/admin.go
+++ b/rudderd/rudderapp/admin.go
@@ -37,14 +37,15 @@
 
 func (a *App) adminHealth(c echo.Context) error {
 	permit := a.keeper.Permit(a.Clock.Now())
-	status := http.StatusOK
+	status, reason := http.StatusOK, ""
 	if permit != nil {
-		status = http.StatusServiceUnavailable
+		status, reason = http.StatusServiceUnavailable, permit.Error()
 	}
 	return c.JSON(status, struct {
-		ConfigVersion int64 `json:"config_version"`
-		Permit        bool  `json:"permit"`
-	}{a.keeper.Version().Number, permit == nil})
+		ConfigVersion int64  `json:"config_version"`
+		Permit        bool   `json:"permit"`
+		Reason        string `json:"reason,omitempty"`
+	}{a.keeper.Version().Number, permit == nil, reason})
 }
 
 // configHistory lists the kept versions, newest first.
--- a/rudderd/rudderapp/reports.go
+++ b/rudderd/rudderapp/reports.go
@@ -141,6 +141,9 @@
 		PermitRule: string(a.keeper.Rule()), EntryHosts: a.entryReports(now), Selectors: []rudderadmin.SelectorStatus{},
 		Hosts: len(situation.Hosts), Stranded: []string{},
 	}
+	if err := a.keeper.Permit(now); err != nil {
+		status.Permit, status.PermitReason = false, err.Error()
+	}
 	if situation.Config == nil {
 		return status, nil
 	}
--- a/shared/rudderadmin/types.go
+++ b/shared/rudderadmin/types.go
@@ -19,14 +19,15 @@
 
 // Codes of errors.
 const (
-	CodeConflict     = "conflict"
-	CodeInvalid      = "invalid"
-	CodeNotFound     = "not_found"
-	CodeForbidden    = "forbidden"
-	CodeUnauthorized = "unauthorized"
-	CodeUnavailable  = "unavailable"
-	CodeNoMajority   = "no_majority"
-	CodeUnknown      = "outcome_unknown"
+	CodeConflict         = "conflict"
+	CodeInvalid          = "invalid"
+	CodeNotFound         = "not_found"
+	CodeMethodNotAllowed = "method_not_allowed"
+	CodeForbidden        = "forbidden"
+	CodeUnauthorized     = "unauthorized"
+	CodeUnavailable      = "unavailable"
+	CodeNoMajority       = "no_majority"
+	CodeUnknown          = "outcome_unknown"
 )
 
 // Finding is one fault or doubt about a document.
@@ -160,14 +161,16 @@
 
 // Status sums up the system as one entry host sees it.
 type Status struct {
-	Entry         string           `json:"entry"`
-	ConfigVersion int64            `json:"config_version"`
-	Permit        bool             `json:"permit"`
-	PermitRule    string           `json:"permit_rule"`
-	EntryHosts    []EntryHost      `json:"entry_hosts"`
-	Selectors     []SelectorStatus `json:"selectors"`
-	Hosts         int              `json:"hosts"`
-	Stranded      []string         `json:"stranded"`
+	Entry         string `json:"entry"`
+	ConfigVersion int64  `json:"config_version"`
+	Permit        bool   `json:"permit"`
+	PermitRule    string `json:"permit_rule"`
+	// PermitReason says why no permit is held.
+	PermitReason string           `json:"permit_reason,omitempty"`
+	EntryHosts   []EntryHost      `json:"entry_hosts"`
+	Selectors    []SelectorStatus `json:"selectors"`
+	Hosts        int              `json:"hosts"`
+	Stranded     []string         `json:"stranded"`
 }
 
 // NewKey is the answer to the making of a workspace key. The key is shown only here.
