--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -235,7 +235,7 @@
 	decision, err := d.Claim(ctx, request)
 	if err != nil {
 		if !errors.Is(err, rudderclaim.ErrUnavailable) {
-			d.Logger.Error().Err(err).Str("request", call.RequestID).Msg("claim failed")
+			d.Logger.Error().Err(err).Str("request_id", call.RequestID).Msg("claim failed")
 		}
 		return notRun(http.StatusServiceUnavailable, CodeClaimUnavailable, "the idempotency key could not be recorded")
 	}
