--- a/rudderstand/rudderstandapp/up.go
+++ b/rudderstand/rudderstandapp/up.go
@@ -17,17 +17,20 @@
 // newUp runs a fleet with entry hosts until it is interrupted.
 func newUp(stdout, stderr io.Writer) *cobra.Command {
 	var layout string
-	var logs bool
+	var logs, bare bool
 	command := &cobra.Command{
 		Use:     "up",
 		Short:   "Run a fleet with entry hosts until interrupted and print how to reach it as one JSON line",
-		Example: "  rudderstand up --layout small\n  rudderstand up --layout two-firms --logs",
+		Example: "  rudderstand up --layout small\n  rudderstand up --layout two-firms --logs\n  rudderstand up --layout small --bare",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			scene, err := newScene(layout)
 			if err != nil {
 				return err
 			}
+			if bare {
+				scene.Places, scene.Fleet.NoConfig = nil, true
+			}
 			if logs {
 				scene.Logs = stderr
 			}
@@ -45,6 +48,7 @@
 		},
 	}
 	command.Flags().StringVar(&layout, "layout", "two-firms", "fleet to run: small or two-firms")
+	command.Flags().BoolVar(&bare, "bare", false, "no entry hosts and no configuration: only the environment, for rudderd processes of your own")
 	command.Flags().BoolVar(&logs, "logs", false, "write the entry hosts' log lines to standard error")
 	return command
 }
