Record a written-back configuration in the history

After the key-value service came back in an older state, the version that was written back was in force and missing from the history, so it could be neither read, compared nor gone back to. The entry host that writes the configuration back now writes its history entry too.

--- a/rudderd/rudderchange/events_test.go
+++ b/rudderd/rudderchange/events_test.go
@@ -122,6 +122,9 @@
 			_, v, err := parse(entry.Value)
 			require.NoError(t, err)
 			require.Equal(t, w.accepted, v, "the known version is written back")
+			recorded, _, err := w.platform.get(HistoryKey(2))
+			require.NoError(t, err, "the history has it again")
+			require.Equal(t, entry.Value, recorded.Value)
 		}},
 		{"platform older than before, seen first by a change", func(t *testing.T, w *world) {
 			older := w.platform.snapshot()
--- a/rudderd/rudderchange/platform.go
+++ b/rudderd/rudderchange/platform.go
@@ -183,14 +183,19 @@
 // writeBack puts the adopted document, with its own version, in place of what the platform has.
 // Another write in between is left alone: the next read judges it.
 func (k *Keeper) writeBack(ctx context.Context, seen found) error {
-	_, raw := k.stored()
+	version, raw := k.stored()
 	ctx, cancel := context.WithTimeout(ctx, k.storeTimeout())
 	defer cancel()
 	_, err := k.Store.Put(ctx, rudderstore.PutRequest{Key: rudderconfig.Key, Value: raw, Expected: seen.revision})
 	if errors.Is(err, rudderstore.ErrConflict) {
 		return nil
 	}
-	return errors.Wrap(err, "write the configuration back to a platform with an older state")
+	if err != nil {
+		return errors.Wrap(err, "write the configuration back to a platform with an older state")
+	}
+	// The older state has no history of this version either.
+	k.report(k.writeHistory(ctx, version, raw))
+	return nil
 }
 
 // resolve chooses between two documents with the same version, of which at most one was accepted. The
