Count only groups that take work as serving in operators' reports

With all hosts of three data centres dark, status said 8 of 8 groups serving and why-not said that the group was in service, while every request was refused with no_group: the reports went by the plan, which nobody rewrites when all hosts are silent. They now go by the fleet's view, and explain and why-not name why a group takes no work.

--- /dev/null
+++ b/rudderd/rudderapp/outofservice_test.go
@@ -0,0 +1,38 @@
+package rudderapp
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/rudderplan"
+	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/ruddergroup"
+)
+
+// Guards against reports that count groups as serving while their silent hosts keep them from any work.
+func TestReportsGoByWhatTakesWork(t *testing.T) {
+	group := func(id string, state ruddergroup.State, why rudderfleet.Why) rudderfleet.GroupReport {
+		return rudderfleet.GroupReport{Domain: "d", Why: why, Group: ruddergroup.Group{ID: id, Selector: "notes", State: state}}
+	}
+	groups := []rudderfleet.GroupReport{
+		group("g1", ruddergroup.StateServing, ""),
+		group("g2", ruddergroup.StateServing, rudderfleet.WhyOldReport),
+		group("g3", ruddergroup.StateDraining, rudderfleet.WhyDraining),
+	}
+	require.Equal(t, 1, servingGroups("notes", groups))
+	require.Equal(t, 0, servingGroups("cues", groups))
+
+	e := rudderadmin.Explanation{Selector: "notes", Domains: []rudderadmin.DomainShare{{Domain: "d", Serving: 2, Draining: 1}}}
+	outOfService(&e, groups)
+	require.Equal(t, 1, e.Domains[0].Serving)
+	require.Len(t, e.Reasons, 1)
+	require.Equal(t, "g2", e.Reasons[0].Group)
+
+	serving := string(rudderplan.CodeServing)
+	reasons := correctServing([]rudderadmin.Reason{{Code: serving, Group: "g1"}, {Code: serving, Group: "g2"}}, groups)
+	require.Equal(t, serving, reasons[0].Code)
+	require.Equal(t, string(rudderfleet.WhyOldReport), reasons[1].Code)
+	require.Contains(t, reasons[1].Text, "too old")
+}
--- a/rudderd/rudderapp/reports.go
+++ b/rudderd/rudderapp/reports.go
@@ -52,6 +52,7 @@
 	for _, d := range e.Domains {
 		explanation.Domains = append(explanation.Domains, rudderadmin.DomainShare(d))
 	}
+	outOfService(&explanation, a.fleet.Groups(situation.Now))
 	return explanation, true, nil
 }
 
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return reasonsOf(situation.WhyNot(host)), nil
+	return correctServing(reasonsOf(situation.WhyNot(host)), a.fleet.Groups(situation.Now)), nil
 }
 
 func reasonsOf(reasons []rudderplan.Reason) []rudderadmin.Reason {
@@ -150,9 +151,7 @@
 	for _, s := range situation.Config.Selectors {
 		e, _ := situation.Explain(s.Name)
 		summary := rudderadmin.SelectorStatus{Name: s.Name, Active: e.Active, Wanted: e.Wanted, Missing: e.Missing}
-		for _, d := range e.Domains {
-			summary.Serving += d.Serving
-		}
+		summary.Serving = servingGroups(s.Name, a.fleet.Groups(now))
 		status.Selectors = append(status.Selectors, summary)
 	}
 	for _, h := range a.fleet.Stranded(now, situation.Hosts) {
