Add rudderctl host fencing and name the host in label warnings

Declaring fencing checks with apply replaced the host's whole entry and dropped its labels; the dry run showed the labels going. The command changes the declaration only. The warning about a label of the platform named the entry by number, which an operator cannot look up.

--- a/rudderctl/rudderctlapp/host.go
+++ b/rudderctl/rudderctlapp/host.go
@@ -13,7 +13,7 @@
 )
 
 func (c *control) hostCommand() *cobra.Command {
-	return newParent("host", "List hosts and change their labels", c.hostList(), c.hostLabel())
+	return newParent("host", "List hosts, change their labels, and declare which check fencing numbers", c.hostList(), c.hostLabel(), c.hostFencing())
 }
 
 type hostsAnswer struct {
@@ -71,6 +71,29 @@
 	return command
 }
 
+func (c *control) hostFencing() *cobra.Command {
+	var options changeOptions
+	var off bool
+	command := &cobra.Command{
+		Use:   "fencing HOST",
+		Short: "Declare that a host's engine refuses orders with an old fencing number",
+		Long: "Declares that a host's engine refuses orders with an old fencing number. A new planner then need not wait for\n" +
+			"old orders to expire before it sends orders to this host. Declare it only for engines that do check.",
+		Example: "  rudderctl host fencing kgl-1-a-03\n  rudderctl host fencing kgl-1-a-03 --off",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			method := http.MethodPut
+			if off {
+				method = http.MethodDelete
+			}
+			return c.change(cmd, &options, method, "/hosts/"+args[0]+"/fencing", nil)
+		},
+	}
+	options.addFlags(command)
+	command.Flags().BoolVar(&off, "off", false, "withdraw the declaration")
+	return command
+}
+
 func parseLabels(arguments []string) (rudderadmin.LabelChange, error) {
 	change := rudderadmin.LabelChange{Set: map[string]string{}}
 	for _, argument := range arguments {
--- a/rudderctl/rudderctlapp/rudderctl_test.go
+++ b/rudderctl/rudderctlapp/rudderctl_test.go
@@ -56,6 +56,8 @@
 	}{
 		{[]string{"host", "label", "h1", "a=b", "c-"}, "PATCH", "/hosts/h1/labels", "", `{"set":{"a":"b"},"remove":["c"]}`},
 		{[]string{"drain", "h1", "--dry-run"}, "PUT", "/hosts/h1/drain", "dry_run=true", ""},
+		{[]string{"host", "fencing", "h1"}, "PUT", "/hosts/h1/fencing", "", ""},
+		{[]string{"host", "fencing", "h1", "--off"}, "DELETE", "/hosts/h1/fencing", "", ""},
 		{[]string{"undrain", "h1"}, "DELETE", "/hosts/h1/drain", "", ""},
 		{[]string{"selector", "apply", "-f", file, "--summary", "x"}, "PUT", "/selectors/night", "summary=x", `"group_size":2`},
 		{[]string{"selector", "delete", "night"}, "DELETE", "/selectors/night", "", ""},
--- a/rudderd/rudderadminhttp/api.go
+++ b/rudderd/rudderadminhttp/api.go
@@ -72,6 +72,8 @@
 		{http.MethodPatch, "/hosts/:name/labels", a.labelHost, true},
 		{http.MethodPut, "/hosts/:name/drain", a.drainHost, true},
 		{http.MethodDelete, "/hosts/:name/drain", a.undrainHost, true},
+		{http.MethodPut, "/hosts/:name/fencing", a.declareFencing, true},
+		{http.MethodDelete, "/hosts/:name/fencing", a.withdrawFencing, true},
 		{http.MethodGet, "/selectors", a.selectors, false},
 		{http.MethodGet, "/selectors/:name", a.selector, false},
 		{http.MethodPut, "/selectors/:name", a.putSelector, true},
--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -130,6 +130,7 @@
 		{"viewer changes", "PATCH", "/hosts/h1/labels", "token-viewer", "", label, 403, "forbidden"},
 		{"editor changes another firm", "DELETE", "/selectors/cues", "token-editor", "", "", 403, "forbidden"},
 		{"editor makes an operator", "PUT", "/config", "token-editor", "", `{"operators":[{"name":"eve","role":"admin"}]}`, 403, "forbidden"},
+		{"editor declares fencing", "PUT", "/hosts/h1/fencing", "token-editor", "", "", 403, "forbidden"},
 		{"unknown host", "PATCH", "/hosts/h2/labels", "token-admin", "", label, 404, "not_found"},
 		{"unknown selector", "DELETE", "/selectors/none", "token-admin", "", "", 404, "not_found"},
 		{"unknown version", "GET", "/config/history/3", "token-admin", "", "", 404, "not_found"},
@@ -185,6 +186,10 @@
 	require.Equal(t, rudderconfig.HostSettings{Name: "h1", Labels: map[string]string{"tier": "fast"}, Drain: true}, k.current().Hosts[0])
 	require.Equal(t, "drain host h1", k.current().Summary)
 
+	status, _ = call(t, s, "PUT", "/hosts/h1/fencing", "token-admin", "", "")
+	require.Equal(t, 200, status)
+	require.Equal(t, rudderconfig.HostSettings{Name: "h1", Labels: map[string]string{"tier": "fast"}, Drain: true, ChecksFencing: true}, k.current().Hosts[0])
+
 	status, body = call(t, s, "POST", "/workspaces/kigali/keys", "token-editor", "", "")
 	require.Equal(t, 200, status, body)
 	var made rudderadmin.NewKey
--- a/rudderd/rudderadminhttp/items.go
+++ b/rudderd/rudderadminhttp/items.go
@@ -88,6 +88,15 @@
 	return a.editHost(c, "undrain host", func(host *rudderconfig.HostSettings) { host.Drain = false })
 }
 
+// declareFencing records that the host's engine refuses orders with an old fencing number.
+func (a *API) declareFencing(c echo.Context) error {
+	return a.editHost(c, "declare fencing checks of host", func(host *rudderconfig.HostSettings) { host.ChecksFencing = true })
+}
+
+func (a *API) withdrawFencing(c echo.Context) error {
+	return a.editHost(c, "withdraw fencing checks of host", func(host *rudderconfig.HostSettings) { host.ChecksFencing = false })
+}
+
 func (a *API) selectors(c echo.Context) error {
 	document, err := a.current()
 	if err != nil {
--- a/shared/rudderconfig/validate.go
+++ b/shared/rudderconfig/validate.go
@@ -146,7 +146,7 @@
 	for i, h := range items {
 		for _, label := range builtIn {
 			if _, ok := h.Labels[label]; ok {
-				v.warn(RuleNoEffect, fmt.Sprintf("hosts[%d].labels.%s", i, label), "the label is set by the platform")
+				v.warn(RuleNoEffect, fmt.Sprintf("hosts[%d].labels.%s", i, label), "host %q: the platform sets this label, so the value here has no effect", h.Name)
 			}
 		}
 	}
