Lengthen the times of the fault matrix's tests on busy machines

With the race detector, another matrix and other work beside it (load average 46 on 10 cores) TestSubset failed 2 of 2 runs: fleets did not get ready within 25 s, because confirmations (1 s) and permits (1.2 s) ran out. It had passed 7 of 8 runs at a load of about 14.

The tests take twice the times.

--- a/rudderstand/rudderfaults/cell.go
+++ b/rudderstand/rudderfaults/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"sync"
 	"time"
 
@@ -51,10 +50,9 @@
 	eventPoll   = 20 * time.Millisecond
 )
 
-// Run runs the cell in a world of its own. Log lines go to logs unless it is nil.
-func (c Cell) Run(entries int, logs io.Writer) Result {
+// Run runs the cell in a world that was not started yet, and closes it.
+func (c Cell) Run(w *World) Result {
 	began := time.Now()
-	w := &World{Entries: entries, Logs: logs}
 	defer w.Close()
 	err := c.run(w)
 	return Result{Cell: c, Err: err, Violations: w.Violations(), Took: time.Since(began)}
--- a/rudderstand/rudderfaults/history.go
+++ b/rudderstand/rudderfaults/history.go
@@ -49,12 +49,15 @@
 // maxFaults bounds the faults at a time: the design promises nothing about availability beyond two.
 const maxFaults = 2
 
+// historyScale is that of the subset of the matrix, for the same reason.
+const historyScale = 2
+
 // History is a list of events that befalls a world.
 type History []Event
 
 // Run plays the history, heals everything and returns what was wrong.
 func (h History) Run(entries int, logs io.Writer) ([]rudderoracle.Violation, error) {
-	w := &World{Entries: entries, Logs: logs}
+	w := &World{Entries: entries, Logs: logs, Scale: historyScale}
 	defer w.Close()
 	w.watchCollector()
 	if err := w.Start(); err != nil {
--- a/rudderstand/rudderfaults/matrix.go
+++ b/rudderstand/rudderfaults/matrix.go
@@ -123,6 +123,8 @@
 type Runner struct {
 	Entries  int
 	Parallel int
+	// Scale is that of World.
+	Scale int
 	// OnResult is told each result as soon as it is there, one at a time.
 	OnResult func(Result)
 }
@@ -136,7 +138,7 @@
 	for range min(r.Parallel, len(cells)) {
 		working.Go(func() {
 			for i := range next {
-				result := cells[i].Run(r.Entries, nil)
+				result := cells[i].Run(&World{Entries: r.Entries, Scale: r.Scale})
 				mu.Lock()
 				results[i] = result
 				if r.OnResult != nil {
