Keep callers off the control API of plain services

A caller's path below /v1/services/SERVICE was passed on as it was, so /v1/services/ledger//control/orders reached the API on which the service's host takes orders from planners, and /control/status answered with the host's state (seen with curl against the stand-ins). Dot segments went through as well. Paths below /control are now refused with 404 and dot segments with 400, both as not run, however they are escaped.

--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -207,6 +207,21 @@
 	require.Equal(t, "complete", got.trailer.Get(HeaderOutcome))
 }
 
+// Guards against callers who send orders to the host of a service through its control API.
+func TestServicePathsStayOffTheControlAPI(t *testing.T) {
+	for _, path := range []string{
+		"control/orders", "/control/orders", "//control", "%2Fcontrol/status", "%63ontrol/orders", "Control/status",
+		"../control/orders", "a/../../control", "%2e%2e/control", "a/%2e/b", "..%2fcontrol", `..%5ccontrol`,
+	} {
+		got := do(t, testAPI(), "POST", "/v1/services/ledger/"+path, "key-kigali", "{}")
+		require.Contains(t, []int{400, 404}, got.status, path)
+		require.Equal(t, "not_run", got.header.Get(HeaderOutcome), path)
+	}
+	for _, path := range []string{"payments/control", "controls", "a..b/c", "a%2Fb", "a%20b"} {
+		require.Equal(t, 201, do(t, testAPI(), "POST", "/v1/services/ledger/"+path, "key-kigali", "{}").status, path)
+	}
+}
+
 // Guards against a service answer that loses its status or its outcome.
 func TestServiceAnswerIsPassedOn(t *testing.T) {
 	got := do(t, testAPI(), "POST", "/v1/services/ledger/payments", "key-kigali", "{}")
--- a/rudderd/rudderhttp/service.go
+++ b/rudderd/rudderhttp/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -22,6 +23,9 @@
 	if declared.Firm != workspace.Firm {
 		return refuse(http.StatusForbidden, "service_of_other_firm", "the service belongs to another firm", "use a key of that firm")
 	}
+	if err := checkServicePath(c.Param("*")); err != nil {
+		return err
+	}
 	body, err := a.readBody(c)
 	if err != nil {
 		return err
@@ -38,6 +42,29 @@
 	return writeServiceAnswer(c, answer)
 }
 
+// controlSegment is the first part of the paths on which a host of a service takes orders from planners.
+const controlSegment = "control"
+
+// checkServicePath refuses paths that would lead a caller to the control API of a host, and dot segments,
+// with which a service or a library on the way could be led there. The path may be escaped.
+func checkServicePath(path string) error {
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		decoded = path // echo has decoded it
+	}
+	first := true
+	for segment := range strings.FieldsFuncSeq(decoded, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if segment == "." || segment == ".." {
+			return refuse(http.StatusBadRequest, "invalid_request", "the path has dot segments", "send the path in its short form")
+		}
+		if first && strings.EqualFold(segment, controlSegment) {
+			return refuse(http.StatusNotFound, "not_found", "paths below /"+controlSegment+" of a service are not open to callers", "use a path of the service")
+		}
+		first = false
+	}
+	return nil
+}
+
 func writeServiceAnswer(c echo.Context, answer ServiceAnswer) error {
 	header := c.Response().Header()
 	for name, values := range answer.Header {
