Refuse misspelt fields, unknown dry_run values and large bodies in the admin API

A PATCH of labels with a misspelt field was accepted as a change without effect, and dry_run=yes made a real change. Bodies of single items had no size limit, and a large one was answered 400. Refusals of bad, used or expired idempotency keys told the caller to send the same call again; they name what to do instead.

--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -143,6 +143,10 @@
 		{"editor rolls other parts back", "POST", "/config/rollback?version=5", "token-editor", "", "", 403, "forbidden"},
 		{"wrong method", "DELETE", "/config", "token-admin", "", "", 405, "method_not_allowed"},
 		{"encoded slash in a name", "PATCH", "/hosts/h1%2F..%2Fh1/labels", "token-admin", "", label, 404, "not_found"},
+		{"dry run with another word", "PATCH", "/hosts/h1/labels?dry_run=yes", "token-admin", "", label, 400, "invalid"},
+		{"misspelt field", "PATCH", "/hosts/h1/labels", "token-admin", "", `{"sett":{"tier":"fast"}}`, 400, "invalid"},
+		{"two values", "PATCH", "/hosts/h1/labels", "token-admin", "", label + label, 400, "invalid"},
+		{"body too large", "PUT", "/config", "token-admin", "", strings.Repeat(" ", maxDocumentBytes+1), 413, "invalid"},
 		{"dry run", "PATCH", "/hosts/h1/labels?dry_run=true", "token-admin", "", label, 200, ""},
 	}
 	for _, test := range tests {
--- a/rudderd/rudderadminhttp/change.go
+++ b/rudderd/rudderadminhttp/change.go
@@ -62,6 +62,10 @@
 
 // write checks the document and writes it, unless the call is a dry run.
 func (a *API) write(c echo.Context, expected int64, before, after *rudderconfig.Document, summary string) (rudderadmin.ChangeResult, error) {
+	dry, err := isDryRun(c)
+	if err != nil {
+		return rudderadmin.ChangeResult{}, err
+	}
 	findings := a.Check(c.Request().Context(), after)
 	if hasErrors(findings) {
 		return rudderadmin.ChangeResult{}, &rudderadmin.Error{
@@ -70,7 +74,7 @@
 		}
 	}
 	result := rudderadmin.ChangeResult{Version: expected, State: rudderadmin.StateDryRun, Diff: a.Diff(before, after), Warnings: findings}
-	if c.QueryParam("dry_run") == "true" {
+	if dry {
 		return result, nil
 	}
 	// The change goes on when the operator's connection is lost, so that its end is logged.
@@ -87,6 +91,19 @@
 	return result, nil
 }
 
+// isDryRun refuses values that it does not know, so that none of them makes a real change.
+func isDryRun(c echo.Context) (bool, error) {
+	text := c.QueryParam("dry_run")
+	if text == "" {
+		return false, nil
+	}
+	dry, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, badRequest("dry_run is neither true nor false")
+	}
+	return dry, nil
+}
+
 func hasErrors(findings []rudderadmin.Finding) bool {
 	for _, f := range findings {
 		if f.Severity == "error" {
--- a/rudderd/rudderadminhttp/config.go
+++ b/rudderd/rudderadminhttp/config.go
@@ -52,12 +52,28 @@
 	return &shown
 }
 
-// readDocument reads the YAML or JSON document in the body.
-func (a *API) readDocument(c echo.Context) (*rudderconfig.Document, error) {
+// readBody reads a body that is not larger than the whole configuration may be.
+func readBody(c echo.Context) ([]byte, error) {
 	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxDocumentBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &rudderadmin.Error{
+			Status: http.StatusRequestEntityTooLarge, Code: rudderadmin.CodeInvalid, NextStep: "send a smaller body",
+			Message: "the body is above " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes, the most that the key-value service holds",
+		}
+	}
 	if err != nil {
 		return nil, badRequest("the body could not be read: " + err.Error())
 	}
+	return text, nil
+}
+
+// readDocument reads the YAML or JSON document in the body.
+func (a *API) readDocument(c echo.Context) (*rudderconfig.Document, error) {
+	text, err := readBody(c)
+	if err != nil {
+		return nil, err
+	}
 	document, err := a.Parse(text)
 	if err != nil {
 		return nil, badRequest(err.Error())
--- a/rudderd/rudderadminhttp/items.go
+++ b/rudderd/rudderadminhttp/items.go
@@ -1,7 +1,9 @@
 package rudderadminhttp
 
 import (
+	"bytes"
 	"crypto/rand"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -35,8 +37,18 @@
 
 func bind[T any](c echo.Context) (T, error) {
 	var value T
-	if err := (&echo.DefaultBinder{}).BindBody(c, &value); err != nil {
-		return value, badRequest("the body cannot be read: " + err.Error())
+	text, err := readBody(c)
+	if err != nil {
+		return value, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	// A misspelt field would otherwise be accepted as a change without effect.
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return value, badRequest("the body is not the JSON that this path takes: " + err.Error())
+	}
+	if decoder.More() {
+		return value, badRequest("the body has more than one JSON value")
 	}
 	return value, nil
 }
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -67,11 +67,30 @@
 	return answer
 }
 
+// nextSteps are for refusals that come again if the call is sent as it is.
+var nextSteps = []struct {
+	code rudderservice.Code
+	text string
+}{
+	{rudderservice.CodeBadKey, "correct Idempotency-Key or Idempotency-Key-Time and send the call again"},
+	{rudderservice.CodeKeyRequired, "add an Idempotency-Key and send the call again"},
+	{rudderservice.CodeKeyConflict, "the call did not run; use a new key for another call"},
+	{rudderservice.CodeKeyExpired, "the call did not run now; find out whether it ran when the key was new before using a new key"},
+	{rudderservice.CodeBadRequest, "correct the call"},
+	{rudderservice.CodeBodyTooLarge, "send a smaller body"},
+	{rudderservice.CodeClaimsFull, "the call did not run; use a UUIDv7 key or add Idempotency-Key-Time"},
+}
+
 func serviceRefusal(result rudderservice.Result) *rudderhttp.Refusal {
 	refusal := &rudderhttp.Refusal{
 		Status: result.Status, Code: string(result.Code), Message: result.Reason,
 		Outcome: rudderstream.Outcome(result.Outcome), NextStep: "the call did not run; send it again",
 	}
+	for _, n := range nextSteps {
+		if n.code == result.Code {
+			refusal.NextStep = n.text
+		}
+	}
 	if result.Outcome == rudderservice.OutcomeMayHaveRun {
 		refusal.NextStep = "find out whether the call ran before sending it with a new key"
 		refusal.NoRetry = true
