Keep operators' reports working while the host list is down

With the host list refused, status, why-not, drain and label failed with 503, although entry hosts went on serving from the list that the planner keeps. The admin API now keeps the last list too. An entry host that was never heard showed an age of ms; it shows never. A refusal without a better address no longer points to better_entry.

--- a/rudderctl/rudderctlapp/status.go
+++ b/rudderctl/rudderctlapp/status.go
@@ -31,7 +31,7 @@
 		case !e.Live:
 			state = "silent"
 		}
-		entries.add(e.Name, e.DataCentre, e.CallerAddress, state, e.ConfigVersion, e.InFlight, fmt.Sprintf("%d ms ago", e.AgeMS))
+		entries.add(e.Name, e.DataCentre, e.CallerAddress, state, e.ConfigVersion, e.InFlight, seenText(e.AgeMS))
 	}
 	selectors := &table{header: []string{"SELECTOR", "ACTIVE", "WANTED", "SERVING", "MISSING"}}
 	for _, x := range s.Selectors {
@@ -49,6 +49,13 @@
 	return append(parts, nameLines(s.Stranded)...)
 }
 
+func seenText(ageMS int64) string {
+	if ageMS == rudderadmin.NeverSeen {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", ageMS)
+}
+
 // namesPerLine keeps lines of host names within a usual terminal.
 const namesPerLine = 6
 
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -66,10 +66,11 @@
 	metrics   appMetrics
 	verifier  *rudderpeer.Verifier
 
-	work     workHistory
-	suspects suspects
-	relists  chan struct{} // asks for a read of all plans
-	stopping stopState
+	work      workHistory
+	suspects  suspects
+	lastHosts hostCache
+	relists   chan struct{} // asks for a read of all plans
+	stopping  stopState
 	// lifetime is the context of Run, for requests that outlive their caller's connection.
 	lifetime context.Context
 	end      context.CancelFunc
--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -49,10 +49,14 @@
 
 // notReady names another entry host, so that the caller need not ask for one.
 func (a *App) notReady(code, message string) *rudderhttp.Refusal {
+	better := a.betterEntry()
+	next := "send the request to the address in better_entry, or ask GET /v1/entries at another address"
+	if better == "" {
+		next = "ask GET /v1/entries at another address and send the request there"
+	}
 	return &rudderhttp.Refusal{
-		Status: http.StatusServiceUnavailable, Code: code, Message: message,
-		NextStep: "send the request to the address in better_entry, or ask GET /v1/entries at another address",
-		Outcome:  rudderstream.OutcomeNotRun, RetryAfter: time.Second, BetterEntry: a.betterEntry(),
+		Status: http.StatusServiceUnavailable, Code: code, Message: message, NextStep: next,
+		Outcome: rudderstream.OutcomeNotRun, RetryAfter: time.Second, BetterEntry: better,
 	}
 }
 
--- a/rudderd/rudderapp/reports.go
+++ b/rudderd/rudderapp/reports.go
@@ -13,7 +13,7 @@
 
 // situation gathers what explanations to operators are drawn from.
 func (a *App) situation(ctx context.Context) (rudderplan.Situation, error) {
-	hosts, err := a.hosts.Hosts(ctx)
+	hosts, err := a.lastHosts.read(ctx, a.hosts.Hosts)
 	if err != nil {
 		return rudderplan.Situation{}, err
 	}
@@ -100,7 +100,7 @@
 
 // hostReports lists the platform's hosts with the operators' settings and their groups.
 func (a *App) hostReports(ctx context.Context) ([]rudderadmin.Host, error) {
-	hosts, err := a.hosts.Hosts(ctx)
+	hosts, err := a.lastHosts.read(ctx, a.hosts.Hosts)
 	if err != nil {
 		return nil, err
 	}
@@ -167,12 +167,16 @@
 	}
 	reports := []rudderadmin.EntryHost{}
 	for _, m := range a.node.Members() {
-		entry, _ := a.node.Entry(m.Name)
+		entry, heard := a.node.Entry(m.Name)
+		age := entry.Age(now).Milliseconds()
+		if !heard {
+			age = rudderadmin.NeverSeen
+		}
 		version, _ := entry.Config()
 		reports = append(reports, rudderadmin.EntryHost{
 			Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, CallerAddress: m.CallerAddress,
 			Live: live[m.Name], Leaving: entry.Leaving(), ConfigVersion: version.Number,
-			InFlight: entry.Load().InFlight, AgeMS: entry.Age(now).Milliseconds(),
+			InFlight: entry.Load().InFlight, AgeMS: age,
 		})
 	}
 	return reports
--- a/shared/rudderadmin/types.go
+++ b/shared/rudderadmin/types.go
@@ -150,6 +150,9 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
+// NeverSeen is the age of an entry host that this one has not heard of yet.
+const NeverSeen = -1
+
 // SelectorStatus sums up one selector.
 type SelectorStatus struct {
 	Name    string `json:"name"`
