--- a/rudderd/rudderapp/burn.go
+++ b/rudderd/rudderapp/burn.go
@@ -66,18 +66,11 @@
 // sampleDowntime measures how long groups that should serve are missing. Only selectors with a wanted
 // number count: the others have no number to miss.
 func (a *App) sampleDowntime(ctx context.Context) error {
-	ticker := a.Clock.NewTicker(downtimeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			if document := a.keeper.Current(); document != nil {
-				a.fleet.SampleDowntime(a.Clock.Now(), wantedNow(document, a.Clock.Now()))
-			}
+	return a.every(ctx, downtimeInterval, func(context.Context) {
+		if document := a.keeper.Current(); document != nil {
+			a.fleet.SampleDowntime(a.Clock.Now(), wantedNow(document, a.Clock.Now()))
 		}
-	}
+	})
 }
 
 func wantedNow(document *rudderconfig.Document, now time.Time) map[string]int {
--- a/rudderd/rudderapp/cache.go
+++ b/rudderd/rudderapp/cache.go
@@ -17,16 +17,7 @@
 // which prompt prefix.
 func (a *App) followCaches(ctx context.Context) error {
 	seen := make(map[string]int64)
-	ticker := a.Clock.NewTicker(cacheInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			seen = a.readCaches(ctx, seen)
-		}
-	}
+	return a.every(ctx, cacheInterval, func(ctx context.Context) { seen = a.readCaches(ctx, seen) })
 }
 
 // readCaches reads the events after those that were seen, and returns the numbers of the newest ones.
