Expect 413 for an oversized document in the hostile calls

The admin API now tells an oversized body apart from an unreadable one: 413 in place of 400. The check stays as strict: one status, one code, no effect.

--- a/rudderstand/rudderfaults/hostile_test.go
+++ b/rudderstand/rudderfaults/hostile_test.go
@@ -119,7 +119,7 @@
 		{"version of the future", "PUT", admin, config, rudderfleetstand.OperatorToken, []byte("{}"), []string{"If-Match", "9999"}, 400, rudderadmin.CodeInvalid},
 		{"invalid document", "PUT", admin, config, rudderfleetstand.OperatorToken, []byte(`{"selectors":[{"name":"x"}]}`), nil, 422, rudderadmin.CodeInvalid},
 		{"no document", "PUT", admin, config, rudderfleetstand.OperatorToken, []byte("\x00"), nil, 400, rudderadmin.CodeInvalid},
-		{"document too large", "PUT", admin, config, rudderfleetstand.OperatorToken, big, nil, 400, rudderadmin.CodeInvalid},
+		{"document too large", "PUT", admin, config, rudderfleetstand.OperatorToken, big, nil, 413, rudderadmin.CodeInvalid},
 	}
 	runs, calls := len(w.fleet.Fabric.Ledger.Runs()), len(w.fleet.Calls.Calls())
 	version, _ := e.App.ServingVersion()
