--- a/rudderstand/rudderbench/table.go
+++ b/rudderstand/rudderbench/table.go
@@ -109,6 +109,7 @@
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Section, r.Measure, r.BaselineName, text(r.Baseline), text(r.Now), text(r.Ratio), text(r.Bound), result)
 	}
 	_ = table.Flush() // the writer's error shows in what is printed
+	_, _ = fmt.Fprintln(w, "violations of the promises: see rudderstand faults and rudderstand demo, which are not run here")
 	return missed
 }
 
--- a/rudderstand/ruddercapacity/capacity_latency.go
+++ b/rudderstand/ruddercapacity/capacity_latency.go
@@ -40,10 +40,13 @@
 func (f *Fleet) CompareLatency(requests int) (direct, through Latency, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	var groups []rudderadmin.Group
-	if err := f.Admin().Get(ctx, "/groups", nil, &groups); err != nil {
+	var listed struct {
+		Groups []rudderadmin.Group `json:"groups"`
+	}
+	if err := f.Admin().Get(ctx, "/groups", nil, &listed); err != nil {
 		return direct, through, err
 	}
+	groups := listed.Groups
 	i := slices.IndexFunc(groups, func(g rudderadmin.Group) bool {
 		return g.State == "serving" && strings.HasPrefix(g.Work, rudderfleetstand.ModelLedger)
 	})
