--- a/rudderstand/rudderbench/day_best.go
+++ b/rudderstand/rudderbench/day_best.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"comfreyrudder.example/shared/rudderconfig"
+	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // bestStranded returns the fewest usable hosts of a region that any packing leaves without a group, when
@@ -61,7 +62,7 @@
 	working := map[string]bool{}
 	for _, d := range w.domains {
 		for _, g := range w.plans[d].Groups {
-			if w.whole(g) {
+			if g.State == ruddergroup.StateServing && w.whole(g) {
 				for _, m := range g.Members {
 					working[m.Host] = true
 				}
