--- a/rudderctl/rudderctlapp/host.go
+++ b/rudderctl/rudderctlapp/host.go
@@ -77,8 +77,9 @@
 	command := &cobra.Command{
 		Use:   "fencing HOST",
 		Short: "Declare that a host's engine refuses orders with an old fencing number",
-		Long: "Declares that a host's engine refuses orders with an old fencing number. A new planner then need not wait for\n" +
-			"old orders to expire before it sends orders to this host. Declare it only for engines that do check.",
+		Long: "Declares that a host's engine refuses orders with an old fencing number. Once all engines of\n" +
+			"a fabric domain are declared, its new planner need not wait for old orders to expire. Declare it only for\n" +
+			"engines that do check.",
 		Example: "  rudderctl host fencing kgl-1-a-03\n  rudderctl host fencing kgl-1-a-03 --off",
 		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
