--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -57,7 +57,7 @@
 		}
 		a.recordEnding(q, timing, result)
 		a.Logger.Info().Str("request_id", q.ID).Str("workspace", q.Workspace).Str("model", q.Model).
-			Str("class", string(q.Class)).Int("attempts", timing.Attempts).Int("tokens", timing.Tokens).
+			Str("class", string(q.Class)).Int("attempts", timing.Attempts).Str("group", timing.Group).Int("tokens", timing.Tokens).
 			Dur("wait_ms", timing.Wait).Dur("first_token_ms", timing.FirstToken).Dur("max_gap_ms", timing.MaxGap).
 			Str("outcome", string(result.Outcome)).Str("code", result.Code).Msg("model request ended")
 	}()
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -55,6 +55,7 @@
 	MaxGap     time.Duration
 	Tokens     int
 	Attempts   int
+	Group      string // group of the last attempt; empty if none was sent
 }
 
 // Refusal is an error that carries what the caller is told.
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	s.timing.Wait += slot.Wait
+	s.timing.Group = slot.Group
 	start, before := s.Clock.Now(), s.answer.Received()
 	err = s.dispatch(ctx, slot)
 	slot.Release(Usage{
