--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -21,8 +21,8 @@
 	HostListURL string   `name:"host-list-url" doc:"Base URL of the platform's host list."`
 	Seeds       []string `name:"seeds" doc:"Peer addresses of other entry hosts, comma separated. Lets a host start while the key-value service is down."`
 
-	PeerSecret    string `name:"peer-secret" secret:"true" doc:"Secret shared by all entry hosts that signs calls between them. At least 16 characters."`
-	OldPeerSecret string `name:"old-peer-secret" secret:"true" doc:"Previous peer secret, still accepted while a new one is rolled out."`
+	PeerSecret    string `name:"peer-secret" secret:"true" doc:"Secret shared by all entry hosts that signs calls between them. At least 16 characters. Set it by the environment: flags are visible in process lists."`
+	OldPeerSecret string `name:"old-peer-secret" secret:"true" doc:"Second peer secret that is accepted too. To rotate, first give all hosts the new one here, then exchange the two, then remove the old one."`
 
 	BootstrapTokenHash string `name:"bootstrap-token-hash" doc:"Hex SHA-256 of a token that may write the first configuration. It has no effect once a configuration names operators."`
 
