Tell an unexpected error of the caller API as may_have_run

An error that no controller turned into a refusal was answered 500 with not_run, although nothing is known of what ran. None is known to occur after a dispatch; the safe outcome is may_have_run, without a retry.

--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -229,3 +229,11 @@
 	require.Equal(t, "booked", got.body)
 	require.Equal(t, "complete", got.header.Get(HeaderOutcome))
 }
+
+// Guards against an unexpected error, of which nothing is known, that is told as not run.
+func TestUnexpectedErrorMayHaveRun(t *testing.T) {
+	refusal := asRefusal(io.ErrUnexpectedEOF)
+	require.Equal(t, http.StatusInternalServerError, refusal.Status)
+	require.Equal(t, rudderstream.OutcomeMayHaveRun, refusal.Outcome)
+	require.True(t, refusal.NoRetry)
+}
--- a/rudderd/rudderhttp/refusal.go
+++ b/rudderd/rudderhttp/refusal.go
@@ -129,7 +129,10 @@
 		}
 		return refuse(httpError.Code, "http_error", http.StatusText(httpError.Code), "correct the request")
 	}
-	return refuse(http.StatusInternalServerError, "internal_error", err.Error(), "send the request again at another entry host")
+	// Nothing is known of an unexpected error, so it must not be told as not run.
+	unexpected := refuse(http.StatusInternalServerError, "internal_error", err.Error(), "find out whether the request ran before sending it again")
+	unexpected.Outcome, unexpected.NoRetry = rudderstream.OutcomeMayHaveRun, true
+	return unexpected
 }
 
 // refusalOf turns the failed result of a model request into what the caller is told.
