--- a/rudderd/rudderapp/burn.go
+++ b/rudderd/rudderapp/burn.go
@@ -52,7 +52,7 @@
 	for selector, downtime := range a.fleet.Downtime() {
 		report.GroupDowntimeMS[selector] = downtime.Milliseconds()
 	}
-	hosts, err := a.hosts.Hosts(ctx)
+	hosts, err := a.lastHosts.read(ctx, a.hosts.Hosts)
 	if err != nil {
 		return report, err
 	}
