--- a/rudderctl/rudderctlapp/output.go
+++ b/rudderctl/rudderctlapp/output.go
@@ -74,6 +74,8 @@
 		switch result.State {
 		case rudderadmin.StateDryRun:
 			parts = append(parts, fmt.Sprintf("dry run against version %d, nothing was changed", result.Version))
+		case rudderadmin.StateUnchanged:
+			parts = append(parts, fmt.Sprintf("version %d says so already, nothing was changed", result.Version))
 		case rudderadmin.StatePending:
 			parts = append(parts, fmt.Sprintf("version %d is written and pending at: %s", result.Version, strings.Join(result.Missing, ", ")))
 		default:
--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -76,7 +76,12 @@
 			return &d, json.Unmarshal(text, &d)
 		},
 		Merge: func(base, _ *rudderconfig.Document) *rudderconfig.Document { return base },
-		Diff:  func(_, _ *rudderconfig.Document) []string { return []string{"changed"} },
+		Diff: func(before, after *rudderconfig.Document) []string {
+			if same(before, after) {
+				return nil
+			}
+			return []string{"changed"}
+		},
 		Version: func(_ context.Context, version int64) (*rudderconfig.Document, error) {
 			if version == 5 {
 				return &rudderconfig.Document{
@@ -147,6 +152,7 @@
 		{"misspelt field", "PATCH", "/hosts/h1/labels", "token-admin", "", `{"sett":{"tier":"fast"}}`, 400, "invalid"},
 		{"two values", "PATCH", "/hosts/h1/labels", "token-admin", "", label + label, 400, "invalid"},
 		{"body too large", "PUT", "/config", "token-admin", "", strings.Repeat(" ", maxDocumentBytes+1), 413, "invalid"},
+		{"nothing to change", "PUT", "/selectors/notes", "token-admin", "", `{"name":"notes","firm":"umuvumu","model":"m","group_size":2,"priority":0,"wanted_groups":0}`, 200, ""},
 		{"dry run", "PATCH", "/hosts/h1/labels?dry_run=true", "token-admin", "", label, 200, ""},
 	}
 	for _, test := range tests {
--- a/rudderd/rudderadminhttp/change.go
+++ b/rudderd/rudderadminhttp/change.go
@@ -77,6 +77,10 @@
 	if dry {
 		return result, nil
 	}
+	if len(result.Diff) == 0 && expected > 0 {
+		result.State = rudderadmin.StateUnchanged
+		return result, nil
+	}
 	// The change goes on when the operator's connection is lost, so that its end is logged.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), changeTimeout)
 	defer cancel()
--- a/shared/rudderadmin/types.go
+++ b/shared/rudderadmin/types.go
@@ -15,6 +15,8 @@
 	StateAccepted = "accepted" // in force at every entry host that may serve
 	StatePending  = "pending"  // written, but not every entry host is known to follow it
 	StateDryRun   = "dry_run"  // checked, nothing written
+	// StateUnchanged: the configuration says so already, and no new version was written.
+	StateUnchanged = "unchanged"
 )
 
 // Codes of errors.
