Ask the entry hosts for their claims before a collector grants more

Cause: a claim was only in the key-value service and in the memory of its shard's collector. When the service went back to an older state and the collector was gone, the next collector granted the key again and the payment ran twice.

Change: each entry host remembers the claims that it was granted and the highest head sequence it saw. A collector that begins with a shard, had no contact for 30 s, sees an older state, or is told a higher sequence by a caller asks all live entry hosts (new call Recall) and writes missing claims back before it grants others. A silent entry host holds claims back for 750 ms, once for a collector.

The requests of the random histories now all lie in shard 0, which is the shard that they test, so that the memory finds them.

--- a/rudderd/rudderclaim/claims.go
+++ b/rudderd/rudderclaim/claims.go
@@ -54,6 +54,8 @@
 	peers      map[string]rudderpeer.Claims
 	background chan change
 	suspects   Suspects
+	memory     memory
+	silence    silence
 }
 
 // change is a settlement or release that is retried until it is done.
@@ -86,6 +88,9 @@
 		// A claimed record in memory that is newer than this must not be missing from the head: it would
 		// be taken for lost.
 		c.Limits.ReleasedFor = max(c.Limits.ReleasedFor, c.Limits.Retention)
+		if c.Limits.RecallAfter == 0 {
+			c.Limits.RecallAfter, c.Limits.RecallRetry = recallAfter, recallRetry
+		}
 		if c.PeerTimeout == 0 {
 			c.PeerTimeout = defaultPeerTimeout
 		}
@@ -95,7 +100,7 @@
 			c.collectors[i] = &collector{
 				core:  NewShard(i, c.Limits, newToken),
 				store: c.Store, clock: c.Clock, logger: c.Logger.With().Int("shard", i).Logger(),
-				added: make(chan submission, 64),
+				added: make(chan submission, 64), recall: c.recall,
 			}
 		}
 	})
@@ -114,6 +119,9 @@
 		}
 		return decision, ErrUnavailable
 	}
+	if decision.Verdict == VerdictGranted {
+		c.memory.granted(request, c.Limits, decision.seq, c.Clock.Now())
+	}
 	return decision, nil
 }
 
@@ -125,6 +133,7 @@
 	for _, m := range c.candidates(request) {
 		d, err := c.claimUntilDecided(ctx, m, request)
 		c.noteAnswer(ctx, m.Name, err)
+		c.memory.saw(request.Shard(), d.seq)
 		if err == nil && d.Verdict != VerdictUnavailable && d.Verdict != VerdictPending {
 			return d, unknown
 		}
@@ -192,6 +201,8 @@
 
 // Release withdraws a claim whose call was not dispatched, in the background.
 func (c *Claims) Release(request Request) {
+	c.init()
+	c.memory.released(request)
 	c.enqueue(change{request: request})
 }
 
--- a/rudderd/rudderclaim/claims_test.go
+++ b/rudderd/rudderclaim/claims_test.go
@@ -17,7 +17,7 @@
 )
 
 // entryHosts runs several entry hosts against one store. The index of a host is that in the list.
-func entryHosts(t *testing.T, store *fakeStore, count int) ([]*Claims, []*httptest.Server) {
+func entryHosts(t testing.TB, store *fakeStore, count int) ([]*Claims, []*httptest.Server) {
 	var members []ruddermember.Member
 	var hosts []*Claims
 	var servers []*httptest.Server
--- a/rudderd/rudderclaim/collector.go
+++ b/rudderd/rudderclaim/collector.go
@@ -18,6 +18,7 @@
 	clock  clockwork.Clock
 	logger zerolog.Logger
 	added  chan submission
+	recall func(ctx context.Context, shard int, after int64) Recall
 
 	waiting map[uint64]chan<- Decision
 }
@@ -27,6 +28,7 @@
 	kind     opKind
 	request  Request
 	answer   *Answer
+	seen     int64 // highest head sequence that the caller has seen
 	deadline time.Time
 	decided  chan<- Decision
 }
@@ -125,6 +127,7 @@
 	var id uint64
 	switch s.kind {
 	case opClaim:
+		c.core.Saw(s.seen)
 		id = c.core.Claim(s.request, now, s.deadline)
 	case opSettle:
 		id = c.core.Settle(s.request, s.answer, now, s.deadline)
@@ -136,6 +139,7 @@
 
 func (c *collector) deliver(replies []Reply) {
 	for _, r := range replies {
+		r.Decision.seq = c.core.Seq()
 		c.waiting[r.ID] <- r.Decision
 		delete(c.waiting, r.ID)
 	}
@@ -153,6 +157,11 @@
 		r.Revision, r.Err = c.store.Put(ctx, step.Put)
 	case StepDelete:
 		r.Revision, r.Err = c.store.Delete(ctx, step.Key, rudderstore.AnyRevision)
+	case StepRecall:
+		r.Recall = c.recall(ctx, c.core.index, step.After)
+		if !r.Recall.Complete {
+			c.logger.Warn().Msg("claims are granted although a live entry host did not say what it remembers")
+		}
 	}
 	if r.Err != nil && !errors.Is(r.Err, rudderstore.ErrNotFound) {
 		c.logger.Debug().Err(r.Err).Str("step", string(step.Kind)).Msg("claims step failed")
--- a/rudderd/rudderclaim/limits.go
+++ b/rudderd/rudderclaim/limits.go
@@ -40,6 +40,11 @@
 	ReadAfter time.Duration
 	// RivalFor is how long another collector is taken to be active after a write lost against it.
 	RivalFor time.Duration
+	// RecallAfter is the time without contact after which the entry hosts are asked for their claims
+	// before the shard grants more: another collector may have written in between. 0 never asks.
+	RecallAfter time.Duration
+	// RecallRetry is after how long they are asked again when one of them did not answer.
+	RecallRetry time.Duration
 	// RetryAfter is the pause before the service is called again after it failed.
 	RetryAfter time.Duration
 }
--- a/rudderd/rudderclaim/load.go
+++ b/rudderd/rudderclaim/load.go
@@ -91,13 +91,18 @@
 		s.lost[key] = r
 		restored = true
 	}
+	confirmed := s.recall.found != nil
+	restored = s.takeRecalled(&after, now) || restored
 	if restored {
 		s.restores++
 		// A write-back continues the higher sequence, so that other collectors see the restore too.
 		after.seq = max(after.seq, before.seq)
 	}
 	s.storeRevision = s.load.store
-	s.ledger, s.load, s.phase = after, nil, phaseReady
+	if s.phase = phaseReady; !confirmed && s.recallNeeded(restored, now) {
+		s.phase, s.recall.after = phaseRecall, s.load.head.Seq
+	}
+	s.ledger, s.load = after, nil
 	s.dropStaleCompaction()
 }
 
@@ -137,12 +142,17 @@
 		if b.State == StateReleased || b.forgettable(now) {
 			continue
 		}
-		a, found := after.index[key]
-		progressed := found && (a.precedence() >= b.precedence() || b.State == StateClaimed && !restored)
-		released := found && b.State == StateClaimed && a.State == StateReleased && a.Token == b.Token
-		if !progressed && !released {
+		if !after.covers(b.Record, restored) {
 			lost[key] = b.Record
 		}
 	}
 	return lost
 }
+
+// covers tells whether the ledger still holds what a record says.
+func (l *ledger) covers(b Record, restored bool) bool {
+	a, found := l.index[short(b.Key)]
+	progressed := found && (a.precedence() >= b.precedence() || b.State == StateClaimed && !restored)
+	released := found && b.State == StateClaimed && a.State == StateReleased && a.Token == b.Token
+	return progressed || released
+}
--- a/rudderd/rudderclaim/peer.go
+++ b/rudderd/rudderclaim/peer.go
@@ -37,22 +37,27 @@
 // claimAt makes a claim at one collector. An error means that its outcome is unknown.
 func (c *Claims) claimAt(ctx context.Context, m ruddermember.Member, r Request) (Decision, error) {
 	if m.Name == c.Self {
-		return c.claimHere(ctx, r)
+		return c.claimHere(ctx, r, 0)
 	}
 	// The collector answers that the claim is pending before this call gives up.
 	reply, err := c.peer(m.PeerAddress).Claim(ctx, &rudderpeer.ClaimRequest{
 		Key: toWireKey(r), WaitMs: remaining(ctx).Milliseconds() * 3 / 4,
+		SeenSeq: c.memory.highest(r.Shard()),
 	})
 	if err != nil {
 		return Decision{}, err
 	}
-	return Decision{Verdict: Verdict(reply.Verdict), Answer: fromWireAnswer(reply.Answer), Unknown: reply.Unknown}, nil
+	return Decision{
+		Verdict: Verdict(reply.Verdict), Answer: fromWireAnswer(reply.Answer), Unknown: reply.Unknown, seq: reply.HeadSeq,
+	}, nil
 }
 
 // claimHere makes a claim at this entry host's collector. A claim that is not decided in time is
 // pending: its write may still succeed.
-func (c *Claims) claimHere(ctx context.Context, r Request) (Decision, error) {
-	d, err := c.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r})
+func (c *Claims) claimHere(ctx context.Context, r Request, seen int64) (Decision, error) {
+	seen = max(seen, c.memory.highest(r.Shard()))
+	d, err := c.collectors[r.Shard()].submit(ctx, submission{kind: opClaim, request: r, seen: seen})
+	c.memory.saw(r.Shard(), d.seq)
 	if errors.Is(err, ErrUnavailable) {
 		return Decision{Verdict: VerdictPending, Unknown: true}, nil
 	}
@@ -112,11 +117,13 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
 		defer cancel()
 	}
-	d, err := s.claims.claimHere(ctx, r)
+	d, err := s.claims.claimHere(ctx, r, in.SeenSeq)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &rudderpeer.ClaimReply{Verdict: string(d.Verdict), Answer: toWireAnswer(d.Answer), Unknown: d.Unknown}, nil
+	return &rudderpeer.ClaimReply{
+		Verdict: string(d.Verdict), Answer: toWireAnswer(d.Answer), Unknown: d.Unknown, HeadSeq: d.seq,
+	}, nil
 }
 
 // Settle implements rudderpeer.Claims.
--- a/rudderd/rudderclaim/property_test.go
+++ b/rudderd/rudderclaim/property_test.go
@@ -40,6 +40,7 @@
 	bodies     map[string]string // body that ran, by key
 	asked      map[string]*attempt
 	snapshot   *fakeSnapshot
+	memory     *memory // of the entry hosts; nil when they remember nothing
 }
 
 // attempt is one call of a caller: claimed with one token at one or both collectors.
@@ -86,7 +87,7 @@
 // newClaim sends a call, or sends a pending one to another collector with the same token.
 func (h *history) newClaim() {
 	a := &attempt{key: fmt.Sprint("key", h.pick(4, "key"))}
-	a.request = keyed(a.key, fmt.Sprint("body", h.pick(5, "body")/4))
+	a.request = shardZero(keyed(a.key, fmt.Sprint("body", h.pick(5, "body")/4)))
 	h.attempts = append(h.attempts, a)
 	h.ask(h.pick(len(h.collectors), "collector"), opClaim, a)
 }
@@ -135,6 +136,8 @@
 		r.Revision, r.Err = h.store.putCall(context.Background(), step.Put)
 	case StepDelete:
 		r.Revision, r.Err = h.store.deleteCall(context.Background(), step.Key, rudderstore.AnyRevision)
+	case StepRecall:
+		r.Recall = h.memory.recall(0, step.After, h.now)
 	}
 	h.now = h.now.Add(3 * time.Millisecond)
 	h.take(c, c.Finish(r, h.now))
@@ -145,6 +148,7 @@
 	for _, r := range replies {
 		for kind, done := range []func(*attempt, Decision){h.decided, h.settledBy, h.releasedBy} {
 			if a := h.asked[fmt.Sprintf("%p/%d/%d", c, r.ID, kind)]; a != nil {
+				r.Decision.seq = c.Seq()
 				done(a, r.Decision)
 			}
 		}
@@ -158,6 +162,10 @@
 			a.over, a.ran = true, true
 			h.runs[a.key]++
 			h.bodies[a.key] = a.request.body
+			if h.memory != nil {
+				h.memory.saw(0, d.seq)
+				h.memory.granted(a.request, h.limits, d.seq, h.now)
+			}
 			require.LessOrEqual(h.t, h.runs[a.key], 1, "%s ran twice", a.key)
 		}
 	case VerdictStored:
@@ -216,7 +224,7 @@
 		}
 	}
 	for _, a := range h.attempts {
-		v := last.claim(keyed(a.key, "last"))
+		v := last.claim(shardZero(keyed(a.key, "last")))
 		if h.runs[a.key] > 0 {
 			require.NotEqual(h.t, VerdictGranted, v, "%s ran", a.key)
 			continue
--- /dev/null
+++ b/rudderd/rudderclaim/recall_test.go
@@ -0,0 +1,130 @@
+package rudderclaim
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"comfreyrudder.example/shared/rudderpeer"
+)
+
+// Guards against a key that runs twice when the service goes back and the collector loses its memory,
+// in any order with other faults, while the entry hosts still remember what they were granted.
+func TestRandomHistoriesWithRestoresAndRecalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHistory(rt, 1)
+		h.memory = &memory{}
+		h.limits.RecallAfter, h.limits.RecallRetry = recallAfter, recallRetry
+		h.collectors[0] = NewShard(0, h.limits, newToken)
+		acts := h.actions()
+		acts["snapshot"] = func(*rapid.T) {
+			if h.snapshot == nil {
+				s := h.store.snapshot()
+				h.snapshot = &s
+			}
+		}
+		acts["restore"] = func(t *rapid.T) {
+			if h.snapshot != nil {
+				h.store.restore(*h.snapshot)
+				h.store.delayed, h.snapshot = nil, nil
+				if rapid.Bool().Draw(t, "collector dies") {
+					h.collectors[0] = NewShard(0, h.limits, newToken)
+				}
+			}
+		}
+		acts["steps"] = func(*rapid.T) {
+			for range 6 {
+				h.step()
+			}
+		}
+		rt.Repeat(acts)
+	})
+}
+
+// Guards against a memory that grows without bound, and one that drops its newest claims.
+func TestMemoryIsBounded(t *testing.T) {
+	var m memory
+	for i := range memoryClaims + 10 {
+		m.granted(shardZero(keyed(fmt.Sprint(i), "1")), DefaultLimits(), int64(i), testStart)
+	}
+	require.Len(t, m.shards[0].claims, memoryClaims)
+	require.Len(t, m.recall(0, memoryClaims, testStart).Records, 9)
+	require.Empty(t, m.recall(0, 0, testStart.Add(25*time.Hour)).Records)
+}
+
+// Guards against a recall that goes on without an entry host that is only slow, and against claims that
+// wait for a silent one until they time out.
+func TestRecallWaitsForASlowEntryHost(t *testing.T) {
+	cases := []struct {
+		name   string
+		silent time.Duration
+		want   bool
+	}{
+		{name: "slow", silent: 400 * time.Millisecond, want: true},
+		{name: "silent", silent: 5 * time.Second, want: false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			hosts, servers := entryHosts(t, newFakeStore(), 2)
+			paid := keyed("paid", "1")
+			hosts[1].memory.granted(paid, hosts[0].Limits, 7, time.Now())
+			handler, began := servers[1].Config.Handler, time.Now()
+			servers[1].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Until(began.Add(c.silent)))
+				handler.ServeHTTP(w, r)
+			})
+			found := hosts[0].recall(context.Background(), paid.Shard(), 6)
+			require.Equal(t, c.want, found.Complete)
+			require.Equal(t, c.want, len(found.Records) == 1)
+			require.Less(t, time.Since(began), claimTimeout)
+		})
+	}
+}
+
+func shardZero(r Request) Request {
+	r.key = "00" + r.key[2:]
+	return r
+}
+
+// BenchmarkMemory prints what a full memory takes, and the payload of a recall without HTTP and its
+// signature.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		c := &Claims{}
+		c.init()
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range memoryClaims {
+			c.memory.granted(shardZero(keyed(fmt.Sprint(i), "1")), DefaultLimits(), int64(i), time.Now())
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/memoryClaims, "heap_B/claim")
+		c.memory.saw(0, 1_000_000)
+		for _, seq := range []int64{memoryClaims, memoryClaims - 101} {
+			known := c.memory.recall(0, seq, time.Now())
+			reply := (&rudderpeer.ClaimRecallReply{HighestSeq: known.HighestSeq, Claims: wireClaims(known.Records)})
+			b.ReportMetric(float64(proto.Size(reply)), fmt.Sprint("reply_B/", len(known.Records)))
+		}
+	}
+}
+
+// BenchmarkTakeover prints how long a recall takes while all entry hosts answer.
+func BenchmarkTakeover(b *testing.B) {
+	for _, count := range []int{18, 72} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			hosts, _ := entryHosts(b, newFakeStore(), count)
+			for b.Loop() {
+				require.True(b, hosts[0].recall(context.Background(), 0, 0).Complete)
+			}
+		})
+	}
+}
--- a/rudderd/rudderclaim/record.go
+++ b/rudderd/rudderclaim/record.go
@@ -122,6 +122,8 @@
 	Answer  *Answer
 	// Unknown is set with VerdictUnavailable when the claim may have been written.
 	Unknown bool
+	// seq is the sequence of the head that the decision rests on.
+	seq int64
 	// segment holds the answer of a stored record that is not in memory.
 	segment string
 }
--- a/rudderd/rudderclaim/shard.go
+++ b/rudderd/rudderclaim/shard.go
@@ -12,6 +12,7 @@
 
 const (
 	phaseRead     phase = iota // the head must be read
+	phaseRecall                // the entry hosts are being asked for their claims
 	phaseSegments              // segments of the head that was read must be read
 	phaseReady                 // the ledger shows the head
 	phaseCompact               // segments that are to be replaced are being read
@@ -40,7 +41,8 @@
 	obsolete   []string // names of segments to delete
 	// lost holds records that were confirmed but are missing from the head that was read last: the
 	// service was restored to an older state. They are written back before claims are granted.
-	lost map[string]Record
+	lost   map[string]Record
+	recall recallState
 	// storeRevision is the highest store revision seen; contact is when the service last answered.
 	storeRevision int64
 	contact       time.Time
@@ -99,6 +101,8 @@
 			return Step{Kind: StepWait, At: s.retryAt}, replies
 		}
 		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
+	case phaseRecall:
+		return Step{Kind: StepRecall, After: s.recall.after}, s.dropLate(now)
 	case phaseSegments:
 		return Step{Kind: StepGet, Key: segmentKey(s.index, s.load.missing[0].Name)}, nil
 	case phaseCompact:
@@ -111,7 +115,7 @@
 	}
 	replies := s.dropLate(now)
 	if len(s.lost) > 0 {
-		replies = append(replies, s.refuseClaims()...)
+		replies = append(replies, s.refuseClaims(now)...)
 	}
 	replies = append(replies, s.answerReadOnly(now)...)
 	return s.nextWrite(now, replies)
@@ -137,7 +141,7 @@
 		}
 		return Step{Kind: StepWait, At: at}, replies
 	}
-	if now.Sub(s.contact) > s.readAfter(now) {
+	if now.Sub(s.contact) > s.readAfter(now) || s.recallDue(now) {
 		s.phase = phaseRead
 		return Step{Kind: StepGet, Key: headKey(s.index)}, replies
 	}
@@ -198,9 +202,14 @@
 
 // Finish takes the result of the step that Next returned last.
 func (s *Shard) Finish(result Result, now time.Time) []Reply {
+	if s.phase == phaseRecall {
+		s.finishRecall(result.Recall, now)
+		return nil
+	}
 	answered := result.Err == nil || errors.Is(result.Err, rudderstore.ErrNotFound) ||
 		errors.Is(result.Err, rudderstore.ErrConflict)
 	if answered {
+		s.recall.gap = max(s.recall.gap, now.Sub(s.contact))
 		s.contact = now
 	} else {
 		s.retryAt = now.Add(s.limits.RetryAfter)
@@ -228,9 +237,28 @@
 	return s.remove(func(o op) bool { return now.After(o.deadline) })
 }
 
-// refuseClaims answers all waiting claims as not run.
-func (s *Shard) refuseClaims() []Reply {
-	return s.remove(func(o op) bool { return o.kind == opClaim })
+// refuseClaims answers all waiting claims while records are written back: those of a lost record's key
+// by that record, unless it would grant them, and the others as not run.
+func (s *Shard) refuseClaims(now time.Time) []Reply {
+	var replies []Reply
+	kept := s.queue[:0]
+	for _, o := range s.queue {
+		if o.kind != opClaim {
+			kept = append(kept, o)
+			continue
+		}
+		reply := o.unavailable()
+		if r, lost := s.lost[short(o.request.key)]; lost {
+			d := judge(o.request, entry{Record: r}, s.limits, s.ledger.opaque, now)
+			if d.Verdict != VerdictGranted {
+				reply = o.reply(d)
+			}
+		}
+		replies = append(replies, reply)
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return replies
 }
 
 // refuseAll answers everything that waits, because the service cannot be reached.
--- a/rudderd/rudderclaim/step.go
+++ b/rudderd/rudderclaim/step.go
@@ -16,6 +16,7 @@
 	StepGet    StepKind = "get"    // read Key
 	StepPut    StepKind = "put"    // write Put
 	StepDelete StepKind = "delete" // delete Key, whatever its revision
+	StepRecall StepKind = "recall" // ask the live entry hosts for claims granted after the head sequence After
 )
 
 // Step is one thing to do for a shard. The shard waits for its Result before it gives another one.
@@ -24,6 +25,8 @@
 	At   time.Time
 	Key  string
 	Put  rudderstore.PutRequest
+	// After is set with StepRecall.
+	After int64
 }
 
 // Result is what came of a step. Revision is the store revision of a read and the key's new revision
@@ -32,6 +35,8 @@
 	Entry    rudderstore.Entry
 	Revision int64
 	Err      error
+	// Recall is set after StepRecall.
+	Recall Recall
 }
 
 // Reply is the decision on one operation.
