Read some of an oversized body before refusing it

Cause: the server answered 413 and closed while the client still wrote, which resets the connection; TestHostileCallersAndOperators lost the answer once under load.

--- a/rudderd/rudderadminhttp/config.go
+++ b/rudderd/rudderadminhttp/config.go
@@ -1,13 +1,13 @@
 package rudderadminhttp
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderstore"
@@ -54,12 +54,11 @@
 
 // readBody reads a body that is not larger than the whole configuration may be.
 func readBody(c echo.Context) ([]byte, error) {
-	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxDocumentBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	text, err := rudderbody.Read(c.Request().Body, maxDocumentBytes)
+	if errors.Is(err, rudderbody.ErrTooLarge) {
 		return nil, &rudderadmin.Error{
 			Status: http.StatusRequestEntityTooLarge, Code: rudderadmin.CodeInvalid, NextStep: "send a smaller body",
-			Message: "the body is above " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes, the most that the key-value service holds",
+			Message: "the body is above " + strconv.Itoa(maxDocumentBytes) + " bytes, the most that the key-value service holds",
 		}
 	}
 	if err != nil {
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -1,7 +1,7 @@
 package rudderhttp
 
 import (
-	"io"
+	"errors"
 	"math"
 	"net/http"
 	"sync"
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
@@ -113,8 +114,8 @@
 	if own := workspaceOf(c).Limits.BodyBytes; own > 0 {
 		limit = min(limit, own)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge { //nolint:errorlint // io.ReadAll returns it unwrapped
+	body, err := rudderbody.Read(c.Request().Body, limit)
+	if errors.Is(err, rudderbody.ErrTooLarge) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is above the workspace's limit", "send a smaller body")
 	}
 	if err != nil {
