--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -45,7 +45,7 @@
 	// Avoid names groups that must not run the work.
 	Avoid []string
 	// Blocks are the prompt's prefix blocks, see rudderrouter.PrefixBlocks.
-	Blocks []uint64
+	Blocks []uint32
 }
 
 // Acquire gets a slot for the work, waiting in the owner's queue if need be. While no group is known for
--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderadmission"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/shared/rudderconfig"
@@ -261,3 +262,17 @@
 	require.Equal(t, 1, asked)
 	require.NotEqual(t, first, second)
 }
+
+// Guards against work that changes on its way to the owner, above all a holder that is left out and
+// found wrongly: its slots would be freed with another host's.
+func TestWireKeepsWork(t *testing.T) {
+	o := &Owner{Self: ruddermember.Member{Name: "entry-1"}}
+	for _, id := range []string{"entry-1.abc#1", "entry-2.abc#1", "entry-1", ""} {
+		w := work(id)
+		w.Class, w.Preset, w.Tokens = rudderconfig.ClassLong, rudderconfig.PresetCrestFirst, 900
+		got := workFromWire(o.workToWire(w))
+		require.Equal(t, rudderadmission.Work{
+			RequestID: id, Holder: "entry-1", Workspace: "w", Preset: w.Preset, Class: w.Class, Tokens: 900,
+		}, got)
+	}
+}
--- a/rudderd/rudderowner/server.go
+++ b/rudderd/rudderowner/server.go
@@ -24,9 +24,9 @@
 	shard    *rudderadmission.Shard
 	waiters  map[string]chan rudderadmission.Decision
 	answers  map[string]uncollected
-	queued   map[string][]uint64 // blocks of the queued requests
+	queued   map[string][]uint32 // blocks of the queued requests
 	reported map[string]int64    // time of the last used report by group, Unix milliseconds
-	placed   func(group string, blocks []uint64)
+	placed   func(group string, blocks []uint32)
 }
 
 // ownedShard returns the state of a shard, creating it for the first or the second in rank: the
@@ -42,7 +42,7 @@
 	}
 	owned := &ownedShard{
 		shard: rudderadmission.NewShard(o.Policies), waiters: map[string]chan rudderadmission.Decision{},
-		answers: map[string]uncollected{}, queued: map[string][]uint64{}, reported: map[string]int64{},
+		answers: map[string]uncollected{}, queued: map[string][]uint32{}, reported: map[string]int64{},
 		placed: o.hints.Placed,
 	}
 	o.owned[id] = owned
--- a/rudderd/rudderowner/wire.go
+++ b/rudderd/rudderowner/wire.go
@@ -1,26 +1,74 @@
 package rudderowner
 
 import (
+	"strings"
+
 	"comfreyrudder.example/rudderd/rudderadmission"
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
+// presets and classes of the wire; others are sent as none.
+var (
+	presets = []struct {
+		wire   rudderpeer.SlotWork_Preset
+		preset rudderconfig.Preset
+	}{
+		{rudderpeer.SlotWork_WAITING_FIRST, rudderconfig.PresetWaitingFirst},
+		{rudderpeer.SlotWork_CREST_FIRST, rudderconfig.PresetCrestFirst},
+	}
+	classes = []struct {
+		wire  rudderpeer.SlotWork_Class
+		class rudderconfig.WorkClass
+	}{
+		{rudderpeer.SlotWork_SHORT, rudderconfig.ClassShort},
+		{rudderpeer.SlotWork_LONG, rudderconfig.ClassLong},
+	}
+)
+
 func workFromWire(w *rudderpeer.SlotWork) rudderadmission.Work {
-	return rudderadmission.Work{
+	work := rudderadmission.Work{
 		RequestID: w.GetRequestId(), Holder: w.GetHolder(), Workspace: w.GetWorkspace(),
-		Weight: int(w.GetWeight()), Preset: rudderconfig.Preset(w.GetPreset()),
-		Class: rudderconfig.WorkClass(w.GetClass()), Tokens: int(w.GetTokens()),
-		Priority: int(w.GetPriority()), Avoid: w.GetAvoid(),
+		Weight: int(w.GetWeight()), Tokens: int(w.GetTokens()), Priority: int(w.GetPriority()), Avoid: w.GetAvoid(),
+	}
+	if work.Holder == "" {
+		work.Holder, _, _ = strings.Cut(work.RequestID, holderEnd)
+	}
+	for _, p := range presets {
+		if p.wire == w.GetPreset() {
+			work.Preset = p.preset
+		}
 	}
+	for _, c := range classes {
+		if c.wire == w.GetClass() {
+			work.Class = c.class
+		}
+	}
+	return work
 }
 
+// holderEnd ends the name of the entry host at the beginning of a request ID.
+const holderEnd = "."
+
 func (o *Owner) workToWire(w Work) *rudderpeer.SlotWork {
-	return &rudderpeer.SlotWork{
-		RequestId: w.RequestID, Holder: o.Self.Name, Workspace: w.Workspace, Weight: int32(w.Weight),
-		Preset: string(w.Preset), Class: string(w.Class), Tokens: int64(w.Tokens),
+	wire := &rudderpeer.SlotWork{
+		RequestId: w.RequestID, Workspace: w.Workspace, Weight: int32(w.Weight), Tokens: int64(w.Tokens),
 		Priority: int32(w.Priority), Avoid: w.Avoid, Blocks: w.Blocks,
 	}
+	if holder, _, named := strings.Cut(w.RequestID, holderEnd); !named || holder != o.Self.Name {
+		wire.Holder = o.Self.Name
+	}
+	for _, p := range presets {
+		if p.preset == w.Preset {
+			wire.Preset = p.wire
+		}
+	}
+	for _, c := range classes {
+		if c.class == w.Class {
+			wire.Class = c.wire
+		}
+	}
+	return wire
 }
 
 func answer(d rudderadmission.Decision, load float64) *rudderpeer.GrantResponse {
--- a/rudderd/rudderrouter/choose.go
+++ b/rudderd/rudderrouter/choose.go
@@ -34,7 +34,7 @@
 
 // Choose returns the index of the shard for a request with these prefix blocks, or -1 when there is
 // no candidate. Shards of the own region are preferred until each of them is full.
-func (c *Chooser) Choose(candidates []Candidate, blocks []uint64) int {
+func (c *Chooser) Choose(candidates []Candidate, blocks []uint32) int {
 	eligible := nearWithRoom(candidates)
 	if len(eligible) == 0 {
 		return -1
@@ -76,7 +76,7 @@
 // byPrefix returns the shard that holds the longest known prefix, else the home shard of the
 // prompt's beginning. The home is the same at each entry host, so that a prefix that is new
 // everywhere is computed in one place without messages.
-func (c *Chooser) byPrefix(candidates []Candidate, eligible []int, blocks []uint64) int {
+func (c *Chooser) byPrefix(candidates []Candidate, eligible []int, blocks []uint32) int {
 	if len(blocks) == 0 {
 		return -1
 	}
@@ -96,7 +96,7 @@
 	}
 	var highest uint64
 	for _, i := range eligible {
-		score := xxhash.Sum64String(candidates[i].Shard.id) ^ blocks[0]
+		score := xxhash.Sum64String(candidates[i].Shard.id) ^ uint64(blocks[0])
 		score = mix(score)
 		if best < 0 || score > highest {
 			best, highest = i, score
--- a/rudderd/rudderrouter/hints.go
+++ b/rudderd/rudderrouter/hints.go
@@ -28,8 +28,8 @@
 // PrefixBlocks returns the hashes of the prompt's beginnings that end at block borders, shortest
 // first. Every block is listed up to eight blocks, then four per doubling, so that a prompt of any
 // length sends few hashes and a shared beginning is matched to within a fifth of its length.
-func PrefixBlocks(prompt string) []uint64 {
-	var blocks []uint64
+func PrefixBlocks(prompt string) []uint32 {
+	var blocks []uint32
 	digest := xxhash.New()
 	step, next := 1, 1
 	for n := 1; n*ruddertarget.PrefixBlockBytes <= len(prompt); n++ {
@@ -37,7 +37,7 @@
 		if n < next {
 			continue
 		}
-		blocks = append(blocks, digest.Sum64())
+		blocks = append(blocks, BlockKey(digest.Sum64()))
 		if len(blocks) == maxSampledBlocks {
 			break
 		}
@@ -49,13 +49,18 @@
 	return blocks
 }
 
+// BlockKey shortens the hash of a prefix block. The blocks are the largest part of a grant, and with
+// 32 bits a block is taken for another one once in 130,000 at the default size of the hints; a wrong hint
+// costs one prefill.
+func BlockKey(hash uint64) uint32 { return uint32(hash) }
+
 type hint struct {
 	group string
 	at    time.Time
 }
 
 type hintBlock struct {
-	block uint64
+	block uint32
 	hints []hint
 }
 
@@ -68,7 +73,7 @@
 // The least recently used block is forgotten first. It is not safe for concurrent use.
 type Hints struct {
 	maxBlocks int
-	blocks    map[uint64]*list.Element
+	blocks    map[uint32]*list.Element
 	used      *list.List // of *hintBlock, most recently used first
 	events    map[string]*eventState
 	now       time.Time
@@ -80,7 +85,7 @@
 		maxBlocks = defaultMaxBlocks
 	}
 	return &Hints{
-		maxBlocks: maxBlocks, blocks: map[uint64]*list.Element{}, used: list.New(),
+		maxBlocks: maxBlocks, blocks: map[uint32]*list.Element{}, used: list.New(),
 		events: map[string]*eventState{},
 	}
 }
@@ -89,7 +94,7 @@
 func (h *Hints) Advance(now time.Time) { h.now = now }
 
 // Match returns for each group the share of the blocks that it is thought to hold.
-func (h *Hints) Match(blocks []uint64) map[string]float64 {
+func (h *Hints) Match(blocks []uint32) map[string]float64 {
 	shares := map[string]float64{}
 	for i, block := range blocks {
 		element := h.blocks[block]
@@ -114,13 +119,13 @@
 }
 
 // Placed records that a prompt with these blocks was sent to a group.
-func (h *Hints) Placed(group string, blocks []uint64) {
+func (h *Hints) Placed(group string, blocks []uint32) {
 	for _, block := range blocks {
 		h.store(group, block, h.now)
 	}
 }
 
-func (h *Hints) store(group string, block uint64, at time.Time) {
+func (h *Hints) store(group string, block uint32, at time.Time) {
 	element := h.blocks[block]
 	if element == nil {
 		element = h.used.PushFront(&hintBlock{block: block})
@@ -166,14 +171,14 @@
 		}
 		state.seq = event.Seq
 		if event.Stored {
-			h.store(group, event.Block, h.now)
+			h.store(group, BlockKey(event.Block), h.now)
 			continue
 		}
-		h.evicted(group, event.Block)
+		h.evicted(group, BlockKey(event.Block))
 	}
 }
 
-func (h *Hints) evicted(group string, block uint64) {
+func (h *Hints) evicted(group string, block uint32) {
 	element := h.blocks[block]
 	if element == nil {
 		return
--- a/rudderd/rudderrouter/router_test.go
+++ b/rudderd/rudderrouter/router_test.go
@@ -143,17 +143,17 @@
 	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
 	h.Advance(now)
 	for i := range 100 {
-		h.Placed("g", []uint64{uint64(i)})
+		h.Placed("g", []uint32{uint32(i)})
 	}
 	require.Equal(t, 10, h.Len())
-	require.Equal(t, 1.0, h.Match([]uint64{1, 99})["g"])
+	require.Equal(t, 1.0, h.Match([]uint32{1, 99})["g"])
 	h.Advance(now.Add(10 * time.Second))
 	h.Observe("g", []ruddertarget.CacheEvent{{Seq: 4, Block: 99}, {Seq: 5, Block: 7, Stored: true}})
-	require.Empty(t, h.Match([]uint64{99}), "evicted")
-	require.NotEmpty(t, h.Match([]uint64{98}))
+	require.Empty(t, h.Match([]uint32{99}), "evicted")
+	require.NotEmpty(t, h.Match([]uint32{98}))
 	h.Observe("g", []ruddertarget.CacheEvent{{Seq: 9, Block: 8, Stored: true}})
 	h.Advance(now.Add(2 * time.Minute))
-	require.Empty(t, h.Match([]uint64{98}), "a missed eviction makes old hints doubtful")
+	require.Empty(t, h.Match([]uint32{98}), "a missed eviction makes old hints doubtful")
 }
 
 // Guards against hashes that differ from the engine's, which hashes the prompt up to a block's end.
--- a/rudderstand/rudderbench/routing_owner.go
+++ b/rudderstand/rudderbench/routing_owner.go
@@ -124,11 +124,19 @@
 
 func (s *ownerScheme) wireWork(r *modelRequest) *rudderpeer.SlotWork {
 	return &rudderpeer.SlotWork{
-		RequestId: "entry-000:" + r.id + ":0123456789ab", Holder: "entry-" + itoa(r.host), Workspace: r.workspace,
-		Class: string(r.class), Preset: string(s.m.load.preset), Tokens: int64(r.estimate), Blocks: r.blocks,
+		RequestId: "entry-000." + r.id + ":0123456789ab", Workspace: r.workspace, Class: rudderpeer.SlotWork_SHORT,
+		Preset: rudderpeer.SlotWork_WAITING_FIRST, Tokens: int64(r.estimate), Blocks: keysOf(r.blocks),
 	}
 }
 
+func keysOf(blocks []uint64) []uint32 {
+	var keys []uint32
+	for _, block := range blocks {
+		keys = append(keys, rudderrouter.BlockKey(block))
+	}
+	return keys
+}
+
 // ask chooses a shard and asks its owner. A refusal is tried at one more shard within the budget of
 // a tenth of the requests.
 func (s *ownerScheme) ask(r *modelRequest, tried []int) {
@@ -143,7 +151,7 @@
 	if len(tried) == 0 {
 		s.retries[r.host] = min(10, s.retries[r.host]+0.1)
 	}
-	chosen := s.choosers[r.host].Choose(candidates, r.blocks)
+	chosen := s.choosers[r.host].Choose(candidates, keysOf(r.blocks))
 	if chosen < 0 || len(tried) > 0 && s.retries[r.host] < 1 {
 		r.refused, r.gone = true, true
 		return
@@ -163,7 +171,7 @@
 	}
 	if len(r.blocks) > 0 {
 		shard.hints.Advance(now)
-		work.Prefer = shard.hints.Match(r.blocks)
+		work.Prefer = shard.hints.Match(keysOf(r.blocks))
 	}
 	shard.queued[r.id] = r
 	r.shard = i
@@ -184,9 +192,9 @@
 	if d.Kind == rudderadmission.Granted {
 		shard.held[r.id] = r
 		if len(r.blocks) > 0 {
-			shard.hints.Placed(d.Group, r.blocks)
+			shard.hints.Placed(d.Group, keysOf(r.blocks))
 			s.choosers[r.host].Hints.Advance(s.m.wall())
-			s.choosers[r.host].Hints.Placed(d.Group, r.blocks)
+			s.choosers[r.host].Hints.Placed(d.Group, keysOf(r.blocks))
 		}
 		s.m.after(messageDelay, func() { s.m.submit(r, s.byGroup[d.Group]) })
 		return
