Let queued work pass work that avoids all groups with room

Cause: only the head of a workspace's queue was tried. Work that avoids the groups with room held up all later work of its workspace, and new arrivals of its lane.

Change: entries behind one that avoids groups are tried too, and an arrival is granted when no queued entry of its lane can be placed. Behind an entry that avoids nothing the search ends, so a full shard costs no scan.

Checked: TestAvoidingWorkIsPassed, rudderadmission and rudderscene with -race, lint.

--- a/rudderd/rudderadmission/queue.go
+++ b/rudderd/rudderadmission/queue.go
@@ -52,19 +52,23 @@
 	l.entries++
 }
 
-// pop takes the next entry whose flow's head can be placed. Rounds in which no deficit suffices are
-// skipped in one step, so that large work costs no loop over small quanta.
+// pop takes the next entry that can be placed, of the flow whose turn it is. Rounds in which no deficit
+// suffices are skipped in one step, so that large work costs no loop over small quanta.
 func (l *lane) pop(place func(*entry) bool) *entry {
-	best, bestRounds := -1, 0
+	best, bestEntry, bestRounds := -1, 0, 0
 	for i, f := range l.flows {
-		head := f.entries[0]
-		quantum := max(1, head.policy.Quantum*f.weight)
+		first := f.placeable(place)
+		if first < 0 {
+			continue
+		}
+		e := f.entries[first]
+		quantum := max(1, e.policy.Quantum*f.weight)
 		rounds := 0
-		if missing := head.work.cost() - f.deficit; missing > 0 {
+		if missing := e.work.cost() - f.deficit; missing > 0 {
 			rounds = (missing + quantum - 1) / quantum
 		}
-		if (best < 0 || rounds < bestRounds) && place(head) {
-			best, bestRounds = i, rounds
+		if best < 0 || rounds < bestRounds {
+			best, bestEntry, bestRounds = i, first, rounds
 		}
 	}
 	if best < 0 {
@@ -74,14 +78,28 @@
 		f.deficit += bestRounds * max(1, f.entries[0].policy.Quantum*f.weight)
 	}
 	chosen := l.flows[best]
-	head := chosen.entries[0]
-	chosen.deficit -= head.work.cost()
-	l.removeAt(best, 0)
+	taken := chosen.entries[bestEntry]
+	chosen.deficit -= taken.work.cost()
+	l.removeAt(best, bestEntry)
 	// The ring moves on once the chosen flow's deficit no longer covers its next entry.
 	if best < len(l.flows) && l.flows[best] == chosen && chosen.deficit < chosen.entries[0].work.cost() {
 		l.flows = append(slices.Delete(l.flows, best, best+1), chosen)
 	}
-	return head
+	return taken
+}
+
+// placeable is the index of the first entry that can be placed, or -1. Later entries pass only entries
+// that avoid groups: any other one that can't be placed now finds no room, and neither would a later one.
+func (f *flow) placeable(place func(*entry) bool) int {
+	for i, e := range f.entries {
+		if place(e) {
+			return i
+		}
+		if len(e.work.Avoid) == 0 {
+			return -1
+		}
+	}
+	return -1
 }
 
 func (l *lane) removeAt(flowIndex, entryIndex int) {
--- a/rudderd/rudderadmission/shard.go
+++ b/rudderd/rudderadmission/shard.go
@@ -103,7 +103,7 @@
 	if e.deadline.IsZero() {
 		e.deadline = now.Add(policy.deadline(work.Class))
 	}
-	if s.laneFor(work).entries == 0 && s.canPlace(work, policy) {
+	if s.canPlace(work, policy) && !s.overtakes(work) {
 		return s.grant(now, work, policy)
 	}
 	wait := s.expectedWait(work, policy)
@@ -123,6 +123,14 @@
 	return Decision{RequestID: work.RequestID, Kind: Queued}
 }
 
+// overtakes reports that granting the work now would pass queued work of its lane that could run now.
+// Queued work that avoids all groups with room doesn't hold it up.
+func (s *Shard) overtakes(work Work) bool {
+	return slices.ContainsFunc(s.laneFor(work).flows, func(f *flow) bool {
+		return f.placeable(func(e *entry) bool { return s.canPlace(e.work, e.policy) }) >= 0
+	})
+}
+
 // remove takes matching entries out of a lane.
 func (s *Shard) remove(l *lane, match func(*entry) bool) []*entry {
 	removed := l.remove(match)
--- a/rudderd/rudderadmission/shard_test.go
+++ b/rudderd/rudderadmission/shard_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +97,30 @@
 	require.Equal(t, Expired, given.Kind)
 }
 
+// Guards against work that avoids the only group with room and holds up later work of its workspace, in
+// the queue and on arrival.
+func TestAvoidingWorkIsPassed(t *testing.T) {
+	s := newShard(Group{ID: "a", Slots: 1}, Group{ID: "b", Slots: 1})
+	ids := []string{"1", "2"}
+	for _, id := range ids {
+		require.Equal(t, Granted, s.Offer(start, short(id, "w")).Kind)
+	}
+	avoids, later := short("avoids", "w"), short("later", "w")
+	avoids.Tokens, later.Tokens = 10, 10
+	avoids.Avoid = []string{"a"}
+	require.Equal(t, Queued, s.Offer(start, avoids).Kind)
+	require.Equal(t, Queued, s.Offer(start, later).Kind)
+	inA := slices.IndexFunc(ids, func(id string) bool { return s.held[id].group.ID == "a" })
+	d := s.Release(start, ids[inA], Outcome{})
+	require.Len(t, d, 1)
+	require.Equal(t, "later", d[0].RequestID)
+	s.Release(start, "later", Outcome{})
+	require.Equal(t, Granted, s.Offer(start, short("new", "w")).Kind)
+	d = s.Release(start, ids[1-inA], Outcome{})
+	require.Len(t, d, 1)
+	require.Equal(t, "avoids", d[0].RequestID)
+}
+
 // Guards against losing queued work or held slots when groups leave.
 func TestRemovedGroup(t *testing.T) {
 	s := newShard(Group{ID: "a", Slots: 1}, Group{ID: "b", Slots: 1})
