--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -80,6 +80,7 @@
 	polls   map[*poll]bool
 	// unconfirmed holds until when a group whose members did not confirm it is left alone.
 	unconfirmed map[string]time.Time
+	over        map[string]*overAdmitted // by group
 	confirming  singleflight.Group
 	budget      retryBudget
 	calls       sync.WaitGroup
@@ -102,6 +103,7 @@
 		o.renewed = map[string]renewal{}
 		o.polls = map[*poll]bool{}
 		o.unconfirmed = map[string]time.Time{}
+		o.over = map[string]*overAdmitted{}
 		o.clients = map[string]rudderpeer.Admission{}
 	})
 }
@@ -140,6 +142,7 @@
 		owned.deliver(now, owned.shard.Tick(now))
 	}
 	o.renew(now)
+	o.watchOverAdmission(now)
 }
 
 // Handler serves the Admission service of peers under its PathPrefix.
--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -29,11 +29,15 @@
 }
 
 func newFleet(t *testing.T, hosts int, groups ...rudderrouter.Servable) *fleet {
+	return newFleetAt(t, clockwork.NewRealClock(), hosts, groups...)
+}
+
+func newFleetAt(t *testing.T, clock clockwork.Clock, hosts int, groups ...rudderrouter.Servable) *fleet {
 	f := &fleet{}
 	var members []ruddermember.Member
 	for i := range hosts {
 		o := &Owner{
-			Clock: clockwork.NewRealClock(), HTTPClient: http.DefaultClient, Logger: zerolog.Nop(),
+			Clock: clock, HTTPClient: http.DefaultClient, Logger: zerolog.Nop(),
 			Members: func() []ruddermember.Member { return *f.members.Load() },
 			Groups:  func() []rudderrouter.Servable { return groups },
 		}
