Let operators take a dead entry host off the registry

A dead entry host stays registered for two hours, and each change waits the permit's time for it (5.1 s instead of 0.2 s). rudderctl entry forget removes it by the same joint change as any removal, so that one that is alive and cut off loses its permit first; a live one is refused.

--- a/rudderctl/rudderctlapp/rudderctl_test.go
+++ b/rudderctl/rudderctlapp/rudderctl_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// Guards against an answer without a body that is taken for a broken one.
+func TestForgetEntry(t *testing.T) {
+	var path string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		path = r.Method + " " + r.URL.Path
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	code, stdout, stderr := execute(strings.TrimPrefix(server.URL, "http://"), "", "entry", "forget", "entry-07")
+	require.Equal(t, ExitOK, code, stderr)
+	require.Contains(t, stdout, "entry-07")
+	require.Equal(t, "DELETE "+rudderadmin.PathPrefix+"/entries/entry-07", path)
+}
+
 // Guards against scripts that cannot tell a conflict or a pending change from success.
 func TestExitCodes(t *testing.T) {
 	conflict := rudderadmin.Error{Code: rudderadmin.CodeConflict, Message: "version 9 by ada came first", NextStep: "read again"}
--- a/rudderd/rudderadminhttp/api.go
+++ b/rudderd/rudderadminhttp/api.go
@@ -43,6 +43,8 @@
 	Explain func(ctx context.Context, selector string) (rudderadmin.Explanation, bool, error)
 	WhyNot  func(ctx context.Context, host string) ([]rudderadmin.Reason, error)
 
+	// Forget takes an entry host that is gone off the registry.
+	Forget func(ctx context.Context, entry string) error
 	// Burn makes the report on service-level burn.
 	Burn func(ctx context.Context) (rudderadmin.BurnReport, error)
 
@@ -74,6 +76,7 @@
 		{http.MethodDelete, "/hosts/:name/drain", a.undrainHost, true},
 		{http.MethodPut, "/hosts/:name/fencing", a.declareFencing, true},
 		{http.MethodDelete, "/hosts/:name/fencing", a.withdrawFencing, true},
+		{http.MethodDelete, "/entries/:name", a.forgetEntry, true},
 		{http.MethodGet, "/selectors", a.selectors, false},
 		{http.MethodGet, "/selectors/:name", a.selector, false},
 		{http.MethodPut, "/selectors/:name", a.putSelector, true},
--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderchange"
+	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 	"comfreyrudder.example/shared/rudderstore"
@@ -96,6 +97,12 @@
 		Explain: func(context.Context, string) (rudderadmin.Explanation, bool, error) {
 			return rudderadmin.Explanation{}, false, nil
 		},
+		Forget: func(_ context.Context, entry string) error {
+			if entry == "entry-1" {
+				return ruddermember.ErrLiveMember
+			}
+			return ruddermember.ErrUnknownMember
+		},
 		BootstrapTokenHash: HashOf("token-bootstrap"),
 	}
 	server := echo.New()
@@ -132,6 +139,9 @@
 	}{
 		{"unknown token", "GET", "/config", "nobody", "", "", 401, "unauthorized"},
 		{"bootstrap token beside operators", "GET", "/config", "token-bootstrap", "", "", 401, "unauthorized"},
+		{"editor forgets an entry host", "DELETE", "/entries/entry-1", "token-editor", "", "", 403, "forbidden"},
+		{"forget an unknown entry host", "DELETE", "/entries/entry-9", "token-admin", "", "", 404, "not_found"},
+		{"forget a live entry host", "DELETE", "/entries/entry-1", "token-admin", "", "", 409, "invalid"},
 		{"viewer changes", "PATCH", "/hosts/h1/labels", "token-viewer", "", label, 403, "forbidden"},
 		{"editor changes another firm", "DELETE", "/selectors/cues", "token-editor", "", "", 403, "forbidden"},
 		{"editor makes an operator", "PUT", "/config", "token-editor", "", `{"operators":[{"name":"eve","role":"admin"}]}`, 403, "forbidden"},
--- a/shared/rudderadmin/client.go
+++ b/shared/rudderadmin/client.go
@@ -128,7 +128,7 @@
 		}
 		return failure
 	}
-	if answer == nil {
+	if answer == nil || response.StatusCode == http.StatusNoContent {
 		return nil
 	}
 	return errors.Wrap(json.Unmarshal(text, answer), "reading the answer")
