--- a/rudderd/ruddersettings/load.go
+++ b/rudderd/ruddersettings/load.go
@@ -24,6 +24,9 @@
 // minPeerSecretLength keeps trivially guessed secrets out.
 const minPeerSecretLength = 16
 
+// minPermitTTL is the interval of digests; a shorter permit would end between two of them.
+const minPermitTTL = time.Second
+
 // field describes one setting.
 type field struct {
 	name, fallback, doc string
@@ -146,7 +149,7 @@
 	report(s.MaxBodyBytes < 1, "--max-body-bytes: wanted at least 1")
 	report(s.WeightRate < 1, "--weight-rate: wanted at least 1")
 	report(s.ConfirmTTL <= s.PollInterval, "--confirm-ttl: must be longer than --poll-interval")
-	report(s.PermitTTL <= 2*s.DigestInterval, "--permit-ttl: must be longer than twice --digest-interval")
+	report(s.PermitTTL < minPermitTTL, "--permit-ttl: wanted at least 1s")
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil || s.LogLevel == "" {
 		faults = append(faults, "--log-level: wanted debug, info, warn or error")
 	}
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -26,13 +26,12 @@
 
 	BootstrapTokenHash string `name:"bootstrap-token-hash" doc:"Hex SHA-256 of a token that may write the first configuration. It has no effect once a configuration names operators."`
 
-	PermitTTL      time.Duration `name:"permit-ttl" default:"5s" doc:"How long a read of the configuration, or a majority's acknowledgement, lets this host serve. 12s suits 330 entry hosts."`
-	DigestInterval time.Duration `name:"digest-interval" default:"500ms" doc:"Time between two digest exchanges with other entry hosts. 1s suits 330 entry hosts."`
-	ConfirmTTL     time.Duration `name:"confirm-ttl" default:"3s" doc:"Greatest age of a group member's own confirmation for the group to take new work."`
-	PollInterval   time.Duration `name:"poll-interval" default:"1s" doc:"Time between two polls of a target by its domain's planner."`
-	LeaseTTL       time.Duration `name:"lease-ttl" default:"6s" doc:"Time-to-live of a planner's lease."`
-	OrderTTL       time.Duration `name:"order-ttl" default:"2s" doc:"Longest time an order to a target may take."`
-	WeightRate     int64         `name:"weight-rate" default:"2000000000" doc:"Bytes per second that the weight store gives one host; sets how early loads begin ahead of a window."`
+	PermitTTL    time.Duration `name:"permit-ttl" default:"5s" doc:"How long a read of the configuration, or a majority's acknowledgement, lets this host serve. 12s suits 330 entry hosts."`
+	ConfirmTTL   time.Duration `name:"confirm-ttl" default:"3s" doc:"Greatest age of a group member's own confirmation for the group to take new work."`
+	PollInterval time.Duration `name:"poll-interval" default:"1s" doc:"Time between two polls of a target by its domain's planner."`
+	LeaseTTL     time.Duration `name:"lease-ttl" default:"6s" doc:"Time-to-live of a planner's lease."`
+	OrderTTL     time.Duration `name:"order-ttl" default:"2s" doc:"Longest time an order to a target may take."`
+	WeightRate   int64         `name:"weight-rate" default:"2000000000" doc:"Bytes per second that the weight store gives one host; sets how early loads begin ahead of a window."`
 
 	QueueDeadline time.Duration `name:"queue-deadline" default:"0s" zero:"true" doc:"Longest time a request waits for a slot before it is refused as not run. 0s takes the deadlines of the workspace's preset."`
 	SilenceAfter  time.Duration `name:"silence-after" default:"2s" doc:"Time without a token after which the engine is probed on a new connection."`
--- a/rudderstand/rudderfaults/world.go
+++ b/rudderstand/rudderfaults/world.go
@@ -30,7 +30,7 @@
 // settings shorten the times of rudderd. Scale makes those longer that a busy machine breaks first.
 func settings(scale int) map[string]string {
 	times := map[string]string{
-		"digest-interval": "50ms", "entry-lifetime": "1s", "queue-deadline": "4s", "call-timeout": "3s", "stop-grace": "8s",
+		"entry-lifetime": "1s", "queue-deadline": "4s", "call-timeout": "3s", "stop-grace": "8s",
 	}
 	for name, shortest := range map[string]time.Duration{
 		"poll-interval": 200 * time.Millisecond, "confirm-ttl": time.Second, "lease-ttl": 1200 * time.Millisecond,
