--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -80,20 +80,9 @@
 		case r := <-events:
 			timer.Stop()
 			s.ahead = false
-			if s.finish != nil && (r.err != nil || r.event.PromptTokens > 0) {
-				s.finished(r.event.PromptTokens)
-				return nil
-			}
-			if r.err != nil {
-				return r.err
-			}
-			if err := s.take(r.event); err != nil {
+			if whole, err := s.accept(r); whole || err != nil {
 				return err
 			}
-			if s.finish != nil && r.event.PromptTokens > 0 {
-				s.finished(r.event.PromptTokens)
-				return nil
-			}
 			progress = s.Clock.Now()
 			if s.answer.abandoned(progress, s.AbandonAfter) {
 				return errAbandoned
@@ -113,6 +102,20 @@
 	}
 }
 
+// accept takes what was read. It returns whole when the answer has ended: with the usage, or without it
+// when nothing more can be read after the last token.
+func (s *run) accept(r received) (whole bool, err error) {
+	err = r.err
+	if err == nil {
+		err = s.take(r.event)
+	}
+	if s.finish != nil && (err != nil || r.event.PromptTokens > 0) {
+		s.finished(r.event.PromptTokens)
+		return true, nil
+	}
+	return false, err
+}
+
 // silenceLimit is the time without an event after which the engine is probed.
 func (s *run) silenceLimit() time.Duration {
 	if s.ahead {
