--- a/rudderd/rudderadminhttp/items.go
+++ b/rudderd/rudderadminhttp/items.go
@@ -209,7 +209,7 @@
 		if i < 0 {
 			return notFound("no workspace " + name)
 		}
-		document.Workspaces[i].KeyHashes = append(document.Workspaces[i].KeyHashes, HashOf(key))
+		document.Workspaces[i].KeyHashes = append(document.Workspaces[i].KeyHashes, rudderconfig.HashSecret(key))
 		return nil
 	})
 	if err != nil {
--- a/rudderd/rudderadminhttp/operator.go
+++ b/rudderd/rudderadminhttp/operator.go
@@ -1,9 +1,6 @@
 package rudderadminhttp
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -44,9 +41,9 @@
 
 // findOperator compares the token's hash with every stored one in constant time.
 func (a *API) findOperator(token string) (rudderconfig.Operator, bool) {
-	hash := HashOf(token)
+	hash := rudderconfig.HashSecret(token)
 	same := func(stored string) bool {
-		return subtle.ConstantTimeCompare([]byte(strings.ToLower(stored)), []byte(hash)) == 1
+		return rudderconfig.SameHash(stored, hash)
 	}
 	var operators []rudderconfig.Operator
 	if document := a.Current(); document != nil {
@@ -67,12 +64,6 @@
 	return operators[found], true
 }
 
-// HashOf returns the form in which keys and tokens are stored.
-func HashOf(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
-}
-
 // mayChange refuses viewers.
 func mayChange(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
--- a/rudderd/rudderhttp/identity.go
+++ b/rudderd/rudderhttp/identity.go
@@ -2,9 +2,6 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"strings"
 
@@ -61,12 +58,11 @@
 
 // findWorkspace compares the key's hash with every stored one in constant time.
 func findWorkspace(document *rudderconfig.Document, key string) (rudderconfig.Workspace, bool) {
-	sum := sha256.Sum256([]byte(key))
-	wanted := []byte(hex.EncodeToString(sum[:]))
+	wanted := rudderconfig.HashSecret(key)
 	found := -1
 	for i, workspace := range document.Workspaces {
 		for _, hash := range workspace.KeyHashes {
-			if subtle.ConstantTimeCompare([]byte(strings.ToLower(hash)), wanted) == 1 {
+			if rudderconfig.SameHash(hash, wanted) {
 				found = i
 			}
 		}
