--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -25,7 +25,7 @@
 type Settings struct {
 	Name, Region, DataCentre string
 	// Addresses to listen on, IP:PORT.
-	CallerListen, DirectoryListen, ReadyListen, MetricsListen string
+	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
 	// LookLimit is the greatest age of the last look at the routing document with which a key counts.
 	LookLimit time.Duration
 	// ReturnGrace is how long records may take to come back after an outage of the key-value service.
@@ -66,6 +66,7 @@
 	session   *session
 	stop      stopState
 	deaths    deaths
+	peers     *peers
 }
 
 // Run serves until the context ends and then stops as planned.
@@ -89,6 +90,7 @@
 		{"forwarder", e.forwarder.Run},
 		{"planner", e.former.Run},
 		{"registration", e.session.run},
+		{"shared secret", e.agreeOnSecret},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
 	}
@@ -115,16 +117,18 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace,
 		OnLook:  func(d time.Duration) { e.count("store.looks") },
 		OnDeath: e.deaths.take,
+		Hurry:   func() bool { return e.former.Planning() },
 	}
+	e.peers = newPeers()
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}),
-		entry: rudderview.Entry{Name: e.Settings.Name, Address: e.Settings.CallerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre},
+		entry: rudderview.Entry{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre},
 	}
 	e.forwarder = &rudderforward.Forwarder{
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, LookLimit: e.Settings.LookLimit, Retries: e.Settings.Retries,
-		Probe: e.probe, Suspect: e.suspect,
+		Probe: e.probe, Suspect: e.suspect, Examine: e.examine,
 		Poisoned: e.deaths.poisoned, Crashed: e.crashed,
 	}
 	e.former = &rudderformer.Former{
--- a/rudderd/rudderedge/listen.go
+++ b/rudderd/rudderedge/listen.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
+
+	"comfreyrudder.example/shared/rudderpeer"
 )
 
 const (
@@ -31,12 +33,14 @@
 	e.Ports.Readiness(readiness, e)
 	report.GET("/metrics", e.report)
 	var servers []boundServer
+	peerServer := rudderpeer.NewServer(e.peerHandler())
 	for _, x := range []struct {
 		address string
 		handler http.Handler
 	}{
 		{e.Settings.CallerListen, callers}, {e.Settings.DirectoryListen, directory},
 		{e.Settings.ReadyListen, readiness}, {e.Settings.MetricsListen, report},
+		{e.Settings.PeerListen, nil},
 	} {
 		if x.address == "" {
 			continue
@@ -45,6 +49,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
+		if x.address == e.Settings.PeerListen {
+			servers = append(servers, boundServer{listener: listener, server: peerServer})
+			continue
+		}
 		servers = append(servers, boundServer{listener: listener, server: &http.Server{
 			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}})
--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -25,7 +25,7 @@
 	loading := in.loading(domains)
 	for {
 		best := in.best(domains, counts)
-		if best == nil || !in.mayLoad(best, loading) {
+		if best == nil || best.loads > 0 && !in.Settled || !in.mayLoad(best, loading) {
 			return
 		}
 		loading += best.loads
@@ -53,7 +53,7 @@
 	for _, d := range domains {
 		for _, g := range d.groups {
 			for _, m := range g.Members {
-				if t := in.Targets[m.Target]; t != nil && !g.Retiring && !warm(t, g.Model) {
+				if t := in.Targets[m.Target]; t != nil && !warm(t, g.Model) {
 					n++
 				}
 			}
--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -37,6 +37,9 @@
 	Stall time.Duration
 	// Traffic tells whether requests have been seen. Loads before the first one are not limited.
 	Traffic bool
+	// Settled tells whether the targets have had time to register. Before, weights are staged, but no
+	// group is formed that needs a load.
+	Settled bool
 	Memory  *Memory
 }
 
@@ -94,20 +97,24 @@
 	}
 	list := make([]*domain, 0, len(byName))
 	for _, d := range byName {
-		taken := map[string]bool{}
-		for _, g := range d.groups {
-			for _, m := range g.Members {
-				taken[m.Target] = true
-			}
-		}
-		d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return taken[t.Name] })
-		slices.SortFunc(d.free, func(a, b *rudderview.Target) int { return cmp.Compare(a.Name, b.Name) })
 		list = append(list, d)
 	}
 	slices.SortFunc(list, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
 	return list
 }
 
+// findFree leaves those targets of the domain free that are in no planned group.
+func (in *Input) findFree(d *domain) {
+	taken := map[string]bool{}
+	for _, g := range d.groups {
+		for _, m := range g.Members {
+			taken[m.Target] = true
+		}
+	}
+	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return taken[t.Name] })
+	slices.SortFunc(d.free, func(a, b *rudderview.Target) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // inGroup reports whether a target says that it is in the group, in this life.
 func inGroup(t *rudderview.Target, g rudderroster.Group) bool {
 	return t != nil && t.Membership.Group == g.Name && t.Membership.Epoch == g.Epoch
--- a/rudderd/rudderform/memory.go
+++ b/rudderd/rudderform/memory.go
@@ -25,11 +25,21 @@
 // the orders that are due again, which has no second effect.
 type Memory struct {
 	orders map[string]*sent
-	// retired is when this planner first saw a group retiring.
-	retired map[string]time.Duration
+	// retirements are the groups that end.
+	retirements map[string]*retirement
 	// complete are groups whose members were all seen in the group.
 	complete map[string]bool
-	loads    loadBucket
+	// staging is the life of each target whose stage order was sent.
+	staging map[string]int64
+	loads   loadBucket
+}
+
+// retirement is how a group ends.
+type retirement struct {
+	since  time.Duration
+	reason string
+	// graceful groups may finish their requests until this uptime; 0 for the others.
+	graceful time.Duration
 }
 
 type sent struct {
@@ -40,7 +50,7 @@
 
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{orders: map[string]*sent{}, retired: map[string]time.Duration{}, complete: map[string]bool{}}
+	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]int64{}}
 }
 
 func orderKey(target string, o ruddertarget.GroupOrder) string {
@@ -93,15 +103,6 @@
 	}
 }
 
-// retiredSince returns when this planner first saw the group retiring.
-func (m *Memory) retiredSince(now time.Duration, g rudderroster.Group) time.Duration {
-	key := groupKey(g)
-	if _, known := m.retired[key]; !known {
-		m.retired[key] = now
-	}
-	return m.retired[key]
-}
-
 // forget drops old orders.
 func (m *Memory) forget(now time.Duration) {
 	for key, s := range m.orders {
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -1,6 +1,8 @@
 package rudderform
 
 import (
+	"time"
+
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -12,9 +14,10 @@
 	var orders []Order
 	domains := in.domains()
 	for _, d := range domains {
+		in.findFree(d)
 		for _, g := range d.groups {
-			if g.Retiring {
-				orders = append(orders, in.release(g)...)
+			if r := in.retirement(g); r != nil {
+				orders = append(orders, in.release(g, r)...)
 			} else {
 				orders = append(orders, in.assemble(g)...)
 			}
@@ -55,69 +58,83 @@
 	return orders
 }
 
-// release makes the leader let go of a retiring group. When the leader does not answer, the other members
+// release makes the leader let go of a group that ends. When the leader does not answer, the other members
 // leave, so that it stands still and breaks.
-func (in *Input) release(g rudderroster.Group) []Order {
+func (in *Input) release(g rudderroster.Group, r *retirement) []Order {
 	leader := in.Targets[g.Members[0].Target]
-	in.Memory.retiredSince(in.Now, g)
-	if leader != nil && g.Graceful && inGroup(leader, g) && leader.Membership.Phase != ruddertarget.GroupReady {
-		if leader.Membership.Phase == ruddertarget.GroupClosing {
-			return nil
-		}
-		return []Order{in.order(leader, ruddertarget.GroupOrder{Kind: ruddertarget.OrderClose, Group: g.Name, Epoch: g.Epoch}, g.Reason)}
+	if r.graceful > 0 {
+		return in.finish(g, r, leader)
 	}
 	leave := leaveOrder(g)
-	if leader != nil && !in.Dead(leader) {
-		return []Order{in.order(leader, leave, g.Reason)}
-	}
 	var orders []Order
-	if leader != nil {
-		orders = append(orders, in.order(leader, leave, g.Reason))
+	if leader != nil && leader.Born == g.Members[0].Born {
+		orders = append(orders, in.order(leader, leave, r.reason))
 	}
-	for _, m := range g.Members[1:] {
-		if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && !in.Dead(t) {
-			orders = append(orders, in.order(t, leave, "leader is not reachable"))
+	if in.leaderDead(g) || in.Now-r.since > leaderPatience {
+		for _, m := range g.Members[1:] {
+			if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && !in.Dead(t) && !in.Memory.done(m.Target, leave) {
+				orders = append(orders, in.order(t, leave, "leader is not reachable"))
+			}
 		}
 	}
 	return orders
 }
 
+// leaderPatience is the time without a leader's answer after which the other members leave.
+const leaderPatience = 2 * time.Second
+
+// finish closes the leader, and takes the group apart when the leader has nothing left to do.
+func (in *Input) finish(g rudderroster.Group, r *retirement, leader *rudderview.Target) []Order {
+	switch {
+	case leader == nil || !inGroup(leader, g):
+		return nil
+	case leader.Membership.Phase == ruddertarget.GroupOpen:
+		return []Order{in.order(leader, ruddertarget.GroupOrder{Kind: ruddertarget.OrderClose, Group: g.Name, Epoch: g.Epoch}, r.reason)}
+	case leader.Membership.Phase == ruddertarget.GroupClosing:
+		return nil
+	}
+	return []Order{in.order(leader, leaveOrder(g), r.reason)}
+}
+
 func (in *Input) order(t *rudderview.Target, o ruddertarget.GroupOrder, reason string) Order {
 	return Order{Target: t.Name, Address: t.Address, Order: o, Reason: reason}
 }
 
-// stage fetches weights onto free targets, so that they can replace a lost member within seconds.
+// stage fetches weights onto free targets, so that they can replace a lost member within seconds, and so
+// that the first groups need no load of their own.
 func (in *Input) stage(domains []*domain) []Order {
-	if in.Service.Engine.Staged < 1 {
+	engine := in.Service.Engine
+	if engine.Staged < 1 {
 		return nil
 	}
+	limit := engine.LoadsAtOnce
+	if !in.Traffic {
+		limit *= earlyLoads
+	}
 	running := in.loading(domains)
 	var orders []Order
 	for _, d := range domains {
 		spares := map[string]int{}
 		for _, t := range d.free {
-			for _, m := range in.Service.Engine.Models {
-				if warm(t, m.Name) {
-					spares[m.Name]++
-				}
+			if model := in.weights(t); model != "" {
+				spares[model]++
 			}
 		}
 		for _, t := range d.free {
-			if len(t.Staged) > 0 || t.Model != "" {
+			if in.weights(t) != "" || t.Model != "" {
 				continue
 			}
 			model := in.neededSpare(d, spares)
 			if model == "" {
 				continue
 			}
-			o := in.order(t, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: model}, "spare of the domain")
 			spares[model]++
-			if running >= in.Service.Engine.LoadsAtOnce || !in.Memory.due(in.Now, o.Target, o.Order) {
-				running++
-				continue
-			}
-			if in.Traffic && !in.Memory.loads.take(in.Now, in.Service.Engine.LoadsPerSecond, 1) {
-				return orders
+			o := in.order(t, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: model}, "spare of the domain")
+			if born, sent := in.Memory.staging[t.Name]; !sent || born != t.Born {
+				if running >= limit || in.Traffic && !in.Memory.loads.take(in.Now, engine.LoadsPerSecond, 1) {
+					return orders
+				}
+				in.Memory.staging[t.Name] = t.Born
 			}
 			running++
 			orders = append(orders, o)
@@ -126,7 +143,22 @@
 	return orders
 }
 
-// neededSpare returns the model whose groups in the domain have the fewest spares for each member.
+// earlyLoads is how many times more loads run at once before the first request than run at full speed: the
+// weight store is kept busy while the targets' records lag.
+const earlyLoads = 2
+
+// weights returns the model whose weights a target has, or "".
+func (in *Input) weights(t *rudderview.Target) string {
+	for _, m := range in.Service.Engine.Models {
+		if warm(t, m.Name) {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// neededSpare returns the model that has the fewest spares for its members in the domain. A domain without
+// groups is divided by the sizes of the models.
 func (in *Input) neededSpare(d *domain, spares map[string]int) string {
 	members := map[string]int{}
 	for _, g := range d.groups {
@@ -134,7 +166,11 @@
 	}
 	best, most := "", 0.0
 	for _, m := range in.Service.Engine.Models {
-		if need := float64(members[m.Name]) / float64(1+spares[m.Name]); need > most {
+		weight := members[m.Name]
+		if len(d.groups) == 0 {
+			weight = m.Size
+		}
+		if need := float64(weight) / float64(1+spares[m.Name]); need > most {
 			best, most = m.Name, need
 		}
 	}
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -8,16 +8,25 @@
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
-// gracefulLimit is how long a group with a leaving member may finish its requests; the leaving member
-// stays for about this long.
-const gracefulLimit = 8 * time.Second
+const (
+	// leavingGrace is how long a group with a leaving member may finish its requests; the leaving
+	// member stays for about this long.
+	leavingGrace = 8 * time.Second
+	// goneGrace is the same for a group with a member whose record is gone: it may have left without
+	// saying so, and then serves on for a moment, or have died unnoticed.
+	goneGrace = 2 * time.Second
+	// tellAfter is the time without a leader's answer after which the plan tells all entry hosts that
+	// the group ends. A leader that answers lets go at once, and the plan is written only once.
+	tellAfter = 600 * time.Millisecond
+)
 
-// Step returns the plans that should be stored next. Orders follow from stored plans alone (see Orders).
+// Step returns the plans that should be stored next.
 func Step(in Input) []Change {
 	in.Memory.forget(in.Now)
 	domains := in.domains()
 	for _, d := range domains {
 		in.keep(d)
+		in.findFree(d)
 	}
 	in.form(domains)
 	var changes []Change
@@ -30,50 +39,71 @@
 	return changes
 }
 
-// keep moves the groups of a domain through their states and drops those that have let go.
+// keep drops the groups of a domain that have let go, and marks those that end without their leader's help.
 func (in *Input) keep(d *domain) {
 	kept := d.groups[:0:0]
 	for _, g := range d.groups {
+		r := in.retirement(g)
 		switch {
-		case g.Retiring && in.released(g):
-			d.note(fmt.Sprintf("group %s released", groupKey(g)))
+		case r == nil:
+		case in.released(g, r):
+			d.note(fmt.Sprintf("group %s released after %s: %s", groupKey(g), (in.Now - r.since).Round(time.Millisecond), r.reason))
+			delete(in.Memory.retirements, groupKey(g))
 			continue
-		case g.Retiring:
-			if g.Graceful && (in.memberLost(g) != "" || in.Now-in.Memory.retiredSince(in.Now, g) > gracefulLimit) {
-				g.Graceful = false
-				d.note(fmt.Sprintf("group %s ends at once: %s", groupKey(g), in.memberLost(g)))
-			}
-		default:
-			if reason := in.memberLost(g); reason != "" {
-				g.Retiring, g.Reason = true, reason
-				d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), reason))
-			} else if reason := in.memberLeaving(g); reason != "" {
-				g.Retiring, g.Graceful, g.Reason = true, true, reason
-				d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), reason))
-			}
+		case !g.Retiring && r.graceful == 0 && (in.Now-r.since > tellAfter || in.leaderDead(g)):
+			g.Retiring, g.Reason = true, r.reason
+			d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
 		}
 		kept = append(kept, g)
 	}
 	d.groups = kept
 }
 
+// retirement returns how a group ends, or nil for a group that goes on.
+func (in *Input) retirement(g rudderroster.Group) *retirement {
+	key := groupKey(g)
+	r := in.Memory.retirements[key]
+	lost := in.memberLost(g)
+	if r == nil {
+		r = &retirement{since: in.Now, reason: lost}
+		gone, leaving := in.memberGone(g), in.memberLeaving(g)
+		switch {
+		case lost != "":
+		case gone != "":
+			r.reason, r.graceful = gone, in.Now+goneGrace
+		case leaving != "":
+			r.reason, r.graceful = leaving, in.Now+leavingGrace
+		case g.Retiring:
+			r.reason = g.Reason
+		default:
+			return nil
+		}
+		in.Memory.retirements[key] = r
+	}
+	if r.graceful > 0 && (lost != "" || in.Now >= r.graceful) {
+		r.graceful = 0
+	}
+	return r
+}
+
 // memberLost says why a group cannot run, or "".
 func (in *Input) memberLost(g rudderroster.Group) string {
-	all := true
-	leaderOpen := false
+	all, leaderOpen := true, false
 	for rank, m := range g.Members {
 		t := in.Targets[m.Target]
+		if t == nil {
+			all = false
+			continue
+		}
 		switch {
-		case t == nil:
-			return "member " + m.Target + " is gone"
 		case t.Born != m.Born:
 			return "member " + m.Target + " restarted"
 		case in.Dead(t):
 			return "member " + m.Target + " does not answer"
 		}
-		in := inGroup(t, g)
-		all = all && in
-		if rank == 0 && in {
+		member := inGroup(t, g)
+		all = all && member
+		if rank == 0 && member {
 			leaderOpen = t.Membership.Phase == ruddertarget.GroupOpen || t.Membership.Phase == ruddertarget.GroupClosing
 			if t.Membership.Phase == ruddertarget.GroupBroken {
 				return "leader reports a broken group"
@@ -84,12 +114,22 @@
 		in.Memory.complete[groupKey(g)] = true
 		return ""
 	}
-	if leaderOpen || in.Memory.complete[groupKey(g)] {
+	if in.memberGone(g) == "" && (leaderOpen || in.Memory.complete[groupKey(g)]) {
 		return "a member is no longer in the group"
 	}
 	return ""
 }
 
+// memberGone says which member has no record any more, or "".
+func (in *Input) memberGone(g rudderroster.Group) string {
+	for _, m := range g.Members {
+		if in.Targets[m.Target] == nil {
+			return "member " + m.Target + " is gone"
+		}
+	}
+	return ""
+}
+
 // memberLeaving says which member leaves, or "".
 func (in *Input) memberLeaving(g rudderroster.Group) string {
 	for _, m := range g.Members {
@@ -100,28 +140,40 @@
 	return ""
 }
 
-// released reports whether the leader of a retiring group has let go, so that its members may join other
+func (in *Input) leaderDead(g rudderroster.Group) bool {
+	t := in.Targets[g.Members[0].Target]
+	return t == nil || in.Dead(t)
+}
+
+// released reports whether the leader of a group that ends has let go, so that its members may join other
 // groups. A leader that takes no order holds its members until it must have noticed that they left.
-func (in *Input) released(g rudderroster.Group) bool {
+func (in *Input) released(g rudderroster.Group, r *retirement) bool {
 	leader := g.Members[0]
-	since := in.Memory.retiredSince(in.Now, g)
-	if t := in.Targets[leader.Target]; t != nil && (t.Born != leader.Born || in.Memory.complete[groupKey(g)] && !inGroup(t, g)) {
+	t := in.Targets[leader.Target]
+	if t != nil && (t.Born != leader.Born || in.Memory.complete[groupKey(g)] && !inGroup(t, g)) {
 		return true
 	}
 	leave := leaveOrder(g)
 	if in.Memory.done(leader.Target, leave) {
 		return true
 	}
-	left := 0
+	if r.graceful > 0 {
+		return false
+	}
+	left, others := 0, 0
 	for _, m := range g.Members[1:] {
+		if t := in.Targets[m.Target]; t == nil || t.Born != m.Born || in.Dead(t) {
+			continue
+		}
+		others++
 		if in.Memory.done(m.Target, leave) {
 			left++
 		}
 	}
-	if len(g.Members) > 1 && left == 0 {
-		return in.Now-since > 2*(in.Stall+stallMargin)
+	if others > 0 && left == 0 {
+		return in.Now-r.since > 2*(in.Stall+stallMargin)
 	}
-	return in.Now-since > in.Stall+stallMargin
+	return in.Now-r.since > in.Stall+stallMargin
 }
 
 func leaveOrder(g rudderroster.Group) ruddertarget.GroupOrder {
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,12 +34,13 @@
 	storeTimeout = 800 * time.Millisecond
 	// orderTimeout bounds an order; the answer comes within a round trip or not at all.
 	orderTimeout = 500 * time.Millisecond
-	// settleTime is how long the list of targets must stay the same before the first groups are formed,
-	// because the targets register one after the other; settleLimit bounds the wait.
-	settleTime  = 300 * time.Millisecond
-	settleLimit = 2 * time.Second
+	// settleTime is how long the targets may take to register before the first groups are formed with
+	// loads; weights are staged meanwhile.
+	settleTime = 4 * time.Second
 	// recheckInterval is the time between two probes of a target that is suspected.
 	recheckInterval = 1500 * time.Millisecond
+	// examineInterval is how long the verdict on a target answers further questions about it.
+	examineInterval = 300 * time.Millisecond
 )
 
 // Former is one candidate for the planner. Set the exported fields before Run.
@@ -62,18 +63,25 @@
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
 
-	mu     sync.Mutex
-	memory map[string]*rudderform.Memory // by service
-	plans  map[string]rudderform.Stored  // by key of the plan, stored by this planner
-	dead   map[string]verdict            // by target
-	wake   chan struct{}
+	planning atomic.Bool
+	mu       sync.Mutex
+	memory   map[string]*rudderform.Memory // by service
+	plans    map[string]rudderform.Stored  // by key of the plan, stored by this planner
+	dead     map[string]*verdict           // by target
+	wake     chan struct{}
+	begin    time.Duration // uptime at which the lease was taken
 }
 
+// Planning reports whether this entry host holds the planner's lease.
+func (f *Former) Planning() bool { return f.planning.Load() }
+
+// verdict on one life of a target.
 type verdict struct {
 	born    int64
 	dead    bool
-	checked time.Duration
 	running bool
+	checked time.Duration // uptime of the begin or the end of the last probe
+	done    chan struct{} // closed when the probe has ended
 }
 
 // Run takes the planner's lease whenever it is free and plans while it is held.
@@ -124,23 +132,18 @@
 // plan steps until the lease is lost.
 func (f *Former) plan(ctx context.Context, lease int64) {
 	f.mu.Lock()
-	f.memory, f.plans, f.dead = map[string]*rudderform.Memory{}, map[string]rudderform.Stored{}, map[string]verdict{}
+	f.memory, f.plans, f.dead = map[string]*rudderform.Memory{}, map[string]rudderform.Stored{}, map[string]*verdict{}
 	f.mu.Unlock()
 	f.Logger.Info().Int64("lease", lease).Msg("planner's lease taken")
 	held, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.renew(held, cancel, lease)
-	begin := f.Uptime()
-	settled := 0
+	f.planning.Store(true)
+	defer f.planning.Store(false)
+	f.begin = f.Uptime()
 	for held.Err() == nil {
 		changed := f.View.Changed()
-		snapshot := f.View.Snapshot()
-		if len(snapshot.Plans) == 0 && settled != len(snapshot.Targets) && f.Uptime()-begin < settleLimit {
-			settled = len(snapshot.Targets)
-			wait(held, nil, settleTime)
-			continue
-		}
-		busy := f.step(held, snapshot)
+		busy := f.step(held, f.View.Snapshot())
 		pause := 5 * stepInterval
 		if busy {
 			pause = stepInterval
@@ -175,7 +178,7 @@
 
 // step stores what changes and sends the orders that are due. busy reports that something is under way.
 func (f *Former) step(ctx context.Context, snapshot *rudderview.Snapshot) (busy bool) {
-	f.checkSuspects(ctx, snapshot)
+	f.checkSuspects(snapshot)
 	for _, service := range snapshot.Table.Services() {
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
@@ -235,11 +238,16 @@
 			plans[stored.Plan.Domain] = stored
 		}
 	}
-	dead := maps.Clone(f.dead)
+	dead := map[string]int64{}
+	for name, v := range f.dead {
+		if v.dead {
+			dead[name] = v.born
+		}
+	}
 	in := rudderform.Input{
 		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Plans: plans, Stall: f.Stall,
-		Traffic: f.Traffic(), Memory: f.memory[service.Name],
-		Dead: func(t *rudderview.Target) bool { return dead[t.Name].dead && dead[t.Name].born == t.Born },
+		Traffic: f.Traffic(), Settled: f.Traffic() || f.Uptime()-f.begin > settleTime, Memory: f.memory[service.Name],
+		Dead: func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
 	}
 	if f.Demand != nil {
 		in.Demand = f.Demand(service.Name)
--- a/rudderd/rudderformer/suspects.go
+++ b/rudderd/rudderformer/suspects.go
@@ -2,56 +2,96 @@
 
 import (
 	"context"
+	"time"
 
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// checkSuspects probes the targets that entry hosts suspect, before anything is done about them: an entry
-// host that is cut off would otherwise take whole domains out of service.
-func (f *Former) checkSuspects(ctx context.Context, snapshot *rudderview.Snapshot) {
+// Examine probes the targets that another entry host finds silent and returns the dead ones. Entry hosts
+// that ask about the same target share one probe. ok is false on an entry host that does not plan.
+func (f *Former) Examine(ctx context.Context, lives map[string]int64) (dead []string, ok bool) {
+	if !f.planning.Load() {
+		return nil, false
+	}
+	snapshot := f.View.Snapshot()
+	type pending struct {
+		name string
+		done <-chan struct{}
+	}
+	var waiting []pending
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Uptime()
-	check := func(t *rudderview.Target) {
-		v := f.dead[t.Name]
-		if v.running || v.born == t.Born && v.checked > 0 && now-v.checked < recheckInterval {
-			return
+	for name, born := range lives {
+		if t := snapshot.Targets[name]; t != nil && t.Born == born {
+			waiting = append(waiting, pending{name, f.check(t, examineInterval)})
 		}
-		if v.born != t.Born {
-			v = verdict{born: t.Born}
+	}
+	f.mu.Unlock()
+	for _, p := range waiting {
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return nil, false
 		}
-		v.running, v.checked = true, now
-		f.dead[t.Name] = v
-		go f.verify(ctx, t)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range waiting {
+		if v := f.dead[p.name]; v != nil && v.dead && v.born == lives[p.name] {
+			dead = append(dead, p.name)
+		}
+	}
+	return dead, true
+}
+
+// checkSuspects probes the targets that entry hosts suspect, before anything is done about them: an entry
+// host that is cut off would otherwise take whole domains out of service. Dead targets are probed again,
+// because they may come back.
+func (f *Former) checkSuspects(snapshot *rudderview.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, x := range snapshot.Suspicions {
 		if t := snapshot.Targets[x.Target]; t != nil && t.Born == x.Born {
-			check(t)
+			f.check(t, recheckInterval)
 		}
 	}
 	for name, v := range f.dead {
 		t := snapshot.Targets[name]
-		if t == nil {
+		switch {
+		case t == nil:
 			delete(f.dead, name)
-		} else if v.dead {
-			check(t)
+		case v.dead:
+			f.check(t, recheckInterval)
 		}
 	}
 }
 
-// verify probes one target.
-func (f *Former) verify(ctx context.Context, t *rudderview.Target) {
-	dead := f.Dead(ctx, t)
-	if ctx.Err() != nil {
-		return
+// check starts a probe unless one is under way or the last one is young enough, and returns a channel that
+// is closed when the verdict stands. The caller holds the lock.
+func (f *Former) check(t *rudderview.Target, interval time.Duration) <-chan struct{} {
+	v := f.dead[t.Name]
+	now := f.Uptime()
+	if v != nil && v.born == t.Born && (v.running || now-v.checked < interval) {
+		return v.done
+	}
+	next := &verdict{born: t.Born, checked: now, running: true, done: make(chan struct{})}
+	if v != nil && v.born == t.Born {
+		next.dead = v.dead
 	}
+	f.dead[t.Name] = next
+	go f.verify(t, next)
+	return next.done
+}
+
+// verify probes one target.
+func (f *Former) verify(t *rudderview.Target, v *verdict) {
+	dead := f.Dead(context.Background(), t)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old := f.dead[t.Name]
-	f.dead[t.Name] = verdict{born: t.Born, dead: dead, checked: f.Uptime()}
-	if dead != old.dead || !dead {
-		f.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Bool("dead", dead).Msg("suspected target probed")
+	if dead || v.dead {
+		f.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Bool("dead", dead).Bool("before", v.dead).Msg("suspected target probed")
 	}
+	v.dead, v.running, v.checked = dead, false, f.Uptime()
+	close(v.done)
 	select {
 	case f.wake <- struct{}{}:
 	default:
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -36,7 +36,9 @@
 	Retries   RetryLimits
 	// Probe asks a target whether it lives.
 	Probe func(ctx context.Context, t *rudderview.Target) error
-	// Suspect tells the other entry hosts that a target is dead.
+	// Examine asks the planner which members of a group are dead; ok is false when it cannot be asked.
+	Examine func(ctx context.Context, g *rudderview.Group) (dead []string, ok bool)
+	// Suspect tells the other entry hosts that a target is dead, when the planner could not be asked.
 	Suspect func(t *rudderview.Target, reason string)
 	// Poisoned reports a request that crashes its targets; Crashed notes that a target may have died
 	// running it.
@@ -76,17 +78,12 @@
 	for ctx.Err() == nil {
 		changed := f.View.Changed()
 		snapshot := f.View.Snapshot()
-		if len(snapshot.Suspicions) > 0 {
-			f.dogs.Range(func(key, _ any) bool {
-				w := key.(*watchdog)
-				for _, t := range w.group.Members {
-					if snapshot.Suspected(t) {
-						w.cancel(errGroupBroken)
-					}
-				}
-				return true
-			})
-		}
+		f.dogs.Range(func(key, _ any) bool {
+			if w := key.(*watchdog); snapshot.Ended(w.group) {
+				w.cancel(errGroupBroken)
+			}
+			return true
+		})
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,32 +71,40 @@
 	f.probes.groups[g.ID] = p
 	f.probes.mu.Unlock()
 
-	dead := f.deadMembers(g)
+	dead, asked := f.Examine(ctx, g)
+	if !asked && ctx.Err() == nil {
+		dead = f.deadMembers(g)
+	}
 	f.probes.mu.Lock()
 	p.broken, p.ended = len(dead) > 0, max(f.Uptime(), 1)
 	f.probes.mu.Unlock()
 	close(p.done)
-	f.Logger.Info().Str("group", g.ID).Int("members", len(g.Members)).Int("dead", len(dead)).Msg("silent group probed")
+	f.Logger.Info().Str("group", g.ID).Int("members", len(g.Members)).Strs("dead", dead).Bool("by_planner", asked).Msg("silent group probed")
 	if p.broken {
 		f.loads.avoid(g.Leader.Name, f.Uptime()+brokenAvoid, f.Uptime())
-		for _, t := range dead {
-			go f.Suspect(t, "silent stream of group "+g.ID)
+	}
+	if p.broken && !asked {
+		for _, t := range g.Members {
+			if slices.Contains(dead, t.Name) {
+				go f.Suspect(t, "silent stream of group "+g.ID)
+			}
 		}
 	}
 	return p.broken
 }
 
-func (f *Forwarder) deadMembers(g *rudderview.Group) []*rudderview.Target {
+// deadMembers probes all members and names those that do not answer.
+func (f *Forwarder) deadMembers(g *rudderview.Group) []string {
 	results := make([]bool, len(g.Members))
 	var waiting sync.WaitGroup
 	for i, t := range g.Members {
 		waiting.Go(func() { results[i] = f.TargetDead(context.Background(), t) })
 	}
 	waiting.Wait()
-	var dead []*rudderview.Target
+	var dead []string
 	for i, t := range g.Members {
 		if results[i] {
-			dead = append(dead, t)
+			dead = append(dead, t.Name)
 		}
 	}
 	return dead
--- a/rudderd/rudderroster/plan.go
+++ b/rudderd/rudderroster/plan.go
@@ -20,10 +20,8 @@
 	Epoch   int64    `json:"epoch"`
 	Model   string   `json:"model"`
 	Members []Member `json:"members"` // in rank order
-	// Retiring groups take no new work; their members are free when the leader has let go.
-	Retiring bool `json:"retiring,omitempty"`
-	// Graceful lets a retiring group finish its requests.
-	Graceful bool   `json:"graceful,omitempty"`
+	// Retiring groups take no work; their members are free when the leader has let go.
+	Retiring bool   `json:"retiring,omitempty"`
 	Reason   string `json:"reason,omitempty"`
 }
 
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -55,6 +55,28 @@
 	return false
 }
 
+// Ended reports whether a group cannot go on with the requests that it has: a member is dead or has started
+// again, or the plan of its domain no longer holds it.
+func (s *Snapshot) Ended(g *Group) bool {
+	for _, m := range g.Members {
+		if t := s.Targets[m.Name]; t != nil && t.Born != m.Born || s.Suspected(m) {
+			return true
+		}
+	}
+	return g.Model != "" && !s.planned(g)
+}
+
+// planned reports whether the plan of a group's domain holds it.
+func (s *Snapshot) planned(g *Group) bool {
+	record, known := s.Plans[PlanPrefix+g.Service+"/"+g.Leader.FabricDomain]
+	if !known {
+		return true
+	}
+	return slices.ContainsFunc(record.Plan.Groups, func(p rudderroster.Group) bool {
+		return !p.Retiring && p.Name == g.Leader.Membership.Group && p.Epoch == g.Leader.Membership.Epoch
+	})
+}
+
 // GroupID names one life of a group.
 func GroupID(name string, epoch int64) string { return name + "@" + strconv.FormatInt(epoch, 10) }
 
@@ -118,5 +140,8 @@
 		}
 		g.Draining = g.Draining || member.Leaving()
 	}
+	if !s.planned(g) {
+		return nil
+	}
 	return g
 }
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -33,6 +33,7 @@
 type Entry struct {
 	Name       string `json:"name"`
 	Address    string `json:"address"`
+	Peer       string `json:"peer"`
 	Region     string `json:"region"`
 	DataCentre string `json:"data_centre"`
 }
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -23,6 +23,7 @@
 	PlanPrefix      = "rudder/plan/"
 	PlannerKey      = "rudder/planner"
 	SuspicionPrefix = "rudder/suspect/"
+	SecretKey       = "rudder/secret"
 	DeathPrefix     = "rudder/death/"
 )
 
@@ -49,6 +50,8 @@
 	ReturnGrace time.Duration
 	// OnLook is called after each answered look with the time that it took; optional.
 	OnLook func(d time.Duration)
+	// Hurry tells whether changes are wanted without delay, at the price of more calls; optional.
+	Hurry func() bool
 	// OnDeath takes the records below DeathPrefix; optional.
 	OnDeath func(e rudderstore.Entry)
 
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -23,8 +23,9 @@
 	// listTimeout bounds a read of all records.
 	listTimeout = 3 * time.Second
 	// batchPause is the time between two watches while changes come quickly, so that several changes
-	// share one call.
-	batchPause = 40 * time.Millisecond
+	// share one call; planBatchPause is the same for the planner, which acts on each change.
+	batchPause     = 400 * time.Millisecond
+	planBatchPause = 20 * time.Millisecond
 	// retryPause is the time between two calls while the service fails.
 	retryPause = 150 * time.Millisecond
 	// outageAfter is the time without an answer after which the service counts as away.
@@ -128,7 +129,11 @@
 	}
 	v.looked(begin, max(begin, v.Uptime()-watchLag))
 	if len(result.Events) > 0 {
-		sleep(ctx, batchPause)
+		pause := batchPause
+		if v.Hurry != nil && v.Hurry() {
+			pause = planBatchPause
+		}
+		sleep(ctx, pause)
 	}
 	return nil
 }
