--- /dev/null
+++ b/rudderd/rudderbalance/ledger.go
@@ -0,0 +1,164 @@
+// Package rudderbalance chooses the group that will serve a request soonest, from a ledger of all requests
+// that run on a model's groups. One entry host keeps the ledger of a model. It does no I/O.
+package rudderbalance
+
+import (
+	"time"
+)
+
+// Speed tells how fast the groups of a model work.
+type Speed struct {
+	// ReadPerSecond is the number of prompt tokens that one group reads in a second.
+	ReadPerSecond float64
+	// Step is the time of one token of an answer.
+	Step time.Duration
+	// Slots is the number of requests that a group runs at once.
+	Slots int
+}
+
+// Group is one group that may take requests.
+type Group struct {
+	ID string
+	// Draining groups come last.
+	Draining bool
+}
+
+// Request describes one send.
+type Request struct {
+	ID                         string
+	PromptTokens, AnswerTokens int
+	// Limit is the time after which the request has ended in any case.
+	Limit time.Duration
+	Avoid []string
+}
+
+const (
+	// queueShare is the load, in multiples of the slots, at which a group takes no more requests.
+	queueShare = 2.0
+	// usualPrompt and usualAnswer stand for sizes that the caller does not tell, in tokens.
+	usualPrompt = 1000
+	usualAnswer = 150
+	// batchCost spreads requests between groups that read nothing: the wait that a full batch is taken
+	// to cause by slowing each token down.
+	batchCost = 60 * time.Millisecond
+)
+
+// Ledger of the groups of one model. It is not safe for concurrent use.
+type Ledger struct {
+	groups map[string]*account
+	sends  map[string]*send
+}
+
+// account of one group.
+type account struct {
+	running int
+	// readUntil is when the prompts that the group has taken will have been read.
+	readUntil time.Duration
+}
+
+type send struct {
+	group *account
+	until time.Duration
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{groups: map[string]*account{}, sends: map[string]*send{}}
+}
+
+// Pick chooses a group and enters the request. full is set when groups exist, but all are full.
+func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, full bool) {
+	l.expire(now)
+	var best *account
+	var bestID string
+	var bestCost time.Duration
+	for _, g := range groups {
+		if avoids(r.Avoid, g.ID) {
+			continue
+		}
+		a := l.account(g.ID)
+		if float64(a.running) >= queueShare*float64(max(speed.Slots, 1)) {
+			full = true
+			continue
+		}
+		cost := a.cost(now, speed)
+		if g.Draining {
+			cost += time.Hour
+		}
+		if best == nil || cost < bestCost {
+			best, bestID, bestCost = a, g.ID, cost
+		}
+	}
+	if best == nil {
+		return "", full
+	}
+	prompt := r.PromptTokens
+	if prompt <= 0 {
+		prompt = usualPrompt
+	}
+	best.running++
+	if speed.ReadPerSecond > 0 {
+		reading := time.Duration(float64(prompt) / speed.ReadPerSecond * float64(time.Second))
+		best.readUntil = max(best.readUntil, now) + reading
+	}
+	l.sends[r.ID] = &send{group: best, until: now + r.Limit}
+	return bestID, false
+}
+
+// cost is the expected wait for the first token.
+func (a *account) cost(now time.Duration, speed Speed) time.Duration {
+	slots := max(speed.Slots, 1)
+	cost := max(a.readUntil-now, 0) + batchCost*time.Duration(a.running)/time.Duration(slots)
+	if over := a.running - slots + 1; over > 0 {
+		// A request beyond the slots waits until one of them is free.
+		cost += time.Duration(over) * usualAnswer * speed.Step / time.Duration(slots)
+	}
+	return cost
+}
+
+// Done takes a send off the ledger.
+func (l *Ledger) Done(id string) {
+	if s := l.sends[id]; s != nil {
+		s.group.running--
+		delete(l.sends, id)
+	}
+}
+
+// Running is the number of requests on a group.
+func (l *Ledger) Running(group string) int { return l.account(group).running }
+
+// Keep drops the accounts of groups that no longer exist.
+func (l *Ledger) Keep(exists func(group string) bool) {
+	for id, a := range l.groups {
+		if a.running == 0 && !exists(id) {
+			delete(l.groups, id)
+		}
+	}
+}
+
+// expire drops sends whose end was never told, because their entry host died.
+func (l *Ledger) expire(now time.Duration) {
+	for id, s := range l.sends {
+		if now >= s.until {
+			l.Done(id)
+		}
+	}
+}
+
+func (l *Ledger) account(group string) *account {
+	a := l.groups[group]
+	if a == nil {
+		a = &account{}
+		l.groups[group] = a
+	}
+	return a
+}
+
+func avoids(list []string, id string) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -0,0 +1,89 @@
+package rudderbalance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var speed = Speed{ReadPerSecond: 50_000, Step: 10 * time.Millisecond, Slots: 4}
+
+func groups(names ...string) []Group {
+	list := make([]Group, len(names))
+	for i, name := range names {
+		list[i] = Group{ID: name}
+	}
+	return list
+}
+
+// Guards against a long prompt whose group gets the next short ones although another group reads nothing.
+func TestLongPromptKeepsOthersAway(t *testing.T) {
+	l := NewLedger()
+	first, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: "1", PromptTokens: 20_000, Limit: time.Minute})
+	for i := range 3 {
+		next, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: fmt.Sprint("s", i), PromptTokens: 100, Limit: time.Minute})
+		require.NotEqual(t, first, next)
+	}
+}
+
+// Guards against groups that fill up beyond their queue, and against a refusal that is not told apart from
+// the lack of any group.
+func TestFullGroups(t *testing.T) {
+	l := NewLedger()
+	for i := range 8 {
+		id, full := l.Pick(0, speed, groups("a"), Request{ID: fmt.Sprint(i), PromptTokens: 1, Limit: time.Minute})
+		require.Equal(t, "a", id)
+		require.False(t, full)
+	}
+	id, full := l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute})
+	require.Empty(t, id)
+	require.True(t, full)
+	id, full = l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute, Avoid: []string{"a"}})
+	require.Empty(t, id)
+	require.False(t, full)
+}
+
+// Guards against requests of an entry host that died and that hold their place for ever.
+func TestEndNeverTold(t *testing.T) {
+	l := NewLedger()
+	l.Pick(0, speed, groups("a"), Request{ID: "lost", Limit: time.Second})
+	l.Pick(2*time.Second, speed, groups("a"), Request{ID: "next", Limit: time.Second})
+	require.Equal(t, 1, l.Running("a"))
+	l.Done("lost") // told late
+	require.Equal(t, 1, l.Running("a"))
+}
+
+// The pattern of a crest: many short prompts and a few long ones on several groups at three quarters of what
+// they can read. The ledger keeps the waiting for the first token well below that of random choice.
+func TestCrestWaitsLessThanRandomChoice(t *testing.T) {
+	const count, entries = 6, 4000
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	play := func(choose func(now time.Duration, l *Ledger, r Request) int) time.Duration {
+		random := rand.New(rand.NewPCG(1, 2))
+		var until [count]time.Duration
+		l := NewLedger()
+		now, total := time.Duration(0), time.Duration(0)
+		for i := range entries {
+			prompt := 400
+			if random.IntN(10) == 0 {
+				prompt = 6000
+			}
+			now += time.Duration(random.ExpFloat64() * float64(time.Second) * 960 / (0.75 * count * speed.ReadPerSecond))
+			g := choose(now, l, Request{ID: fmt.Sprint(i), PromptTokens: prompt, Limit: 300 * time.Millisecond})
+			until[g] = max(until[g], now) + time.Duration(float64(prompt)/speed.ReadPerSecond*float64(time.Second))
+			total += until[g] - now
+		}
+		return total / entries
+	}
+	wide := Speed{ReadPerSecond: speed.ReadPerSecond, Step: time.Millisecond, Slots: 1000}
+	random := rand.New(rand.NewPCG(3, 4))
+	byChance := play(func(time.Duration, *Ledger, Request) int { return random.IntN(count) })
+	byLedger := play(func(now time.Duration, l *Ledger, r Request) int {
+		id, _ := l.Pick(now, wide, groups(names...), r)
+		return int(id[0] - 'a')
+	})
+	require.Less(t, byLedger, byChance/2)
+}
--- /dev/null
+++ b/rudderd/rudderedge/balance.go
@@ -0,0 +1,206 @@
+package rudderedge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyrudder.example/rudderd/rudderbalance"
+	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderpeer"
+)
+
+const (
+	// pickTimeout bounds a question to a model's owner. Without an answer the group is chosen here.
+	pickTimeout = 60 * time.Millisecond
+	// ownerAvoid is how long an owner that did not answer is not asked.
+	ownerAvoid = 500 * time.Millisecond
+	// doneInterval gathers the ends of requests that are told to an owner.
+	doneInterval = 100 * time.Millisecond
+)
+
+// balance asks the owners of models for groups, and answers for the models that this entry host owns.
+type balance struct {
+	edge *Edge
+	next atomic.Int64
+
+	mu      sync.Mutex
+	ledgers map[string]*rudderbalance.Ledger // by service and model
+	done    map[string][]string              // by peer address
+	avoid   map[string]time.Time             // owners that did not answer, by peer address
+	wake    chan struct{}
+}
+
+func newBalance(e *Edge) *balance {
+	return &balance{
+		edge: e, ledgers: map[string]*rudderbalance.Ledger{}, done: map[string][]string{}, avoid: map[string]time.Time{},
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// owner returns the entry host that keeps the ledger of a model, by rendezvous hashing. Two entry hosts that
+// see different lists may name different owners; then each of the two ledgers holds a part.
+func owner(entries []rudderview.Entry, service, model string) (rudderview.Entry, bool) {
+	var best rudderview.Entry
+	var bestScore uint64
+	for _, x := range entries {
+		if score := xxhash.Sum64String(x.Name + "\x00" + service + "\x00" + model); x.Peer != "" && (best.Name == "" || score > bestScore) {
+			best, bestScore = x, score
+		}
+	}
+	return best, best.Name != ""
+}
+
+// pick implements rudderforward.Forwarder.Pick.
+func (b *balance) pick(ctx context.Context, q rudderforward.PickQuery) rudderforward.Pick {
+	snapshot := b.edge.view.Snapshot()
+	own, found := owner(snapshot.Entries, q.Service, q.Model)
+	if !found {
+		return rudderforward.Pick{}
+	}
+	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Avoid: q.Avoid}
+	if own.Name == b.edge.Settings.Name {
+		group, full := b.serve(q.Service, q.Model, request)
+		return rudderforward.Pick{Group: group, Full: full, Answered: true, Release: func() { b.ended([]string{id}) }}
+	}
+	b.mu.Lock()
+	avoided := time.Now().Before(b.avoid[own.Peer])
+	done := b.done[own.Peer]
+	delete(b.done, own.Peer)
+	b.mu.Unlock()
+	if avoided {
+		return rudderforward.Pick{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, pickTimeout)
+	defer cancel()
+	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
+		Service: q.Service, Model: q.Model, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
+		LimitMs: q.Limit.Milliseconds(), Avoid: q.Avoid, Done: done,
+	})
+	release := func() { b.tell(own.Peer, id) }
+	if err != nil {
+		b.mu.Lock()
+		b.avoid[own.Peer] = time.Now().Add(ownerAvoid)
+		b.mu.Unlock()
+		b.edge.count("balance.owner_unreachable")
+		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Msg("owner of the model not reached; choosing here")
+		return rudderforward.Pick{Release: release}
+	}
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Release: release}
+}
+
+// serve picks from this entry host's ledger.
+func (b *balance) serve(service, model string, r rudderbalance.Request) (string, bool) {
+	snapshot := b.edge.view.Snapshot()
+	speed, known := modelSpeed(snapshot.Table, service, model)
+	if !known {
+		return "", false
+	}
+	list := snapshot.Groups(service, model)
+	groups := make([]rudderbalance.Group, len(list))
+	for i, g := range list {
+		groups[i] = rudderbalance.Group{ID: g.ID, Draining: g.Draining}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := service + "\x00" + model
+	if b.ledgers[key] == nil {
+		b.ledgers[key] = rudderbalance.NewLedger()
+	}
+	return b.ledgers[key].Pick(time.Since(started), speed, groups, r)
+}
+
+// started is the origin of the ledgers' times.
+var started = time.Now()
+
+func modelSpeed(table *rudderroute.Table, service, model string) (rudderbalance.Speed, bool) {
+	if table == nil || table.Service(service) == nil || table.Service(service).Engine == nil {
+		return rudderbalance.Speed{}, false
+	}
+	engine := table.Service(service).Engine
+	m, known := engine.Model(model)
+	if !known {
+		return rudderbalance.Speed{}, false
+	}
+	pace := m.Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	step := engine.Step + time.Duration(engine.Slots)*engine.StepPerRequest
+	return rudderbalance.Speed{
+		ReadPerSecond: engine.ReadPerSecond / pace, Step: time.Duration(float64(step) * pace), Slots: engine.Slots,
+	}, true
+}
+
+// ended takes sends off this entry host's ledgers.
+func (b *balance) ended(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.ledgers {
+		for _, id := range ids {
+			l.Done(id)
+		}
+	}
+}
+
+// tell queues the end of a send for its owner.
+func (b *balance) tell(peer, id string) {
+	b.mu.Lock()
+	b.done[peer] = append(b.done[peer], id)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run tells owners of ended sends and drops the accounts of groups that are gone.
+func (b *balance) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.wake:
+		}
+		pause(ctx, doneInterval)
+		b.mu.Lock()
+		pending := b.done
+		b.done = map[string][]string{}
+		b.mu.Unlock()
+		for peer, ids := range pending {
+			callContext, cancel := context.WithTimeout(ctx, pickTimeout)
+			// An end that is not told expires with the send's time limit.
+			if _, err := rudderpeer.NewBalanceProtobufClient("http://"+peer, b.edge.peers.client).Done(callContext, &rudderpeer.DoneRequest{Done: ids}); err != nil {
+				b.edge.Logger.Debug().Err(err).Str("peer", peer).Msg("ends of requests not told")
+			}
+			cancel()
+		}
+	}
+	return nil
+}
+
+// balanceServer answers other entry hosts.
+type balanceServer struct{ balance *balance }
+
+// Pick implements rudderpeer.Balance.
+func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
+	s.balance.ended(r.GetDone())
+	group, full := s.balance.serve(r.GetService(), r.GetModel(), rudderbalance.Request{
+		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
+		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Avoid: r.GetAvoid(),
+	})
+	return &rudderpeer.PickResponse{Group: group, Full: full}, nil
+}
+
+// Done implements rudderpeer.Balance.
+func (s balanceServer) Done(_ context.Context, r *rudderpeer.DoneRequest) (*rudderpeer.DoneResponse, error) {
+	s.balance.ended(r.GetDone())
+	return &rudderpeer.DoneResponse{}, nil
+}
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -67,6 +67,7 @@
 	stop      stopState
 	deaths    deaths
 	peers     *peers
+	balance   *balance
 }
 
 // Run serves until the context ends and then stops as planned.
@@ -91,6 +92,7 @@
 		{"planner", e.former.Run},
 		{"registration", e.session.run},
 		{"shared secret", e.agreeOnSecret},
+		{"balance", e.balance.run},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
 	}
@@ -120,6 +122,7 @@
 		Hurry:   func() bool { return e.former.Planning() },
 	}
 	e.peers = newPeers()
+	e.balance = newBalance(e)
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}),
 		entry: rudderview.Entry{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre},
@@ -128,7 +131,7 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, LookLimit: e.Settings.LookLimit, Retries: e.Settings.Retries,
-		Probe: e.probe, Suspect: e.suspect, Examine: e.examine,
+		Probe: e.probe, Suspect: e.suspect, Examine: e.examine, Pick: e.balance.pick,
 		Poisoned: e.deaths.poisoned, Crashed: e.crashed,
 	}
 	e.former = &rudderformer.Former{
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -39,7 +39,10 @@
 // handler serves the calls of other entry hosts.
 func (e *Edge) peerHandler() http.Handler {
 	verifier := &rudderpeer.Verifier{Keys: e.peers.keys, Clock: clockwork.NewRealClock()}
-	return verifier.Wrap(rudderpeer.NewSuspectsServer(suspectsServer{e}))
+	mux := http.NewServeMux()
+	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
+	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
+	return verifier.Wrap(mux)
 }
 
 // agreeOnSecret reads the shared secret, or writes it if there is none.
--- a/rudderd/rudderform/memory.go
+++ b/rudderd/rudderform/memory.go
@@ -29,8 +29,8 @@
 	retirements map[string]*retirement
 	// complete are groups whose members were all seen in the group.
 	complete map[string]bool
-	// staging is the life of each target whose stage order was sent.
-	staging map[string]int64
+	// staging holds, by target, the life and model of the stage order that was sent.
+	staging map[string]stagingLife
 	loads   loadBucket
 }
 
@@ -42,6 +42,11 @@
 	graceful time.Duration
 }
 
+type stagingLife struct {
+	born  int64
+	model string
+}
+
 type sent struct {
 	at    time.Duration
 	taken bool // the target took the order
@@ -50,7 +55,7 @@
 
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]int64{}}
+	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]stagingLife{}}
 }
 
 func orderKey(target string, o ruddertarget.GroupOrder) string {
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -124,20 +124,20 @@
 			if in.weights(t) != "" || t.Model != "" {
 				continue
 			}
-			model := in.neededSpare(d, spares)
-			if model == "" {
-				continue
-			}
-			spares[model]++
-			o := in.order(t, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: model}, "spare of the domain")
-			if born, sent := in.Memory.staging[t.Name]; !sent || born != t.Born {
+			staging, begun := in.Memory.staging[t.Name]
+			if !begun || staging.born != t.Born {
+				staging = stagingLife{born: t.Born, model: in.neededSpare(d, spares)}
+				if staging.model == "" {
+					continue
+				}
 				if running >= limit || in.Traffic && !in.Memory.loads.take(in.Now, engine.LoadsPerSecond, 1) {
 					return orders
 				}
-				in.Memory.staging[t.Name] = t.Born
+				in.Memory.staging[t.Name] = staging
 			}
+			spares[staging.model]++
 			running++
-			orders = append(orders, o)
+			orders = append(orders, in.order(t, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: staging.model}, "spare of the domain"))
 		}
 	}
 	return orders
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -15,7 +15,7 @@
 
 // next chooses the group for the next send, or says why there is none. Nothing is held back: a request that
 // no group can take now is refused.
-func (f *Forwarder) next(j *job) (*rudderview.Group, *refusal) {
+func (f *Forwarder) next(ctx context.Context, j *job) (*rudderview.Group, *refusal) {
 	now := f.Uptime()
 	if refused := f.permitted(j); refused != nil {
 		return nil, refused
@@ -35,7 +35,7 @@
 	if len(groups) == 0 {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "no_group", message: "no group serves this request now", retryAfter: longPause}
 	}
-	c := f.loads.choose(groups, chooser{now: now, entries: len(snapshot.Entries), dataCentre: f.DataCentre, exclude: j.exclude})
+	c := f.choose(ctx, j, snapshot, groups)
 	if c.group == nil {
 		code := "groups_failed"
 		if c.full {
@@ -49,6 +49,38 @@
 	return c.group, nil
 }
 
+// choose asks the owner of the model, and chooses here when there is no answer that can be used.
+func (f *Forwarder) choose(ctx context.Context, j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
+	now := f.Uptime()
+	j.release()
+	if model := groups[0].Model; model != "" && len(groups) > 1 {
+		q := PickQuery{
+			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
+		}
+		for id := range j.exclude {
+			q.Avoid = append(q.Avoid, id)
+		}
+		for _, g := range groups {
+			if f.loads.avoided(g.Leader.Name, now) && !j.exclude[g.ID] {
+				q.Avoid = append(q.Avoid, g.ID)
+			}
+		}
+		pick := f.Pick(ctx, q)
+		j.ticket = pick.Release
+		if pick.Answered {
+			for _, g := range groups {
+				if g.ID == pick.Group {
+					return choice{group: g}
+				}
+			}
+			if pick.Full && len(q.Avoid) == 0 {
+				return choice{full: true}
+			}
+		}
+	}
+	return f.loads.choose(groups, chooser{now: now, entries: len(snapshot.Entries), dataCentre: f.DataCentre, exclude: j.exclude})
+}
+
 // giveUp ends a request for which there is no further send. A request that may have run is never answered
 // with a status that promises the contrary.
 func (f *Forwarder) giveUp(ctx context.Context, j *job, r refusal) {
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -16,7 +16,7 @@
 // call serves a request with one answer.
 func (f *Forwarder) call(ctx context.Context, j *job) {
 	for {
-		g, refused := f.next(j)
+		g, refused := f.next(ctx, j)
 		if refused != nil {
 			f.giveUp(ctx, j, *refused)
 			return
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -75,6 +75,14 @@
 	x.avoid = max(x.avoid, until)
 }
 
+// avoided reports whether new requests are kept away from a leader.
+func (l *loads) avoided(leader string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.leaders[leader]
+	return x != nil && x.avoid > now
+}
+
 // forget drops leaders that were not seen for a minute.
 func (l *loads) forget(now time.Duration) {
 	l.mu.Lock()
@@ -95,6 +103,23 @@
 	return float64(x.inFlight * max(entries, 1))
 }
 
+// PickQuery asks for a group for one send.
+type PickQuery struct {
+	Service, Model             string
+	PromptTokens, AnswerTokens int
+	Limit                      time.Duration
+	Avoid                      []string
+}
+
+// Pick is an owner's answer. Without one the group is chosen here.
+type Pick struct {
+	Answered bool
+	Group    string // empty when no group can take the request
+	Full     bool
+	// Release is called when the send has ended; nil when there is nothing to tell.
+	Release func()
+}
+
 // choice is the outcome of choosing a group.
 type choice struct {
 	group *rudderview.Group
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -38,6 +38,8 @@
 	Probe func(ctx context.Context, t *rudderview.Target) error
 	// Examine asks the planner which members of a group are dead; ok is false when it cannot be asked.
 	Examine func(ctx context.Context, g *rudderview.Group) (dead []string, ok bool)
+	// Pick asks the owner of a model for a group.
+	Pick func(ctx context.Context, q PickQuery) Pick
 	// Suspect tells the other entry hosts that a target is dead, when the planner could not be asked.
 	Suspect func(t *rudderview.Target, reason string)
 	// Poisoned reports a request that crashes its targets; Crashed notes that a target may have died
@@ -106,6 +108,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	f.serve(r, j)
+	j.release()
 	f.finish(j)
 	if j.abort {
 		panic(http.ErrAbortHandler) // a cut answer must not look complete
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -50,6 +50,7 @@
 	unsent  int
 	exclude map[string]bool
 	last    error
+	ticket  func() // tells the owner of the model that the send has ended; nil for none
 
 	// Outcome, for the log line.
 	status    int
@@ -88,6 +89,14 @@
 	return j.print
 }
 
+// release tells the owner of the model that the last send has ended.
+func (j *job) release() {
+	if j.ticket != nil {
+		j.ticket()
+		j.ticket = nil
+	}
+}
+
 func (j *job) excludeGroup(g *rudderview.Group) {
 	if j.exclude == nil {
 		j.exclude = map[string]bool{}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -44,7 +44,7 @@
 	until := f.Uptime() + resumeWait
 	for {
 		changed := f.View.Changed()
-		g, refused := f.next(j)
+		g, refused := f.next(ctx, j)
 		left := until - f.Uptime()
 		if refused == nil || !j.started || left <= 0 || refused.code != "no_group" && refused.code != "groups_failed" && refused.code != "groups_full" {
 			return g, refused
--- a/rudderd/rudderroute/document.go
+++ b/rudderd/rudderroute/document.go
@@ -77,6 +77,10 @@
 	LoadsAtOnce    int
 	// Form is the time from the order to open a group until it serves.
 	Form time.Duration
+	// ReadPerSecond is the number of prompt tokens that a group reads in a second, at a pace of 1. A token
+	// of an answer takes Step and StepPerRequest for each request that runs.
+	ReadPerSecond        float64
+	Step, StepPerRequest time.Duration
 	// Staged is the number of models whose weights one host keeps.
 	Staged int
 }
--- a/shared/rudderpeer/claims.twirp.go
+++ b/shared/rudderpeer/claims.twirp.go
@@ -1344,7 +1344,7 @@
 }
 
 func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *claimsServer) ProtocGenTwirpVersion() string {
@@ -1358,7 +1358,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Claims")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 804 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x56, 0xdd, 0x6e, 0x2b, 0x45,
 	0x0c, 0xd6, 0x26, 0x27, 0x9b, 0xc4, 0x9b, 0xa3, 0x73, 0x18, 0xaa, 0x12, 0x0a, 0xb4, 0x65, 0x81,
