--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -3,6 +3,7 @@
 package rudderbalance
 
 import (
+	"math"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	PromptTokens, AnswerTokens int
 	// Limit is the time after which the request has ended in any case.
 	Limit time.Duration
+	// Cost is the time that a group needs for the request when its batch is full.
+	Cost  time.Duration
 	Avoid []string
 }
 
@@ -47,6 +50,22 @@
 type Ledger struct {
 	groups map[string]*account
 	sends  map[string]*send
+	work   float64 // seconds of work, fading
+	workAt time.Duration
+}
+
+// workMemory is the time after which work counts for a third.
+const workMemory = 10 * time.Second
+
+// Work is the time that one group would need for the work of the last seconds.
+func (l *Ledger) Work(now time.Duration) time.Duration {
+	l.fade(now)
+	return time.Duration(l.work * float64(time.Second))
+}
+
+func (l *Ledger) fade(now time.Duration) {
+	l.work *= math.Exp(-(now - l.workAt).Seconds() / workMemory.Seconds())
+	l.workAt = now
 }
 
 // account of one group.
@@ -69,6 +88,8 @@
 // Pick chooses a group and enters the request. full is set when groups exist, but all are full.
 func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, full bool) {
 	l.expire(now)
+	l.fade(now)
+	l.work += r.Cost.Seconds()
 	var best *account
 	var bestID string
 	var bestCost time.Duration
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -65,10 +65,11 @@
 		return rudderforward.Pick{}
 	}
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Avoid: q.Avoid}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid}
 	if own.Name == b.edge.Settings.Name {
-		group, full := b.serve(q.Service, q.Model, request)
-		return rudderforward.Pick{Group: group, Full: full, Answered: true, Release: func() { b.ended([]string{id}) }}
+		pick := b.serve(q.Service, q.Model, request)
+		pick.Release = func() { b.ended([]string{id}) }
+		return pick
 	}
 	b.mu.Lock()
 	avoided := time.Now().Before(b.avoid[own.Peer])
@@ -82,7 +83,7 @@
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
-		LimitMs: q.Limit.Milliseconds(), Avoid: q.Avoid, Done: done,
+		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done,
 	})
 	release := func() { b.tell(own.Peer, id) }
 	if err != nil {
@@ -93,15 +94,15 @@
 		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Msg("owner of the model not reached; choosing here")
 		return rudderforward.Pick{Release: release}
 	}
-	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Release: release}
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond, Release: release}
 }
 
 // serve picks from this entry host's ledger.
-func (b *balance) serve(service, model string, r rudderbalance.Request) (string, bool) {
+func (b *balance) serve(service, model string, r rudderbalance.Request) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
 	speed, known := modelSpeed(snapshot.Table, service, model)
 	if !known {
-		return "", false
+		return rudderforward.Pick{}
 	}
 	list := snapshot.Groups(service, model)
 	groups := make([]rudderbalance.Group, len(list))
@@ -114,7 +115,9 @@
 	if b.ledgers[key] == nil {
 		b.ledgers[key] = rudderbalance.NewLedger()
 	}
-	return b.ledgers[key].Pick(time.Since(started), speed, groups, r)
+	ledger, now := b.ledgers[key], time.Since(started)
+	group, full := ledger.Pick(now, speed, groups, r)
+	return rudderforward.Pick{Answered: true, Group: group, Full: full, Work: ledger.Work(now)}
 }
 
 // started is the origin of the ledgers' times.
@@ -192,11 +195,11 @@
 // Pick implements rudderpeer.Balance.
 func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
 	s.balance.ended(r.GetDone())
-	group, full := s.balance.serve(r.GetService(), r.GetModel(), rudderbalance.Request{
+	pick := s.balance.serve(r.GetService(), r.GetModel(), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
-		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Avoid: r.GetAvoid(),
+		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
 	})
-	return &rudderpeer.PickResponse{Group: group, Full: full}, nil
+	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds()}, nil
 }
 
 // Done implements rudderpeer.Balance.
--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -18,22 +19,59 @@
 	loads   int // members that must fetch weights from the weight store
 }
 
-// form builds groups from free targets, those of the model with the greatest lack first. Groups that need
-// no load come before all others: they serve within seconds.
+const (
+	// arrivalTime is how long a domain waits after a target has come before groups of models are formed
+	// that lack less: a whole domain comes back one target after the other, and small groups would leave
+	// no room for a large one.
+	arrivalTime = 700 * time.Millisecond
+	// reserve is the number of targets of a domain that stay free to replace lost members.
+	reserve = 1
+	// reserveWaiver is how many times more than every other model a model must lack to use the reserve.
+	reserveWaiver = 1.5
+)
+
+// form places groups on the targets of all domains, those of the model with the greatest lack first, and
+// forms those whose members are free. A place whose members are not free yet is kept for its model.
 func (in *Input) form(domains []*domain) {
 	counts := in.counts(domains)
 	loading := in.loading(domains)
+	for _, d := range domains {
+		d.room = in.room(d)
+		d.young = in.Memory.grew(in.Now, d.name, d.size)
+	}
 	for {
 		best := in.best(domains, counts)
-		if best == nil || best.loads > 0 && !in.Settled || !in.mayLoad(best, loading) {
+		if best == nil {
 			return
 		}
-		loading += best.loads
+		best.domain.room -= best.model.Size
 		counts[best.model.Name]++
-		in.add(best)
+		switch {
+		case len(best.members) < best.model.Size, best.loads > 0 && !(in.Settled && in.mayLoad(best, loading)):
+			best.domain.hold(best.members)
+		default:
+			loading += best.loads
+			in.add(best)
+		}
 	}
 }
 
+// room is the number of usable targets of a domain that no group keeps; those of groups that end count.
+func (in *Input) room(d *domain) int {
+	room := d.size
+	for _, g := range d.groups {
+		if in.Memory.retirements[groupKey(g)] == nil {
+			room -= len(g.Members)
+		}
+	}
+	return room
+}
+
+// hold takes targets out of the free ones for the rest of the step.
+func (d *domain) hold(members []*rudderview.Target) {
+	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return slices.Contains(members, t) })
+}
+
 // counts returns the number of groups by model, without retiring ones.
 func (in *Input) counts(domains []*domain) map[string]int {
 	counts := map[string]int{}
@@ -74,16 +112,17 @@
 	return !in.Traffic || in.Memory.loads.take(in.Now, in.Service.Engine.LoadsPerSecond, c.loads)
 }
 
-// lack is how much a model needs another group: its part of the work for each group that it would have.
+// lack is how much a model needs another group: its part of the work for each group that it would have. The
+// configured share of a model counts the time of single targets, the measured one the time of groups.
 func (in *Input) lack(model rudderroute.Model, groups int) float64 {
 	share, known := in.Demand[model.Name]
 	if !known {
-		share = model.Share
+		share = model.Share / float64(max(model.Size, 1))
 	}
 	return share / float64(groups+1)
 }
 
-// best returns the group to form next, or nil.
+// best returns the group to place next, or nil.
 func (in *Input) best(domains []*domain, counts map[string]int) *candidate {
 	var best *candidate
 	better := func(c *candidate) bool {
@@ -91,15 +130,19 @@
 			return true
 		}
 		return cmp.Or(
-			compareBool(c.loads == 0, best.loads == 0),
-			cmp.Compare(in.lack(c.model, counts[c.model.Name]), in.lack(best.model, counts[best.model.Name])),
+			cmp.Compare(in.value(c, counts), in.value(best, counts)),
+			compareBool(len(c.members) == c.model.Size, len(best.members) == best.model.Size),
 			cmp.Compare(best.loads, c.loads),
-			cmp.Compare(len(c.domain.free), len(best.domain.free)),
+			cmp.Compare(c.domain.room, best.domain.room),
 		) > 0
 	}
-	for _, d := range domains {
-		for _, m := range in.Service.Engine.Models {
-			if c := in.candidate(d, m); c != nil && better(c) {
+	for _, m := range in.Service.Engine.Models {
+		kept, top := in.kept(m, counts)
+		for _, d := range domains {
+			if m.Size < 1 || d.room < m.Size+kept || d.young && !top {
+				continue
+			}
+			if c := in.candidate(d, m); better(c) {
 				best = c
 			}
 		}
@@ -107,6 +150,34 @@
 	return best
 }
 
+// loadWorth is the worth of a group that needs loads from the weight store against one that serves within
+// seconds.
+const loadWorth = 0.5
+
+// value compares candidates: what their model lacks, less for those that serve late.
+func (in *Input) value(c *candidate, counts map[string]int) float64 {
+	value := in.lack(c.model, counts[c.model.Name])
+	if c.loads > 0 {
+		value *= loadWorth
+	}
+	return value
+}
+
+// kept is the number of targets that a new group of a model must leave in its domain. top reports that no
+// other model lacks more.
+func (in *Input) kept(m rudderroute.Model, counts map[string]int) (kept int, top bool) {
+	own, most := in.lack(m, counts[m.Name]), 0.0
+	for _, other := range in.Service.Engine.Models {
+		if other.Name != m.Name {
+			most = max(most, in.lack(other, counts[other.Name]))
+		}
+	}
+	if counts[m.Name] == 0 || own >= reserveWaiver*most {
+		return 0, own >= most
+	}
+	return reserve, own >= most
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -117,20 +188,19 @@
 	return -1
 }
 
-// candidate chooses members for a group of the model in a domain, those with its weights first.
+// candidate chooses members for a group of the model in a domain, those with its weights first. It has
+// fewer members than the model's size while targets of groups that end are not free.
 func (in *Input) candidate(d *domain, m rudderroute.Model) *candidate {
-	if m.Size < 1 || len(d.free) < m.Size {
-		return nil
-	}
 	free := slices.Clone(d.free)
 	slices.SortStableFunc(free, func(a, b *rudderview.Target) int {
 		return cmp.Or(
 			-compareBool(a.Model == m.Name, b.Model == m.Name),
 			-compareBool(warm(a, m.Name), warm(b, m.Name)),
+			-compareBool(in.stagingFor(a, m.Name), in.stagingFor(b, m.Name)),
 			compareBool(len(a.Staged) > 0, len(b.Staged) > 0),
 		)
 	})
-	c := &candidate{domain: d, model: m, members: free[:m.Size]}
+	c := &candidate{domain: d, model: m, members: free[:min(m.Size, len(free))]}
 	for _, t := range c.members {
 		if !warm(t, m.Name) {
 			c.loads++
@@ -139,6 +209,12 @@
 	return c
 }
 
+// stagingFor reports whether a target has been told to stage the weights of a model.
+func (in *Input) stagingFor(t *rudderview.Target, model string) bool {
+	staging := in.Memory.staging[t.Name]
+	return staging.born == t.Born && staging.model == model
+}
+
 // add puts a candidate into its domain's plan. The epoch comes from the revision that the plan's write
 // is conditional on, so that it rises with each write of the domain's plan.
 func (in *Input) add(c *candidate) {
@@ -152,6 +228,6 @@
 		g.Members = append(g.Members, rudderroster.Member{Target: t.Name, Born: t.Born})
 	}
 	d.groups = append(d.groups, g)
-	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return slices.Contains(c.members, t) })
+	d.hold(c.members)
 	d.note(fmt.Sprintf("group %s formed for %s, %d loads", groupKey(g), g.Model, c.loads))
 }
--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -63,6 +63,9 @@
 	stored  Stored
 	groups  []rudderroster.Group
 	free    []*rudderview.Target
+	size    int  // usable targets
+	room    int  // usable targets that no group keeps and no new group has been placed on
+	young   bool // a target has come lately
 	notes   []string
 	changed bool
 }
@@ -93,6 +96,7 @@
 		if in.usable(t) {
 			d := get(t.FabricDomain)
 			d.free = append(d.free, t)
+			d.size++
 		}
 	}
 	list := make([]*domain, 0, len(byName))
--- a/rudderd/rudderform/memory.go
+++ b/rudderd/rudderform/memory.go
@@ -16,7 +16,7 @@
 	// own word, is sent again.
 	resendTaken = 3 * time.Second
 	// stallMargin is added to the time after which a leader counts as broken.
-	stallMargin = 1500 * time.Millisecond
+	stallMargin = 700 * time.Millisecond
 	// memoryTime is how long an order is remembered.
 	memoryTime = time.Minute
 )
@@ -31,7 +31,14 @@
 	complete map[string]bool
 	// staging holds, by target, the life and model of the stage order that was sent.
 	staging map[string]stagingLife
-	loads   loadBucket
+	// sizes holds the number of usable targets by domain.
+	sizes map[string]domainSize
+	loads loadBucket
+}
+
+type domainSize struct {
+	targets int
+	grew    time.Duration
 }
 
 // retirement is how a group ends.
@@ -55,7 +62,8 @@
 
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]stagingLife{}}
+	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]stagingLife{},
+		sizes: map[string]domainSize{}}
 }
 
 func orderKey(target string, o ruddertarget.GroupOrder) string {
@@ -108,6 +116,17 @@
 	}
 }
 
+// grew notes the number of usable targets of a domain, and reports whether it has grown lately.
+func (m *Memory) grew(now time.Duration, domain string, targets int) bool {
+	last, known := m.sizes[domain]
+	if !known || targets > last.targets {
+		last.grew = now
+	}
+	last.targets = targets
+	m.sizes[domain] = last
+	return now-last.grew < arrivalTime
+}
+
 // forget drops old orders.
 func (m *Memory) forget(now time.Duration) {
 	for key, s := range m.orders {
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -170,7 +170,8 @@
 		if len(d.groups) == 0 {
 			weight = m.Size
 		}
-		if need := float64(weight) / float64(1+spares[m.Name]); need > most {
+		need := float64(weight) / float64(1+spares[m.Name])
+		if need > most || need > 0 && need == most && spares[m.Name] < spares[best] {
 			best, most = m.Name, need
 		}
 	}
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -162,7 +162,7 @@
 	}
 	left, others := 0, 0
 	for _, m := range g.Members[1:] {
-		if t := in.Targets[m.Target]; t == nil || t.Born != m.Born || in.Dead(t) {
+		if t := in.Targets[m.Target]; t == nil || t.Born != m.Born {
 			continue
 		}
 		others++
@@ -170,6 +170,9 @@
 			left++
 		}
 	}
+	if others == 0 && t == nil {
+		return true // nothing is left of the group
+	}
 	if others > 0 && left == 0 {
 		return in.Now-r.since > 2*(in.Stall+stallMargin)
 	}
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -23,9 +23,9 @@
 const (
 	// LeaseTTL of the planner. A shorter one lets another entry host take over sooner, and a planner
 	// that lost its lease can do no harm: plans are compared and swapped, orders carry epochs.
-	LeaseTTL = 1500 * time.Millisecond
+	LeaseTTL = time.Second
 	// renewInterval leaves room for two lost renewals within the lease.
-	renewInterval = 400 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
 	// stepInterval is the time between two steps while something is under way.
 	stepInterval = 100 * time.Millisecond
 	// takeOverSpread spreads the entry hosts that try to take the lease at the same time.
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -56,6 +56,7 @@
 	if model := groups[0].Model; model != "" && len(groups) > 1 {
 		q := PickQuery{
 			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
+			Cost: f.cost(j, model),
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
@@ -68,6 +69,7 @@
 		pick := f.Pick(ctx, q)
 		j.ticket = pick.Release
 		if pick.Answered {
+			f.work.set(j.service, model, pick.Work)
 			for _, g := range groups {
 				if g.ID == pick.Group {
 					return choice{group: g}
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -108,7 +108,9 @@
 	Service, Model             string
 	PromptTokens, AnswerTokens int
 	Limit                      time.Duration
-	Avoid                      []string
+	// Cost is the time that a group needs for the request when its batch is full.
+	Cost  time.Duration
+	Avoid []string
 }
 
 // Pick is an owner's answer. Without one the group is chosen here.
@@ -116,6 +118,8 @@
 	Answered bool
 	Group    string // empty when no group can take the request
 	Full     bool
+	// Work is the time that one group would need for the model's work of the last seconds.
+	Work time.Duration
 	// Release is called when the send has ended; nil when there is nothing to tell.
 	Release func()
 }
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -66,7 +66,7 @@
 
 // Demand is the part of each model of a service in the work that was done lately.
 func (f *Forwarder) Demand(service string) map[string]float64 {
-	return f.work.shares(service, f.Uptime())
+	return f.work.shares(service)
 }
 
 // Leave makes each answer close its connection.
--- a/rudderd/rudderforward/work.go
+++ b/rudderd/rudderforward/work.go
@@ -1,67 +1,55 @@
 package rudderforward
 
 import (
-	"math"
 	"sync"
 	"time"
 )
 
-// workMemory is the time after which work counts for a third.
-const workMemory = 10 * time.Second
-
-// workMeter measures how the work of a service is divided between its models, by the time that requests
-// hold their slots.
+// workMeter holds how the work of a service is divided between its models, by the word of their owners.
 type workMeter struct {
 	mu     sync.Mutex
-	models map[string]map[string]*decayed // by service and model
-}
-
-type decayed struct {
-	value float64
-	at    time.Duration
+	models map[string]map[string]time.Duration // by service and model
 }
 
-func (d *decayed) decay(now time.Duration) {
-	d.value *= math.Exp(-(now - d.at).Seconds() / workMemory.Seconds())
-	d.at = now
+// cost is the time that a group needs for a request at full batches.
+func (f *Forwarder) cost(j *job, modelName string) time.Duration {
+	service := f.View.Snapshot().Table.Service(j.service)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	model, _ := service.Engine.Model(modelName)
+	return service.Engine.Cost(model, j.request.PromptTokens, j.request.AnswerTokens)
 }
 
-func (m *workMeter) add(service, model string, now, held time.Duration) {
+func (m *workMeter) set(service, model string, work time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.models == nil {
-		m.models = map[string]map[string]*decayed{}
+		m.models = map[string]map[string]time.Duration{}
 	}
 	if m.models[service] == nil {
-		m.models[service] = map[string]*decayed{}
-	}
-	d := m.models[service][model]
-	if d == nil {
-		d = &decayed{at: now}
-		m.models[service][model] = d
+		m.models[service] = map[string]time.Duration{}
 	}
-	d.decay(now)
-	d.value += held.Seconds()
+	m.models[service][model] = work
 }
 
-// minWork is the number of slot seconds below which the division is not known.
-const minWork = 10
+// minWork is the work below which the division is not known.
+const minWork = 10 * time.Second
 
 // shares returns the part of each model, or nil when too little is known.
-func (m *workMeter) shares(service string, now time.Duration) map[string]float64 {
+func (m *workMeter) shares(service string) map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total := 0.0
-	for _, d := range m.models[service] {
-		d.decay(now)
-		total += d.value
+	total := time.Duration(0)
+	for _, work := range m.models[service] {
+		total += work
 	}
 	if total < minWork {
 		return nil
 	}
 	shares := map[string]float64{}
-	for model, d := range m.models[service] {
-		shares[model] = d.value / total
+	for model, work := range m.models[service] {
+		shares[model] = float64(work) / float64(total)
 	}
 	return shares
 }
--- a/rudderd/rudderroute/document.go
+++ b/rudderd/rudderroute/document.go
@@ -95,6 +95,19 @@
 	return Model{}, false
 }
 
+// Cost is the time that a group of a model needs for a request when its batch is full.
+func (e *Engine) Cost(m Model, promptTokens, answerTokens int) time.Duration {
+	pace := m.Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	cost := time.Duration(answerTokens) * (e.Step/time.Duration(max(e.Slots, 1)) + e.StepPerRequest)
+	if e.ReadPerSecond > 0 {
+		cost += time.Duration(float64(promptTokens) / e.ReadPerSecond * float64(time.Second))
+	}
+	return time.Duration(float64(cost) * pace)
+}
+
 // Service is a set of targets that serve the same requests.
 type Service struct {
 	Name           string
