Keep groups whose members lost only their record, and exchange spares

A member without a record is probed and its group serves on; a leader without one waits for its return.

--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -142,7 +142,7 @@
 			if m.Size < 1 || d.room < m.Size+kept || d.young && !top {
 				continue
 			}
-			if c := in.candidate(d, m); better(c) {
+			if c := in.candidate(d, m, counts); c != nil && better(c) {
 				best = c
 			}
 		}
@@ -154,10 +154,11 @@
 // seconds.
 const loadWorth = 0.5
 
-// value compares candidates: what their model lacks, less for those that serve late.
+// value compares candidates: what their model lacks, less for those that serve late. Before the first
+// request there is time for loads, and the division between the models counts alone.
 func (in *Input) value(c *candidate, counts map[string]int) float64 {
 	value := in.lack(c.model, counts[c.model.Name])
-	if c.loads > 0 {
+	if c.loads > 0 && in.Traffic {
 		value *= loadWorth
 	}
 	return value
@@ -188,10 +189,23 @@
 	return -1
 }
 
-// candidate chooses members for a group of the model in a domain, those with its weights first. It has
-// fewer members than the model's size while targets of groups that end are not free.
-func (in *Input) candidate(d *domain, m rudderroute.Model) *candidate {
-	free := slices.Clone(d.free)
+// candidate chooses members for a group of the model in a domain, those with its weights first. Targets with
+// the weights of a model that lacks more are left alone: they form its next group when one more target
+// comes. The candidate has fewer members than the model's size while targets of groups that end are not free.
+func (in *Input) candidate(d *domain, m rudderroute.Model, counts map[string]int) *candidate {
+	own := in.lack(m, counts[m.Name])
+	var free []*rudderview.Target
+	kept := 0
+	for _, t := range d.free {
+		if in.wantedMore(t, m, own, counts) {
+			kept++
+		} else {
+			free = append(free, t)
+		}
+	}
+	if d.room-kept < m.Size {
+		return nil
+	}
 	slices.SortStableFunc(free, func(a, b *rudderview.Target) int {
 		return cmp.Or(
 			-compareBool(a.Model == m.Name, b.Model == m.Name),
@@ -209,6 +223,15 @@
 	return c
 }
 
+// wantedMore reports whether a target has only the weights of a model that lacks more than m.
+func (in *Input) wantedMore(t *rudderview.Target, m rudderroute.Model, own float64, counts map[string]int) bool {
+	if warm(t, m.Name) {
+		return false
+	}
+	other, known := in.Service.Engine.Model(in.weights(t))
+	return known && in.lack(other, counts[other.Name]) > own
+}
+
 // stagingFor reports whether a target has been told to stage the weights of a model.
 func (in *Input) stagingFor(t *rudderview.Target, model string) bool {
 	staging := in.Memory.staging[t.Name]
--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -27,10 +27,15 @@
 	Now     time.Duration
 	Service *rudderroute.Service
 	Targets map[string]*rudderview.Target
+	// Gone holds targets whose record was removed lately.
+	Gone map[string]*rudderview.Target
 	// Plans by domain.
 	Plans map[string]Stored
 	// Dead reports a life of a target that does not answer.
 	Dead func(t *rudderview.Target) bool
+	// Resumable says that all streams of the service can go on at another group, so that a group need not
+	// wait long for its requests to end.
+	Resumable bool
 	// Demand is the part of the work of each model, 0 to 1.
 	Demand map[string]float64
 	// Stall is the time after which a leader without one of its members is broken.
@@ -119,6 +124,19 @@
 	slices.SortFunc(d.free, func(a, b *rudderview.Target) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// member returns a planned member in the life that was planned, whether or not its record is still there, or
+// nil.
+func (in *Input) member(m rudderroster.Member) *rudderview.Target {
+	t := in.Targets[m.Target]
+	if t == nil {
+		t = in.Gone[m.Target]
+	}
+	if t == nil || t.Born != m.Born {
+		return nil
+	}
+	return t
+}
+
 // inGroup reports whether a target says that it is in the group, in this life.
 func inGroup(t *rudderview.Target, g rudderroster.Group) bool {
 	return t != nil && t.Membership.Group == g.Name && t.Membership.Epoch == g.Epoch
--- a/rudderd/rudderform/memory.go
+++ b/rudderd/rudderform/memory.go
@@ -27,6 +27,8 @@
 	orders map[string]*sent
 	// retirements are the groups that end.
 	retirements map[string]*retirement
+	// headless holds, by group, since when its leader has no record.
+	headless map[string]time.Duration
 	// complete are groups whose members were all seen in the group.
 	complete map[string]bool
 	// staging holds, by target, the life and model of the stage order that was sent.
@@ -63,7 +65,7 @@
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
 	return &Memory{orders: map[string]*sent{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]stagingLife{},
-		sizes: map[string]domainSize{}}
+		sizes: map[string]domainSize{}, headless: map[string]time.Duration{}}
 }
 
 func orderKey(target string, o ruddertarget.GroupOrder) string {
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -1,6 +1,8 @@
 package rudderform
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
@@ -61,18 +63,18 @@
 // release makes the leader let go of a group that ends. When the leader does not answer, the other members
 // leave, so that it stands still and breaks.
 func (in *Input) release(g rudderroster.Group, r *retirement) []Order {
-	leader := in.Targets[g.Members[0].Target]
+	leader := in.member(g.Members[0])
 	if r.graceful > 0 {
 		return in.finish(g, r, leader)
 	}
 	leave := leaveOrder(g)
 	var orders []Order
-	if leader != nil && leader.Born == g.Members[0].Born {
+	if leader != nil {
 		orders = append(orders, in.order(leader, leave, r.reason))
 	}
 	if in.leaderDead(g) || in.Now-r.since > leaderPatience {
 		for _, m := range g.Members[1:] {
-			if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && !in.Dead(t) && !in.Memory.done(m.Target, leave) {
+			if t := in.member(m); t != nil && !in.Dead(t) && !in.Memory.done(m.Target, leave) {
 				orders = append(orders, in.order(t, leave, "leader is not reachable"))
 			}
 		}
@@ -114,35 +116,77 @@
 	running := in.loading(domains)
 	var orders []Order
 	for _, d := range domains {
-		spares := map[string]int{}
-		for _, t := range d.free {
-			if model := in.weights(t); model != "" {
-				spares[model]++
-			}
-		}
-		for _, t := range d.free {
-			if in.weights(t) != "" || t.Model != "" {
-				continue
-			}
-			staging, begun := in.Memory.staging[t.Name]
-			if !begun || staging.born != t.Born {
-				staging = stagingLife{born: t.Born, model: in.neededSpare(d, spares)}
-				if staging.model == "" {
-					continue
-				}
+		for _, w := range in.wantedStaging(d) {
+			if !w.begun {
 				if running >= limit || in.Traffic && !in.Memory.loads.take(in.Now, engine.LoadsPerSecond, 1) {
 					return orders
 				}
-				in.Memory.staging[t.Name] = staging
+				in.Memory.staging[w.target.Name] = stagingLife{born: w.target.Born, model: w.model}
 			}
-			spares[staging.model]++
 			running++
-			orders = append(orders, in.order(t, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: staging.model}, "spare of the domain"))
+			orders = append(orders, in.order(w.target, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: w.model}, "spare of the domain"))
 		}
 	}
 	return orders
 }
 
+// staging is a load that a free target should make or makes.
+type staging struct {
+	target *rudderview.Target
+	model  string
+	begun  bool
+}
+
+// wantedStaging lists the loads under way on the free targets of a domain and those that should begin:
+// targets without weights, and one of several spares of a model where another model has none.
+func (in *Input) wantedStaging(d *domain) []staging {
+	var list []staging
+	var empty []*rudderview.Target
+	spares, holders := map[string]int{}, map[string]*rudderview.Target{}
+	for _, t := range d.free {
+		begun := in.Memory.staging[t.Name]
+		switch {
+		case begun.born == t.Born && begun.model != "" && !slices.Contains(t.Staged, begun.model):
+			spares[begun.model]++
+			list = append(list, staging{target: t, model: begun.model, begun: true})
+		case in.weights(t) != "":
+			spares[in.weights(t)]++
+			holders[in.weights(t)] = t
+		default:
+			empty = append(empty, t)
+		}
+	}
+	for _, t := range empty {
+		if model := in.neededSpare(d, spares); model != "" {
+			spares[model]++
+			list = append(list, staging{target: t, model: model})
+		}
+	}
+	if in.Settled && len(d.groups) > 0 && len(empty) == 0 {
+		if t, model := in.exchange(d, spares, holders); t != nil {
+			list = append(list, staging{target: t, model: model})
+		}
+	}
+	return list
+}
+
+// exchange finds a spare that should have the weights of a model that has no spare: it would be needed more
+// than the spare that is given up.
+func (in *Input) exchange(d *domain, spares map[string]int, holders map[string]*rudderview.Target) (*rudderview.Target, string) {
+	wanted := in.neededSpare(d, spares)
+	if wanted == "" || spares[wanted] > 0 {
+		return nil, ""
+	}
+	for model, t := range holders {
+		without := maps.Clone(spares)
+		without[model]--
+		if model != wanted && in.neededSpare(d, without) == wanted {
+			return t, wanted
+		}
+	}
+	return nil, ""
+}
+
 // earlyLoads is how many times more loads run at once before the first request than run at full speed: the
 // weight store is kept busy while the targets' records lag.
 const earlyLoads = 2
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -12,9 +12,14 @@
 	// leavingGrace is how long a group with a leaving member may finish its requests; the leaving
 	// member stays for about this long.
 	leavingGrace = 8 * time.Second
-	// goneGrace is the same for a group with a member whose record is gone: it may have left without
-	// saying so, and then serves on for a moment, or have died unnoticed.
-	goneGrace = 2 * time.Second
+	// resumableGrace is the same for streams that can go on elsewhere: most of them end in this time,
+	// and the others are cut once and lose less than the group's members stand idle.
+	resumableGrace = 1200 * time.Millisecond
+	// returnTime is how long a group waits for the record of a leader that still answers. Such a leader
+	// may only be cut off from the key-value service; a new group would not serve sooner.
+	returnTime = 2500 * time.Millisecond
+	// returnLimit is the same where no free target has the weights to replace it.
+	returnLimit = 10 * time.Second
 	// tellAfter is the time without a leader's answer after which the plan tells all entry hosts that
 	// the group ends. A leader that answers lets go at once, and the plan is written only once.
 	tellAfter = 600 * time.Millisecond
@@ -66,13 +71,13 @@
 	lost := in.memberLost(g)
 	if r == nil {
 		r = &retirement{since: in.Now, reason: lost}
-		gone, leaving := in.memberGone(g), in.memberLeaving(g)
+		gone, leaving := in.leaderGone(g), in.memberLeaving(g)
 		switch {
 		case lost != "":
 		case gone != "":
-			r.reason, r.graceful = gone, in.Now+goneGrace
+			r.reason, r.graceful = gone, in.Now+in.grace()
 		case leaving != "":
-			r.reason, r.graceful = leaving, in.Now+leavingGrace
+			r.reason, r.graceful = leaving, in.Now+in.grace()
 		case g.Retiring:
 			r.reason = g.Reason
 		default:
@@ -86,18 +91,23 @@
 	return r
 }
 
-// memberLost says why a group cannot run, or "".
+func (in *Input) grace() time.Duration {
+	if in.Resumable {
+		return resumableGrace
+	}
+	return leavingGrace
+}
+
+// memberLost says why a group cannot run, or "". A member whose record is gone is not lost while it answers.
 func (in *Input) memberLost(g rudderroster.Group) string {
 	all, leaderOpen := true, false
 	for rank, m := range g.Members {
-		t := in.Targets[m.Target]
-		if t == nil {
-			all = false
-			continue
-		}
+		t := in.member(m)
 		switch {
-		case t.Born != m.Born:
+		case t == nil && in.Targets[m.Target] != nil:
 			return "member " + m.Target + " restarted"
+		case t == nil:
+			return "member " + m.Target + " is gone"
 		case in.Dead(t):
 			return "member " + m.Target + " does not answer"
 		}
@@ -114,26 +124,74 @@
 		in.Memory.complete[groupKey(g)] = true
 		return ""
 	}
-	if in.memberGone(g) == "" && (leaderOpen || in.Memory.complete[groupKey(g)]) {
+	if leaderOpen || in.Memory.complete[groupKey(g)] {
 		return "a member is no longer in the group"
 	}
 	return ""
 }
 
-// memberGone says which member has no record any more, or "".
-func (in *Input) memberGone(g rudderroster.Group) string {
-	for _, m := range g.Members {
-		if in.Targets[m.Target] == nil {
-			return "member " + m.Target + " is gone"
+// leaderGone says that the leader's record has been gone for too long, or "". No entry host sends requests
+// to such a leader meanwhile.
+func (in *Input) leaderGone(g rudderroster.Group) string {
+	name, key := g.Members[0].Target, groupKey(g)
+	if in.Targets[name] != nil {
+		delete(in.Memory.headless, key)
+		return ""
+	}
+	since, known := in.Memory.headless[key]
+	if !known {
+		since = in.Now
+		in.Memory.headless[key] = since
+	}
+	limit := returnLimit
+	if in.spare(g) {
+		limit = returnTime
+	}
+	if in.Now-since < limit {
+		return ""
+	}
+	return "leader " + name + " has no record"
+}
+
+// spare reports whether the domain of a group has a free target with the group's weights.
+func (in *Input) spare(g rudderroster.Group) bool {
+	for name, t := range in.Targets {
+		if in.usable(t) && warm(t, g.Model) && t.FabricDomain == in.domainOf(g) && !in.planned(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// domainOf returns the fabric domain of a planned group.
+func (in *Input) domainOf(g rudderroster.Group) string {
+	for name, stored := range in.Plans {
+		for _, other := range stored.Plan.Groups {
+			if other.Name == g.Name && other.Epoch == g.Epoch {
+				return name
+			}
 		}
 	}
 	return ""
 }
 
+func (in *Input) planned(target string) bool {
+	for _, stored := range in.Plans {
+		for _, g := range stored.Plan.Groups {
+			for _, m := range g.Members {
+				if m.Target == target {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // memberLeaving says which member leaves, or "".
 func (in *Input) memberLeaving(g rudderroster.Group) string {
 	for _, m := range g.Members {
-		if t := in.Targets[m.Target]; t != nil && t.Leaving() {
+		if t := in.member(m); t != nil && t.Leaving() {
 			return "member " + m.Target + " leaves"
 		}
 	}
@@ -141,7 +199,7 @@
 }
 
 func (in *Input) leaderDead(g rudderroster.Group) bool {
-	t := in.Targets[g.Members[0].Target]
+	t := in.member(g.Members[0])
 	return t == nil || in.Dead(t)
 }
 
@@ -149,8 +207,8 @@
 // groups. A leader that takes no order holds its members until it must have noticed that they left.
 func (in *Input) released(g rudderroster.Group, r *retirement) bool {
 	leader := g.Members[0]
-	t := in.Targets[leader.Target]
-	if t != nil && (t.Born != leader.Born || in.Memory.complete[groupKey(g)] && !inGroup(t, g)) {
+	if current := in.Targets[leader.Target]; current != nil &&
+		(current.Born != leader.Born || in.Memory.complete[groupKey(g)] && !inGroup(current, g)) {
 		return true
 	}
 	leave := leaveOrder(g)
@@ -170,7 +228,7 @@
 			left++
 		}
 	}
-	if others == 0 && t == nil {
+	if others == 0 && in.Targets[leader.Target] == nil {
 		return true // nothing is left of the group
 	}
 	if others > 0 && left == 0 {
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -39,6 +39,8 @@
 	settleTime = 4 * time.Second
 	// recheckInterval is the time between two probes of a target that is suspected.
 	recheckInterval = 1500 * time.Millisecond
+	// goneInterval is the time between two probes of a member whose record is gone.
+	goneInterval = time.Second
 	// examineInterval is how long the verdict on a target answers further questions about it.
 	examineInterval = 300 * time.Millisecond
 )
@@ -245,10 +247,11 @@
 		}
 	}
 	in := rudderform.Input{
-		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Plans: plans, Stall: f.Stall,
+		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Gone: snapshot.Gone, Plans: plans, Stall: f.Stall,
 		Traffic: f.Traffic(), Settled: f.Traffic() || f.Uptime()-f.begin > settleTime, Memory: f.memory[service.Name],
 		Dead: func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
 	}
+	in.Resumable = snapshot.Table.Resumable(service.Name)
 	if f.Demand != nil {
 		in.Demand = f.Demand(service.Name)
 	}
--- a/rudderd/rudderformer/suspects.go
+++ b/rudderd/rudderformer/suspects.go
@@ -21,7 +21,11 @@
 	var waiting []pending
 	f.mu.Lock()
 	for name, born := range lives {
-		if t := snapshot.Targets[name]; t != nil && t.Born == born {
+		t := snapshot.Targets[name]
+		if t == nil {
+			t = snapshot.Gone[name]
+		}
+		if t != nil && t.Born == born {
 			waiting = append(waiting, pending{name, f.check(t, examineInterval)})
 		}
 	}
@@ -54,8 +58,12 @@
 			f.check(t, recheckInterval)
 		}
 	}
+	f.checkGone(snapshot)
 	for name, v := range f.dead {
 		t := snapshot.Targets[name]
+		if t == nil {
+			t = snapshot.Gone[name]
+		}
 		switch {
 		case t == nil:
 			delete(f.dead, name)
@@ -65,6 +73,22 @@
 	}
 }
 
+// checkGone probes the members of planned groups whose record is gone. The caller holds the lock.
+func (f *Former) checkGone(snapshot *rudderview.Snapshot) {
+	if len(snapshot.Gone) == 0 {
+		return
+	}
+	for _, record := range snapshot.Plans {
+		for _, g := range record.Plan.Groups {
+			for _, m := range g.Members {
+				if t := snapshot.Gone[m.Target]; t != nil && t.Born == m.Born {
+					f.check(t, goneInterval)
+				}
+			}
+		}
+	}
+}
+
 // check starts a probe unless one is under way or the last one is young enough, and returns a channel that
 // is closed when the verdict stands. The caller holds the lock.
 func (f *Former) check(t *rudderview.Target, interval time.Duration) <-chan struct{} {
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -12,8 +12,8 @@
 const (
 	// firstProbeTimeout and secondProbeTimeout bound the two tries of a probe. An answer takes a round
 	// trip; the second try is on a new connection, because a kept one may have gone silent.
-	firstProbeTimeout  = 150 * time.Millisecond
-	secondProbeTimeout = 250 * time.Millisecond
+	firstProbeTimeout  = 100 * time.Millisecond
+	secondProbeTimeout = 150 * time.Millisecond
 	// verdictFresh is how long the verdict on a group counts, so that many silent streams of one group
 	// share a probe.
 	verdictFresh = 400 * time.Millisecond
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -12,9 +12,11 @@
 // and less, a long prompt delays the events of others by less than 200 ms.
 const (
 	// firstSilence is the time without an answer after which the members are probed.
-	firstSilence = 700 * time.Millisecond
+	firstSilence = 500 * time.Millisecond
 	// eventSilence is the time without an event of a running stream after which the members are probed.
-	eventSilence = 350 * time.Millisecond
+	eventSilence = 220 * time.Millisecond
+	// doubtAvoid keeps new requests away from a silent group while it is probed.
+	doubtAvoid = 300 * time.Millisecond
 	// probeAgain is the time between two probes of the same silence.
 	probeAgain = 600 * time.Millisecond
 	// silenceLimit is the time without an event after which a running stream is given up on although all
@@ -70,6 +72,8 @@
 	if w.ctx.Err() != nil {
 		return
 	}
+	// New requests go elsewhere until it is clear whether the group lives.
+	w.forwarder.loads.avoid(w.group.Leader.Name, w.forwarder.Uptime()+doubtAvoid, w.forwarder.Uptime())
 	broken := w.forwarder.groupBroken(w.ctx, w.group)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/rudderd/rudderroute/table.go
+++ b/rudderd/rudderroute/table.go
@@ -86,6 +86,16 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// Resumable reports whether all streams that may go to a service can go on at another target.
+func (t *Table) Resumable(service string) bool {
+	for _, r := range t.document.Routes {
+		if r.Kind == KindStream && !r.Resumable && slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			return false
+		}
+	}
+	return true
+}
+
 // normalHost drops the port and the case of a host name.
 func normalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -21,6 +21,9 @@
 	// Table is nil until a routing document was read.
 	Table   *rudderroute.Table
 	Targets map[string]*Target
+	// Gone holds targets whose record was removed lately: they may serve on for a while, or may only be
+	// cut off from the key-value service.
+	Gone map[string]*Target
 	// Entries in name order.
 	Entries    []Entry
 	Plans      map[string]PlanRecord // by key
@@ -80,24 +83,22 @@
 // GroupID names one life of a group.
 func GroupID(name string, epoch int64) string { return name + "@" + strconv.FormatInt(epoch, 10) }
 
-// index derives the groups from the targets' own word.
+// index derives the groups that may take requests: targets of plain services, and planned groups whose
+// leader says that it is open.
 func (s *Snapshot) index() {
 	s.groups = map[string][]*Group{}
-	members := map[string][]*Target{}
 	for _, t := range s.Targets {
-		if m := t.Membership; m.Group != "" {
-			id := GroupID(m.Group, m.Epoch)
-			members[id] = append(members[id], t)
+		if service := s.service(t.Service); service != nil && service.Engine == nil && !t.Leaving() {
+			s.add(&Group{ID: t.Name, Service: t.Service, Leader: t, Members: []*Target{t}, Slots: t.Slots})
 		}
 	}
-	for _, t := range s.Targets {
-		service := s.service(t.Service)
-		switch {
-		case service == nil || t.Leaving():
-		case service.Engine == nil || len(service.Engine.Models) == 0:
-			s.add(&Group{ID: t.Name, Service: t.Service, Leader: t, Members: []*Target{t}, Slots: t.Slots})
-		default:
-			if g := s.group(service, t, members); g != nil {
+	for _, record := range s.Plans {
+		service := s.service(record.Plan.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		for _, p := range record.Plan.Groups {
+			if g := s.group(service, p); g != nil {
 				s.add(g)
 			}
 		}
@@ -121,26 +122,31 @@
 	}
 }
 
-// group returns the group that t leads, or nil unless it is open and every member confirms it.
-func (s *Snapshot) group(service *rudderroute.Service, t *Target, members map[string][]*Target) *Group {
-	m := t.Membership
-	if m.Group == "" || m.Rank != 0 || m.Phase != ruddertarget.GroupOpen {
+// group returns a planned group, or nil unless its leader is open and no member contradicts the plan. The
+// planner opens a leader only after every member has said that it is ready. A member whose record is gone
+// may still serve its group; the planner ends the group when it does not.
+func (s *Snapshot) group(service *rudderroute.Service, p rudderroster.Group) *Group {
+	model, known := service.Engine.Model(p.Model)
+	if p.Retiring || !known || len(p.Members) != model.Size || len(p.Members) == 0 {
 		return nil
 	}
-	model, known := service.Engine.Model(t.Model)
-	id := GroupID(m.Group, m.Epoch)
-	if !known || len(members[id]) < model.Size {
-		return nil
-	}
-	g := &Group{ID: id, Service: t.Service, Model: t.Model, Leader: t, Members: slices.Clone(members[id]), Slots: service.Engine.Slots}
-	slices.SortFunc(g.Members, func(a, b *Target) int { return cmp.Compare(a.Membership.Rank, b.Membership.Rank) })
-	for rank, member := range g.Members {
-		if member.Membership.Rank != rank || s.Suspected(member) {
+	g := &Group{ID: GroupID(p.Name, p.Epoch), Service: service.Name, Model: p.Model, Slots: service.Engine.Slots}
+	for rank, m := range p.Members {
+		t := s.Targets[m.Target]
+		if t == nil && rank > 0 {
+			t = s.Gone[m.Target]
+		}
+		if t == nil || t.Born != m.Born || s.Suspected(t) {
+			return nil
+		}
+		if own := t.Membership; own.Group != p.Name || own.Epoch != p.Epoch || own.Rank != rank {
 			return nil
 		}
-		g.Draining = g.Draining || member.Leaving()
+		g.Draining = g.Draining || t.Leaving()
+		g.Members = append(g.Members, t)
 	}
-	if !s.planned(g) {
+	g.Leader = g.Members[0]
+	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen {
 		return nil
 	}
 	return g
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -17,6 +17,9 @@
 	"comfreyrudder.example/shared/rudderstore"
 )
 
+// goneMemory is how long a target is remembered after its record was removed.
+const goneMemory = 30 * time.Second
+
 // Keys of the entry hosts' own records in the key-value service.
 const (
 	EntryPrefix     = "rudder/entry/"
@@ -62,6 +65,7 @@
 
 	// Used by the goroutine of Run alone.
 	pending      map[string]time.Duration // targets whose removal is held back, until this uptime
+	gone         map[string]time.Duration // targets in Snapshot.Gone, since this uptime
 	outage       bool
 	failingSince time.Duration // uptime of the first unanswered look; 0 while the service answers
 	returned     time.Duration // uptime at which the service came back last
@@ -111,6 +115,7 @@
 	old := v.Snapshot()
 	s := *old
 	s.Targets = cloneMap(old.Targets)
+	s.Gone = cloneMap(old.Gone)
 	s.Plans = cloneMap(old.Plans)
 	s.Suspicions = cloneMap(old.Suspicions)
 	s.Entries = slices.Clone(old.Entries)
@@ -192,6 +197,7 @@
 			Str("state", string(target.State)).Int64("born", target.Born).Int64("revision", e.Revision).Msg("target changed")
 	}
 	s.Targets[name] = &target
+	delete(s.Gone, name)
 	delete(v.pending, name)
 }
 
@@ -228,6 +234,16 @@
 }
 
 func (v *View) dropTarget(s *Snapshot, name, reason string) {
+	if t := s.Targets[name]; t != nil {
+		s.Gone[name] = t
+		v.gone[name] = v.Uptime()
+	}
+	for old, since := range v.gone {
+		if v.Uptime()-since > goneMemory {
+			delete(s.Gone, old)
+			delete(v.gone, old)
+		}
+	}
 	delete(s.Targets, name)
 	delete(v.pending, name)
 	v.Logger.Info().Str("target", name).Str("reason", reason).Msg("target gone")
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -34,6 +34,7 @@
 
 // Run follows the key-value service until the context ends.
 func (v *View) Run(ctx context.Context) error {
+	v.gone = map[string]time.Duration{}
 	wait := firstWait
 	listed := false
 	for ctx.Err() == nil {
