--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -68,6 +68,7 @@
 	stored  Stored
 	groups  []rudderroster.Group
 	free    []*rudderview.Target
+	stray   []*rudderview.Target // leaders of groups that are not planned
 	size    int  // usable targets
 	room    int  // usable targets that no group keeps and no new group has been placed on
 	young   bool // a target has come lately
@@ -112,7 +113,7 @@
 	return list
 }
 
-// findFree leaves those targets of the domain free that are in no planned group.
+// findFree leaves those targets of the domain free that are in no planned group and not held by another one.
 func (in *Input) findFree(d *domain) {
 	taken := map[string]bool{}
 	for _, g := range d.groups {
@@ -120,10 +121,42 @@
 			taken[m.Target] = true
 		}
 	}
-	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return taken[t.Name] })
+	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool {
+		if taken[t.Name] {
+			return true
+		}
+		if leader := in.strayLeader(t); leader != nil {
+			d.stray = append(d.stray, leader)
+			return true
+		}
+		return false
+	})
 	slices.SortFunc(d.free, func(a, b *rudderview.Target) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// strayLeader returns the leader that holds a target in a group that is not planned, or nil. Such a group
+// comes to light when targets return that no planner could reach; it must be closed before its members join
+// another one.
+func (in *Input) strayLeader(t *rudderview.Target) *rudderview.Target {
+	own := t.Membership
+	if own.Group == "" {
+		return nil
+	}
+	for _, leader := range in.Targets {
+		m := leader.Membership
+		if m.Rank == 0 && m.Group == own.Group && m.Epoch == own.Epoch &&
+			(m.Phase == ruddertarget.GroupOpen || m.Phase == ruddertarget.GroupClosing) &&
+			!in.Memory.done(leader.Name, strayLeave(leader)) {
+			return leader
+		}
+	}
+	return nil
+}
+
+func strayLeave(leader *rudderview.Target) ruddertarget.GroupOrder {
+	return ruddertarget.GroupOrder{Kind: ruddertarget.OrderLeave, Group: leader.Membership.Group, Epoch: leader.Membership.Epoch}
+}
+
 // member returns a planned member in the life that was planned, whether or not its record is still there, or
 // nil.
 func (in *Input) member(m rudderroster.Member) *rudderview.Target {
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -17,6 +17,9 @@
 	domains := in.domains()
 	for _, d := range domains {
 		in.findFree(d)
+		for _, leader := range d.stray {
+			orders = append(orders, in.order(leader, strayLeave(leader), "its group is not planned"))
+		}
 		for _, g := range d.groups {
 			if r := in.retirement(g); r != nil {
 				orders = append(orders, in.release(g, r)...)
