--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -28,6 +28,8 @@
 	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
 	// LookLimit is the greatest age of the last look at the routing document with which a key counts.
 	LookLimit time.Duration
+	// BatchPause is how long changes of the fleet may gather before this entry host reads them.
+	BatchPause time.Duration
 	// ReturnGrace is how long records may take to come back after an outage of the key-value service.
 	ReturnGrace time.Duration
 	// Stall is the time after which a leader without one of its members is broken.
@@ -116,7 +118,7 @@
 	uptime := func() time.Duration { return time.Since(started) }
 	e.view = &rudderview.View{
 		Store: e.Ports.Store, Keys: e.Ports.Keys, Logger: e.Logger, Uptime: suspendedUptime(e.Logger),
-		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace,
+		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause,
 		OnLook:  func(d time.Duration) { e.count("store.looks") },
 		OnDeath: e.deaths.take,
 		Hurry:   func() bool { return e.former.Planning() },
@@ -131,7 +133,7 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, LookLimit: e.Settings.LookLimit, Retries: e.Settings.Retries,
-		Probe: e.probe, Suspect: e.suspect, Examine: e.examine, Pick: e.balance.pick,
+		Probe: e.probe, Suspect: e.suspect, Examine: e.examine, Pick: e.balance.pick, Nudge: e.view.Nudge,
 		Poisoned: e.deaths.poisoned, Crashed: e.crashed,
 	}
 	e.former = &rudderformer.Former{
--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -19,6 +19,9 @@
 type Stored struct {
 	Plan     rudderroster.Plan
 	Revision int64
+	// RetiringFor is how long groups have been known to retire, by name and epoch, for a planner that
+	// takes over.
+	RetiringFor map[string]time.Duration
 }
 
 // Input is the state of one service.
@@ -69,9 +72,9 @@
 	groups  []rudderroster.Group
 	free    []*rudderview.Target
 	stray   []*rudderview.Target // leaders of groups that are not planned
-	size    int  // usable targets
-	room    int  // usable targets that no group keeps and no new group has been placed on
-	young   bool // a target has come lately
+	size    int                  // usable targets
+	room    int                  // usable targets that no group keeps and no new group has been placed on
+	young   bool                 // a target has come lately
 	notes   []string
 	changed bool
 }
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -83,6 +83,10 @@
 		default:
 			return nil
 		}
+		if g.Retiring && in.someLeft(g) {
+			// The former planner made the members leave right after it wrote the plan.
+			r.since = min(r.since, in.Now-in.retiringFor(g)+takeOverMargin)
+		}
 		in.Memory.retirements[key] = r
 	}
 	if r.graceful > 0 && (lost != "" || in.Now >= r.graceful) {
@@ -91,6 +95,23 @@
 	return r
 }
 
+// takeOverMargin is how long after a plan was written the former planner may have made the members leave.
+const takeOverMargin = time.Second
+
+// someLeft reports whether a member, other than the leader, says that it is no longer in the group.
+func (in *Input) someLeft(g rudderroster.Group) bool {
+	for _, m := range g.Members[1:] {
+		if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && !inGroup(t, g) {
+			return true
+		}
+	}
+	return false
+}
+
+func (in *Input) retiringFor(g rudderroster.Group) time.Duration {
+	return in.Plans[in.domainOf(g)].RetiringFor[groupKey(g)]
+}
+
 func (in *Input) grace() time.Duration {
 	if in.Resumable {
 		return resumableGrace
@@ -231,7 +252,7 @@
 	if others == 0 && in.Targets[leader.Target] == nil {
 		return true // nothing is left of the group
 	}
-	if others > 0 && left == 0 {
+	if others > 0 && left == 0 && !in.someLeft(g) {
 		return in.Now-r.since > 2*(in.Stall+stallMargin)
 	}
 	return in.Now-r.since > in.Stall+stallMargin
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -233,7 +233,11 @@
 		if own, known := f.plans[key]; known && own.Revision >= record.Revision {
 			continue
 		}
-		f.plans[key] = rudderform.Stored{Plan: record.Plan, Revision: record.Revision}
+		retiring := map[string]time.Duration{}
+		for id, since := range record.RetiringSince {
+			retiring[id] = f.View.Uptime() - since
+		}
+		f.plans[key] = rudderform.Stored{Plan: record.Plan, Revision: record.Revision, RetiringFor: retiring}
 	}
 	for _, stored := range f.plans {
 		if stored.Plan.Service == service.Name {
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -75,6 +75,9 @@
 					return choice{group: g}
 				}
 			}
+			if pick.Group != "" {
+				f.Nudge() // the owner knows a group that this entry host does not know yet
+			}
 			if pick.Full && len(q.Avoid) == 0 {
 				return choice{full: true}
 			}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -40,6 +40,8 @@
 	Examine func(ctx context.Context, g *rudderview.Group) (dead []string, ok bool)
 	// Pick asks the owner of a model for a group.
 	Pick func(ctx context.Context, q PickQuery) Pick
+	// Nudge asks for a look at the fleet now.
+	Nudge func()
 	// Suspect tells the other entry hosts that a target is dead, when the planner could not be asked.
 	Suspect func(t *rudderview.Target, reason string)
 	// Poisoned reports a request that crashes its targets; Crashed notes that a target may have died
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -14,6 +15,8 @@
 type PlanRecord struct {
 	Plan     rudderroster.Plan
 	Revision int64
+	// RetiringSince is the view's uptime at which a group was first seen retiring, by name and epoch.
+	RetiringSince map[string]time.Duration
 }
 
 // Snapshot is one immutable picture of the fleet.
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -51,6 +51,9 @@
 	// ReturnGrace is how long a target that vanished while the service was away is kept after its
 	// return, because its record may come back.
 	ReturnGrace time.Duration
+	// BatchPause is the time between two watches while changes come quickly, so that several changes share
+	// one call.
+	BatchPause time.Duration
 	// OnLook is called after each answered look with the time that it took; optional.
 	OnLook func(d time.Duration)
 	// Hurry tells whether changes are wanted without delay, at the price of more calls; optional.
@@ -63,6 +66,9 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced with each new snapshot
 
+	nudgeOnce sync.Once
+	nudge     chan struct{}
+
 	// Used by the goroutine of Run alone.
 	pending      map[string]time.Duration // targets whose removal is held back, until this uptime
 	gone         map[string]time.Duration // targets in Snapshot.Gone, since this uptime
@@ -152,7 +158,7 @@
 			v.malformed(e.Key, err)
 			return
 		}
-		s.Plans[e.Key] = PlanRecord{Plan: plan, Revision: e.Revision}
+		s.Plans[e.Key] = v.planRecord(s.Plans[e.Key], plan, e.Revision)
 	case strings.HasPrefix(e.Key, SuspicionPrefix):
 		var x Suspicion
 		if err := json.Unmarshal(e.Value, &x); err != nil {
@@ -168,6 +174,22 @@
 	}
 }
 
+// planRecord keeps when this entry host first saw each group retire, for the next planner.
+func (v *View) planRecord(old PlanRecord, plan rudderroster.Plan, revision int64) PlanRecord {
+	record := PlanRecord{Plan: plan, Revision: revision, RetiringSince: map[string]time.Duration{}}
+	for _, g := range plan.Groups {
+		if !g.Retiring {
+			continue
+		}
+		id := GroupID(g.Name, g.Epoch)
+		record.RetiringSince[id] = v.Uptime()
+		if since, known := old.RetiringSince[id]; known {
+			record.RetiringSince[id] = since
+		}
+	}
+	return record
+}
+
 func (v *View) applyRouting(s *Snapshot, e rudderstore.Entry) {
 	document, err := v.DecodeRouting(e.Value)
 	if err != nil {
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -22,10 +22,9 @@
 	watchTimeout = 700 * time.Millisecond
 	// listTimeout bounds a read of all records.
 	listTimeout = 3 * time.Second
-	// batchPause is the time between two watches while changes come quickly, so that several changes
-	// share one call; planBatchPause is the same for the planner, which acts on each change.
-	batchPause     = 400 * time.Millisecond
-	planBatchPause = 20 * time.Millisecond
+	// hurriedPause is the time between two watches while changes come quickly, for an entry host that
+	// acts on each change.
+	hurriedPause = 20 * time.Millisecond
 	// retryPause is the time between two calls while the service fails.
 	retryPause = 150 * time.Millisecond
 	// outageAfter is the time without an answer after which the service counts as away.
@@ -130,15 +129,40 @@
 	}
 	v.looked(begin, max(begin, v.Uptime()-watchLag))
 	if len(result.Events) > 0 {
-		pause := batchPause
-		if v.Hurry != nil && v.Hurry() {
-			pause = planBatchPause
-		}
-		sleep(ctx, pause)
+		v.rest(ctx)
 	}
 	return nil
 }
 
+// rest lets changes gather, unless they are wanted at once.
+func (v *View) rest(ctx context.Context) {
+	pause := v.BatchPause
+	if v.Hurry != nil && v.Hurry() {
+		pause = hurriedPause
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-v.nudges():
+	}
+}
+
+// Nudge ends the pause between two watches, because another entry host knows something that this one does
+// not.
+func (v *View) Nudge() {
+	select {
+	case v.nudges() <- struct{}{}:
+	default:
+	}
+}
+
+func (v *View) nudges() chan struct{} {
+	v.nudgeOnce.Do(func() { v.nudge = make(chan struct{}, 1) })
+	return v.nudge
+}
+
 func (v *View) take(result rudderstore.WatchResult) {
 	s := v.edit()
 	for _, e := range result.Events {
