--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -33,6 +33,8 @@
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost  time.Duration
 	Avoid []string
+	// MaxWait is the longest expected wait for a group with which the request is taken; 0 means any.
+	MaxWait time.Duration
 }
 
 const (
@@ -85,8 +87,8 @@
 	return &Ledger{groups: map[string]*account{}, sends: map[string]*send{}}
 }
 
-// Pick chooses a group and enters the request. full is set when groups exist, but all are full.
-func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, full bool) {
+// Pick chooses a group and enters the request; wait is the expected wait for the group. full is set when groups exist, but all are full.
+func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, wait time.Duration, full bool) {
 	l.expire(now)
 	l.fade(now)
 	l.work += r.Cost.Seconds()
@@ -111,7 +113,10 @@
 		}
 	}
 	if best == nil {
-		return "", full
+		return "", 0, full
+	}
+	if r.MaxWait > 0 && bestCost > r.MaxWait {
+		return "", bestCost, true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
@@ -123,7 +128,7 @@
 		best.readUntil = max(best.readUntil, now) + reading
 	}
 	l.sends[r.ID] = &send{group: best, until: now + r.Limit}
-	return bestID, false
+	return bestID, bestCost, false
 }
 
 // cost is the expected wait for the first token.
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -22,9 +22,9 @@
 // Guards against a long prompt whose group gets the next short ones although another group reads nothing.
 func TestLongPromptKeepsOthersAway(t *testing.T) {
 	l := NewLedger()
-	first, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: "1", PromptTokens: 20_000, Limit: time.Minute})
+	first, _, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: "1", PromptTokens: 20_000, Limit: time.Minute})
 	for i := range 3 {
-		next, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: fmt.Sprint("s", i), PromptTokens: 100, Limit: time.Minute})
+		next, _, _ := l.Pick(0, speed, groups("a", "b"), Request{ID: fmt.Sprint("s", i), PromptTokens: 100, Limit: time.Minute})
 		require.NotEqual(t, first, next)
 	}
 }
@@ -34,14 +34,14 @@
 func TestFullGroups(t *testing.T) {
 	l := NewLedger()
 	for i := range 8 {
-		id, full := l.Pick(0, speed, groups("a"), Request{ID: fmt.Sprint(i), PromptTokens: 1, Limit: time.Minute})
+		id, _, full := l.Pick(0, speed, groups("a"), Request{ID: fmt.Sprint(i), PromptTokens: 1, Limit: time.Minute})
 		require.Equal(t, "a", id)
 		require.False(t, full)
 	}
-	id, full := l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute})
+	id, _, full := l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute})
 	require.Empty(t, id)
 	require.True(t, full)
-	id, full = l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute, Avoid: []string{"a"}})
+	id, _, full = l.Pick(0, speed, groups("a"), Request{ID: "9", Limit: time.Minute, Avoid: []string{"a"}})
 	require.Empty(t, id)
 	require.False(t, full)
 }
@@ -82,7 +82,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	byChance := play(func(time.Duration, *Ledger, Request) int { return random.IntN(count) })
 	byLedger := play(func(now time.Duration, l *Ledger, r Request) int {
-		id, _ := l.Pick(now, wide, groups(names...), r)
+		id, _, _ := l.Pick(now, wide, groups(names...), r)
 		return int(id[0] - 'a')
 	})
 	require.Less(t, byLedger, byChance/2)
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -65,7 +65,7 @@
 		return rudderforward.Pick{}
 	}
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, MaxWait: q.MaxWait}
 	if own.Name == b.edge.Settings.Name {
 		pick := b.serve(q.Service, q.Model, request)
 		pick.Release = func() { b.ended([]string{id}) }
@@ -83,7 +83,7 @@
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
-		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done,
+		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, MaxWaitMs: q.MaxWait.Milliseconds(),
 	})
 	release := func() { b.tell(own.Peer, id) }
 	if err != nil {
@@ -94,7 +94,8 @@
 		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Msg("owner of the model not reached; choosing here")
 		return rudderforward.Pick{Release: release}
 	}
-	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond, Release: release}
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
+		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}
 }
 
 // serve picks from this entry host's ledger.
@@ -116,8 +117,8 @@
 		b.ledgers[key] = rudderbalance.NewLedger()
 	}
 	ledger, now := b.ledgers[key], time.Since(started)
-	group, full := ledger.Pick(now, speed, groups, r)
-	return rudderforward.Pick{Answered: true, Group: group, Full: full, Work: ledger.Work(now)}
+	group, wait, full := ledger.Pick(now, speed, groups, r)
+	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Work: ledger.Work(now)}
 }
 
 // started is the origin of the ledgers' times.
@@ -198,8 +199,9 @@
 	pick := s.balance.serve(r.GetService(), r.GetModel(), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
+		MaxWait: time.Duration(r.GetMaxWaitMs()) * time.Millisecond,
 	})
-	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds()}, nil
+	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds()}, nil
 }
 
 // Done implements rudderpeer.Balance.
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -10,6 +10,10 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
+// maxWaitShare is the longest expected wait for a group, in multiples of the route's objective, with which a
+// request is taken. Beyond it, taking more requests makes all of them late.
+const maxWaitShare = 1.0
+
 // failureAvoid keeps new requests away from a leader after a failed send, beside others that work.
 const failureAvoid = time.Second
 
@@ -41,7 +45,10 @@
 		if c.full {
 			code = "groups_full"
 		}
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: code, message: "no group has room for this request now", retryAfter: shortPause}
+		return nil, &refusal{
+			status: http.StatusServiceUnavailable, code: code, message: "no group has room for this request now",
+			retryAfter: max(shortPause, min(j.wait, longPause)),
+		}
 	}
 	if j.sends > 0 && !f.budget.repeat(j.service, now, f.Retries, len(snapshot.Entries)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longPause}
@@ -58,6 +65,9 @@
 			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
 			Cost: f.cost(j, model),
 		}
+		if !j.started {
+			q.MaxWait = time.Duration(maxWaitShare * float64(j.route.Objective))
+		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
 		}
@@ -69,6 +79,7 @@
 		pick := f.Pick(ctx, q)
 		j.ticket = pick.Release
 		if pick.Answered {
+			j.wait = pick.Wait
 			f.work.set(j.service, model, pick.Work)
 			for _, g := range groups {
 				if g.ID == pick.Group {
@@ -78,7 +89,7 @@
 			if pick.Group != "" {
 				f.Nudge() // the owner knows a group that this entry host does not know yet
 			}
-			if pick.Full && len(q.Avoid) == 0 {
+			if pick.Full {
 				return choice{full: true}
 			}
 		}
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -111,6 +111,8 @@
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost  time.Duration
 	Avoid []string
+	// MaxWait is the longest expected wait with which the request is taken; 0 means any.
+	MaxWait time.Duration
 }
 
 // Pick is an owner's answer. Without one the group is chosen here.
@@ -120,6 +122,8 @@
 	Full     bool
 	// Work is the time that one group would need for the model's work of the last seconds.
 	Work time.Duration
+	// Wait is the expected wait for the group.
+	Wait time.Duration
 	// Release is called when the send has ended; nil when there is nothing to tell.
 	Release func()
 }
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -50,7 +50,8 @@
 	unsent  int
 	exclude map[string]bool
 	last    error
-	ticket  func() // tells the owner of the model that the send has ended; nil for none
+	wait    time.Duration // expected wait for the group, by its owner's word
+	ticket  func()        // tells the owner of the model that the send has ended; nil for none
 
 	// Outcome, for the log line.
 	status    int
@@ -194,6 +195,6 @@
 		line = line.Str("route", j.route.Name).Str("service", j.service).Str("workspace", j.workspaceName())
 	}
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
-		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).
+		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).Dur("expected_wait_ms", j.wait).
 		Str("model", j.request.Model).Msg("request ended")
 }
