--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -143,7 +143,11 @@
 			if m.Size < 1 || d.room < m.Size+kept || d.young && !top {
 				continue
 			}
-			if c := in.candidate(d, m, counts); c != nil && better(c) {
+			c := in.candidate(d, m, counts)
+			if c == nil || c.loads > 0 && in.Traffic && counts[m.Name] > 0 && d.room < m.Size+reserve {
+				continue // a group that serves late is not worth the last spares
+			}
+			if better(c) {
 				best = c
 			}
 		}
