--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -54,15 +54,27 @@
 	sends  map[string]*send
 	work   float64 // seconds of work, fading
 	workAt time.Duration
+	begin  time.Duration // of the first request; 0 before it
 }
 
-// workMemory is the time after which work counts for a third.
-const workMemory = 10 * time.Second
+const (
+	// workMemory is the time after which work counts for a third.
+	workMemory = 10 * time.Second
+	// workAge is the age of a ledger from which on its work is known. An entry host that becomes the
+	// owner begins with an empty ledger.
+	workAge = 4 * time.Second
+)
 
-// Work is the time that one group would need for the work of the last seconds.
+// Work is the time that one group would need for the work of workMemory, at the present rate, or 0 while it is
+// not known.
 func (l *Ledger) Work(now time.Duration) time.Duration {
+	age := now - l.begin
+	if l.begin == 0 || age < workAge {
+		return 0
+	}
 	l.fade(now)
-	return time.Duration(l.work * float64(time.Second))
+	seen := 1 - math.Exp(-age.Seconds()/workMemory.Seconds())
+	return time.Duration(l.work / seen * float64(time.Second))
 }
 
 func (l *Ledger) fade(now time.Duration) {
@@ -90,6 +102,9 @@
 // Pick chooses a group and enters the request; wait is the expected wait for the group. full is set when groups exist, but all are full.
 func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, wait time.Duration, full bool) {
 	l.expire(now)
+	if l.begin == 0 {
+		l.begin, l.workAt = now, now
+	}
 	l.fade(now)
 	l.work += r.Cost.Seconds()
 	var best *account
--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -112,14 +112,27 @@
 	return !in.Traffic || in.Memory.loads.take(in.Now, in.Service.Engine.LoadsPerSecond, c.loads)
 }
 
-// lack is how much a model needs another group: its part of the work for each group that it would have. The
-// configured share of a model counts the time of single targets, the measured one the time of groups.
+// lack is how much a model needs another group: its part of the work for each group that it would have.
 func (in *Input) lack(model rudderroute.Model, groups int) float64 {
-	share, known := in.Demand[model.Name]
-	if !known {
-		share = model.Share / float64(max(model.Size, 1))
+	return in.share(model) / float64(groups+1)
+}
+
+// share is a model's part of the work in the time of groups; the configuration gives it in the time of single
+// targets. It is the mean of the configured and the measured one, because
+// the measured one follows a few seconds only.
+func (in *Input) share(model rudderroute.Model) float64 {
+	total := 0.0
+	for _, m := range in.Service.Engine.Models {
+		total += m.Share / float64(max(m.Size, 1))
 	}
-	return share / float64(groups+1)
+	configured := model.Share / float64(max(model.Size, 1))
+	if total > 0 {
+		configured /= total
+	}
+	if measured, known := in.Demand[model.Name]; known {
+		return (configured + measured) / 2
+	}
+	return configured
 }
 
 // best returns the group to place next, or nil.
@@ -228,14 +241,18 @@
 	return c
 }
 
-// wantedMore reports whether a target has only the weights of a model that lacks more than m, and whose group
-// the domain has room for now or when one more target comes. Before the first request loads cost little.
+// conversion is how many times more a model must lack than another one before targets with the weights of the
+// other one load its own. A large group that is taken apart seldom finds room again.
+const conversion = 1.6
+
+// wantedMore reports whether a target has only the weights of a model that lacks about as much as m, and whose
+// groups fit the domain. Before the first request loads cost little.
 func (in *Input) wantedMore(d *domain, t *rudderview.Target, m rudderroute.Model, own float64, counts map[string]int) bool {
 	if warm(t, m.Name) {
 		return false
 	}
 	other, known := in.Service.Engine.Model(in.weights(t))
-	return in.Traffic && known && d.room+1 >= other.Size && in.lack(other, counts[other.Name]) > own
+	return in.Traffic && known && d.size+d.away >= other.Size && in.lack(other, counts[other.Name])*conversion > own
 }
 
 // stagingFor reports whether a target has been told to stage the weights of a model.
@@ -258,5 +275,5 @@
 	}
 	d.groups = append(d.groups, g)
 	d.hold(c.members)
-	d.note(fmt.Sprintf("group %s formed for %s, %d loads", groupKey(g), g.Model, c.loads))
+	d.note(fmt.Sprintf("group %s formed for %s, %d loads, share of the work %.2f", groupKey(g), g.Model, c.loads, in.share(c.model)))
 }
--- a/rudderd/rudderform/input.go
+++ b/rudderd/rudderform/input.go
@@ -73,6 +73,7 @@
 	free    []*rudderview.Target
 	stray   []*rudderview.Target // leaders of groups that are not planned
 	size    int                  // usable targets
+	away    int                  // targets whose record is gone and that are not known to be dead
 	room    int                  // usable targets that no group keeps and no new group has been placed on
 	young   bool                 // a target has come lately
 	notes   []string
@@ -108,6 +109,11 @@
 			d.size++
 		}
 	}
+	for _, t := range in.Gone {
+		if d := byName[t.FabricDomain]; d != nil && t.Service == in.Service.Name && !in.Dead(t) && !t.Leaving() {
+			d.away++
+		}
+	}
 	list := make([]*domain, 0, len(byName))
 	for _, d := range byName {
 		list = append(list, d)
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -166,7 +166,7 @@
 		in.Memory.headless[key] = since
 	}
 	limit := returnLimit
-	if in.spare(g) {
+	if in.replaceable(g) {
 		limit = returnTime
 	}
 	if in.Now-since < limit {
@@ -175,14 +175,21 @@
 	return "leader " + name + " has no record"
 }
 
-// spare reports whether the domain of a group has a free target with the group's weights.
-func (in *Input) spare(g rudderroster.Group) bool {
+// replaceable reports whether a group could be formed again at once without its leader, from the other members
+// and from free targets with the weights.
+func (in *Input) replaceable(g rudderroster.Group) bool {
+	usable := 0
+	for _, m := range g.Members[1:] {
+		if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && in.usable(t) {
+			usable++
+		}
+	}
 	for name, t := range in.Targets {
 		if in.usable(t) && warm(t, g.Model) && t.FabricDomain == in.domainOf(g) && !in.planned(name) {
-			return true
+			usable++
 		}
 	}
-	return false
+	return usable >= len(g.Members)
 }
 
 // domainOf returns the fabric domain of a planned group.
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -11,8 +11,8 @@
 )
 
 // maxWaitShare is the longest expected wait for a group, in multiples of the route's objective, with which a
-// request is taken. Beyond it, taking more requests makes all of them late.
-const maxWaitShare = 1.0
+// request is taken. Beyond it, it would hardly be done in time and only delay others.
+const maxWaitShare = 4.0
 
 // failureAvoid keeps new requests away from a leader after a failed send, beside others that work.
 const failureAvoid = time.Second
--- a/rudderd/rudderforward/work.go
+++ b/rudderd/rudderforward/work.go
@@ -21,7 +21,11 @@
 	return service.Engine.Cost(model, j.request.PromptTokens, j.request.AnswerTokens)
 }
 
+// set notes an owner's word; 0 means that the owner does not know yet.
 func (m *workMeter) set(service, model string, work time.Duration) {
+	if work == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.models == nil {
