--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -1,7 +1,6 @@
 package rudderedge
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -9,8 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
-
-	"comfreyrudder.example/rudderd/rudderview"
 )
 
 const (
@@ -53,9 +50,3 @@
 }
 
 func targetClient() *http.Client { return NewClient(idleConnections) }
-
-// probe asks a target whether it lives.
-func (e *Edge) probe(ctx context.Context, t *rudderview.Target) error {
-	_, err := e.Ports.Control.Report(ctx, t.Address)
-	return err
-}
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -133,12 +133,12 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, LookLimit: e.Settings.LookLimit, Retries: e.Settings.Retries,
-		Probe: e.probe, Suspect: e.suspect, Examine: e.examine, Pick: e.balance.pick, Nudge: e.view.Nudge,
+		Report: e.Ports.Control.Report, Suspect: e.suspect, Examine: e.examine, Pick: e.balance.pick, Nudge: e.view.Nudge,
 		Poisoned: e.deaths.poisoned, Crashed: e.crashed,
 	}
 	e.former = &rudderformer.Former{
 		Name: e.Settings.Name, View: e.view, Store: e.Ports.Store, Control: e.Ports.Control, Logger: e.Logger, Uptime: uptime,
-		Stall: e.Settings.Stall, Traffic: e.forwarder.Seen, Demand: e.forwarder.Demand, Dead: e.forwarder.TargetDead,
+		Stall: e.Settings.Stall, Traffic: e.forwarder.Seen, Demand: e.forwarder.Demand, Ask: e.forwarder.Ask,
 		OnOrder: func(kind, outcome string) { e.count("orders." + kind + "." + outcome) },
 	}
 }
--- a/rudderd/rudderform/orders.go
+++ b/rudderd/rudderform/orders.go
@@ -44,8 +44,8 @@
 	ready := 0
 	join := ruddertarget.GroupOrder{Kind: ruddertarget.OrderJoin, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Members: g.Names()}
 	for rank, m := range g.Members {
-		t := in.Targets[m.Target]
-		if t == nil || t.Born != m.Born {
+		t := in.member(m)
+		if t == nil {
 			return nil
 		}
 		switch {
@@ -58,7 +58,7 @@
 	}
 	if ready == len(g.Members) {
 		open := ruddertarget.GroupOrder{Kind: ruddertarget.OrderOpen, Group: g.Name, Epoch: g.Epoch}
-		orders = append(orders, in.order(in.Targets[g.Members[0].Target], open, "every member is ready"))
+		orders = append(orders, in.order(in.member(g.Members[0]), open, "every member is ready"))
 	}
 	return orders
 }
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -15,10 +15,7 @@
 	// resumableGrace is the same for streams that can go on elsewhere: most of them end in this time,
 	// and the others are cut once and lose less than the group's members stand idle.
 	resumableGrace = 1200 * time.Millisecond
-	// returnTime is how long a group waits for the record of a leader that still answers. Such a leader
-	// may only be cut off from the key-value service; a new group would not serve sooner.
-	returnTime = 2500 * time.Millisecond
-	// returnLimit is the same where no free target has the weights to replace it.
+	// returnLimit is how long a group that no other member can lead waits for its leader's record.
 	returnLimit = 10 * time.Second
 	// tellAfter is the time without a leader's answer after which the plan tells all entry hosts that
 	// the group ends. A leader that answers lets go at once, and the plan is written only once.
@@ -165,33 +162,12 @@
 		since = in.Now
 		in.Memory.headless[key] = since
 	}
-	limit := returnLimit
-	if in.replaceable(g) {
-		limit = returnTime
-	}
-	if in.Now-since < limit {
+	if in.Now-since < returnLimit {
 		return ""
 	}
 	return "leader " + name + " has no record"
 }
 
-// replaceable reports whether a group could be formed again at once without its leader, from the other members
-// and from free targets with the weights.
-func (in *Input) replaceable(g rudderroster.Group) bool {
-	usable := 0
-	for _, m := range g.Members[1:] {
-		if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && in.usable(t) {
-			usable++
-		}
-	}
-	for name, t := range in.Targets {
-		if in.usable(t) && warm(t, g.Model) && t.FabricDomain == in.domainOf(g) && !in.planned(name) {
-			usable++
-		}
-	}
-	return usable >= len(g.Members)
-}
-
 // domainOf returns the fabric domain of a planned group.
 func (in *Input) domainOf(g rudderroster.Group) string {
 	for name, stored := range in.Plans {
@@ -204,19 +180,6 @@
 	return ""
 }
 
-func (in *Input) planned(target string) bool {
-	for _, stored := range in.Plans {
-		for _, g := range stored.Plan.Groups {
-			for _, m := range g.Members {
-				if m.Target == target {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // memberLeaving says which member leaves, or "".
 func (in *Input) memberLeaving(g rudderroster.Group) string {
 	for _, m := range g.Members {
--- a/rudderd/rudderform/succeed.go
+++ b/rudderd/rudderform/succeed.go
@@ -1,22 +1,26 @@
 package rudderform
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// succeed gives a group whose leader does not answer its next epoch: the same group, with another member as
-// its leader and spares in place of the lost ones. The members need not be released for that, since they
-// stay in their group: a leader that is only cut off stands still from the moment at which they take the
-// new epoch, and cannot start a request without them.
+// releadAfter is how long a group waits for the record of a leader that still answers before another member
+// leads it. Most requests that run there end in this time; the others are resumed elsewhere.
+const releadAfter = 500 * time.Millisecond
+
+// succeed gives a group its next epoch whose leader does not answer, or has no record and so may take no
+// requests: the same group, with another member as its leader. The members need not be released for that,
+// since they stay in their group: a leader that is only cut off stands still from the moment at which they
+// take the new epoch, and cannot start a request without them.
 func (in *Input) succeed(d *domain) {
 	for i, g := range d.groups {
-		r := in.Memory.retirements[groupKey(g)]
-		if r == nil || r.graceful > 0 || !in.leaderDead(g) {
+		reason := in.needsLeader(g)
+		if reason == "" {
 			continue
 		}
 		members := in.successors(d, g)
@@ -24,33 +28,53 @@
 			continue
 		}
 		delete(in.Memory.retirements, groupKey(g))
+		delete(in.Memory.headless, groupKey(g))
 		next := rudderroster.Group{Name: g.Name, Epoch: d.stored.Revision + 1, Model: g.Model}
 		for _, t := range members {
 			next.Members = append(next.Members, rudderroster.Member{Target: t.Name, Born: t.Born})
 		}
 		d.groups[i] = next
 		d.hold(members)
-		d.note(fmt.Sprintf("group %s goes on as %s: %s", groupKey(g), groupKey(next), r.reason))
+		d.note(fmt.Sprintf("group %s goes on as %s: %s", groupKey(g), groupKey(next), reason))
+	}
+}
+
+// needsLeader says why a group needs another leader, or "".
+func (in *Input) needsLeader(g rudderroster.Group) string {
+	r := in.Memory.retirements[groupKey(g)]
+	since, headless := in.Memory.headless[groupKey(g)]
+	switch {
+	case r != nil && r.graceful == 0 && in.leaderDead(g):
+		return r.reason
+	case r == nil && headless && in.Now-since >= releadAfter && in.Memory.complete[groupKey(g)]:
+		return "leader " + g.Members[0].Target + " has no record"
 	}
+	return ""
 }
 
-// successors returns the members of a group's next epoch: the survivors and free targets with the weights,
-// or nil when these are too few.
+// successors returns the members of a group's next epoch: the survivors, free targets with the weights, and
+// if these are too few, members that answer without having a record. It returns nil when the group cannot go
+// on at once.
 func (in *Input) successors(d *domain, g rudderroster.Group) []*rudderview.Target {
-	var members []*rudderview.Target
+	var members, away []*rudderview.Target
 	for _, m := range g.Members {
-		if t := in.Targets[m.Target]; t != nil && t.Born == m.Born && in.usable(t) && inGroup(t, g) {
+		t := in.member(m)
+		switch {
+		case t == nil || in.Dead(t) || t.Leaving() || !inGroup(t, g):
+		case in.Targets[m.Target] != nil:
 			members = append(members, t)
+		default:
+			away = append(away, t)
 		}
 	}
-	if len(members) == 0 || len(members) == len(g.Members) {
+	if len(members) == 0 {
 		return nil
 	}
 	spares := slices.DeleteFunc(slices.Clone(d.free), func(t *rudderview.Target) bool { return !warm(t, g.Model) })
-	slices.SortStableFunc(spares, func(a, b *rudderview.Target) int { return cmp.Compare(a.Name, b.Name) })
-	missing := len(g.Members) - len(members)
-	if len(spares) < missing {
+	members = append(members, spares...)
+	members = append(members, away...)
+	if len(members) < len(g.Members) {
 		return nil
 	}
-	return append(members, spares[:missing]...)
+	return members[:len(g.Members)]
 }
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -41,6 +42,8 @@
 	recheckInterval = 1500 * time.Millisecond
 	// goneInterval is the time between two probes of a member whose record is gone.
 	goneInterval = time.Second
+	// joiningInterval is the same while the member's group forms.
+	joiningInterval = 200 * time.Millisecond
 	// examineInterval is how long the verdict on a target answers further questions about it.
 	examineInterval = 300 * time.Millisecond
 )
@@ -60,8 +63,8 @@
 	Traffic func() bool
 	// Demand is the part of the work of each model of a service, as seen here; nil for unknown.
 	Demand func(service string) map[string]float64
-	// Dead probes a target and reports whether it does not answer.
-	Dead func(ctx context.Context, t *rudderview.Target) bool
+	// Ask probes a target; alive is false when it does not answer.
+	Ask func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
 
@@ -81,6 +84,8 @@
 type verdict struct {
 	born    int64
 	dead    bool
+	report  ruddertarget.GroupReport // of the last answer
+	known   bool                     // there was an answer
 	running bool
 	checked time.Duration // uptime of the begin or the end of the last probe
 	done    chan struct{} // closed when the probe has ended
@@ -245,13 +250,20 @@
 		}
 	}
 	dead := map[string]int64{}
+	gone := maps.Clone(snapshot.Gone)
 	for name, v := range f.dead {
 		if v.dead {
 			dead[name] = v.born
 		}
+		if t := gone[name]; t != nil && v.known && v.born == t.Born {
+			// Its record is gone, so only its own answer tells which group it is in.
+			answered := *t
+			answered.Membership = v.report.Membership
+			gone[name] = &answered
+		}
 	}
 	in := rudderform.Input{
-		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Gone: snapshot.Gone, Plans: plans, Stall: f.Stall,
+		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Gone: gone, Plans: plans, Stall: f.Stall,
 		Traffic: f.Traffic(), Settled: f.Traffic() || f.Uptime()-f.begin > settleTime, Memory: f.memory[service.Name],
 		Dead: func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
 	}
--- a/rudderd/rudderformer/suspects.go
+++ b/rudderd/rudderformer/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // Examine probes the targets that another entry host finds silent and returns the dead ones. Entry hosts
@@ -81,9 +82,15 @@
 	for _, record := range snapshot.Plans {
 		for _, g := range record.Plan.Groups {
 			for _, m := range g.Members {
-				if t := snapshot.Gone[m.Target]; t != nil && t.Born == m.Born {
-					f.check(t, goneInterval)
+				t := snapshot.Gone[m.Target]
+				if t == nil || t.Born != m.Born {
+					continue
 				}
+				interval := goneInterval
+				if leader := snapshot.Targets[g.Members[0].Target]; leader != nil && leader.Membership.Phase != ruddertarget.GroupOpen {
+					interval = joiningInterval
+				}
+				f.check(t, interval)
 			}
 		}
 	}
@@ -99,7 +106,7 @@
 	}
 	next := &verdict{born: t.Born, checked: now, running: true, done: make(chan struct{})}
 	if v != nil && v.born == t.Born {
-		next.dead = v.dead
+		next.dead, next.report, next.known = v.dead, v.report, v.known
 	}
 	f.dead[t.Name] = next
 	go f.verify(t, next)
@@ -108,13 +115,17 @@
 
 // verify probes one target.
 func (f *Former) verify(t *rudderview.Target, v *verdict) {
-	dead := f.Dead(context.Background(), t)
+	report, alive := f.Ask(context.Background(), t)
+	dead := !alive
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if dead || v.dead {
 		f.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Bool("dead", dead).Bool("before", v.dead).Msg("suspected target probed")
 	}
 	v.dead, v.running, v.checked = dead, false, f.Uptime()
+	if alive {
+		v.report, v.known = report, true
+	}
 	close(v.done)
 	select {
 	case f.wake <- struct{}{}:
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -139,7 +139,7 @@
 
 // judge finds out whether a leader died on a request.
 func (f *Forwarder) judge(fingerprint uint64, g *rudderview.Group) {
-	if f.TargetDead(context.Background(), g.Leader) {
+	if f.dead(context.Background(), g.Leader) {
 		f.Suspect(g.Leader, "connection broke")
 		f.Crashed(fingerprint, g.Leader)
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -12,6 +12,7 @@
 
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // Metrics receives counts and times; its fields are set before use.
@@ -34,8 +35,8 @@
 	// LookLimit is the greatest age of the last look at the routing document with which a key counts.
 	LookLimit time.Duration
 	Retries   RetryLimits
-	// Probe asks a target whether it lives.
-	Probe func(ctx context.Context, t *rudderview.Target) error
+	// Report asks a target for its state.
+	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Examine asks the planner which members of a group are dead; ok is false when it cannot be asked.
 	Examine func(ctx context.Context, g *rudderview.Group) (dead []string, ok bool)
 	// Pick asks the owner of a model for a group.
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
@@ -33,21 +34,26 @@
 	broken bool
 }
 
-// TargetDead probes a target and reports that it answered neither of two tries.
-func (f *Forwarder) TargetDead(ctx context.Context, t *rudderview.Target) bool {
+// Ask probes a target with two tries. alive is false when it answered neither of them.
+func (f *Forwarder) Ask(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
 	for _, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
 		f.Metrics.Count("targets.probes")
 		tryContext, cancel := context.WithTimeout(ctx, timeout)
-		err := f.Probe(tryContext, t)
+		report, err := f.Report(tryContext, t.Address)
 		cancel()
 		if err == nil {
-			return false
+			return report, true
 		}
 		if ctx.Err() != nil {
-			return false
+			return ruddertarget.GroupReport{}, true // nothing is known
 		}
 	}
-	return true
+	return ruddertarget.GroupReport{}, false
+}
+
+func (f *Forwarder) dead(ctx context.Context, t *rudderview.Target) bool {
+	_, alive := f.Ask(ctx, t)
+	return !alive
 }
 
 // groupBroken probes the members of a group and reports whether one is dead. A dead member is told to the
@@ -98,7 +104,7 @@
 	results := make([]bool, len(g.Members))
 	var waiting sync.WaitGroup
 	for i, t := range g.Members {
-		waiting.Go(func() { results[i] = f.TargetDead(context.Background(), t) })
+		waiting.Go(func() { results[i] = f.dead(context.Background(), t) })
 	}
 	waiting.Wait()
 	var dead []string
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -127,7 +127,7 @@
 
 // group returns a planned group, or nil unless its leader is open and no member contradicts the plan. The
 // planner opens a leader only after every member has said that it is ready. A member whose record is gone
-// may still serve its group; the planner ends the group when it does not.
+// may still serve its group: the planner asks it, and ends the group when it does not answer.
 func (s *Snapshot) group(service *rudderroute.Service, p rudderroster.Group) *Group {
 	model, known := service.Engine.Model(p.Model)
 	if p.Retiring || !known || len(p.Members) != model.Size || len(p.Members) == 0 {
@@ -135,14 +135,14 @@
 	}
 	g := &Group{ID: GroupID(p.Name, p.Epoch), Service: service.Name, Model: p.Model, Slots: service.Engine.Slots}
 	for rank, m := range p.Members {
-		t := s.Targets[m.Target]
-		if t == nil && rank > 0 {
+		t, recorded := s.Targets[m.Target]
+		if !recorded && rank > 0 {
 			t = s.Gone[m.Target]
 		}
 		if t == nil || t.Born != m.Born || s.Suspected(t) {
 			return nil
 		}
-		if own := t.Membership; own.Group != p.Name || own.Epoch != p.Epoch || own.Rank != rank {
+		if own := t.Membership; recorded && (own.Group != p.Name || own.Epoch != p.Epoch || own.Rank != rank) {
 			return nil
 		}
 		g.Draining = g.Draining || t.Leaving()
