--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -44,6 +44,8 @@
 	goneInterval = time.Second
 	// joiningInterval is the same while the member's group forms.
 	joiningInterval = 200 * time.Millisecond
+	// confirmInterval is how long an answer confirms a member for a group that is formed.
+	confirmInterval = 2 * time.Second
 	// examineInterval is how long the verdict on a target answers further questions about it.
 	examineInterval = 300 * time.Millisecond
 )
@@ -195,7 +197,7 @@
 		changes := rudderform.Step(in)
 		f.mu.Unlock()
 		for _, c := range changes {
-			if f.store(ctx, c) {
+			if f.confirmed(ctx, in, c) && f.store(ctx, c) {
 				in.Plans[c.Plan.Domain] = f.stored(c)
 			}
 			busy = true
@@ -274,6 +276,46 @@
 	return in
 }
 
+// confirmed probes the members of the groups that a change forms. A planner that has just taken over does not
+// know which targets its predecessor found dead, and a record outlives its target by seconds.
+func (f *Former) confirmed(ctx context.Context, in rudderform.Input, c rudderform.Change) bool {
+	old := map[string]bool{}
+	for _, g := range in.Plans[c.Plan.Domain].Plan.Groups {
+		old[rudderview.GroupID(g.Name, g.Epoch)] = true
+	}
+	var probes []<-chan struct{}
+	f.mu.Lock()
+	for _, g := range c.Plan.Groups {
+		if old[rudderview.GroupID(g.Name, g.Epoch)] {
+			continue
+		}
+		for _, m := range g.Members {
+			if t := in.Targets[m.Target]; t != nil {
+				probes = append(probes, f.check(t, confirmInterval))
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, done := range probes {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range c.Plan.Groups {
+		for _, m := range g.Members {
+			if v := f.dead[m.Target]; !old[rudderview.GroupID(g.Name, g.Epoch)] && v != nil && v.dead && v.born == m.Born {
+				f.Logger.Info().Str("target", m.Target).Str("group", g.Name).Int64("epoch", g.Epoch).Msg("plan not written: a planned member does not answer")
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // stored returns what this planner stored last for the plan of a change.
 func (f *Former) stored(c rudderform.Change) rudderform.Stored {
 	f.mu.Lock()
