--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := shared rudderd rudderctl rudderstand
+MODULES := shared rudderd rudderctl rudderstand platform
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 BIN := $(CURDIR)/bin
 LINTER_VERSION := v2.15.0
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -74,7 +74,9 @@
 
 // Run serves until the context ends and then stops as planned.
 func (e *Edge) Run(ctx context.Context) error {
-	e.wire()
+	if e.view == nil {
+		e.Prepare()
+	}
 	servers, err := e.listen()
 	if err != nil {
 		return err
@@ -112,7 +114,8 @@
 	return group.Wait()
 }
 
-func (e *Edge) wire() {
+// Prepare connects the parts. Run calls it unless the caller has.
+func (e *Edge) Prepare() {
 	e.registry = metrics.NewRegistry()
 	started := time.Now()
 	uptime := func() time.Duration { return time.Since(started) }
--- /dev/null
+++ b/rudderd/rudderedge/edge_test.go
@@ -0,0 +1,230 @@
+package rudderedge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// blocked is a writer that writes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// Guards against log lines that block requests when nobody reads them, and against lines that are lost in
+// silence.
+func TestLogNeverBlocks(t *testing.T) {
+	output := &blocked{release: make(chan struct{})}
+	w := NewLogWriter(output)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * logQueue {
+			_, _ = io.WriteString(w, "{\"line\":1}\n")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a log line blocks")
+	}
+	close(output.release)
+	w.Close()
+	require.Contains(t, output.text.String(), "log lines dropped")
+	for _, line := range strings.Split(strings.TrimSpace(output.text.String()), "\n") {
+		require.True(t, json.Valid([]byte(line)), line)
+	}
+}
+
+// edge returns an entry host over a stand-in for the key-value service.
+func edge(name string, store *rudderstore.Store) *Edge {
+	e := &Edge{
+		Settings: Settings{
+			Name: name, DataCentre: "d", CallerListen: "127.0.0.1:0", LookLimit: time.Minute, ReturnGrace: time.Second,
+			BatchPause: 10 * time.Millisecond, Stall: time.Second, StopGrace: time.Second, DirectoryLifetime: time.Second,
+		},
+		Ports: Ports{
+			Store: store, Control: &ruddertarget.GroupControl{}, Keys: rudderview.Keys{Routing: "routing", TargetPrefix: "targets/"},
+			DecodeRouting: func(value []byte) (d rudderroute.Document, err error) { return d, json.Unmarshal(value, &d) },
+			DecodeTarget: func(string, []byte) (rudderview.Target, error) { return rudderview.Target{}, errors.New("none") },
+			Protocol:     rudderforward.Protocol{},
+			Directory:    func(*echo.Echo, *Edge) {}, Readiness: func(*echo.Echo, *Edge) {},
+		},
+		Logger: zerolog.Nop(),
+	}
+	return e
+}
+
+// memoryStore is a key-value service in memory whose leases end only when they are revoked.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]rudderstore.Entry
+	events   []rudderstore.Event
+}
+
+func keyValue() *rudderstore.Store {
+	m := &memoryStore{entries: map[string]rudderstore.Entry{}}
+	return &rudderstore.Store{
+		Get: func(_ context.Context, key string) (rudderstore.Entry, int64, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if e, found := m.entries[key]; found {
+				return e, m.revision, nil
+			}
+			return rudderstore.Entry{}, m.revision, rudderstore.ErrNotFound
+		},
+		List: func(context.Context, string) ([]rudderstore.Entry, int64, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			var list []rudderstore.Entry
+			for _, e := range m.entries {
+				list = append(list, e)
+			}
+			return list, m.revision, nil
+		},
+		Put: func(_ context.Context, r rudderstore.PutRequest) (int64, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if r.Expected != rudderstore.AnyRevision && m.entries[r.Key].Revision != r.Expected {
+				return 0, rudderstore.ErrConflict
+			}
+			m.revision++
+			e := rudderstore.Entry{Key: r.Key, Value: r.Value, Revision: m.revision, Lease: r.Lease}
+			m.entries[r.Key] = e
+			m.events = append(m.events, rudderstore.Event{Entry: e})
+			return m.revision, nil
+		},
+		GrantLease: func(context.Context, time.Duration) (int64, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.revision++
+			return m.revision, nil
+		},
+		KeepAlive: func(context.Context, int64) error { return nil },
+		RevokeLease: func(_ context.Context, lease int64) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			for key, e := range m.entries {
+				if e.Lease == lease {
+					m.revision++
+					delete(m.entries, key)
+					m.events = append(m.events, rudderstore.Event{Entry: rudderstore.Entry{Key: key, Revision: m.revision}, Deleted: true})
+				}
+			}
+			return nil
+		},
+		Watch: m.watch,
+	}
+}
+
+func (m *memoryStore) watch(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+	for until := time.Now().Add(r.Wait); ; {
+		m.mu.Lock()
+		result := rudderstore.WatchResult{Revision: m.revision}
+		for _, e := range m.events {
+			if e.Revision > r.After {
+				result.Events = append(result.Events, e)
+			}
+		}
+		m.mu.Unlock()
+		if len(result.Events) > 0 || time.Now().After(until) || ctx.Err() != nil {
+			return result, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against an entry host that stays in the directory after it has begun to stop, or takes requests
+// before it knows a routing document.
+func TestDirectoryFollowsStartAndStop(t *testing.T) {
+	store := keyValue()
+	ctx, stop := context.WithCancel(t.Context())
+	a, b := edge("a", store), edge("b", store)
+	a.Prepare()
+	b.Prepare()
+	ended := make(chan error, 2)
+	go func() { ended <- a.Run(ctx) }()
+	otherCtx, otherStop := context.WithCancel(t.Context())
+	defer otherStop()
+	go func() { ended <- b.Run(otherCtx) }()
+	require.Eventually(t, func() bool { return len(b.view.Snapshot().Entries) == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.False(t, b.Ready())
+	document, err := json.Marshal(rudderroute.Document{Version: 1})
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), rudderstore.PutRequest{Key: "routing", Value: document})
+	require.NoError(t, err)
+	require.Eventually(t, b.Ready, 5*time.Second, 5*time.Millisecond)
+	addresses, lifetime := b.Addresses()
+	require.Len(t, addresses, 2)
+	require.Equal(t, time.Second, lifetime)
+	stop()
+	require.Eventually(t, func() bool { return len(b.view.Snapshot().Entries) == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.False(t, a.Ready())
+	require.NoError(t, <-ended)
+}
+
+// Guards against two secrets: entry hosts that start at the same time must agree on one.
+func TestEntryHostsAgreeOnASecret(t *testing.T) {
+	store := keyValue()
+	secrets := make(chan string, 10)
+	for range 10 {
+		go func() {
+			e := edge("x", store)
+			e.Prepare()
+			for {
+				if secret, err := e.secret(context.Background()); err == nil {
+					secrets <- string(secret)
+					return
+				}
+			}
+		}()
+	}
+	first := <-secrets
+	for range 9 {
+		require.Equal(t, first, <-secrets)
+	}
+}
+
+// Guards against owners that differ between entry hosts with the same list, and against one owner for all.
+func TestOwnersOfModels(t *testing.T) {
+	entries := []rudderview.Entry{{Name: "a", Peer: "a:1"}, {Name: "b", Peer: "b:1"}, {Name: "c", Peer: "c:1"}, {Name: "d"}}
+	seen := map[string]bool{}
+	for _, model := range []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"} {
+		x, found := owner(entries, "s", model)
+		require.True(t, found)
+		turned := []rudderview.Entry{entries[3], entries[2], entries[1], entries[0]}
+		y, _ := owner(turned, "s", model)
+		require.Equal(t, x, y)
+		seen[x.Name] = true
+	}
+	require.Greater(t, len(seen), 1)
+	require.False(t, seen["d"], "an entry host without a peer address owns nothing")
+	_, found := owner(entries[3:], "s", "m")
+	require.False(t, found)
+}
--- a/rudderd/rudderform/form.go
+++ b/rudderd/rudderform/form.go
@@ -47,7 +47,7 @@
 		best.domain.room -= best.model.Size
 		counts[best.model.Name]++
 		switch {
-		case len(best.members) < best.model.Size, best.loads > 0 && !(in.Settled && in.mayLoad(best, loading)):
+		case len(best.members) < best.model.Size, best.loads > 0 && (!in.Settled || !in.mayLoad(best, loading)):
 			best.domain.hold(best.members)
 		default:
 			loading += best.loads
--- a/rudderd/rudderforward/budget.go
+++ b/rudderd/rudderforward/budget.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Limits of repeated sends, summed over all entry hosts.
+// RetryLimits bound repeated sends, summed over all entry hosts.
 type RetryLimits struct {
 	// Ratio of repeats to requests within Window, and Extra repeats beyond them.
 	Ratio  float64
--- /dev/null
+++ b/rudderd/rudderforward/parts_test.go
@@ -0,0 +1,83 @@
+package rudderforward
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderview"
+)
+
+// Guards against events that are cut or joined when they arrive in parts.
+func TestEventsInParts(t *testing.T) {
+	text := "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: cut"
+	for _, source := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+		e := &eventReader{source: source}
+		var ids, parts []string
+		for {
+			event, id, err := e.next()
+			parts = append(parts, string(event))
+			if err != nil {
+				require.ErrorIs(t, err, io.EOF)
+				break
+			}
+			ids = append(ids, id)
+		}
+		require.Equal(t, []string{"1", "2", ""}, ids)
+		require.Equal(t, text, strings.Join(parts, ""))
+		require.Equal(t, "id: 3\ndata: cut", parts[3])
+	}
+}
+
+// Guards against an event without an end that fills the memory.
+func TestEventWithoutEnd(t *testing.T) {
+	e := &eventReader{source: strings.NewReader(strings.Repeat("x", 2*maxEventBytes))}
+	_, _, err := e.next()
+	require.ErrorIs(t, err, errEventTooLong)
+}
+
+// Guards against repeats beyond this entry host's part, and against a window that never empties.
+func TestRetryBudget(t *testing.T) {
+	limits := RetryLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}
+	var b retryBudget
+	for range 100 {
+		b.request("s", time.Second, limits)
+	}
+	repeats := 0
+	for range 100 {
+		if b.repeat("s", 2*time.Second, limits, 2) {
+			repeats++
+		}
+	}
+	require.Equal(t, int(retryShare*(0.2*100+10.0/2)), repeats)
+	require.False(t, b.repeat("s", 5*time.Second, limits, 2))
+	require.True(t, b.repeat("s", time.Minute, limits, 2))
+}
+
+// Guards against requests that go to full, avoided, draining or excluded groups while others have room.
+func TestChoiceWithoutTheOwner(t *testing.T) {
+	group := func(name string, draining bool) *rudderview.Group {
+		x := &rudderview.Target{}
+		x.Name = name
+		return &rudderview.Group{ID: name, Leader: x, Slots: 2, Draining: draining}
+	}
+	groups := []*rudderview.Group{group("busy", false), group("free", false), group("draining", true)}
+	var l loads
+	now := time.Minute
+	c := chooser{now: now, entries: 1}
+	l.report("busy", now, Load{Running: 1})
+	require.Equal(t, "free", l.choose(groups, c).group.ID)
+	c.exclude = map[string]bool{"free": true}
+	require.Equal(t, "busy", l.choose(groups, c).group.ID)
+	l.avoid("busy", now+time.Second, now)
+	require.Equal(t, "draining", l.choose(groups, c).group.ID)
+	l.report("draining", now, Load{Running: 4})
+	require.Equal(t, "busy", l.choose(groups, c).group.ID)
+	l.report("busy", now, Load{Running: 2, Waiting: 2})
+	require.True(t, l.choose(groups, c).full)
+	require.Equal(t, "busy", l.choose(groups[:1], chooser{now: now + loadFresh, entries: 1}).group.ID, "an old word does not count")
+}
--- /dev/null
+++ b/rudderd/rudderview/view_test.go
@@ -0,0 +1,235 @@
+package rudderview
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroster"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+var errAway = errors.New("away")
+
+// script plays the answers of a key-value service, one for each watch.
+type script struct {
+	list    []rudderstore.Entry
+	lists   int
+	watches []watchAnswer
+	waits   []time.Duration
+	end     context.CancelFunc
+}
+
+type watchAnswer struct {
+	events []rudderstore.Event
+	err    error
+	before func()
+}
+
+func (s *script) store() *rudderstore.Store {
+	return &rudderstore.Store{
+		List: func(context.Context, string) ([]rudderstore.Entry, int64, error) {
+			s.lists++
+			return s.list, 10, nil
+		},
+		Watch: func(_ context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+			s.waits = append(s.waits, r.Wait)
+			if len(s.watches) == 0 {
+				s.end()
+				return rudderstore.WatchResult{Revision: r.After}, nil
+			}
+			next := s.watches[0]
+			s.watches = s.watches[1:]
+			if next.before != nil {
+				next.before()
+			}
+			return rudderstore.WatchResult{Events: next.events, Revision: r.After + int64(len(next.events))}, next.err
+		},
+	}
+}
+
+func put(key string, value any) rudderstore.Entry {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return rudderstore.Entry{Key: key, Value: text, Revision: 1}
+}
+
+func written(key string, value any) rudderstore.Event {
+	return rudderstore.Event{Entry: put(key, value)}
+}
+
+func removed(key string) rudderstore.Event {
+	return rudderstore.Event{Entry: rudderstore.Entry{Key: key}, Deleted: true}
+}
+
+// play runs a view over the script until its answers are used up.
+func play(t *testing.T, s *script, now *time.Duration) *View {
+	t.Helper()
+	ctx, end := context.WithTimeout(t.Context(), 10*time.Second)
+	defer end()
+	s.end = end
+	v := &View{
+		Store: s.store(), Keys: Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(),
+		Uptime: func() time.Duration { return *now }, ReturnGrace: 2 * time.Second,
+		DecodeRouting: func(value []byte) (rudderroute.Document, error) {
+			var d rudderroute.Document
+			return d, json.Unmarshal(value, &d)
+		},
+		DecodeTarget: func(name string, value []byte) (Target, error) {
+			var x Target
+			err := json.Unmarshal(value, &x)
+			x.Name = name
+			return x, err
+		},
+	}
+	require.NoError(t, v.Run(ctx))
+	return v
+}
+
+func target(service string) Target {
+	return Target{Host: rudderhost.Host{State: rudderhost.StateLive, Address: "a:1"}, Service: service, Born: 1}
+}
+
+// Guards against a routing document that goes back to an older version.
+func TestRoutingNeverGoesBack(t *testing.T) {
+	now := time.Minute
+	v := play(t, &script{
+		list:    []rudderstore.Entry{put("routing", rudderroute.Document{Version: 5})},
+		watches: []watchAnswer{{events: []rudderstore.Event{written("routing", rudderroute.Document{Version: 4})}}},
+	}, &now)
+	require.Equal(t, int64(5), v.Snapshot().Table.Version())
+}
+
+// Guards against records of another writer: they name no target, and the others hold.
+func TestRecordThatCannotBeRead(t *testing.T) {
+	now := time.Minute
+	bad := rudderstore.Event{Entry: rudderstore.Entry{Key: "targets/a", Value: []byte{0xff, 0x00}}}
+	v := play(t, &script{
+		list:    []rudderstore.Entry{put("targets/a", target("x")), put("targets/b", target("x"))},
+		watches: []watchAnswer{{events: []rudderstore.Event{bad}}},
+	}, &now)
+	require.NotContains(t, v.Snapshot().Targets, "a")
+	require.Contains(t, v.Snapshot().Targets, "b")
+}
+
+// Guards against targets that are dropped because their records lapsed while the service was away, and against
+// targets that are kept although their records do not come back.
+func TestRecordsComeBackAfterAnOutage(t *testing.T) {
+	now := time.Minute
+	away := func(d time.Duration) func() { return func() { now += d } }
+	s := &script{
+		list: []rudderstore.Entry{put("targets/a", target("x")), put("targets/b", target("x")), put("targets/c", target("x"))},
+		watches: []watchAnswer{
+			{events: []rudderstore.Event{removed("targets/c")}}, // the service is well: gone at once
+			{err: errAway},
+			{err: errAway, before: away(3 * time.Second)},
+			{events: []rudderstore.Event{removed("targets/a"), removed("targets/b")}},
+			{events: []rudderstore.Event{written("targets/a", target("x"))}, before: away(time.Second)},
+			{before: away(1500 * time.Millisecond)},
+		},
+	}
+	v := play(t, s, &now)
+	require.Contains(t, v.Snapshot().Targets, "a")
+	require.NotContains(t, v.Snapshot().Targets, "b")
+	require.NotContains(t, v.Snapshot().Targets, "c")
+	require.Contains(t, v.Snapshot().Gone, "b")
+}
+
+// Guards against a look that seems young although the service has not answered, and against a first watch
+// after a failure that waits long before it tells the age.
+func TestAgeOfTheLook(t *testing.T) {
+	now := time.Minute
+	s := &script{watches: []watchAnswer{{}, {err: errAway, before: func() { now += 4 * time.Second }}}}
+	s.watches = append(s.watches, watchAnswer{err: errAway})
+	v := play(t, s, &now)
+	require.Equal(t, []time.Duration{watchWait, watchWait, firstWait, firstWait}, s.waits[:4])
+	age, ok := v.LookAge()
+	require.True(t, ok)
+	require.LessOrEqual(t, age, watchLag)
+}
+
+// Guards against changes that are missed when the service drops its history.
+func TestHistoryIsDropped(t *testing.T) {
+	now := time.Minute
+	s := &script{watches: []watchAnswer{{err: rudderstore.ErrCompacted}}}
+	play(t, s, &now)
+	require.Equal(t, 2, s.lists)
+}
+
+func groupFixture() (Snapshot, rudderroster.Group) {
+	s := Snapshot{Targets: map[string]*Target{}, Gone: map[string]*Target{}, Plans: map[string]PlanRecord{}, Suspicions: map[string]Suspicion{}}
+	s.Table = rudderroute.NewTable(rudderroute.Document{Services: []rudderroute.Service{{
+		Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 2}}},
+	}}})
+	g := rudderroster.Group{Name: "g", Epoch: 7, Model: "m"}
+	for rank, name := range []string{"a", "b"} {
+		x := target("llm")
+		x.Name, x.Model, x.FabricDomain = name, "m", "d"
+		x.Membership = ruddertarget.Membership{Group: "g", Epoch: 7, Rank: rank, Phase: ruddertarget.GroupReady}
+		s.Targets[name] = &x
+		g.Members = append(g.Members, rudderroster.Member{Target: name, Born: 1})
+	}
+	s.Targets["a"].Membership.Phase = ruddertarget.GroupOpen
+	s.Plans[PlanPrefix+"llm/d"] = PlanRecord{Plan: rudderroster.Plan{Service: "llm", Domain: "d", Groups: []rudderroster.Group{g}}}
+	return s, g
+}
+
+// Guards against requests that are sent to a group which lacks a member, has begun another life, is not open
+// or is not planned.
+func TestGroupsThatTakeRequests(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(s *Snapshot)
+		serves bool
+	}{
+		{"complete", func(*Snapshot) {}, true},
+		{"leader only ready", func(s *Snapshot) { s.Targets["a"].Membership.Phase = ruddertarget.GroupReady }, false},
+		{"leader has no record", func(s *Snapshot) { s.Gone["a"] = s.Targets["a"]; delete(s.Targets, "a") }, false},
+		{"follower has no record", func(s *Snapshot) { s.Gone["b"] = s.Targets["b"]; delete(s.Targets, "b") }, true},
+		{"follower is unknown", func(s *Snapshot) { delete(s.Targets, "b") }, false},
+		{"follower restarted", func(s *Snapshot) { s.Targets["b"].Born = 2 }, false},
+		{"follower joined another group", func(s *Snapshot) { s.Targets["b"].Membership.Group = "h" }, false},
+		{"follower has another epoch", func(s *Snapshot) { s.Targets["b"].Membership.Epoch = 8 }, false},
+		{"follower is suspected", func(s *Snapshot) { s.Suspicions["x"] = Suspicion{Target: "b", Born: 1} }, false},
+		{"leader leaves", func(s *Snapshot) { s.Targets["a"].State = rudderhost.StateLeaving }, false},
+		{"follower leaves", func(s *Snapshot) { s.Targets["b"].State = rudderhost.StateLeaving }, true},
+		{"not planned", func(s *Snapshot) { s.Plans = map[string]PlanRecord{} }, false},
+		{"planned to end", func(s *Snapshot) {
+			record := s.Plans[PlanPrefix+"llm/d"]
+			record.Plan.Groups[0].Retiring = true
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, _ := groupFixture()
+			test.change(&s)
+			s.index()
+			require.Equal(t, test.serves, len(s.Groups("llm", "m")) == 1)
+		})
+	}
+}
+
+// Guards against streams that go on waiting for a group that has ended, and against streams that are cut
+// because a record is late.
+func TestGroupsThatEnd(t *testing.T) {
+	s, _ := groupFixture()
+	s.index()
+	g := s.Groups("llm", "m")[0]
+	require.False(t, s.Ended(g))
+	s.Gone["b"] = s.Targets["b"]
+	delete(s.Targets, "b")
+	require.False(t, s.Ended(g))
+	restarted := *s.Gone["b"]
+	restarted.Born = 2
+	s.Targets["b"] = &restarted
+	require.True(t, s.Ended(g))
+}
