--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 FUZZ_SEED ?= $(shell date +%s)
 FUZZ_HISTORIES ?= 500
 
-.PHONY: all build test lint format generate demo up bench capacity faults fuzz settings clean
+.PHONY: all names build test lint format generate demo up bench capacity faults fuzz settings clean
 
 all: build
 
@@ -29,8 +29,14 @@
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
 	mv $(BIN)/golangci-lint $@
 
+# Words of the users' platform that only platform/ may know. Tests of other modules are free of them too.
+PLATFORM_NAMES := X-Attempt-Id|X-Deadline-Ms|X-Response-Seal|X-Tenant|X-Expect-Instance|X-Expect-Version|X-Server-Load|X-Not-Executed|X-Instance-Id|X-Model|X-Token-Count|X-Prompt-Prefix|X-Request-Urgency|X-Length-Hint|X-Weight-Versions|At-Server|kv-key|kv-range|kv-watch|kv-txn|kv-lease|kv-keep|op/config|api/order|api/report|api/resolve|api/readiness|internalPorts|seedNodes|retryBudgetRatio|revokeMs|graceS
+
+names:
+	@! grep -rnE '$(PLATFORM_NAMES)' --include='*.go' $(filter-out platform,$(MODULES)) || { echo "names of the users' platform outside platform/"; exit 1; }
+
 # Runs the linter in each module, because it does not cross module borders of a workspace.
-lint: $(BIN)/golangci-lint-$(LINTER_VERSION)
+lint: names $(BIN)/golangci-lint-$(LINTER_VERSION)
 	@for module in $(MODULES); do \
 		echo "lint $$module"; \
 		(cd $$module && $(BIN)/golangci-lint-$(LINTER_VERSION) run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; \
--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -71,9 +71,9 @@
 		Ports: Ports{
 			Store: store, Control: &ruddertarget.GroupControl{}, Keys: rudderview.Keys{Routing: "routing", TargetPrefix: "targets/"},
 			DecodeRouting: func(value []byte) (d rudderroute.Document, err error) { return d, json.Unmarshal(value, &d) },
-			DecodeTarget: func(string, []byte) (rudderview.Target, error) { return rudderview.Target{}, errors.New("none") },
-			Protocol:     rudderforward.Protocol{},
-			Directory:    func(*echo.Echo, *Edge) {}, Readiness: func(*echo.Echo, *Edge) {},
+			DecodeTarget:  func(string, []byte) (rudderview.Target, error) { return rudderview.Target{}, errors.New("none") },
+			Protocol:      rudderforward.Protocol{},
+			Directory:     func(*echo.Echo, *Edge) {}, Readiness: func(*echo.Echo, *Edge) {},
 		},
 		Logger: zerolog.Nop(),
 	}
--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -93,9 +93,30 @@
 	done    chan struct{} // closed when the probe has ended
 }
 
+// Leave gives the planner's lease back and takes it no more, because the entry host stops.
+func (f *Former) Leave() { f.once.Do(func() { close(f.leftChannel()) }) }
+
+func (f *Former) leftChannel() chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left == nil {
+		f.left = make(chan struct{})
+	}
+	return f.left
+}
+
 // Run takes the planner's lease whenever it is free and plans while it is held.
 func (f *Former) Run(ctx context.Context) error {
 	f.wake = make(chan struct{}, 1)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		select {
+		case <-f.leftChannel():
+			end()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
 		changed := f.View.Changed()
 		snapshot := f.View.Snapshot()
@@ -159,7 +180,19 @@
 		}
 		f.await(held, changed, pause)
 	}
-	f.Logger.Warn().Int64("lease", lease).Msg("planner's lease ended")
+	f.Logger.Warn().Int64("lease", lease).Bool("stopping", ctx.Err() != nil).Msg("planner's lease ended")
+	if ctx.Err() != nil {
+		f.giveBack(lease)
+	}
+}
+
+// giveBack ends the lease, so that another entry host takes over at once.
+func (f *Former) giveBack(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := f.Store.RevokeLease(ctx, lease); err != nil {
+		f.Logger.Warn().Err(err).Int64("lease", lease).Msg("planner's lease not given back; it lapses by itself")
+	}
 }
 
 // renew keeps the lease and ends the planner's work when it may have run out.
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -27,13 +27,13 @@
 	if j.remaining(now) <= 0 {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "deadline", message: "time is up"}
 	}
+	if j.runs > 0 && !j.route.Repeatable() {
+		return nil, &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
+	}
 	attempts := max(j.route.MaxAttempts, 1)
 	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "attempts_exhausted", message: "no attempt is left", retryAfter: shortPause}
 	}
-	if j.runs > 0 && !j.route.Repeatable() {
-		return nil, &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
-	}
 	snapshot := f.View.Snapshot()
 	groups := snapshot.Groups(j.service, j.request.Model)
 	if len(groups) == 0 {
