--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -76,6 +76,8 @@
 	plans    map[string]rudderform.Stored  // by key of the plan, stored by this planner
 	dead     map[string]*verdict           // by target
 	wake     chan struct{}
+	left     chan struct{} // closed by Leave
+	once     sync.Once
 	begin    time.Duration // uptime at which the lease was taken
 }
 
