--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -123,8 +123,8 @@
 		Store: e.Ports.Store, Keys: e.Ports.Keys, Logger: e.Logger, Uptime: suspendedUptime(e.Logger),
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause,
 		OnLook:  func(d time.Duration) { e.count("store.looks") },
-		OnDeath: e.deaths.take,
-		Hurry:   func() bool { return e.former.Planning() },
+		OnDeath: e.deaths.take, Follow: e.follow,
+		Hurry: func() bool { return e.former.Planning() },
 	}
 	e.peers = newPeers()
 	e.balance = newBalance(e)
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -41,6 +41,7 @@
 	verifier := &rudderpeer.Verifier{Keys: e.peers.keys, Clock: clockwork.NewRealClock()}
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
+	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	return verifier.Wrap(mux)
 }
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -58,6 +59,9 @@
 	OnLook func(d time.Duration)
 	// Hurry tells whether changes are wanted without delay, at the price of more calls; optional.
 	Hurry func() bool
+	// Follow asks the entry host that this one follows for changes. It returns ErrWatcher where others follow
+	// this one. Optional: without it the service is watched here.
+	Follow func(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// OnDeath takes the records below DeathPrefix; optional.
 	OnDeath func(e rudderstore.Entry)
 
@@ -66,6 +70,13 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced with each new snapshot
 
+	direct       atomic.Bool  // the service is watched here
+	failing      atomic.Bool  // the last look at the service failed
+	lastFollower atomic.Int64 // uptime of the last call of a follower, in nanoseconds; 0 for none
+	log          []rudderstore.Event
+	logFrom      int64 // the log holds all changes after this revision
+	logRevision  int64
+
 	nudgeOnce sync.Once
 	nudge     chan struct{}
 
@@ -73,6 +84,7 @@
 	pending      map[string]time.Duration // targets whose removal is held back, until this uptime
 	gone         map[string]time.Duration // targets in Snapshot.Gone, since this uptime
 	outage       bool
+	alone        time.Duration // until this uptime nobody is followed
 	failingSince time.Duration // uptime of the first unanswered look; 0 while the service answers
 	returned     time.Duration // uptime at which the service came back last
 }
@@ -108,12 +120,7 @@
 func (v *View) publish(s *Snapshot) {
 	s.index()
 	v.current.Store(s)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.changed != nil {
-		close(v.changed)
-	}
-	v.changed = make(chan struct{})
+	v.wake()
 }
 
 // edit returns a copy of the current picture whose maps may be changed.
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -233,3 +233,80 @@
 	s.Targets["b"] = &restarted
 	require.True(t, s.Ended(g))
 }
+
+// Guards against followers that take an old look for a young one, miss changes, or stay with an entry host that
+// has lost the service (CONFIG on trouble-1 of both sites, when they learned it after two seconds).
+func TestFollowing(t *testing.T) {
+	now := time.Minute
+	watcher := play(t, &script{
+		list:    []rudderstore.Entry{put("targets/a", target("x"))},
+		watches: []watchAnswer{{events: []rudderstore.Event{{Entry: rudderstore.Entry{Key: "targets/b", Value: []byte(`{"Service":"x"}`), Revision: 11}}}}},
+	}, &now)
+	c := watcher.Changes(t.Context(), 10, time.Millisecond)
+	require.True(t, c.Serving)
+	require.Equal(t, int64(11), c.Revision)
+	require.Len(t, c.Events, 1)
+	require.Empty(t, watcher.Changes(t.Context(), 11, time.Millisecond).Events)
+	require.True(t, watcher.Changes(t.Context(), 9, time.Millisecond).Gap)
+	require.True(t, watcher.Changes(t.Context(), 12, time.Millisecond).Gap)
+	require.True(t, watcher.followed())
+
+	now += relayAge + watchLag
+	require.False(t, watcher.Changes(t.Context(), 11, time.Millisecond).Serving, "the look is too old")
+	now -= relayAge + watchLag
+	released := make(chan Changes)
+	go func() { released <- watcher.Changes(t.Context(), 11, time.Minute) }()
+	require.Eventually(t, func() bool {
+		watcher.failed(errAway) // wakes the calls that wait, however late they begin
+		watcher.failingSince = 0
+		select {
+		case c := <-released:
+			return !c.Serving
+		default:
+			return false
+		}
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a follower whose look is younger than the one that it was told of, and against one that does
+// not watch the service itself when its watcher cannot serve.
+func TestFollower(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answer  Changes
+		err     error
+		watches int
+	}{
+		{"served", Changes{Serving: true, Revision: 11, Age: time.Second, Events: []rudderstore.Event{written("targets/b", target("x"))}}, nil, 0},
+		{"not served", Changes{}, nil, 1},
+		{"gap", Changes{Serving: true, Gap: true}, nil, 1},
+		{"not reached", Changes{}, errAway, 1},
+		{"followed by others", Changes{}, ErrWatcher, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			ctx, end := context.WithTimeout(t.Context(), 5*time.Second)
+			defer end()
+			s := &script{end: end}
+			v := &View{
+				Store: s.store(), Keys: Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(),
+				Uptime:       func() time.Duration { return now },
+				DecodeTarget: func(name string, value []byte) (Target, error) { return target("x"), nil },
+				Follow: func(context.Context, int64, time.Duration) (Changes, error) {
+					now += 10 * time.Second
+					if test.watches == 0 {
+						end()
+					}
+					return test.answer, test.err
+				},
+			}
+			require.NoError(t, v.Run(ctx))
+			require.Len(t, s.waits, test.watches)
+			if test.watches == 0 {
+				require.Contains(t, v.Snapshot().Targets, "b")
+				age, _ := v.LookAge()
+				require.Equal(t, 10*time.Second, age, "the list is younger than what the watcher told")
+			}
+		})
+	}
+}
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. An idle entry host makes one call in this time,
-	// and its look is at most this old plus watchLag.
-	watchWait = 2 * time.Second
+	// watchWait is how long a watch waits for a change. An idle entry host that watches makes one call in
+	// this time, and its look is at most this old plus watchLag.
+	watchWait = 1200 * time.Millisecond
+	// followedWait and followedTimeout are the same, and the time beyond it, for an entry host that others
+	// follow: they must notice soon that it has lost the service, and watch it themselves.
+	followedWait    = 500 * time.Millisecond
+	followedTimeout = 350 * time.Millisecond
 	// watchLag is how late a watch may hear of a change: the service may hold changes back for a second
 	// before it drops its history.
 	watchLag = 1200 * time.Millisecond
@@ -69,12 +73,15 @@
 		v.Logger.Info().Dur("away_ms", v.returned-v.failingSince).Msg("key-value service is back")
 	}
 	v.failingSince = 0
+	v.failing.Store(false)
 }
 
 // failed notes an unanswered look and logs the begin of an outage once.
 func (v *View) failed(err error) {
 	if v.failingSince == 0 {
 		v.failingSince = v.Uptime()
+		v.failing.Store(true)
+		v.wake()
 	}
 	if !v.outage && v.Uptime()-v.failingSince >= outageAfter {
 		v.outage = true
@@ -107,6 +114,8 @@
 		}
 	}
 	s.Revision = revision
+	v.restart(revision)
+	v.direct.Store(true)
 	v.publish(s)
 	v.looked(begin, begin)
 	return nil
@@ -114,8 +123,20 @@
 
 // watch waits for changes once and takes them.
 func (v *View) watch(ctx context.Context, wait time.Duration) error {
+	if err := v.follow(ctx); err == nil || ctx.Err() != nil {
+		v.answered()
+		return ctx.Err()
+	}
+	if !v.direct.Load() {
+		v.restart(v.Snapshot().Revision)
+		v.direct.Store(true)
+	}
 	begin := v.Uptime()
-	watchContext, cancel := context.WithTimeout(ctx, wait+watchTimeout)
+	beyond := watchTimeout
+	if v.followed() {
+		wait, beyond = min(wait, followedWait), followedTimeout
+	}
+	watchContext, cancel := context.WithTimeout(ctx, wait+beyond)
 	defer cancel()
 	result, err := v.Store.Watch(watchContext, rudderstore.WatchRequest{
 		Prefixes: []string{""}, After: v.Snapshot().Revision, Wait: wait,
@@ -124,6 +145,7 @@
 		return err
 	}
 	v.answered()
+	v.remember(result.Events, result.Revision)
 	if len(result.Events) > 0 || result.Revision != v.Snapshot().Revision {
 		v.take(result)
 	}
--- a/shared/rudderpeer/requests.twirp.go
+++ b/shared/rudderpeer/requests.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *requestsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *requestsServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Requests")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 498 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x93, 0xcb, 0x6e, 0x13, 0x31,
 	0x14, 0x86, 0x35, 0xb9, 0x4c, 0x32, 0x27, 0x01, 0x09, 0x53, 0x8a, 0x89, 0x40, 0x1a, 0xc2, 0xa5,
--- a/shared/rudderpeer/suspects.twirp.go
+++ b/shared/rudderpeer/suspects.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *suspectsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor7, 0
+	return twirpFileDescriptor8, 0
 }
 
 func (s *suspectsServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Suspects")
 }
 
-var twirpFileDescriptor7 = []byte{
+var twirpFileDescriptor8 = []byte{
 	// 268 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x41, 0x4b, 0xc3, 0x40,
 	0x10, 0x85, 0x49, 0xa3, 0x36, 0x1d, 0xb1, 0xc2, 0xe2, 0x21, 0xf4, 0x14, 0xe3, 0xc1, 0x78, 0x49,
