--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"comfreyrudder.example/rudderd/rudderform"
@@ -55,7 +52,6 @@
 	Name      string
 	View      *rudderview.View
 	Store     *rudderstore.Store
-	Committer *rudderstore.Committer
 	Control   *ruddertarget.GroupControl
 	Logger    zerolog.Logger
 	Uptime    func() time.Duration
@@ -95,18 +91,6 @@
 	done    chan struct{} // closed when the probe has ended
 }
 
-// Leave gives the planner's lease back and takes it no more, because the entry host stops.
-func (f *Former) Leave() { f.once.Do(func() { close(f.leftChannel()) }) }
-
-func (f *Former) leftChannel() chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.left == nil {
-		f.left = make(chan struct{})
-	}
-	return f.left
-}
-
 // Run takes the planner's lease whenever it is free and plans while it is held.
 func (f *Former) Run(ctx context.Context) error {
 	f.wake = make(chan struct{}, 1)
@@ -149,18 +133,6 @@
 	return false
 }
 
-// take writes the planner's key with a new lease if nobody holds it.
-func (f *Former) take(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	lease, err := f.Store.GrantLease(ctx, LeaseTTL)
-	if err != nil {
-		return 0, err
-	}
-	_, err = f.Store.Put(ctx, rudderstore.PutRequest{Key: rudderview.PlannerKey, Value: []byte(f.Name), Lease: lease})
-	return lease, err
-}
-
 // plan steps until the lease is lost.
 func (f *Former) plan(ctx context.Context, lease int64) {
 	f.mu.Lock()
@@ -188,38 +160,6 @@
 	}
 }
 
-// giveBack ends the lease, so that another entry host takes over at once.
-func (f *Former) giveBack(lease int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	if err := f.Store.RevokeLease(ctx, lease); err != nil {
-		f.Logger.Warn().Err(err).Int64("lease", lease).Msg("planner's lease not given back; it lapses by itself")
-	}
-}
-
-// renew keeps the lease and ends the planner's work when it may have run out.
-func (f *Former) renew(ctx context.Context, lost context.CancelFunc, lease int64) {
-	defer lost()
-	last := f.Uptime()
-	for {
-		wait(ctx, nil, renewInterval)
-		if ctx.Err() != nil {
-			return
-		}
-		begin := f.Uptime()
-		callContext, cancel := context.WithTimeout(ctx, renewInterval)
-		err := f.Store.KeepAlive(callContext, lease)
-		cancel()
-		switch {
-		case err == nil:
-			last = begin
-		case errors.Is(err, rudderstore.ErrNotFound), f.Uptime()-last > LeaseTTL:
-			f.Logger.Warn().Err(err).Int64("lease", lease).Msg("planner's lease not renewed")
-			return
-		}
-	}
-}
-
 // step stores what changes and sends the orders that are due. busy reports that something is under way.
 func (f *Former) step(ctx context.Context, snapshot *rudderview.Snapshot) (busy bool) {
 	f.checkSuspects(snapshot)
@@ -264,172 +204,6 @@
 	return false
 }
 
-func (f *Former) input(snapshot *rudderview.Snapshot, service *rudderroute.Service) rudderform.Input {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.memory[service.Name] == nil {
-		f.memory[service.Name] = rudderform.NewMemory()
-	}
-	plans := map[string]rudderform.Stored{}
-	for key, record := range snapshot.Plans {
-		if own, known := f.plans[key]; known && own.Revision >= record.Revision {
-			continue
-		}
-		retiring := map[string]time.Duration{}
-		for id, since := range record.RetiringSince {
-			retiring[id] = f.View.Uptime() - since
-		}
-		f.plans[key] = rudderform.Stored{Plan: record.Plan, Revision: record.Revision, RetiringFor: retiring}
-	}
-	for _, stored := range f.plans {
-		if stored.Plan.Service == service.Name {
-			plans[stored.Plan.Domain] = stored
-		}
-	}
-	dead := map[string]int64{}
-	gone := maps.Clone(snapshot.Gone)
-	for name, v := range f.dead {
-		if v.dead {
-			dead[name] = v.born
-		}
-		if t := gone[name]; t != nil && v.known && v.born == t.Born {
-			// Its record is gone, so only its own answer tells which group it is in.
-			answered := *t
-			answered.Membership = v.report.Membership
-			gone[name] = &answered
-		}
-	}
-	in := rudderform.Input{
-		Now: f.Uptime(), Service: service, Targets: snapshot.Targets, Gone: gone, Plans: plans, Stall: f.Stall,
-		Traffic: f.Traffic(), Settled: f.Traffic() || f.Uptime()-f.begin > settleTime, Memory: f.memory[service.Name],
-		Dead: func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
-	}
-	in.Resumable = snapshot.Table.Resumable(service.Name)
-	if f.Demand != nil {
-		in.Demand = f.Demand(service.Name)
-	}
-	return in
-}
-
-// confirmed probes the members of the groups that a change forms. A planner that has just taken over does not
-// know which targets its predecessor found dead, and a record outlives its target by seconds.
-func (f *Former) confirmed(ctx context.Context, in rudderform.Input, c rudderform.Change) bool {
-	old := map[string]bool{}
-	for _, g := range in.Plans[c.Plan.Domain].Plan.Groups {
-		old[rudderview.GroupID(g.Name, g.Epoch)] = true
-	}
-	var probes []<-chan struct{}
-	f.mu.Lock()
-	for _, g := range c.Plan.Groups {
-		if old[rudderview.GroupID(g.Name, g.Epoch)] {
-			continue
-		}
-		for _, m := range g.Members {
-			if t := in.Targets[m.Target]; t != nil {
-				probes = append(probes, f.check(t, confirmInterval))
-			}
-		}
-	}
-	f.mu.Unlock()
-	for _, done := range probes {
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return false
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, g := range c.Plan.Groups {
-		for _, m := range g.Members {
-			if v := f.dead[m.Target]; !old[rudderview.GroupID(g.Name, g.Epoch)] && v != nil && v.dead && v.born == m.Born {
-				f.Logger.Info().Str("target", m.Target).Str("group", g.Name).Int64("epoch", g.Epoch).Msg("plan not written: a planned member does not answer")
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// stored returns what this planner stored last for the plan of a change.
-func (f *Former) stored(c rudderform.Change) rudderform.Stored {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.plans[planKey(c)]
-}
-
-func planKey(c rudderform.Change) string { return rudderview.PlanPrefix + c.Plan.Key() }
-
-// store writes a changed plan if nobody else changed it.
-func (f *Former) store(ctx context.Context, c rudderform.Change) bool {
-	value, err := c.Plan.Encode()
-	if err != nil {
-		f.Logger.Error().Err(err).Str("domain", c.Plan.Domain).Msg("plan cannot be encoded")
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	key := planKey(c)
-	revision, err := f.Store.Put(ctx, rudderstore.PutRequest{Key: key, Value: value, Expected: c.Revision})
-	f.Logger.Info().Err(err).Str("domain", c.Plan.Domain).Int64("expected", c.Revision).Int64("revision", revision).
-		Str("changes", strings.Join(c.Notes, "; ")).Msg("plan written")
-	if err != nil {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.plans[key] = rudderform.Stored{Plan: c.Plan, Revision: revision}
-	return true
-}
-
-// send sends one order and notes what its answer says.
-func (f *Former) send(ctx context.Context, memory *rudderform.Memory, o rudderform.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	begin := f.Uptime()
-	err := f.Control.Send(ctx, o.Target, o.Address, o.Order)
-	outcome := orderOutcome(err)
-	f.Logger.Info().Err(err).Str("target", o.Target).Str("order", string(o.Order.Kind)).Str("group", o.Order.Group).
-		Int64("epoch", o.Order.Epoch).Str("model", o.Order.Model).Str("reason", o.Reason).Str("outcome", outcome).
-		Dur("took_ms", f.Uptime()-begin).Msg("order sent")
-	if f.OnOrder != nil {
-		f.OnOrder(string(o.Order.Kind), outcome)
-	}
-	f.mu.Lock()
-	switch outcome {
-	case "taken":
-		memory.Taken(o)
-	case "refused", "stale", "other_target", "not_listening":
-		memory.Over(o)
-	}
-	f.mu.Unlock()
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
-}
-
-func orderOutcome(err error) string {
-	for _, known := range []struct {
-		err  error
-		name string
-	}{
-		{ruddertarget.ErrRefused, "refused"},
-		{ruddertarget.ErrStaleFencing, "stale"},
-		{ruddertarget.ErrOtherTarget, "other_target"},
-		{ruddertarget.ErrNotListening, "not_listening"},
-		{ruddertarget.ErrUnreachable, "unreachable"},
-	} {
-		if errors.Is(err, known.err) {
-			return known.name
-		}
-	}
-	if err != nil {
-		return "unanswered"
-	}
-	return "taken"
-}
-
 // await waits for a change of the view, an answer to an order or the time.
 func (f *Former) await(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -100,7 +100,7 @@
 	header := j.writer.Header()
 	closing := header.Get("Connection")
 	for name, values := range response.Header {
-		if !connectionField(name) {
+		if !ConnectionField(name) {
 			header[name] = values
 		}
 	}
@@ -114,8 +114,8 @@
 	j.writer.WriteHeader(response.StatusCode)
 }
 
-// connectionField tells the header fields that concern one connection only.
-func connectionField(name string) bool {
+// ConnectionField tells the header fields that concern one connection only, by canonical name.
+func ConnectionField(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 		"Transfer-Encoding", "Upgrade", "Content-Length":
@@ -123,6 +123,3 @@
 	}
 	return false
 }
-
-// ConnectionField tells the header fields that concern one connection only, by canonical name.
-func ConnectionField(name string) bool { return connectionField(name) }
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -58,12 +58,3 @@
 	// Draining groups have a member that is leaving: they serve, but come last.
 	Draining bool
 }
-
-// MemberNames lists the members in rank order.
-func (g *Group) MemberNames() []string {
-	names := make([]string, len(g.Members))
-	for i, m := range g.Members {
-		names[i] = m.Name
-	}
-	return names
-}
