--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -49,12 +49,12 @@
 
 // Former is one candidate for the planner. Set the exported fields before Run.
 type Former struct {
-	Name      string
-	View      *rudderview.View
-	Store     *rudderstore.Store
-	Control   *ruddertarget.GroupControl
-	Logger    zerolog.Logger
-	Uptime    func() time.Duration
+	Name    string
+	View    *rudderview.View
+	Store   *rudderstore.Store
+	Control *ruddertarget.GroupControl
+	Logger  zerolog.Logger
+	Uptime  func() time.Duration
 	// Stall is the time after which a leader without one of its members is broken.
 	Stall time.Duration
 	// Traffic tells whether this entry host has seen a request.
