--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -22,6 +22,11 @@
 	relayWait = 600 * time.Millisecond
 	// relayPause is the time between two calls of a follower while changes come quickly.
 	relayPause = 100 * time.Millisecond
+	// relayBytes bounds what one answer passes on. A routing document of several hundred kilobytes, sent to
+	// all followers over the link of one small host, would be in force too late; they read it themselves.
+	relayBytes = 16 << 10
+	// relayGap is how long a follower that lacks changes watches the service itself.
+	relayGap = 500 * time.Millisecond
 	// relayRetry is how long a follower watches the service itself after a failed call.
 	relayRetry = 3 * time.Second
 )
@@ -33,7 +38,7 @@
 type Changes struct {
 	// Serving is false when this entry host does not watch the service or has not heard from it lately.
 	Serving bool
-	// Gap is set when not all changes after the revision are known any more.
+	// Gap is set when not all changes after the revision are known any more, or are too large to pass on.
 	Gap      bool
 	Revision int64
 	Events   []rudderstore.Event
@@ -111,11 +116,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := Changes{Revision: v.logRevision, Gap: after < v.logFrom || after > v.logRevision}
+	size := 0
 	for _, e := range v.log {
 		if e.Revision > after {
 			c.Events = append(c.Events, e)
+			size += len(e.Value)
 		}
 	}
+	if size > relayBytes {
+		c.Gap, c.Events = true, nil
+	}
 	return c
 }
 
@@ -129,9 +139,12 @@
 	switch {
 	case errors.Is(err, errNotFollowed) || errors.Is(err, ErrWatcher):
 		return errNotFollowed
-	case err != nil || !c.Serving || c.Gap:
+	case err == nil && c.Serving && c.Gap:
+		v.alone = v.Uptime() + relayGap
+		return errNotFollowed
+	case err != nil || !c.Serving:
 		v.alone = v.Uptime() + relayRetry
-		v.Logger.Info().Err(err).Bool("serving", c.Serving).Bool("gap", c.Gap).Msg("watching the key-value service here")
+		v.Logger.Info().Err(err).Bool("serving", c.Serving).Msg("watching the key-value service here")
 		return errNotFollowed
 	}
 	v.direct.Store(false)
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -251,11 +251,16 @@
 	require.True(t, watcher.Changes(t.Context(), 12, time.Millisecond).Gap)
 	require.True(t, watcher.followed())
 
+	large := rudderstore.Event{Entry: rudderstore.Entry{Key: "routing", Value: make([]byte, relayBytes+1), Revision: 12}}
+	watcher.remember([]rudderstore.Event{large}, 12)
+	require.True(t, watcher.Changes(t.Context(), 11, time.Millisecond).Gap, "followers read large changes themselves")
+	require.False(t, watcher.Changes(t.Context(), 12, time.Millisecond).Gap)
+
 	now += relayAge + watchLag
 	require.False(t, watcher.Changes(t.Context(), 11, time.Millisecond).Serving, "the look is too old")
 	now -= relayAge + watchLag
 	released := make(chan Changes)
-	go func() { released <- watcher.Changes(t.Context(), 11, time.Minute) }()
+	go func() { released <- watcher.Changes(t.Context(), 12, time.Minute) }()
 	require.Eventually(t, func() bool {
 		watcher.failed(errAway) // wakes the calls that wait, however late they begin
 		watcher.failingSince = 0
