Count a look that brought changes from its begin

An answer that has begun may take three seconds since the last change but one, so that its end says nothing about when the service looked. Found by reading; no play showed it.

--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -158,6 +158,19 @@
 	require.LessOrEqual(t, age, watchLag)
 }
 
+// Guards against a look that seems younger than it is because its answer was transferred slowly.
+func TestSlowAnswer(t *testing.T) {
+	now := time.Minute
+	slow := watchAnswer{events: []rudderstore.Event{written("targets/a", target("x"))}, before: func() { now += 3 * time.Second }}
+	v := &View{
+		Store: (&script{watches: []watchAnswer{slow}}).store(), Uptime: func() time.Duration { return now }, Logger: zerolog.Nop(),
+		Keys: Keys{TargetPrefix: "targets/"}, DecodeTarget: func(string, []byte) (Target, error) { return target("x"), nil },
+	}
+	require.NoError(t, v.watch(t.Context(), time.Millisecond))
+	age, _ := v.LookAge()
+	require.Equal(t, 3*time.Second, age)
+}
+
 // Guards against changes that are missed when the service drops its history.
 func TestHistoryIsDropped(t *testing.T) {
 	now := time.Minute
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -149,7 +149,12 @@
 	if len(result.Events) > 0 || result.Revision != v.Snapshot().Revision {
 		v.take(result)
 	}
-	v.looked(begin, max(begin, v.Uptime()-watchLag))
+	asOf := begin
+	if len(result.Events) == 0 {
+		// The transfer of changes may take long after the service has looked; that of an empty answer does not.
+		asOf = max(begin, v.Uptime()-watchLag)
+	}
+	v.looked(begin, asOf)
 	if len(result.Events) > 0 {
 		v.rest(ctx)
 	}
