Hand a domain's lease to a named successor on the planner's planned stop

make demo failed one run in three: the drain of a target timed out. Cause: the planner of its domain was the entry host stopped in the same scene. It kept the lease until its process ended, and the successor, which finds the key absent, waits lease_ttl + order_ttl where hosts do not check fencing numbers.

The holder that leaves now names its successor in the lease key and gives no more orders; the named one waits for order_ttl only. A handover is accepted once in the life of a process, by one that saw the lease before, and only if no newer fencing number is known, so that a restored platform cannot make two holders.

--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -32,7 +32,7 @@
 		Store: a.store, Control: a.control, Clock: a.Clock, Name: a.self.Name,
 		Hosts:     func(ctx context.Context) ([]rudderhost.Host, error) { return a.hosts.Hosts(ctx) },
 		Config:    a.keeper.Current,
-		Candidate: a.plannerRank,
+		Candidate: a.plannerRank, Successor: a.plannerSuccessor, Leaving: a.stopping.begun,
 		OnStatus: func(domain, host, address string, status ruddertarget.Status, age time.Duration) {
 			a.fleet.ObserveStatus(rudderfleet.Confirmation{
 				Domain: domain, Host: host, Address: address, Status: status, At: a.Clock.Now().Add(-age),
@@ -71,9 +71,9 @@
 	return times
 }
 
-// plannerRank ranks this entry host among the planners of a domain. Hosts of the domain's data centre
-// come first, since they lose the domain and nothing else.
-func (a *App) plannerRank(domain string) int {
+// plannerCandidateList ranks the live entry hosts as planners of a domain. Hosts of the domain's data
+// centre come first, since they lose the domain and nothing else.
+func (a *App) plannerCandidateList(domain string) []ruddermember.Member {
 	near, far := []ruddermember.Member{}, []ruddermember.Member{}
 	plan, known := a.fleet.Plan(domain)
 	for _, m := range a.node.Live() {
@@ -83,8 +83,12 @@
 			far = append(far, m)
 		}
 	}
-	ranked := append(ruddermember.Rank(domain, near), ruddermember.Rank(domain, far)...)
-	for i, m := range ranked {
+	return append(ruddermember.Rank(domain, near), ruddermember.Rank(domain, far)...)
+}
+
+// plannerRank ranks this entry host among the planners of a domain.
+func (a *App) plannerRank(domain string) int {
+	for i, m := range a.plannerCandidateList(domain) {
 		if i < plannerCandidates && m.Name == a.self.Name {
 			return i
 		}
@@ -92,6 +96,16 @@
 	return -1
 }
 
+// plannerSuccessor is the first other entry host that stands ready to plan a domain.
+func (a *App) plannerSuccessor(domain string) string {
+	for _, m := range a.plannerCandidateList(domain) {
+		if m.Name != a.self.Name {
+			return m.Name
+		}
+	}
+	return ""
+}
+
 // stale tells whether the confirmations of a domain's members are about to expire here, because its
 // planner no longer relays them; this entry host then polls the members itself.
 func (a *App) stale(domain string) bool {
--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -20,6 +20,13 @@
 	return s.leaving.TakesNewWork()
 }
 
+// begun reports that the planned stop has begun.
+func (s *stopState) begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving.Phase() != rudderentry.PhaseServing
+}
+
 func (s *stopState) begin(now time.Time, lifetime, grace time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/rudderd/rudderplanner/lease.go
+++ b/rudderd/rudderplanner/lease.go
@@ -15,6 +15,9 @@
 type leaseValue struct {
 	Holder  string `json:"holder"`
 	Fencing int64  `json:"fencing"`
+	// PassedTo names the entry host that may follow the holder before the lease ends. The holder gives no
+	// orders any more.
+	PassedTo string `json:"passed_to,omitempty"`
 }
 
 // lease is this entry host's hold on a domain.
@@ -38,25 +41,26 @@
 	return min(l.deadline.Sub(now), l.deadline.Round(0).Sub(now.Round(0)))
 }
 
-// acquire takes the lease if its key is absent. The fencing number is higher than floor.
-func (w *worker) acquire(ctx context.Context, floor int64) (*lease, error) {
+// acquire takes the lease if its key has the expected revision, 0 for an absent key. The fencing number is
+// higher than floor.
+func (w *worker) acquire(ctx context.Context, floor, expected int64) (*lease, error) {
 	before := w.p.Clock.Now()
 	id, err := w.p.Store.GrantLease(ctx, w.p.Times.LeaseTTL)
 	if err != nil {
 		return nil, errors.Wrap(err, "grant lease")
 	}
 	l := &lease{id: id, fencing: floor + 1, deadline: before.Add(w.p.Times.LeaseTTL), renewed: before}
-	if err := w.writeLease(ctx, l, 0); err != nil {
+	if err := w.writeLease(ctx, l, "", expected); err != nil {
 		_ = w.p.Store.RevokeLease(ctx, id) // ends by itself otherwise
 		return nil, err
 	}
 	return l, nil
 }
 
-// writeLease stores holder and fencing number. A write without an answer is read back.
-func (w *worker) writeLease(ctx context.Context, l *lease, expected int64) error {
+// writeLease stores holder, fencing number and successor. A write without an answer is read back.
+func (w *worker) writeLease(ctx context.Context, l *lease, passedTo string, expected int64) error {
 	key := ruddergroup.LeasePrefix + w.domain
-	value, err := json.Marshal(leaseValue{Holder: w.p.Name, Fencing: l.fencing})
+	value, err := json.Marshal(leaseValue{Holder: w.p.Name, Fencing: l.fencing, PassedTo: passedTo})
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
 	}
@@ -74,7 +78,7 @@
 // raise replaces the lease's fencing number by one above floor.
 func (w *worker) raise(ctx context.Context, floor int64) error {
 	w.lease.fencing = floor + 1
-	err := w.writeLease(ctx, w.lease, w.lease.revision)
+	err := w.writeLease(ctx, w.lease, "", w.lease.revision)
 	if errors.Is(err, rudderstore.ErrConflict) || errors.Is(err, rudderstore.ErrNotFound) {
 		return errors.Mark(err, errReplaced)
 	}
--- a/rudderd/rudderplanner/planner.go
+++ b/rudderd/rudderplanner/planner.go
@@ -61,6 +61,11 @@
 	// Candidate returns this entry host's rank for a domain, 0 first, or a negative number if it is no
 	// candidate.
 	Candidate func(domain string) int
+	// Successor returns the entry host that follows this one in a domain after a planned stop, or "" if
+	// there is none (optional).
+	Successor func(domain string) string
+	// Leaving reports that this entry host stops as planned (optional). It hands its domains over.
+	Leaving func() bool
 	// OnStatus receives every status; the age is measured from before the poll was sent.
 	OnStatus func(domain, host, address string, status ruddertarget.Status, age time.Duration)
 	// OnPlan receives every plan that is read or stored.
--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -30,6 +30,11 @@
 	// wasHolder keeps the last holder polling while the platform cannot name another one.
 	wasHolder bool
 
+	// seen is the lease as this process last read it from a holder that gave orders.
+	seen leaseValue
+	// accepted is the highest fencing number that was handed over to this process.
+	accepted int64
+
 	// standAsideUntil keeps a holder that could reach no target from taking the lease again at once.
 	standAsideUntil time.Time
 
@@ -54,6 +59,9 @@
 		answers = w.renew(call)
 		cancel()
 	}
+	if w.lease != nil && answers && w.leaving() {
+		w.handOver(ctx)
+	}
 	if w.lease == nil {
 		w.stand(ctx)
 	}
@@ -80,6 +88,9 @@
 // candidate keep polling, so that confirmations stay fresh under the unchanged plan.
 func (w *worker) stand(ctx context.Context) {
 	rank := w.p.Candidate(w.domain)
+	if w.leaving() {
+		rank = -1
+	}
 	if rank < 0 && !w.wasHolder {
 		w.freeSince = time.Time{}
 		return // at 330 entry hosts, reads by all of them would be thousands a second
@@ -94,7 +105,7 @@
 			w.freeSince = now
 		}
 		if rank >= 0 && !now.Before(w.standAsideUntil) && now.Sub(w.freeSince) >= time.Duration(rank)*w.p.Times.CandidateDelay {
-			w.takeOver(ctx)
+			w.takeOver(ctx, 0)
 		} else if w.wasHolder {
 			w.poll(ctx)
 		}
@@ -108,14 +119,23 @@
 		if json.Unmarshal(entry.Value, &v) == nil && v.Holder != w.p.Name {
 			w.wasHolder = false
 		}
+		if rank >= 0 && w.mayFollow(v) {
+			w.accepted = v.Fencing
+			w.takeOver(ctx, entry.Revision)
+			return
+		}
+		if v.PassedTo == "" {
+			w.seen = v
+		}
 		if rank >= 0 && w.p.Stale != nil && w.p.Stale(w.domain) {
 			w.poll(ctx) // the holder may have died; its lease has not ended yet
 		}
 	}
 }
 
-// takeOver acquires the lease with a fencing number above all that the plan and the targets report.
-func (w *worker) takeOver(ctx context.Context) {
+// takeOver acquires the lease with a fencing number above all that the plan and the targets report. The
+// key has the given revision if the lease was handed over, and is absent otherwise.
+func (w *worker) takeOver(ctx context.Context, handedOver int64) {
 	w.poll(ctx)
 	call, cancel := w.storeContext(ctx)
 	defer cancel()
@@ -123,7 +143,13 @@
 	if err != nil {
 		return
 	}
-	l, err := w.acquire(call, w.fencingFloor(plan))
+	floor := w.fencingFloor(plan)
+	if handedOver != 0 && floor > w.accepted {
+		w.p.Logger.Warn().Str("domain", w.domain).Int64("fencing", w.accepted).Int64("known", floor).
+			Msg("handover refused: a newer planner is known")
+		return
+	}
+	l, err := w.acquire(call, floor, handedOver)
 	if err != nil {
 		w.p.Logger.Info().Err(err).Str("domain", w.domain).Msg("lease not acquired")
 		return
@@ -133,9 +159,12 @@
 	w.freeSince, w.takenOver, w.wasHolder = time.Time{}, false, true
 	w.ordersFrom = l.renewed
 	if l.fencing > 1 && w.someUnchecked() {
-		w.ordersFrom = w.p.Clock.Now().Add(w.p.Times.LeaseTTL + w.p.Times.OrderTTL)
+		w.ordersFrom = w.p.Clock.Now().Add(w.p.Times.OrderTTL)
+		if handedOver == 0 {
+			w.ordersFrom = w.ordersFrom.Add(w.p.Times.LeaseTTL)
+		}
 	}
-	w.p.Logger.Info().Str("domain", w.domain).Int64("fencing", l.fencing).Time("orders_from", w.ordersFrom).Msg("planner holds the lease")
+	w.p.Logger.Info().Str("domain", w.domain).Int64("fencing", l.fencing).Bool("handed_over", handedOver != 0).Time("orders_from", w.ordersFrom).Msg("planner holds the lease")
 }
 
 // fencingFloor is the highest fencing number seen anywhere.
