--- a/rudderd/rudderplanner/worker.go
+++ b/rudderd/rudderplanner/worker.go
@@ -115,21 +115,28 @@
 		}
 	default:
 		w.freeSince = time.Time{}
-		var v leaseValue
-		if json.Unmarshal(entry.Value, &v) == nil && v.Holder != w.p.Name {
-			w.wasHolder = false
-		}
-		if rank >= 0 && w.mayFollow(v) {
-			w.accepted = v.Fencing
-			w.takeOver(ctx, entry.Revision)
-			return
-		}
-		if v.PassedTo == "" {
-			w.seen = v
-		}
-		if rank >= 0 && w.p.Stale != nil && w.p.Stale(w.domain) {
-			w.poll(ctx) // the holder may have died; its lease has not ended yet
-		}
+		w.watchHolder(ctx, rank, entry)
+	}
+}
+
+// watchHolder follows a holder that hands the domain over, and polls for one that seems to have died.
+func (w *worker) watchHolder(ctx context.Context, rank int, entry rudderstore.Entry) {
+	var v leaseValue
+	if err := json.Unmarshal(entry.Value, &v); err != nil {
+		w.p.Logger.Warn().Err(err).Str("domain", w.domain).Msg("lease not readable")
+	} else if v.Holder != w.p.Name {
+		w.wasHolder = false
+	}
+	if rank >= 0 && w.mayFollow(v) {
+		w.accepted = v.Fencing
+		w.takeOver(ctx, entry.Revision)
+		return
+	}
+	if v.PassedTo == "" {
+		w.seen = v
+	}
+	if rank >= 0 && w.p.Stale != nil && w.p.Stale(w.domain) {
+		w.poll(ctx) // the holder may have died; its lease has not ended yet
 	}
 }
 
