Read a member's group from its answer only while it has no record

Cause: a member without a record is taken to be in the group that its last answer to a probe names. Members are probed before they are planned, so that this answer was from before they joined. Ruled out: the targets' own change, their last record still named the group.

The answer now counts only if the target had no record when it was asked. rudderformer had no tests; a store and targets that take orders stand in for the platform, and the test of this load failed before. A second test covers the lease that is given back on a planned stop.

--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -84,8 +84,8 @@
 type verdict struct {
 	born    int64
 	dead    bool
-	report  ruddertarget.GroupReport // of the last answer
-	known   bool                     // there was an answer
+	report  ruddertarget.GroupReport // of the last answer while the target had no record
+	known   bool                     // there was such an answer
 	running bool
 	checked time.Duration // uptime of the begin or the end of the last probe
 	done    chan struct{} // closed when the probe has ended
--- /dev/null
+++ b/rudderd/rudderformer/former_test.go
@@ -0,0 +1,262 @@
+package rudderformer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// world is a key-value service with targets that take every order at once.
+type world struct {
+	mu       sync.Mutex
+	entries  map[string]rudderstore.Entry
+	events   []rudderstore.Event
+	changed  chan struct{}
+	leases   int64
+	revoked  []int64
+	targets  map[string]*rudderview.Target
+	cut      map[string]bool // targets whose record is gone
+	orders   []string
+	revision int64
+}
+
+const planPrefix = rudderview.PlanPrefix
+
+func newWorld(names ...string) *world {
+	w := &world{entries: map[string]rudderstore.Entry{}, changed: make(chan struct{}), targets: map[string]*rudderview.Target{}, cut: map[string]bool{}}
+	w.write("routing", rudderroute.Document{Version: 1, Services: []rudderroute.Service{{Name: "llm", Engine: &rudderroute.Engine{
+		Models: []rudderroute.Model{{Name: "m", Size: len(names), Share: 1}}, Slots: 4, LoadsPerSecond: 5, LoadsAtOnce: 8, Staged: 1,
+	}}}}, 0)
+	for _, name := range names {
+		w.targets[name] = &rudderview.Target{
+			Host: rudderhost.Host{Name: name, Address: name, State: rudderhost.StateLive, FabricDomain: "d"}, Service: "llm", Born: 1, Staged: []string{"m"},
+		}
+		w.record(name)
+	}
+	return w
+}
+
+// write stores a value. The caller holds the lock, or nobody else uses the world yet.
+func (w *world) write(key string, value any, lease int64) {
+	text, ok := value.([]byte)
+	if !ok {
+		text, _ = json.Marshal(value)
+	}
+	w.revision++
+	e := rudderstore.Entry{Key: key, Value: text, Revision: w.revision, Lease: lease}
+	w.entries[key] = e
+	w.tell(rudderstore.Event{Entry: e})
+}
+
+func (w *world) remove(key string) {
+	w.revision++
+	delete(w.entries, key)
+	w.tell(rudderstore.Event{Entry: rudderstore.Entry{Key: key, Revision: w.revision}, Deleted: true})
+}
+
+func (w *world) tell(e rudderstore.Event) {
+	w.events = append(w.events, e)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// record writes a target's own word unless it is cut off.
+func (w *world) record(name string) {
+	if !w.cut[name] {
+		w.write("targets/"+name, w.targets[name], 0)
+	}
+}
+
+// cutOff removes the record of a target that goes on working.
+func (w *world) cutOff(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[name] = true
+	w.remove("targets/" + name)
+}
+
+func (w *world) store() *rudderstore.Store {
+	return &rudderstore.Store{
+		List: func(context.Context, string) ([]rudderstore.Entry, int64, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return slices.Collect(maps.Values(w.entries)), w.revision, nil
+		},
+		Watch: func(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+			for {
+				w.mu.Lock()
+				result, changed := rudderstore.WatchResult{Revision: w.revision}, w.changed
+				for _, e := range w.events {
+					if e.Entry.Revision > r.After {
+						result.Events = append(result.Events, e)
+					}
+				}
+				w.mu.Unlock()
+				if len(result.Events) > 0 {
+					return result, nil
+				}
+				select {
+				case <-ctx.Done():
+					return result, ctx.Err()
+				case <-time.After(r.Wait):
+					return result, nil
+				case <-changed:
+				}
+			}
+		},
+		Put: func(_ context.Context, r rudderstore.PutRequest) (int64, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if r.Expected != rudderstore.AnyRevision && w.entries[r.Key].Revision != r.Expected {
+				return 0, rudderstore.ErrConflict
+			}
+			w.write(r.Key, r.Value, r.Lease)
+			return w.revision, nil
+		},
+		GrantLease: func(context.Context, time.Duration) (int64, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.leases++
+			return w.leases, nil
+		},
+		KeepAlive: func(context.Context, int64) error { return nil },
+		RevokeLease: func(_ context.Context, id int64) error {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.revoked = append(w.revoked, id)
+			for key, e := range w.entries {
+				if e.Lease == id {
+					w.remove(key)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// send carries out an order as a target does.
+func (w *world) send(_ context.Context, name, _ string, o ruddertarget.GroupOrder) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders = append(w.orders, string(o.Kind)+" "+name)
+	t := w.targets[name]
+	switch o.Kind {
+	case ruddertarget.OrderJoin:
+		t.Membership = ruddertarget.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, name), Phase: ruddertarget.GroupReady}
+		t.Model = o.Model
+	case ruddertarget.OrderOpen:
+		t.Membership.Phase = ruddertarget.GroupOpen
+	case ruddertarget.OrderClose:
+		t.Membership.Phase = ruddertarget.GroupReady
+	case ruddertarget.OrderLeave:
+		t.Membership = ruddertarget.Membership{}
+	}
+	w.record(name)
+	return nil
+}
+
+// ask reads a target's own word.
+func (w *world) ask(_ context.Context, t *rudderview.Target) (ruddertarget.GroupReport, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return ruddertarget.GroupReport{Membership: w.targets[t.Name].Membership}, true
+}
+
+// run starts a view and a planner, and returns the planner and a channel that is closed when it has ended.
+func (w *world) run(t *testing.T, name string) (*Former, <-chan struct{}) {
+	t.Helper()
+	started := time.Now()
+	uptime := func() time.Duration { return time.Since(started) + time.Minute }
+	view := &rudderview.View{
+		Store: w.store(), Keys: rudderview.Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(), Uptime: uptime,
+		DecodeRouting: func(value []byte) (d rudderroute.Document, err error) { return d, json.Unmarshal(value, &d) },
+		DecodeTarget:  func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) },
+	}
+	f := &Former{
+		Name: name, View: view, Store: w.store(), Control: &ruddertarget.GroupControl{Send: w.send}, Logger: zerolog.Nop(), Uptime: uptime,
+		Stall: time.Second, Traffic: func() bool { return true }, Ask: w.ask,
+	}
+	go func() { _ = view.Run(t.Context()) }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(t.Context())
+	}()
+	return f, done
+}
+
+// groups returns the stored groups as text.
+func (w *world) groups() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, e := range w.entries {
+		if strings.HasPrefix(key, planPrefix) {
+			return string(e.Value)
+		}
+	}
+	return ""
+}
+
+func (w *world) open(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.targets[name].Membership.Phase == ruddertarget.GroupOpen
+}
+
+func (w *world) someOpen() bool { return w.open("a") || w.open("b") || w.open("c") }
+
+// Guards against groups that end because a member loses its record and the planner takes an answer for the
+// member's word that it gave before it joined: seven targets cut off from the key-value service ended five
+// groups that served on.
+func TestMemberWithoutRecordServesOn(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	w.run(t, "planner")
+	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
+	before := w.groups()
+	for _, name := range []string{"a", "b", "c"} {
+		if !w.open(name) {
+			w.cutOff(name)
+			break
+		}
+	}
+	require.Never(t, func() bool { return w.groups() != before }, time.Second, 20*time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.Empty(t, slices.DeleteFunc(slices.Clone(w.orders), func(o string) bool { return !strings.HasPrefix(o, "leave") }))
+}
+
+// Guards against a domain without a planner until the lease of an entry host lapses that stops as planned, and
+// against one that takes the lease again while it stops.
+func TestPlannedStopGivesLeaseBack(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	f, done := w.run(t, "first")
+	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
+	require.True(t, f.Planning())
+	f.Leave()
+	f.Leave() // a second signal changes nothing
+	select {
+	case <-done:
+	case <-time.After(LeaseTTL):
+		require.Fail(t, "the planner does not end")
+	}
+	w.mu.Lock()
+	require.Equal(t, []int64{1}, w.revoked)
+	require.NotContains(t, w.entries, rudderview.PlannerKey)
+	w.mu.Unlock()
+	second, _ := w.run(t, "second")
+	require.Eventually(t, second.Planning, LeaseTTL, 5*time.Millisecond)
+}
--- a/rudderd/rudderformer/plans.go
+++ b/rudderd/rudderformer/plans.go
@@ -40,6 +40,9 @@
 		if v.dead {
 			dead[name] = v.born
 		}
+		if snapshot.Targets[name] != nil {
+			v.known = false // the record tells more than an older answer
+		}
 		if t := gone[name]; t != nil && v.known && v.born == t.Born {
 			// Its record is gone, so only its own answer tells which group it is in.
 			answered := *t
--- a/rudderd/rudderformer/suspects.go
+++ b/rudderd/rudderformer/suspects.go
@@ -113,8 +113,10 @@
 	return next.done
 }
 
-// verify probes one target.
+// verify probes one target. Its answer tells which group it is in only if it has no record: a target that is
+// probed before it joins a group would seem to have left it later.
 func (f *Former) verify(t *rudderview.Target, v *verdict) {
+	recorded := f.View.Snapshot().Targets[t.Name] != nil
 	report, alive := f.Ask(context.Background(), t)
 	dead := !alive
 	f.mu.Lock()
@@ -123,7 +125,7 @@
 		f.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Bool("dead", dead).Bool("before", v.dead).Msg("suspected target probed")
 	}
 	v.dead, v.running, v.checked = dead, false, f.Uptime()
-	if alive {
+	if alive && !recorded {
 		v.report, v.known = report, true
 	}
 	close(v.done)
