Refuse beyond one objective, and call an unwell key-value service less often

A request that no group is expected to start within its objective is refused at once; before, within four objectives.

The pause now doubles up to 1.2 s.

--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -33,8 +33,8 @@
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost  time.Duration
 	Avoid []string
-	// MaxWait is the longest expected wait for a group with which the request is taken; 0 means any.
-	MaxWait time.Duration
+	// Objective is the time to the first token that callers want; with 0 the request is taken at any wait.
+	Objective time.Duration
 }
 
 const (
@@ -130,7 +130,8 @@
 	if best == nil {
 		return "", 0, full
 	}
-	if r.MaxWait > 0 && bestCost > r.MaxWait {
+	if r.Objective > 0 && bestCost > r.Objective {
+		// A longer queue makes every answer late and serves no request more.
 		return "", bestCost, true
 	}
 	prompt := r.PromptTokens
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -65,7 +65,7 @@
 		return rudderforward.Pick{}
 	}
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, MaxWait: q.MaxWait}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective}
 	if own.Name == b.edge.Settings.Name {
 		pick := b.serve(q.Service, q.Model, request)
 		pick.Release = func() { b.ended([]string{id}) }
@@ -83,7 +83,7 @@
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
-		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, MaxWaitMs: q.MaxWait.Milliseconds(),
+		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: q.Objective.Milliseconds(),
 	})
 	release := func() { b.tell(own.Peer, id) }
 	if err != nil {
@@ -199,7 +199,7 @@
 	pick := s.balance.serve(r.GetService(), r.GetModel(), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
-		MaxWait: time.Duration(r.GetMaxWaitMs()) * time.Millisecond,
+		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond,
 	})
 	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds()}, nil
 }
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -15,9 +15,10 @@
 
 const (
 	// sessionTTL is how long an entry host that died stays in the directory.
-	sessionTTL = 3 * time.Second
-	// sessionRenew leaves room for one lost renewal.
-	sessionRenew = time.Second
+	sessionTTL = 4500 * time.Millisecond
+	// sessionRenew leaves room for one lost renewal. Renewals are most of the calls of an entry host that
+	// follows another one.
+	sessionRenew = 2 * time.Second
 	// storeTimeout bounds a call to the key-value service.
 	storeTimeout = 800 * time.Millisecond
 	// sessionRetry is the pause after a failed call.
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -10,10 +10,6 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// maxWaitShare is the longest expected wait for a group, in multiples of the route's objective, with which a
-// request is taken. Beyond it, it would hardly be done in time and only delay others.
-const maxWaitShare = 4.0
-
 // failureAvoid keeps new requests away from a leader after a failed send, beside others that work.
 const failureAvoid = time.Second
 
@@ -66,7 +62,7 @@
 			Cost: f.cost(j, model),
 		}
 		if !j.started {
-			q.MaxWait = time.Duration(maxWaitShare * float64(j.route.Objective))
+			q.Objective = j.route.Objective
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -111,8 +111,8 @@
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost  time.Duration
 	Avoid []string
-	// MaxWait is the longest expected wait with which the request is taken; 0 means any.
-	MaxWait time.Duration
+	// Objective is the time to the first byte that callers want; with 0 the request is taken at any wait.
+	Objective time.Duration
 }
 
 // Pick is an owner's answer. Without one the group is chosen here.
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,8 +30,11 @@
 	// hurriedPause is the time between two watches while changes come quickly, for an entry host that
 	// acts on each change.
 	hurriedPause = 20 * time.Millisecond
-	// retryPause is the time between two calls while the service fails.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the time after the first unanswered call. It doubles with each further one up to
+	// retryLongest: a service that refuses calls because it is busy would get hundreds of calls a second from a
+	// hundred entry hosts.
+	retryPause   = 150 * time.Millisecond
+	retryLongest = 1200 * time.Millisecond
 	// outageAfter is the time without an answer after which the service counts as away.
 	outageAfter = time.Second
 )
@@ -39,7 +43,7 @@
 func (v *View) Run(ctx context.Context) error {
 	v.gone = map[string]time.Duration{}
 	wait := firstWait
-	listed := false
+	listed, failures := false, 0
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -51,7 +55,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
-			wait = watchWait
+			wait, failures = watchWait, 0
 			v.dropDue()
 		case errors.Is(err, rudderstore.ErrCompacted):
 			v.Logger.Warn().Msg("key-value service dropped its history; reading all records")
@@ -59,12 +63,20 @@
 		default:
 			v.failed(err)
 			wait = firstWait
-			sleep(ctx, retryPause)
+			failures++
+			sleep(ctx, retryAfter(failures, rand.Float64()))
 		}
 	}
 	return nil
 }
 
+// retryAfter is the pause after a number of calls in a row that failed. chance, 0 to 1, spreads the entry hosts
+// over the second half of the pause.
+func retryAfter(failures int, chance float64) time.Duration {
+	longest := min(retryPause<<min(failures-1, 8), retryLongest)
+	return longest/2 + time.Duration(chance*float64(longest)/2)
+}
+
 // answered notes that the service answers, before what it says is taken.
 func (v *View) answered() {
 	if v.outage {
