--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -22,9 +22,9 @@
 	relayWait = 600 * time.Millisecond
 	// relayPause is the time between two calls of a follower while changes come quickly.
 	relayPause = 100 * time.Millisecond
-	// relayBytes bounds what one answer passes on. A routing document of several hundred kilobytes, sent to
-	// all followers over the link of one small host, would be in force too late; they read it themselves.
-	relayBytes = 16 << 10
+	// relayBytes bounds what one answer passes on: to 24 followers over a link of 14 Mbit/s it takes 0.9 s. A routing document of several hundred kilobytes would be in force too late; followers read it
+	// themselves.
+	relayBytes = 64 << 10
 	// relayGap is how long a follower that lacks changes watches the service itself.
 	relayGap = 500 * time.Millisecond
 	// relayRetry is how long a follower watches the service itself after a failed call.
@@ -117,12 +117,19 @@
 	defer v.mu.Unlock()
 	c := Changes{Revision: v.logRevision, Gap: after < v.logFrom || after > v.logRevision}
 	size := 0
-	for _, e := range v.log {
-		if e.Revision > after {
+	seen := map[string]bool{}
+	for _, e := range slices.Backward(v.log) {
+		if e.Revision <= after {
+			break
+		}
+		// The last change of a key holds; targets write their records several times a second while groups form.
+		if !seen[e.Key] {
+			seen[e.Key] = true
 			c.Events = append(c.Events, e)
 			size += len(e.Value)
 		}
 	}
+	slices.Reverse(c.Events)
 	if size > relayBytes {
 		c.Gap, c.Events = true, nil
 	}
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -264,6 +264,17 @@
 	require.True(t, watcher.Changes(t.Context(), 12, time.Millisecond).Gap)
 	require.True(t, watcher.followed())
 
+	// Groups that form: each target writes its record several times. Only the last one is passed on.
+	many := []rudderstore.Event{{Entry: rudderstore.Entry{Key: "targets/c", Revision: 11}, Deleted: true}}
+	for range 8 {
+		many = append(many, rudderstore.Event{Entry: rudderstore.Entry{Key: "targets/c", Value: make([]byte, relayBytes/4), Revision: 11}})
+	}
+	watcher.remember(many, 11)
+	c = watcher.Changes(t.Context(), 10, time.Millisecond)
+	require.False(t, c.Gap)
+	require.Len(t, c.Events, 2)
+	require.False(t, c.Events[1].Deleted)
+
 	large := rudderstore.Event{Entry: rudderstore.Entry{Key: "routing", Value: make([]byte, relayBytes+1), Revision: 12}}
 	watcher.remember([]rudderstore.Event{large}, 12)
 	require.True(t, watcher.Changes(t.Context(), 11, time.Millisecond).Gap, "followers read large changes themselves")
