Soak separate rudderd processes under random faults from outside

Faults are drawn from a seed, overlap and come in series: signals, one-way cuts, resets and silence on the connections to callers, peers and the key-value service, faults of targets and of the service. The fault network and the switches of the fault matrix are used; a proxy carries the processes' connections into the network. The oracle judges, and after the last fault every entry host must serve and a change must come into force.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 FUZZ_SEED ?= $(shell date +%s)
 FUZZ_HISTORIES ?= 500
 
-.PHONY: all names build test lint format generate demo up bench capacity faults fuzz settings clean
+.PHONY: all names build test lint format generate demo up bench capacity faults soak fuzz settings clean
 
 all: build
 
@@ -69,6 +69,10 @@
 faults: build
 	$(BIN)/rudderstand faults
 
+# Fresh seeds; the first one is printed.
+soak: build
+	$(BIN)/rudderstand soak
+
 # Runs random histories from FUZZ_SEED on and each native fuzz target, each for FUZZ_TIME. The pure
 # histories are bounded by their number, FUZZ_HISTORIES.
 fuzz:
--- a/rudderd/rudderformer/former_test.go
+++ b/rudderd/rudderformer/former_test.go
@@ -101,7 +101,7 @@
 				w.mu.Lock()
 				result, changed := rudderstore.WatchResult{Revision: w.revision}, w.changed
 				for _, e := range w.events {
-					if e.Entry.Revision > r.After {
+					if e.Revision > r.After {
 						result.Events = append(result.Events, e)
 					}
 				}
--- a/rudderstand/rudderdemo/observe.go
+++ b/rudderstand/rudderdemo/observe.go
@@ -6,27 +6,16 @@
 	"time"
 
 	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/rudderstand/rudderscene"
 	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // watchPlans records each plan that the key-value service holds.
 func (d *Demo) watchPlans(ctx context.Context) {
-	type seen struct{ seq, fencing int64 }
-	known := map[string]seen{}
-	store := d.Scene.Fleet.KV.Store()
-	for ctx.Err() == nil {
-		entries, _, _ := store.List(ctx, ruddergroup.PlanPrefix)
-		for _, e := range entries {
-			var plan ruddergroup.Plan
-			if json.Unmarshal(e.Value, &plan) != nil || known[e.Key] == (seen{plan.Seq, plan.Fencing}) {
-				continue
-			}
-			known[e.Key] = seen{plan.Seq, plan.Fencing}
-			d.recorder.Plan(plan)
-			d.parts.plans.Add(1)
-		}
-		pause(ctx, sampleInterval)
-	}
+	rudderscene.WatchPlans(ctx, d.Scene.Fleet.KV.Store(), func(p ruddergroup.Plan) {
+		d.recorder.Plan(p)
+		d.parts.plans.Add(1)
+	})
 }
 
 // groups returns the groups that the plans hold now.
--- /dev/null
+++ b/rudderstand/ruddersoak/soak_test.go
@@ -0,0 +1,49 @@
+package ruddersoak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against seeds that do not repeat, and against a fault that is never drawn.
+func TestDraw(t *testing.T) {
+	text := func(events []event) (out []string) {
+		for _, e := range events {
+			out = append(out, e.String())
+		}
+		return out
+	}
+	first := draw(7, time.Minute)
+	require.Equal(t, text(first), text(draw(7, time.Minute)))
+	require.NotEqual(t, text(first), text(draw(8, time.Minute)))
+	seen := map[string]bool{}
+	for seed := range uint64(50) {
+		for _, e := range draw(seed, 20*time.Second) {
+			seen[e.kind.name] = true
+			require.Less(t, e.at, 20*time.Second)
+			require.GreaterOrEqual(t, e.lasts, e.kind.least)
+			require.LessOrEqual(t, e.lasts, e.kind.most)
+		}
+	}
+	require.Len(t, seen, len(kinds()))
+}
+
+// Guards against promises that break when separate processes meet faults that overlap. The seeds are those of
+// the short run and those that ever failed.
+func TestSoak(t *testing.T) {
+	directory := t.TempDir()
+	binary := filepath.Join(directory, "rudderd")
+	output, err := exec.Command("go", "build", "-o", binary, "comfreyrudder.example/rudderd").CombinedOutput() //nolint:gosec // fixed arguments
+	require.NoError(t, err, string(output))
+	for _, seed := range []uint64{1} {
+		s := &Soak{Seed: seed, Length: 8 * time.Second, Entries: 4, Callers: 8, Binary: binary, Directory: filepath.Join(directory, "logs")}
+		v := s.Run(t.Context())
+		require.NoError(t, v.Err)
+		require.Empty(t, v.Violations)
+		require.Positive(t, v.Outcomes["complete"])
+	}
+}
--- a/rudderstand/rudderstandapp/command.go
+++ b/rudderstand/rudderstandapp/command.go
@@ -30,6 +30,7 @@
 	root.AddCommand(newDemo(stdout, stderr))
 	root.AddCommand(newLoad(stdout))
 	root.AddCommand(newFaults(stdout))
+	root.AddCommand(newSoak(stdout))
 	root.AddCommand(newBench(stdout, stderr))
 	root.AddCommand(newCapacity(stdout, stderr))
 	if err := root.ExecuteContext(context.Background()); err != nil {
