Refuse chat fields that ask for more than one text

n above 1 was passed on and its other answers were dropped without a word. The field is named in the error; best_of, logprobs, tools, functions, audio and other modalities are treated the same, because an answer of the system is one text.

--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -67,6 +67,9 @@
 		return rudderstream.Request{}, parsed, refuseBadRequest("the body is not a chat request: " + err.Error())
 	}
 	workspace := workspaceOf(c)
+	if refusal := checkSupported(fields); refusal != nil {
+		return rudderstream.Request{}, parsed, refusal
+	}
 	if refusal := a.checkChat(&parsed, c); refusal != nil {
 		return rudderstream.Request{}, parsed, refusal
 	}
