--- a/rudderd/rudderformer/former.go
+++ b/rudderd/rudderformer/former.go
@@ -71,6 +71,7 @@
 	memory   map[string]*rudderform.Memory // by service
 	plans    map[string]rudderform.Stored  // by key of the plan, stored by this planner
 	dead     map[string]*verdict           // by target
+	unstored map[string]unstored           // by key of a plan whose last write failed
 	wake     chan struct{}
 	left     chan struct{} // closed by Leave
 	once     sync.Once
@@ -137,6 +138,7 @@
 func (f *Former) plan(ctx context.Context, lease int64) {
 	f.mu.Lock()
 	f.memory, f.plans, f.dead = map[string]*rudderform.Memory{}, map[string]rudderform.Stored{}, map[string]*verdict{}
+	f.unstored = map[string]unstored{}
 	f.mu.Unlock()
 	f.Logger.Info().Int64("lease", lease).Msg("planner's lease taken")
 	held, cancel := context.WithCancel(ctx)
@@ -172,7 +174,7 @@
 		changes := rudderform.Step(in)
 		f.mu.Unlock()
 		for _, c := range changes {
-			if f.confirmed(ctx, in, c) && f.store(ctx, c) {
+			if f.mayStore(c) && f.confirmed(ctx, in, c) && f.store(ctx, c) {
 				in.Plans[c.Plan.Domain] = f.stored(c)
 			}
 			busy = true
--- a/rudderd/rudderformer/former_test.go
+++ b/rudderd/rudderformer/former_test.go
@@ -32,6 +32,8 @@
 	cut      map[string]bool // targets whose record is gone
 	orders   []string
 	revision int64
+	refused  int  // writes of plans while refuse is set
+	refuse   bool // writes fail at once
 }
 
 const planPrefix = rudderview.PlanPrefix
@@ -121,6 +123,10 @@
 		Put: func(_ context.Context, r rudderstore.PutRequest) (int64, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if w.refuse && strings.HasPrefix(r.Key, planPrefix) {
+				w.refused++
+				return 0, rudderstore.ErrUnavailable
+			}
 			if r.Expected != rudderstore.AnyRevision && w.entries[r.Key].Revision != r.Expected {
 				return 0, rudderstore.ErrConflict
 			}
@@ -260,3 +266,20 @@
 	second, _ := w.run(t, "second")
 	require.Eventually(t, second.Planning, LeaseTTL, 5*time.Millisecond)
 }
+
+// The pattern of a service that refuses calls at once: guards against a planner that writes the same plan at each
+// of its ten steps a second (22 writes within half a second were seen).
+func TestRefusedPlanIsNotWrittenAtEachStep(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	w.refuse = true
+	f, _ := w.run(t, "planner")
+	require.Eventually(t, f.Planning, 5*time.Second, 5*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	w.mu.Lock()
+	refused := w.refused
+	w.refuse = false
+	w.mu.Unlock()
+	require.Positive(t, refused)
+	require.LessOrEqual(t, refused, 8)
+	require.Eventually(t, w.someOpen, 5*time.Second, 10*time.Millisecond)
+}
--- a/rudderd/rudderformer/plans.go
+++ b/rudderd/rudderformer/plans.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -111,6 +112,20 @@
 
 func planKey(c rudderform.Change) string { return rudderview.PlanPrefix + c.Plan.Key() }
 
+// unstored is a plan whose last writes failed.
+type unstored struct {
+	failures int
+	until    time.Duration // uptime before which it is not written again
+}
+
+// mayStore reports whether the last failed write of a plan is long enough ago. A planner steps ten times a second,
+// and a service that refuses calls answers at once.
+func (f *Former) mayStore(c rudderform.Change) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Uptime() >= f.unstored[planKey(c)].until
+}
+
 // store writes a changed plan if nobody else changed it.
 func (f *Former) store(ctx context.Context, c rudderform.Change) bool {
 	value, err := c.Plan.Encode()
@@ -124,11 +139,14 @@
 	revision, err := f.Store.Put(ctx, rudderstore.PutRequest{Key: key, Value: value, Expected: c.Revision})
 	f.Logger.Info().Err(err).Str("domain", c.Plan.Domain).Int64("expected", c.Revision).Int64("revision", revision).
 		Str("changes", strings.Join(c.Notes, "; ")).Msg("plan written")
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err != nil {
+		failures := f.unstored[key].failures + 1
+		f.unstored[key] = unstored{failures: failures, until: f.Uptime() + rudderview.RetryAfter(failures, rand.Float64())}
 		return false
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	delete(f.unstored, key)
 	f.plans[key] = rudderform.Stored{Plan: c.Plan, Revision: revision}
 	return true
 }
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -343,12 +343,12 @@
 // The pattern of an outage in which the service refuses calls at once: guards against a hundred entry hosts
 // that call it hundreds of times a second, and against a single lost answer that delays the next look.
 func TestRetriesRelentDuringAnOutage(t *testing.T) {
-	require.LessOrEqual(t, retryAfter(1, 1), retryPause)
+	require.LessOrEqual(t, RetryAfter(1, 1), retryPause)
 	calls, now := 0, time.Duration(0)
 	for now < 10*time.Second {
 		calls++
-		now += retryAfter(calls, 0.5)
+		now += RetryAfter(calls, 0.5)
 	}
 	require.LessOrEqual(t, calls, 15)
-	require.LessOrEqual(t, retryAfter(1000, 1), retryLongest, "the look recovers soon after the service's return")
+	require.LessOrEqual(t, RetryAfter(1000, 1), retryLongest, "the look recovers soon after the service's return")
 }
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -64,15 +64,15 @@
 			v.failed(err)
 			wait = firstWait
 			failures++
-			sleep(ctx, retryAfter(failures, rand.Float64()))
+			sleep(ctx, RetryAfter(failures, rand.Float64()))
 		}
 	}
 	return nil
 }
 
-// retryAfter is the pause after a number of calls in a row that failed. chance, 0 to 1, spreads the entry hosts
-// over the second half of the pause.
-func retryAfter(failures int, chance float64) time.Duration {
+// RetryAfter is the pause after a number of calls to the key-value service in a row that failed. chance, 0 to 1,
+// spreads the entry hosts over the second half of the pause.
+func RetryAfter(failures int, chance float64) time.Duration {
 	longest := min(retryPause<<min(failures-1, 8), retryLongest)
 	return longest/2 + time.Duration(chance*float64(longest)/2)
 }
