--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -71,9 +71,9 @@
 	return times
 }
 
-// plannerCandidateList ranks the live entry hosts as planners of a domain. Hosts of the domain's data
-// centre come first, since they lose the domain and nothing else.
-func (a *App) plannerCandidateList(domain string) []ruddermember.Member {
+// rankedPlanners ranks the live entry hosts as planners of a domain. Hosts of the domain's data centre come
+// first, since they lose the domain and nothing else.
+func (a *App) rankedPlanners(domain string) []ruddermember.Member {
 	near, far := []ruddermember.Member{}, []ruddermember.Member{}
 	plan, known := a.fleet.Plan(domain)
 	for _, m := range a.node.Live() {
@@ -88,7 +88,7 @@
 
 // plannerRank ranks this entry host among the planners of a domain.
 func (a *App) plannerRank(domain string) int {
-	for i, m := range a.plannerCandidateList(domain) {
+	for i, m := range a.rankedPlanners(domain) {
 		if i < plannerCandidates && m.Name == a.self.Name {
 			return i
 		}
@@ -98,7 +98,7 @@
 
 // plannerSuccessor is the first other entry host that stands ready to plan a domain.
 func (a *App) plannerSuccessor(domain string) string {
-	for _, m := range a.plannerCandidateList(domain) {
+	for _, m := range a.rankedPlanners(domain) {
 		if m.Name != a.self.Name {
 			return m.Name
 		}
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -22,8 +22,8 @@
 	relayWait = 600 * time.Millisecond
 	// relayPause is the time between two calls of a follower while changes come quickly.
 	relayPause = 100 * time.Millisecond
-	// relayBytes bounds what one answer passes on: to 24 followers over a link of 14 Mbit/s it takes 0.9 s. A routing document of several hundred kilobytes would be in force too late; followers read it
-	// themselves.
+	// relayBytes bounds what one answer passes on: to 24 followers over a link of 14 Mbit/s it takes 0.9 s. A
+	// routing document of several hundred kilobytes would be in force too late; followers read it themselves.
 	relayBytes = 64 << 10
 	// relayGap is how long a follower that lacks changes watches the service itself.
 	relayGap = 500 * time.Millisecond
