--- a/rudderd/rudderbalance/overload_test.go
+++ b/rudderd/rudderbalance/overload_test.go
@@ -29,49 +29,62 @@
 	return starts, ends
 }
 
-// played counts what became of requests that arrived in a time.
-type played struct{ refused, inTime, late int }
+const (
+	overloadObjective = 300 * time.Millisecond
+	overloadService   = 1500 * time.Millisecond
+)
+
+// played counts what became of the sends that arrived in a time.
+type played struct{ refused, inTime, late, lost int }
 
-// playLoad sends requests at multiples of what two groups can serve, and returns what became of them in each
-// second.
-func playLoad(seconds int, load func(second int) float64) []played {
-	const objective, service = 300 * time.Millisecond, 1500 * time.Millisecond
-	engine := Speed{Step: service / usualAnswer, Slots: 48}
+// playLoad sends requests at multiples of what two groups can serve, and returns what became of the sends in each
+// second. A refused caller comes back after the time that again returns for the told one, until it has had its
+// tries.
+func playLoad(seconds, tries int, load func(second int) float64, again func(told time.Duration) time.Duration) []played {
+	engine := Speed{Step: overloadService / usualAnswer, Slots: 48}
 	servers := map[string]*server{"a": {free: make([]time.Duration, engine.Slots)}, "b": {free: make([]time.Duration, engine.Slots)}}
-	type end struct {
-		id string
-		at time.Duration
+	type arrival struct {
+		at    time.Duration
+		tried int
+	}
+	var arrivals []arrival
+	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; {
+		arrivals = append(arrivals, arrival{at: now})
+		now += time.Duration(float64(overloadService) / (load(int(now/time.Second)) * 2 * float64(engine.Slots)))
 	}
-	var ends []end
 	l := NewLedger()
+	running := map[string]time.Duration{}
 	out := make([]played, seconds)
-	now := time.Duration(0)
-	for i := 0; now < time.Duration(seconds)*time.Second; i++ {
-		second := int(now / time.Second)
-		kept := ends[:0]
-		for _, e := range ends {
-			if e.at <= now {
-				l.Done(e.id)
-			} else {
-				kept = append(kept, e)
+	for i := 0; len(arrivals) > 0; i++ {
+		next := arrivals[0]
+		arrivals = arrivals[1:]
+		for id, ends := range running {
+			if ends <= next.at {
+				l.Done(id)
+				delete(running, id)
 			}
 		}
-		ends = kept
+		second := &out[min(int(next.at/time.Second), seconds-1)]
 		id := fmt.Sprint(i)
-		group, _, _ := l.Pick(now, engine, groups("a", "b"), Request{ID: id, Limit: time.Minute, Objective: objective})
-		if group == "" {
-			out[second].refused++
-		} else {
-			starts, done := servers[group].start(now, service)
-			ends = append(ends, end{id, done})
-			if starts-now <= objective {
-				out[second].inTime++
+		group, told, _ := l.Pick(next.at, engine, groups("a", "b"), Request{ID: id, Limit: time.Minute, Objective: overloadObjective})
+		if group != "" {
+			starts, ends := servers[group].start(next.at, overloadService)
+			running[id] = ends
+			if starts-next.at <= overloadObjective {
+				second.inTime++
 			} else {
-				out[second].late++
+				second.late++
 			}
+			continue
 		}
-		perSecond := load(second) * 2 * float64(engine.Slots) / service.Seconds()
-		now += time.Duration(float64(time.Second) / perSecond)
+		second.refused++
+		if next.tried+1 == tries {
+			second.lost++
+			continue
+		}
+		back := arrival{at: next.at + again(told), tried: next.tried + 1}
+		place, _ := slices.BinarySearchFunc(arrivals, back, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+		arrivals = slices.Insert(arrivals, place, back)
 	}
 	return out
 }
@@ -82,7 +95,7 @@
 func TestOverloadServesInTime(t *testing.T) {
 	const settled, seconds, capacity = 3, 15, 64 // the queue of the first seconds is worked off
 	var sum played
-	for _, p := range playLoad(seconds, func(int) float64 { return 1.6 })[settled:] {
+	for _, p := range playLoad(seconds, 1, func(int) float64 { return 1.6 }, nil)[settled:] {
 		sum.inTime, sum.late, sum.refused = sum.inTime+p.inTime, sum.late+p.late, sum.refused+p.refused
 	}
 	require.Greater(t, sum.inTime+sum.late, (seconds-settled)*capacity*95/100, "the groups are kept busy: %+v", sum)
@@ -91,12 +104,12 @@
 
 // The pattern of a short burst: guards against requests that are refused although they could soon be served.
 func TestBurstIsNotRefused(t *testing.T) {
-	seconds := playLoad(10, func(second int) float64 {
+	seconds := playLoad(10, 1, func(second int) float64 {
 		if second == 4 {
 			return 1.3
 		}
 		return 0.7
-	})
+	}, nil)
 	for second, p := range seconds {
 		require.Zero(t, p.refused, "second %d: %+v", second, p)
 	}
@@ -106,51 +119,22 @@
 // that are told to come back while all groups are still full, so that they are refused again and give up.
 func TestRefusedCallersComeBackWhenThereIsRoom(t *testing.T) {
 	const tries, longest = 3, 2 * time.Second // what a caller with a deadline of 6 s does
-	play := func(after func(told time.Duration) time.Duration) (sends, lost int) {
-		const objective, service = 300 * time.Millisecond, 1500 * time.Millisecond
-		engine := Speed{Step: service / usualAnswer, Slots: 48}
-		type arrival struct {
-			at    time.Duration
-			tried int
-		}
-		var arrivals []arrival
-		for now := time.Duration(0); now < 15*time.Second; {
-			load := 0.6
-			if now > 3*time.Second && now < 8*time.Second {
-				load = 1.4
+	const soon = 300 * time.Millisecond
+	play := func(again func(told time.Duration) time.Duration) (sends, lost int) {
+		overload := func(second int) float64 {
+			if second >= 3 && second < 8 {
+				return 1.4
 			}
-			arrivals = append(arrivals, arrival{at: now})
-			now += time.Duration(float64(service) / (load * 2 * float64(engine.Slots)))
+			return 0.6
 		}
-		l := NewLedger()
-		running := map[string]time.Duration{}
-		for i := 0; len(arrivals) > 0; i++ {
-			next := arrivals[0]
-			arrivals = arrivals[1:]
-			for id, ends := range running {
-				if ends <= next.at {
-					l.Done(id)
-					delete(running, id)
-				}
-			}
-			sends++
-			id := fmt.Sprint(i)
-			group, told, _ := l.Pick(next.at, engine, groups("a", "b"), Request{ID: id, Limit: time.Minute, Objective: objective})
-			switch {
-			case group != "":
-				running[id] = next.at + told + service
-			case next.tried+1 == tries:
-				lost++
-			default:
-				again := arrival{at: next.at + min(after(told), longest), tried: next.tried + 1}
-				place, _ := slices.BinarySearchFunc(arrivals, again, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-				arrivals = slices.Insert(arrivals, place, again)
-			}
+		for _, p := range playLoad(15, tries, overload, again) {
+			sends += p.inTime + p.late + p.refused
+			lost += p.lost
 		}
 		return sends, lost
 	}
-	sends, lost := play(func(told time.Duration) time.Duration { return max(told, 300*time.Millisecond) })
-	sendsBefore, lostBefore := play(func(time.Duration) time.Duration { return 300 * time.Millisecond })
+	sends, lost := play(func(told time.Duration) time.Duration { return min(max(told, soon), longest) })
+	sendsBefore, lostBefore := play(func(time.Duration) time.Duration { return soon })
 	t.Logf("sends %d, lost %d; at 300 ms: %d, %d", sends, lost, sendsBefore, lostBefore)
 	require.Less(t, lost, lostBefore*3/4)
 	require.Less(t, sends, sendsBefore)
--- a/rudderd/rudderplanner/handover_test.go
+++ b/rudderd/rudderplanner/handover_test.go
@@ -40,24 +40,24 @@
 	ctx := context.Background()
 	tests := []struct {
 		name     string
-		change   func(w *world, b *worker, before, passed rudderstore.Entry)
+		change   func(w *world, b *worker, passed rudderstore.Entry)
 		accepted bool
 	}{
-		{"as written", func(*world, *worker, rudderstore.Entry, rudderstore.Entry) {}, true},
-		{"for another entry host", func(w *world, _ *worker, _, passed rudderstore.Entry) {
+		{"as written", func(*world, *worker, rudderstore.Entry) {}, true},
+		{"for another entry host", func(w *world, _ *worker, passed rudderstore.Entry) {
 			var v leaseValue
 			_ = json.Unmarshal(passed.Value, &v)
 			v.PassedTo = "c"
 			passed.Value, _ = json.Marshal(v)
 			w.entries[passed.Key] = passed
 		}, false},
-		{"the process has not seen the lease before", func(_ *world, b *worker, _, _ rudderstore.Entry) {
+		{"the process has not seen the lease before", func(_ *world, b *worker, _ rudderstore.Entry) {
 			b.seen = leaseValue{}
 		}, false},
-		{"accepted before the platform was restored", func(_ *world, b *worker, _, _ rudderstore.Entry) {
+		{"accepted before the platform was restored", func(_ *world, b *worker, _ rudderstore.Entry) {
 			b.accepted = 1
 		}, false},
-		{"a newer plan is known", func(_ *world, b *worker, _, _ rudderstore.Entry) {
+		{"a newer plan is known", func(_ *world, b *worker, _ rudderstore.Entry) {
 			b.known.Fencing = 2
 		}, false},
 	}
@@ -68,11 +68,10 @@
 			a.p.Successor = func(string) string { return "b" }
 			w.ticks(3, a, b)
 			key := ruddergroup.LeasePrefix + "d1"
-			before := w.entries[key]
 			a.p.Leaving = func() bool { return true }
 			a.tick(ctx)
 			require.Nil(t, a.lease)
-			test.change(w, b, before, w.entries[key])
+			test.change(w, b, w.entries[key])
 			w.clock.Advance(time.Second)
 			b.tick(ctx)
 			require.Equal(t, test.accepted, b.lease != nil)
--- a/rudderstand/rudderdemo/load.go
+++ b/rudderstand/rudderdemo/load.go
@@ -12,6 +12,7 @@
 	"comfreyrudder.example/rudderstand/ruddercaller"
 	"comfreyrudder.example/rudderstand/rudderengine"
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
+	"comfreyrudder.example/rudderstand/rudderscene"
 )
 
 const (
@@ -52,7 +53,7 @@
 			d.chat(timed, caller, f, "short", label, shortTokens, random.Float64() < streamedShare)
 		}
 		cancel()
-		pause(ctx, thinkTime)
+		rudderscene.Pause(ctx, thinkTime)
 	}
 }
 
--- a/rudderstand/rudderdemo/observe.go
+++ b/rudderstand/rudderdemo/observe.go
@@ -44,13 +44,6 @@
 				d.parts.samples.Add(1)
 			}
 		}
-		pause(ctx, sampleInterval)
-	}
-}
-
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
+		rudderscene.Pause(ctx, sampleInterval)
 	}
 }
--- a/rudderstand/rudderdemo/parts.go
+++ b/rudderstand/rudderdemo/parts.go
@@ -63,7 +63,7 @@
 	together.Go(func() { d.leaveByList(ctx) })
 	together.Wait()
 	d.outage(ctx)
-	pause(ctx, settleAfterAllParts)
+	rudderscene.Pause(ctx, settleAfterAllParts)
 }
 
 // busiest returns the engine host of a region that runs most requests, and how many it runs.
@@ -114,7 +114,7 @@
 		both.Go(func() { results[i] = caller.CallAt(ctx, d.Scene.Entries()[2+i].App.CallerAddress(), payment) })
 	}
 	both.Wait()
-	pause(ctx, paymentPause)
+	rudderscene.Pause(ctx, paymentPause)
 	results[2] = caller.CallAt(ctx, d.Scene.Entries()[4].App.CallerAddress(), payment)
 	ran := d.Scene.Fleet.Calls.CountOfKey(payment.Key)
 	seen := make([]string, 0, len(results))
@@ -155,17 +155,11 @@
 	selector.WantedGroups--
 	var result rudderadmin.ChangeResult
 	err := d.admin(0).Do(ctx, http.MethodPut, "/selectors/"+selector.Name, nil, 0, selector, &result)
-	d.accepted(result, err)
+	d.recorder.Change(result, err)
 	d.parts.add("selector changed", err == nil && result.State == rudderadmin.StateAccepted,
 		"version %d %s after %d ms %s", result.Version, result.State, result.InForceMS, errText(err))
 }
 
-func (d *Demo) accepted(result rudderadmin.ChangeResult, err error) {
-	if err == nil && result.State == rudderadmin.StateAccepted {
-		d.recorder.Accepted(rudderoracle.AcceptedVersion{Version: result.Version, At: time.Now()})
-	}
-}
-
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -190,7 +184,7 @@
 			selector.WantedGroups--
 			selector.Priority++
 			failures[i] = d.admin(6+i).Do(ctx, http.MethodPut, "/selectors/"+name, nil, current.Version, selector, &results[i])
-			d.accepted(results[i], failures[i])
+			d.recorder.Change(results[i], failures[i])
 		})
 	}
 	both.Wait()
@@ -217,7 +211,7 @@
 	stop := rudderoracle.Stop{Host: host.Name, Address: host.Address, From: time.Now()}
 	var result rudderadmin.ChangeResult
 	err := d.admin(0).Do(ctx, http.MethodPut, "/hosts/"+host.Name+"/drain", nil, 0, nil, &result)
-	d.accepted(result, err)
+	d.recorder.Change(result, err)
 	d.recorder.Leaving(stop)
 	if err == nil {
 		err = rudderscene.Await(drainTimeout, "drain of "+host.Name, func() bool { return !d.inGroup(ctx, host.Name) })
@@ -253,7 +247,7 @@
 	}
 	d.recorder.Leaving(rudderoracle.Stop{Host: host.Name, Address: host.Address, From: time.Now()})
 	err := d.Scene.Fleet.Switch.SetHost(host.Name, rudderswitch.Fault{Kind: rudderswitch.KindLeaving})
-	pause(ctx, rudderoracle.LeavingGrace+time.Second)
+	rudderscene.Pause(ctx, rudderoracle.LeavingGrace+time.Second)
 	d.parts.add(name, err == nil && running > 0, "%s with %d requests in flight, %d after %s %s",
 		host.Name, running, d.running(host.Address), rudderoracle.LeavingGrace+time.Second, errText(err))
 }
@@ -275,7 +269,7 @@
 			refused++
 		}
 	}
-	pause(ctx, time.Until(ends))
+	rudderscene.Pause(ctx, time.Until(ends))
 	answered := d.completeChats() - before
 	_ = kv.SetKV(rudderswitch.Fault{Kind: rudderswitch.KindDown, Off: true})
 	d.parts.add("key-value service down", refused == outagePayments && answered > 0,
--- a/rudderstand/rudderfaults/operator.go
+++ b/rudderstand/rudderfaults/operator.go
@@ -27,9 +27,7 @@
 	}
 	var result rudderadmin.ChangeResult
 	err := client.Do(ctx, method, path, nil, version, body, &result)
-	if err == nil && result.State == rudderadmin.StateAccepted {
-		w.recorder.Accepted(rudderoracle.AcceptedVersion{Version: result.Version, At: time.Now()})
-	}
+	w.recorder.Change(result, err)
 	return result, err
 }
 
--- a/rudderstand/rudderoracle/oracle.go
+++ b/rudderstand/rudderoracle/oracle.go
@@ -9,6 +9,7 @@
 
 	"comfreyrudder.example/rudderstand/rudderbackend"
 	"comfreyrudder.example/rudderstand/rudderengine"
+	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/ruddergroup"
 )
 
@@ -156,6 +157,13 @@
 	r.evidence.Accepted = append(r.evidence.Accepted, v)
 }
 
+// Change records the answer to an operator's change if it says that the change is in force.
+func (r *Recorder) Change(result rudderadmin.ChangeResult, err error) {
+	if err == nil && result.State == rudderadmin.StateAccepted {
+		r.Accepted(AcceptedVersion{Version: result.Version, At: time.Now()})
+	}
+}
+
 // Evidence returns what was recorded, together with the ledgers of the targets.
 func (r *Recorder) Evidence(runs []rudderengine.Run, calls []rudderbackend.Call) Evidence {
 	r.mu.Lock()
--- a/rudderstand/rudderscene/plans.go
+++ b/rudderstand/rudderscene/plans.go
@@ -15,7 +15,7 @@
 func WatchPlans(ctx context.Context, store *rudderstore.Store, seen func(ruddergroup.Plan)) {
 	type version struct{ seq, fencing int64 }
 	known := map[string]version{}
-	for ctx.Err() == nil {
+	for ; ctx.Err() == nil; Pause(ctx, planInterval) {
 		entries, _, _ := store.List(ctx, ruddergroup.PlanPrefix) // a failed read is made up for by the next one
 		for _, e := range entries {
 			var plan ruddergroup.Plan
@@ -25,9 +25,5 @@
 			known[e.Key] = version{plan.Seq, plan.Fencing}
 			seen(plan)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(planInterval):
-		}
 	}
 }
--- a/rudderstand/rudderscene/process_test.go
+++ b/rudderstand/rudderscene/process_test.go
@@ -1,9 +1,7 @@
 package rudderscene
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,23 +26,6 @@
 	ended   chan error
 }
 
-// startedLine is the log line that tells where a rudderd listens.
-type startedLine struct {
-	CallerAddress string `json:"caller_address"`
-}
-
-// addressIn reads the caller address from a log, or "".
-func addressIn(log string) string {
-	text, _ := os.ReadFile(log) //nolint:gosec // in the test's directory
-	for line := range bytes.Lines(text) {
-		var started startedLine
-		if json.Unmarshal(line, &started) == nil && started.CallerAddress != "" {
-			return started.CallerAddress
-		}
-	}
-	return ""
-}
-
 func startProcess(t *testing.T, binary, name string, fleet *rudderfleetstand.Fleet, logs string) *process {
 	t.Helper()
 	p := &process{ended: make(chan error, 1)}
@@ -60,8 +41,9 @@
 	go func() { p.ended <- p.command.Wait(); _ = file.Close() }()
 	t.Cleanup(func() { _ = p.command.Process.Kill() })
 	require.NoError(t, Await(10*time.Second, "start of "+name, func() bool {
-		p.address = addressIn(log)
-		return p.address != ""
+		at, started := StartedAt(log)
+		p.address = at.Caller
+		return started
 	}))
 	return p
 }
@@ -70,10 +52,8 @@
 // process ID while it streams and its caller sends again elsewhere; SIGTERM to another cuts nothing.
 func TestSeparateProcesses(t *testing.T) {
 	directory := t.TempDir()
-	binary := filepath.Join(directory, "rudderd")
-	build := exec.Command("go", "build", "-o", binary, "comfreyrudder.example/rudderd") //nolint:gosec // fixed arguments
-	output, err := build.CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary, err := BuildRudderd(t.Context(), directory)
+	require.NoError(t, err)
 	fleet := &rudderfleetstand.Fleet{Layout: rudderfleetstand.Small()}
 	t.Cleanup(fleet.Close)
 	require.NoError(t, fleet.Start())
--- a/rudderstand/ruddersoak/process.go
+++ b/rudderstand/ruddersoak/process.go
@@ -1,9 +1,8 @@
 package ruddersoak
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,6 +28,7 @@
 	binary, directory string
 	arguments         []string
 	peers, callers    *proxy
+	proxies           []*proxy // all of them, to be closed
 	// named is told where a new process listens.
 	named func(address string)
 
@@ -44,12 +44,6 @@
 	ended   chan struct{} // closed when it has ended
 }
 
-// addresses is the log line that tells where a rudderd listens.
-type addresses struct {
-	Message string `json:"message"`
-	Admin   string `json:"admin_address"`
-}
-
 // start starts a process unless one runs.
 func (e *entry) start() error {
 	e.mu.Lock()
@@ -69,7 +63,7 @@
 	}
 	arguments := append([]string{
 		"--name", e.name, "--caller-listen", caller, "--caller-advertise", e.callers.address(),
-		"--peer-listen", peer, "--peer-advertise", e.peers.address(), "--admin-listen", "127.0.0.1:0",
+		"--peer-listen", peer, "--peer-advertise", e.peers.address(), "--admin-listen", loopback,
 	}, e.arguments...)
 	p := &process{command: exec.Command(e.binary, arguments...), ended: make(chan struct{})} //nolint:gosec // the binary under test
 	p.command.Stderr, p.command.Stdout = file, file
@@ -92,39 +86,26 @@
 		close(p.ended)
 	}()
 	return errors.Wrap(rudderscene.Await(startTimeout, "start of "+e.name, func() bool {
-		e.admin = adminAddress(log)
-		return e.admin != ""
+		at, started := rudderscene.StartedAt(log)
+		e.admin = at.Admin
+		return started
 	}), log)
 }
 
-// adminAddress finds the admin address in a log, or "".
-func adminAddress(log string) string {
-	text, err := os.ReadFile(log) //nolint:gosec // in the soak's directory
-	if err != nil {
-		return ""
-	}
-	for line := range bytes.Lines(text) {
-		var a addresses
-		if json.Unmarshal(line, &a) == nil && a.Message == "entry host started" {
-			return a.Admin
-		}
-	}
-	return ""
-}
-
 // freePorts returns two free addresses. Another process may take them before they are used; the start fails
 // then.
-func freePorts() (string, string, error) {
-	first, err := newProxy(nil, "")
+func freePorts() (caller, peer string, err error) {
+	first, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return "", "", err
 	}
-	second, err := newProxy(nil, "")
+	defer func() { _ = first.Close() }()
+	second, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return "", "", err
 	}
-	defer func() { _, _ = first.listener.Close(), second.listener.Close() }()
-	return first.address(), second.address(), nil
+	defer func() { _ = second.Close() }()
+	return first.Addr().String(), second.Addr().String(), nil
 }
 
 // adminAt returns the admin address of the running process, or "".
--- a/rudderstand/ruddersoak/proxy.go
+++ b/rudderstand/ruddersoak/proxy.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// loopback is any free port of the loopback address.
+const loopback = "127.0.0.1:0"
+
 // dialTimeout bounds the connection to what stands behind a proxy.
 const dialTimeout = time.Second
 
@@ -23,7 +26,7 @@
 
 // newProxy listens on a free port of the loopback address.
 func newProxy(dial func(ctx context.Context, network, address string) (net.Conn, error), target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, err
 	}
--- a/rudderstand/ruddersoak/soak.go
+++ b/rudderstand/ruddersoak/soak.go
@@ -137,20 +137,21 @@
 	for i := range s.Entries {
 		e := &entry{name: fmt.Sprintf("entry-%02d", i+1), binary: s.Binary, directory: s.Directory}
 		e.named = func(address string) { s.network.Name(address, e.name) }
-		keyValue, err := newProxy(s.network.Dial(e.name), keyValueAt)
-		if err != nil {
-			return err
+		var err error
+		proxied := func(from, target string) *proxy {
+			p, listenErr := newProxy(s.network.Dial(from), target)
+			if listenErr != nil {
+				err = listenErr
+				return &proxy{}
+			}
+			e.proxies = append(e.proxies, p)
+			return p
 		}
-		hostList, err := newProxy(s.network.Dial(e.name), hostListAt)
+		keyValue, hostList := proxied(e.name, keyValueAt), proxied(e.name, hostListAt)
+		e.peers, e.callers = proxied(partyPeers, ""), proxied(partyCallers, "")
 		if err != nil {
 			return err
 		}
-		if e.peers, err = newProxy(s.network.Dial(partyPeers), ""); err != nil {
-			return err
-		}
-		if e.callers, err = newProxy(s.network.Dial(partyCallers), ""); err != nil {
-			return err
-		}
 		e.arguments = []string{
 			"--region", rudderfleetstand.RegionKigali, "--data-centre", "kigali-1", "--peer-secret", peerSecret,
 			"--key-value-url", "http://" + keyValue.address(), "--host-list-url", "http://" + hostList.address(),
@@ -171,13 +172,13 @@
 	began := time.Now()
 	var lasting sync.WaitGroup
 	for _, e := range events {
-		if !sleep(ctx, e.at-time.Since(began)) {
+		if !rudderscene.Pause(ctx, e.at-time.Since(began)) {
 			break
 		}
 		lasting.Go(func() {
 			span := rudderoracle.Stop{From: time.Now()}
 			heal := e.kind.inject(s, e.victim)
-			sleep(ctx, e.lasts)
+			rudderscene.Pause(ctx, e.lasts)
 			heal()
 			span.To = time.Now()
 			if e.kind.cuts {
@@ -244,7 +245,7 @@
 
 // watchVersions records under which configuration version each entry host serves.
 func (s *Soak) watchVersions(ctx context.Context) {
-	for sleep(ctx, sampleInterval) {
+	for rudderscene.Pause(ctx, sampleInterval) {
 		for _, e := range s.entries {
 			before := time.Now()
 			if version, permitted := s.version(ctx, e); permitted {
@@ -284,36 +285,21 @@
 	var result rudderadmin.ChangeResult
 	path := "/hosts/" + s.fleet.Hosts[0].Name + "/labels"
 	err := client.Do(ctx, http.MethodPatch, path, nil, 0, rudderadmin.LabelChange{Set: map[string]string{"shift": value}}, &result)
-	if err != nil {
-		return err
+	s.recorder.Change(result, err)
+	if err == nil && result.State != rudderadmin.StateAccepted {
+		err = errors.Newf("change is %q", result.State)
 	}
-	if result.State != rudderadmin.StateAccepted {
-		return errors.Newf("change is %q", result.State)
-	}
-	s.recorder.Accepted(rudderoracle.AcceptedVersion{Version: result.Version, At: time.Now()})
-	return nil
+	return err
 }
 
 // close ends all processes and stand-ins.
 func (s *Soak) close() {
 	for _, e := range s.entries {
 		e.kill()
-		for _, p := range []*proxy{e.peers, e.callers} {
+		for _, p := range e.proxies {
 			_ = p.listener.Close()
 		}
 	}
 	s.network.Close()
 	s.fleet.Close()
 }
-
-// sleep waits, and reports whether the context still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/rudderstand/ruddersoak/soak_test.go
+++ b/rudderstand/ruddersoak/soak_test.go
@@ -1,12 +1,13 @@
 package ruddersoak
 
 import (
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderstand/rudderscene"
 )
 
 // Guards against seeds that do not repeat, and against a fault that is never drawn.
@@ -36,9 +37,8 @@
 // the short run and those that ever failed.
 func TestSoak(t *testing.T) {
 	directory := t.TempDir()
-	binary := filepath.Join(directory, "rudderd")
-	output, err := exec.Command("go", "build", "-o", binary, "comfreyrudder.example/rudderd").CombinedOutput() //nolint:gosec // fixed arguments
-	require.NoError(t, err, string(output))
+	binary, err := rudderscene.BuildRudderd(t.Context(), directory)
+	require.NoError(t, err)
 	for _, seed := range []uint64{1} {
 		s := &Soak{Seed: seed, Length: 8 * time.Second, Entries: 4, Callers: 8, Binary: binary, Directory: filepath.Join(directory, "logs")}
 		v := s.Run(t.Context())
