--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -130,13 +130,12 @@
 			best, bestID, bestCost = a, g.ID, cost
 		}
 	}
-	if best == nil && !full {
+	switch {
+	case best == nil && !full:
 		return "", 0, false
-	}
-	if best == nil {
+	case best == nil:
 		return "", l.crowded(now), true
-	}
-	if r.Objective > 0 && bestCost > r.Objective {
+	case r.Objective > 0 && bestCost > r.Objective:
 		// A longer queue makes every answer late and serves no request more.
 		return "", max(bestCost, l.crowded(now)), true
 	}
--- /dev/null
+++ b/rudderd/rudderedge/bounds_test.go
@@ -0,0 +1,39 @@
+package rudderedge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderforward"
+)
+
+// Guards against keys that count beyond the bound on revoked ones, changes that gather for longer than they may,
+// and an environment without bounds that turns waits off.
+func TestWithinBounds(t *testing.T) {
+	tests := []struct {
+		name   string
+		bounds Bounds
+		want   Settings
+	}{
+		{"no bounds", Bounds{}, Settings{
+			LookLimit: 10 * time.Second, BatchPause: 150 * time.Millisecond, ReturnGrace: 2 * time.Second, Stall: 6 * time.Second,
+			StopGrace: 8 * time.Second, DirectoryLifetime: 2 * time.Second, Retries: rudderforward.RetryLimits{Window: 10 * time.Second},
+		}},
+		{"all bounds", Bounds{
+			Revoke: 5 * time.Second, Drain: 3 * time.Second, Apply: 2 * time.Second, Stop: 4 * time.Second, Stall: 7 * time.Second,
+			DirectoryLifetime: time.Second, Retries: rudderforward.RetryLimits{Ratio: 0.2, Extra: 3, Window: 5 * time.Second},
+		}, Settings{
+			LookLimit: 4400 * time.Millisecond, BatchPause: 300 * time.Millisecond, ReturnGrace: 2 * time.Second, Stall: 7 * time.Second,
+			StopGrace: 4 * time.Second, DirectoryLifetime: time.Second, Retries: rudderforward.RetryLimits{Ratio: 0.2, Extra: 3, Window: 5 * time.Second},
+		}},
+		{"revoked sooner than the margin", Bounds{Revoke: 500 * time.Millisecond, DirectoryLifetime: time.Minute}, Settings{
+			LookLimit: 600 * time.Millisecond, BatchPause: 150 * time.Millisecond, ReturnGrace: 2 * time.Second, Stall: 6 * time.Second,
+			StopGrace: 8 * time.Second, DirectoryLifetime: 2 * time.Second, Retries: rudderforward.RetryLimits{Window: 10 * time.Second},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { require.Equal(t, test.want, Settings{}.Within(test.bounds)) })
+	}
+}
