Count no look whose answer may have been cut

While thousands of targets write their records, a watcher took a part of the changes, paused for 0.6 s, and counted its look as if it held all of them, so that it and its followers served by configurations that had been replaced up to 5.6 s before.

A group whose member leaves serves where there is no other (it counted as full). Changes that are missing, or do not arrive in time, end in a copied picture.

--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -111,10 +111,10 @@
 	if l.begin == 0 {
 		l.begin, l.workAt = now, now
 	}
-	best, bestID, bestCost, full := l.cheapest(now, speed, groups, r.Avoid)
-	late := best != nil && r.Objective > 0 && bestCost > r.Objective
+	best, bestID, bestWait, full := l.cheapest(now, speed, groups, r.Avoid)
+	late := best != nil && r.Objective > 0 && bestWait > r.Objective
 	if r.Spill && (best == nil || late) {
-		return "", bestCost, full || late
+		return "", bestWait, full || late
 	}
 	l.fade(now)
 	l.work += r.Cost.Seconds()
@@ -125,7 +125,7 @@
 		return "", l.crowded(now), true
 	case late:
 		// A longer queue makes every answer late and serves no request more.
-		return "", max(bestCost, l.crowded(now)), true
+		return "", max(bestWait, l.crowded(now)), true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
@@ -137,11 +137,13 @@
 		best.readUntil = max(best.readUntil, now) + reading
 	}
 	l.sends[r.ID] = &send{group: best, until: now + r.Limit}
-	return bestID, bestCost, false
+	return bestID, bestWait, false
 }
 
-// cheapest returns the group with the shortest expected wait; full is set when a group was left out because it is full.
+// cheapest returns the group of the least cost and the expected wait there; full is set when a group was left out because
+// it is full.
 func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, avoid []string) (best *account, id string, wait time.Duration, full bool) {
+	var least time.Duration
 	for _, g := range groups {
 		if avoids(avoid, g.ID) {
 			continue
@@ -151,12 +153,12 @@
 			full = true
 			continue
 		}
-		cost := a.cost(now, speed)
+		cost, expected := a.cost(now, speed)
 		if g.Draining {
 			cost += time.Hour
 		}
-		if best == nil || cost < wait {
-			best, id, wait = a, g.ID, cost
+		if best == nil || cost < least {
+			best, id, wait, least = a, g.ID, expected, cost
 		}
 	}
 	return best, id, wait, full
@@ -175,15 +177,16 @@
 	return now - l.crowdedSince
 }
 
-// cost is the expected wait for the first token.
-func (a *account) cost(now time.Duration, speed Speed) time.Duration {
+// cost orders groups, and wait is the time that a request is expected to wait in one before its own prompt is read.
+// They differ by what a fuller batch costs the requests that run: it spreads requests, but delays no first token.
+func (a *account) cost(now time.Duration, speed Speed) (cost, wait time.Duration) {
 	slots := max(speed.Slots, 1)
-	cost := max(a.readUntil-now, 0) + batchCost*time.Duration(a.running)/time.Duration(slots)
+	wait = max(a.readUntil-now, 0)
 	if over := a.running - slots + 1; over > 0 {
 		// A request beyond the slots waits until one of them is free.
-		cost += time.Duration(over) * usualAnswer * speed.Step / time.Duration(slots)
+		wait += time.Duration(over) * usualAnswer * speed.Step / time.Duration(slots)
 	}
-	return cost
+	return wait + batchCost*time.Duration(a.running)/time.Duration(slots), wait
 }
 
 // Done takes a send off the ledger.
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -46,6 +46,18 @@
 	require.False(t, full)
 }
 
+// Guards against requests that are refused although a group serves on whose member leaves.
+func TestDrainingGroupServesWhereThereIsNoOther(t *testing.T) {
+	l := NewLedger()
+	draining := []Group{{ID: "draining", Draining: true}}
+	id, wait, full := l.Pick(0, speed, draining, Request{ID: "1", PromptTokens: 1, Limit: time.Minute, Objective: 300 * time.Millisecond})
+	require.Equal(t, "draining", id)
+	require.Zero(t, wait)
+	require.False(t, full)
+	id, _, _ = l.Pick(0, speed, append(draining, Group{ID: "other"}), Request{ID: "2", PromptTokens: 1, Limit: time.Minute, Objective: 300 * time.Millisecond})
+	require.Equal(t, "other", id)
+}
+
 // Guards against requests of an entry host that died and that hold their place for ever.
 func TestEndNeverTold(t *testing.T) {
 	l := NewLedger()
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -25,7 +25,7 @@
 	// maxUntold bounds the ends that are kept for an owner. Others expire there with the time limits of the requests.
 	maxUntold = 4096
 	// doneInterval gathers the ends of requests that are told to an owner.
-	doneInterval = 100 * time.Millisecond
+	doneInterval = 40 * time.Millisecond
 )
 
 // balance asks the owners of models for groups, and answers for the models that this entry host owns.
--- a/rudderd/rudderedge/bounds.go
+++ b/rudderd/rudderedge/bounds.go
@@ -28,6 +28,9 @@
 	// lookMargin is kept between the age of a look at which keys stop to count and the bound on revoked
 	// keys: a request may be under way to a target for this long.
 	lookMargin = 600 * time.Millisecond
+	// oneBoundShare is the part of the bound on revoked keys from which on the bound on changes holds during an outage
+	// too: it ends service hardly sooner.
+	oneBoundShare = 0.75
 	// noticeMargin is kept between the time after which a look shows that the service is away and the age at which
 	// requests are refused because the service may have changes: an outage must not look like a slow answer.
 	noticeMargin = 300 * time.Millisecond
@@ -59,6 +62,10 @@
 	if b.Apply > 0 || b.Drain > 0 {
 		bound := min(orDefault(b.Apply, b.Drain), orDefault(b.Drain, b.Apply))
 		s.ApplyLimit = max(bound-lookMargin, rudderview.NoticeTime+noticeMargin)
+		if float64(bound) >= oneBoundShare*float64(b.Revoke) {
+			// A host cannot always tell a service that is away from one that only answers others.
+			s.LookLimit = min(s.LookLimit, s.ApplyLimit)
+		}
 	}
 	s.DirectoryLifetime = min(directoryLifetime, orDefault(b.DirectoryLifetime, directoryLifetime))
 	s.BatchPause = time.Duration(batchShare * float64(min(orDefault(b.Drain, defaultApply), orDefault(b.Apply, defaultApply))))
--- a/rudderd/rudderedge/bounds_test.go
+++ b/rudderd/rudderedge/bounds_test.go
@@ -29,7 +29,11 @@
 			StopGrace: 4 * time.Second, DirectoryLifetime: time.Second, Retries: rudderforward.RetryLimits{Ratio: 0.2, Extra: 3, Window: 5 * time.Second},
 		}},
 		{"configurations may take longer than an outage takes to be noticed", Bounds{Drain: 5 * time.Second, Apply: 4 * time.Second}, Settings{
-			LookLimit: 10 * time.Second, ApplyLimit: 3400 * time.Millisecond, BatchPause: 600 * time.Millisecond, ReturnGrace: 2 * time.Second,
+			LookLimit: 3400 * time.Millisecond, ApplyLimit: 3400 * time.Millisecond, BatchPause: 600 * time.Millisecond, ReturnGrace: 2 * time.Second,
+			Stall: 6 * time.Second, StopGrace: 8 * time.Second, DirectoryLifetime: 2 * time.Second, Retries: rudderforward.RetryLimits{Window: 10 * time.Second},
+		}},
+		{"changes may take as long as revoked keys", Bounds{Revoke: 5 * time.Second, Drain: 4 * time.Second, Apply: 4 * time.Second}, Settings{
+			LookLimit: 3400 * time.Millisecond, ApplyLimit: 3400 * time.Millisecond, BatchPause: 600 * time.Millisecond, ReturnGrace: 2 * time.Second,
 			Stall: 6 * time.Second, StopGrace: 8 * time.Second, DirectoryLifetime: 2 * time.Second, Retries: rudderforward.RetryLimits{Window: 10 * time.Second},
 		}},
 		{"revoked sooner than the margin", Bounds{Revoke: 500 * time.Millisecond, DirectoryLifetime: time.Minute}, Settings{
--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	if len(secret) == 0 {
-		return nil, errNoCopy // the fleet starts for the first time
+		return nil, rudderview.ErrFirstStart
 	}
 	e.takeSecret(secret[0].Value)
 	records, _, err := read(ctx, rudderview.EntryPrefix)
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -62,7 +62,7 @@
 			Cost: f.cost(j, model),
 		}
 		if !j.started {
-			q.Objective = j.route.Objective
+			q.Objective = f.firsts.patience(j.service+"\x00"+model, j.route.Objective)
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
@@ -75,7 +75,7 @@
 		pick := f.Pick(ctx, q)
 		j.ticket = pick.Release
 		if pick.Answered {
-			j.wait = pick.Wait
+			j.wait, j.picked, j.pickedModel = pick.Wait, f.Uptime(), model
 			f.work.set(j.service, model, pick.Work)
 			for _, g := range groups {
 				if g.ID == pick.Group {
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -59,6 +59,7 @@
 	budget   retryBudget
 	probes   probes
 	work     workMeter
+	firsts   firstEvents
 	inFlight atomic.Int64
 	seen     atomic.Bool
 	stopping atomic.Bool
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -53,7 +53,10 @@
 	exclude map[string]bool
 	last    error
 	wait    time.Duration // expected wait for the group, by its owner's word
-	ticket  func()        // tells the owner of the model that the send has ended; nil for none
+	picked  time.Duration // uptime of the owner's word; 0 without one
+	// pickedModel is the model that the owner answered for.
+	pickedModel string
+	ticket      func() // tells the owner of the model that the send has ended; nil for none
 
 	// Outcome, for the log line.
 	status    int
--- a/rudderd/rudderforward/parts_test.go
+++ b/rudderd/rudderforward/parts_test.go
@@ -139,3 +139,23 @@
 	}
 	require.True(t, l.choose(groups, c).full, "four requests on each group from each of 195 entry hosts")
 }
+
+// The pattern of a crest at which every group has as many requests as slots: guards against requests that are taken
+// although nothing of the objective is left for a wait, so that half of all answers are late and not one more is served.
+func TestPatienceLeavesTimeForTheFirstEvent(t *testing.T) {
+	var e firstEvents
+	const objective = 300 * time.Millisecond
+	require.Equal(t, objective, e.patience("m", objective), "nothing is known yet")
+	for range 50 {
+		e.observe("m", 0, 170*time.Millisecond)
+		e.observe("m", 200*time.Millisecond, 400*time.Millisecond) // waited for a slot
+	}
+	require.InDelta(t, float64(130*time.Millisecond), float64(e.patience("m", objective)), float64(time.Millisecond))
+	e.observe("m", 0, 30*time.Second)
+	require.Greater(t, e.patience("m", objective), 100*time.Millisecond, "one target in trouble")
+	for range 100 {
+		e.observe("m", 0, time.Second)
+	}
+	require.Equal(t, 90*time.Millisecond, e.patience("m", objective))
+	require.Equal(t, objective, e.patience("other", objective))
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -128,6 +128,9 @@
 		}
 		if !j.started {
 			f.writeHead(j, answer.response, false, 0)
+			if j.picked > 0 && j.sends == 0 {
+				f.firsts.observe(j.service+"\x00"+j.pickedModel, j.wait, f.Uptime()-j.picked)
+			}
 		}
 		if len(event) > 0 && !older(id, j.lastEvent) {
 			if _, writeErr := j.writer.Write(event); writeErr != nil {
--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"comfreyrudder.example/shared/rudderstore"
 )
 
@@ -17,21 +19,25 @@
 	Age, Held time.Duration
 }
 
+// ErrFirstStart is returned by View.Copy where no entry host has had a picture before: there is little history, so that a
+// list that may be behind is soon brought up to date.
+var ErrFirstStart = errors.New("view: the fleet starts for the first time")
+
 // copied takes the first picture from another entry host. Where hundreds of entry hosts start at the same time, lists of
 // all records for each of them would fill the link of the service for seconds.
-func (v *View) copied(ctx context.Context) bool {
+func (v *View) copied(ctx context.Context) (done, firstStart bool) {
 	begin := v.Uptime()
 	c, err := v.Copy(ctx)
 	if err != nil || !c.Serving {
 		v.Logger.Info().Err(err).Dur("took_ms", v.Uptime()-begin).Msg("no picture of another entry host; reading all records")
-		return false
+		return false, errors.Is(err, ErrFirstStart)
 	}
 	v.answered()
 	v.replace(c.Entries, c.Revision)
 	v.Logger.Info().Int("records", len(c.Entries)).Int64("revision", c.Revision).Dur("took_ms", v.Uptime()-begin).Dur("age_ms", c.Age).
 		Msg("picture of another entry host taken")
 	v.looked(begin, begin+c.Held-c.Age)
-	return true
+	return true, false
 }
 
 // Records returns all records for another entry host. It waits for the first look of this one.
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -25,7 +25,7 @@
 	relayPause = 100 * time.Millisecond
 	// defaultRelayBytes applies where View.RelayBytes is not set.
 	defaultRelayBytes = 64 << 10
-	// relayGap is how long a follower that lacks changes watches the service itself.
+	// relayGap is how long a follower that lacks changes and cannot copy a picture watches the service itself.
 	relayGap = 500 * time.Millisecond
 	// relayRetry is how long a follower watches the service itself after a failed call.
 	relayRetry = 3 * time.Second
@@ -38,6 +38,9 @@
 // errServiceAway reports that the service does not answer the entry hosts that are followed.
 var errServiceAway = errors.New("view: the service does not answer the watchers")
 
+// errGap reports changes that the watcher no longer has or cannot pass on.
+var errGap = errors.New("view: changes are missing")
+
 // errNotFollowed reports that there is nobody to follow now.
 var errNotFollowed = errors.New("view: nobody to follow")
 
@@ -205,6 +208,8 @@
 		v.alone = v.Uptime() + relayRetry
 		v.Logger.Info().Err(err).Bool("serving", c.Serving).Msg("watching the key-value service here")
 		return errNotFollowed
+	case c.Gap && v.Copy != nil:
+		return errGap
 	case c.Gap:
 		v.alone = v.Uptime() + relayGap
 		return errNotFollowed
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -99,6 +99,7 @@
 	pending      map[string]time.Duration // targets whose removal is held back, until this uptime
 	gone         map[string]time.Duration // targets in Snapshot.Gone, since this uptime
 	outage       bool
+	partial      bool          // the last answer may not have held all changes
 	listing      bool          // records come from a list, not from changes
 	away         bool          // the watchers say that the service is away
 	probing      bool          // the next look of this entry host itself tells whether the service is away for it too
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -57,13 +57,20 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			wait, failures = watchWait, 0
-			if _, looked := v.LookAge(); !looked {
+			if _, looked := v.LookAge(); !looked || v.partial {
 				wait = firstWait
 			}
 			v.dropDue()
 		case errors.Is(err, rudderstore.ErrCompacted):
 			v.Logger.Warn().Msg("key-value service dropped its history; reading all records")
 			listed = false
+		case errors.Is(err, errGap):
+			v.Logger.Info().Int64("revision", v.Snapshot().Revision).Msg("changes are missing; reading all records")
+			listed = false
+		case errors.Is(err, rudderstore.ErrIncomplete) && listed:
+			// The changes do not fit the link in time. They become more, while a picture of all records does not.
+			v.failed(err)
+			listed = false
 		case errors.Is(err, errServiceAway):
 			v.failed(err) // the next call is held by a watcher until the service is back
 			sleep(ctx, relayPause)
@@ -111,17 +118,22 @@
 	}
 }
 
-// list reads all records and replaces the picture. The first list of a process may be an older picture: all entry hosts
-// that start together read it, and the watch that follows brings it up to date before anything is served from it. A
-// service that has dropped its history has none for an older picture.
+// list reads all records and replaces the picture. The first list of a fleet may be an older picture: all entry
+// hosts read it, and the watch that follows brings it up to date before anything is served from it. Later on the changes
+// since an older picture may be many, and a service that has dropped its history has none of them.
 func (v *View) list(ctx context.Context, first bool) error {
-	if first && v.Copy != nil && v.copied(ctx) {
-		return nil
+	stale := first && v.Store.ListStale != nil
+	if v.Copy != nil {
+		done, firstStart := v.copied(ctx)
+		if done {
+			return nil
+		}
+		stale = stale && firstStart
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	begin := v.Uptime()
-	read, stale := v.Store.List, first && v.Store.ListStale != nil
+	read := v.Store.List
 	if stale {
 		read = v.Store.ListStale
 	}
@@ -172,7 +184,7 @@
 	case err == nil:
 		v.answered()
 		return nil
-	case errors.Is(err, errServiceAway):
+	case errors.Is(err, errServiceAway) || errors.Is(err, errGap):
 		return err
 	}
 	v.tried = v.Uptime()
@@ -203,6 +215,10 @@
 	if len(result.Events) > 0 || result.Revision != v.Snapshot().Revision {
 		v.take(result)
 	}
+	if v.partial = !whole(result.Events); v.partial {
+		v.Logger.Info().Int("changes", len(result.Events)).Int64("revision", result.Revision).Msg("many changes; there may be more")
+		return nil
+	}
 	// The answer may have waited for this process, or taken long to arrive: it tells what was before the call.
 	v.looked(begin, begin)
 	if failed {
@@ -214,6 +230,22 @@
 	return nil
 }
 
+const (
+	// wholeEvents and wholeBytes are the size below which an answer surely holds all changes. The service may cut its
+	// answers, as it does its lists at about 500 items or 1 MB, encoded; an answer that may have been cut says nothing of
+	// what comes after it, and is followed by the next call without a pause.
+	wholeEvents = 250
+	wholeBytes  = 400 << 10
+)
+
+func whole(events []rudderstore.Event) bool {
+	size := 0
+	for _, e := range events {
+		size += len(e.Value)
+	}
+	return len(events) < wholeEvents && size < wholeBytes
+}
+
 // rest lets changes gather, unless they are wanted at once.
 func (v *View) rest(ctx context.Context) {
 	pause := v.BatchPause
