--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// copyTime bounds the wait for another entry host's picture: hosts that start together come up within some hundred
-	// milliseconds, and the first of them reads all records in less.
-	copyTime = 1500 * time.Millisecond
+	// copyTime bounds the wait for another entry host's picture while others answer: at 300 hosts the watchers need some
+	// seconds for their own picture and for copies to all others, and lists of all records for each host take longer.
+	copyTime = 4 * time.Second
+	// copySilence bounds the wait while none answers: hosts that start together come up within some hundred milliseconds.
+	copySilence = 1500 * time.Millisecond
+	// copyTry bounds one call.
+	copyTry = time.Second
 	// copyRetry is the pause between two tries.
 	copyRetry = 60 * time.Millisecond
 )
@@ -36,13 +40,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTime)
 	defer cancel()
+	begin, answered := e.uptime(), false
 	for i := 0; ; i++ {
 		c, err := e.copyOne(ctx, list[i%len(list)])
 		if err == nil && c.Serving {
 			return c, nil
 		}
+		answered = answered || err == nil
 		pause(ctx, copyRetry)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !answered && e.uptime()-begin >= copySilence {
 			return rudderview.Copied{}, errors.CombineErrors(err, errNoCopy)
 		}
 	}
@@ -54,6 +60,8 @@
 	if read == nil {
 		return nil, errNoCopy
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	secret, _, err := read(ctx, rudderview.SecretKey)
 	if err != nil {
 		return nil, err
@@ -78,9 +86,9 @@
 
 // copyOne asks one watcher.
 func (e *Edge) copyOne(ctx context.Context, watcher rudderview.Entry) (rudderview.Copied, error) {
-	deadline, _ := ctx.Deadline()
-	wait := max(time.Until(deadline)-relayTimeout, 0)
-	answer, err := rudderpeer.NewRelayProtobufClient("http://"+watcher.Peer, e.peers.client).Records(ctx, &rudderpeer.RecordsRequest{WaitMs: wait.Milliseconds()})
+	ctx, cancel := context.WithTimeout(ctx, copyTry)
+	defer cancel()
+	answer, err := rudderpeer.NewRelayProtobufClient("http://"+watcher.Peer, e.peers.client).Records(ctx, &rudderpeer.RecordsRequest{WaitMs: (copyTry - relayTimeout).Milliseconds()})
 	if err != nil || !answer.GetServing() {
 		return rudderview.Copied{}, err
 	}
--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// Guards against a process that starts while the key-value service accepts calls and answers none, and that waits for it
+// for ever.
+func TestCopyEndsWithASilentService(t *testing.T) {
+	silent := func(ctx context.Context, _ string) ([]rudderstore.Entry, int64, error) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	e := edge("a", &rudderstore.Store{ListStale: silent, List: silent})
+	e.Prepare()
+	begin := time.Now()
+	_, err := e.copyRecords(t.Context())
+	require.Error(t, err)
+	require.Less(t, time.Since(begin), 2*storeTimeout)
+}
+
 // Guards against records that are lost or changed on their way, and against bytes of another kind.
 func TestPackedRecords(t *testing.T) {
 	var p packer
