--- a/rudderd/rudderedge/relay.go
+++ b/rudderd/rudderedge/relay.go
@@ -40,8 +40,8 @@
 // errNoWatcher reports that no other entry host of the data centre is known.
 var errNoWatcher = errors.New("edge: no watcher is known")
 
-// relayBytes is the compressed size of the changes that an entry host passes on to one follower. Larger ones are read from the
-// key-value service.
+// relayBytes is the compressed size of the changes that an entry host passes on to one follower. A follower that misses
+// larger ones copies a whole picture.
 func relayBytes(link float64) int {
 	if link <= 0 {
 		link = defaultLink
