--- a/rudderd/rudderbalance/parts_test.go
+++ b/rudderd/rudderbalance/parts_test.go
@@ -43,19 +43,19 @@
 
 // Guards against requests that cross data centres while groups nearby have room, and against requests that are refused
 // while another part has room.
-func TestAsks(t *testing.T) {
+func TestPartQueries(t *testing.T) {
 	half := func() float64 { return 0.5 }
 	for _, test := range []struct {
 		name          string
 		weights, near []int
-		want          []Ask
+		want          []PartQuery
 	}{
 		{"no group", []int{0, 0}, []int{0, 0}, nil},
-		{"one part", []int{4}, []int{2}, []Ask{{Part: 0}}},
-		{"groups nearby", []int{4, 4}, []int{0, 3}, []Ask{{Part: 1, Spill: true}, {Part: 0}, {Part: 1}}},
-		{"no group nearby", []int{0, 4, 0}, []int{0, 0, 0}, []Ask{{Part: 1}}},
+		{"one part", []int{4}, []int{2}, []PartQuery{{Part: 0}}},
+		{"groups nearby", []int{4, 4}, []int{0, 3}, []PartQuery{{Part: 1, Spill: true}, {Part: 0}, {Part: 1}}},
+		{"no group nearby", []int{0, 4, 0}, []int{0, 0, 0}, []PartQuery{{Part: 1}}},
 	} {
-		t.Run(test.name, func(t *testing.T) { require.Equal(t, test.want, Asks(test.weights, test.near, half)) })
+		t.Run(test.name, func(t *testing.T) { require.Equal(t, test.want, PartQueries(test.weights, test.near, half)) })
 	}
 }
 
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -22,8 +22,8 @@
 	pickTimeout = 60 * time.Millisecond
 	// ownerAvoid is how long an owner that did not answer is not asked.
 	ownerAvoid = 500 * time.Millisecond
-	// maxUntold bounds the ends that are kept for an owner. Others expire there with the time limits of the requests.
-	maxUntold = 4096
+	// maxPendingDone bounds the ends that are kept for an owner. Others expire there with the time limits of the requests.
+	maxPendingDone = 4096
 	// doneInterval gathers the ends of requests that are told to an owner.
 	doneInterval = 40 * time.Millisecond
 )
@@ -56,23 +56,11 @@
 // groups nearby, and others where that has little room or does not answer.
 func (b *balance) pick(ctx context.Context, q rudderforward.PickQuery) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
-	weights := make([]int, snapshot.Parts(q.Service))
-	near := make([]int, len(weights))
-	groups := 0
-	for _, g := range snapshot.Groups(q.Service, q.Model) {
-		if g.Part >= len(weights) || slices.Contains(q.Avoid, g.ID) {
-			continue
-		}
-		groups++
-		weights[g.Part]++
-		if g.Leader.DataCentre == b.edge.Settings.DataCentre {
-			near[g.Part]++
-		}
-	}
+	weights, near, groups := groupsByPart(snapshot, q, b.edge.Settings.DataCentre)
 	var best, spilled rudderforward.Pick
-	for _, ask := range rudderbalance.Asks(weights, near, rand.Float64) {
-		pick := b.pickFrom(ctx, snapshot, q, ask)
-		pick.Work = pick.Work * time.Duration(groups) / time.Duration(weights[ask.Part])
+	for _, query := range rudderbalance.PartQueries(weights, near, rand.Float64) {
+		pick := b.pickFrom(ctx, snapshot, q, query)
+		pick.Work = pick.Work * time.Duration(groups) / time.Duration(weights[query.Part])
 		if pick.Group != "" {
 			return pick
 		}
@@ -81,7 +69,7 @@
 		}
 		switch {
 		case !pick.Answered:
-		case ask.Spill:
+		case query.Spill:
 			spilled = pick
 		case !best.Answered || pick.Wait < best.Wait:
 			best = pick
@@ -93,19 +81,36 @@
 	return best
 }
 
+// groupsByPart counts the groups that may take a request, those of a data centre, by part, and all of them.
+func groupsByPart(s *rudderview.Snapshot, q rudderforward.PickQuery, dataCentre string) (weights, near []int, groups int) {
+	weights = make([]int, s.Parts(q.Service))
+	near = make([]int, len(weights))
+	for _, g := range s.Groups(q.Service, q.Model) {
+		if slices.Contains(q.Avoid, g.ID) {
+			continue
+		}
+		groups++
+		weights[g.Part]++
+		if g.Leader.DataCentre == dataCentre {
+			near[g.Part]++
+		}
+	}
+	return weights, near, groups
+}
+
 // pickFrom asks the owner of one part of a model's ledger.
-func (b *balance) pickFrom(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, ask rudderbalance.Ask) rudderforward.Pick {
-	own, found := b.owners.of(snapshot, ledgerKey{q.Service, q.Model, ask.Part})
+func (b *balance) pickFrom(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartQuery) rudderforward.Pick {
+	own, found := b.owners.of(snapshot, ledgerKey{q.Service, q.Model, query.Part})
 	if !found {
 		return rudderforward.Pick{}
 	}
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: ask.Spill}
-	if ask.Spill {
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill}
+	if query.Spill {
 		request.Objective = time.Duration(spillShare * float64(q.Objective))
 	}
 	if own.Name == b.edge.Settings.Name {
-		pick := b.serve(q.Service, q.Model, ask.Part, request)
+		pick := b.serve(q.Service, q.Model, query.Part, request)
 		pick.Release = func() { b.ended([]string{id}) }
 		return pick
 	}
@@ -116,14 +121,14 @@
 	ctx, cancel := context.WithTimeout(ctx, pickTimeout)
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
-		Service: q.Service, Model: q.Model, Part: int64(ask.Part), Spill: ask.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
+		Service: q.Service, Model: q.Model, Part: int64(query.Part), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
 	})
 	release := func() { b.tell(own.Peer, id) }
 	if err != nil {
 		b.unanswered(own.Peer, done)
 		b.edge.count("balance.owner_unreachable")
-		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Int("part", ask.Part).Msg("owner of the model not reached")
+		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Int("part", query.Part).Msg("owner of the model not reached")
 		return rudderforward.Pick{Release: release}
 	}
 	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
@@ -147,7 +152,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.avoid[peer] = time.Now().Add(ownerAvoid)
-	if len(b.done[peer])+len(done) <= maxUntold {
+	if len(b.done[peer])+len(done) <= maxPendingDone {
 		b.done[peer] = append(b.done[peer], done...)
 	}
 }
--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// copyTime bounds the wait for another entry host's picture while others answer: at 300 hosts the watchers need some
-	// seconds for their own picture and for copies to all others, and lists of all records for each host take longer.
+	// copyTime bounds the wait for another entry host's snapshot while others answer: at 300 hosts the watchers need some
+	// seconds for their own snapshot and for copies to all others, and lists of all records for each host take longer.
 	copyTime = 4 * time.Second
-	// copyFrom is the number of entry hosts from which on a picture is copied. The lists of fewer hosts do not fill the link
+	// copyFrom is the number of entry hosts from which on a snapshot is copied. The lists of fewer hosts do not fill the link
 	// of the key-value service, and a copy waits for a watcher, which may be dead.
 	copyFrom = 48
 	// copySilence bounds the wait while none answers: hosts that start together come up within some hundred milliseconds.
@@ -27,7 +27,7 @@
 	copyRetry = 60 * time.Millisecond
 )
 
-// errNoCopy reports that there is no entry host whose picture can be copied.
+// errNoCopy reports that there is no entry host whose snapshot can be copied.
 var errNoCopy = errors.New("edge: no entry host to copy from")
 
 // copyRecords implements rudderview.View.Copy. It reads who is registered, which is little, and asks a watcher for all
--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -49,7 +49,7 @@
 // The pattern of a fleet of hundreds of entry hosts that start again together: guards against a list of all records for
 // each of them, which fills the link of the key-value service for seconds, and against a copy that is taken for a look
 // younger than the one that it was copied from.
-func TestEntryHostsCopyTheFirstPicture(t *testing.T) {
+func TestEntryHostsCopyTheFirstSnapshot(t *testing.T) {
 	store := keyValue()
 	document, err := json.Marshal(rudderroute.Document{Version: 3})
 	require.NoError(t, err)
@@ -99,9 +99,9 @@
 	}
 }
 
-// The pattern of a small fleet that starts again together: guards against a first picture that waits for a watcher, which
+// The pattern of a small fleet that starts again together: guards against a first snapshot that waits for a watcher, which
 // may be dead, although a list of all records takes no time (worth of umuvumu-tap scale-2 0.547, 0.644 without the wait).
-func TestSmallFleetReadsItsFirstPicture(t *testing.T) {
+func TestSmallFleetReadsItsFirstSnapshot(t *testing.T) {
 	for _, test := range []struct {
 		hosts int
 		want  bool // a watcher is asked
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -67,18 +67,18 @@
 	Ports    Ports
 	Logger   zerolog.Logger
 
-	uptime    func() time.Duration // replaced in tests
-	registry  metrics.Registry
-	view      *rudderview.View
-	forwarder *rudderforward.Forwarder
-	former    *rudderformer.Former
-	session   *session
-	stop      stopState
-	deaths    deaths
-	peers     *peers
-	balance   *balance
-	packer    packer
-	unserving map[string]time.Duration // watchers that did not serve, until this uptime; used by the view's goroutine alone
+	uptime      func() time.Duration // replaced in tests
+	registry    metrics.Registry
+	view        *rudderview.View
+	forwarder   *rudderforward.Forwarder
+	former      *rudderformer.Former
+	session     *session
+	stop        stopState
+	deaths      deaths
+	peers       *peers
+	balance     *balance
+	packer      packer
+	unavailable map[string]time.Duration // watchers that did not serve, until this uptime; used by the view's goroutine alone
 }
 
 // Run serves until the context ends and then stops as planned.
@@ -139,7 +139,7 @@
 		OnDeath: e.deaths.take, OnSecret: e.takeSecret, Follow: e.follow, Copy: e.copyRecords,
 		Hurry: func() bool { return e.former.Planning() },
 	}
-	e.unserving = map[string]time.Duration{}
+	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.balance = newBalance(e)
 	e.session = &session{
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -8,9 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+
+	"comfreyrudder.example/shared/rudderstore"
 )
 
 // reservoirSize and reservoirAlpha weigh the last five minutes most.
@@ -27,7 +30,25 @@
 )
 
 // CountStoreCall counts one call to the key-value service. It may be called once Prepare or Run has been.
-func (e *Edge) CountStoreCall(kind, outcome string) { e.count(storeCalls + kind + "." + outcome) }
+func (e *Edge) CountStoreCall(kind string, err error) {
+	e.count(storeCalls + kind + "." + storeOutcome(err))
+}
+
+// storeOutcome names the outcome of a call to the key-value service.
+func storeOutcome(err error) string {
+	for _, x := range []struct {
+		err  error
+		name string
+	}{
+		{nil, "ok"}, {rudderstore.ErrNotFound, "not_found"}, {rudderstore.ErrConflict, "conflict"}, {rudderstore.ErrCompacted, "compacted"},
+		{rudderstore.ErrRateLimited, "rate_limited"}, {rudderstore.ErrUnknownOutcome, "unknown"},
+	} {
+		if errors.Is(err, x.err) {
+			return x.name
+		}
+	}
+	return "unavailable"
+}
 
 // logStoreCalls logs the counts of calls to the key-value service, which is shared by the whole fleet and priced by
 // the call, until the context ends.
--- a/rudderd/rudderedge/owners.go
+++ b/rudderd/rudderedge/owners.go
@@ -22,7 +22,7 @@
 	assigned map[ledgerKey]rudderview.Entry
 }
 
-// of returns the owner of a part, as it follows from a picture of the fleet.
+// of returns the owner of a part, as it follows from a snapshot of the fleet.
 func (o *owners) of(s *rudderview.Snapshot, key ledgerKey) (rudderview.Entry, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -52,13 +52,13 @@
 	return verifier.Wrap(mux)
 }
 
-// takeSecret takes the shared secret from the picture of the key-value service.
+// takeSecret takes the shared secret from the snapshot of the key-value service.
 func (e *Edge) takeSecret(secret []byte) {
 	e.peers.keys.Set(secret)
 	e.peers.once.Do(func() { close(e.peers.known) })
 }
 
-// agreeOnSecret waits for the picture to hold the shared secret, and reads or writes it where it does not: the first
+// agreeOnSecret waits for the snapshot to hold the shared secret, and reads or writes it where it does not: the first
 // entry host of all creates it. The wait is spread, because all start together.
 func (e *Edge) agreeOnSecret(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/rudderd/rudderedge/relay.go
+++ b/rudderd/rudderedge/relay.go
@@ -29,10 +29,10 @@
 	// followTries is the number of watchers that are asked for one look. A dead one costs relayTimeout and the wait, and
 	// the look must not grow too old.
 	followTries = 2
-	// unservingFor is how long a watcher that did not serve is not asked.
-	unservingFor = 3 * time.Second
-	// maxUnserving bounds the memory of such watchers.
-	maxUnserving = 256
+	// unavailableFor is how long a watcher that did not serve is not asked.
+	unavailableFor = 3 * time.Second
+	// maxUnavailable bounds the memory of such watchers.
+	maxUnavailable = 256
 	// relayTimeout bounds a call to a watcher beyond the time that it may be held.
 	relayTimeout = 300 * time.Millisecond
 )
@@ -41,7 +41,7 @@
 var errNoWatcher = errors.New("edge: no watcher is known")
 
 // relayBytes is the compressed size of the changes that an entry host passes on to one follower. A follower that misses
-// larger ones copies a whole picture.
+// larger ones copies a whole snapshot.
 func relayBytes(link float64) int {
 	if link <= 0 {
 		link = defaultLink
@@ -95,7 +95,7 @@
 		return rudderview.Changes{}, rudderview.ErrWatcher
 	}
 	now := e.uptime()
-	list = slices.DeleteFunc(list, func(x rudderview.Entry) bool { return now < e.unserving[x.Peer] })
+	list = slices.DeleteFunc(list, func(x rudderview.Entry) bool { return now < e.unavailable[x.Peer] })
 	err, allAway := errNoWatcher, len(list) > 0
 	for i, watcher := range list[:min(len(list), followTries)] {
 		if i > 0 {
@@ -114,10 +114,10 @@
 			break
 		}
 		e.Logger.Info().Err(err).Str("watcher", watcher.Name).Msg("watcher does not serve; trying another one")
-		if len(e.unserving) > maxUnserving {
-			clear(e.unserving)
+		if len(e.unavailable) > maxUnavailable {
+			clear(e.unavailable)
 		}
-		e.unserving[watcher.Peer] = e.uptime() + unservingFor
+		e.unavailable[watcher.Peer] = e.uptime() + unavailableFor
 	}
 	return rudderview.Changes{Away: allAway}, err
 }
--- a/rudderd/rudderformer/calls.go
+++ b/rudderd/rudderformer/calls.go
@@ -13,8 +13,8 @@
 	return c.slots
 }
 
-// take waits for a slot.
-func (c *callSlots) take() { c.channel() <- struct{}{} }
+// acquire waits for a slot.
+func (c *callSlots) acquire() { c.channel() <- struct{}{} }
 
-// give frees a slot.
-func (c *callSlots) give() { <-c.channel() }
+// release frees a slot.
+func (c *callSlots) release() { <-c.channel() }
--- a/rudderd/rudderformer/orders.go
+++ b/rudderd/rudderformer/orders.go
@@ -11,8 +11,8 @@
 
 // send sends one order and notes what its answer says.
 func (f *Former) send(ctx context.Context, memory *rudderform.Memory, o rudderform.Order) {
-	f.calls.take()
-	defer f.calls.give()
+	f.calls.acquire()
+	defer f.calls.release()
 	if ctx.Err() != nil {
 		return // the lease was lost while the order waited
 	}
--- a/rudderd/rudderformer/suspects.go
+++ b/rudderd/rudderformer/suspects.go
@@ -117,9 +117,9 @@
 // probed before it joins a group would seem to have left it later.
 func (f *Former) verify(t *rudderview.Target, v *verdict) {
 	recorded := f.View.Snapshot().Targets[t.Name] != nil
-	f.calls.take()
+	f.calls.acquire()
 	report, alive := f.Ask(context.Background(), t)
-	f.calls.give()
+	f.calls.release()
 	dead := !alive
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -62,7 +62,7 @@
 			Cost: f.cost(j, model),
 		}
 		if !j.started {
-			q.Objective = f.firsts.patience(j.service+"\x00"+model, j.route.Objective)
+			q.Objective = f.firsts.waitLimit(j.service+"\x00"+model, j.route.Objective)
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
--- /dev/null
+++ b/rudderd/rudderforward/bench_test.go
@@ -0,0 +1,169 @@
+package rudderforward
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroster"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// bench is a forwarder in front of stand-ins for targets.
+type bench struct {
+	t         *testing.T
+	forwarder *Forwarder
+	server    *httptest.Server
+	records   []rudderstore.Entry
+	document  rudderroute.Document
+	targets   int
+	suspects  sync.Map
+	away      chan struct{} // closed when the key-value service is away
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{t: t, away: make(chan struct{}), document: rudderroute.Document{
+		Version: 1, Keyed: true, Workspaces: []rudderroute.Workspace{{Name: "firm", Keys: []string{"key"}}},
+		Services: []rudderroute.Service{{Name: "plain"}, {Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 1}}}}},
+	}}
+}
+
+func (b *bench) route(prefix string, change func(r *rudderroute.Route)) {
+	r := rudderroute.Route{
+		Name: prefix, Host: "h", Prefix: prefix, Kind: rudderroute.KindIdempotent, MaxAttempts: 2, Timeout: 3 * time.Second,
+		Shares: []rudderroute.Share{{Service: "plain", Weight: 1}},
+	}
+	change(&r)
+	b.document.Routes = append(b.document.Routes, r)
+}
+
+func (b *bench) record(key string, value any) {
+	text, err := json.Marshal(value)
+	require.NoError(b.t, err)
+	b.records = append(b.records, rudderstore.Entry{Key: key, Value: text, Revision: 1})
+}
+
+// target adds a stand-in; it says its own name in the answers that h does not write itself.
+func (b *bench) target(service string, h http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(h)
+	b.t.Cleanup(server.Close)
+	b.add(service, strings.TrimPrefix(server.URL, "http://"))
+	return server
+}
+
+// add records a target that listens at an address.
+func (b *bench) add(service, address string) {
+	b.targets++
+	name := fmt.Sprint("t", b.targets)
+	x := rudderview.Target{
+		Host:    rudderhost.Host{Name: name, Address: address, State: rudderhost.StateLive, FabricDomain: name},
+		Service: service, Born: 1, Slots: 4,
+	}
+	if service == "llm" {
+		x.Model = "m"
+		x.Membership = ruddertarget.Membership{Group: "g-" + name, Epoch: 1, Phase: ruddertarget.GroupOpen}
+		b.record(rudderview.PlanPrefix+"llm/"+name, rudderroster.Plan{Service: "llm", Domain: name, Groups: []rudderroster.Group{
+			{Name: "g-" + name, Epoch: 1, Model: "m", Members: []rudderroster.Member{{Target: name, Born: 1}}},
+		}})
+	}
+	b.record("targets/"+name, x)
+}
+
+// start runs the view and the forwarder.
+func (b *bench) start() {
+	b.record("routing", b.document)
+	ctx, end := context.WithCancel(b.t.Context())
+	started := time.Now()
+	uptime := func() time.Duration { return time.Since(started) + time.Second }
+	view := &rudderview.View{
+		Store: &rudderstore.Store{
+			List: func(context.Context, string) ([]rudderstore.Entry, int64, error) { return b.records, 1, nil },
+			Watch: func(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+				select {
+				case <-ctx.Done():
+					return rudderstore.WatchResult{}, ctx.Err()
+				case <-b.away:
+					return rudderstore.WatchResult{}, errors.New("away")
+				}
+			},
+		},
+		Keys: rudderview.Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(), Uptime: uptime,
+		DecodeRouting: func(value []byte) (d rudderroute.Document, err error) { return d, json.Unmarshal(value, &d) },
+		DecodeTarget: func(name string, value []byte) (x rudderview.Target, err error) {
+			return x, json.Unmarshal(value, &x)
+		},
+	}
+	b.forwarder = &Forwarder{
+		View: view, Client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, Logger: zerolog.Nop(), Uptime: uptime,
+		Metrics:   Metrics{Count: func(string) {}, Observe: func(string, time.Duration) {}},
+		LookLimit: time.Minute, Retries: RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		Report: func(ctx context.Context, address string) (ruddertarget.GroupReport, error) {
+			return ruddertarget.GroupReport{}, nil
+		},
+		Examine: func(context.Context, *rudderview.Group) ([]string, bool) { return nil, false },
+		Pick:    func(context.Context, PickQuery) Pick { return Pick{} }, Nudge: func() {},
+		Suspect:  func(t *rudderview.Target, _ string) { b.suspects.Store(t.Name, true) },
+		Poisoned: func(uint64) bool { return false }, Crashed: func(uint64, *rudderview.Target) {},
+		Protocol: Protocol{
+			DecodeRequest: func(r *http.Request) (Request, error) {
+				return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), Header: r.Header.Clone()}, nil
+			},
+			EncodeAttempt: func(h http.Header, a Attempt) {
+				h.Set("Target", a.Target)
+				h.Set("Workspace", a.Workspace)
+				h.Set("Last", a.LastEvent)
+			},
+			DecodeReply: func(r *http.Response) Reply {
+				return Reply{RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != ""}
+			},
+			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", fmt.Sprint(d.Seconds())) },
+		},
+	}
+	go func() { _ = view.Run(ctx) }()
+	b.server = httptest.NewServer(b.forwarder)
+	b.t.Cleanup(func() { b.server.Close(); end() })
+	require.Eventually(b.t, func() bool { return view.Snapshot().Table != nil }, 5*time.Second, time.Millisecond)
+}
+
+// send sends a request and returns status, header, body and the error of reading the body.
+func (b *bench) send(method, target, body string) (*http.Response, string, error) {
+	b.t.Helper()
+	r, err := http.NewRequest(method, b.server.URL+target, strings.NewReader(body))
+	require.NoError(b.t, err)
+	r.Host = "h"
+	r.Header.Set("Id", "q1")
+	r.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(b.t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func sealed(w http.ResponseWriter) {
+	w.Header().Set("Seal", "s")
+	w.Header().Set("Id", "q1")
+}
+
+// cut ends the connection without an answer.
+func cut(w http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = connection.Close()
+	}
+}
--- a/rudderd/rudderforward/firsts.go
+++ b/rudderd/rudderforward/firsts.go
@@ -13,8 +13,8 @@
 }
 
 const (
-	// unhurriedWait is the expected wait up to which a request counts as waiting for nothing.
-	unhurriedWait = 30 * time.Millisecond
+	// uncontendedWait is the expected wait up to which a request counts as not having waited.
+	uncontendedWait = 30 * time.Millisecond
 	// firstWeight is the weight of the newest time in the smoothed one, and firstMost, in multiples of the smoothed
 	// time, the bound of one that counts: a target in trouble says nothing of the others.
 	firstWeight = 0.1
@@ -25,7 +25,7 @@
 
 // observe takes the time to the first event of a request with the wait that was expected for it.
 func (e *firstEvents) observe(key string, wait, took time.Duration) {
-	if wait > unhurriedWait || took <= 0 {
+	if wait > uncontendedWait || took <= 0 {
 		return
 	}
 	e.mu.Lock()
@@ -42,8 +42,8 @@
 	e.models[key] = old + time.Duration(firstWeight*float64(took-old))
 }
 
-// patience is how long a request may wait for a group so that its first event comes within the objective.
-func (e *firstEvents) patience(key string, objective time.Duration) time.Duration {
+// waitLimit is how long a request may wait for a group so that its first event comes within the objective.
+func (e *firstEvents) waitLimit(key string, objective time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return max(objective-e.models[key], time.Duration(leastWaitShare*float64(objective)))
--- a/rudderd/rudderforward/parts_test.go
+++ b/rudderd/rudderforward/parts_test.go
@@ -142,20 +142,20 @@
 
 // The pattern of a crest at which every group has as many requests as slots: guards against requests that are taken
 // although nothing of the objective is left for a wait, so that half of all answers are late and not one more is served.
-func TestPatienceLeavesTimeForTheFirstEvent(t *testing.T) {
+func TestWaitLimitLeavesTimeForTheFirstEvent(t *testing.T) {
 	var e firstEvents
 	const objective = 300 * time.Millisecond
-	require.Equal(t, objective, e.patience("m", objective), "nothing is known yet")
+	require.Equal(t, objective, e.waitLimit("m", objective), "nothing is known yet")
 	for range 50 {
 		e.observe("m", 0, 170*time.Millisecond)
 		e.observe("m", 200*time.Millisecond, 400*time.Millisecond) // waited for a slot
 	}
-	require.InDelta(t, float64(130*time.Millisecond), float64(e.patience("m", objective)), float64(time.Millisecond))
+	require.InDelta(t, float64(130*time.Millisecond), float64(e.waitLimit("m", objective)), float64(time.Millisecond))
 	e.observe("m", 0, 30*time.Second)
-	require.Greater(t, e.patience("m", objective), 100*time.Millisecond, "one target in trouble")
+	require.Greater(t, e.waitLimit("m", objective), 100*time.Millisecond, "one target in trouble")
 	for range 100 {
 		e.observe("m", 0, time.Second)
 	}
-	require.Equal(t, 90*time.Millisecond, e.patience("m", objective))
-	require.Equal(t, objective, e.patience("other", objective))
+	require.Equal(t, 90*time.Millisecond, e.waitLimit("m", objective))
+	require.Equal(t, objective, e.waitLimit("other", objective))
 }
--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -9,9 +9,9 @@
 	"comfreyrudder.example/shared/rudderstore"
 )
 
-// Copied is the picture of another entry host: all records up to a revision.
+// Copied is the snapshot of another entry host: all records up to a revision.
 type Copied struct {
-	// Serving is false when the other entry host has no picture that is young enough.
+	// Serving is false when the other entry host has no snapshot that is young enough.
 	Serving  bool
 	Entries  []rudderstore.Entry
 	Revision int64
@@ -19,25 +19,31 @@
 	Age, Held time.Duration
 }
 
-// ErrFirstStart is returned by View.Copy where no entry host has had a picture before: there is little history, so that a
+// ErrFirstStart is returned by View.Copy where no entry host has had a snapshot before: there is little history, so that a
 // list that may be behind is soon brought up to date.
 var ErrFirstStart = errors.New("view: the fleet starts for the first time")
 
-// copied takes the first picture from another entry host. Where hundreds of entry hosts start at the same time, lists of
+// errNotServing reports that another entry host has no snapshot that is young enough.
+var errNotServing = errors.New("view: the other entry host does not serve")
+
+// copied takes the first snapshot from another entry host. Where hundreds of entry hosts start at the same time, lists of
 // all records for each of them would fill the link of the service for seconds.
-func (v *View) copied(ctx context.Context) (done, firstStart bool) {
+func (v *View) copied(ctx context.Context) error {
 	begin := v.Uptime()
 	c, err := v.Copy(ctx)
-	if err != nil || !c.Serving {
-		v.Logger.Info().Err(err).Dur("took_ms", v.Uptime()-begin).Msg("no picture of another entry host; reading all records")
-		return false, errors.Is(err, ErrFirstStart)
+	if err == nil && !c.Serving {
+		err = errNotServing
+	}
+	if err != nil {
+		v.Logger.Info().Err(err).Dur("took_ms", v.Uptime()-begin).Msg("no snapshot of another entry host; reading all records")
+		return err
 	}
 	v.answered()
 	v.replace(c.Entries, c.Revision)
 	v.Logger.Info().Int("records", len(c.Entries)).Int64("revision", c.Revision).Dur("took_ms", v.Uptime()-begin).Dur("age_ms", c.Age).
-		Msg("picture of another entry host taken")
+		Msg("snapshot of another entry host taken")
 	v.looked(begin, begin+c.Held-c.Age)
-	return true, false
+	return nil
 }
 
 // Records returns all records for another entry host. It waits for the first look of this one.
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -25,7 +25,7 @@
 	relayPause = 100 * time.Millisecond
 	// defaultRelayBytes applies where View.RelayBytes is not set.
 	defaultRelayBytes = 64 << 10
-	// relayGap is how long a follower that lacks changes and cannot copy a picture watches the service itself.
+	// relayGap is how long a follower that lacks changes and cannot copy a snapshot watches the service itself.
 	relayGap = 500 * time.Millisecond
 	// relayRetry is how long a follower watches the service itself after a failed call.
 	relayRetry = 3 * time.Second
--- /dev/null
+++ b/rudderd/rudderview/relay_test.go
@@ -0,0 +1,169 @@
+package rudderview
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// Guards against followers that take an old look for a young one, miss changes, or stay with an entry host that
+// has lost the service (CONFIG on trouble-1 of both sites, when they learned it after two seconds).
+func TestFollowing(t *testing.T) {
+	now := time.Minute
+	watcher := play(t, &script{
+		list:    []rudderstore.Entry{put("targets/a", target("x"))},
+		watches: []watchAnswer{{events: []rudderstore.Event{{Entry: rudderstore.Entry{Key: "targets/b", Value: []byte(`{"Service":"x"}`), Revision: 11}}}}},
+	}, &now)
+	c := watcher.Changes(t.Context(), 10, time.Millisecond, false)
+	require.True(t, c.Serving)
+	require.Equal(t, int64(11), c.Revision)
+	require.Len(t, c.Events, 1)
+	require.Empty(t, watcher.Changes(t.Context(), 11, time.Millisecond, false).Events)
+	require.True(t, watcher.Changes(t.Context(), 9, time.Millisecond, false).Gap)
+	require.True(t, watcher.Changes(t.Context(), 12, time.Millisecond, false).Gap)
+	require.True(t, watcher.followed())
+
+	// Groups that form: each target writes its record several times. Only the last one is passed on.
+	many := []rudderstore.Event{{Entry: rudderstore.Entry{Key: "targets/c", Revision: 11}, Deleted: true}}
+	for range 8 {
+		many = append(many, rudderstore.Event{Entry: rudderstore.Entry{Key: "targets/c", Value: make([]byte, defaultRelayBytes/4), Revision: 11}})
+	}
+	watcher.remember(many, 11)
+	c = watcher.Changes(t.Context(), 10, time.Millisecond, false)
+	require.False(t, c.Gap)
+	require.Len(t, c.Events, 2)
+	require.False(t, c.Events[1].Deleted)
+
+	large := rudderstore.Event{Entry: rudderstore.Entry{Key: "routing", Value: make([]byte, defaultRelayBytes+1), Revision: 12}}
+	watcher.remember([]rudderstore.Event{large}, 12)
+	require.True(t, watcher.Changes(t.Context(), 11, time.Millisecond, false).Gap, "followers read large changes themselves")
+	require.False(t, watcher.Changes(t.Context(), 12, time.Millisecond, false).Gap)
+
+	now += relayAge + watchWait
+	require.False(t, watcher.Changes(t.Context(), 11, time.Millisecond, false).Serving, "the look is too old")
+	now -= relayAge + watchWait
+	released := make(chan Changes)
+	go func() { released <- watcher.Changes(t.Context(), 12, time.Minute, false) }()
+	require.Eventually(t, func() bool {
+		watcher.failed(errAway) // wakes the calls that wait, however late they begin
+		watcher.failingSince = 0
+		select {
+		case c := <-released:
+			return !c.Serving
+		default:
+			return false
+		}
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a follower whose look is younger than the one that it was told of, and against one that does
+// not watch the service itself when its watcher cannot serve.
+func TestFollower(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answer  Changes
+		err     error
+		watches int
+	}{
+		{"served", Changes{Serving: true, Revision: 11, Age: time.Second, Events: []rudderstore.Event{written("targets/b", target("x"))}}, nil, 0},
+		{"not served", Changes{}, nil, 1},
+		{"gap", Changes{Serving: true, Gap: true}, nil, 1},
+		{"not reached", Changes{}, errAway, 1},
+		{"followed by others", Changes{}, ErrWatcher, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			ctx, end := context.WithTimeout(t.Context(), 5*time.Second)
+			defer end()
+			s := &script{end: end}
+			v := &View{
+				Store: s.store(), Keys: Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(),
+				Uptime:       func() time.Duration { return now },
+				DecodeTarget: func(name string, value []byte) (Target, error) { return target("x"), nil },
+				Follow: func(context.Context, int64, time.Duration, bool) (Changes, error) {
+					now += 10 * time.Second
+					if test.watches == 0 {
+						end()
+					}
+					return test.answer, test.err
+				},
+			}
+			require.NoError(t, v.Run(ctx))
+			require.Len(t, s.waits, test.watches)
+			if test.watches == 0 {
+				require.Contains(t, v.Snapshot().Targets, "b")
+				age, _ := v.LookAge()
+				require.Equal(t, 10*time.Second, age, "the list is younger than what the watcher told")
+			}
+		})
+	}
+}
+
+// The pattern of an outage in a large fleet: guards against followers that all call a service of which the watchers say
+// that it does not answer, and against an outage of the watchers alone that stops the followers.
+func TestFollowersLeaveAnAwayServiceAlone(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		err      error
+		most     int
+		answered bool
+	}{
+		{"away for all", errAway, 4, false},
+		{"away for the watchers", nil, 1000, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, end := context.WithTimeout(t.Context(), 4*time.Second)
+			defer end()
+			started := time.Now()
+			watches := 0
+			v := &View{
+				Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Since(started) + time.Minute },
+				Store: &rudderstore.Store{
+					List: func(context.Context, string) ([]rudderstore.Entry, int64, error) { return nil, 10, nil },
+					Watch: func(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+						watches++
+						sleep(ctx, min(r.Wait, 50*time.Millisecond))
+						return rudderstore.WatchResult{Revision: r.After}, test.err
+					},
+				},
+				Follow: func(ctx context.Context, _ int64, wait time.Duration, away bool) (Changes, error) {
+					if away {
+						sleep(ctx, wait)
+					}
+					return Changes{Away: true}, nil
+				},
+			}
+			require.NoError(t, v.Run(ctx))
+			require.LessOrEqual(t, watches, test.most)
+			require.Positive(t, watches)
+			require.Equal(t, !test.answered, v.Unreachable())
+		})
+	}
+}
+
+// Guards against a follower that learns late of the end of an outage: its call is held until its watcher has heard from
+// the service.
+func TestFollowerLearnsOfTheEndOfAnOutage(t *testing.T) {
+	now := time.Minute
+	v := &View{Logger: zerolog.Nop(), Uptime: func() time.Duration { return now }, Store: (&script{watches: []watchAnswer{{}}}).store()}
+	v.direct.Store(true)
+	v.looked(now, now)
+	v.failed(errAway)
+	require.True(t, v.Changes(t.Context(), 0, time.Minute, false).Away, "a follower that does not know is told at once")
+	told := make(chan Changes, 1)
+	go func() { told <- v.Changes(t.Context(), 0, 100*time.Millisecond, true) }()
+	time.Sleep(20 * time.Millisecond)
+	require.Empty(t, told)
+	require.NoError(t, v.watch(t.Context(), time.Millisecond))
+	select {
+	case c := <-told:
+		require.False(t, c.Away)
+	case <-time.After(time.Second):
+		t.Fatal("the call is still held")
+	}
+}
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -20,7 +20,7 @@
 	RetiringSince map[string]time.Duration
 }
 
-// Snapshot is one immutable picture of the fleet.
+// Snapshot is one immutable state of the fleet.
 type Snapshot struct {
 	// Table is nil until a routing document was read.
 	Table   *rudderroute.Table
--- /dev/null
+++ b/rudderd/rudderview/snapshot_test.go
@@ -0,0 +1,80 @@
+package rudderview
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroster"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+func groupFixture() (Snapshot, rudderroster.Group) {
+	s := Snapshot{Targets: map[string]*Target{}, Gone: map[string]*Target{}, Plans: map[string]PlanRecord{}, Suspicions: map[string]Suspicion{}}
+	s.Table = rudderroute.NewTable(rudderroute.Document{Services: []rudderroute.Service{{
+		Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 2}}},
+	}}})
+	g := rudderroster.Group{Name: "g", Epoch: 7, Model: "m"}
+	for rank, name := range []string{"a", "b"} {
+		x := target("llm")
+		x.Name, x.Model, x.FabricDomain = name, "m", "d"
+		x.Membership = ruddertarget.Membership{Group: "g", Epoch: 7, Rank: rank, Phase: ruddertarget.GroupReady}
+		s.Targets[name] = &x
+		g.Members = append(g.Members, rudderroster.Member{Target: name, Born: 1})
+	}
+	s.Targets["a"].Membership.Phase = ruddertarget.GroupOpen
+	s.Plans[PlanPrefix+"llm/d"] = PlanRecord{Plan: rudderroster.Plan{Service: "llm", Domain: "d", Groups: []rudderroster.Group{g}}}
+	return s, g
+}
+
+// Guards against requests that are sent to a group which lacks a member, has begun another life, is not open
+// or is not planned.
+func TestGroupsThatTakeRequests(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(s *Snapshot)
+		serves bool
+	}{
+		{"complete", func(*Snapshot) {}, true},
+		{"leader only ready", func(s *Snapshot) { s.Targets["a"].Membership.Phase = ruddertarget.GroupReady }, false},
+		{"leader has no record", func(s *Snapshot) { s.Gone["a"] = s.Targets["a"]; delete(s.Targets, "a") }, false},
+		{"follower has no record", func(s *Snapshot) { s.Gone["b"] = s.Targets["b"]; delete(s.Targets, "b") }, true},
+		{"follower is unknown", func(s *Snapshot) { delete(s.Targets, "b") }, false},
+		{"follower restarted", func(s *Snapshot) { s.Targets["b"].Born = 2 }, false},
+		{"follower joined another group", func(s *Snapshot) { s.Targets["b"].Membership.Group = "h" }, false},
+		{"follower has another epoch", func(s *Snapshot) { s.Targets["b"].Membership.Epoch = 8 }, false},
+		{"follower is suspected", func(s *Snapshot) { s.Suspicions["x"] = Suspicion{Target: "b", Born: 1} }, false},
+		{"leader leaves", func(s *Snapshot) { s.Targets["a"].State = rudderhost.StateLeaving }, false},
+		{"follower leaves", func(s *Snapshot) { s.Targets["b"].State = rudderhost.StateLeaving }, true},
+		{"not planned", func(s *Snapshot) { s.Plans = map[string]PlanRecord{} }, false},
+		{"planned to end", func(s *Snapshot) {
+			record := s.Plans[PlanPrefix+"llm/d"]
+			record.Plan.Groups[0].Retiring = true
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, _ := groupFixture()
+			test.change(&s)
+			s.index()
+			require.Equal(t, test.serves, len(s.Groups("llm", "m")) == 1)
+		})
+	}
+}
+
+// Guards against streams that go on waiting for a group that has ended, and against streams that are cut
+// because a record is late.
+func TestGroupsThatEnd(t *testing.T) {
+	s, _ := groupFixture()
+	s.index()
+	g := s.Groups("llm", "m")[0]
+	require.False(t, s.Ended(g))
+	s.Gone["b"] = s.Targets["b"]
+	delete(s.Targets, "b")
+	require.False(t, s.Ended(g))
+	restarted := *s.Gone["b"]
+	restarted.Born = 2
+	s.Targets["b"] = &restarted
+	require.True(t, s.Ended(g))
+}
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -1,4 +1,4 @@
-// Package rudderview keeps one entry host's picture of the fleet: the routing table, the targets by their
+// Package rudderview keeps one entry host's snapshot of the fleet: the routing table, the targets by their
 // own word, the entry hosts, the plans and the suspicions, all followed through one watch on the
 // key-value service, with the age of the last look.
 package rudderview
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -66,7 +66,7 @@
 	// RelayBytes bounds the changes that are passed on to one follower, by the link of this entry host; a routing document
 	// of several hundred kilobytes would be in force too late. 0 takes a default.
 	RelayBytes int
-	// Copy asks an entry host that watches the service for all records, for the first picture of a process. Optional.
+	// Copy asks an entry host that watches the service for all records, for the first snapshot of a process. Optional.
 	Copy func(ctx context.Context) (Copied, error)
 	// OnDeath takes the records below DeathPrefix; optional.
 	OnDeath func(e rudderstore.Entry)
@@ -110,7 +110,7 @@
 	returned     time.Duration // uptime at which the service came back last
 }
 
-// Snapshot returns the current picture. It is never nil.
+// Snapshot returns the current snapshot. It is never nil.
 func (v *View) Snapshot() *Snapshot {
 	if s := v.current.Load(); s != nil {
 		return s
@@ -163,7 +163,7 @@
 	v.wake()
 }
 
-// edit returns a copy of the current picture whose maps may be changed.
+// edit returns a copy of the current snapshot whose maps may be changed.
 func (v *View) edit() *Snapshot {
 	old := v.Snapshot()
 	s := *old
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -68,7 +68,7 @@
 			v.Logger.Info().Int64("revision", v.Snapshot().Revision).Msg("changes are missing; reading all records")
 			listed = false
 		case errors.Is(err, rudderstore.ErrIncomplete) && listed:
-			// The changes do not fit the link in time. They become more, while a picture of all records does not.
+			// The changes do not fit the link in time. They become more, while a snapshot of all records does not.
 			v.failed(err)
 			listed = false
 		case errors.Is(err, errServiceAway):
@@ -118,17 +118,17 @@
 	}
 }
 
-// list reads all records and replaces the picture. The first list of a fleet may be an older picture: all entry
+// list reads all records and replaces the snapshot. The first list of a fleet may be an older snapshot: all entry
 // hosts read it, and the watch that follows brings it up to date before anything is served from it. Later on the changes
-// since an older picture may be many, and a service that has dropped its history has none of them.
+// since an older snapshot may be many, and a service that has dropped its history has none of them.
 func (v *View) list(ctx context.Context, first bool) error {
 	stale := first && v.Store.ListStale != nil
 	if v.Copy != nil {
-		done, firstStart := v.copied(ctx)
-		if done {
+		err := v.copied(ctx)
+		if err == nil {
 			return nil
 		}
-		stale = stale && firstStart
+		stale = stale && errors.Is(err, ErrFirstStart)
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -152,7 +152,7 @@
 	return nil
 }
 
-// replace takes a list of all records as the picture.
+// replace takes a list of all records as the snapshot.
 func (v *View) replace(entries []rudderstore.Entry, revision int64) {
 	v.keep(entries, revision)
 	s := v.edit()
--- a/shared/rudderstore/store.go
+++ b/shared/rudderstore/store.go
@@ -86,8 +86,8 @@
 	Get func(ctx context.Context, key string) (Entry, int64, error)
 	// List returns the entries under a prefix in key order.
 	List func(ctx context.Context, prefix string) ([]Entry, int64, error)
-	// ListStale is List for a picture that may be seconds old, at a part of the price. A watch from the returned revision
-	// repeats every change that the picture may miss. Optional.
+	// ListStale is List for a snapshot that may be seconds old, at a part of the price. A watch from the returned revision
+	// repeats every change that the snapshot may miss. Optional.
 	ListStale func(ctx context.Context, prefix string) ([]Entry, int64, error)
 	// Put returns the new revision of the key.
 	Put func(ctx context.Context, request PutRequest) (int64, error)
