--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -202,5 +202,6 @@
 	}
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
 		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).Dur("expected_wait_ms", j.wait).
-		Str("model", j.request.Model).Msg("request ended")
+		Str("model", j.request.Model).Int("prompt_tokens", j.request.PromptTokens).Int("answer_tokens", j.request.AnswerTokens).
+		Msg("request ended")
 }
