Heed targets that announce their leave or ask for a pause in their answers

Both fields were ignored: a leaving target got work until its record said so, and a target that asked for a pause got the next request after 250 ms.

A leave is noted for one life of the target in the view, over its record, so that choice, ledgers, resumed streams and the planner see one state; it travels to other hosts with the questions to the owners of models, without a call to the key-value service. A pause binds one life of the target for this host alone: such groups are left out of every choice, and where all groups of a request pause, callers are told at once when the first takes requests again, spread beyond it.

--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -123,6 +123,7 @@
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+own.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Part: int64(query.Part), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
+		Leaving: b.edge.announced(),
 	})
 	release := func() { b.tell(own.Peer, id) }
 	if err != nil {
@@ -131,6 +132,7 @@
 		b.edge.Logger.Warn().Err(err).Str("owner", own.Name).Str("model", q.Model).Int("part", query.Part).Msg("owner of the model not reached")
 		return rudderforward.Pick{Release: release}
 	}
+	b.edge.takeAnnounced(own.Name, answer.GetLeaving())
 	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
 		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}
 }
@@ -258,12 +260,14 @@
 // Pick implements rudderpeer.Balance.
 func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
 	s.balance.ended(r.GetDone())
+	s.balance.edge.takeAnnounced("", r.GetLeaving())
 	pick := s.balance.serve(r.GetService(), r.GetModel(), int(r.GetPart()), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
 		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(),
 	})
-	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds()}, nil
+	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
+		Leaving: s.balance.edge.announced()}, nil
 }
 
 // Done implements rudderpeer.Balance.
--- a/rudderd/rudderformer/former_test.go
+++ b/rudderd/rudderformer/former_test.go
@@ -253,6 +253,29 @@
 	require.Empty(t, slices.DeleteFunc(slices.Clone(w.orders), func(o string) bool { return !strings.HasPrefix(o, "leave") }))
 }
 
+// Guards against a planner that keeps a group with a leaving member until the member is lost, because its record says nothing:
+// another member takes its place while it still serves.
+func TestAnnouncedLeaveIsReplacedBeforeTheLoss(t *testing.T) {
+	w := newWorld("a", "b")
+	w.targets["c"] = &rudderview.Target{
+		Host: rudderhost.Host{Name: "c", Address: "c", State: rudderhost.StateLive, FabricDomain: "d"}, Service: "llm", Born: 1, Staged: []string{"m"},
+	}
+	w.record("c")
+	f, _ := w.run(t, "planner")
+	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
+	leader := ""
+	for _, name := range []string{"a", "b", "c"} {
+		if w.open(name) {
+			leader = name
+		}
+	}
+	require.True(t, f.View.Announce(rudderview.Announcement{Target: leader, Born: 1}))
+	require.Eventually(t, func() bool {
+		return !w.open(leader) && w.someOpen()
+	}, 20*time.Second, 10*time.Millisecond, "a group without the leaving member serves")
+	require.NotContains(t, w.groups(), `"`+leader+`"`)
+}
+
 // Guards against a domain without a planner until the lease of an entry host lapses that stops as planned, and
 // against one that takes the lease again while it stops.
 func TestPlannedStopGivesLeaseBack(t *testing.T) {
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -35,7 +35,15 @@
 	if len(groups) == 0 {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "no_group", message: "no group serves this request now", retryAfter: longPause}
 	}
+	taking, wait := f.taking(groups)
+	if len(taking) == 0 {
+		return nil, pausedRefusal(wait)
+	}
 	c := f.choose(ctx, j, snapshot, groups)
+	for c.group != nil && !f.takes(c.group) {
+		j.excludeGroup(c.group)
+		c = f.chooseHere(j, snapshot, taking)
+	}
 	if c.group == nil {
 		code := "groups_failed"
 		if c.full {
@@ -68,7 +76,7 @@
 			q.Avoid = append(q.Avoid, id)
 		}
 		for _, g := range groups {
-			if f.loads.avoided(g.Leader.Name, now) && !j.exclude[g.ID] {
+			if !j.exclude[g.ID] && (f.loads.avoided(g.Leader.Name, now) || f.pauses.left(g.Leader, now) > 0) {
 				q.Avoid = append(q.Avoid, g.ID)
 			}
 		}
@@ -90,7 +98,13 @@
 			}
 		}
 	}
-	return f.loads.choose(groups, chooser{now: now, entries: len(snapshot.Entries), dataCentre: f.DataCentre, exclude: j.exclude})
+	taking, _ := f.taking(groups)
+	return f.chooseHere(j, snapshot, taking)
+}
+
+// chooseHere chooses a group by what this entry host knows alone.
+func (f *Forwarder) chooseHere(j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
+	return f.loads.choose(groups, chooser{now: f.Uptime(), entries: len(snapshot.Entries), dataCentre: f.DataCentre, exclude: j.exclude})
 }
 
 // giveUp ends a request for which there is no further send. A request that may have run is never answered
--- a/rudderd/rudderforward/bench_test.go
+++ b/rudderd/rudderforward/bench_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -129,7 +130,11 @@
 				h.Set("Last", a.LastEvent)
 			},
 			DecodeReply: func(r *http.Response) Reply {
-				return Reply{RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != ""}
+				seconds, _ := strconv.ParseFloat(r.Header.Get("Pause"), 64)
+				return Reply{
+					RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != "",
+					Leaving: r.Header.Get("Leaving") != "", Pause: time.Duration(seconds * float64(time.Second)),
+				}
 			},
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", fmt.Sprint(d.Seconds())) },
 		},
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -58,6 +58,7 @@
 	loads    loads
 	budget   retryBudget
 	probes   probes
+	pauses   pauses
 	work     workMeter
 	firsts   firstEvents
 	inFlight atomic.Int64
@@ -106,6 +107,7 @@
 			now := f.Uptime()
 			f.loads.forget(now)
 			f.probes.forget(now)
+			f.pauses.forget(now)
 		}
 	}
 	return nil
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -116,6 +116,8 @@
 	code       string
 	message    string
 	retryAfter time.Duration
+	// known is the time for which no group will take the request, where that is known.
+	known time.Duration
 }
 
 // refuse answers with an error of this entry host.
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -52,6 +52,12 @@
 	Load *Load
 	// Culprit names the member that the leader blames, or is empty.
 	Culprit string
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// Pause is how long the target wants nothing from this entry host; 0 for no such wish.
+	Pause time.Duration
+	// BadPause is the begin of a wish for a pause that cannot be read or followed, or is empty.
+	BadPause string
 }
 
 // Protocol translates between callers, the forwarder and targets.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -50,7 +50,7 @@
 		changed := f.View.Changed()
 		g, refused := f.next(ctx, j)
 		left := until - f.Uptime()
-		if refused == nil || !j.started || left <= 0 || refused.code != "no_group" && refused.code != "groups_failed" && refused.code != "groups_full" {
+		if refused == nil || !j.started || left <= 0 || !refused.mayPass(left) {
 			return g, refused
 		}
 		j.exclude = nil // a group that failed before is better than none
@@ -67,6 +67,15 @@
 	}
 }
 
+// mayPass reports whether a request that is refused now may find a group within a time.
+func (r *refusal) mayPass(within time.Duration) bool {
+	switch r.code {
+	case "no_group", "groups_failed", "groups_full", "targets_pause":
+		return r.known <= within
+	}
+	return false
+}
+
 // streamOnce sends the request to one group and hands the events on. It returns true when the answer has
 // ended, and false when another group may go on.
 func (f *Forwarder) streamOnce(ctx context.Context, j *job, g *rudderview.Group) bool {
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -26,6 +26,8 @@
 	Membership ruddertarget.Membership
 	// Revision of the record in the key-value service.
 	Revision int64
+
+	recordedLeaving bool // the record says that the target leaves
 }
 
 // Leaving reports whether the target takes no new work.
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -77,6 +77,9 @@
 	look    atomic.Int64 // uptime of the last look, in nanoseconds; 0 for none
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced with each new snapshot
+	// writing is held from the copy of a snapshot until the next one is published.
+	writing       sync.Mutex
+	announcements announcements
 
 	direct       atomic.Bool  // the service is watched here
 	failing      atomic.Bool  // the last look at the service failed
@@ -157,7 +160,9 @@
 	return v.firstLook
 }
 
+// publish replaces the snapshot. The caller holds v.writing.
 func (v *View) publish(s *Snapshot) {
+	v.applyAnnounced(s)
 	s.index()
 	v.current.Store(s)
 	v.wake()
@@ -262,10 +267,10 @@
 		delete(s.Targets, name)
 		return
 	}
-	target.Revision = e.Revision
+	target.Revision, target.recordedLeaving = e.Revision, target.Leaving()
 	if old := s.Targets[name]; v.listing {
 		// One line tells how many targets a list holds.
-	} else if old == nil || old.State != target.State || old.Born != target.Born {
+	} else if old == nil || old.recordedLeaving != target.recordedLeaving || old.Born != target.Born {
 		v.Logger.Info().Str("target", name).Str("service", target.Service).Str("address", target.Address).
 			Str("state", string(target.State)).Int64("born", target.Born).Int64("revision", e.Revision).Msg("target changed")
 	}
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -163,3 +164,64 @@
 	require.LessOrEqual(t, calls, 15)
 	require.LessOrEqual(t, RetryAfter(1000, 1), retryLongest, "the look recovers soon after the service's return")
 }
+
+// Guards against a target that is taken for live again by its own record, or by one that comes back after an outage,
+// after it has announced that it leaves; and against a new life of the target that is taken for the one that left.
+func TestAnnouncedLeaveLastsAsLongAsTheLife(t *testing.T) {
+	now := time.Minute
+	v := play(t, &script{list: []rudderstore.Entry{
+		put("routing", rudderroute.Document{Version: 1, Services: []rudderroute.Service{{Name: "x"}}}), put("targets/a", target("x")), put("targets/b", target("x")),
+	}}, &now)
+	changed := v.Changed()
+	require.True(t, v.Announce(Announcement{Target: "a", Born: 1}))
+	require.False(t, v.Announce(Announcement{Target: "a", Born: 1}), "no news")
+	select {
+	case <-changed:
+	default:
+		t.Fatal("who waits for changes is not woken")
+	}
+	serving := func() (names []string) {
+		for _, g := range v.Snapshot().Groups("x", "") {
+			names = append(names, g.ID)
+		}
+		return names
+	}
+	take := func(e ...rudderstore.Event) {
+		v.take(rudderstore.WatchResult{Events: e, Revision: v.Snapshot().Revision + 1})
+	}
+	require.Equal(t, []string{"b"}, serving())
+	require.Equal(t, []Announcement{{Target: "a", Born: 1}}, v.Announced())
+
+	take(written("targets/a", target("x")))
+	require.Equal(t, []string{"b"}, serving(), "the record still says that it is live")
+	take(removed("targets/a"))
+	now += announcedMemory / 2
+	take(written("targets/a", target("x")))
+	require.Equal(t, []string{"b"}, serving(), "the record came back")
+
+	leaving := target("x")
+	leaving.State = rudderhost.StateLeaving
+	take(written("targets/a", leaving))
+	require.Empty(t, v.Announced(), "the record says so itself")
+
+	again := target("x")
+	again.Born = 2
+	take(written("targets/a", again))
+	require.Equal(t, []string{"a", "b"}, serving(), "a new life takes work")
+	require.False(t, v.Announce(Announcement{Target: "a", Born: 1}), "that life has ended")
+	require.Equal(t, []string{"a", "b"}, serving())
+	require.Empty(t, v.announcements.lives)
+}
+
+// Guards against announcements without end that fill the memory, and against ones that are kept for good.
+func TestAnnouncementsAreBounded(t *testing.T) {
+	now := time.Minute
+	v := play(t, &script{}, &now)
+	for i := range maxAnnounced + 10 {
+		v.Announce(Announcement{Target: fmt.Sprint("t", i), Born: 1})
+	}
+	require.Len(t, v.announcements.lives, maxAnnounced)
+	now += announcedMemory + time.Second
+	v.take(rudderstore.WatchResult{Events: []rudderstore.Event{written("targets/b", target("x"))}, Revision: 100})
+	require.Empty(t, v.announcements.lives)
+}
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -155,6 +155,8 @@
 // replace takes a list of all records as the snapshot.
 func (v *View) replace(entries []rudderstore.Entry, revision int64) {
 	v.keep(entries, revision)
+	v.writing.Lock()
+	defer v.writing.Unlock()
 	s := v.edit()
 	old := s.Targets
 	s.Targets, s.Entries = map[string]*Target{}, nil
@@ -277,6 +279,8 @@
 
 func (v *View) take(result rudderstore.WatchResult) {
 	v.keepChanges(result.Events, result.Revision)
+	v.writing.Lock()
+	defer v.writing.Unlock()
 	s := v.edit()
 	for _, e := range result.Events {
 		if e.Deleted {
@@ -311,6 +315,8 @@
 	if len(due) == 0 {
 		return
 	}
+	v.writing.Lock()
+	defer v.writing.Unlock()
 	s := v.edit()
 	for _, name := range due {
 		v.dropTarget(s, name, "record did not come back after an outage")
