Send no request for a model to groups of another one

It is refused as no_group at once now. A model that the service does not have still goes to any group, whose answer tells the caller.

--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -44,16 +44,24 @@
 // Parts is the number of ledgers that hold the groups of a service.
 func (s *Snapshot) Parts(service string) int { return max(s.parts[service], 1) }
 
-// Groups lists the groups of a service that may take requests for a model. An empty model means any.
+// Groups lists the groups of a service that may take requests for a model. An empty model, or one that the service does
+// not have, means any.
 func (s *Snapshot) Groups(service, model string) []*Group {
-	if model != "" {
-		if groups := s.groups[groupKey(service, model)]; len(groups) > 0 {
-			return groups
-		}
+	if model != "" && s.hasModel(service, model) {
+		return s.groups[groupKey(service, model)]
 	}
 	return s.groups[groupKey(service, "")]
 }
 
+func (s *Snapshot) hasModel(service, model string) bool {
+	x := s.service(service)
+	if x == nil || x.Engine == nil {
+		return false
+	}
+	_, known := x.Engine.Model(model)
+	return known
+}
+
 func groupKey(service, model string) string { return service + "\x00" + model }
 
 // Suspected reports whether an entry host found this life of the target dead.
--- a/rudderd/rudderview/snapshot_test.go
+++ b/rudderd/rudderview/snapshot_test.go
@@ -78,3 +78,31 @@
 	s.Targets["b"] = &restarted
 	require.True(t, s.Ended(g))
 }
+
+// Guards against requests for a model without a group that are sent to groups of another model, which cannot answer them,
+// instead of being refused at once.
+func TestGroupsOfAModel(t *testing.T) {
+	s, _ := groupFixture()
+	s.Table = rudderroute.NewTable(rudderroute.Document{Services: []rudderroute.Service{
+		{Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 2}, {Name: "lost", Size: 2}}}},
+		{Name: "plain"},
+	}})
+	plain := target("plain")
+	plain.Name = "p"
+	s.Targets["p"] = &plain
+	s.index()
+	for _, test := range []struct {
+		service, model string
+		groups         int
+	}{
+		{"llm", "m", 1},
+		{"llm", "", 1},
+		{"llm", "lost", 0},
+		{"llm", "unheard-of", 1}, // the target says what it thinks of it
+		{"plain", "m", 1},
+		{"plain", "", 1},
+		{"none", "m", 0},
+	} {
+		require.Len(t, s.Groups(test.service, test.model), test.groups, "%s %s", test.service, test.model)
+	}
+}
