Refuse at once what cannot be served inside its time

Seen with stand-ins: a request whose model had no group, whose targets all paused, or whose prompt takes longer to read than its time lasts was refused only when its whole body had come, 2.0 s later in the tests; a body was waited for until the deadline though the model needs most of that time; the owner of a ledger queued repeated requests and resumed streams beyond the time that they have left, because it was told the objective of the route alone.

The head decides now, and the answer does not wait for the body. A prompt that an idle group cannot read in the time left gets too_late without Retry-After: there would be less time later. Owners are told the wait that a request can bear. Each refusal is counted by code and by the part of the request's time that was used.

TestRequestThatCannotBeServedIsRefusedAtOnce, TestBodyIsNotAwaitedLongerThanItCanBeServed, TestOwnersAreToldWhatARequestCanWait and TestRefusalsAreCountedByPlaceAndTime failed before. The other places where a request waits are bounded already: the start (1.5 s and a third of the caller's time), an owner (60 ms a part), a stream that has begun (1 s for a group).

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -33,12 +33,15 @@
 	snapshot := f.View.Snapshot()
 	groups := snapshot.Groups(j.service, j.request.Model)
 	if len(groups) == 0 {
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: "no_group", message: "no group serves this request now", retryAfter: longPause}
+		return nil, noGroup()
 	}
 	taking, wait := f.taking(groups)
 	if len(taking) == 0 {
 		return nil, pausedRefusal(wait)
 	}
+	if refused := f.tooLate(j, taking); refused != nil {
+		return nil, refused
+	}
 	c := f.choose(ctx, j, snapshot, groups)
 	for c.group != nil && !f.takes(c.group) {
 		j.excludeGroup(c.group)
@@ -67,10 +70,7 @@
 	if model := groups[0].Model; model != "" && len(groups) > 1 {
 		q := PickQuery{
 			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
-			Cost: f.cost(j, model),
-		}
-		if !j.started {
-			q.Objective = f.firsts.waitLimit(j.service+"\x00"+model, j.route.Objective)
+			Cost: f.cost(j, model), Objective: f.waitLimit(j, model, now),
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
--- a/rudderd/rudderforward/bench_test.go
+++ b/rudderd/rudderforward/bench_test.go
@@ -122,7 +122,8 @@
 		Poisoned: func(uint64) bool { return false }, Crashed: func(uint64, *rudderview.Target) {},
 		Protocol: Protocol{
 			DecodeRequest: func(r *http.Request) (Request, error) {
-				return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), Header: r.Header.Clone()}, nil
+				prompt, _ := strconv.Atoi(r.Header.Get("Prompt"))
+				return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), PromptTokens: prompt, Header: r.Header.Clone()}, nil
 			},
 			EncodeAttempt: func(h http.Header, a Attempt) {
 				h.Set("Target", a.Target)
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -120,7 +120,7 @@
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost  time.Duration
 	Avoid []string
-	// Objective is the time to the first byte that callers want; with 0 the request is taken at any wait.
+	// Objective is the longest wait for a group that the request can bear; with 0 it is taken at any wait.
 	Objective time.Duration
 }
 
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -138,8 +138,12 @@
 	}
 	j.request = request
 	f.awaitStart(r.Context(), j)
-	if refused := f.admit(r, j); refused != nil {
-		f.refuse(j, *refused)
+	refused := f.admit(r, j)
+	if refused == nil {
+		refused = f.hopeless(j)
+	}
+	if refused != nil {
+		f.refuseEarly(j, *refused)
 		return
 	}
 	if refused := f.readBody(r, j); refused != nil {
--- /dev/null
+++ b/rudderd/rudderforward/hopeless_test.go
@@ -0,0 +1,173 @@
+package rudderforward
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+)
+
+// The patterns of requests of which the head already shows that they cannot be served, while their body is still on its
+// way. Guards against callers that wait for their deadline to learn that no group can take their request.
+func TestRequestThatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	const limit = 2 * time.Second
+	for _, test := range []struct {
+		name    string
+		code    string
+		service string
+		prompt  int
+		prepare func(b *bench)
+	}{
+		{"no group", "no_group", "llm", 0, func(*bench) {}},
+		{"all targets pause", "targets_pause", "plain", 0, func(b *bench) {
+			x := &rudderview.Target{Born: 1}
+			x.Name = "t1"
+			b.forwarder.pauses.set(x, b.forwarder.Uptime()+time.Minute, b.forwarder.Uptime())
+		}},
+		{"prompt takes longer than the time left", "too_late", "llm", 5000, func(*bench) {}},
+		{"served", "", "llm", 100, func(*bench) {}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			b.document.Services[1].Engine.ReadPerSecond = 2000
+			b.route("/p/", func(r *rudderroute.Route) {
+				r.Timeout, r.Shares = limit, []rudderroute.Share{{Service: test.service, Weight: 1}}
+			})
+			b.target("plain", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+			if test.prompt > 0 {
+				b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+				b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+			}
+			b.start()
+			test.prepare(b)
+			body, writer := io.Pipe()
+			defer func() { _ = writer.Close() }()
+			if test.code == "" {
+				go func() { _, _ = writer.Write([]byte("body")); _ = writer.Close() }()
+			}
+			r, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", body)
+			require.NoError(t, err)
+			r.Host = "h"
+			r.Header = http.Header{"Id": {"q1"}, "Key": {"key"}, "Prompt": {strconv.Itoa(test.prompt)}}
+			begin := time.Now()
+			response, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Less(t, time.Since(begin), limit/8)
+			if test.code == "" {
+				require.Equal(t, 200, response.StatusCode)
+				return
+			}
+			require.Equal(t, 503, response.StatusCode)
+			var answer struct {
+				Error struct {
+					Code string `json:"code"`
+				} `json:"error"`
+			}
+			require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+			require.Equal(t, test.code, answer.Error.Code)
+			require.Equal(t, test.code == "too_late", response.Header.Get("Retry-After") == "", "who has too little time left has less of it later")
+		})
+	}
+}
+
+// Guards against a body that is waited for until the request's time is up, when the time that the model needs is long past.
+func TestBodyIsNotAwaitedLongerThanItCanBeServed(t *testing.T) {
+	b := newBench(t)
+	b.document.Services[1].Engine.ReadPerSecond = 1000
+	b.route("/p/", func(r *rudderroute.Route) {
+		r.Timeout, r.Shares = 2*time.Second, []rudderroute.Share{{Service: "llm", Weight: 1}}
+	})
+	b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	b.start()
+	body, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	r, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", body)
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header = http.Header{"Id": {"q1"}, "Key": {"key"}, "Prompt": {"1500"}}
+	begin := time.Now()
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, 408, response.StatusCode)
+	require.InDelta(t, 0.5, time.Since(begin).Seconds(), 0.4)
+}
+
+// Guards against requests that are entered into a group's queue for longer than they can wait: a repeated request, or a
+// stream that goes on elsewhere, has less time left than the objective of its route.
+func TestOwnersAreToldWhatARequestCanWait(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		objective time.Duration
+		timeout   time.Duration
+		most      time.Duration
+	}{
+		{"much time left", 300 * time.Millisecond, 3 * time.Second, 300 * time.Millisecond},
+		{"little time left", 2 * time.Second, 1500 * time.Millisecond, time.Second},
+		{"no objective", 0, 1500 * time.Millisecond, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			b.document.Services[1].Engine.ReadPerSecond = 1000
+			b.route("/p/", func(r *rudderroute.Route) {
+				r.Timeout, r.Objective, r.Shares = test.timeout, test.objective, []rudderroute.Share{{Service: "llm", Weight: 1}}
+			})
+			for range 2 {
+				b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+			}
+			b.start()
+			var asked []time.Duration
+			b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
+				asked = append(asked, q.Objective)
+				return Pick{}
+			}
+			r, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", nil)
+			require.NoError(t, err)
+			r.Host = "h"
+			r.Header = http.Header{"Id": {"q1"}, "Key": {"key"}, "Prompt": {"500"}}
+			response, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			require.Len(t, asked, 1)
+			require.LessOrEqual(t, asked[0], test.most)
+			require.Greater(t, asked[0], test.most*8/10)
+		})
+	}
+}
+
+// Guards against refusals whose place and lateness cannot be told from the metrics.
+func TestRefusalsAreCountedByPlaceAndTime(t *testing.T) {
+	b := newBench(t)
+	b.route("/p/", func(r *rudderroute.Route) { r.Shares = []rudderroute.Share{{Service: "llm", Weight: 1}} })
+	b.start()
+	var mu sync.Mutex
+	counts := map[string]int{}
+	b.forwarder.Metrics.Count = func(name string) {
+		mu.Lock()
+		defer mu.Unlock()
+		counts[name]++
+	}
+	_, _, _ = b.send("GET", "/p/x", "")
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, 1, counts["refusals.no_group.at_once"])
+	for _, test := range []struct {
+		used, limit time.Duration
+		want        string
+	}{
+		{0, 0, "at_once"}, {time.Second, 0, "at_once"}, {124 * time.Millisecond, time.Second, "at_once"}, {125 * time.Millisecond, time.Second, "early"},
+		{499 * time.Millisecond, time.Second, "early"}, {500 * time.Millisecond, time.Second, "late"}, {2 * time.Second, time.Second, "late"},
+	} {
+		require.Equal(t, test.want, lateness(test.used, test.limit))
+	}
+}
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -123,6 +123,7 @@
 // refuse answers with an error of this entry host.
 func (f *Forwarder) refuse(j *job, r refusal) {
 	j.status, j.code = r.status, r.code
+	f.Metrics.Count("refusals." + r.code + "." + lateness(f.Uptime()-j.begin, j.limit))
 	if j.started {
 		j.abort = true
 		return
@@ -159,7 +160,9 @@
 		limit = table.Limits().BodyBytes
 	}
 	control := http.NewResponseController(j.writer)
-	_ = control.SetReadDeadline(time.Now().Add(j.limit)) // not supported by test recorders
+	// A body that comes later than this cannot be served in time.
+	left := max(j.remaining(f.Uptime())-f.leastTime(j, f.modelOf(j)), time.Millisecond)
+	_ = control.SetReadDeadline(time.Now().Add(left)) // not supported by test recorders
 	body, err := io.ReadAll(http.MaxBytesReader(j.writer, r.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
