Let a second entry host remember claims that their own collector dispatched

Before the call is dispatched, the next collector of the shard is asked to remember the claim; it forgets a claim that is withdrawn.

--- a/rudderd/rudderclaim/claims.go
+++ b/rudderd/rudderclaim/claims.go
@@ -121,6 +121,9 @@
 	}
 	if decision.Verdict == VerdictGranted {
 		c.memory.granted(request, c.Limits, decision.seq, c.Clock.Now())
+		if decision.collector == c.Self {
+			c.tellWitness(ctx, request, decision.seq, false)
+		}
 	}
 	return decision, nil
 }
@@ -135,6 +138,7 @@
 		c.noteAnswer(ctx, m.Name, err)
 		c.memory.saw(request.Shard(), d.seq)
 		if err == nil && d.Verdict != VerdictUnavailable && d.Verdict != VerdictPending {
+			d.collector = m.Name
 			return d, unknown
 		}
 		unknown = unknown || err != nil || d.Unknown
@@ -243,6 +247,9 @@
 		err := c.changeAt(attempt, m, ch)
 		cancel()
 		if err == nil {
+			if !ch.settle {
+				c.tellWitness(ctx, ch.request, 0, true)
+			}
 			return true
 		}
 	}
--- a/rudderd/rudderclaim/recall_test.go
+++ b/rudderd/rudderclaim/recall_test.go
@@ -128,3 +128,51 @@
 		})
 	}
 }
+
+// Guards against a claim that only its collector remembers, against a witness that keeps a withdrawn claim, which would
+// answer may_have_run after a restore, and against claims that wait for witnesses that are silent.
+func TestAnotherEntryHostRemembersOwnClaims(t *testing.T) {
+	hosts, servers := entryHosts(t, newFakeStore(), 3)
+	remembered := func(h *Claims, r Request) bool { return len(h.memory.recall(r.Shard(), -1, time.Now()).Records) > 0 }
+	own := func(from int) Request {
+		for i := from; ; i++ {
+			if r := keyed(fmt.Sprint("own-", i), "1"); hosts[0].candidates(r)[0].Name == hosts[0].Self {
+				return r
+			}
+		}
+	}
+	r := own(0)
+	d, err := hosts[0].Claim(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, VerdictGranted, d.Verdict)
+	require.True(t, remembered(hosts[1], r) || remembered(hosts[2], r))
+	hosts[0].Release(r)
+	require.Eventually(t, func() bool { return !remembered(hosts[1], r) && !remembered(hosts[2], r) }, 5*time.Second, 10*time.Millisecond)
+
+	silent := make(chan struct{})
+	defer close(silent)
+	for _, s := range servers[1:] {
+		s.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent })
+	}
+	begin := time.Now()
+	d, err = hosts[0].Claim(t.Context(), own(100))
+	require.NoError(t, err)
+	require.Equal(t, VerdictGranted, d.Verdict)
+	require.Less(t, time.Since(begin), claimTimeout)
+}
+
+// Guards against a call of another entry host that fills the memory with claims that cannot be.
+func TestRememberRefusesWhatIsNoClaim(t *testing.T) {
+	hosts, _ := entryHosts(t, newFakeStore(), 1)
+	s := &server{claims: hosts[0]}
+	good := toWireKey(keyed("k", "1"))
+	for _, in := range []*rudderpeer.ClaimRememberRequest{
+		{}, {Key: &rudderpeer.ClaimKey{KeyDigest: "zz"}}, {Key: good, HeadSeq: -1},
+	} {
+		_, err := s.Remember(t.Context(), in)
+		require.Error(t, err)
+	}
+	_, err := s.Remember(t.Context(), &rudderpeer.ClaimRememberRequest{Key: good, HeadSeq: 3})
+	require.NoError(t, err)
+	require.Equal(t, int64(3), hosts[0].memory.highest(keyed("k", "1").Shard()))
+}
--- a/rudderd/rudderclaim/record.go
+++ b/rudderd/rudderclaim/record.go
@@ -124,6 +124,8 @@
 	Unknown bool
 	// seq is the sequence of the head that the decision rests on.
 	seq int64
+	// collector is the entry host that decided.
+	collector string
 	// segment holds the answer of a stored record that is not in memory.
 	segment string
 }
--- a/rudderd/rudderclaim/scenario_test.go
+++ b/rudderd/rudderclaim/scenario_test.go
@@ -213,3 +213,31 @@
 	entries[1].pay("lost", "100")
 	require.Equal(t, 1, p.runsOf("lost"))
 }
+
+// Guards against a payment that runs again when the entry host that collected its claim, and dispatched it, dies while the
+// platform goes back to a state before the claim, so that nobody who took part remembers it.
+func TestRestoredServiceWhoseCollectorDispatchedAndDied(t *testing.T) {
+	for dead := range 3 {
+		t.Run(fmt.Sprint("entry host ", dead), func(t *testing.T) {
+			store, p := rudderclaim.NewFakeStore(), newPayments(t)
+			entries := world(t, store, p, 3, all)
+			keys := make([]string, 12) // of several shards, so that some are collected by the host that dies
+			rewind := store.Rewind()
+			for i := range keys {
+				keys[i] = fmt.Sprint("lost-", i)
+				require.Equal(t, rudderservice.OutcomeComplete, entries[dead].pay(keys[i], "100").Outcome)
+			}
+			entries[dead].stop()
+			entries[dead].peers.Close()
+			rewind()
+			for _, key := range keys {
+				for i, e := range entries {
+					if i != dead {
+						e.pay(key, "100")
+					}
+				}
+				require.Equal(t, 1, p.runsOf(key), key)
+			}
+		})
+	}
+}
