Refuse early without reading and writing at the same time

Refusals that did not wait for their body let the server read the rest of it while the next request on the connection was read: Go's server panicked with "invalid concurrent Body.Read call" and closed the connection.

A refusal waits 50 ms for a body that is on its way and closes the connection where it does not come.

TestConnectionIsUsedAgainAfterAnEarlyRefusal failed before at the second request.

--- a/rudderd/rudderforward/hopeless.go
+++ b/rudderd/rudderforward/hopeless.go
@@ -64,16 +64,14 @@
 	return min(limit, f.firsts.waitLimit(j.service+"\x00"+model, j.route.Objective))
 }
 
-// refuseEarly answers a request whose body may still be on its way, without waiting for it. What arrives of the body in
-// the request's time is read, so that the connection can be used again.
+// bodyPatience is how long a refusal waits for a body that is on its way, so that the connection can be used again: two round
+// trips within a region.
+const bodyPatience = 50 * time.Millisecond
+
+// refuseEarly answers a request whose body may still be on its way. The server reads the rest of a body before it writes an
+// answer; it closes the connection after one whose body does not come in time.
 func (f *Forwarder) refuseEarly(j *job, r refusal) {
-	control := http.NewResponseController(j.writer)
-	_ = control.EnableFullDuplex() // not supported by test recorders
-	limit := j.limit
-	if limit == 0 {
-		limit = defaultTimeout
-	}
-	_ = control.SetReadDeadline(time.Now().Add(limit))
+	_ = http.NewResponseController(j.writer).SetReadDeadline(time.Now().Add(bodyPatience)) // not supported by test recorders
 	f.refuse(j, r)
 }
 
--- a/rudderd/rudderforward/hopeless_test.go
+++ b/rudderd/rudderforward/hopeless_test.go
@@ -1,11 +1,16 @@
 package rudderforward
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"log"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -171,3 +176,36 @@
 		require.Equal(t, test.want, lateness(test.used, test.limit))
 	}
 }
+
+// Guards against a connection that is lost, or a server that panics, after a refusal that did not wait for the body: the next
+// request on it must be served.
+func TestConnectionIsUsedAgainAfterAnEarlyRefusal(t *testing.T) {
+	b := newBench(t)
+	b.route("/p/", func(*rudderroute.Route) {})
+	b.route("/none/", func(r *rudderroute.Route) { r.Shares = []rudderroute.Share{{Service: "llm", Weight: 1}} })
+	b.target("plain", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	b.start()
+	var logged strings.Builder
+	b.server.Config.ErrorLog = log.New(&logged, "", 0)
+	address := strings.TrimPrefix(b.server.URL, "http://")
+	connection, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for i := range 200 {
+		path, want := "/none/x", 503
+		if i%2 == 1 {
+			path, want = "/p/x", 200
+		}
+		_, err := fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nId: q1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody", path)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err, "request %d", i)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.Equal(t, want, response.StatusCode)
+		require.False(t, response.Close, "request %d", i)
+	}
+	b.server.Close()
+	require.Empty(t, logged.String())
+}
