--- a/rudderd/rudderform/orphans.go
+++ b/rudderd/rudderform/orphans.go
@@ -60,7 +60,7 @@
 	}
 	in.Memory.orphans[t.Name] = o
 	over := o.left > 0 && in.Now-o.left > in.Stall+stallMargin
-	return !over && !in.leaderLetGo(o)
+	return !over && !in.leaderReleased(o)
 }
 
 // leaderSeen reports whether the state of the leader of an orphan's group is known.
@@ -82,8 +82,8 @@
 	return nil
 }
 
-// leaderLetGo reports whether the leader of an orphan's group is known to be in that group no more.
-func (in *Input) leaderLetGo(o orphan) bool {
+// leaderReleased reports whether the leader of an orphan's group is known to be in that group no more.
+func (in *Input) leaderReleased(o orphan) bool {
 	if t := in.leaderOf(o); t != nil {
 		return in.Memory.done(t.Name, o.leave())
 	}
--- a/rudderd/rudderform/replace.go
+++ b/rudderd/rudderform/replace.go
@@ -11,10 +11,10 @@
 // seconds; the group finishes its requests before.
 const leavingStay = 8500 * time.Millisecond
 
-// servesOn reports whether a group with leaving members goes on serving, because its domain has no spares with the weights
+// keepsServing reports whether a group with leaving members goes on serving, because its domain has no spares with the weights
 // in their place yet. A load takes longer than the group needs to finish its requests, and a follower that leaves still
 // does its part. A leader that leaves takes no requests.
-func (in *Input) servesOn(d *domain, g rudderroster.Group) bool {
+func (in *Input) keepsServing(d *domain, g rudderroster.Group) bool {
 	leader := in.Targets[g.Members[0].Target]
 	if leader == nil || leader.Leaving() || !in.Memory.complete[groupKey(g)] {
 		return false
@@ -56,7 +56,8 @@
 	return n
 }
 
-// replacements lists the loads that free targets should make in place of members that leave.
+// replacements lists the loads that free targets should make in place of members that leave: empty ones first, then holders
+// of a model that lacks less. rest are the empty targets that are left.
 func (in *Input) replacements(d *domain, counts, spares map[string]int, empty []*rudderview.Target, holders map[string]*rudderview.Target) (list []staging, rest []*rudderview.Target) {
 	for _, g := range d.groups {
 		missing := in.leavingMembers(g) - spares[g.Model]
@@ -69,14 +70,14 @@
 			spares[g.Model]++
 		}
 		own, _ := in.Service.Engine.Model(g.Model)
-		for model, t := range holders {
-			other, _ := in.Service.Engine.Model(model)
-			if missing == 0 || model == g.Model || in.lack(other, counts[model])*conversion > in.lack(own, counts[g.Model]-1) {
+		for _, other := range in.Service.Engine.Models {
+			t := holders[other.Name]
+			if missing == 0 || t == nil || other.Name == g.Model || in.lack(other, counts[other.Name])*conversion > in.lack(own, counts[g.Model]-1) {
 				continue
 			}
 			list = append(list, staging{target: t, model: g.Model})
-			delete(holders, model)
-			spares[model]--
+			delete(holders, other.Name)
+			spares[other.Name]--
 			spares[g.Model]++
 			missing--
 		}
--- a/rudderd/rudderform/step.go
+++ b/rudderd/rudderform/step.go
@@ -76,7 +76,7 @@
 		case lost != "":
 		case gone != "":
 			r.reason, r.graceful = gone, in.Now+in.grace()
-		case leaving != "" && !g.Retiring && in.servesOn(d, g):
+		case leaving != "" && !g.Retiring && in.keepsServing(d, g):
 			return nil
 		case leaving != "":
 			r.reason, r.graceful = leaving, in.Now+in.grace()
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -35,17 +35,17 @@
 	if len(groups) == 0 {
 		return nil, noGroup()
 	}
-	taking, wait := f.taking(groups)
-	if len(taking) == 0 {
+	accepting, wait := f.accepting(groups)
+	if len(accepting) == 0 {
 		return nil, pausedRefusal(wait)
 	}
-	if refused := f.tooLate(j, taking); refused != nil {
+	if refused := f.tooLate(j, accepting); refused != nil {
 		return nil, refused
 	}
 	c := f.choose(ctx, j, snapshot, groups)
-	for c.group != nil && !f.takes(c.group) {
+	for c.group != nil && !f.accepts(c.group) {
 		j.excludeGroup(c.group)
-		c = f.chooseHere(j, snapshot, taking)
+		c = f.chooseHere(j, snapshot, accepting)
 	}
 	if c.group == nil {
 		code := "groups_failed"
@@ -98,8 +98,8 @@
 			}
 		}
 	}
-	taking, _ := f.taking(groups)
-	return f.chooseHere(j, snapshot, taking)
+	accepting, _ := f.accepting(groups)
+	return f.chooseHere(j, snapshot, accepting)
 }
 
 // chooseHere chooses a group by what this entry host knows alone.
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -140,7 +140,7 @@
 	f.awaitStart(r.Context(), j)
 	refused := f.admit(r, j)
 	if refused == nil {
-		refused = f.hopeless(j)
+		refused = f.unservable(j)
 	}
 	if refused != nil {
 		f.refuseEarly(j, *refused)
--- a/rudderd/rudderforward/pauses.go
+++ b/rudderd/rudderforward/pauses.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// heed takes what a target says of itself in the head of an answer to a request of this entry host.
-func (f *Forwarder) heed(j *job, g *rudderview.Group, answer *reply) {
+// observeHead takes what a target says of itself in the head of an answer to a request of this entry host.
+func (f *Forwarder) observeHead(j *job, g *rudderview.Group, answer *reply) {
 	t := g.Leader
 	if answer.Leaving && f.View.Announce(rudderview.Announcement{Target: t.Name, Born: t.Born}) {
 		f.Metrics.Count("targets.announced_leave")
@@ -96,9 +96,9 @@
 		Dur("pause_ms", answer.Pause).Msg("target asks for a pause; no requests until it ends")
 }
 
-// takes reports whether a group's leader takes requests of this entry host as far as its answers say. A request may have
+// accepts reports whether a group's leader takes requests of this entry host as far as its answers say. A request may have
 // waited for an owner since the group was listed.
-func (f *Forwarder) takes(g *rudderview.Group) bool {
+func (f *Forwarder) accepts(g *rudderview.Group) bool {
 	if f.pauses.left(g.Leader, f.Uptime()) > 0 {
 		return false
 	}
@@ -106,9 +106,9 @@
 	return t == nil || t.Born != g.Leader.Born || !t.Leaving()
 }
 
-// taking returns the groups whose leaders have not asked for a pause. wait is the time until the first of the others takes
+// accepting returns the groups whose leaders have not asked for a pause. wait is the time until the first of the others takes
 // requests again; 0 where none has asked.
-func (f *Forwarder) taking(groups []*rudderview.Group) (taking []*rudderview.Group, wait time.Duration) {
+func (f *Forwarder) accepting(groups []*rudderview.Group) (accepting []*rudderview.Group, wait time.Duration) {
 	now := f.Uptime()
 	paused := 0
 	for _, g := range groups {
@@ -124,13 +124,13 @@
 	if paused == 0 {
 		return groups, 0
 	}
-	taking = make([]*rudderview.Group, 0, len(groups)-paused)
+	accepting = make([]*rudderview.Group, 0, len(groups)-paused)
 	for _, g := range groups {
 		if f.pauses.left(g.Leader, now) == 0 {
-			taking = append(taking, g)
+			accepting = append(accepting, g)
 		}
 	}
-	return taking, wait
+	return accepting, wait
 }
 
 // pausedRefusal tells a caller to come back after a pause, spread over some time after its end.
--- a/rudderd/rudderforward/hopeless.go
+++ b/rudderd/rudderforward/reject.go
@@ -7,13 +7,13 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// hopeless says why no group can take a request, by what its head tells, or returns nil.
-func (f *Forwarder) hopeless(j *job) *refusal {
+// unservable says why no group can take a request, by what its head tells, or returns nil.
+func (f *Forwarder) unservable(j *job) *refusal {
 	groups := f.View.Snapshot().Groups(j.service, j.request.Model)
 	if len(groups) == 0 {
 		return noGroup()
 	}
-	if taking, wait := f.taking(groups); len(taking) == 0 {
+	if accepting, wait := f.accepting(groups); len(accepting) == 0 {
 		return pausedRefusal(wait)
 	}
 	return f.tooLate(j, groups)
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -85,7 +85,7 @@
 		answer.discard()
 		return nil, errors.Mark(errors.Mark(errors.Newf("answer of request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
 	}
-	f.heed(j, g, answer)
+	f.observeHead(j, g, answer)
 	return answer, nil
 }
 
