--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -143,8 +143,12 @@
 	}
 	f.loads.avoid(g.Leader.Name, now+failureBackoff, now)
 	f.Metrics.Count("sends.failed")
-	f.Logger.Warn().Err(err).Str("request_id", j.request.ID).Str("group", g.ID).Str("target", g.Leader.Name).
-		Bool("may_have_run", !errors.Is(err, ErrNotSent)).Dur("after_ms", now-j.begin).Msg("send failed")
+	line := f.Logger.Warn().Err(err).Str("request_id", j.request.ID).Str("group", g.ID).Str("target", g.Leader.Name).
+		Bool("may_have_run", !errors.Is(err, ErrNotSent)).Dur("after_ms", now-j.begin).Int("events", j.sendEvents)
+	if j.answeredAt > 0 {
+		line = line.Dur("answering_ms", now-j.answeredAt)
+	}
+	line.Strs("prompt_parts", j.request.PromptParts).Msg("send failed")
 	if notListening(err) || errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, ErrWrongAnswer) {
 		go f.checkLeader(j.fingerprint(), g)
 	}
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -47,6 +47,8 @@
 	writer            http.ResponseWriter
 	cachedFingerprint uint64
 
+	sendEvents   int             // new events of the current send
+	answeredAt   time.Duration   // uptime of the response headers of the current send; 0 before them
 	sends        int             // sends that reached a target
 	runs         int             // sends that the target may have run
 	unsent       int             // sends of which no byte reached a target
@@ -208,5 +210,5 @@
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
 		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).Dur("expected_wait_ms", j.expectedWait).
 		Str("model", j.request.Model).Int("prompt_tokens", j.request.PromptTokens).Int("answer_tokens", j.request.AnswerTokens).
-		Msg("request ended")
+		Strs("prompt_parts", j.request.PromptParts).Msg("request ended")
 }
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -20,6 +20,9 @@
 	Model string
 	// PromptTokens and AnswerTokens are the sizes given by the caller; 0 if not given.
 	PromptTokens, AnswerTokens int
+	// PromptParts holds the IDs of the parts of the prompt in order. Requests share parts; the last one belongs to
+	// the request alone or to its session.
+	PromptParts []string
 	// LastEvent is the ID of the last event that the caller has received of an earlier stream.
 	LastEvent string
 	// Header holds the fields that are forwarded.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -90,11 +90,13 @@
 		f.watchdogs.Delete(guard)
 		f.loads.end(g.Leader.Name, f.Uptime())
 	}()
+	j.sendEvents, j.answeredAt = 0, 0
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
 		f.recordFailure(ctx, j, g, err)
 		return false
 	}
+	j.answeredAt = f.Uptime()
 	defer func() { _ = answer.response.Body.Close() }()
 	status := answer.response.StatusCode
 	switch {
@@ -134,6 +136,7 @@
 		}
 		fresh := newer(id, j.lastEvent)
 		if fresh {
+			j.sendEvents++
 			guard.event()
 		}
 		if !j.started {
