--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -76,7 +76,8 @@
 	planner     *ruddercoordinator.Planner
 	session     *session
 	stop        stopState
-	deaths      deaths
+	poison      *poison
+	reported    reportedSuspicions
 	peers       *peers
 	balance     *balance
 	packer      packer
@@ -108,6 +109,7 @@
 		{"registration", e.session.run},
 		{"shared secret", e.agreeOnSecret},
 		{"balance", e.balance.run},
+		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
@@ -135,12 +137,13 @@
 		e.uptime = suspendedUptime(e.Logger)
 	}
 	uptime := e.uptime
+	e.poison = newPoison(e)
 	e.view = &rudderview.View{
 		Store: e.Ports.Store, Keys: e.Ports.Keys, Logger: e.Logger, Uptime: uptime,
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
-		OnSync:  func(d time.Duration) { e.count("store.looks") },
-		OnDeath: e.deaths.apply, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		Urgent: func() bool { return e.planner.Planning() },
+		OnSync:     func(d time.Duration) { e.count("store.looks") },
+		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
+		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
@@ -154,7 +157,7 @@
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
 		Report: e.Ports.Control.Report, Suspect: e.suspect, FindDeadMembers: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
-		Poisoned: e.deaths.poisoned, RecordCrash: e.crashed,
+		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
 	e.planner = &ruddercoordinator.Planner{
 		Name: e.Settings.Name, View: e.view, Store: e.Ports.Store, Control: e.Ports.Control, Logger: e.Logger, Uptime: uptime,
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -24,6 +24,9 @@
 	if j.remaining(now) <= 0 {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "deadline", message: "time is up"}
 	}
+	if refused := f.checkPoison(j); refused != nil {
+		return nil, refused
+	}
 	if j.runs > 0 && !j.route.Repeatable() {
 		return nil, &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
 	}
@@ -149,17 +152,8 @@
 		line = line.Dur("answering_ms", now-j.answeredAt)
 	}
 	line.Strs("prompt_parts", j.request.PromptParts).Msg("send failed")
-	if notListening(err) || errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, ErrWrongAnswer) {
-		go f.checkLeader(j.fingerprint(), g)
-	}
-}
-
-// checkLeader probes a leader after a broken connection. If it does not answer, the other entry hosts are
-// notified and the request is recorded as a possible cause of the crash.
-func (f *Forwarder) checkLeader(fingerprint uint64, g *rudderview.Group) {
-	if f.unresponsive(context.Background(), g.Leader) {
-		f.Suspect(g.Leader, "connection broke")
-		f.RecordCrash(fingerprint, g.Leader)
+	if notListening(err) || errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer) {
+		f.checkCrash(j, g, err)
 	}
 }
 
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -74,6 +74,7 @@
 	}
 	j.sends++
 	j.runs++
+	f.recordSurvival(j)
 	f.writeHead(j, response, complete, len(body))
 	if _, err := j.writer.Write(body); err != nil {
 		j.code, j.lastErr = "caller_left", err
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -54,10 +55,15 @@
 	// Suspect notifies the other entry hosts that a target is dead. It is called when the planner could not be
 	// reached.
 	Suspect func(t *rudderview.Target, reason string)
-	// Poisoned reports whether a request is known to crash targets; RecordCrash records that a target may
-	// have died while running it.
-	Poisoned    func(fingerprint uint64) bool
-	RecordCrash func(fingerprint uint64, t *rudderview.Target)
+	// Poisoned returns how long a request is refused because it has crashed targets; 0 if it may be sent.
+	Poisoned func(fingerprint uint64) time.Duration
+	// BlockedPart returns how long requests are refused because of one of the parts of their prompts; 0 if they
+	// may be sent. trial is set if this request passes to show whether the part still crashes targets.
+	BlockedPart func(parts []rudderpoison.Part) (part rudderpoison.Part, left time.Duration, trial bool)
+	// RecordCrash records that a target crashed right after it had begun to answer requests. RecordSurvival records
+	// that a target has begun to answer a request and lives.
+	RecordCrash    func(t *rudderview.Target, suspects []rudderpoison.SuspectRequest)
+	RecordSurvival func(s rudderpoison.SuspectRequest)
 
 	loads              loads
 	budget             retryBudget
@@ -65,6 +71,7 @@
 	pauses             pauses
 	work               workShares
 	firstEvents        firstEventTimes
+	crashChecks        crashChecks
 	inFlight           atomic.Int64
 	receivedRequest    atomic.Bool
 	keepAlivesDisabled atomic.Bool
@@ -144,6 +151,10 @@
 	j.request = request
 	f.awaitRouting(r.Context(), j)
 	refused := f.admit(r, j)
+	if refused == nil {
+		j.parts = rudderpoison.SharedParts(j.service, request.PromptParts)
+		refused = f.checkParts(j)
+	}
 	if refused == nil {
 		refused = f.checkServable(j)
 	}
@@ -155,10 +166,6 @@
 		f.refuse(j, *refused)
 		return
 	}
-	if f.Poisoned(j.fingerprint()) {
-		f.refuse(j, refusal{status: http.StatusBadGateway, code: "poison_request", message: "targets died running this request"})
-		return
-	}
 	f.budget.countRequest(j.service, f.Uptime(), f.Retries)
 	ctx, cancel := context.WithTimeout(r.Context(), max(j.remaining(f.Uptime()), 0))
 	defer cancel()
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -46,8 +46,13 @@
 	version           int64
 	writer            http.ResponseWriter
 	cachedFingerprint uint64
+	parts             []rudderpoison.Part // parts of the prompt that other requests may share
+	blockedPart       rudderpoison.Part
+	trial             bool // passes although a part is blocked
 
 	sendEvents   int             // new events of the current send
+	survived     bool            // the current send has been recorded as survived
+	suspectedIn  *crashCheck     // check of the last send's target, if this request may have crashed it
 	answeredAt   time.Duration   // uptime of the response headers of the current send; 0 before them
 	sends        int             // sends that reached a target
 	runs         int             // sends that the target may have run
@@ -204,6 +209,9 @@
 	if j.code != "" {
 		line = line.Str("code", j.code).AnErr("error", j.lastErr)
 	}
+	if j.blockedPart != "" {
+		line = line.Str("blocked_part", string(j.blockedPart))
+	}
 	if j.route != nil {
 		line = line.Str("route", j.route.Name).Str("service", j.service).Str("workspace", j.workspaceName())
 	}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -29,6 +29,8 @@
 	errGroupBroken = errors.New("forward: group is broken")
 	// errUnresponsive cancels a send whose target has made no progress for too long.
 	errUnresponsive = errors.New("forward: target made no progress within its limit")
+	// errPoisoned cancels a send that has not begun, because the request would crash the target.
+	errPoisoned = errors.New("forward: a part of the prompt crashes targets")
 )
 
 // reply is a target's response whose body has not been read yet.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -36,6 +36,7 @@
 		if f.streamOnce(ctx, j, g) {
 			return
 		}
+		f.delaySuspect(ctx, j)
 		if ctx.Err() != nil {
 			f.finishFailed(ctx, j, refusal{status: http.StatusServiceUnavailable, code: "deadline", message: "time is up or the caller left"})
 			return
@@ -90,7 +91,10 @@
 		f.watchdogs.Delete(guard)
 		f.loads.end(g.Leader.Name, f.Uptime())
 	}()
-	j.sendEvents, j.answeredAt = 0, 0
+	if f.checkParts(j) != nil {
+		cancel(errPoisoned) // blocked since the group was chosen; later blocks cancel the watchdog
+	}
+	j.sendEvents, j.answeredAt, j.survived = 0, 0, false
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
 		f.recordFailure(ctx, j, g, err)
@@ -136,8 +140,8 @@
 		}
 		fresh := newer(id, j.lastEvent)
 		if fresh {
-			j.sendEvents++
 			guard.event()
+			f.countEvent(j)
 		}
 		if !j.started {
 			f.writeHead(j, answer.response, false, 0)
@@ -157,6 +161,7 @@
 		if err != nil {
 			j.sends++
 			j.runs++
+			f.recordSurvival(j)
 			return true
 		}
 		if !events.buffered() {
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -118,8 +119,10 @@
 		},
 		FindDeadMembers: func(context.Context, *rudderview.Group) ([]string, bool) { return nil, false },
 		Pick:            func(context.Context, PickQuery) Pick { return Pick{} }, SkipBatchPause: func() {},
-		Suspect:  func(t *rudderview.Target, _ string) { b.suspects.Store(t.Name, true) },
-		Poisoned: func(uint64) bool { return false }, RecordCrash: func(uint64, *rudderview.Target) {},
+		Suspect:     func(t *rudderview.Target, _ string) { b.suspects.Store(t.Name, true) },
+		Poisoned:    func(uint64) time.Duration { return 0 },
+		BlockedPart: func([]rudderpoison.Part) (rudderpoison.Part, time.Duration, bool) { return "", 0, false },
+		RecordCrash: func(*rudderview.Target, []rudderpoison.SuspectRequest) {}, RecordSurvival: func(rudderpoison.SuspectRequest) {},
 		Protocol: Protocol{
 			DecodeRequest: func(r *http.Request) (Request, error) {
 				prompt, _ := strconv.Atoi(r.Header.Get("Prompt"))
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 )
@@ -43,6 +44,7 @@
 type watchdog struct {
 	forwarder *Forwarder
 	group     *rudderview.Group
+	parts     []rudderpoison.Part
 	limit     time.Duration // silence after which a stream that has begun is cancelled
 	cancel    context.CancelCauseFunc
 	ctx       context.Context
@@ -59,7 +61,7 @@
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, g *rudderview.Group, j *job) *watchdog {
 	now := f.Uptime()
 	silence := max(firstEventSilence, firstEventSilence/2+2*j.expectedWait)
-	w := &watchdog{forwarder: f, group: g, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence}
+	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence}
 	w.timer = time.AfterFunc(silence, w.check)
 	return w
 }
@@ -93,6 +95,13 @@
 	}
 }
 
+// hasBegun reports whether an event has arrived.
+func (w *watchdog) hasBegun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events
+}
+
 // stop ends the watchdog.
 func (w *watchdog) stop() {
 	w.mu.Lock()
--- a/rudderd/rudderpoison/poison.go
+++ b/rudderd/rudderpoison/poison.go
@@ -37,7 +37,8 @@
 // Death records that a group died and which requests were in flight there. Entry hosts exchange deaths as JSON.
 type Death struct {
 	// Group IDs are unique over time, so a group dies once.
-	Group  string `json:"group"`
+	Group string `json:"group"`
+	// Domain is empty if the death is known not to be part of a domain loss.
 	Domain string `json:"domain"`
 	// AtUnixMS is when the death was detected, in milliseconds since the Unix epoch.
 	AtUnixMS int64         `json:"at_unix_ms"`
@@ -135,7 +136,7 @@
 
 // isDomainLoss reports whether another group of the domain died within DomainLossWindow of this one.
 func (t *Tracker) isDomainLoss(d *Death) bool {
-	return slices.ContainsFunc(t.domains[d.Domain], func(other *Death) bool {
+	return d.Domain != "" && slices.ContainsFunc(t.domains[d.Domain], func(other *Death) bool {
 		return other != d && other.detectedAt().Sub(d.detectedAt()).Abs() <= DomainLossWindow
 	})
 }
@@ -162,6 +163,25 @@
 	return Clear
 }
 
+// RetryAfter returns the time until the newest death that counts against a request expires.
+func (t *Tracker) RetryAfter(now time.Time, f Fingerprint) time.Duration {
+	var left time.Duration
+	for _, d := range t.requests[f] {
+		if !t.isDomainLoss(d) {
+			left = max(left, deathTTL-now.Sub(d.detectedAt()))
+		}
+	}
+	return left
+}
+
+// Forgive drops what is recorded against a request, because a target has begun its answer and lives.
+func (t *Tracker) Forgive(f Fingerprint) {
+	for _, d := range t.requests[f] {
+		d.InFlight = slices.DeleteFunc(d.InFlight, func(x Fingerprint) bool { return x == f })
+	}
+	delete(t.requests, f)
+}
+
 // CanColocate reports whether a request may be placed on a group that runs the others. Two suspected requests
 // are kept apart, because the next death would otherwise count against both.
 func (t *Tracker) CanColocate(f Fingerprint, running []Fingerprint) bool {
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -28,7 +28,7 @@
 	PlannerKey      = "rudder/planner"
 	SuspicionPrefix = "rudder/suspect/"
 	SecretKey       = "rudder/secret"
-	DeathPrefix     = "rudder/death/"
+	EvidencePrefix  = "rudder/evidence/"
 )
 
 // Keys names the records that are written by other components.
@@ -72,8 +72,8 @@
 	// FetchRecords fetches all records from a watcher, for the first snapshot of a process or after changes
 	// were missed. Optional.
 	FetchRecords func(ctx context.Context) (RecordSet, error)
-	// OnDeath receives the records below DeathPrefix; optional.
-	OnDeath func(e rudderstore.Entry)
+	// OnEvidence receives the records below EvidencePrefix and their removal; optional.
+	OnEvidence func(e rudderstore.Event)
 	// OnSecret receives the shared secret of the entry hosts; optional.
 	OnSecret func(secret []byte)
 
@@ -234,8 +234,8 @@
 		}
 		s.Suspicions[e.Key] = x
 		v.Logger.Info().Str("target", x.Target).Str("by", x.By).Str("reason", x.Reason).Msg("target suspected dead")
-	case strings.HasPrefix(e.Key, DeathPrefix) && v.OnDeath != nil:
-		v.OnDeath(e)
+	case strings.HasPrefix(e.Key, EvidencePrefix) && v.OnEvidence != nil:
+		v.OnEvidence(rudderstore.Event{Entry: e})
 	case e.Key == PlannerKey:
 		s.PlannerHeld, s.PlannerName = true, string(e.Value)
 	case e.Key == SecretKey && v.OnSecret != nil:
@@ -306,6 +306,8 @@
 		delete(s.Plans, e.Key)
 	case strings.HasPrefix(e.Key, SuspicionPrefix):
 		delete(s.Suspicions, e.Key)
+	case strings.HasPrefix(e.Key, EvidencePrefix) && v.OnEvidence != nil:
+		v.OnEvidence(rudderstore.Event{Entry: e, Deleted: true})
 	case e.Key == PlannerKey:
 		s.PlannerHeld, s.PlannerName = false, ""
 	}
