--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -40,6 +40,12 @@
 	connection *net.Conn // connection on which the response arrived
 }
 
+// framed reports whether the response has a length or chunks. Otherwise it ends with its connection, which a crash of the
+// target closes too.
+func (r *reply) framed() bool {
+	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
+}
+
 // discard closes the connection of a wrong response. Closing the body is not enough: the HTTP client keeps
 // the connection if the body is empty, and the next request on it could receive this response.
 func (r *reply) discard() {
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -12,7 +12,7 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// errCutEvent reports a stream that ended inside an event.
+// errCutEvent reports a stream that ended inside an event, or with its connection before the first one.
 var errCutEvent = errors.New("forward: stream ended inside an event")
 
 // resumeWait is how long a stream that has begun waits for a group that can resume it. The wait is short,
@@ -126,10 +126,7 @@
 	events := &eventReader{source: answer.response.Body}
 	control := http.NewResponseController(j.writer)
 	for {
-		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0 {
-			err = errCutEvent
-		}
+		event, id, err := nextEvent(j, answer, events)
 		if err != nil && !errors.Is(err, io.EOF) {
 			answer.discard()
 			if cause := context.Cause(sendContext); cause != nil {
@@ -159,9 +156,7 @@
 			}
 		}
 		if err != nil {
-			j.sends++
-			j.runs++
-			f.recordSurvival(j)
+			f.endStream(j, answer)
 			return true
 		}
 		if !events.buffered() {
@@ -173,6 +168,30 @@
 	}
 }
 
+// nextEvent returns the next event of a stream. At its end, it returns io.EOF only if the stream may be complete.
+func nextEvent(j *job, answer *reply, events *eventReader) (event []byte, id string, err error) {
+	event, id, err = events.next()
+	if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer)) {
+		err = errCutEvent
+	}
+	return event, id, err
+}
+
+// endStream records the end of a stream that is complete.
+func (f *Forwarder) endStream(j *job, answer *reply) {
+	j.sends++
+	j.runs++
+	if answer.framed() {
+		f.recordSurvival(j)
+	}
+}
+
+// endsEmpty reports whether a stream that has just begun ended with its connection and without an event, so that its end
+// is no proof of a complete response.
+func endsEmpty(j *job, answer *reply) bool {
+	return !answer.framed() && j.sendEvents == 0 && j.lastEvent == ""
+}
+
 func (f *Forwarder) callerLeft(j *job, err error) {
 	j.sends++
 	j.runs++
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -177,3 +177,8 @@
 		_ = connection.Close()
 	}
 }
+
+// unreachable is a Report of a target that does not listen.
+func unreachable(context.Context, string) (ruddertarget.GroupReport, error) {
+	return ruddertarget.GroupReport{}, errors.New("connection refused")
+}
