--- a/rudderd/rudderapp/suspects.go
+++ b/rudderd/rudderapp/suspects.go
@@ -34,7 +34,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	return s.parts.Record(now, s.revision, c)
+	s.parts.Record(now, s.revision, c)
+	return s.parts.Evaluate(now)
 }
 
 // blocked returns the block of a part, or nil. When a trial is due and mayTry allows it, the request passes.
@@ -46,7 +47,7 @@
 		return block
 	}
 	s.revision++
-	s.parts.ApplyBlock(now, block.Part, block.Trials+1, s.revision)
+	s.parts.ApplyBlock(now, block.Part, block.Shared, block.Trials+1, s.revision)
 	return nil
 }
 
--- a/rudderd/rudderedge/poison.go
+++ b/rudderd/rudderedge/poison.go
@@ -25,6 +25,9 @@
 const (
 	// weakSuspectDelay is how long suspects with an event wait for others without one, which make them irrelevant.
 	weakSuspectDelay = 300 * time.Millisecond
+	// evaluateDelay is how long records of other entry hosts are collected before they are evaluated: of a list of them, the
+	// first ones alone may mislead.
+	evaluateDelay = 30 * time.Millisecond
 	// shareSpread spreads the records of entry hosts that reach the same conclusion at the same time: the first one
 	// makes the others needless.
 	shareSpread = 200 * time.Millisecond
@@ -44,6 +47,7 @@
 type partRecord struct {
 	Part   rudderpoison.Part `json:"part"`
 	Trials int               `json:"trials,omitempty"`
+	Shared bool              `json:"shared,omitempty"`
 	By     string            `json:"by"`
 }
 
@@ -53,11 +57,12 @@
 	edge    *Edge
 	records *recordWriter
 
-	mu       sync.Mutex
-	requests *rudderpoison.Tracker
-	parts    *rudderpoison.PartTracker
-	trials   map[rudderpoison.Part]bool // calls in progress that try to open a trial
-	crashAt  time.Time                  // of the newest crash
+	mu         sync.Mutex
+	requests   *rudderpoison.Tracker
+	parts      *rudderpoison.PartTracker
+	evaluating bool                       // an evaluation is due
+	trials     map[rudderpoison.Part]bool // calls in progress that try to open a trial
+	crashAt    time.Time                  // of the newest crash
 }
 
 func newPoison(e *Edge) *poison {
@@ -103,7 +108,7 @@
 
 // startTrial lets one request of the whole fleet pass, if no other entry host does so: the write fails then.
 func (p *poison) startTrial(b rudderpoison.Block) {
-	record, _ := json.Marshal(partRecord{Part: b.Part, Trials: b.Trials + 1, By: p.edge.Settings.Name})
+	record, _ := json.Marshal(partRecord{Part: b.Part, Trials: b.Trials + 1, Shared: b.Shared, By: p.edge.Settings.Name})
 	revision, err := p.records.write(partKey(blockPrefix, b.Part), record, b.Revision)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,7 +118,7 @@
 		return
 	}
 	now := p.now()
-	p.parts.ApplyBlock(now, b.Part, b.Trials+1, revision)
+	p.parts.ApplyBlock(now, b.Part, b.Shared, b.Trials+1, revision)
 	p.parts.OpenTrial(b.Part, now.Add(trialTime))
 	p.edge.count("poison.trials")
 	p.edge.Logger.Warn().Str("part", string(b.Part)).Int("trial", b.Trials+1).Msg("one request with the blocked prompt part may pass as a trial")
@@ -160,7 +165,7 @@
 	p.records.enqueue(crashPrefix+c.Target+"/"+p.edge.Settings.Name, func() ([]byte, int64) { return record, rudderstore.AnyRevision })
 }
 
-// apply adds a crash to the evidence and acts on the parts that it causes to be blocked.
+// apply adds a crash to the evidence.
 func (p *poison) apply(revision int64, c rudderpoison.Crash) {
 	now := p.now()
 	p.mu.Lock()
@@ -170,15 +175,33 @@
 	}
 	p.crashAt = now
 	p.requests.Record(now, death)
-	blocks := p.parts.Record(now, revision, c)
+	p.parts.Record(now, revision, c)
+	due := revision > 0 && !p.evaluating
+	p.evaluating = p.evaluating || due
+	p.mu.Unlock()
+	if revision == 0 {
+		p.evaluate(false)
+	} else if due {
+		time.AfterFunc(evaluateDelay, func() { p.evaluate(true) })
+	}
+}
+
+// evaluate decides which parts are blocked. others is set if the newest evidence comes from another entry host.
+func (p *poison) evaluate(others bool) {
+	now := p.now()
+	p.mu.Lock()
+	if others {
+		p.evaluating = false
+	}
+	blocks := p.parts.Evaluate(now)
 	p.mu.Unlock()
 	for _, b := range blocks {
 		p.edge.count("poison.parts_blocked")
 		p.edge.observe("poison.time_to_block_ms", now.Sub(b.FirstCrash))
-		p.edge.Logger.Error().Str("part", string(b.Part)).Int("crashes", b.Crashes).Int("requests", b.Requests).Dur("since_first_crash_ms", now.Sub(b.FirstCrash)).
+		p.edge.Logger.Error().Str("part", string(b.Part)).Int("crashes", b.Crashes).Int("requests", b.Requests).Bool("shared", b.Shared).Dur("since_first_crash_ms", now.Sub(b.FirstCrash)).
 			Msg("prompt part blocked: targets crash when they begin an answer on it")
 		delay := blockDelay + rand.N(shareSpread)
-		if revision > 0 {
+		if others {
 			delay += shareSpread // the entry host that saw the crash writes first
 		}
 		p.shareBlock(b.Part, delay)
@@ -204,7 +227,7 @@
 			if b == nil || b.Revision > 0 {
 				return nil, 0
 			}
-			record, _ := json.Marshal(partRecord{Part: part, Trials: b.Trials, By: p.edge.Settings.Name})
+			record, _ := json.Marshal(partRecord{Part: part, Trials: b.Trials, Shared: b.Shared, By: p.edge.Settings.Name})
 			return record, 0
 		})
 	})
@@ -286,7 +309,7 @@
 		return
 	}
 	p.mu.Lock()
-	blocked, contested := p.parts.ApplyBlock(p.now(), record.Part, record.Trials, e.Revision)
+	blocked, contested := p.parts.ApplyBlock(p.now(), record.Part, record.Shared, record.Trials, e.Revision)
 	p.mu.Unlock()
 	if blocked {
 		p.edge.count("poison.parts_blocked")
--- a/rudderd/rudderpoison/parts.go
+++ b/rudderd/rudderpoison/parts.go
@@ -13,9 +13,11 @@
 	// minCrashes and minRequests are the numbers of crashes and of different requests after which a part is blocked.
 	// A single request that crashes each target may do so by what it alone holds.
 	minCrashes, minRequests = 2, 2
-	// minSoundCrashes replaces minCrashes for a part on which an answer began within soundTTL.
-	minSoundCrashes = 4
-	soundTTL        = 10 * time.Minute
+	// minSharedCrashes and minSharedRequests replace them where the evidence is weaker: for a part that many sound requests
+	// are likely to share, because an answer began on it within soundTTL or a prompt with it has a deeper part that is shared
+	// too, and if all suspects had got an event.
+	minSharedCrashes, minSharedRequests = 4, 3
+	soundTTL                            = 10 * time.Minute
 	// simultaneousWindow is the time within which crashes in one fabric domain count as one, because hosts of a domain
 	// that fail together share a cause.
 	simultaneousWindow = 250 * time.Millisecond
@@ -23,9 +25,10 @@
 	crashTTL = 30 * time.Minute
 	// blockTTL is how long a part stays blocked after the last request with it.
 	blockTTL = 30 * time.Minute
-	// firstTrial is the time from the block of a part to its first trial. Each further interval is trialFactor times
-	// as long, up to maxTrialInterval.
+	// firstTrial is the time from the block of a part to its first trial, and firstSharedTrial that for a part that many
+	// sound requests are likely to share. Each further interval is trialFactor times as long, up to maxTrialInterval.
 	firstTrial       = time.Minute
+	firstSharedTrial = 5 * time.Second
 	trialFactor      = 5
 	maxTrialInterval = 24 * time.Hour
 	// maxCrashes, maxSuspects, maxSuspectParts and maxParts bound the memory of a PartTracker.
@@ -80,6 +83,8 @@
 	Part Part
 	// Crashes and Requests are the evidence; they are 0 if another entry host has decided.
 	Crashes, Requests int
+	// Shared is set if sound requests are likely to share the part, or the evidence is weak.
+	Shared bool
 	// Since is when this entry host blocked the part, and FirstCrash the first crash of the evidence.
 	Since, FirstCrash time.Time
 	// Trials is the number of requests that were let through since, to see whether the part still crashes targets.
@@ -149,9 +154,9 @@
 	return c != nil && slices.ContainsFunc(c.charges, func(x charge) bool { return x.Events == 0 })
 }
 
-// Record adds a crash and returns the parts that it causes to be blocked. revision is that of the crash's record, or 0.
-// Recording a crash again changes nothing but the revision.
-func (t *PartTracker) Record(now time.Time, revision int64, reported Crash) []Block {
+// Record adds a crash. revision is that of the crash's record, or 0. Recording a crash again changes nothing but the
+// revision. Evaluate must follow, after all records that are known by now.
+func (t *PartTracker) Record(now time.Time, revision int64, reported Crash) {
 	c := t.crashes[reported.Target]
 	if c == nil {
 		c = &partCrash{target: reported.Target, domain: reported.Domain, at: now}
@@ -171,7 +176,6 @@
 		}
 	}
 	t.expire(now)
-	return t.evaluate(now)
 }
 
 // add adds a suspect. Above maxSuspects it replaces one that is only beside, if there is one.
@@ -235,7 +239,7 @@
 // ApplyBlock applies the record of a block. If all crashes that this entry host knows of the part are followed by
 // answers here, it is not blocked, and contested is set: the other entry hosts should know. blocked is set if the part
 // was not blocked before.
-func (t *PartTracker) ApplyBlock(now time.Time, p Part, trials int, revision int64) (blocked, contested bool) {
+func (t *PartTracker) ApplyBlock(now time.Time, p Part, shared bool, trials int, revision int64) (blocked, contested bool) {
 	s := t.state(p)
 	if s.soundRevision > revision {
 		return false, false
@@ -244,13 +248,13 @@
 		if !s.soundAt.IsZero() && t.isKnown(p) && !t.isCharged(p, s) {
 			return false, true
 		}
-		s.block, blocked = &Block{Part: p, Since: now, FirstCrash: now, lastRequest: now}, true
+		s.block, blocked = &Block{Part: p, Shared: shared, Since: now, FirstCrash: now, lastRequest: now}, true
 	}
 	if revision > s.block.Revision {
 		s.block.Revision = revision
 		if blocked || trials != s.block.Trials {
-			s.block.Trials = trials
-			s.block.NextTrial = now.Add(trialInterval(trials))
+			s.block.Trials, s.block.Shared = trials, shared
+			s.block.NextTrial = now.Add(trialInterval(shared, trials))
 		}
 	}
 	return blocked, false
@@ -317,8 +321,11 @@
 	}
 }
 
-func trialInterval(trials int) time.Duration {
+func trialInterval(shared bool, trials int) time.Duration {
 	interval := firstTrial
+	if shared {
+		interval = firstSharedTrial
+	}
 	for range trials {
 		if interval = min(trialFactor*interval, maxTrialInterval); interval == maxTrialInterval {
 			break
@@ -355,19 +362,47 @@
 	crashes  map[int]bool // of which simultaneous ones in a domain count as one
 	requests map[Fingerprint]bool
 	depth    int     // greatest index in a prompt: deeper parts are shared by fewer requests
+	deepest  bool    // no prompt has a deeper shared part
+	sound    bool    // an answer began on it lately
+	strong   bool    // some suspect had got no event
 	weight   float64 // sum of the shares in the crashes, which the suspects of a crash divide
 }
 
 func (x *suspicion) compare(y *suspicion) int {
-	return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(y.depth, x.depth), cmp.Compare(y.weight, x.weight))
+	return cmp.Or(
+		compareBool(x.isShared(), y.isShared()), compareBool(y.deepest, x.deepest), compareBool(x.sound, y.sound), cmp.Compare(len(y.crashes), len(x.crashes)),
+		cmp.Compare(y.depth, x.depth), cmp.Compare(y.weight, x.weight),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
-// evaluate blocks the parts that explain the crashes best: repeatedly the part with the most crashes that no blocked
-// part explains. It decides nothing between two parts that explain them equally well.
-func (t *PartTracker) evaluate(now time.Time) []Block {
+func (x *suspicion) isShared() bool { return x.sound || !x.deepest || !x.strong }
+
+// suffices reports whether there is enough evidence to block the part.
+func (x *suspicion) suffices() bool {
+	if x.isShared() {
+		return len(x.crashes) >= minSharedCrashes && len(x.requests) >= minSharedRequests
+	}
+	return len(x.crashes) >= minCrashes && len(x.requests) >= minRequests
+}
+
+// Evaluate blocks the parts that explain the crashes best: repeatedly, of those with enough evidence, the one that fewest
+// sound requests are likely to share, and then the one with the most crashes that no blocked part explains. It decides
+// nothing between two parts that explain them equally well.
+func (t *PartTracker) Evaluate(now time.Time) []Block {
 	var blocks []Block
 	for {
-		list := slices.DeleteFunc(t.suspicions(), func(x *suspicion) bool { return !t.suffices(now, x) })
+		list := slices.DeleteFunc(t.suspicions(now), func(x *suspicion) bool { return !x.suffices() })
 		slices.SortFunc(list, func(x, y *suspicion) int { return cmp.Or(x.compare(y), cmp.Compare(x.part, y.part)) })
 		if len(list) == 0 || len(list) > 1 && list[0].compare(list[1]) == 0 {
 			return blocks
@@ -375,24 +410,15 @@
 		best := list[0]
 		s := t.state(best.part)
 		s.block = &Block{
-			Part: best.part, Crashes: len(best.crashes), Requests: len(best.requests), Since: now, FirstCrash: best.first,
-			NextTrial: now.Add(firstTrial), lastRequest: now,
+			Part: best.part, Crashes: len(best.crashes), Requests: len(best.requests), Shared: best.isShared(), Since: now, FirstCrash: best.first,
+			NextTrial: now.Add(trialInterval(best.isShared(), 0)), lastRequest: now,
 		}
 		blocks = append(blocks, *s.block)
 	}
 }
 
-// suffices reports whether there is enough evidence to block a part.
-func (t *PartTracker) suffices(now time.Time, x *suspicion) bool {
-	needed := minCrashes
-	if s := t.state(x.part); !s.soundAt.IsZero() && now.Sub(s.soundAt) < soundTTL {
-		needed = minSoundCrashes
-	}
-	return len(x.crashes) >= needed && len(x.requests) >= minRequests
-}
-
 // suspicions returns the evidence from all crashes that no blocked part explains.
-func (t *PartTracker) suspicions() []*suspicion {
+func (t *PartTracker) suspicions(now time.Time) []*suspicion {
 	open := make([]*partCrash, 0, len(t.crashes))
 	for _, c := range t.crashes {
 		if !t.isExplained(c) {
@@ -406,14 +432,18 @@
 		suspects := c.suspects()
 		for _, x := range suspects {
 			for i, p := range x.Parts {
-				if !t.state(p).holds(x) {
+				state := t.state(p)
+				if !state.holds(x) {
 					continue
 				}
 				s := found[p]
 				if s == nil {
-					s = &suspicion{part: p, first: c.at, crashes: map[int]bool{}, requests: map[Fingerprint]bool{}}
+					sound := !state.soundAt.IsZero() && now.Sub(state.soundAt) < soundTTL
+					s = &suspicion{part: p, first: c.at, crashes: map[int]bool{}, requests: map[Fingerprint]bool{}, deepest: true, sound: sound}
 					found[p] = s
 				}
+				s.deepest = s.deepest && i == len(x.Parts)-1
+				s.strong = s.strong || x.Events == 0
 				s.crashes[numbers[n]], s.requests[x.Request] = true, true
 				s.depth = max(s.depth, i)
 				s.weight += 1 / float64(len(suspects))
--- a/rudderd/rudderpoison/parts_test.go
+++ b/rudderd/rudderpoison/parts_test.go
@@ -60,6 +60,13 @@
 		{"beside, with the same evidence", []partStep{
 			{0, crashOf("t1", suspectOf(1, "x"), suspectOf(5, "b")), nil}, {time.Second, crashOf("t2", suspectOf(2, "x"), suspectOf(6, "b")), nil},
 		}, nil},
+		{"two parts below one that is not known, each request sent again", []partStep{
+			{0, crashOf("t1", suspectOf(1, "a", "x")), nil}, {1 * time.Second, crashOf("t2", suspectOf(2, "a", "y")), nil},
+			{2 * time.Second, crashOf("t3", suspectOf(1, "a", "x")), nil}, {3 * time.Second, crashOf("t4", suspectOf(2, "a", "y")), nil},
+		}, nil},
+		{"only suspects with an event", []partStep{
+			{0, crashOf("t1", SuspectRequest{1, []Part{"x"}, 1}), nil}, {1 * time.Second, crashOf("t2", SuspectRequest{2, []Part{"x"}, 1}), nil},
+		}, nil},
 		{"beside, with an event", []partStep{
 			{0, crashOf("t1", suspectOf(1, "x"), late), nil}, {time.Second, crashOf("t2", suspectOf(2, "x"), late), nil},
 		}, []Part{"x"}},
@@ -68,6 +75,14 @@
 			{1 * time.Second, crashOf("t1", suspectOf(1, "a", "x")), nil}, {2 * time.Second, crashOf("t2", suspectOf(2, "a", "y")), nil},
 			{3 * time.Second, crashOf("t3", suspectOf(3, "a", "x")), nil}, {4 * time.Second, crashOf("t4", suspectOf(4, "a", "y")), nil},
 		}, []Part{"x", "y"}},
+		{"three parts below one that is not known", []partStep{
+			{0, crashOf("t1", suspectOf(1, "a", "x")), nil}, {1 * time.Second, crashOf("t2", suspectOf(2, "a", "y")), nil},
+			{2 * time.Second, crashOf("t3", suspectOf(3, "a", "z")), nil}, {3 * time.Second, crashOf("t4", suspectOf(4, "a", "y")), nil},
+		}, []Part{"y"}},
+		{"a part above others", []partStep{
+			{0, crashOf("t1", suspectOf(1, "x", "a")), nil}, {1 * time.Second, crashOf("t2", suspectOf(2, "x", "b")), nil},
+			{2 * time.Second, crashOf("t3", suspectOf(3, "x", "c")), nil}, {3 * time.Second, crashOf("t4", suspectOf(4, "x", "d")), nil},
+		}, []Part{"x"}},
 		{"expired evidence", []partStep{
 			{0, crashOf("t1", suspectOf(1, "x")), nil}, {crashTTL + time.Second, crashOf("t2", suspectOf(2, "x")), nil},
 		}, nil},
@@ -80,6 +95,7 @@
 				now = start.Add(s.after)
 				if s.crash.Target != "" {
 					tracker.Record(now, 0, s.crash)
+					tracker.Evaluate(now)
 				}
 				tracker.Survived(now, s.survived)
 			}
@@ -92,8 +108,8 @@
 	t.Helper()
 	tracker := NewPartTracker()
 	tracker.Record(start, 1, crashOf("t1", suspectOf(1, "x")))
-	blocks := tracker.Record(start.Add(time.Second), 2, crashOf("t2", suspectOf(2, "x")))
-	require.Len(t, blocks, 1)
+	tracker.Record(start.Add(time.Second), 2, crashOf("t2", suspectOf(2, "x")))
+	require.Len(t, tracker.Evaluate(start.Add(time.Second)), 1)
 	return tracker
 }
 
@@ -107,12 +123,13 @@
 	require.Empty(t, tracker.BlockedParts(now))
 
 	tracker = blockedTracker(t)
-	tracker.ApplyBlock(now, "x", 0, 3)
+	tracker.ApplyBlock(now, "x", false, 0, 3)
 	require.False(t, tracker.ApplySound("x", 3), "older than the block")
 	require.True(t, tracker.ApplySound("x", 4))
 	require.Empty(t, tracker.BlockedParts(now))
-	require.Empty(t, tracker.Record(now, 2, crashOf("t2", suspectOf(2, "x"))), "the same crash again, as after a new list")
-	blocked, _ := tracker.ApplyBlock(now, "x", 0, 3)
+	tracker.Record(now, 2, crashOf("t2", suspectOf(2, "x")))
+	require.Empty(t, tracker.Evaluate(now), "the same crash again, as after a new list")
+	blocked, _ := tracker.ApplyBlock(now, "x", false, 0, 3)
 	require.False(t, blocked, "a block that is older than the refutation")
 
 	tracker = blockedTracker(t)
@@ -127,10 +144,10 @@
 	tracker := NewPartTracker()
 	tracker.Record(start, 1, crashOf("t1", suspectOf(1, "x")))
 	tracker.Survived(start.Add(time.Second), []Part{"x"})
-	blocked, contested := tracker.ApplyBlock(start.Add(2*time.Second), "x", 0, 2)
+	blocked, contested := tracker.ApplyBlock(start.Add(2*time.Second), "x", false, 0, 2)
 	require.False(t, blocked)
 	require.True(t, contested)
-	blocked, contested = NewPartTracker().ApplyBlock(start, "x", 0, 2)
+	blocked, contested = NewPartTracker().ApplyBlock(start, "x", false, 0, 2)
 	require.True(t, blocked, "an entry host that has just started knows nothing else")
 	require.False(t, contested)
 }
@@ -141,9 +158,9 @@
 	now := start.Add(time.Second)
 	block := tracker.FindBlock("x")
 	require.Equal(t, firstTrial, block.RetryAfter(now))
-	tracker.ApplyBlock(now, "x", 1, 10)
+	tracker.ApplyBlock(now, "x", false, 1, 10)
 	require.Equal(t, trialFactor*firstTrial, tracker.FindBlock("x").RetryAfter(now))
-	tracker.ApplyBlock(now.Add(time.Minute), "x", 1, 10)
+	tracker.ApplyBlock(now.Add(time.Minute), "x", false, 1, 10)
 	require.Equal(t, trialFactor*firstTrial, tracker.FindBlock("x").RetryAfter(now), "the same record again")
 	tracker.OpenTrial("x", now.Add(time.Second))
 	_, trial := tracker.Blocked(now, []Part{"x"})
@@ -151,7 +168,7 @@
 	again, trial := tracker.Blocked(now, []Part{"x"})
 	require.NotNil(t, again)
 	require.False(t, trial)
-	require.Equal(t, maxTrialInterval, trialInterval(1000))
+	require.Equal(t, maxTrialInterval, trialInterval(true, 1000))
 }
 
 // Guards against entry hosts that reach different verdicts from the same crashes, in whichever order they learn of them.
@@ -166,14 +183,9 @@
 		for order := range 5 {
 			tracker := NewPartTracker()
 			for _, i := range draw.Perm(len(crashes)) {
-				for _, s := range crashes[i].Suspects {
-					c := tracker.crashes[crashes[i].Target]
-					require.Nil(t, c)
-					tracker.state(s.Parts[0]).charged = true
-				}
-				tracker.crashes[crashes[i].Target] = &partCrash{target: crashes[i].Target, domain: crashes[i].Domain, at: start, charges: []charge{{SuspectRequest: crashes[i].Suspects[0], at: start}}}
+				tracker.Record(start, 0, crashes[i])
 			}
-			tracker.evaluate(start)
+			tracker.Evaluate(start)
 			if order == 0 {
 				want = tracker.BlockedParts(start)
 			}
