--- a/rudderd/rudderforward/crash_test.go
+++ b/rudderd/rudderforward/crash_test.go
@@ -181,3 +181,23 @@
 	require.Empty(t, suspects)
 	require.Eventually(t, func() bool { _, found := b.suspects.Load(""); return found }, time.Second, time.Millisecond)
 }
+
+// Guards against a probe that another process at the same address answers for a dead target: its group would wait until
+// its leader must have broken it.
+func TestProbeAnsweredByAnotherIncarnation(t *testing.T) {
+	b := newTestbed(t)
+	b.start()
+	for _, test := range []struct {
+		name           string
+		known, answers int64
+		alive          bool
+	}{
+		{"the same", 7, 7, true}, {"a later one", 7, 9, false}, {"a report that does not say", 7, 0, true}, {"a record that does not say", 0, 9, true},
+	} {
+		b.forwarder.Report = func(context.Context, string) (ruddertarget.GroupReport, error) {
+			return ruddertarget.GroupReport{Born: test.answers}, nil
+		}
+		_, alive := b.forwarder.ProbeTarget(t.Context(), &rudderview.Target{Born: test.known})
+		require.Equal(t, test.alive, alive, test.name)
+	}
+}
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -63,7 +63,8 @@
 	broken  bool
 }
 
-// ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them.
+// ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
+// another incarnation or another target answers at its address.
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
 	for _, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
 		f.Metrics.Count("targets.probes")
@@ -71,7 +72,7 @@
 		report, err := f.Report(tryContext, t.Address)
 		cancel()
 		if err == nil {
-			return report, true
+			return report, report.Born == 0 || t.Born == 0 || report.Born == t.Born
 		}
 		if ctx.Err() != nil {
 			return ruddertarget.GroupReport{}, true // cancelled, so nothing is known
--- a/shared/ruddertarget/group.go
+++ b/shared/ruddertarget/group.go
@@ -46,6 +46,8 @@
 	Running, Waiting int
 	// TimeFactor compares the target's execution times with those of its kind; a value above 1 means slower.
 	TimeFactor float64
+	// Born is the incarnation of the target that answered; 0 if it does not report it.
+	Born int64
 }
 
 // GroupOrderKind is the operation that a group order requests.
