--- a/rudderd/rudderedge/poison.go
+++ b/rudderd/rudderedge/poison.go
@@ -39,8 +39,9 @@
 	// entry hosts: the watchers of a larger one cannot serve that many calls.
 	urgentTime       = 1500 * time.Millisecond
 	urgentMaxEntries = copyMinEntries
-	// trialTime is how long a trial stays open for a request.
-	trialTime = 30 * time.Second
+	// trialTime is how long a trial stays open for a request, and trialRetry the pause after a failed attempt to open one.
+	trialTime  = 30 * time.Second
+	trialRetry = 5 * time.Second
 )
 
 // partRecord is a sound or block record.
@@ -61,7 +62,7 @@
 	requests   *rudderpoison.Tracker
 	parts      *rudderpoison.PartTracker
 	evaluating bool                       // an evaluation is due
-	trials     map[rudderpoison.Part]bool // calls in progress that try to open a trial
+	trials     map[rudderpoison.Part]bool // attempts to open a trial, in progress or failed lately
 	crashAt    time.Time                  // of the newest crash
 }
 
@@ -112,11 +113,12 @@
 	revision, err := p.records.write(partKey(blockPrefix, b.Part), record, b.Revision)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.trials, b.Part)
 	if err != nil {
+		time.AfterFunc(trialRetry, func() { p.endTrial(b.Part) })
 		p.edge.Logger.Info().Err(err).Str("part", string(b.Part)).Msg("no trial of the blocked prompt part on this entry host")
 		return
 	}
+	delete(p.trials, b.Part)
 	now := p.now()
 	p.parts.ApplyBlock(now, b.Part, b.Shared, b.Trials+1, revision)
 	p.parts.OpenTrial(b.Part, now.Add(trialTime))
@@ -124,6 +126,13 @@
 	p.edge.Logger.Warn().Str("part", string(b.Part)).Int("trial", b.Trials+1).Msg("one request with the blocked prompt part may pass as a trial")
 }
 
+// endTrial allows the next attempt to open a trial.
+func (p *poison) endTrial(part rudderpoison.Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.trials, part)
+}
+
 // crashed implements rudderforward.Forwarder.RecordCrash.
 func (p *poison) crashed(t *rudderview.Target, suspects []rudderpoison.SuspectRequest) {
 	crash := rudderpoison.Crash{Target: incarnation(t), Domain: t.FabricDomain}
--- a/rudderd/rudderedge/poison_test.go
+++ b/rudderd/rudderedge/poison_test.go
@@ -21,7 +21,7 @@
 	t       *testing.T
 	store   *rudderstore.Store
 	failing atomic.Bool
-	writes  atomic.Int64 // calls that write evidence
+	writes  atomic.Int64 // calls that write evidence, also failed ones
 	ahead   atomic.Int64
 	hosts   []*Edge
 }
@@ -31,12 +31,12 @@
 	f := &poisonFleet{t: t, store: memory}
 	changed := *memory
 	changed.Put = func(ctx context.Context, r rudderstore.PutRequest) (int64, error) {
-		if f.failing.Load() {
-			return 0, rudderstore.ErrUnavailable
-		}
 		if strings.HasPrefix(r.Key, rudderview.EvidencePrefix) {
 			f.writes.Add(1)
 		}
+		if f.failing.Load() {
+			return 0, rudderstore.ErrUnavailable
+		}
 		return memory.Put(ctx, r)
 	}
 	f.store = &changed
@@ -165,3 +165,20 @@
 	}
 	require.Equal(t, 1, passed)
 }
+
+// Guards against a call to the key-value service for each refused request while a trial cannot be opened.
+func TestFailedTrialIsNotRepeatedAtOnce(t *testing.T) {
+	f := startPoisonFleet(t, 1)
+	f.crash(f.hosts[0], "t1", 1, "x")
+	f.crash(f.hosts[0], "t2", 2, "x")
+	f.requireBlocked("x", true)
+	time.Sleep(time.Second)
+	f.failing.Store(true)
+	f.ahead.Store(int64(2 * time.Minute))
+	f.writes.Store(0)
+	for range 100 {
+		require.True(t, isBlocked(f.hosts[0], "x"))
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Equal(t, int64(1), f.writes.Load())
+}
