--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -43,6 +44,8 @@
 	// takes a default.
 	StallTimeout time.Duration
 	Retries      RetryLimits
+	// Limits holds the request rates that targets name.
+	Limits *rudderlimit.Table
 	// Report requests the state of a target.
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// FindDeadMembers has the planner probe a group and returns the dead members; ok is false if the planner
@@ -120,6 +123,7 @@
 			f.loads.prune(now)
 			f.probes.prune(now)
 			f.pauses.prune(now)
+			f.Limits.Prune(now)
 		}
 	}
 	return nil
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -68,6 +68,7 @@
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
 	for _, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
 		f.Metrics.Count("targets.probes")
+		f.Limits.CountProbe(processOf(t))
 		tryContext, cancel := context.WithTimeout(ctx, timeout)
 		report, err := f.Report(tryContext, t.Address)
 		cancel()
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -63,6 +63,11 @@
 	Pause time.Duration
 	// InvalidPause is the beginning of a pause value that is malformed or out of range, or empty.
 	InvalidPause string
+	// RequestLimit is the number of requests per second that the target takes from all entry hosts together; nil if it
+	// names none, or an invalid one.
+	RequestLimit *float64
+	// InvalidLimit is the beginning of a malformed limit, or empty.
+	InvalidLimit string
 }
 
 // Protocol translates between HTTP and the types of this package.
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -73,6 +73,8 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	f.Limits.CountSend(processOf(g.Leader), j.sends > 0)
+	sentAt := f.Uptime()
 	response, err := f.Client.Do(request)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
@@ -94,6 +96,7 @@
 		return nil, errors.Mark(errors.Mark(errors.Newf("got the response for request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
 	}
 	f.observeHeaders(j, g, answer)
+	f.observeLimit(j, g, answer, sentAt)
 	return answer, nil
 }
 
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -114,6 +115,7 @@
 		View: view, Client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, Logger: zerolog.Nop(), Uptime: uptime,
 		Metrics:         Metrics{Count: func(string) {}, Observe: func(string, time.Duration) {}},
 		MaxKeyStaleness: time.Minute, Retries: RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		Limits: &rudderlimit.Table{},
 		Report: func(ctx context.Context, address string) (ruddertarget.GroupReport, error) {
 			return ruddertarget.GroupReport{}, nil
 		},
--- /dev/null
+++ b/rudderd/rudderlimit/limit.go
@@ -0,0 +1,147 @@
+// Package rudderlimit keeps the request rates that targets name as the most that they take from all entry hosts together.
+// The package does no I/O.
+package rudderlimit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxTargets bounds the number of targets whose limits are kept; a large fleet stays below it.
+	maxTargets = 4096
+	// retention is how long the state of a target is kept without news of it. Nothing is known then, and a request finds
+	// out whether the target still names a limit.
+	retention = time.Minute
+)
+
+// Process identifies one incarnation of a target.
+type Process struct {
+	Target string
+	// Born is the Unix millisecond at which the process started.
+	Born int64
+}
+
+// Change says how an observation has changed what is known of a target.
+type Change int
+
+// Changes of the limit of a target.
+const (
+	Unchanged Change = iota
+	Began
+	Raised
+	Lowered
+	Ended
+)
+
+// String returns the name of a change, for logs and metrics.
+func (c Change) String() string {
+	return [...]string{"unchanged", "began", "raised", "lowered", "ended"}[c]
+}
+
+// Table holds the limits of targets. It is safe for concurrent use. Times are uptimes of the entry host.
+type Table struct {
+	mu      sync.Mutex
+	targets map[string]*state
+}
+
+// state is what is known of the limit of one process.
+type state struct {
+	born    int64
+	limited bool
+	rate    float64       // requests per second
+	namedAt time.Duration // when an answer last named the limit
+	knownAt time.Duration // when the newest observation was made, which may be the end of the limit
+	usage   Usage
+}
+
+// Name records that an answer has named a limit, in requests per second.
+func (t *Table) Name(p Process, rate float64, now time.Duration) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.enter(p, now)
+	if s == nil {
+		return Unchanged
+	}
+	change := s.changeTo(rate)
+	s.limited, s.rate, s.namedAt, s.knownAt = true, rate, now, now
+	return change
+}
+
+func (s *state) changeTo(rate float64) Change {
+	switch {
+	case !s.limited:
+		return Began
+	case rate > s.rate:
+		return Raised
+	case rate < s.rate:
+		return Lowered
+	}
+	return Unchanged
+}
+
+// NameNone records that an answer names no limit. It ends a limit only if the request was sent after the limit was last
+// named: answers on different connections overtake each other.
+func (t *Table) NameNone(p Process, sentAt, now time.Duration) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(p)
+	if s == nil || !s.limited || sentAt <= s.namedAt {
+		return Unchanged
+	}
+	s.limited, s.knownAt = false, now
+	return Ended
+}
+
+// Limited reports whether a process has named a limit that has not ended.
+func (t *Table) Limited(p Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(p)
+	return s != nil && s.limited
+}
+
+// Prune drops the targets of which there is no news.
+func (t *Table) Prune(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+}
+
+func (t *Table) prune(now time.Duration) {
+	for name, s := range t.targets {
+		if now-s.knownAt > retention {
+			delete(t.targets, name)
+		}
+	}
+}
+
+func (t *Table) find(p Process) *state {
+	s := t.targets[p.Target]
+	if s == nil || s.born != p.Born {
+		return nil
+	}
+	return s
+}
+
+// enter returns the state of a process and creates it if necessary. It returns nil for a process that has ended, and if
+// maxTargets is reached.
+func (t *Table) enter(p Process, now time.Duration) *state {
+	s := t.targets[p.Target]
+	switch {
+	case s != nil && s.born == p.Born:
+		return s
+	case s != nil && s.born > p.Born:
+		return nil
+	case s == nil && len(t.targets) >= maxTargets:
+		if t.prune(now); len(t.targets) >= maxTargets {
+			return nil
+		}
+	}
+	if t.targets == nil {
+		t.targets = map[string]*state{}
+	}
+	s = &state{born: p.Born, knownAt: now}
+	t.targets[p.Target] = s
+	return s
+}
