Keep the request rate that a target names, summed over all entry hosts

Cause: the limit was not read. Requests are chosen by load, and no entry host alone sends more than a limit allows, so a limit for each host would not have helped either.

The owner of a partition of a ledger, who is asked for each request anyway, now permits requests to targets with a limit from a token bucket, the less urgent last. Plain services and models with a single group get an owner while a target names a limit. Limits travel with the questions, first-hand or not, without appearing newer on the way. Without an owner each host has an equal share. What is above a limit goes to other groups or is refused at once. No call to the key-value service.

--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -23,6 +23,8 @@
 	ID string
 	// Draining groups are chosen last.
 	Draining bool
+	// Wait is the time until the group's target takes a further request, because it limits their rate; 0 if it takes one now.
+	Wait time.Duration
 }
 
 // Request describes one send.
@@ -109,7 +111,8 @@
 }
 
 // Pick chooses a group and records the request; wait is the expected wait for the group. If groups exist but
-// all of them are full, full is true and wait is the time after which the caller may find room.
+// all of them are full or take no more requests now, full is true and wait is the time after which the caller may
+// find room.
 func (l *Ledger) Pick(now time.Duration, speed Speed, groups []Group, r Request) (id string, wait time.Duration, full bool) {
 	l.expire(now)
 	if l.begin == 0 {
@@ -126,7 +129,7 @@
 	case best == nil && !full:
 		return "", 0, false
 	case best == nil:
-		return "", l.recordRefusal(now), true
+		return "", max(bestWait, l.recordRefusal(now)), true
 	case late:
 		// A longer queue would delay every answer without serving more requests.
 		return "", max(bestWait, l.recordRefusal(now)), true
@@ -145,11 +148,12 @@
 }
 
 // cheapest returns the group with the lowest cost and the expected wait for it; full is set if a group was
-// left out because it is full. Groups that serve within the objective come before late ones, and draining
+// left out because it is full or takes no more requests now. Without a group, wait is the shortest time until one of
+// those takes a request. Groups that serve within the objective come before late ones, and draining
 // groups come last among each.
 func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, r Request) (best *account, id string, wait time.Duration, full bool) {
 	const draining, late = time.Hour, 2 * time.Hour // higher than any other cost
-	var least time.Duration
+	var least, limitWait time.Duration
 	for _, g := range groups {
 		if avoids(r.Avoid, g.ID) {
 			continue
@@ -163,6 +167,13 @@
 			full = true
 			continue
 		}
+		if g.Wait > 0 {
+			full = true
+			if limitWait == 0 || g.Wait < limitWait {
+				limitWait = g.Wait
+			}
+			continue
+		}
 		cost, expected := a.cost(now, speed)
 		if g.Draining {
 			cost += draining
@@ -174,6 +185,9 @@
 			best, id, wait, least = a, g.ID, expected, cost
 		}
 	}
+	if best == nil {
+		wait = limitWait
+	}
 	return best, id, wait, full
 }
 
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -120,3 +120,29 @@
 	require.Equal(t, taken["a"], taken["b"], "each takes what it can serve in time: %v", taken)
 	require.Positive(t, taken[""])
 }
+
+// Guards against requests above the rate that a target takes while another group has room, and against a refusal that does
+// not say when the next one is taken.
+func TestGroupsWithALimit(t *testing.T) {
+	speed := Speed{PromptTokensPerSecond: 1000, Step: time.Millisecond, Slots: 4}
+	for _, test := range []struct {
+		name     string
+		groups   []Group
+		spill    bool
+		want     string
+		wantWait time.Duration
+		wantFull bool
+	}{
+		{"another group", []Group{{ID: "a", Wait: time.Second}, {ID: "b"}}, false, "b", 0, false},
+		{"a draining one", []Group{{ID: "a", Wait: time.Second}, {ID: "b", Draining: true}}, false, "b", 0, false},
+		{"none", []Group{{ID: "a", Wait: 2 * time.Second}, {ID: "b", Wait: time.Second}}, false, "", time.Second, true},
+		{"none, and another ledger", []Group{{ID: "a", Wait: time.Second}}, true, "", time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			id, wait, full := NewLedger().Pick(time.Second, speed, test.groups, Request{ID: "r", Spill: test.spill})
+			require.Equal(t, test.want, id)
+			require.Equal(t, test.wantWait, wait)
+			require.Equal(t, test.wantFull, full)
+		})
+	}
+}
--- a/rudderd/rudderbalance/partitions.go
+++ b/rudderd/rudderbalance/partitions.go
@@ -28,21 +28,28 @@
 	Spill     bool
 }
 
+// PartitionCounts holds numbers of groups by partition: all groups, those nearby, and those whose targets do not limit
+// the rate of requests.
+type PartitionCounts struct {
+	All, Near, Unlimited []int
+}
+
 // PartitionQueries returns the partitions to query for one request, in order: one that has groups nearby,
-// another one, and the first again. Groups nearby save connections, and traffic between data centres. weights
-// and near are the numbers of all groups and of nearby groups of each partition; draw returns random numbers
-// in [0, 1).
-func PartitionQueries(weights, near []int, draw func() float64) []PartitionQuery {
-	home := DrawWeighted(near, draw())
+// another one, and the first again. Groups nearby save connections, and traffic between data centres. The other one has
+// groups without a limit, if there are any, because the first one may have no room on account of its limits. draw returns
+// random numbers in [0, 1).
+func PartitionQueries(counts PartitionCounts, draw func() float64) []PartitionQuery {
+	home := DrawWeighted(counts.Near, draw())
 	if home < 0 {
-		home = DrawWeighted(weights, draw())
+		home = DrawWeighted(counts.All, draw())
 	}
 	if home < 0 {
 		return nil
 	}
-	others := slices.Clone(weights)
-	others[home] = 0
-	other := DrawWeighted(others, draw())
+	other := drawOther(counts.Unlimited, home, draw())
+	if other < 0 {
+		other = drawOther(counts.All, home, draw())
+	}
 	if other < 0 {
 		return []PartitionQuery{{Partition: home}}
 	}
@@ -69,3 +76,10 @@
 	}
 	return last
 }
+
+// drawOther is DrawWeighted without the partition home.
+func drawOther(weights []int, home int, draw float64) int {
+	others := slices.Clone(weights)
+	others[home] = 0
+	return DrawWeighted(others, draw)
+}
--- a/rudderd/rudderbalance/partitions_test.go
+++ b/rudderd/rudderbalance/partitions_test.go
@@ -47,16 +47,21 @@
 func TestPartitionQueries(t *testing.T) {
 	half := func() float64 { return 0.5 }
 	for _, test := range []struct {
-		name          string
-		weights, near []int
-		want          []PartitionQuery
+		name                 string
+		all, near, unlimited []int
+		want                 []PartitionQuery
 	}{
-		{"no group", []int{0, 0}, []int{0, 0}, nil},
-		{"one partition", []int{4}, []int{2}, []PartitionQuery{{Partition: 0}}},
-		{"groups nearby", []int{4, 4}, []int{0, 3}, []PartitionQuery{{Partition: 1, Spill: true}, {Partition: 0}, {Partition: 1}}},
-		{"no group nearby", []int{0, 4, 0}, []int{0, 0, 0}, []PartitionQuery{{Partition: 1}}},
+		{"no group", []int{0, 0}, []int{0, 0}, []int{0, 0}, nil},
+		{"one partition", []int{4}, []int{2}, []int{4}, []PartitionQuery{{Partition: 0}}},
+		{"groups nearby", []int{4, 4}, []int{0, 3}, []int{4, 4}, []PartitionQuery{{Partition: 1, Spill: true}, {Partition: 0}, {Partition: 1}}},
+		{"no group nearby", []int{0, 4, 0}, []int{0, 0, 0}, []int{0, 4, 0}, []PartitionQuery{{Partition: 1}}},
+		{"limits nearby and in the larger partition", []int{9, 4, 4}, []int{0, 0, 3}, []int{0, 1, 0},
+			[]PartitionQuery{{Partition: 2, Spill: true}, {Partition: 1}, {Partition: 2}}},
+		{"limits everywhere", []int{4, 4}, []int{0, 3}, []int{0, 0}, []PartitionQuery{{Partition: 1, Spill: true}, {Partition: 0}, {Partition: 1}}},
 	} {
-		t.Run(test.name, func(t *testing.T) { require.Equal(t, test.want, PartitionQueries(test.weights, test.near, half)) })
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, PartitionQueries(PartitionCounts{All: test.all, Near: test.near, Unlimited: test.unlimited}, half))
+		})
 	}
 }
 
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,15 +35,15 @@
 	owners owners
 
 	mu           sync.Mutex
-	ledgers      map[string]*rudderbalance.Ledger // by service, model and partition
-	done         map[string][]string              // IDs of completed requests not yet sent to the owner, by peer address
-	backoffUntil map[string]time.Time             // for owners that did not respond, by peer address
+	ledgers      map[ledgerKey]*rudderbalance.Ledger
+	done         map[string][]string  // IDs of completed requests not yet sent to the owner, by peer address
+	backoffUntil map[string]time.Time // for owners that did not respond, by peer address
 	wake         chan struct{}
 }
 
 func newBalance(e *Edge) *balance {
 	return &balance{
-		edge: e, ledgers: map[string]*rudderbalance.Ledger{}, done: map[string][]string{}, backoffUntil: map[string]time.Time{},
+		edge: e, ledgers: map[ledgerKey]*rudderbalance.Ledger{}, done: map[string][]string{}, backoffUntil: map[string]time.Time{},
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -58,11 +57,11 @@
 // respond.
 func (b *balance) pick(ctx context.Context, q rudderforward.PickQuery) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
-	weights, near, groups := groupsByPartition(snapshot, q, b.edge.Settings.DataCentre)
+	counts, groups := b.edge.groupsByPartition(snapshot, q)
 	var best, spilled rudderforward.Pick
-	for _, query := range rudderbalance.PartitionQueries(weights, near, rand.Float64) {
+	for _, query := range rudderbalance.PartitionQueries(counts, rand.Float64) {
 		pick := b.queryOwner(ctx, snapshot, q, query)
-		pick.Work = pick.Work * time.Duration(groups) / time.Duration(weights[query.Partition])
+		pick.Work = pick.Work * time.Duration(groups) / time.Duration(counts.All[query.Partition])
 		if pick.Group != "" {
 			return pick
 		}
@@ -83,22 +82,25 @@
 	return best
 }
 
-// groupsByPartition counts the groups that may serve a request: all of them and those of a data centre by partition,
-// and the total.
-func groupsByPartition(s *rudderview.Snapshot, q rudderforward.PickQuery, dataCentre string) (weights, near []int, groups int) {
-	weights = make([]int, s.Partitions(q.Service))
-	near = make([]int, len(weights))
+// groupsByPartition counts the groups that may serve a request, by partition and in total.
+func (e *Edge) groupsByPartition(s *rudderview.Snapshot, q rudderforward.PickQuery) (counts rudderbalance.PartitionCounts, groups int) {
+	n := s.Partitions(q.Service)
+	counts = rudderbalance.PartitionCounts{All: make([]int, n), Near: make([]int, n), Unlimited: make([]int, n)}
+	limits := !e.limits.Empty()
 	for _, g := range s.Groups(q.Service, q.Model) {
 		if slices.Contains(q.Avoid, g.ID) {
 			continue
 		}
 		groups++
-		weights[g.Partition]++
-		if g.Leader.DataCentre == dataCentre {
-			near[g.Partition]++
+		counts.All[g.Partition]++
+		if g.Leader.DataCentre == e.Settings.DataCentre {
+			counts.Near[g.Partition]++
+		}
+		if !limits || !e.limits.Limited(processOf(g)) {
+			counts.Unlimited[g.Partition]++
 		}
 	}
-	return weights, near, groups
+	return counts, groups
 }
 
 // queryOwner requests a group from the owner of one partition of a model's ledger.
@@ -113,7 +115,7 @@
 		request.Objective = time.Duration(spillShare * float64(q.Objective))
 	}
 	if owner.Name == b.edge.Settings.Name {
-		pick := b.pickLocal(q.Service, q.Model, query.Partition, request)
+		pick := b.pickLocal(ledgerKey{q.Service, q.Model, query.Partition}, q.Urgency, request)
 		pick.Release = func() { b.finish([]string{id}) }
 		return pick
 	}
@@ -121,22 +123,25 @@
 	if backingOff {
 		return rudderforward.Pick{}
 	}
+	reports := b.edge.limits.Reports(b.edge.processesOf(snapshot, ledgerKey{q.Service, q.Model, query.Partition}), b.edge.uptime())
 	ctx, cancel := context.WithTimeout(ctx, pickTimeout)
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+owner.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
-		Leaving: b.edge.announced(),
+		Leaving: b.edge.announced(), Limits: encodeLimits(reports), Urgency: int64(q.Urgency),
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if err != nil {
 		b.markUnreachable(owner.Peer, done)
+		b.edge.limits.Return(reports)
 		b.edge.count("balance.owner_unreachable")
 		b.edge.Logger.Warn().Err(err).Str("owner", owner.Name).Str("model", q.Model).Int("part", query.Partition).Msg("owner of the model is unreachable")
 		return rudderforward.Pick{Release: release}
 	}
 	b.edge.applyAnnounced(owner.Name, answer.GetLeaving())
-	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
+	b.edge.mergeLimits(owner.Name, decodeLimits(answer.GetLimits()))
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
 		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}
 }
 
@@ -164,29 +169,58 @@
 	}
 }
 
-// pickLocal chooses a group from a partition of a ledger that this entry host owns.
-func (b *balance) pickLocal(service, model string, partition int, r rudderbalance.Request) rudderforward.Pick {
+// pickLocal chooses a group from a partition of a ledger that this entry host owns, and takes a permit if the group's
+// target limits the rate of requests.
+func (b *balance) pickLocal(key ledgerKey, urgency int, r rudderbalance.Request) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
-	speed, known := modelSpeed(snapshot.Table, service, model)
+	list := groupsOf(snapshot, key)
+	speed, known := modelSpeed(snapshot.Table, key.service, key.model)
+	if !known && key.model == "" {
+		speed, known = plainSpeed(list), true
+	}
 	if !known {
 		return rudderforward.Pick{}
 	}
-	list := snapshot.Groups(service, model)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	uptime, limited := b.edge.uptime(), false
 	groups := make([]rudderbalance.Group, 0, len(list))
 	for _, g := range list {
-		if g.Partition == partition {
-			groups = append(groups, rudderbalance.Group{ID: g.ID, Draining: g.Draining})
-		}
+		wait := b.edge.limits.Wait(processOf(g), urgency, uptime)
+		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
+		groups = append(groups, rudderbalance.Group{ID: g.ID, Draining: g.Draining, Wait: wait})
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	key := service + "\x00" + model + "\x00" + strconv.Itoa(partition)
 	if b.ledgers[key] == nil {
 		b.ledgers[key] = rudderbalance.NewLedger()
 	}
 	ledger, now := b.ledgers[key], time.Since(ledgerEpoch)
 	group, wait, full := ledger.Pick(now, speed, groups, r)
-	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Work: ledger.Work(now)}
+	if i := slices.IndexFunc(list, func(g *rudderview.Group) bool { return g.ID == group }); i >= 0 {
+		b.edge.limits.Take(processOf(list[i]))
+	}
+	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Work: ledger.Work(now)}
+}
+
+// groupsOf returns the groups in a partition of a ledger.
+func groupsOf(s *rudderview.Snapshot, key ledgerKey) []*rudderview.Group {
+	var list []*rudderview.Group
+	for _, g := range s.Groups(key.service, key.model) {
+		if g.Partition == key.partition {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+// plainSpeed describes the targets of a plain service as the slowest of them.
+func plainSpeed(list []*rudderview.Group) rudderbalance.Speed {
+	var speed rudderbalance.Speed
+	for _, g := range list {
+		if speed.Slots == 0 || g.Slots < speed.Slots {
+			speed.Slots = g.Slots
+		}
+	}
+	return speed
 }
 
 // ledgerEpoch is the zero point of the times in the ledgers.
@@ -266,13 +300,18 @@
 func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
 	s.balance.finish(r.GetDone())
 	s.balance.edge.applyAnnounced("", r.GetLeaving())
-	pick := s.balance.pickLocal(r.GetService(), r.GetModel(), int(r.GetPart()), rudderbalance.Request{
+	reports := decodeLimits(r.GetLimits())
+	s.balance.edge.mergeLimits("", reports)
+	key := ledgerKey{r.GetService(), r.GetModel(), int(r.GetPart())}
+	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
 		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(),
 	})
-	return &rudderpeer.PickResponse{Group: pick.Group, Full: pick.Full, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
-		Leaving: s.balance.edge.announced()}, nil
+	return &rudderpeer.PickResponse{
+		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
+		Leaving: s.balance.edge.announced(), Limits: s.balance.edge.missingLimits(key, reports),
+	}, nil
 }
 
 // Done implements rudderpeer.Balance.
--- a/rudderd/rudderedge/limits.go
+++ b/rudderd/rudderedge/limits.go
@@ -3,11 +3,18 @@
 import (
 	"context"
 	"time"
+
+	"comfreyrudder.example/rudderd/rudderlimit"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderpeer"
 )
 
 // limitedSendsInterval is the time between two log lines with the sends to targets that name a limit.
 const limitedSendsInterval = 4 * time.Second
 
+// maxLimitsPerCall bounds the limits in one call between entry hosts. It is above the number of groups in a partition.
+const maxLimitsPerCall = 256
+
 // logLimitedSends periodically logs what this entry host has sent to each target that names a limit, until the context is
 // cancelled. The sum over all entry hosts is what the target has received.
 func (e *Edge) logLimitedSends(ctx context.Context) error {
@@ -20,3 +27,56 @@
 	}
 	return nil
 }
+
+// processesOf returns the targets that take the requests of a partition of a ledger, or nil while no limits are known.
+func (e *Edge) processesOf(s *rudderview.Snapshot, key ledgerKey) []rudderlimit.Process {
+	if e.limits.Empty() {
+		return nil
+	}
+	var list []rudderlimit.Process
+	for _, g := range groupsOf(s, key) {
+		if len(list) < maxLimitsPerCall {
+			list = append(list, processOf(g))
+		}
+	}
+	return list
+}
+
+func processOf(g *rudderview.Group) rudderlimit.Process {
+	return rudderlimit.Process{Target: g.Leader.Name, Born: g.Leader.Born}
+}
+
+// mergeLimits applies the limits that another entry host knows.
+func (e *Edge) mergeLimits(from string, list []rudderlimit.Report) {
+	for _, r := range e.limits.Merge(list, e.uptime()) {
+		e.Logger.Info().Str("target", r.Process.Target).Int64("born", r.Process.Born).Bool("limited", r.Limited).Float64("requests_per_second", r.Rate).
+			Dur("age_ms", r.Age).Str("by", from).Msg("target changed its limit of requests, as reported by another entry host")
+	}
+}
+
+// missingLimits returns the limits of the targets of a partition that another entry host does not know.
+func (e *Edge) missingLimits(key ledgerKey, known []rudderlimit.Report) []*rudderpeer.TargetLimit {
+	return encodeLimits(e.limits.Missing(e.processesOf(e.view.Snapshot(), key), known, e.uptime()))
+}
+
+func encodeLimits(list []rudderlimit.Report) []*rudderpeer.TargetLimit {
+	out := make([]*rudderpeer.TargetLimit, 0, len(list))
+	for _, r := range list {
+		out = append(out, &rudderpeer.TargetLimit{
+			Name: r.Process.Target, Born: r.Process.Born, RequestsPerSecond: r.Rate, Ended: !r.Limited, AgeMs: r.Age.Milliseconds(), Spent: int64(r.Spent),
+		})
+	}
+	return out
+}
+
+func decodeLimits(list []*rudderpeer.TargetLimit) []rudderlimit.Report {
+	list = list[:min(len(list), maxLimitsPerCall)]
+	out := make([]rudderlimit.Report, 0, len(list))
+	for _, x := range list {
+		out = append(out, rudderlimit.Report{
+			Process: rudderlimit.Process{Target: x.GetName(), Born: x.GetBorn()}, Limited: !x.GetEnded(), Rate: x.GetRequestsPerSecond(),
+			Age: time.Duration(x.GetAgeMs()) * time.Millisecond, Spent: int(x.GetSpent()),
+		})
+	}
+	return out
+}
--- a/rudderd/rudderedge/owners.go
+++ b/rudderd/rudderedge/owners.go
@@ -30,6 +30,11 @@
 		o.snapshot, o.assigned = s, assignOwners(s.EntryHosts, ledgerKeys(s))
 	}
 	owner, found := o.assigned[key]
+	if !found && key.model == "" {
+		// A plain service has an owner only while one of its targets limits the rate of requests.
+		owner, found = assignOwners(s.EntryHosts, []ledgerKey{key})[key]
+		o.assigned[key] = owner
+	}
 	return owner, found
 }
 
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -46,20 +46,9 @@
 	if refused := f.checkTimeLeft(j, accepting); refused != nil {
 		return nil, refused
 	}
-	c := f.choose(ctx, j, snapshot, groups)
-	for c.group != nil && !f.accepts(c.group) {
-		j.excludeGroup(c.group)
-		c = f.chooseHere(j, snapshot, accepting)
-	}
+	c := f.chooseAccepting(ctx, j, snapshot, groups, accepting)
 	if c.group == nil {
-		code := "groups_failed"
-		if c.full {
-			code = "groups_full"
-		}
-		return nil, &refusal{
-			status: http.StatusServiceUnavailable, code: code, message: "no group has room for this request now",
-			retryAfter: max(shortRetryAfter, min(j.expectedWait, maxRetryAfter)),
-		}
+		return nil, f.noRoom(j, c)
 	}
 	if j.sends > 0 && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
@@ -67,15 +56,43 @@
 	return c.group, nil
 }
 
+// chooseAccepting chooses a group and checks it again, because the request may have waited for an owner's answer.
+func (f *Forwarder) chooseAccepting(ctx context.Context, j *job, snapshot *rudderview.Snapshot, groups, accepting []*rudderview.Group) choice {
+	c := f.choose(ctx, j, snapshot, groups)
+	for c.group != nil && (f.permitExpired(c) || !f.accepts(c.group)) {
+		if !f.permitExpired(c) {
+			j.excludeGroup(c.group)
+		}
+		c = f.chooseHere(j, snapshot, accepting)
+	}
+	return c
+}
+
+// noRoom returns the refusal of a request for which no group was chosen.
+func (f *Forwarder) noRoom(j *job, c choice) *refusal {
+	r := &refusal{
+		status: http.StatusServiceUnavailable, code: "groups_failed", message: "no group has room for this request now",
+		retryAfter: max(shortRetryAfter, min(j.expectedWait, maxRetryAfter)),
+	}
+	switch {
+	case c.limited:
+		r.code, r.message = "rate_limited", "the targets of this request take no more requests now"
+	case c.full:
+		r.code = "groups_full"
+	}
+	return r
+}
+
 // choose requests a group from the owner of the model. If the owner gives no usable answer, it chooses from the
 // load known to this entry host.
 func (f *Forwarder) choose(ctx context.Context, j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
 	now := f.Uptime()
 	j.release()
-	if model := groups[0].Model; model != "" && len(groups) > 1 {
+	f.Limits.SetHosts(len(snapshot.EntryHosts), now)
+	if model := groups[0].Model; model != "" && len(groups) > 1 || f.limited(groups) {
 		q := PickQuery{
 			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
-			Cost: f.cost(j, model), Objective: f.waitLimit(j, model, now),
+			Cost: f.cost(j, model), Objective: f.waitLimit(j, model, now), Urgency: j.urgency(),
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
@@ -92,14 +109,14 @@
 			f.work.set(j.service, model, pick.Work)
 			for _, g := range groups {
 				if g.ID == pick.Group {
-					return choice{group: g}
+					return choice{group: g, permittedAt: now}
 				}
 			}
 			if pick.Group != "" {
 				f.SkipBatchPause() // the owner knows a group that is missing from this entry host's view
 			}
 			if pick.Full {
-				return choice{full: true}
+				return choice{full: true, limited: pick.Limited}
 			}
 		}
 	}
@@ -107,8 +124,21 @@
 	return f.chooseHere(j, snapshot, accepting)
 }
 
-// chooseHere chooses a group from the load known to this entry host, without a call to the model's owner.
+// chooseHere chooses a group from the load known to this entry host, without a call to the model's owner. Targets with a
+// limit get this host's share of it.
 func (f *Forwarder) chooseHere(j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
+	permitted := f.withShare(groups)
+	c := f.chooseByLoad(j, snapshot, permitted)
+	if c.group != nil && !f.Limits.TakeShare(processOf(c.group.Leader), f.Uptime()) {
+		c = choice{}
+	}
+	if c.group == nil && len(permitted) < len(groups) {
+		c.full, c.limited = true, true
+	}
+	return c
+}
+
+func (f *Forwarder) chooseByLoad(j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
 	return f.loads.choose(groups, choiceInputs{now: f.Uptime(), entries: len(snapshot.EntryHosts), dataCentre: f.DataCentre, exclude: j.exclude})
 }
 
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -125,6 +125,8 @@
 	Avoid []string
 	// Objective is the longest wait for a group that the request can bear; 0 accepts any wait.
 	Objective time.Duration
+	// Urgency is the priority of the request, 0 for the highest.
+	Urgency int
 }
 
 // Pick is an owner's answer to a PickQuery. If Answered is false, the group is chosen locally.
@@ -132,6 +134,8 @@
 	Answered bool
 	Group    string // empty if no group can take the request
 	Full     bool
+	// Limited is set if groups have room but their targets take no more requests now.
+	Limited bool
 	// Work is the time that one group would need for the model's recent work; 0 if the owner does not know it
 	// yet.
 	Work time.Duration
@@ -146,6 +150,10 @@
 	group *rudderview.Group
 	load  float64 // estimated number of requests at the group
 	full  bool    // all groups that could be chosen are full
+	// limited is set if groups have room but their targets take no more requests now.
+	limited bool
+	// permittedAt is the uptime of the request for a permit; 0 without one.
+	permittedAt time.Duration
 }
 
 // choiceInputs holds the inputs for choosing a group.
--- a/rudderd/rudderforward/limit.go
+++ b/rudderd/rudderforward/limit.go
@@ -1,6 +1,7 @@
 package rudderforward
 
 import (
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderlimit"
@@ -35,3 +36,32 @@
 	f.Logger.Info().Str("request_id", j.request.ID).Str("target", t.Name).Int64("born", t.Born).Str("group", g.ID).
 		Str("change", change.String()).Float64("requests_per_second", rate).Msg("target changed its limit of requests")
 }
+
+// permitTime is how long after the question to the owner a request may be sent. A process that was suspended meanwhile would
+// send it in a time for which the owner has permitted others.
+const permitTime = 250 * time.Millisecond
+
+// limited reports whether the target of one of the groups names a limit.
+func (f *Forwarder) limited(groups []*rudderview.Group) bool {
+	return slices.ContainsFunc(groups, func(g *rudderview.Group) bool { return f.Limits.Limited(processOf(g.Leader)) })
+}
+
+// permitExpired reports whether a permit for a target with a limit is too old to be used.
+func (f *Forwarder) permitExpired(c choice) bool {
+	return c.permittedAt > 0 && f.Uptime()-c.permittedAt > permitTime && f.Limits.Limited(processOf(c.group.Leader))
+}
+
+// withShare returns the groups whose targets take a request of this entry host without a permit of the owner.
+func (f *Forwarder) withShare(groups []*rudderview.Group) []*rudderview.Group {
+	if !f.limited(groups) {
+		return groups
+	}
+	now := f.Uptime()
+	var list []*rudderview.Group
+	for _, g := range groups {
+		if f.Limits.HasShare(processOf(g.Leader), now) {
+			list = append(list, g)
+		}
+	}
+	return list
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -72,7 +72,7 @@
 // mayClearWithin reports whether the reason for a refusal may go away within a time.
 func (r *refusal) mayClearWithin(within time.Duration) bool {
 	switch r.code {
-	case "no_group", "groups_failed", "groups_full", "targets_pause":
+	case "no_group", "groups_failed", "groups_full", "rate_limited", "targets_pause":
 		return r.pausedFor <= within
 	}
 	return false
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -137,10 +137,14 @@
 			},
 			DecodeReply: func(r *http.Response) Reply {
 				seconds, _ := strconv.ParseFloat(r.Header.Get("Pause"), 64)
-				return Reply{
+				reply := Reply{
 					RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != "",
-					Leaving: r.Header.Get("Leaving") != "", Pause: time.Duration(seconds * float64(time.Second)),
+					Leaving: r.Header.Get("Leaving") != "", Pause: time.Duration(seconds * float64(time.Second)), InvalidLimit: r.Header.Get("Bad-Limit"),
 				}
+				if rate, err := strconv.ParseFloat(r.Header.Get("Limit"), 64); err == nil {
+					reply.RequestLimit = &rate
+				}
+				return reply
 			},
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", fmt.Sprint(d.Seconds())) },
 		},
--- a/rudderd/rudderlimit/limit.go
+++ b/rudderd/rudderlimit/limit.go
@@ -10,9 +10,9 @@
 const (
 	// maxTargets bounds the number of targets whose limits are kept; a large fleet stays below it.
 	maxTargets = 4096
-	// retention is how long the state of a target is kept without news of it. Nothing is known then, and a request finds
-	// out whether the target still names a limit.
-	retention = time.Minute
+	// retention is how long the state of a target is kept without news of it. It is long, because a limit ends with an
+	// answer, which comes soon where there is demand.
+	retention = 10 * time.Minute
 )
 
 // Process identifies one incarnation of a target.
@@ -43,6 +43,9 @@
 type Table struct {
 	mu      sync.Mutex
 	targets map[string]*state
+	// hosts is the largest number of entry hosts since hostsAt.
+	hosts   int
+	hostsAt time.Duration
 }
 
 // state is what is known of the limit of one process.
@@ -53,6 +56,12 @@
 	namedAt time.Duration // when an answer last named the limit
 	knownAt time.Duration // when the newest observation was made, which may be the end of the limit
 	usage   Usage
+
+	permits bucket                       // of all entry hosts, on the one that grants them
+	askedAt [urgencyLevels]time.Duration // when requests of each urgency last asked for a permit
+	share   bucket                       // of this entry host, for requests without a permit
+	// unreported is the number of requests that were sent without a permit and are not deducted from permits yet.
+	unreported int
 }
 
 // Name records that an answer has named a limit, in requests per second.
@@ -86,13 +95,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	if s == nil || !s.limited || sentAt <= s.namedAt {
+	if s == nil || sentAt <= s.namedAt {
 		return Unchanged
 	}
+	was := s.limited
 	s.limited, s.knownAt = false, now
+	if !was {
+		return Unchanged
+	}
 	return Ended
 }
 
+// Empty reports whether no target is known to name a limit or to have named one lately.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets) == 0
+}
+
 // Limited reports whether a process has named a limit that has not ended.
 func (t *Table) Limited(p Process) bool {
 	t.mu.Lock()
--- a/rudderd/rudderlimit/usage.go
+++ b/rudderd/rudderlimit/usage.go
@@ -16,23 +16,25 @@
 
 // CountSend counts a request that is sent to a target.
 func (t *Table) CountSend(p Process, repeated bool) {
-	t.count(p, func(u *Usage) {
-		if repeated {
-			u.Repeated++
-		} else {
-			u.First++
-		}
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(p)
+	switch {
+	case s == nil || !s.limited:
+	case repeated:
+		s.usage.Repeated++
+	default:
+		s.usage.First++
+	}
 }
 
-// CountProbe counts a request for a report that is sent to a target.
-func (t *Table) CountProbe(p Process) { t.count(p, func(u *Usage) { u.Probes++ }) }
-
-func (t *Table) count(p Process, add func(u *Usage)) {
+// CountProbe counts a request for a report that is sent to a target. It needs no permit, but uses up one.
+func (t *Table) CountProbe(p Process) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.find(p); s != nil && s.limited {
-		add(&s.usage)
+		s.usage.Probes++
+		s.unreported++
 	}
 }
 
