Keep the request rate that a target names on the chat API and its services too

Targets name it in Rudder-Request-Limit; the owner of the shard grants from a token bucket, queues or refuses what is above, and each entry host has an equal share while the owner does not answer.

--- a/rudderd/rudderadmission/groups.go
+++ b/rudderd/rudderadmission/groups.go
@@ -34,7 +34,9 @@
 	samples     int
 	// external is the reported load in excess of the held slots: slots that an earlier or a second owner
 	// granted, or that entry hosts took from their local shares.
-	external    int
+	external int
+	// limited is set while the leader takes no further request, because it limits their rate.
+	limited     bool
 	heldHistory []heldSample
 }
 
@@ -114,7 +116,7 @@
 
 // free returns the number of slots of a group that work of a class may take now.
 func (s *Shard) free(g *groupState, class rudderconfig.WorkClass, policy Policy) int {
-	if g.Draining {
+	if g.Draining || g.limited {
 		return 0
 	}
 	slots := s.effectiveSlots(g)
--- a/rudderd/rudderadmission/shard.go
+++ b/rudderd/rudderadmission/shard.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/shared/rudderconfig"
 )
 
@@ -20,6 +21,10 @@
 
 // Shard is the admission state of one shard of groups at its owner. It is not safe for concurrent use.
 type Shard struct {
+	// Limits holds the request rates that leaders name; nil for none. Uptime converts a time to the clock of Limits.
+	Limits *rudderlimit.Table
+	Uptime func(time.Time) time.Duration
+
 	policies   func(rudderconfig.Preset) Policy
 	groups     []*groupState
 	lanes      []*lane
@@ -98,6 +103,7 @@
 	if !s.servable(work) {
 		return Decision{RequestID: work.RequestID, Kind: NoGroup, Reason: "no group serves the work"}
 	}
+	s.refreshLimits(now)
 	policy := s.policies(work.Preset)
 	e := &entry{work: work, policy: policy, since: now, deadline: work.Deadline}
 	if e.deadline.IsZero() {
@@ -162,6 +168,7 @@
 	g := s.place(work, policy)
 	held := &slot{work: work, group: g, since: now}
 	s.hold(now, held)
+	s.takePermit(now, g)
 	return granted(held)
 }
 
@@ -239,6 +246,7 @@
 
 func (s *Shard) dispatch(now time.Time) []Decision {
 	var decisions []Decision
+	s.refreshLimits(now)
 	for {
 		e := s.next(now)
 		if e == nil {
--- a/rudderd/rudderadmission/wait.go
+++ b/rudderd/rudderadmission/wait.go
@@ -48,7 +48,11 @@
 			ahead += l.tokensAhead(work.Workspace, work.weight())
 		}
 	}
-	return seconds(float64(ahead) / s.drainRate(work.Class, policy))
+	wait := seconds(float64(ahead) / s.drainRate(work.Class, policy))
+	if rate := s.limitedRate(work); rate > 0 {
+		wait = max(wait, seconds(float64(s.QueueLength()+1)/rate))
+	}
+	return wait
 }
 
 // retryAfter returns the time until half of the queue has drained, or until the expected wait fits the
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -11,6 +11,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbalance"
 	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderpeer"
@@ -129,7 +130,7 @@
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+owner.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
-		Leaving: b.edge.announced(), Limits: encodeLimits(reports), Urgency: int64(q.Urgency),
+		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if err != nil {
@@ -140,7 +141,7 @@
 		return rudderforward.Pick{Release: release}
 	}
 	b.edge.applyAnnounced(owner.Name, answer.GetLeaving())
-	b.edge.mergeLimits(owner.Name, decodeLimits(answer.GetLimits()))
+	b.edge.mergeLimits(owner.Name, rudderlimit.Decode(answer.GetLimits()))
 	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
 		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}
 }
@@ -300,7 +301,7 @@
 func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
 	s.balance.finish(r.GetDone())
 	s.balance.edge.applyAnnounced("", r.GetLeaving())
-	reports := decodeLimits(r.GetLimits())
+	reports := rudderlimit.Decode(r.GetLimits())
 	s.balance.edge.mergeLimits("", reports)
 	key := ledgerKey{r.GetService(), r.GetModel(), int(r.GetPart())}
 	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
--- a/rudderd/rudderedge/limits.go
+++ b/rudderd/rudderedge/limits.go
@@ -12,9 +12,6 @@
 // limitedSendsInterval is the time between two log lines with the sends to targets that name a limit.
 const limitedSendsInterval = 4 * time.Second
 
-// maxLimitsPerCall bounds the limits in one call between entry hosts. It is above the number of groups in a partition.
-const maxLimitsPerCall = 256
-
 // logLimitedSends periodically logs what this entry host has sent to each target that names a limit, until the context is
 // cancelled. The sum over all entry hosts is what the target has received.
 func (e *Edge) logLimitedSends(ctx context.Context) error {
@@ -35,9 +32,7 @@
 	}
 	var list []rudderlimit.Process
 	for _, g := range groupsOf(s, key) {
-		if len(list) < maxLimitsPerCall {
-			list = append(list, processOf(g))
-		}
+		list = append(list, processOf(g))
 	}
 	return list
 }
@@ -56,27 +51,5 @@
 
 // missingLimits returns the limits of the targets of a partition that another entry host does not know.
 func (e *Edge) missingLimits(key ledgerKey, known []rudderlimit.Report) []*rudderpeer.TargetLimit {
-	return encodeLimits(e.limits.Missing(e.processesOf(e.view.Snapshot(), key), known, e.uptime()))
-}
-
-func encodeLimits(list []rudderlimit.Report) []*rudderpeer.TargetLimit {
-	out := make([]*rudderpeer.TargetLimit, 0, len(list))
-	for _, r := range list {
-		out = append(out, &rudderpeer.TargetLimit{
-			Name: r.Process.Target, Born: r.Process.Born, RequestsPerSecond: r.Rate, Ended: !r.Limited, AgeMs: r.Age.Milliseconds(), Spent: int64(r.Spent),
-		})
-	}
-	return out
-}
-
-func decodeLimits(list []*rudderpeer.TargetLimit) []rudderlimit.Report {
-	list = list[:min(len(list), maxLimitsPerCall)]
-	out := make([]rudderlimit.Report, 0, len(list))
-	for _, x := range list {
-		out = append(out, rudderlimit.Report{
-			Process: rudderlimit.Process{Target: x.GetName(), Born: x.GetBorn()}, Limited: !x.GetEnded(), Rate: x.GetRequestsPerSecond(),
-			Age: time.Duration(x.GetAgeMs()) * time.Millisecond, Spent: int(x.GetSpent()),
-		})
-	}
-	return out
+	return rudderlimit.Encode(e.limits.Missing(e.processesOf(e.view.Snapshot(), key), known, e.uptime()))
 }
--- a/rudderd/rudderlimit/limit.go
+++ b/rudderd/rudderlimit/limit.go
@@ -121,6 +121,18 @@
 	return s != nil && s.limited
 }
 
+// Rate returns the limit of a process in requests per second, at least the rate at which it is tried; limited is false if
+// it names none.
+func (t *Table) Rate(p Process) (rate float64, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(p)
+	if s == nil || !s.limited {
+		return 0, false
+	}
+	return effective(s.rate), true
+}
+
 // Prune drops the targets of which there is no news.
 func (t *Table) Prune(now time.Duration) {
 	t.mu.Lock()
--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/shared/rudderconfig"
@@ -151,7 +152,13 @@
 			}
 			request.DeadlineMs = max(1, work.Deadline.Sub(now).Milliseconds())
 		}
+		reports := o.limitReports(shard, now)
+		request.Limits = rudderlimit.Encode(reports)
 		response, err := o.grant(ctx, owner, request)
+		if err != nil {
+			o.limits.Return(reports)
+		}
+		o.mergeLimits(rudderlimit.Decode(response.GetLimits()), o.Clock.Now())
 		if ctx.Err() != nil {
 			o.abandon(shard, work)
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/rudderd/rudderowner/local.go
+++ b/rudderd/rudderowner/local.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/shared/rudderpeer"
@@ -66,10 +67,12 @@
 		}
 	}
 	limit := max(1, int(localShare*float64(known.Slots())/float64(max(1, len(o.view.owners[shard])))))
+	now := o.uptime(o.Clock.Now())
+	o.limits.SetHosts(len(o.view.members), now)
 	best, free := -1, 0
 	for i, g := range known.Groups() {
 		room := g.Slots - max(g.Load, mine[g.ID])
-		if g.Draining || slices.Contains(work.Avoid, g.ID) || room <= 0 {
+		if g.Draining || slices.Contains(work.Avoid, g.ID) || room <= 0 || !o.limits.HasShare(rudderlimit.Process{Target: g.Leader}, now) {
 			continue
 		}
 		if g.Unconfirmed {
@@ -87,6 +90,7 @@
 		return nil, unconfirmed, refused
 	}
 	g := known.Groups()[best]
+	o.limits.TakeShare(rudderlimit.Process{Target: g.Leader}, now)
 	return o.holdLocked(shard, work, g.ID, g.Leader, true), "", nil
 }
 
--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/shared/rudderconfig"
@@ -84,6 +85,8 @@
 	over        map[string]*overAdmitted // by group
 	confirming  singleflight.Group
 	budget      retryBudget
+	limits      rudderlimit.Table // has a lock of its own
+	epoch       time.Time         // zero point of the times in limits
 	calls       sync.WaitGroup
 	ended       bool // Run has ended
 }
@@ -95,6 +98,7 @@
 
 func (o *Owner) init() {
 	o.once.Do(func() {
+		o.epoch = o.Clock.Now().Add(-time.Second) // times of 0 stand for none
 		o.hints = rudderrouter.NewHints(0)
 		o.chooser = &rudderrouter.Chooser{Rand: rand.New(rand.NewPCG(o.Seed, 1)), Hints: o.hints}
 		o.owned = map[string]*ownedShard{}
--- a/rudderd/rudderowner/server.go
+++ b/rudderd/rudderowner/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -46,6 +47,7 @@
 		answers: map[string]undelivered{}, queued: map[string][]uint32{}, reported: map[string]int64{},
 		placed: o.hints.RecordPlacement,
 	}
+	owned.shard.Limits, owned.shard.Uptime = &o.limits, o.uptime
 	o.owned[id] = owned
 	owned.setGroups(now, shard)
 	return owned
@@ -98,10 +100,13 @@
 		return &rudderpeer.GrantResponse{State: rudderpeer.GrantResponse_NOT_OWNER}, nil
 	}
 	id := r.GetWork().GetRequestId()
+	reports := rudderlimit.Decode(r.GetLimits())
+	o.mergeLimits(reports, now)
+	missing := rudderlimit.Encode(o.limits.Missing(processesOf(o.view.byID[r.GetShard()]), reports, o.uptime(now)))
 	decision := o.offer(now, owned, r)
 	if decision.Kind != rudderadmission.Queued || r.GetWaitMs() <= 0 {
 		defer o.mu.Unlock()
-		return toGrantResponse(decision, owned.shard.Load()), nil
+		return toGrantResponse(decision, owned.shard.Load(), missing), nil
 	}
 	waiter := make(chan rudderadmission.Decision, 1)
 	owned.waiters[id] = waiter
@@ -123,7 +128,7 @@
 	case decision = <-waiter: // arrived at the same time as the timer
 	default:
 	}
-	return toGrantResponse(decision, owned.shard.Load()), nil
+	return toGrantResponse(decision, owned.shard.Load(), missing), nil
 }
 
 // offer returns the undelivered decision on a queued request, or submits the work to the shard.
@@ -163,6 +168,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
+	o.mergeLimits(rudderlimit.Decode(r.GetLimits()), now)
 	owned := o.ownedShard(now, r.GetShard())
 	if owned == nil {
 		return &rudderpeer.ReleaseResponse{}, nil
--- a/rudderd/rudderowner/wire.go
+++ b/rudderd/rudderowner/wire.go
@@ -71,9 +71,9 @@
 	return wire
 }
 
-func toGrantResponse(d rudderadmission.Decision, load float64) *rudderpeer.GrantResponse {
+func toGrantResponse(d rudderadmission.Decision, load float64, limits []*rudderpeer.TargetLimit) *rudderpeer.GrantResponse {
 	r := &rudderpeer.GrantResponse{
-		Group: d.Group, Leader: d.Leader, Reason: d.Reason, RetryAfterMs: d.RetryAfter.Milliseconds(), Load: load,
+		Group: d.Group, Leader: d.Leader, Reason: d.Reason, RetryAfterMs: d.RetryAfter.Milliseconds(), Load: load, Limits: limits,
 	}
 	switch d.Kind {
 	case rudderadmission.Queued:
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -54,11 +54,15 @@
 }
 
 func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, connected *atomic.Bool) Result {
+	sentAt := d.Clock.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return failedResult(ctx, err, connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if d.OnResponse != nil {
+		d.OnResponse(request.URL.Host, response.Header, sentAt)
+	}
 	if response.Header.Get(ruddertarget.HeaderNotRun) == "true" {
 		return notRun(http.StatusServiceUnavailable, CodeRefused, "the target refused the call")
 	}
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -107,6 +107,8 @@
 	CheckPermit func() error
 	// TakeRetry takes one retry from the retry budget and reports whether there was one.
 	TakeRetry func() bool
+	// OnResponse receives the header of each response of a target and the time at which the call was sent; optional.
+	OnResponse func(address string, header http.Header, sentAt time.Time)
 	// Transport sends the calls, so that tests can inject network faults; nil uses the network directly. It must
 	// open a new connection for each call that is not declared idempotent.
 	Transport http.RoundTripper
--- a/rudderstand/rudderengine/serve.go
+++ b/rudderstand/rudderengine/serve.go
@@ -33,6 +33,7 @@
 }
 
 func (e *Engine) serveCompletions(w http.ResponseWriter, r *http.Request) {
+	e.nameLimit(w.Header())
 	var request completionRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request); err != nil {
 		rudderrole.WriteNotRun(w, http.StatusBadRequest, "bad_request", err.Error())
--- a/rudderstand/rudderengine/stream_faults.go
+++ b/rudderstand/rudderengine/stream_faults.go
@@ -1,10 +1,33 @@
 package rudderengine
 
+import (
+	"net/http"
+
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
 // streamFaults holds the fault switches for single requests and streams.
 type streamFaults struct {
 	crashMarker   string
 	malformedNext int
 	staleChunks   bool
+	requestLimit  string
+}
+
+// SetRequestLimit makes each response name a limit of requests per second. An empty limit ends that.
+func (e *Engine) SetRequestLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.requestLimit = limit
+}
+
+// nameLimit sets the header that names the limit of requests.
+func (e *Engine) nameLimit(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.requestLimit != "" {
+		h.Set(ruddertarget.HeaderRequestLimit, e.faults.requestLimit)
+	}
 }
 
 // SetCrashMarker makes the process crash when it starts a request whose prompt contains the marker. An empty
--- a/shared/ruddertarget/target.go
+++ b/shared/ruddertarget/target.go
@@ -150,5 +150,9 @@
 	Seq int `json:"rudder_seq"`
 }
 
+// HeaderRequestLimit names, in a target's responses, the number of requests per second, a decimal number, that the target
+// takes from all entry hosts together. It holds until a response does not have it.
+const HeaderRequestLimit = "Rudder-Request-Limit"
+
 // HeaderNotRun is set to "true" on an error response if the target did not start the request.
 const HeaderNotRun = "Rudder-Not-Run"
