--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -35,6 +35,18 @@
 	e.count(storeCalls + kind + "." + storeOutcome(err))
 }
 
+// StoreRestored notes that the key-value service answers in a later era than before: it has been restored from a copy, or
+// this is its first response.
+func (e *Edge) StoreRestored(era int64) {
+	e.count("store.restores")
+	snapshot := e.view.Snapshot()
+	version := int64(0)
+	if snapshot.Table != nil {
+		version = snapshot.Table.Version()
+	}
+	e.Logger.Warn().Int64("store_era", era).Int64("revision", snapshot.Revision).Int64("version", version).Msg("key-value service answers in a new era")
+}
+
 // storeOutcome names the outcome of a call to the key-value service.
 func storeOutcome(err error) string {
 	for _, x := range []struct {
