Watch often enough that an idle key-value service does not count as stale

What callers saw: 503 configuration_stale for about 0.2 s of each 1.2 s, at an entry host that watches the service itself and has no followers, while nothing changes and the service answers.

Cause: an answer proves the state as of the start of its call, so the last sync is two waits old when the next answer arrives: 2.4 s, above the 2.2 s from which on requests are refused. OutageDetectionTime counted one wait only.

The wait of a watcher without followers is 0.6 s instead of 1.2 s, and the limit for all requests 2.0 s instead of 2.2 s where the bound on changes is 2 s.

--- a/rudderd/rudderedge/bounds_test.go
+++ b/rudderd/rudderedge/bounds_test.go
@@ -25,7 +25,7 @@
 			Revoke: 5 * time.Second, Drain: 3 * time.Second, Apply: 2 * time.Second, Stop: 4 * time.Second, Stall: 7 * time.Second,
 			DirectoryLifetime: time.Second, Retries: rudderforward.RetryLimits{Ratio: 0.2, Extra: 3, Window: 5 * time.Second},
 		}, Settings{
-			MaxKeyStaleness: 4400 * time.Millisecond, MaxStaleness: 2200 * time.Millisecond, BatchPause: 300 * time.Millisecond, ReturnGrace: 2 * time.Second, StallTimeout: 7 * time.Second,
+			MaxKeyStaleness: 4400 * time.Millisecond, MaxStaleness: 2000 * time.Millisecond, BatchPause: 300 * time.Millisecond, ReturnGrace: 2 * time.Second, StallTimeout: 7 * time.Second,
 			StopGrace: 4 * time.Second, DirectoryLifetime: time.Second, Retries: rudderforward.RetryLimits{Ratio: 0.2, Extra: 3, Window: 5 * time.Second},
 		}},
 		{"bound on changes longer than the time to notice an outage", Bounds{Drain: 5 * time.Second, Apply: 4 * time.Second}, Settings{
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -12,7 +12,7 @@
 
 const (
 	// watchWait is how long a watch waits for a change. An idle watcher makes one call in this time.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 600 * time.Millisecond
 	// followedWait and followedTimeout replace watchWait and watchTimeout on an entry host that has
 	// followers: they must be notified early that it has lost the service, so that they can watch the service
 	// themselves.
@@ -22,7 +22,7 @@
 	// staleness is known early.
 	firstWait = 50 * time.Millisecond
 	// watchTimeout is added to the wait to bound a watch, because a connection may hang.
-	watchTimeout = 700 * time.Millisecond
+	watchTimeout = 500 * time.Millisecond
 	// listTimeout bounds a read of all records.
 	listTimeout = 3 * time.Second
 	// urgentPause replaces BatchPause while View.Urgent is true.
@@ -37,8 +37,8 @@
 )
 
 // OutageDetectionTime is the staleness that a watcher may reach before it detects that the service does not
-// answer.
-const OutageDetectionTime = watchWait + watchTimeout
+// answer: a watch proves the state as of its start, and the next one has to fail.
+const OutageDetectionTime = 2*watchWait + watchTimeout
 
 // Run keeps the snapshot up to date until the context ends: it reads all records, then follows a watcher or
 // watches the service, and reads all records again after it missed changes.
