Order revisions of a restored key-value service after all earlier ones

What callers saw: 404 for a route that had been added and confirmed, from hosts whose watchers had a revision that the restored service gave out again; in the tests also 401 for a new key and 200 for a withdrawn one, without end.

Cause: revisions of before and after a restore were compared as one series: watches, conditional writes, followers of a watcher in another era, copied records, and epochs of groups, which derive from revisions. Class: a counter of one life of a service is used as if it counted all lives. Ruled out: a watch that gets 410 reads all records and is safe; older configurations are never taken for newer ones, because versions are compared.

The adapter joins the era and the revision, so that every revision of a later era is above all earlier ones.

--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -53,7 +53,7 @@
 		}
 	}
 	in := rudderplacement.Input{
-		Now: p.Uptime(), Service: service, Targets: snapshot.Targets, Removed: removed, Plans: plans, StallTimeout: p.StallTimeout,
+		Now: p.Uptime(), EraStart: rudderstore.EraStart(snapshot.Revision), Service: service, Targets: snapshot.Targets, Removed: removed, Plans: plans, StallTimeout: p.StallTimeout,
 		Traffic: p.Traffic(), Settled: p.Traffic() || p.Uptime()-p.leaseSince > settleTime, State: p.states[service.Name],
 		WithinStartupGrace: p.View.WithinStartupGrace(),
 		Dead:               func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -267,11 +267,15 @@
 	return staging.born == t.Born && staging.model == model
 }
 
-// add adds a candidate to its domain's plan. The epoch derives from the revision on which the plan's write is
-// conditional, so that it rises with each write of the plan.
+// nextEpoch returns the epoch of new groups in a domain. It derives from the revision on which the plan's write is
+// conditional, so that it rises with each write of the plan. After a restore of the key-value service it is above all
+// epochs of before, which targets may have seen although the plans are lost.
+func (in *Input) nextEpoch(d *domain) int64 { return max(d.stored.Revision, in.EraStart) + 1 }
+
+// add adds a candidate to its domain's plan.
 func (in *Input) add(c *candidate) {
 	d := c.domain
-	epoch := d.stored.Revision + 1
+	epoch := in.nextEpoch(d)
 	g := rudderroster.Group{Name: fmt.Sprintf("%s-%s-%d", in.Service.Name, d.name, len(d.groups)), Epoch: epoch, Model: c.model.Name}
 	for i := len(d.groups); slices.ContainsFunc(d.groups, func(other rudderroster.Group) bool { return other.Name == g.Name }); i++ {
 		g.Name = fmt.Sprintf("%s-%s-%d", in.Service.Name, d.name, i)
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -38,6 +38,8 @@
 	Removed map[string]*rudderview.Target
 	// Plans by domain.
 	Plans map[string]StoredPlan
+	// EraStart is below all revisions since the last restore of the key-value service, and above all earlier ones.
+	EraStart int64
 	// Dead reports whether this incarnation of a target does not answer.
 	Dead func(t *rudderview.Target) bool
 	// Resumable is set if every stream of the service can be resumed at another group, so that a group that
--- a/rudderd/rudderplacement/leader.go
+++ b/rudderd/rudderplacement/leader.go
@@ -29,7 +29,7 @@
 		}
 		delete(in.State.retirements, groupKey(g))
 		delete(in.State.leaderMissing, groupKey(g))
-		next := rudderroster.Group{Name: g.Name, Epoch: d.stored.Revision + 1, Model: g.Model}
+		next := rudderroster.Group{Name: g.Name, Epoch: in.nextEpoch(d), Model: g.Model}
 		for _, t := range members {
 			next.Members = append(next.Members, rudderroster.Member{Target: t.Name, Born: t.Born})
 		}
--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -33,8 +33,8 @@
 func (v *View) loadFromPeer(ctx context.Context) error {
 	begin := v.Uptime()
 	c, err := v.FetchRecords(ctx)
-	if err == nil && !c.Serving {
-		err = errNotServing
+	if err == nil && (!c.Serving || c.Revision < v.Snapshot().Revision) {
+		err = errNotServing // or the other host has not noticed yet that the service was restored
 	}
 	if err != nil {
 		v.Logger.Info().Err(err).Dur("took_ms", v.Uptime()-begin).Msg("no records from another entry host; reading all records from the key-value service")
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -211,7 +211,7 @@
 	case v.watchersInOutage:
 		v.probing = true
 		return errNoWatcher
-	case err != nil || !c.Serving:
+	case err != nil || !c.Serving || rudderstore.EraStart(c.Revision) < rudderstore.EraStart(v.Snapshot().Revision):
 		v.followAfter = v.Uptime() + followRetry
 		v.Logger.Info().Err(err).Bool("serving", c.Serving).Msg("no usable watcher; watching the key-value service directly")
 		return errNoWatcher
