Keep what a restore of the key-value service has lost, and write it again

What callers saw: 503 no_group and longer repairs around a restore; in the tests requests to targets that had left and groups that were not found. By reading: a cleared prompt part blocked again, a second shared secret, registrations gone for 2 s.

Cause: a list of all records was taken for newer than all that was known, but a restored service brings back older ones. Class: a read of recovered storage is trusted above the memory of live processes. The same cause: plans, records of targets (earlier lives, lower epochs, announced leaves), registrations, suspicions, evidence, the shared secret; each is merged by what only rises in it (serial of a plan, start and epoch of a target) or kept for the rest of its lease.

The next planner writes lost plans again, conditional on the restored record; entry hosts register again at once, within 0.3 s; blocks of prompt parts and the shared secret are restored. Records that had been removed do not come back.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -33,6 +33,9 @@
 	// lowCapacityDelay is the additional delay of an entry host of low capacity. It gives the others time to learn
 	// of the free lease from their watch and to write the key.
 	lowCapacityDelay = 500 * time.Millisecond
+	// startedDelay is the additional delay of an entry host that has just started on a key-value service which was restored
+	// from a copy: others may know plans that the copy lacks.
+	startedDelay = time.Second
 	// yieldAfter is how long an entry host of low capacity plans before it leaves the lease to one of high
 	// capacity.
 	yieldAfter = 3 * time.Second
@@ -149,6 +152,9 @@
 	if p.lowCapacity() {
 		delay += takeOverJitter + lowCapacityDelay
 	}
+	if rudderstore.EraStart(p.View.Snapshot().Revision) > 0 && p.View.WithinStartupGrace() {
+		delay += startedDelay
+	}
 	return delay
 }
 
@@ -201,6 +207,7 @@
 // step stores changed plans and sends the due orders. busy reports whether a change is in progress.
 func (p *Planner) step(ctx context.Context, snapshot *rudderview.Snapshot) (busy bool) {
 	p.probeSuspects(snapshot)
+	p.saveLost(ctx, snapshot)
 	for _, service := range snapshot.Table.Services() {
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -153,3 +153,24 @@
 	p.plans[key] = rudderplacement.StoredPlan{Plan: c.Plan, Revision: revision}
 	return true
 }
+
+// saveLost writes the plans again that a restore of the key-value service has lost.
+func (p *Planner) saveLost(ctx context.Context, snapshot *rudderview.Snapshot) {
+	for key, record := range snapshot.Plans {
+		if !record.Unsaved {
+			continue
+		}
+		p.mu.Lock()
+		own, known := p.plans[key]
+		p.mu.Unlock()
+		if known && own.Revision > record.Revision {
+			continue // written already; the view does not show it yet
+		}
+		c := rudderplacement.PlanChange{
+			StoredPlan: rudderplacement.StoredPlan{Plan: record.Plan, Revision: record.Revision}, Notes: []string{"written again after a restore"},
+		}
+		if p.mayStore(c) {
+			p.store(ctx, c)
+		}
+	}
+}
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -146,14 +146,15 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
 		OnSync:     func(d time.Duration) { e.count("store.looks") },
 		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
+		OnRestored: e.restoreRecords,
+		Urgent:     func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.limits = &rudderlimit.Table{}
 	e.balance = newBalance(e)
 	e.session = &session{
-		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}),
+		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}), check: make(chan struct{}, 1),
 		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity},
 	}
 	e.forwarder = &rudderforward.Forwarder{
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -44,6 +44,7 @@
 	if snapshot.Table != nil {
 		version = snapshot.Table.Version()
 	}
+	e.session.checkNow()
 	e.Logger.Warn().Int64("store_era", era).Int64("revision", snapshot.Revision).Int64("version", version).Msg("key-value service answers in a new era")
 }
 
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 	client      *http.Client
 	secretKnown chan struct{} // closed once the shared secret is known
 	once        sync.Once
+	secret      atomic.Pointer[[]byte]
 }
 
 func newPeers() *peers {
@@ -56,6 +58,7 @@
 // setSecret sets the shared secret that was read from the key-value service.
 func (e *Edge) setSecret(secret []byte) {
 	e.peers.keys.Set(secret)
+	e.peers.secret.Store(&secret)
 	e.peers.once.Do(func() { close(e.peers.secretKnown) })
 }
 
@@ -97,9 +100,14 @@
 	if !errors.Is(err, rudderstore.ErrNotFound) {
 		return nil, err
 	}
-	random := make([]byte, secretBytes)
-	_, _ = rand.Read(random) // crypto/rand never returns an error
-	secret := []byte(hex.EncodeToString(random))
+	var secret []byte
+	if known := e.peers.secret.Load(); known != nil {
+		secret = *known // a restore of the key-value service has lost it
+	} else {
+		random := make([]byte, secretBytes)
+		_, _ = rand.Read(random) // crypto/rand never returns an error
+		secret = []byte(hex.EncodeToString(random))
+	}
 	if _, err := e.Ports.Store.Put(ctx, rudderstore.PutRequest{Key: rudderview.SecretKey, Value: secret}); err != nil {
 		return nil, err // if another entry host has created the secret first, the next attempt reads it
 	}
--- a/rudderd/rudderedge/poison.go
+++ b/rudderd/rudderedge/poison.go
@@ -282,8 +282,10 @@
 	})
 }
 
-// applyRecord implements rudderview.View.OnEvidence.
-func (p *poison) applyRecord(e rudderstore.Event) {
+// applyRecord implements rudderview.View.OnEvidence. A record that a restore of the key-value service has brought back is
+// applied only if it blocks a part that is still blocked: its revision is a new one, although it may be older than other
+// evidence.
+func (p *poison) applyRecord(e rudderstore.Event, restored bool) {
 	var record partRecord
 	var crash rudderpoison.Crash
 	var err error
@@ -291,14 +293,16 @@
 	case strings.HasPrefix(e.Key, blockPrefix) && e.Deleted:
 		p.restore(e.Key)
 		return
-	case e.Deleted:
+	case e.Deleted || restored && !strings.HasPrefix(e.Key, blockPrefix):
 		return
 	case strings.HasPrefix(e.Key, crashPrefix):
 		if err = json.Unmarshal(e.Value, &crash); err == nil {
 			p.apply(e.Revision, crash)
 		}
 	default:
-		if err = json.Unmarshal(e.Value, &record); err == nil {
+		if err = json.Unmarshal(e.Value, &record); err == nil && restored && !p.isBlocked(record.Part) {
+			p.shareSound(record.Part) // the record that ended the block may be lost
+		} else if err == nil {
 			p.applyPart(e, record)
 		}
 	}
@@ -343,6 +347,24 @@
 	}
 }
 
+func (p *poison) isBlocked(part rudderpoison.Part) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.parts.FindBlock(part) != nil
+}
+
+// restoreMissing writes the records of blocks again that a restore of the key-value service has lost.
+func (p *poison) restoreMissing(has map[string]bool) {
+	p.mu.Lock()
+	parts := p.parts.BlockedParts(p.now())
+	p.mu.Unlock()
+	for _, part := range parts {
+		if key := partKey(blockPrefix, part); !has[key] {
+			p.restore(key)
+		}
+	}
+}
+
 // blockedParts returns the number of blocked parts.
 func (p *poison) blockedParts() int {
 	p.mu.Lock()
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -20,6 +20,8 @@
 	// sessionRenew is the interval between renewals. It allows for one lost renewal within sessionTTL. It is not shorter
 	// because renewals are most of the calls of an entry host that follows another one.
 	sessionRenew = 2 * time.Second
+	// sessionCheckSpread spreads the calls of all entry hosts after a restore of the key-value service.
+	sessionCheckSpread = 300 * time.Millisecond
 	// storeTimeout bounds a call to the key-value service.
 	storeTimeout = 800 * time.Millisecond
 	// sessionRetry is the pause after a failed call.
@@ -34,6 +36,15 @@
 	entry  rudderview.EntryHost
 	left   chan struct{} // closed when the entry host leaves
 	once   sync.Once
+	check  chan struct{} // holds a value when the lease may be lost
+}
+
+// checkNow makes run renew the lease soon and register again if it is lost.
+func (s *session) checkNow() {
+	select {
+	case s.check <- struct{}{}:
+	default:
+	}
 }
 
 // leave makes run revoke the registration and return.
@@ -85,7 +96,12 @@
 // renew renews the lease until it has expired, or until the context is cancelled; then it revokes the lease.
 func (s *session) renew(ctx context.Context, lease int64) {
 	for {
-		pause(ctx, sessionRenew)
+		select {
+		case <-time.After(sessionRenew):
+		case <-s.check:
+			pause(ctx, rand.N(sessionCheckSpread))
+		case <-ctx.Done():
+		}
 		if ctx.Err() != nil {
 			s.revoke(lease)
 			return
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -37,7 +37,7 @@
 	var changes []PlanChange
 	for _, d := range domains {
 		if d.changed {
-			plan := rudderroster.Plan{Service: in.Service.Name, Domain: d.name, Groups: d.groups}
+			plan := rudderroster.Plan{Service: in.Service.Name, Domain: d.name, Groups: d.groups, Serial: d.stored.Plan.Serial + 1}
 			changes = append(changes, PlanChange{StoredPlan: StoredPlan{Plan: plan, Revision: d.stored.Revision}, Notes: d.notes})
 		}
 	}
--- a/rudderd/rudderroster/plan.go
+++ b/rudderd/rudderroster/plan.go
@@ -39,6 +39,8 @@
 	Service string  `json:"service"`
 	Domain  string  `json:"domain"`
 	Groups  []Group `json:"groups"`
+	// Serial rises with each change of the plan, also across a restore of the key-value service.
+	Serial int64 `json:"serial,omitempty"`
 }
 
 // Key returns the key of the plan below the prefix of all plans.
--- a/rudderd/rudderview/leaving.go
+++ b/rudderd/rudderview/leaving.go
@@ -42,13 +42,23 @@
 func (v *View) MarkLeaving(a Announcement) bool {
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
+	if t := v.Snapshot().Targets[a.Target]; t != nil && t.Born > a.Born {
+		return false // that process has ended
+	}
+	if !v.announceLocked(a) {
+		return false
+	}
+	v.publish(v.cloneSnapshot())
+	return true
+}
+
+// announceLocked records an announcement. It returns false if it was known, or if maxAnnouncements is reached. The caller
+// holds v.snapshotMu.
+func (v *View) announceLocked(a Announcement) bool {
 	old, known := v.announcements.byTarget[a.Target]
 	if known && old.born >= a.Born {
 		return false
 	}
-	if t := v.Snapshot().Targets[a.Target]; t != nil && t.Born > a.Born {
-		return false // that process has ended
-	}
 	if v.announcements.byTarget == nil {
 		v.announcements.byTarget = map[string]announcement{}
 	}
@@ -57,7 +67,6 @@
 		return false
 	}
 	v.announcements.byTarget[a.Target] = announcement{born: a.Born, at: v.Uptime()}
-	v.publish(v.cloneSnapshot())
 	return true
 }
 
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -72,8 +72,12 @@
 	// FetchRecords fetches all records from a watcher, for the first snapshot of a process or after changes
 	// were missed. Optional.
 	FetchRecords func(ctx context.Context) (RecordSet, error)
-	// OnEvidence receives the records below EvidencePrefix and their removal; optional.
-	OnEvidence func(e rudderstore.Event)
+	// OnRestored is called after the records of a service that was restored from a copy have been read, with the keys of
+	// the records that it has; optional.
+	OnRestored func(has map[string]bool)
+	// OnEvidence receives the records below EvidencePrefix and their removal; optional. restored is set for
+	// a record that was known before the service was restored from a copy.
+	OnEvidence func(e rudderstore.Event, restored bool)
 	// OnSecret receives the shared secret of the entry hosts; optional.
 	OnSecret func(secret []byte)
 
@@ -104,8 +108,16 @@
 	skipPause     chan struct{}
 
 	// The fields below are used only by the goroutine of Run.
-	pendingRemovals  map[string]time.Duration // targets whose removal is deferred, with the uptime at which it is due
-	removedAt        map[string]time.Duration // targets in Snapshot.Removed, with the uptime of their removal
+	pendingRemovals map[string]time.Duration // targets whose removal is deferred, with the uptime at which it is due
+	removedAt       map[string]time.Duration // targets in Snapshot.Removed, with the uptime of their removal
+	// ended holds removed records, by key, and retainedUntil the keys of what was carried over a restore and has not been
+	// written again, with the uptime at which it expires.
+	ended         map[string]endedRecord
+	retainedUntil map[string]time.Duration
+	// restoredRecords holds the records of a restored service in whose place older ones are kept for a while.
+	restoredRecords  map[string]rudderstore.Entry
+	lostRecords      map[string]rudderstore.Entry // the records of before, while those of a restored service are applied
+	restoring        bool                         // the records being applied come from a service that was just restored
 	outage           bool
 	partial          bool          // the last answer may not have held all changes
 	listing          bool          // the records being applied come from a list, not from a watch
@@ -205,6 +217,7 @@
 
 // apply updates a snapshot with a written record.
 func (v *View) apply(s *Snapshot, e rudderstore.Entry) {
+	delete(v.retainedUntil, e.Key)
 	switch {
 	case e.Key == v.Keys.Routing:
 		v.applyRouting(s, e)
@@ -217,8 +230,7 @@
 			return
 		}
 		s.removeEntryHost(strings.TrimPrefix(e.Key, EntryPrefix))
-		s.EntryHosts = append(s.EntryHosts, entry)
-		slices.SortFunc(s.EntryHosts, func(a, b EntryHost) int { return cmp.Compare(a.Name, b.Name) })
+		s.addEntryHost(entry)
 	case strings.HasPrefix(e.Key, PlanPrefix):
 		plan, err := rudderroster.Decode(e.Value)
 		if err != nil {
@@ -235,7 +247,7 @@
 		s.Suspicions[e.Key] = x
 		v.Logger.Info().Str("target", x.Target).Str("by", x.By).Str("reason", x.Reason).Msg("target suspected dead")
 	case strings.HasPrefix(e.Key, EvidencePrefix) && v.OnEvidence != nil:
-		v.OnEvidence(rudderstore.Event{Entry: e})
+		v.OnEvidence(rudderstore.Event{Entry: e}, v.lostRecords[e.Key].Key != "")
 	case e.Key == PlannerKey:
 		s.PlannerHeld, s.PlannerName = true, string(e.Value)
 	case e.Key == SecretKey && v.OnSecret != nil:
@@ -307,7 +319,7 @@
 	case strings.HasPrefix(e.Key, SuspicionPrefix):
 		delete(s.Suspicions, e.Key)
 	case strings.HasPrefix(e.Key, EvidencePrefix) && v.OnEvidence != nil:
-		v.OnEvidence(rudderstore.Event{Entry: e, Deleted: true})
+		v.OnEvidence(rudderstore.Event{Entry: e, Deleted: true}, false)
 	case e.Key == PlannerKey:
 		s.PlannerHeld, s.PlannerName = false, ""
 	}
@@ -346,6 +358,15 @@
 	v.Logger.Info().Str("target", name).Str("reason", reason).Msg("target removed")
 }
 
+func (s *Snapshot) addEntryHost(x EntryHost) {
+	s.EntryHosts = append(s.EntryHosts, x)
+	slices.SortFunc(s.EntryHosts, func(a, b EntryHost) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (s *Snapshot) hasEntryHost(name string) bool {
+	return slices.ContainsFunc(s.EntryHosts, func(e EntryHost) bool { return e.Name == name })
+}
+
 func (s *Snapshot) removeEntryHost(name string) {
 	s.EntryHosts = slices.DeleteFunc(s.EntryHosts, func(e EntryHost) bool { return e.Name == name })
 }
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -145,9 +145,10 @@
 	if err != nil {
 		return err
 	}
+	restored := v.isRestored(revision)
 	v.markAnswered()
 	v.replace(entries, revision)
-	v.Logger.Info().Int("records", len(entries)).Bool("may_be_stale", stale).Int64("revision", revision).Dur("took_ms", v.Uptime()-begin).
+	v.Logger.Info().Int("records", len(entries)).Bool("may_be_stale", stale).Bool("restored", restored).Int64("revision", revision).Dur("took_ms", v.Uptime()-begin).
 		Msg("all records read")
 	v.direct.Store(true)
 	if !stale {
@@ -156,8 +157,26 @@
 	return nil
 }
 
+// noteEnded remembers the records that changes remove, before they are applied.
+func (v *View) noteRemovals(events []rudderstore.Event) {
+	for _, e := range events {
+		if e.Deleted {
+			v.noteEnded(e.Key)
+		} else {
+			delete(v.ended, e.Key)
+		}
+	}
+}
+
 // replace builds the snapshot anew from a list of all records.
 func (v *View) replace(entries []rudderstore.Entry, revision int64) {
+	before := v.Snapshot()
+	if v.restoring = v.isRestored(revision); v.restoring {
+		entries = v.withoutEnded(entries)
+		v.mu.Lock()
+		v.lostRecords = v.records
+		v.mu.Unlock()
+	}
 	v.setRecords(entries, revision)
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
@@ -171,17 +190,32 @@
 		v.apply(s, e)
 	}
 	v.listing = false
+	s.Revision = revision
+	if v.restoring {
+		v.keepNewer(s, before)
+		v.restoring, v.lostRecords = false, nil
+		if v.OnRestored != nil {
+			v.OnRestored(keysOf(entries))
+		}
+	}
 	for name, target := range old {
 		if s.Targets[name] == nil {
 			s.Targets[name] = target
 			v.removeTarget(s, name)
 		}
 	}
-	s.Revision = revision
 	v.resetLog(revision)
 	v.publish(s)
 }
 
+func keysOf(entries []rudderstore.Entry) map[string]bool {
+	keys := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		keys[e.Key] = true
+	}
+	return keys
+}
+
 // watch waits for changes once, at a watcher or else at the service, and applies them.
 func (v *View) watch(ctx context.Context, wait time.Duration) error {
 	switch err := v.followOnce(ctx); {
@@ -283,6 +317,7 @@
 }
 
 func (v *View) applyChanges(result rudderstore.WatchResult) {
+	v.noteRemovals(result.Events)
 	v.updateRecords(result.Events, result.Revision)
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
@@ -320,7 +355,11 @@
 			due = append(due, name)
 		}
 	}
-	if len(due) == 0 {
+	retained := false
+	for _, until := range v.retainedUntil {
+		retained = retained || v.Uptime() >= until
+	}
+	if len(due) == 0 && !retained {
 		return
 	}
 	v.snapshotMu.Lock()
@@ -329,6 +368,7 @@
 	for _, name := range due {
 		v.dropTarget(s, name, "record not written again after an outage")
 	}
+	v.expireRetained(s)
 	v.publish(s)
 }
 
