Ask other entry hosts for a newer configuration than that of a restored key-value service

What callers saw, in the test: a process that starts on the copy accepts a key that was withdrawn and refuses one that was added (78 requests each), until the configuration is written again.

Cause: such a process has no memory, so the copy is all that it knows.

A process that starts on a service which was restored at some time waits up to 1.2 s for one that can be asked. No question is asked while a service has never been restored.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -146,8 +146,8 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
 		OnSync:     func(d time.Duration) { e.count("store.looks") },
 		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		OnRestored: e.restoreRecords,
-		Urgent:     func() bool { return e.planner.Planning() || e.poison.urgent() },
+		FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
+		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -40,6 +40,9 @@
 		v.Logger.Info().Err(err).Dur("took_ms", v.Uptime()-begin).Msg("no records from another entry host; reading all records from the key-value service")
 		return err
 	}
+	if v.isRestored(c.Revision) {
+		v.askNewerRouting(ctx)
+	}
 	v.markAnswered()
 	v.replace(c.Entries, c.Revision)
 	v.Logger.Info().Int("records", len(c.Entries)).Int64("revision", c.Revision).Dur("took_ms", v.Uptime()-begin).Dur("age_ms", c.Age).
--- a/rudderd/rudderview/restore.go
+++ b/rudderd/rudderview/restore.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"comfreyrudder.example/shared/rudderstore"
 )
 
@@ -18,8 +21,17 @@
 	endedRetention = 10 * time.Minute
 	// maxEnded bounds the removed records that are remembered; a large fleet stays below it.
 	maxEnded = 4096
+	// routingTimeout bounds the question to other entry hosts whether they know a newer routing document.
+	routingTimeout = 300 * time.Millisecond
+	// firstAnswerTime is how long a process that starts on a service which was restored at some time waits for another
+	// entry host that can be asked, and firstAnswerPause the pause between two attempts.
+	firstAnswerTime  = 1200 * time.Millisecond
+	firstAnswerPause = 150 * time.Millisecond
 )
 
+// errNoOtherHost reports that no other entry host could be asked whether it knows a newer routing document.
+var errNoOtherHost = errors.New("view: no other entry host has answered")
+
 // endedRecord is a record that was removed.
 type endedRecord struct {
 	revision int64 // within its era
@@ -167,3 +179,45 @@
 	defer v.mu.Unlock()
 	return v.records[key]
 }
+
+// askNewerRouting applies a newer routing document than that of the service, if another entry host knows one: a service
+// that was restored from a copy may lack versions that were in force.
+// It returns false if none could be asked.
+func (v *View) askNewerRouting(ctx context.Context) bool {
+	if v.FetchRouting == nil {
+		return true
+	}
+	snapshot := v.Snapshot()
+	version := int64(0)
+	if snapshot.Table != nil {
+		version = snapshot.Table.Version()
+	}
+	ctx, cancel := context.WithTimeout(ctx, routingTimeout)
+	defer cancel()
+	value, answered := v.FetchRouting(ctx, version)
+	if len(value) == 0 {
+		return answered
+	}
+	v.snapshotMu.Lock()
+	defer v.snapshotMu.Unlock()
+	s := v.cloneSnapshot()
+	record := rudderstore.Entry{Key: v.Keys.Routing, Value: value, Revision: s.Revision}
+	v.applyRouting(s, record)
+	v.mu.Lock()
+	if s.Table != nil && s.Table.Version() > version && v.records != nil {
+		v.records[v.Keys.Routing] = record
+	}
+	v.mu.Unlock()
+	v.publish(s)
+	return true
+}
+
+// Routing returns the routing document's record and its version, for another entry host, or nil if its version is not
+// above the given one.
+func (v *View) Routing(above int64) (version int64, record []byte) {
+	s := v.Snapshot()
+	if s.Table == nil || s.Table.Version() <= above {
+		return 0, nil
+	}
+	return s.Table.Version(), v.record(v.Keys.Routing).Value
+}
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -72,6 +72,9 @@
 	// FetchRecords fetches all records from a watcher, for the first snapshot of a process or after changes
 	// were missed. Optional.
 	FetchRecords func(ctx context.Context) (RecordSet, error)
+	// FetchRouting asks other entry hosts for the record of a routing document with a version above the given one, which
+	// is empty if they know none. answered is false if none of them could be asked. Optional.
+	FetchRouting func(ctx context.Context, above int64) (record []byte, answered bool)
 	// OnRestored is called after the records of a service that was restored from a copy have been read, with the keys of
 	// the records that it has; optional.
 	OnRestored func(has map[string]bool)
@@ -118,6 +121,7 @@
 	restoredRecords  map[string]rudderstore.Entry
 	lostRecords      map[string]rudderstore.Entry // the records of before, while those of a restored service are applied
 	restoring        bool                         // the records being applied come from a service that was just restored
+	startedAt        time.Duration
 	outage           bool
 	partial          bool          // the last answer may not have held all changes
 	listing          bool          // the records being applied come from a list, not from a watch
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -43,14 +43,14 @@
 // Run keeps the snapshot up to date until the context ends: it reads all records, then follows a watcher or
 // watches the service, and reads all records again after it missed changes.
 func (v *View) Run(ctx context.Context) error {
-	v.removedAt = map[string]time.Duration{}
+	v.removedAt, v.startedAt = map[string]time.Duration{}, v.Uptime()
 	wait := firstWait
 	listed, failures, first := false, 0, true
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
 			err = v.list(ctx, first)
-			listed, first = err == nil, false
+			listed, first = err == nil, first && errors.Is(err, errNoOtherHost)
 		} else {
 			err = v.watch(ctx, wait)
 		}
@@ -73,6 +73,8 @@
 			// records does not.
 			v.markFailed(err)
 			listed = false
+		case errors.Is(err, errNoOtherHost):
+			sleep(ctx, firstAnswerPause)
 		case errors.Is(err, errServiceUnavailable):
 			v.markFailed(err) // the watcher holds the next call until the outage ends
 			sleep(ctx, relayPause)
@@ -146,8 +148,14 @@
 		return err
 	}
 	restored := v.isRestored(revision)
+	if restored {
+		v.askNewerRouting(ctx) // before the service counts as available: requests are served as in its outage until then
+	}
 	v.markAnswered()
 	v.replace(entries, revision)
+	if first && rudderstore.EraStart(revision) > 0 && !v.askNewerRouting(ctx) && v.Uptime()-v.startedAt < firstAnswerTime {
+		return errNoOtherHost
+	}
 	v.Logger.Info().Int("records", len(entries)).Bool("may_be_stale", stale).Bool("restored", restored).Int64("revision", revision).Dur("took_ms", v.Uptime()-begin).
 		Msg("all records read")
 	v.direct.Store(true)
