Read the configuration again after a restore that a watch of our own protocol does not show

Responses name the era of the service, and the client fails the first watch of a new era, so that its caller reads everything. A service that names no era is used as before.

--- a/rudderstand/rudderkv/http.go
+++ b/rudderstand/rudderkv/http.go
@@ -44,6 +44,7 @@
 			// The outcome must stay unknown to the caller, so the connection is closed without a response.
 			panic(http.ErrAbortHandler)
 		}
+		response.Era = s.restores()
 		status := http.StatusOK
 		if err != nil {
 			response.Error, status = rudderstore.CodeOf(err)
--- a/rudderstand/rudderkv/server.go
+++ b/rudderstand/rudderkv/server.go
@@ -29,14 +29,16 @@
 	// History is the number of past events that are kept for watches; 0 means DefaultHistory.
 	History int
 
-	once   sync.Once
-	mu     sync.Mutex
-	state  state
-	change chan struct{} // closed and replaced at every change
-	faults faults
-	counts Counts
-	reads  *rate.Limiter
-	writes *rate.Limiter
+	once  sync.Once
+	mu    sync.Mutex
+	state state
+	// restored counts the restores.
+	restored int64
+	change   chan struct{} // closed and replaced at every change
+	faults   faults
+	counts   Counts
+	reads    *rate.Limiter
+	writes   *rate.Limiter
 }
 
 // state is the part of the service that a snapshot copies.
@@ -108,9 +110,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state = snapshot.state.clone()
+	s.restored++
 	s.wake()
 }
 
+// restores returns how often the service has been restored.
+func (s *Server) restores() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restored
+}
+
 // wake wakes all waiting watches. It needs the mutex.
 func (s *Server) wake() {
 	close(s.change)
--- a/shared/rudderstore/http.go
+++ b/shared/rudderstore/http.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +32,11 @@
 	Client *http.Client
 	// Name is sent in HeaderClient.
 	Name string
+
+	mu sync.Mutex
+	// firstEra is the era of the first response, and watchedEras that of the last watch, by its prefixes.
+	firstEra    *int64
+	watchedEras map[string]int64
 }
 
 // Store returns a Store that calls the service over HTTP.
@@ -97,9 +104,36 @@
 		"wait_ms": {strconv.FormatInt(request.Wait.Milliseconds(), 10)},
 	}
 	a, err := h.call(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil)
+	if err == nil && h.restoredSince(strings.Join(request.Prefixes, "\x00"), a.Era) {
+		return WatchResult{Revision: a.Revision}, ErrCompacted
+	}
 	return WatchResult{Events: a.Events, Revision: a.Revision}, err
 }
 
+// restoredSince reports whether the service has been restored since the last watch of the same prefixes, or since the
+// first response before there was one: the revision that the watch continues from may have been given out again.
+func (h *HTTP) restoredSince(prefixes string, era int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.watchedEras == nil {
+		h.watchedEras = map[string]int64{}
+	}
+	known, watched := h.watchedEras[prefixes]
+	if !watched && h.firstEra != nil {
+		known = *h.firstEra
+	}
+	h.watchedEras[prefixes] = era
+	return era != known
+}
+
+func (h *HTTP) observeEra(era int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.firstEra == nil {
+		h.firstEra = &era
+	}
+}
+
 // call sends one request. If a write may have been sent but got no valid response, the error is ErrUnknownOutcome.
 // Every other transport failure is ErrUnavailable.
 func (h *HTTP) call(ctx context.Context, method, path string, body any) (Response, error) {
@@ -129,6 +163,7 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&a); err != nil {
 		return Response{}, fmt.Errorf("%w: %w", transportErr, err)
 	}
+	h.observeEra(a.Era)
 	if a.Error == "" && response.StatusCode == http.StatusOK {
 		return a, nil
 	}
--- a/shared/rudderstore/wire.go
+++ b/shared/rudderstore/wire.go
@@ -17,6 +17,8 @@
 // Response is the body of every response of the key-value service. Fields that a call does not return are omitted.
 type Response struct {
 	Revision int64 `json:"revision"`
+	// Era counts how often the service has been restored to an older state; 0 if the service does not count.
+	Era int64 `json:"era,omitempty"`
 	// Error is an error code as CodeOf returns it, or empty if the call succeeded.
 	Error   string  `json:"error,omitempty"`
 	Entry   *Entry  `json:"entry,omitempty"`
