--- a/rudderd/rudderplacement/replace_test.go
+++ b/rudderd/rudderplacement/replace_test.go
@@ -9,6 +9,7 @@
 
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
 )
 
 // A follower leaves as planned at peak load, in a domain whose spares have other weights or none. Guards
@@ -136,3 +137,13 @@
 		})
 	}
 }
+
+// Guards against groups that cannot form after a restore of the key-value service has lost the plans: targets refuse epochs
+// below those that they have seen.
+func TestEpochsRiseAcrossARestore(t *testing.T) {
+	start := rudderstore.EraStart(rudderstore.JoinRevision(2, 7))
+	for _, test := range []struct{ revision, start, want int64 }{{0, 0, 1}, {90, 0, 91}, {0, start, start + 1}, {90, start, start + 1}, {start + 7, start, start + 8}} {
+		in := &Input{EraStart: test.start}
+		require.Equal(t, test.want, in.nextEpoch(&domain{stored: StoredPlan{Revision: test.revision}}))
+	}
+}
