--- a/rudderd/rudderview/restore.go
+++ b/rudderd/rudderview/restore.go
@@ -181,8 +181,7 @@
 }
 
 // askNewerRouting applies a newer routing document than that of the service, if another entry host knows one: a service
-// that was restored from a copy may lack versions that were in force.
-// It returns false if none could be asked.
+// that was restored from a copy may lack versions that were in force. It returns false if none could be asked.
 func (v *View) askNewerRouting(ctx context.Context) bool {
 	if v.FetchRouting == nil {
 		return true
