Pass on the configuration in force, not an older one that was ignored

Requests ran with a revoked key on hosts that had just started.

Cause: the records for other hosts followed each written value, the table only newer versions. The view keeps the record of the configuration in force and passes on that.

--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -68,7 +68,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := RecordSet{Serving: true, Revision: v.recordsRevision, Age: age, Entries: make([]rudderstore.Entry, 0, len(v.records))}
-	for _, e := range v.records {
+	for key, e := range v.records {
+		if key == v.Keys.Routing && v.routing.Key != "" {
+			e.Value = v.routing.Value
+		}
 		c.Entries = append(c.Entries, e)
 	}
 	c.Held = v.Uptime() - begin
--- a/rudderd/rudderview/restore.go
+++ b/rudderd/rudderview/restore.go
@@ -116,9 +116,6 @@
 		v.Logger.Warn().Str("plan", key).Int64("serial", record.Plan.Serial).Int64("restored_serial", restored.Plan.Serial).
 			Msg("plan kept that a restore of the key-value service has lost")
 	}
-	if s.Table != nil && old.Table != nil && s.Table.Version() == old.Table.Version() {
-		v.keepRecord(v.Keys.Routing, s.Revision)
-	}
 }
 
 // keepTarget keeps a target's newer record: the epochs of a process only rise, and a process that leaves stays no longer. A
@@ -200,13 +197,7 @@
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
 	s := v.cloneSnapshot()
-	record := rudderstore.Entry{Key: v.Keys.Routing, Value: value, Revision: s.Revision}
-	v.applyRouting(s, record)
-	v.mu.Lock()
-	if s.Table != nil && s.Table.Version() > version && v.records != nil {
-		v.records[v.Keys.Routing] = record
-	}
-	v.mu.Unlock()
+	v.applyRouting(s, rudderstore.Entry{Key: v.Keys.Routing, Value: value, Revision: s.Revision})
 	v.publish(s)
 	return true
 }
@@ -218,5 +209,7 @@
 	if s.Table == nil || s.Table.Version() <= above {
 		return 0, nil
 	}
-	return s.Table.Version(), v.record(v.Keys.Routing).Value
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return s.Table.Version(), v.routing.Value
 }
--- a/rudderd/rudderview/restore_test.go
+++ b/rudderd/rudderview/restore_test.go
@@ -94,6 +94,15 @@
 	require.Contains(t, records["routing"], `7`)
 	require.Contains(t, records[PlanPrefix+"llm/d"], `"serial":4`)
 
+	// An older version is ignored, and not passed on either.
+	v.applyChanges(rudderstore.WatchResult{Revision: rudderstore.JoinRevision(2, 17), Events: []rudderstore.Event{{Entry: at(2, 17, "routing", rudderroute.Document{Version: 5})}}})
+	version, record := v.Routing(6)
+	require.Equal(t, int64(7), version)
+	require.Contains(t, string(record), "7")
+	for _, e := range v.Records(t.Context(), time.Millisecond).Entries {
+		require.False(t, e.Key == "routing" && string(e.Value) != string(record))
+	}
+
 	v.applyChanges(rudderstore.WatchResult{Revision: rudderstore.JoinRevision(2, 18), Events: []rudderstore.Event{
 		{Entry: at(2, 17, PlanPrefix+"llm/d", plan(5))}, {Entry: at(2, 18, "targets/epoch", member(1, 31, live))},
 	}})
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -102,6 +102,8 @@
 	// records holds all records undecoded, except for the secret, as of recordsRevision.
 	records         map[string]rudderstore.Entry
 	recordsRevision int64
+	// routing is the record of the routing document in force. That in records may be older.
+	routing rudderstore.Entry
 
 	firstSyncAt   atomic.Int64 // uptime of the first sync, in nanoseconds; 0 before it
 	firstSyncOnce sync.Once
@@ -287,6 +289,9 @@
 		return
 	}
 	s.Table = rudderroute.NewTable(document)
+	v.mu.Lock()
+	v.routing = e
+	v.mu.Unlock()
 	v.Logger.Info().Int64("version", document.Version).Int("routes", len(document.Routes)).Int64("revision", e.Revision).
 		Msg("routing document applied")
 }
