--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -122,7 +122,6 @@
 	// restoredRecords holds the records of a restored service in whose place older ones are kept for a while.
 	restoredRecords  map[string]rudderstore.Entry
 	lostRecords      map[string]rudderstore.Entry // the records of before, while those of a restored service are applied
-	restoring        bool                         // the records being applied come from a service that was just restored
 	startedAt        time.Duration
 	outage           bool
 	partial          bool          // the last answer may not have held all changes
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -165,7 +165,7 @@
 	return nil
 }
 
-// noteEnded remembers the records that changes remove, before they are applied.
+// noteRemovals remembers the records that changes remove, before they are applied.
 func (v *View) noteRemovals(events []rudderstore.Event) {
 	for _, e := range events {
 		if e.Deleted {
@@ -179,7 +179,8 @@
 // replace builds the snapshot anew from a list of all records.
 func (v *View) replace(entries []rudderstore.Entry, revision int64) {
 	before := v.Snapshot()
-	if v.restoring = v.isRestored(revision); v.restoring {
+	restored := v.isRestored(revision)
+	if restored {
 		entries = v.withoutEnded(entries)
 		v.mu.Lock()
 		v.lostRecords = v.records
@@ -199,9 +200,9 @@
 	}
 	v.listing = false
 	s.Revision = revision
-	if v.restoring {
+	if restored {
 		v.keepNewer(s, before)
-		v.restoring, v.lostRecords = false, nil
+		v.lostRecords = nil
 		if v.OnRestored != nil {
 			v.OnRestored(keysOf(entries))
 		}
