--- /dev/null
+++ b/rudderd/rudderedge/stop_test.go
@@ -0,0 +1,172 @@
+package rudderedge
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+)
+
+// stopTarget answers a stream with one event for each token that the request names, each after pace, and any other
+// request after two paces.
+func stopTarget(pace time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+		w.Header().Set("Seal", "s")
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.ReadAll(r.Body)
+		if tokens == 0 {
+			time.Sleep(2 * pace)
+			_, _ = io.WriteString(w, "done")
+			return
+		}
+		for i := range tokens {
+			time.Sleep(pace)
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// stoppingEdge returns an entry host that serves an idempotent, an at-most-once, a resumable and a plain streaming route
+// by targets of different speed, and its caller-facing server.
+func stoppingEdge(t *testing.T, grace time.Duration) (*Edge, []boundServer) {
+	store := newMemoryStore()
+	put := func(key string, value any) {
+		text, err := json.Marshal(value)
+		require.NoError(t, err)
+		_, err = store.Put(t.Context(), rudderstore.PutRequest{Key: key, Value: text})
+		require.NoError(t, err)
+	}
+	document := rudderroute.Document{Version: 1, Services: []rudderroute.Service{{Name: "plain"}}}
+	for _, r := range []rudderroute.Route{
+		{Name: "idempotent", Kind: rudderroute.KindIdempotent}, {Name: "once", Kind: rudderroute.KindAtMostOnce},
+		{Name: "resumable", Kind: rudderroute.KindStream, Resumable: true}, {Name: "stream", Kind: rudderroute.KindStream},
+	} {
+		r.Host, r.Prefix, r.MaxAttempts, r.Timeout = "h", "/"+r.Name+"/", 1, 8*time.Second
+		r.Shares = []rudderroute.Share{{Service: "plain", Weight: 1}}
+		document.Routes = append(document.Routes, r)
+	}
+	put("routing", document)
+	for i, pace := range []time.Duration{40 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond} {
+		server := httptest.NewServer(stopTarget(pace))
+		t.Cleanup(server.Close)
+		name := fmt.Sprint("t", i)
+		put("targets/"+name, rudderview.Target{
+			Host:    rudderhost.Host{Name: name, Address: strings.TrimPrefix(server.URL, "http://"), State: rudderhost.StateLive},
+			Service: "plain", Born: 1, Slots: 1000,
+		})
+	}
+	e := edge("a", store)
+	e.Settings.StopGrace, e.Settings.Retries.Window = grace, time.Second
+	e.Ports.DecodeTarget = func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) }
+	e.Ports.Protocol = rudderforward.Protocol{
+		DecodeRequest: func(r *http.Request) (rudderforward.Request, error) {
+			tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+			return rudderforward.Request{ID: r.Header.Get("Id"), AnswerTokens: tokens, Header: r.Header.Clone()}, nil
+		},
+		EncodeAttempt: func(http.Header, rudderforward.Attempt) {},
+		DecodeReply: func(r *http.Response) rudderforward.Reply {
+			return rudderforward.Reply{RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != ""}
+		},
+		SetRetryAfter: func(http.Header, time.Duration) {},
+	}
+	e.Prepare()
+	servers, err := e.listen()
+	require.NoError(t, err)
+	go func() { _ = servers[0].serve() }()
+	go func() { _ = e.view.Run(t.Context()) }()
+	require.Eventually(t, func() bool { return len(e.view.Snapshot().Targets) == 3 && e.Ready() }, 5*time.Second, time.Millisecond)
+	return e, servers
+}
+
+// stopOutcome is what one caller saw; sent counts from the start of the stop.
+type stopOutcome struct {
+	kind       string
+	sent, took time.Duration
+	status     int
+	err        error
+}
+
+// Callers keep the address of an entry host that stops, and send streams and calls until its end. Guards against requests
+// that are accepted although they cannot end within the grace time, and are then cut off.
+func TestStoppingHostFinishesWhatItAccepts(t *testing.T) {
+	for _, test := range []struct {
+		grace  time.Duration
+		tokens int // of a stream
+	}{{3 * time.Second, 20}, {5 * time.Second, 30}} {
+		t.Run(fmt.Sprint(test.grace), func(t *testing.T) {
+			t.Parallel()
+			e, servers := stoppingEdge(t, test.grace)
+			address := servers[0].listener.Addr().String()
+			warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
+			begin := time.Now().Add(warmUp)
+			var mu sync.Mutex
+			var outcomes []stopOutcome
+			var callers sync.WaitGroup
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+			send := func(kind, id string) {
+				o := stopOutcome{kind: kind, sent: time.Since(begin)}
+				r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
+				r.Host = "h"
+				r.Header.Set("Id", id)
+				if kind == "resumable" || kind == "stream" {
+					r.Header.Set("Tokens", fmt.Sprint(test.tokens))
+				}
+				response, err := client.Do(r)
+				if o.err = err; err == nil {
+					o.status = response.StatusCode
+					_, o.err = io.ReadAll(response.Body)
+					_ = response.Body.Close()
+				}
+				o.took = time.Since(begin) - o.sent
+				mu.Lock()
+				outcomes = append(outcomes, o)
+				mu.Unlock()
+			}
+			kinds := []string{"idempotent", "once", "resumable", "stream"}
+			stopSending := make(chan struct{})
+			callers.Go(func() {
+				for i := 0; !isClosed(stopSending); i++ {
+					callers.Go(func() { send(kinds[i%len(kinds)], fmt.Sprint("q", i)) })
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+			time.Sleep(warmUp)
+			e.leave(t.Context(), servers)
+			close(stopSending)
+			_ = servers[0].server.Close() // as Run does
+			callers.Wait()
+			servedLate := map[string]bool{}
+			for _, o := range outcomes {
+				switch {
+				case o.sent > test.grace-stopMargin-stopIdleTime: // the listener may be closed
+				case o.status == http.StatusServiceUnavailable:
+					require.Positive(t, o.sent, "%+v", o)
+					require.Less(t, o.took, test.grace/10, "%+v refused late", o)
+				default:
+					require.NoError(t, o.err, "%+v", o)
+					require.Equal(t, http.StatusOK, o.status, "%+v", o)
+					servedLate[o.kind] = servedLate[o.kind] || o.sent > test.grace/8
+				}
+			}
+			for _, kind := range kinds {
+				require.True(t, servedLate[kind], "no %s request was served during the stop", kind)
+			}
+		})
+	}
+}
