Log how long after the begin of a stop a request was accepted

Callers saw streams cut at the end of a stop. The logs held no time between the begin of the stop and the arrival of a request, so they could not tell a request that was accepted too late from one whose target stalled.

--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -78,6 +78,7 @@
 	inFlight           atomic.Int64
 	receivedRequest    atomic.Bool
 	keepAlivesDisabled atomic.Bool
+	stopBegan          atomic.Int64 // uptime of DisableKeepAlives in nanoseconds; 0 before
 	closed             atomic.Bool
 	watchdogs          sync.Map // set of *watchdog, one for each running stream
 
@@ -96,8 +97,11 @@
 	return f.work.shares(service)
 }
 
-// DisableKeepAlives makes each response close its connection.
-func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
+// DisableKeepAlives makes each response close its connection, because the entry host stops.
+func (f *Forwarder) DisableKeepAlives() {
+	f.stopBegan.Store(int64(f.Uptime()))
+	f.keepAlivesDisabled.Store(true)
+}
 
 // Close makes the forwarder refuse new requests.
 func (f *Forwarder) Close() { f.closed.Store(true) }
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -215,6 +215,9 @@
 	if j.route != nil {
 		line = line.Str("route", j.route.Name).Str("service", j.service).Str("workspace", j.workspaceName())
 	}
+	if began := time.Duration(f.stopBegan.Load()); began > 0 {
+		line = line.Dur("after_stop_ms", j.begin-began)
+	}
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
 		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).Dur("expected_wait_ms", j.expectedWait).
 		Str("model", j.request.Model).Int("prompt_tokens", j.request.PromptTokens).Int("answer_tokens", j.request.AnswerTokens).
