Accept only requests that end before a stopping entry host does

Cause: for three quarters of the grace time the host accepted every request, whatever time it needs.

Now a stopping host accepts a request whose time limit ends before the stop, or whose expected duration does, by the slowest of the recent complete requests of its service and model and by those in flight. What still runs at the end of the grace time gets a truthful error, or is truncated if its response has begun. The listener is kept open while callers still come.

--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -7,45 +7,51 @@
 )
 
 const (
-	// stopIdleTime is the least time after the end of serving before a leaving entry host without requests in flight
-	// stops. It is also the interval at which the entry host checks for the end of serving.
-	stopIdleTime = 300 * time.Millisecond
-	// stopServeShare is the fraction of the grace time in which a leaving entry host still accepts new requests,
-	// because callers may cache its address for some seconds.
+	// stopIdleTime is the time without requests, after the end of serving, after which a leaving entry host stops before
+	// its grace time is over. stopCheckInterval is the interval of the checks for it.
+	stopIdleTime      = 300 * time.Millisecond
+	stopCheckInterval = 30 * time.Millisecond
+	// stopServeShare is the fraction of the grace time in which a leaving entry host still accepts new requests that end
+	// in time, because callers may cache its address for some seconds.
 	stopServeShare = 0.75
-	// stopMargin is reserved at the end of the grace time, half of it for the last responses.
-	stopMargin = 400 * time.Millisecond
+	// maxStopMargin bounds the time that is reserved at the end of the grace time, half of it for the last responses.
+	// stopMarginShare is its share of a short grace time.
+	maxStopMargin   = 400 * time.Millisecond
+	stopMarginShare = 0.1
 )
 
 type stopState struct{ flag atomic.Bool }
 
 func (s *stopState) leaving() bool { return s.flag.Load() }
 
+// stopMargin returns the time that is reserved at the end of a grace time.
+func stopMargin(grace time.Duration) time.Duration {
+	return min(maxStopMargin, time.Duration(stopMarginShare*float64(grace)))
+}
+
 // leave removes the entry host from the directory, serves until callers have stopped using its address and
 // its requests are done, and returns before the grace time ends.
 func (e *Edge) leave(ctx context.Context, servers []boundServer) {
-	begin := time.Now()
+	begin := e.uptime()
+	margin := stopMargin(e.Settings.StopGrace)
+	serveUntil := begin + time.Duration(float64(e.Settings.StopGrace)*stopServeShare)
+	end := begin + e.Settings.StopGrace - margin
 	e.stop.flag.Store(true)
-	e.forwarder.DisableKeepAlives()
+	e.forwarder.BeginShutdown(end)
 	e.session.leave()
 	e.planner.Resign()
 	e.Logger.Info().Int64("in_flight", e.forwarder.InFlight()).Msg("entry host is shutting down")
-	serveUntil := time.Duration(float64(e.Settings.StopGrace) * stopServeShare)
-	endBy := e.Settings.StopGrace - stopMargin
-	for time.Since(begin) < serveUntil && ctx.Err() == nil {
-		pause(ctx, stopIdleTime)
-	}
+	pause(ctx, serveUntil-begin)
 	// From here on requests are rejected as not executed, but connections are still accepted: closing the listener would
 	// reset those that the kernel has already accepted, and lose the requests that callers have sent on them.
 	e.forwarder.Close()
-	for time.Since(begin) < endBy && ctx.Err() == nil {
-		pause(ctx, stopIdleTime/10)
-		if e.forwarder.InFlight() == 0 && time.Since(begin) > serveUntil+stopIdleTime {
-			break
-		}
+	for e.uptime() < end && ctx.Err() == nil && (e.forwarder.InFlight() > 0 || e.uptime() < max(serveUntil, e.forwarder.LastArrival())+stopIdleTime) {
+		pause(ctx, stopCheckInterval)
 	}
-	finish, cancel := context.WithTimeout(ctx, stopMargin/2)
+	cancelled := e.forwarder.InFlight()
+	e.forwarder.CancelRunning()
+	finish, cancel := context.WithTimeout(ctx, margin/2)
 	defer cancel()
-	_ = servers[0].server.Shutdown(finish) // completes the requests in progress; those cut off later have had no response yet
-	e.Logger.Info().Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", time.Since(begin)).Msg("entry host stopped")
+	_ = servers[0].server.Shutdown(finish) // completes the last responses
+	e.Logger.Info().Int64("cancelled", cancelled).Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", e.uptime()-begin).Msg("entry host stopped")
 }
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -154,7 +154,7 @@
 			servedLate := map[string]bool{}
 			for _, o := range outcomes {
 				switch {
-				case o.sent > test.grace-stopMargin-stopIdleTime: // the listener may be closed
+				case o.sent > test.grace-stopMargin(test.grace)-stopIdleTime: // the listener may be closed
 				case o.status == http.StatusServiceUnavailable:
 					require.Positive(t, o.sent, "%+v", o)
 					require.Less(t, o.took, test.grace/10, "%+v refused late", o)
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -50,6 +50,9 @@
 	if c.group == nil {
 		return nil, f.noRoom(j, c)
 	}
+	if !j.started && !f.endsBeforeShutdown(j) {
+		return nil, shutdownRefusal() // the owner expects a longer wait, or an earlier send has taken too long
+	}
 	if j.sends > 0 && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
 	}
@@ -145,7 +148,9 @@
 // finishFailed ends a request that will not be sent again. The status for a request that may have run never
 // promises that it did not run.
 func (f *Forwarder) finishFailed(ctx context.Context, j *job, r refusal) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), errShutDown) {
+		r = *shutdownRefusal()
+	} else if errors.Is(ctx.Err(), context.Canceled) {
 		j.code, j.abort = "caller_left", true
 		return
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -68,19 +68,20 @@
 	RecordCrash    func(t *rudderview.Target, suspects []rudderpoison.SuspectRequest)
 	RecordSurvival func(s rudderpoison.SuspectRequest)
 
-	loads              loads
-	budget             retryBudget
-	probes             probes
-	pauses             pauses
-	work               workShares
-	firstEvents        firstEventTimes
-	crashChecks        crashChecks
-	inFlight           atomic.Int64
-	receivedRequest    atomic.Bool
-	keepAlivesDisabled atomic.Bool
-	stopBegan          atomic.Int64 // uptime of DisableKeepAlives in nanoseconds; 0 before
-	closed             atomic.Bool
-	watchdogs          sync.Map // set of *watchdog, one for each running stream
+	loads           loads
+	budget          retryBudget
+	probes          probes
+	pauses          pauses
+	work            workShares
+	firstEvents     firstEventTimes
+	crashChecks     crashChecks
+	inFlight        atomic.Int64
+	receivedRequest atomic.Bool
+	lastArrival     atomic.Int64 // uptime of the last request in nanoseconds
+	closed          atomic.Bool
+	shutdown        shutdown
+	durations       durations
+	watchdogs       sync.Map // set of *watchdog, one for each running stream
 
 	startupWaiters atomic.Int64 // requests that wait for the first read of the routing document
 	startedAt      atomic.Int64 // uptime at the start of Run in nanoseconds; 0 before
@@ -89,6 +90,9 @@
 // InFlight returns the number of requests that are being served.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+// LastArrival returns the uptime at which the last request arrived; 0 without one.
+func (f *Forwarder) LastArrival() time.Duration { return time.Duration(f.lastArrival.Load()) }
+
 // ReceivedRequest reports whether any request has arrived.
 func (f *Forwarder) ReceivedRequest() bool { return f.receivedRequest.Load() }
 
@@ -97,15 +101,6 @@
 	return f.work.shares(service)
 }
 
-// DisableKeepAlives makes each response close its connection, because the entry host stops.
-func (f *Forwarder) DisableKeepAlives() {
-	f.stopBegan.Store(int64(f.Uptime()))
-	f.keepAlivesDisabled.Store(true)
-}
-
-// Close makes the forwarder refuse new requests.
-func (f *Forwarder) Close() { f.closed.Store(true) }
-
 // Run cancels the streams of groups that the view shows as ended, and drops outdated state, until the context
 // ends.
 func (f *Forwarder) Run(ctx context.Context) error {
@@ -136,10 +131,11 @@
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.receivedRequest.Store(true)
+	f.lastArrival.Store(int64(f.Uptime()))
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	j := &job{begin: f.Uptime(), method: r.Method, target: r.RequestURI, host: r.Host, writer: w}
-	if f.keepAlivesDisabled.Load() {
+	if f.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	f.serve(r, j)
@@ -175,8 +171,8 @@
 		return
 	}
 	f.budget.countRequest(j.service, f.Uptime(), f.Retries)
-	ctx, cancel := context.WithTimeout(r.Context(), max(j.remaining(f.Uptime()), 0))
-	defer cancel()
+	ctx, end := f.track(r.Context(), j)
+	defer end()
 	if j.route.Kind == rudderroute.KindStream {
 		f.stream(ctx, j)
 	} else {
@@ -200,7 +196,7 @@
 		return
 	}
 	started := time.Duration(f.startedAt.Load())
-	if started == 0 || f.keepAlivesDisabled.Load() {
+	if started == 0 || f.shuttingDown() {
 		return
 	}
 	until := started + startupWait
@@ -226,7 +222,7 @@
 // admit finds the route and the workspace of a request, or returns the reason for refusing it.
 func (f *Forwarder) admit(r *http.Request, j *job) *refusal {
 	if f.closed.Load() {
-		return &refusal{status: http.StatusServiceUnavailable, code: "stopping", message: "entry host stops", retryAfter: shortRetryAfter}
+		return shutdownRefusal()
 	}
 	snapshot := f.View.Snapshot()
 	if snapshot.Table == nil {
@@ -263,6 +259,9 @@
 		j.limit = defaultTimeout
 	}
 	j.service = j.route.Pick(rand.Float64())
+	if !f.endsBeforeShutdown(j) {
+		return shutdownRefusal()
+	}
 	return nil
 }
 
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -215,7 +215,7 @@
 	if j.route != nil {
 		line = line.Str("route", j.route.Name).Str("service", j.service).Str("workspace", j.workspaceName())
 	}
-	if began := time.Duration(f.stopBegan.Load()); began > 0 {
+	if began := time.Duration(f.shutdown.began.Load()); began > 0 {
 		line = line.Dur("after_stop_ms", j.begin-began)
 	}
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
--- /dev/null
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -0,0 +1,91 @@
+package rudderforward
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+)
+
+// Guards against an entry host that accepts requests which cannot end before it stops, or refuses those that can.
+func TestAdmissionDuringShutdown(t *testing.T) {
+	b := newTestbed(t)
+	b.start()
+	f := b.forwarder
+	now := f.Uptime()
+	observe := func(service string, n int, took time.Duration) {
+		for range n {
+			f.durations.observe(service+"\x00", took/4, took, 30, now)
+		}
+	}
+	observe("known", minDurationSamples, time.Second)
+	observe("few", minDurationSamples-1, time.Second)
+	observe("slow", durationSamples, time.Second)
+	f.shutdown.running.Store(&runningRequest{kind: "slow\x00", tokens: 30, begin: now - 4*time.Second}, true)
+	f.BeginShutdown(now + 3*time.Second)
+	for _, test := range []struct {
+		name    string
+		service string
+		limit   time.Duration
+		tokens  int
+		wait    time.Duration
+		want    bool
+	}{
+		{"time limit ends before", "new", 2 * time.Second, 30, 0, true},
+		{"nothing is known", "new", 8 * time.Second, 30, 0, false},
+		{"too little is known", "few", 8 * time.Second, 30, 0, false},
+		{"usual length", "known", 8 * time.Second, 30, 0, true},
+		{"long answer", "known", 8 * time.Second, 120, 0, false},
+		{"long wait for a group", "known", 8 * time.Second, 30, 2 * time.Second, false},
+		{"slow requests in flight", "slow", 8 * time.Second, 30, 0, false},
+	} {
+		j := &job{
+			begin: now, limit: test.limit, service: test.service, expectedWait: test.wait,
+			route: &rudderroute.Route{Kind: rudderroute.KindStream}, request: Request{AnswerTokens: test.tokens},
+		}
+		require.Equal(t, test.want, f.endsBeforeShutdown(j), test.name)
+	}
+}
+
+// Guards against requests that end with a closed connection when the grace time is over, or with the promise that they
+// have not run.
+func TestCancelledAtTheEndOfAShutdown(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		begun bool // the target has sent an event
+		want  int
+	}{{"no response yet", false, http.StatusBadGateway}, {"stream has begun", true, http.StatusOK}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/s/", streamRoute(false))
+			arrived := make(chan struct{})
+			b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+				if test.begun {
+					events(w, 0, 1, 0)
+				}
+				_, _ = io.ReadAll(r.Body) // so that the server notices a closed connection
+				close(arrived)
+				<-r.Context().Done()
+			})
+			b.start()
+			go func() {
+				<-arrived
+				time.Sleep(50 * time.Millisecond) // until the event has been passed on
+				b.forwarder.BeginShutdown(b.forwarder.Uptime())
+				b.forwarder.CancelRunning()
+			}()
+			response, body, err := b.send("POST", "/s/x", "prompt")
+			require.Equal(t, test.want, response.StatusCode)
+			if test.begun {
+				require.Error(t, err, "a truncated stream looks complete: %q", body)
+				return
+			}
+			require.NoError(t, err)
+			require.Contains(t, body, "stopping")
+		})
+	}
+}
