Test entry hosts that a partition separates from all targets

TestDeadTargetIsFound passes, and guards what must stay: a dead target is found by a single host, and while some or most hosts are isolated.

--- /dev/null
+++ b/rudderd/rudderedge/verdict_test.go
@@ -0,0 +1,232 @@
+package rudderedge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderroster"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// verdictFleet is a fleet of entry hosts in front of targets that break the connection of each request after the response
+// header. The probes of isolated entry hosts fail, and so do those of dead targets.
+type verdictFleet struct {
+	t     *testing.T
+	store *rudderstore.Store
+	edges []*Edge
+
+	mu       sync.Mutex
+	isolated map[string]bool // by name of an entry host
+	dead     map[string]bool // by address
+}
+
+func (f *verdictFleet) put(key string, value any) {
+	text, ok := value.([]byte)
+	if !ok {
+		var err error
+		text, err = json.Marshal(value)
+		require.NoError(f.t, err)
+	}
+	_, err := f.store.Put(f.t.Context(), rudderstore.PutRequest{Key: key, Value: text})
+	require.NoError(f.t, err)
+}
+
+// newVerdictFleet starts entry hosts e0, e1 and so on in front of the targets t0, t1 and t2, each of which is a group
+// for the model of the same number. e0 holds the planner's lease.
+func newVerdictFleet(t *testing.T, hosts int) *verdictFleet {
+	f := &verdictFleet{t: t, store: newMemoryStore(), isolated: map[string]bool{}, dead: map[string]bool{}}
+	f.put("routing", rudderroute.Document{
+		Version: 1, Services: []rudderroute.Service{{Name: "llm", Engine: &rudderroute.Engine{
+			Slots: 4, LoadsPerSecond: 5, LoadsAtOnce: 8, MaxStagedModels: 1,
+			Models: []rudderroute.Model{{Name: "m0", Size: 1, Share: 0.3}, {Name: "m1", Size: 1, Share: 0.3}, {Name: "m2", Size: 1, Share: 0.3}},
+		}}},
+		Routes: []rudderroute.Route{{
+			Name: "s", Host: "h", Prefix: "/", Kind: rudderroute.KindStream, MaxAttempts: 1, Timeout: 3 * time.Second, Shares: []rudderroute.Share{{Service: "llm", Weight: 1}},
+		}},
+	})
+	f.put(rudderview.SecretKey, []byte(strings.Repeat("5", 2*secretBytes)))
+	for i := range 3 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if connection, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+				time.Sleep(20 * time.Millisecond)
+				_ = connection.Close()
+			}
+		}))
+		t.Cleanup(server.Close)
+		name, domain, model := fmt.Sprint("t", i), fmt.Sprint("d", i), fmt.Sprint("m", i)
+		f.put(rudderview.PlanPrefix+"llm/"+domain, rudderroster.Plan{Service: "llm", Domain: domain, Groups: []rudderroster.Group{
+			{Name: "g-" + name, Epoch: 1, Model: model, Members: []rudderroster.Member{{Target: name, Born: 1}}},
+		}})
+		f.put("targets/"+name, rudderview.Target{
+			Host:    rudderhost.Host{Name: name, Address: strings.TrimPrefix(server.URL, "http://"), State: rudderhost.StateLive, FabricDomain: domain},
+			Service: "llm", Born: 1, Slots: 4, Model: model, Staged: []string{model},
+			Membership: ruddertarget.Membership{Group: "g-" + name, Epoch: 1, Phase: ruddertarget.GroupOpen},
+		})
+	}
+	for i := range hosts {
+		f.start(i)
+		require.Eventually(t, f.edges[0].planner.Planning, 5*time.Second, time.Millisecond)
+	}
+	for _, e := range f.edges {
+		require.Eventually(t, func() bool {
+			s := e.view.Snapshot()
+			return len(s.EntryHosts) == hosts && len(s.Groups("llm", "")) == 3 && s.PlannerName == "e0" && isClosed(e.peers.secretKnown)
+		}, 5*time.Second, 5*time.Millisecond)
+	}
+	return f
+}
+
+func (f *verdictFleet) start(i int) {
+	e := edge(fmt.Sprint("e", i), f.store)
+	e.Settings.PeerListen, e.Settings.DataCentre = freeAddress(f.t), fmt.Sprint("z", i%3)
+	e.Settings.Retries = rudderforward.RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second}
+	e.Ports.DecodeTarget = func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) }
+	e.Ports.Control = &ruddertarget.GroupControl{
+		Send: func(context.Context, string, string, ruddertarget.GroupOrder) error { return nil },
+		Report: func(_ context.Context, address string) (ruddertarget.GroupReport, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.isolated[e.Settings.Name] || f.dead[address] {
+				return ruddertarget.GroupReport{}, errors.New("unreachable")
+			}
+			return ruddertarget.GroupReport{Orders: 2, Born: 1}, nil
+		},
+	}
+	e.Ports.Protocol = rudderforward.Protocol{
+		DecodeRequest: func(r *http.Request) (rudderforward.Request, error) {
+			return rudderforward.Request{ID: "q", Model: strings.TrimPrefix(r.URL.Path, "/"), Header: r.Header.Clone()}, nil
+		},
+		EncodeAttempt: func(http.Header, rudderforward.Attempt) {},
+		DecodeReply:   func(*http.Response) rudderforward.Reply { return rudderforward.Reply{RequestID: "q", Sealed: true} },
+		SetRetryAfter: func(http.Header, time.Duration) {},
+	}
+	e.Prepare()
+	f.edges = append(f.edges, e)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.Run(ctx)
+	}()
+	f.t.Cleanup(func() { stop(); <-ended })
+}
+
+func (f *verdictFleet) isolate(hosts ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range hosts {
+		f.isolated[fmt.Sprint("e", i)] = true
+	}
+}
+
+// breakStream sends a request for a model through an entry host, whose target then breaks the connection.
+func (f *verdictFleet) breakStream(i int, model string) {
+	server := httptest.NewServer(f.edges[i].forwarder)
+	defer server.Close()
+	r, err := http.NewRequest(http.MethodPost, server.URL+"/"+model, nil)
+	require.NoError(f.t, err)
+	r.Host = "h"
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// recorded reports whether a record of the key-value service has a key with this prefix.
+func (f *verdictFleet) recorded(prefix string) bool {
+	entries, _, err := f.store.List(f.t.Context(), "")
+	require.NoError(f.t, err)
+	return slices.ContainsFunc(entries, func(e rudderstore.Entry) bool { return strings.HasPrefix(e.Key, prefix) })
+}
+
+func (f *verdictFleet) kill(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[f.edges[0].view.Snapshot().Targets[target].Address] = true
+}
+
+// A partition separates entry hosts from all targets, which the others reach. Guards against groups that end everywhere
+// because these hosts found them dead, and against requests that are held responsible.
+func TestIsolatedHostEndsNoGroup(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		isolated []int
+	}{
+		{"one", []int{1}}, {"the planner", []int{0}}, {"most", []int{0, 1, 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newVerdictFleet(t, 4)
+			f.isolate(test.isolated...)
+			for _, i := range test.isolated {
+				f.breakStream(i, "m0")
+				f.breakStream(i, "m1")
+				g := f.edges[i].view.Snapshot().Groups("llm", "m2")[0]
+				dead, _ := f.edges[i].examine(t.Context(), g)
+				require.Empty(t, dead)
+			}
+			require.Never(t, func() bool { return len(f.edges[3].view.Snapshot().Groups("llm", "")) < 3 }, time.Second, 10*time.Millisecond)
+			require.False(t, f.recorded(crashPrefix))
+		})
+	}
+}
+
+// Guards against a planner without a path to the targets that keeps the lease, and against another one that takes it.
+func TestIsolatedPlannerHandsOver(t *testing.T) {
+	f := newVerdictFleet(t, 4)
+	f.isolate(0, 1, 2)
+	require.Eventually(t, func() bool {
+		for _, g := range f.edges[3].view.Snapshot().Groups("llm", "") {
+			_, _ = f.edges[3].examine(t.Context(), g)
+		}
+		return f.edges[3].planner.Planning()
+	}, 6*time.Second, 50*time.Millisecond)
+	require.Never(t, func() bool { return !f.edges[3].planner.Planning() }, time.Second, 10*time.Millisecond)
+}
+
+// Guards against a dead target that stays in service because some entry hosts cannot tell whether it is dead.
+func TestDeadTargetIsFound(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		hosts    int
+		isolated []int
+		reporter int
+	}{
+		{"a single host", 1, nil, 0},
+		{"all hosts have a path", 4, nil, 1},
+		{"some are isolated", 4, []int{2}, 1},
+		{"most are isolated", 4, []int{1, 2, 3}, 0},
+		{"reported by an isolated host", 4, []int{1, 2, 3}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newVerdictFleet(t, test.hosts)
+			f.isolate(test.isolated...)
+			f.kill("t0")
+			f.breakStream(test.reporter, "m0")
+			begin := time.Now()
+			dead, planning := f.edges[0].planner.ConfirmDead(t.Context(), map[string]int64{"t0": 1, "t1": 1})
+			require.Equal(t, []string{"t0"}, dead)
+			require.True(t, planning)
+			require.Less(t, time.Since(begin), examineTimeout)
+			last := f.edges[len(f.edges)-1]
+			require.Eventually(t, func() bool { return len(last.view.Snapshot().Groups("llm", "m0")) == 0 }, 2*time.Second, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return f.recorded(crashPrefix) }, 2*time.Second, 5*time.Millisecond)
+			require.Len(t, last.view.Snapshot().Groups("llm", ""), 2)
+		})
+	}
+}
