Send requests through other entry hosts while this one reaches no targets

A monitor (rudderpath) keeps from new connections of this host which targets it reaches, and checks other targets when one fails, to tell on which side the fault is. A request whose target is not reached goes through another entry host over the signed peer port: request target, header fields and body unchanged, the response streamed, a truncated one aborted. The relaying host checks its path, the target's incarnation, pauses and leave, never relays again, and says whether any byte can have reached the target. Failures on this side count against no target.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -18,6 +18,7 @@
 	"comfreyrudder.example/rudderd/ruddercoordinator"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -82,6 +83,7 @@
 	peers       *peers
 	balance     *balance
 	limits      *rudderlimit.Table
+	path        *rudderpath.Monitor
 	packer      packer
 	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
@@ -114,6 +116,7 @@
 		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
 		{"limits", e.logLimitedSends},
+		{"path", e.path.Run},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
 	}
@@ -152,6 +155,7 @@
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.limits = &rudderlimit.Table{}
+	e.path = e.newPath()
 	e.balance = newBalance(e)
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}), check: make(chan struct{}, 1),
@@ -161,6 +165,7 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
+		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(),
 		Limits: e.limits, Report: e.Ports.Control.Report, Suspect: e.suspect, FindDeadMembers: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
--- a/rudderd/rudderedge/path_test.go
+++ b/rudderd/rudderedge/path_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -165,6 +167,7 @@
 
 // pathHosts starts two entry hosts in front of three targets and returns the first one, which uses dialer.
 func pathHosts(t *testing.T, targets http.Handler, dialer *faultyDialer) *Edge {
+	t.Helper()
 	store := newMemoryStore()
 	put := func(key string, value any) {
 		text, err := json.Marshal(value)
@@ -287,6 +290,54 @@
 			}
 			waiting.Wait()
 			require.Empty(t, failed)
+			require.Equal(t, p.silent || p.resets, e.path.Isolated())
+			dialer.set(nil)
+			require.Eventually(t, func() bool { return !e.path.Isolated() }, 3*time.Second, 10*time.Millisecond)
+		})
+	}
+}
+
+// A target ends its response early, or as it should. Guards against a truncated response that looks complete after it has
+// passed through another entry host, and against header fields and bytes that change on the way.
+func TestRelayedResponse(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		response string
+		complete bool
+		length   int64
+		chunked  bool
+	}{
+		{"length", "Content-Length: 4\r\n\r\n12\xff4", true, 4, false},
+		{"length, cut", "Content-Length: 9\r\n\r\n12\xff4", false, 9, false},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\n12\xff4\r\n0\r\n\r\n", true, -1, true},
+		{"chunks, cut", "Transfer-Encoding: chunked\r\n\r\n4\r\n12\xff4\r\n", false, -1, true},
+		{"until the end of the connection", "\r\n12\xff4", true, -1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			e := pathHosts(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				connection, buffer, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(buffer, "HTTP/1.1 207 X\r\nId: q\r\nA: 1\r\nA: \xfe\r\nGot: %s %q %s\r\n%s", q.RequestURI, q.Header["B"], q.Host, test.response)
+				_ = errors.CombineErrors(buffer.Flush(), connection.Close())
+			}), newFaultyDialer())
+			target := e.view.Snapshot().Targets["t0"]
+			response, err := e.forwarder.Relay.Send(t.Context(), rudderpath.Request{
+				Target: "t0", Born: target.Born, Service: "plain", ID: "q", Remaining: time.Second, Method: http.MethodPut,
+				RequestTarget: "/x%2f?a=%zz", Host: "h", Header: http.Header{"B": {"1", "\xfd"}},
+			})
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, test.complete, err == nil, "%v", err)
+			require.Equal(t, "12\xff4", string(body))
+			require.Equal(t, http.StatusMultiStatus, response.StatusCode)
+			require.Equal(t, []string{"1", "\xfe"}, response.Header["A"])
+			require.Equal(t, "/x%2f?a=%zz [\"1\" \"\\xfd\"] h", response.Header.Get("Got"))
+			require.Equal(t, test.length, response.ContentLength)
+			require.Equal(t, test.chunked, len(response.TransferEncoding) > 0)
 		})
 	}
 }
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
@@ -47,9 +48,12 @@
 
 // peerHandler serves the calls of other entry hosts.
 func (e *Edge) peerHandler() http.Handler {
-	verifier := &rudderpeer.Verifier{Keys: e.peers.keys, Clock: clockwork.NewRealClock()}
+	verifier := &rudderpeer.Verifier{
+		Keys: e.peers.keys, Clock: clockwork.NewRealClock(), MaxBodyBytes: rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes,
+	}
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
+	mux.HandleFunc(rudderpath.PathPrefix, e.forwarder.ServeRelayed)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	return verifier.Wrap(mux)
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -169,7 +169,9 @@
 func (f *Forwarder) recordFailure(ctx context.Context, j *job, g *rudderview.Group, err error) {
 	now := f.Uptime()
 	j.lastErr = err
-	j.excludeGroup(g)
+	if !errors.Is(err, errPathLost) || len(f.View.Snapshot().Groups(j.service, j.request.Model)) > len(j.exclude)+1 {
+		j.excludeGroup(g)
+	}
 	if errors.Is(err, ErrNotSent) {
 		j.unsent++
 	} else {
@@ -179,19 +181,28 @@
 	if ctx.Err() != nil {
 		return // cancelled by the caller or the deadline, which is no evidence about the group
 	}
-	f.loads.avoid(g.Leader.Name, now+failureBackoff, now)
+	onThisSide := errors.Is(err, errPathLost) || errors.Is(err, errNoPath)
+	if !onThisSide {
+		f.loads.avoid(g.Leader.Name, now+failureBackoff, now)
+	}
 	f.Metrics.Count("sends.failed")
 	line := f.Logger.Warn().Err(err).Str("request_id", j.request.ID).Str("group", g.ID).Str("target", g.Leader.Name).
-		Bool("may_have_run", !errors.Is(err, ErrNotSent)).Dur("after_ms", now-j.begin).Int("events", j.sendEvents)
+		Bool("may_have_run", !errors.Is(err, ErrNotSent)).Dur("after_ms", now-j.begin).Int("events", j.sendEvents).Bool("relayed", j.relayed)
 	if j.answeredAt > 0 {
 		line = line.Dur("answering_ms", now-j.answeredAt)
 	}
 	line.Strs("prompt_parts", j.request.PromptParts).Msg("send failed")
-	if notListening(err) || errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer) {
+	// The entry host that relayed the request checks the target.
+	if !onThisSide && !j.relayed && (notListening(err) || brokenByTarget(err)) {
 		f.checkCrash(j, g, err)
 	}
 }
 
+// brokenByTarget reports whether a send may have failed because its target died.
+func brokenByTarget(err error) bool {
+	return errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer)
+}
+
 // recordRefusal records that a target answered without running the request.
 func (f *Forwarder) recordRefusal(j *job, g *rudderview.Group, answer *reply) {
 	now := f.Uptime()
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderview"
 )
 
 // maxBufferedBytes bounds the response that is buffered before its headers are sent, so that targets with
@@ -32,7 +34,7 @@
 		case answer.NotRun:
 			f.recordRefusal(j, g, answer)
 		default:
-			done = f.answerCall(ctx, j, g.Leader.Name, answer)
+			done = f.answerCall(ctx, j, g, answer)
 			if !done {
 				f.recordFailure(ctx, j, g, j.lastErr)
 			}
@@ -50,7 +52,7 @@
 
 // answerCall sends a target's response to the caller. If the response is unusable, it sets j.lastErr and
 // returns false; no headers have been sent then.
-func (f *Forwarder) answerCall(ctx context.Context, j *job, target string, answer *reply) bool {
+func (f *Forwarder) answerCall(ctx context.Context, j *job, g *rudderview.Group, answer *reply) bool {
 	response := answer.response
 	defer func() { _ = response.Body.Close() }()
 	success := response.StatusCode >= 200 && response.StatusCode < 300
@@ -63,12 +65,15 @@
 	if err != nil {
 		answer.discard()
 		j.lastErr = errors.Mark(errors.Wrap(err, "read response body"), ErrBroken)
+		if answer.connection != nil {
+			j.lastErr = f.blamePath(ctx, g.Leader, j.lastErr)
+		}
 		return false
 	}
 	complete := len(body) < maxBufferedBytes
 	if response.StatusCode >= 500 && j.route.Repeatable() && complete && j.runs+1 < max(j.route.MaxAttempts, 1) {
 		if f.canRetry(ctx, j) {
-			j.lastErr = errors.Newf("target %s answered %d", target, response.StatusCode)
+			j.lastErr = errors.Newf("target %s answered %d", g.Leader.Name, response.StatusCode)
 			return false
 		}
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"comfreyrudder.example/rudderd/rudderlimit"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -46,6 +47,11 @@
 	Retries      RetryLimits
 	// Limits holds the request rates that targets name.
 	Limits *rudderlimit.Table
+	// Path keeps which targets this entry host reaches, and Relay sends requests through other entry hosts.
+	Path  *rudderpath.Monitor
+	Relay *rudderpath.Relay
+	// MaxRelayed bounds the requests that are relayed at once for other entry hosts.
+	MaxRelayed int
 	// Report requests the state of a target.
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// FindDeadMembers has the planner probe a group and returns the dead members; ok is false if the planner
@@ -76,6 +82,7 @@
 	firstEvents     firstEventTimes
 	crashChecks     crashChecks
 	inFlight        atomic.Int64
+	relaying        atomic.Int64 // requests of other entry hosts
 	receivedRequest atomic.Bool
 	lastArrival     atomic.Int64 // uptime of the last request in nanoseconds
 	closed          atomic.Bool
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -54,6 +54,7 @@
 	survived     bool            // the current send has been recorded as survived
 	suspectedIn  *crashCheck     // check of the last send's target, if this request may have crashed it
 	answeredAt   time.Duration   // uptime of the response headers of the current send; 0 before them
+	relayed      bool            // the current send goes through another entry host
 	sends        int             // sends that reached a target
 	runs         int             // sends that the target may have run
 	unsent       int             // sends of which no byte reached a target
--- /dev/null
+++ b/rudderd/rudderforward/relayed.go
@@ -0,0 +1,135 @@
+package rudderforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+)
+
+// relayChunk is the size of the buffer of a relayed response.
+const relayChunk = 8 << 10
+
+// ServeRelayed sends a request to a target for another entry host that cannot reach it. It is sent directly or not at all.
+func (f *Forwarder) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	q, err := rudderpath.DecodeRequest(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	relaying := f.relaying.Add(1)
+	defer f.relaying.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), max(q.Remaining, 0))
+	defer cancel()
+	x, outcome := f.relayedExchange(q)
+	if relaying > int64(f.MaxRelayed) || f.shuttingDown() {
+		outcome = rudderpath.OutcomeBusy
+	}
+	if outcome != "" {
+		f.refuseRelayed(w, q, outcome, nil)
+		return
+	}
+	// An idle connection may have lost its path too.
+	if !f.Path.Confirm(pathTarget(x.group.Leader)) {
+		f.refuseRelayed(w, q, f.unreachableOutcome(q.Service), nil)
+		return
+	}
+	answer, err := f.sendDirect(ctx, x, true)
+	if err != nil {
+		outcome = rudderpath.OutcomeMayHaveRun
+		if errors.Is(err, ErrNotSent) {
+			outcome = f.unreachableOutcome(q.Service)
+		}
+		if ctx.Err() == nil && (notListening(err) || brokenByTarget(err)) {
+			f.checkCrash(x.job, x.group, err)
+		}
+		f.refuseRelayed(w, q, outcome, err)
+		return
+	}
+	f.copyRelayed(ctx, w, x, answer)
+}
+
+// relayedExchange returns the exchange for a request of another entry host, or the outcome if it is not sent.
+func (f *Forwarder) relayedExchange(q rudderpath.Request) (*exchange, string) {
+	t := f.View.Snapshot().Targets[q.Target]
+	if t == nil || t.Born != q.Born {
+		return nil, rudderpath.OutcomeDeclined
+	}
+	g := &rudderview.Group{ID: t.Name, Service: t.Service, Leader: t, Members: []*rudderview.Target{t}, Slots: t.Slots}
+	switch {
+	case !f.accepts(g):
+		return nil, rudderpath.OutcomeDeclined
+	case f.Path.Cut(t.Service):
+		return nil, rudderpath.OutcomeNoPath
+	case !f.Path.Reachable(pathTarget(t)):
+		return nil, rudderpath.OutcomeUnreachable
+	}
+	j := &job{
+		request: Request{ID: q.ID}, method: q.Method, target: q.RequestTarget, host: q.Host, body: q.Body, begin: f.Uptime(), limit: q.Remaining,
+		route: &rudderroute.Route{Kind: rudderroute.KindStream}, service: q.Service,
+	}
+	return &exchange{job: j, group: g, header: q.Header, repeatable: q.Repeatable, sentAt: f.Uptime()}, ""
+}
+
+// unreachableOutcome tells whether only one target is unreachable, or all of its service.
+func (f *Forwarder) unreachableOutcome(service string) string {
+	if f.Path.Cut(service) {
+		return rudderpath.OutcomeNoPath
+	}
+	return rudderpath.OutcomeUnreachable
+}
+
+func (f *Forwarder) refuseRelayed(w http.ResponseWriter, q rudderpath.Request, outcome string, err error) {
+	f.Metrics.Count("relaying." + outcome)
+	f.Logger.Info().Err(err).Str("request_id", q.ID).Str("target", q.Target).Str("outcome", outcome).Msg("request of another entry host was not relayed")
+	w.Header().Set(rudderpath.HeaderOutcome, outcome)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// copyRelayed passes a response on as it arrives. A response that is cut off aborts the call, so that it does not look
+// complete.
+func (f *Forwarder) copyRelayed(ctx context.Context, w http.ResponseWriter, x *exchange, answer *reply) {
+	defer func() { _ = answer.response.Body.Close() }()
+	if !answer.Sealed && answer.response.StatusCode < http.StatusMultipleChoices {
+		defer answer.discard()
+	}
+	head := rudderpath.ResponseHead{
+		Status: answer.response.StatusCode, Header: answer.response.Header, ContentLength: answer.response.ContentLength,
+		Chunked: len(answer.response.TransferEncoding) > 0,
+	}
+	text, err := head.Encode()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	f.Metrics.Count("relaying." + rudderpath.OutcomeAnswered)
+	w.Header().Set(rudderpath.HeaderOutcome, rudderpath.OutcomeAnswered)
+	_, err = w.Write(text)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, relayChunk)
+	for err == nil {
+		if err = control.Flush(); err != nil {
+			break
+		}
+		var n int
+		n, err = answer.response.Body.Read(buffer)
+		f.Path.Heard(x.group.Service)
+		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+			err = writeErr
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	if ctx.Err() == nil {
+		f.Logger.Info().Err(err).Str("request_id", x.job.request.ID).Str("target", x.group.Leader.Name).Msg("relayed response was cut off")
+		f.checkCrash(x.job, x.group, errors.Mark(err, ErrBroken))
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -9,8 +9,8 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +29,12 @@
 	errGroupBroken = errors.New("forward: group is broken")
 	// errUnresponsive cancels a send whose target has made no progress for too long.
 	errUnresponsive = errors.New("forward: target made no progress within its limit")
+	// errPathLost cancels a send whose target this entry host no longer reaches.
+	errPathLost = errors.New("forward: no path to the target")
+	// errSlowConnect cancels a send whose connection is not set up soon.
+	errSlowConnect = errors.New("forward: connection to the target is not set up in time")
+	// errNoPath marks the error of a send that failed on this side of the target.
+	errNoPath = errors.New("forward: no path to any target of the service")
 	// errPoisoned cancels a send that has not begun, because the request would crash the target.
 	errPoisoned = errors.New("forward: a part of the prompt crashes targets")
 )
@@ -37,7 +43,7 @@
 type reply struct {
 	Reply
 	response   *http.Response
-	connection *net.Conn // connection on which the response arrived
+	connection *net.Conn // connection on which the response arrived; nil if it was relayed
 }
 
 // framed reports whether the response has a length or chunks. Otherwise it ends with its connection, which a crash of the
@@ -55,48 +61,96 @@
 	}
 }
 
-// send sends the request to the group's leader and returns the response once its headers have arrived.
+// send sends the request to the group's leader, directly or through another entry host, and returns the response once its
+// headers have arrived.
 func (f *Forwarder) send(ctx context.Context, j *job, g *rudderview.Group, lastEvent string) (*reply, error) {
-	var wrote, reused atomic.Bool
-	var used atomic.Pointer[net.Conn]
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			reused.Store(info.Reused)
-			used.Store(&info.Conn)
-			if !info.Reused {
-				f.Metrics.Count("targets.connections")
-			}
-		},
-		WroteHeaders: func() { wrote.Store(true) },
-	}
-	request, err := f.request(httptrace.WithClientTrace(ctx, trace), j, g, lastEvent)
-	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+	header := j.request.Header.Clone()
+	f.Protocol.EncodeAttempt(header, Attempt{
+		Target: g.Leader.Name, Remaining: j.remaining(f.Uptime()), Workspace: j.workspaceName(), Urgency: j.urgency(), LastEvent: lastEvent,
+	})
+	if _, named := header["User-Agent"]; !named {
+		header["User-Agent"] = []string{""} // keeps the HTTP client from adding its own
 	}
 	f.Limits.CountSend(processOf(g.Leader), j.sends > 0)
-	sentAt := f.Uptime()
-	response, err := f.Client.Do(request)
+	x := &exchange{job: j, group: g, header: header, repeatable: j.route.Repeatable(), sentAt: f.Uptime()}
+	return f.sendByPath(ctx, x)
+}
+
+// exchange is one request to a target and its response.
+type exchange struct {
+	job        *job
+	group      *rudderview.Group
+	header     http.Header
+	repeatable bool
+	sentAt     time.Duration
+}
+
+// sendDirect sends a request over a connection of this entry host. With impatient set, it gives up a connection that is not
+// set up soon; the error is errSlowConnect then.
+func (f *Forwarder) sendDirect(ctx context.Context, x *exchange, impatient bool) (*reply, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	attempt := f.startAttempt(ctx, cancel, x, impatient)
+	answer := &reply{}
+	var err error
+	answer.response, err = f.Client.Do(f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x)) //nolint:bodyclose // whoever gets the reply closes it
+	attempt.stop()
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
-		if !wrote.Load() || neverConnected(err) {
-			return nil, errors.Mark(err, ErrNotSent)
+		defer cancel(nil)
+		return nil, f.sendError(ctx, x, attempt, err)
+	}
+	f.Path.Heard(x.group.Service)
+	answer.response.Body = cancelledBody{answer.response.Body, cancel}
+	answer.connection = attempt.used.Load()
+	return f.receive(x, answer, attempt.reused.Load())
+}
+
+// sendError classifies the error of a send.
+func (f *Forwarder) sendError(ctx context.Context, x *exchange, a *attempt, err error) error {
+	t, cause := pathTarget(x.group.Leader), context.Cause(ctx)
+	if cause != nil {
+		err = cause
+	}
+	switch {
+	case a.abandoned():
+		f.Path.Failed(t)
+		return errors.Mark(err, ErrNotSent)
+	case !a.wrote.Load() || neverConnected(err):
+		if cause == nil {
+			f.Path.Failed(t)
 		}
-		return nil, errors.Mark(err, ErrBroken)
+		return errors.Mark(err, ErrNotSent)
 	}
-	answer := &reply{Reply: f.Protocol.DecodeReply(response), response: response, connection: used.Load()}
+	return f.blamePath(ctx, x.group.Leader, errors.Mark(err, ErrBroken))
+}
+
+// cancelledBody ends its request when it is closed.
+type cancelledBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b cancelledBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
+// receive decodes the headers of a response and records what they tell about the target.
+func (f *Forwarder) receive(x *exchange, answer *reply, reused bool) (*reply, error) {
+	j, g := x.job, x.group
+	answer.Reply = f.Protocol.DecodeReply(answer.response)
 	if answer.Load != nil {
 		f.loads.report(g.Leader.Name, f.Uptime(), *answer.Load)
 	}
 	// On a reused connection, a response without a request ID may be a duplicate for an earlier request.
-	if answer.RequestID != j.request.ID && (answer.RequestID != "" || reused.Load()) {
-		_ = response.Body.Close()
+	if answer.RequestID != j.request.ID && (answer.RequestID != "" || reused) {
+		_ = answer.response.Body.Close()
 		answer.discard()
 		return nil, errors.Mark(errors.Mark(errors.Newf("got the response for request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
 	}
 	f.observeHeaders(j, g, answer)
-	f.observeLimit(j, g, answer, sentAt)
+	f.observeLimit(j, g, answer, x.sentAt)
 	return answer, nil
 }
 
@@ -108,16 +162,10 @@
 func notListening(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // request builds the request to a target. The request target is forwarded unchanged.
-func (f *Forwarder) request(ctx context.Context, j *job, g *rudderview.Group, lastEvent string) (*http.Request, error) {
-	header := j.request.Header.Clone()
-	f.Protocol.EncodeAttempt(header, Attempt{
-		Target: g.Leader.Name, Remaining: j.remaining(f.Uptime()), Workspace: j.workspaceName(), Urgency: j.urgency(), LastEvent: lastEvent,
-	})
-	if _, named := header["User-Agent"]; !named {
-		header["User-Agent"] = []string{""} // keeps the HTTP client from adding its own
-	}
+func (f *Forwarder) request(ctx context.Context, x *exchange) *http.Request {
+	j, header := x.job, x.header
 	request := (&http.Request{
-		Method: j.method, URL: targetURL(g.Leader.Address, j.target), Host: j.host, Header: header,
+		Method: j.method, URL: targetURL(x.group.Leader.Address, j.target), Host: j.host, Header: header.Clone(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	// The body can be read only once, so that the HTTP client never retries a request on its own. An empty
@@ -131,7 +179,7 @@
 			request.Body, request.ContentLength = http.NoBody, 0
 		}
 	}
-	return request, nil
+	return request
 }
 
 // lengthExpected reports whether an explicit length is sent with an empty body for this method.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -101,6 +101,7 @@
 		return false
 	}
 	j.answeredAt = f.Uptime()
+	guard.direct.Store(answer.connection != nil)
 	defer func() { _ = answer.response.Body.Close() }()
 	status := answer.response.StatusCode
 	switch {
@@ -116,7 +117,7 @@
 		f.recordFailure(ctx, j, g, errors.Newf("target %s answered %d", g.Leader.Name, status))
 		return false
 	default:
-		return f.answerCall(ctx, j, g.Leader.Name, answer)
+		return f.answerCall(ctx, j, g, answer)
 	}
 	return f.copyEvents(ctx, sendContext, j, g, answer, guard)
 }
@@ -131,12 +132,17 @@
 			answer.discard()
 			if cause := context.Cause(sendContext); cause != nil {
 				err = cause
+			} else if answer.connection != nil {
+				err = f.blamePath(ctx, g.Leader, err)
 			}
 			f.recordFailure(ctx, j, g, errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken))
 			return false
 		}
 		fresh := newer(id, j.lastEvent)
 		if fresh {
+			if answer.connection != nil {
+				f.Path.Heard(g.Service)
+			}
 			guard.event()
 			f.countEvent(j)
 		}
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderlimit"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -116,6 +118,11 @@
 		Metrics:         Metrics{Count: func(string) {}, Observe: func(string, time.Duration) {}},
 		MaxKeyStaleness: time.Minute, Retries: RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Limits: &rudderlimit.Table{},
+		Path: &rudderpath.Monitor{
+			Uptime: uptime, Dial: (&net.Dialer{}).DialContext, Targets: func() []rudderpath.Target { return nil },
+			EntryHosts: func() int { return 1 }, OnChange: func(rudderpath.Target, bool) {},
+		},
+		Relay: &rudderpath.Relay{Uptime: uptime, Peers: func() []rudderpath.Peer { return nil }},
 		Report: func(ctx context.Context, address string) (ruddertarget.GroupReport, error) {
 			return ruddertarget.GroupReport{}, nil
 		},
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -48,6 +50,8 @@
 	limit     time.Duration // silence after which a stream that has begun is cancelled
 	cancel    context.CancelCauseFunc
 	ctx       context.Context
+	resumable bool
+	direct    atomic.Bool // the response arrives over a connection of this entry host
 
 	mu        sync.Mutex
 	timer     *time.Timer
@@ -61,7 +65,7 @@
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, g *rudderview.Group, j *job) *watchdog {
 	now := f.Uptime()
 	silence := max(firstEventSilence, firstEventSilence/2+2*j.expectedWait)
-	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence}
+	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence, resumable: j.route.Repeatable()}
 	w.timer = time.AfterFunc(silence, w.check)
 	return w
 }
@@ -127,7 +131,10 @@
 	}
 	// New requests avoid the group until the probe has ended.
 	w.forwarder.loads.avoid(w.group.Leader.Name, w.forwarder.Uptime()+probeBackoff, w.forwarder.Uptime())
+	lost := make(chan bool, 1)
+	go func() { lost <- w.pathLost() }()
 	broken := w.forwarder.probeGroup(w.ctx, w.group)
+	noPath := <-lost
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended || w.lastEvent != begin {
@@ -141,9 +148,18 @@
 	switch {
 	case broken:
 		w.cancel(errGroupBroken)
+	case noPath:
+		w.cancel(errPathLost)
 	case silence >= limit:
 		w.cancel(errUnresponsive)
 	default:
 		w.schedule(min(probeInterval, max(limit-silence, time.Millisecond)))
 	}
 }
+
+// pathLost reports whether a silent stream should be resumed through another entry host, because this one no longer reaches
+// the target.
+func (w *watchdog) pathLost() bool {
+	t := pathTarget(w.group.Leader)
+	return w.direct.Load() && w.resumable && w.forwarder.Relay.Usable(t.Service) && w.forwarder.Path.Check(t) == rudderpath.Silent
+}
--- /dev/null
+++ b/rudderd/rudderpath/relay.go
@@ -0,0 +1,204 @@
+package rudderpath
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a relayed request. With all but ErrMayHaveRun, no byte of the request can have reached the target.
+var (
+	// ErrNoPeer reports that no entry host could try to reach the target.
+	ErrNoPeer = errors.New("path: no entry host with a path to the target")
+	// ErrUnreachable reports that another entry host, which reaches other targets, could not connect to this one.
+	ErrUnreachable = errors.New("path: target is unreachable for another entry host too")
+	// ErrDeclined reports that the target is unknown to the other entry host or takes no requests.
+	ErrDeclined = errors.New("path: target takes no requests")
+	// ErrMayHaveRun reports that the response is missing or incomplete.
+	ErrMayHaveRun = errors.New("path: response missing or incomplete")
+)
+
+// Outcomes of a relayed request, in the header of the response of the entry host that relays it.
+const (
+	// HeaderOutcome is the header field that holds the outcome.
+	HeaderOutcome = "Relay-Outcome"
+	// OutcomeAnswered means that the response of the target follows.
+	OutcomeAnswered = "answered"
+	// OutcomeNoPath means that the entry host reaches no target of the service.
+	OutcomeNoPath = "no_path"
+	// OutcomeBusy means that the entry host relays as many requests as it can, or stops.
+	OutcomeBusy        = "busy"
+	OutcomeUnreachable = "unreachable"
+	OutcomeDeclined    = "declined"
+	OutcomeMayHaveRun  = "may_have_run"
+)
+
+const (
+	// PathPrefix is the path of the calls that relay requests.
+	PathPrefix = "/rudder.path/send"
+	// maxPeers is the number of entry hosts that a request is offered to.
+	maxPeers = 3
+	// noPathTTL is how long an entry host is not asked again after it had no path to a service.
+	noPathTTL = time.Second
+	// goodTTL is how long an entry host that has relayed a request is preferred when another one could not.
+	goodTTL = 2 * time.Second
+	// maxRemembered bounds the number of remembered entry hosts.
+	maxRemembered = 4096
+)
+
+// Peer is another entry host.
+type Peer struct{ Name, Address string }
+
+// Relay sends requests through other entry hosts. Set the exported fields before use.
+type Relay struct {
+	Transport http.RoundTripper
+	// Peers returns the other entry hosts.
+	Peers  func() []Peer
+	Uptime func() time.Duration
+
+	mu     sync.Mutex
+	noPath map[peerKey]time.Duration // uptime until which a peer is skipped
+	good   map[peerKey]time.Duration // uptime until which a peer is preferred
+}
+
+type peerKey struct{ address, service string }
+
+// Send sends a request through other entry hosts and returns the response once its headers have arrived.
+func (r *Relay) Send(ctx context.Context, q Request) (*http.Response, error) {
+	message, err := q.Encode()
+	if err != nil {
+		return nil, errors.Mark(err, ErrNoPeer)
+	}
+	tried := map[string]bool{}
+	for range maxPeers {
+		peer, found := r.choose(q.Service, tried)
+		if !found || ctx.Err() != nil {
+			break
+		}
+		response, err := r.sendThrough(ctx, peer, q.Service, message)
+		if err == nil || !errors.Is(err, ErrNoPeer) {
+			return response, err
+		}
+		tried[peer.Address] = true
+	}
+	return nil, ErrNoPeer
+}
+
+// Usable reports whether another entry host may have a path to the targets of a service.
+func (r *Relay) Usable(service string) bool {
+	_, found := r.choose(service, nil)
+	return found
+}
+
+// choose draws a peer at random. After another peer could not relay the request, it prefers those that have relayed one.
+func (r *Relay) choose(service string, tried map[string]bool) (Peer, bool) {
+	now := r.Uptime()
+	list := r.Peers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list = slices.DeleteFunc(list, func(p Peer) bool { return tried[p.Address] || r.noPath[peerKey{p.Address, service}] > now })
+	if len(tried) > 0 {
+		good := slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return r.good[peerKey{p.Address, service}] <= now })
+		if len(good) > 0 {
+			list = good
+		}
+	}
+	if len(list) == 0 {
+		return Peer{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
+func (r *Relay) remember(p Peer, service string, good bool) {
+	now := r.Uptime()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.noPath == nil || len(r.noPath)+len(r.good) > maxRemembered {
+		r.noPath, r.good = map[peerKey]time.Duration{}, map[peerKey]time.Duration{}
+	}
+	key := peerKey{p.Address, service}
+	if good {
+		r.good[key] = now + goodTTL
+		delete(r.noPath, key)
+		return
+	}
+	delete(r.good, key)
+	r.noPath[key] = now + noPathTTL
+}
+
+// sendThrough sends a request through one peer. The error is ErrNoPeer if another peer may be tried.
+func (r *Relay) sendThrough(ctx context.Context, p Peer, service string, message []byte) (*http.Response, error) {
+	// The cause of a cancellation is not passed on, so that the transport does not take it for a broken connection.
+	callContext, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	detach := context.AfterFunc(ctx, cancel)
+	end := func() { detach(); cancel() }
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(callContext, trace), http.MethodPost, "http://"+p.Address+PathPrefix, bytes.NewReader(message))
+	if err != nil {
+		end()
+		return nil, errors.Mark(err, ErrNoPeer)
+	}
+	response, err := r.Transport.RoundTrip(request)
+	if err != nil {
+		end()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		} else {
+			r.remember(p, service, false)
+		}
+		if !wrote.Load() {
+			return nil, errors.Mark(err, ErrNoPeer)
+		}
+		return nil, errors.Mark(err, ErrMayHaveRun)
+	}
+	outcome := response.Header.Get(HeaderOutcome)
+	if response.StatusCode == http.StatusOK && outcome == OutcomeAnswered {
+		r.remember(p, service, true)
+		answer, err := readResponse(body{response.Body, end})
+		if err != nil {
+			_ = response.Body.Close()
+			end()
+			return nil, errors.Mark(err, ErrMayHaveRun)
+		}
+		return answer, nil
+	}
+	_ = response.Body.Close()
+	end()
+	switch outcome {
+	case OutcomeUnreachable:
+		err = ErrUnreachable
+	case OutcomeDeclined:
+		err = ErrDeclined
+	case OutcomeMayHaveRun:
+		err = ErrMayHaveRun
+	case OutcomeBusy:
+		err = ErrNoPeer
+	default:
+		r.remember(p, service, false)
+		err = ErrNoPeer
+	}
+	return nil, errors.Wrapf(err, "relay %s answered %d %q", p.Name, response.StatusCode, outcome)
+}
+
+// body ends its call when it is closed.
+type body struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (b body) Close() error {
+	err := b.ReadCloser.Close()
+	b.end()
+	return err
+}
