Decide with other entry hosts whether a target is dead

A failed probe is now judged by several entry hosts. As soon as its first try fails, two others are asked to probe the target, of other data centres first and in an order that depends on the target, so that hosts which ask at the same time share a probe. The finding of a host counts only if it has a path: it can open a new connection to another target of the same service. A host without one, or without an answer, is replaced by two others. The target is dead if none that has a path reaches it; a single host decides by itself, and a target that nobody has a path to counts as alive. The planner's probes, the checks of crashes (and so the evidence against requests) and the probes without a planner all use this verdict.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -77,7 +77,7 @@
 	// Demand returns the part of a service's work by model, as measured on this entry host, or nil if it is
 	// unknown; optional.
 	Demand func(service string) map[string]float64
-	// Probe probes a target; alive is false when it does not answer.
+	// Probe probes a target; alive is false when it is dead.
 	Probe func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
 	// LowCapacity reports whether other entry hosts have more capacity for planning than this one; optional.
 	LowCapacity func() bool
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -19,6 +19,7 @@
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/rudderd/rudderverdict"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -71,11 +72,13 @@
 	Ports    Ports
 	Logger   zerolog.Logger
 
-	uptime      func() time.Duration // replaced in tests
+	uptime      func() time.Duration                            // replaced in tests
+	connect     func(ctx context.Context, address string) error // replaced in tests
 	registry    metrics.Registry
 	view        *rudderview.View
 	forwarder   *rudderforward.Forwarder
 	planner     *ruddercoordinator.Planner
+	judge       *rudderverdict.Judge
 	session     *session
 	stop        stopState
 	poison      *poison
@@ -169,9 +172,14 @@
 		Limits: e.limits, Report: e.Ports.Control.Report, Suspect: e.suspect, FindDeadMembers: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
+	if e.connect == nil {
+		e.connect = connectTarget
+	}
+	e.judge = newJudge(e)
+	e.forwarder.Verdict = e.judge.Verdict
 	e.planner = &ruddercoordinator.Planner{
 		Name: e.Settings.Name, View: e.view, Store: e.Ports.Store, Control: e.Ports.Control, Logger: e.Logger, Uptime: uptime,
-		StallTimeout: e.Settings.StallTimeout, Traffic: e.forwarder.ReceivedRequest, Demand: e.forwarder.Demand, Probe: e.forwarder.ProbeTarget,
+		StallTimeout: e.Settings.StallTimeout, Traffic: e.forwarder.ReceivedRequest, Demand: e.forwarder.Demand, Probe: e.judge.Verdict,
 		LowCapacity: func() bool { return rudderview.LowCapacity(e.view.Snapshot().EntryHosts, e.Settings.Capacity) },
 		OnOrder:     func(kind, outcome string) { e.count("orders." + kind + "." + outcome) },
 	}
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// examineTimeout bounds an Examine call to the planner: two probe attempts and the round trip.
-	examineTimeout = 550 * time.Millisecond
+	// examineTimeout bounds an Examine call to the planner: a first probe, the answers of other entry hosts that are asked to
+	// probe too, and the round trip.
+	examineTimeout = 650 * time.Millisecond
 	// secretSpread is the time over which entry hosts that find no shared secret spread their attempts to create one.
 	secretSpread = 2 * time.Second
 	// secretBytes is the length of the shared secret in bytes.
@@ -54,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
 	mux.HandleFunc(rudderpath.PathPrefix, e.forwarder.ServeRelayed)
+	mux.HandleFunc(http.MethodPost+" "+testifyPath, e.testify)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	return verifier.Wrap(mux)
--- a/rudderd/rudderedge/suspicion.go
+++ b/rudderd/rudderedge/suspicion.go
@@ -46,13 +46,13 @@
 	return true
 }
 
-// suspect reports to the other entry hosts that a target does not respond, once for each incarnation of it.
+// suspect reports to the other entry hosts a target that was found dead, once for each incarnation of it.
 func (e *Edge) suspect(t *rudderview.Target, reason string) {
 	if e.view.Snapshot().Suspected(t) || !e.reported.mark(incarnation(t)) {
 		return
 	}
-	e.Logger.Warn().Str("target", t.Name).Int64("born", t.Born).Str("reason", reason).Msg("target does not respond; reporting it as suspect")
-	x := rudderview.Suspicion{Target: t.Name, Born: t.Born, By: e.Settings.Name, Reason: reason}
+	e.Logger.Warn().Str("target", t.Name).Int64("born", t.Born).Str("reason", reason).Msg("target is dead; reporting it to the other entry hosts")
+	x := rudderview.Suspicion{Target: t.Name, Born: t.Born, By: e.Settings.Name, Reason: reason, Confirmed: true}
 	e.writeExpiring(rudderview.SuspicionPrefix+t.Name, x, suspicionTTL)
 }
 
--- /dev/null
+++ b/rudderd/rudderedge/verdict.go
@@ -0,0 +1,135 @@
+package rudderedge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderverdict"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// testifyPath is the path of the call with which entry hosts ask each other for a finding on a target.
+const testifyPath = "/testify"
+
+// maxFindingBytes bounds a question and an answer.
+const maxFindingBytes = 64 << 10
+
+// findingRequest asks for a finding on one incarnation of a target. Without a target, it asks only for the path.
+type findingRequest struct {
+	Target string `json:"target,omitempty"`
+	Born   int64  `json:"born,omitempty"`
+	// SilenceMS is how long the target has not answered the entry host that asks.
+	SilenceMS int64 `json:"silence_ms,omitempty"`
+}
+
+// findingResponse is a rudderverdict.Finding.
+type findingResponse struct {
+	Path       bool    `json:"path"`
+	Answered   bool    `json:"answered,omitempty"`
+	Alive      bool    `json:"alive,omitempty"`
+	Group      string  `json:"group,omitempty"`
+	Epoch      int64   `json:"epoch,omitempty"`
+	Rank       int     `json:"rank,omitempty"`
+	Phase      string  `json:"phase,omitempty"`
+	Orders     int64   `json:"orders,omitempty"`
+	Running    int     `json:"running,omitempty"`
+	Waiting    int     `json:"waiting,omitempty"`
+	TimeFactor float64 `json:"time_factor,omitempty"`
+	Born       int64   `json:"born,omitempty"`
+}
+
+func newJudge(e *Edge) *rudderverdict.Judge {
+	return &rudderverdict.Judge{
+		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre, Logger: e.Logger, Uptime: e.uptime, Snapshot: e.view.Snapshot,
+		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding,
+	}
+}
+
+// connectTarget opens a connection to a target and closes it.
+func connectTarget(ctx context.Context, address string) error {
+	connection, err := Dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
+// askForFinding implements rudderverdict.Judge.Ask.
+func (e *Edge) askForFinding(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, silence time.Duration) (rudderverdict.Finding, error) {
+	question := findingRequest{SilenceMS: silence.Milliseconds()}
+	if t != nil {
+		question.Target, question.Born = t.Name, t.Born
+	}
+	body, err := json.Marshal(question)
+	if err != nil {
+		return rudderverdict.Finding{}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Peer+testifyPath, bytes.NewReader(body))
+	if err != nil {
+		return rudderverdict.Finding{}, err
+	}
+	response, err := e.peers.client.Do(request)
+	if err != nil {
+		return rudderverdict.Finding{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxFindingBytes))
+	if err != nil {
+		return rudderverdict.Finding{}, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return rudderverdict.Finding{}, errors.Newf("finding of an entry host: status %d", response.StatusCode)
+	}
+	var answer findingResponse
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return rudderverdict.Finding{}, err
+	}
+	return rudderverdict.Finding{Path: answer.Path, Answered: answer.Answered, Alive: answer.Alive, Report: ruddertarget.GroupReport{
+		Membership: ruddertarget.Membership{Group: answer.Group, Epoch: answer.Epoch, Rank: answer.Rank, Phase: ruddertarget.GroupPhase(answer.Phase)},
+		Orders:     answer.Orders, Running: answer.Running, Waiting: answer.Waiting, TimeFactor: answer.TimeFactor, Born: answer.Born,
+	}}, nil
+}
+
+// testify serves the questions of other entry hosts for a finding.
+func (e *Edge) testify(w http.ResponseWriter, r *http.Request) {
+	var question findingRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxFindingBytes)).Decode(&question); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	finding := e.finding(r.Context(), question)
+	m := finding.Report.Membership
+	answer, err := json.Marshal(findingResponse{
+		Path: finding.Path, Answered: finding.Answered, Alive: finding.Alive, Group: m.Group, Epoch: m.Epoch, Rank: m.Rank, Phase: string(m.Phase),
+		Orders: finding.Report.Orders, Running: finding.Report.Running, Waiting: finding.Report.Waiting, TimeFactor: finding.Report.TimeFactor, Born: finding.Report.Born,
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+// finding answers a question. An incarnation that this entry host does not know is answered as if it had no path.
+func (e *Edge) finding(ctx context.Context, question findingRequest) rudderverdict.Finding {
+	if question.Target == "" {
+		return rudderverdict.Finding{Path: e.judge.HasPath(ctx, nil)}
+	}
+	snapshot := e.view.Snapshot()
+	t := snapshot.Targets[question.Target]
+	if t == nil {
+		t = snapshot.Removed[question.Target]
+	}
+	if t == nil || t.Born != question.Born {
+		return rudderverdict.Finding{}
+	}
+	return e.judge.Testify(t, time.Duration(question.SilenceMS)*time.Millisecond)
+}
--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -117,6 +117,10 @@
 		DecodeReply:   func(*http.Response) rudderforward.Reply { return rudderforward.Reply{RequestID: "q", Sealed: true} },
 		SetRetryAfter: func(http.Header, time.Duration) {},
 	}
+	e.connect = func(ctx context.Context, address string) error {
+		_, err := e.Ports.Control.Report(ctx, address)
+		return err
+	}
 	e.Prepare()
 	f.edges = append(f.edges, e)
 	ctx, stop := context.WithCancel(context.Background())
@@ -171,6 +175,7 @@
 		{"one", []int{1}}, {"the planner", []int{0}}, {"most", []int{0, 1, 2}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			f := newVerdictFleet(t, 4)
 			f.isolate(test.isolated...)
 			for _, i := range test.isolated {
@@ -214,6 +219,7 @@
 		{"reported by an isolated host", 4, []int{1, 2, 3}, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			f := newVerdictFleet(t, test.hosts)
 			f.isolate(test.isolated...)
 			f.kill("t0")
--- a/rudderd/rudderforward/crash.go
+++ b/rudderd/rudderforward/crash.go
@@ -86,7 +86,7 @@
 }
 
 func (f *Forwarder) finishCrashCheck(key string, c *crashCheck, g *rudderview.Group) {
-	report, alive := f.ProbeTarget(context.Background(), g.Leader)
+	report, alive := f.Verdict(context.Background(), g.Leader)
 	restarted := alive && g.Model != "" && report.Orders == 0 // its group took orders to form
 	if !alive {
 		f.Suspect(g.Leader, "connection broke")
--- a/rudderd/rudderforward/crash_test.go
+++ b/rudderd/rudderforward/crash_test.go
@@ -197,7 +197,7 @@
 		b.forwarder.Report = func(context.Context, string) (ruddertarget.GroupReport, error) {
 			return ruddertarget.GroupReport{Born: test.answers}, nil
 		}
-		_, alive := b.forwarder.ProbeTarget(t.Context(), &rudderview.Target{Born: test.known})
+		_, alive := b.forwarder.ProbeTarget(t.Context(), &rudderview.Target{Born: test.known}, nil)
 		require.Equal(t, test.alive, alive, test.name)
 	}
 }
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -54,6 +54,8 @@
 	MaxRelayed int
 	// Report requests the state of a target.
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
+	// Verdict probes a target and reports whether it is alive, as far as the entry hosts that have a path to targets agree.
+	Verdict func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
 	// FindDeadMembers has the planner probe a group and returns the dead members; ok is false if the planner
 	// cannot be reached.
 	FindDeadMembers func(ctx context.Context, g *rudderview.Group) (dead []string, ok bool)
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -64,9 +64,9 @@
 }
 
 // ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
-// another incarnation or another target answers at its address.
-func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
-	for _, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
+// another incarnation or another target answers at its address. failed is called if the first attempt fails; optional.
+func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool) {
+	for i, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
 		f.Metrics.Count("targets.probes")
 		f.Limits.CountProbe(processOf(t))
 		tryContext, cancel := context.WithTimeout(ctx, timeout)
@@ -78,12 +78,15 @@
 		if ctx.Err() != nil {
 			return ruddertarget.GroupReport{}, true // cancelled, so nothing is known
 		}
+		if i == 0 && failed != nil {
+			failed()
+		}
 	}
 	return ruddertarget.GroupReport{}, false
 }
 
 func (f *Forwarder) unresponsive(ctx context.Context, t *rudderview.Target) bool {
-	_, alive := f.ProbeTarget(ctx, t)
+	_, alive := f.Verdict(ctx, t)
 	return !alive
 }
 
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -156,6 +156,9 @@
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", fmt.Sprint(d.Seconds())) },
 		},
 	}
+	b.forwarder.Verdict = func(ctx context.Context, t *rudderview.Target) (ruddertarget.GroupReport, bool) {
+		return b.forwarder.ProbeTarget(ctx, t, nil)
+	}
 	go func() { _ = view.Run(ctx) }()
 	b.server = httptest.NewServer(b.forwarder)
 	b.t.Cleanup(func() { b.server.Close(); end() })
--- /dev/null
+++ b/rudderd/rudderverdict/judge.go
@@ -0,0 +1,331 @@
+// Package rudderverdict decides whether a target is dead. A failed probe alone does not show it: the path from this entry
+// host may be broken while others reach the target. So other entry hosts are asked to probe it too, and only the answers of
+// those count that have a path to some target.
+package rudderverdict
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+const (
+	// askTimeout bounds the time in which other entry hosts answer: a probe of two tries, and some of it once more for those
+	// that are asked because the first ones have no path.
+	askTimeout = 450 * time.Millisecond
+	// minWitnesses is the number of other entry hosts with a path that have to answer, as far as there are any.
+	minWitnesses = 2
+	// shareTime is how long a failed probe answers the questions of several entry hosts.
+	shareTime = 300 * time.Millisecond
+	// maxShared bounds the number of targets that are remembered.
+	maxShared = 4096
+)
+
+// Finding is what one entry host says about a target.
+type Finding struct {
+	// Path is set if the entry host has a path to targets. Otherwise it says nothing about this one.
+	Path bool
+	// Answered is set if a process answers at the target's address, and Alive if it is the target itself.
+	Answered, Alive bool
+	Report          ruddertarget.GroupReport // if Answered
+}
+
+func (f Finding) String() string {
+	switch {
+	case f.Alive:
+		return "alive"
+	case f.Answered:
+		return "another incarnation answers"
+	case f.Path:
+		return "unreachable"
+	}
+	return "no path"
+}
+
+// Judge decides whether targets are dead. Set the exported fields before use.
+type Judge struct {
+	Name, DataCentre string
+	Logger           zerolog.Logger
+	Uptime           func() time.Duration
+	Snapshot         func() *rudderview.Snapshot
+	// Probe probes a target from this entry host. It calls failed once if the first try fails.
+	Probe func(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool)
+	// Connect opens a new connection to an address and closes it.
+	Connect func(ctx context.Context, address string) error
+	// Ask requests the finding of another entry host on a target that has not answered since a time ago. If t is nil, it
+	// only asks whether the entry host has a path.
+	Ask func(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, silence time.Duration) (Finding, error)
+	// Isolated reports whether requests to several targets fail on this entry host; optional.
+	Isolated func() bool
+
+	mu     sync.Mutex
+	paths  map[string]*path        // by service; "" for all services with groups
+	shared map[string]*sharedProbe // by target
+	alive  map[string]aliveTarget  // found by others, by target
+}
+
+// aliveTarget is a target that another entry host has reached.
+type aliveTarget struct {
+	born   int64
+	at     time.Duration
+	report ruddertarget.GroupReport
+}
+
+// sharedProbe is a probe for other entry hosts.
+type sharedProbe struct {
+	born      int64
+	startedAt time.Duration
+	done      chan struct{}
+	finding   Finding
+}
+
+// statement is the finding of another entry host, or the reason why there is none.
+type statement struct {
+	host    string
+	finding Finding
+	err     error
+}
+
+func (s statement) hasPath() bool { return s.err == nil && s.finding.Path }
+
+func (s statement) String() string {
+	if s.err != nil {
+		return s.host + ": no answer"
+	}
+	return s.host + ": " + s.finding.String()
+}
+
+// Verdict probes a target and reports whether it is alive. The other entry hosts are asked as soon as the first try fails.
+// Without anyone who has a path, the target counts as alive.
+func (j *Judge) Verdict(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
+	begin := j.Uptime()
+	if report, known := j.recentlyAlive(t); known {
+		return report, true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	probed, said, path := make(chan Finding, 1), make(chan []statement, 1), make(chan bool, 1)
+	failed := func() {
+		others := j.others(t)
+		if len(others) == 0 {
+			path <- true
+			said <- nil
+			return
+		}
+		go func() { path <- j.HasPath(ctx, t) }()
+		go func() { said <- j.ask(ctx, others, t, begin) }()
+	}
+	go func() {
+		report, alive := j.Probe(ctx, t, failed)
+		probed <- Finding{Answered: alive || report.Born != 0, Alive: alive, Report: report}
+	}()
+	var statements []statement
+	for probed != nil || said != nil {
+		select {
+		case own := <-probed:
+			if own.Answered {
+				return own.Report, own.Alive
+			}
+			probed = nil
+		case statements = <-said:
+			said = nil
+			if found := answered(statements); found != nil {
+				j.logVerdict(t, begin, "unreachable", statements, !found.Alive)
+				j.remember(t, *found)
+				return found.Report, found.Alive
+			}
+		}
+	}
+	own := Finding{Path: <-path}
+	dead := own.Path || slices.ContainsFunc(statements, statement.hasPath)
+	j.logVerdict(t, begin, own.String(), statements, dead)
+	if dead {
+		return ruddertarget.GroupReport{}, false
+	}
+	// The record is all that is known. A target without orders would seem to have restarted.
+	return ruddertarget.GroupReport{Membership: t.Membership, Orders: 1, Born: t.Born}, true
+}
+
+// recentlyAlive returns what another entry host has found out recently about a target that is alive, if this one has no
+// path: its connections to the target keep failing meanwhile.
+func (j *Judge) recentlyAlive(t *rudderview.Target) (report ruddertarget.GroupReport, known bool) {
+	if !j.path(t).lost(j.Uptime()) {
+		return report, false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	v, known := j.alive[t.Name]
+	return v.report, known && v.born == t.Born && j.Uptime()-v.at < lostTTL
+}
+
+func (j *Judge) remember(t *rudderview.Target, found Finding) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.alive == nil || len(j.alive) >= maxShared {
+		j.alive = map[string]aliveTarget{}
+	}
+	if found.Alive {
+		j.alive[t.Name] = aliveTarget{born: t.Born, at: j.Uptime(), report: found.Report}
+	}
+}
+
+func (j *Judge) logVerdict(t *rudderview.Target, begin time.Duration, own string, statements []statement, dead bool) {
+	others := make([]string, len(statements))
+	for i, s := range statements {
+		others[i] = s.String()
+	}
+	j.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("own", own).Strs("others", others).Bool("dead", dead).
+		Dur("took_ms", j.Uptime()-begin).Msg("unresponsive target judged")
+}
+
+// answered returns the finding of an entry host to which a process at the target's address has answered, or nil.
+func answered(statements []statement) *Finding {
+	for _, s := range statements {
+		if s.err == nil && s.finding.Answered {
+			return &s.finding
+		}
+	}
+	return nil
+}
+
+// others returns the other entry hosts in the order in which they are asked about a target: those of other data centres first,
+// because one cut often affects a whole data centre. The order within these depends on the target, so that the entry hosts
+// that ask about the same target at the same time share a probe.
+func (j *Judge) others(t *rudderview.Target) []rudderview.EntryHost {
+	name := ""
+	if t != nil {
+		name = t.Name
+	}
+	list := slices.DeleteFunc(slices.Clone(j.Snapshot().EntryHosts), func(x rudderview.EntryHost) bool { return x.Name == j.Name || x.Peer == "" })
+	slices.SortFunc(list, func(a, b rudderview.EntryHost) int {
+		if near := a.DataCentre == j.DataCentre; near != (b.DataCentre == j.DataCentre) {
+			if near {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name))
+	})
+	return list
+}
+
+// ask asks other entry hosts until one reaches the target, or minWitnesses with a path do not. Each that has no path or
+// does not answer is replaced by two others. An entry host without a path asks one at a time: it has many doubts, most of them
+// unfounded.
+func (j *Judge) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration) (statements []statement) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	results := make(chan statement, len(hosts))
+	asked, open, witnesses := 0, 0, 0
+	first, silent := minWitnesses, func() time.Duration { return j.Uptime() - since }
+	if j.path(t).lost(since) {
+		first, silent = 1, func() time.Duration { return lostTTL }
+	}
+	start := func(n int) {
+		for ; n > 0 && asked < len(hosts); n-- {
+			x := hosts[asked]
+			asked++
+			open++
+			go func() {
+				finding, err := j.Ask(ctx, x, t, silent())
+				results <- statement{x.Name, finding, err}
+			}()
+		}
+	}
+	for start(first); open > 0; {
+		s := <-results
+		open--
+		statements = append(statements, s)
+		switch {
+		case s.err == nil && s.finding.Answered:
+			return statements
+		case s.hasPath():
+			if witnesses++; witnesses == minWitnesses || t == nil {
+				return statements
+			}
+			start(minWitnesses - witnesses - open)
+		case ctx.Err() == nil:
+			start(2)
+		}
+	}
+	return statements
+}
+
+// Testify returns what this entry host finds out about a target that another one has not reached for some time. Several
+// entry hosts that ask at the same time share a probe.
+func (j *Judge) Testify(t *rudderview.Target, silence time.Duration) Finding {
+	if j.path(t).lost(j.Uptime()) {
+		return Finding{}
+	}
+	j.mu.Lock()
+	now := j.Uptime()
+	p := j.shared[t.Name]
+	if p != nil && p.born == t.Born && p.usable(now, silence) {
+		j.mu.Unlock()
+		<-p.done
+		return p.finding
+	}
+	if j.shared == nil || len(j.shared) >= maxShared {
+		j.shared = map[string]*sharedProbe{}
+	}
+	p = &sharedProbe{born: t.Born, startedAt: now, done: make(chan struct{})}
+	j.shared[t.Name] = p
+	j.mu.Unlock()
+
+	ctx := context.Background()
+	var waiting sync.WaitGroup
+	hasPath := true
+	report, alive := j.Probe(ctx, t, func() { waiting.Go(func() { hasPath = j.HasPath(ctx, t) }) })
+	p.finding = Finding{Path: true, Answered: true, Alive: alive, Report: report}
+	if !alive && report.Born == 0 {
+		waiting.Wait()
+		p.finding = Finding{Path: hasPath}
+	}
+	close(p.done)
+	return p.finding
+}
+
+// usable reports whether the result of a probe answers a question about a target that has been silent for some time. An
+// answer from before the silence does not.
+func (p *sharedProbe) usable(now, silence time.Duration) bool {
+	select {
+	case <-p.done:
+		if p.finding.Alive {
+			return now-p.startedAt < min(silence, lostTTL)
+		}
+		return now-p.startedAt < shareTime
+	default:
+		return true
+	}
+}
+
+// CutOff reports whether this entry host has no path to targets while another one has.
+func (j *Judge) CutOff(ctx context.Context) bool {
+	if !j.doubtful() || j.HasPath(ctx, nil) {
+		return false
+	}
+	return slices.ContainsFunc(j.ask(ctx, j.others(nil), nil, j.Uptime()), statement.hasPath)
+}
+
+// doubtful reports whether this entry host may have no path.
+func (j *Judge) doubtful() bool {
+	if j.Isolated != nil && j.Isolated() {
+		return true
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, p := range j.paths {
+		if p.lost(j.Uptime()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rudderd/rudderverdict/judge_test.go
@@ -0,0 +1,175 @@
+package rudderverdict
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+var (
+	errDown   = errors.New("down")
+	alive     = Finding{Path: true, Answered: true, Alive: true, Report: ruddertarget.GroupReport{Orders: 5, Born: 1}}
+	restarted = Finding{Path: true, Answered: true, Report: ruddertarget.GroupReport{Born: 2}}
+	dead      = Finding{Path: true}
+	noPath    = Finding{}
+)
+
+// newJudge returns the judge of entry host e0 in data centre z0, beside others in z1 and z2 that answer in their order.
+// Targets t0, t1 and t2 exist. Its own probes find own, and with path its connections to targets succeed.
+func newJudge(own Finding, path bool, others ...func() (Finding, error)) (*Judge, *atomic.Int32) {
+	s := &rudderview.Snapshot{Targets: map[string]*rudderview.Target{}, EntryHosts: []rudderview.EntryHost{{Name: "e0", Peer: "e0"}}}
+	s.Table = rudderroute.NewTable(rudderroute.Document{Services: []rudderroute.Service{{Name: "llm", Engine: &rudderroute.Engine{}}}})
+	for i := range 3 {
+		name := fmt.Sprint("t", i)
+		s.Targets[name] = &rudderview.Target{
+			Host: rudderhost.Host{Name: name, Address: name, FabricDomain: name}, Service: "llm", Born: 1, Membership: ruddertarget.Membership{Group: "g", Epoch: 3},
+		}
+	}
+	for i := range others {
+		name := fmt.Sprint("e", i+1)
+		s.EntryHosts = append(s.EntryHosts, rudderview.EntryHost{Name: name, Peer: name, DataCentre: fmt.Sprint("z", 1+i%2)})
+	}
+	var asked, probes atomic.Int32
+	started := time.Now()
+	return &Judge{
+		Name: "e0", DataCentre: "z0", Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Since(started) + time.Minute },
+		Snapshot: func() *rudderview.Snapshot { return s },
+		Probe: func(_ context.Context, _ *rudderview.Target, failed func()) (ruddertarget.GroupReport, bool) {
+			probes.Add(1)
+			if !own.Answered {
+				failed()
+			}
+			return own.Report, own.Alive
+		},
+		Connect: func(context.Context, string) error {
+			if path {
+				return nil
+			}
+			return errDown
+		},
+		Ask: func(context.Context, rudderview.EntryHost, *rudderview.Target, time.Duration) (Finding, error) {
+			return others[asked.Add(1)-1]()
+		},
+	}, &probes
+}
+
+func says(f Finding) func() (Finding, error) { return func() (Finding, error) { return f, nil } }
+
+func silent() (Finding, error) { return Finding{}, errDown }
+
+// Guards against a target that is dead for all because one entry host has no path to it, and against one that stays in service
+// because some have none.
+func TestVerdict(t *testing.T) {
+	type answer = func() (Finding, error)
+	for _, test := range []struct {
+		name   string
+		own    Finding
+		path   bool
+		others []answer
+		alive  bool
+		report ruddertarget.GroupReport
+	}{
+		{"it answers", alive, true, nil, true, alive.Report},
+		{"it has restarted", restarted, true, []answer{says(alive)}, false, restarted.Report},
+		{"a single entry host without a path", dead, false, nil, false, ruddertarget.GroupReport{}},
+		{"all agree", dead, true, []answer{says(dead), says(dead)}, false, ruddertarget.GroupReport{}},
+		{"another one reaches it", dead, true, []answer{says(dead), says(alive)}, true, alive.Report},
+		{"another one finds it restarted", dead, false, []answer{says(restarted)}, false, restarted.Report},
+		{"only others have a path", dead, false, []answer{says(dead), says(dead)}, false, ruddertarget.GroupReport{}},
+		{"only one of many has a path", dead, false, []answer{says(noPath), silent, says(noPath), says(noPath), says(noPath), says(dead)}, false, ruddertarget.GroupReport{}},
+		{"only one of many reaches it", dead, false, []answer{says(noPath), silent, says(noPath), says(noPath), says(noPath), says(alive)}, true, alive.Report},
+		{"only this one has a path", dead, true, []answer{says(noPath), says(noPath)}, false, ruddertarget.GroupReport{}},
+		{"no other one answers", dead, true, []answer{silent, silent}, false, ruddertarget.GroupReport{}},
+		{"nobody has a path", dead, false, []answer{says(noPath), silent}, true, ruddertarget.GroupReport{Membership: ruddertarget.Membership{Group: "g", Epoch: 3}, Orders: 1, Born: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j, _ := newJudge(test.own, test.path, test.others...)
+			report, alive := j.Verdict(t.Context(), j.Snapshot().Targets["t0"])
+			require.Equal(t, test.alive, alive)
+			require.Equal(t, test.report, report)
+		})
+	}
+}
+
+// Guards against an entry host that waits for one that does not answer.
+func TestVerdictIsBounded(t *testing.T) {
+	j, _ := newJudge(dead, true)
+	j.Snapshot().EntryHosts = append(j.Snapshot().EntryHosts, rudderview.EntryHost{Name: "e1", Peer: "e1"}, rudderview.EntryHost{Name: "e2", Peer: "e2"})
+	j.Ask = func(ctx context.Context, _ rudderview.EntryHost, _ *rudderview.Target, _ time.Duration) (Finding, error) {
+		<-ctx.Done()
+		return Finding{}, ctx.Err()
+	}
+	begin := time.Now()
+	_, alive := j.Verdict(t.Context(), j.Snapshot().Targets["t0"])
+	require.False(t, alive)
+	require.Less(t, time.Since(begin), askTimeout+200*time.Millisecond)
+}
+
+// Guards against questions that all go to the entry hosts of the own data centre, which a cut affects together.
+func TestOtherDataCentresAreAskedFirst(t *testing.T) {
+	j, _ := newJudge(dead, true, silent, silent, silent, silent)
+	for i := range 4 {
+		name := fmt.Sprint("near", i)
+		j.Snapshot().EntryHosts = append(j.Snapshot().EntryHosts, rudderview.EntryHost{Name: name, Peer: name, DataCentre: "z0"})
+	}
+	for i, x := range j.others(j.Snapshot().Targets["t0"]) {
+		require.Equal(t, i >= 4, strings.HasPrefix(x.Name, "near"))
+	}
+}
+
+// Guards against findings of an entry host without a path, and against a probe for each entry host that asks.
+func TestTestify(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		own     Finding
+		path    bool
+		silence time.Duration
+		want    Finding
+		probes  int32 // for two questions
+	}{
+		{"alive, and silent for longer", alive, true, lostTTL, alive, 1},
+		{"alive before the silence", alive, true, 0, alive, 2},
+		{"unreachable", dead, true, 0, dead, 1},
+		{"no path", dead, false, 0, noPath, 1},
+		{"restarted", restarted, false, 0, restarted, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j, probes := newJudge(test.own, test.path)
+			for range 2 {
+				require.Equal(t, test.want, j.Testify(j.Snapshot().Targets["t0"], test.silence))
+			}
+			require.Equal(t, test.probes, probes.Load())
+		})
+	}
+}
+
+// Guards against a planner that yields although no other entry host can do better.
+func TestCutOff(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		path bool
+		say  func() (Finding, error)
+		want bool
+	}{
+		{"path", true, says(dead), false}, {"no path, another has one", false, says(dead), true},
+		{"nobody has a path", false, says(noPath), false}, {"no answer", false, silent, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j, _ := newJudge(dead, test.path, test.say)
+			j.Isolated = func() bool { return true }
+			require.Equal(t, test.want, j.CutOff(t.Context()))
+		})
+	}
+}
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -68,10 +68,10 @@
 
 func groupKey(service, model string) string { return service + "\x00" + model }
 
-// Suspected reports whether an entry host found this process of the target dead.
+// Suspected reports whether entry hosts agree that this process of the target is dead.
 func (s *Snapshot) Suspected(t *Target) bool {
 	for _, x := range s.Suspicions {
-		if x.Target == t.Name && x.Born == t.Born {
+		if x.Confirmed && x.Target == t.Name && x.Born == t.Born {
 			return true
 		}
 	}
@@ -141,6 +141,12 @@
 	}
 }
 
+// HasGroups reports whether the targets of a service form groups.
+func (s *Snapshot) HasGroups(service string) bool {
+	x := s.service(service)
+	return x != nil && x.Engine != nil
+}
+
 func (s *Snapshot) service(name string) *rudderroute.Service {
 	if s.Table == nil {
 		return nil
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -71,12 +71,15 @@
 	return largest
 }
 
-// Suspicion is the record of an entry host that found a target dead. It expires with its lease.
+// Suspicion is the record of an entry host that found a target dead. It expires with its lease. The planner probes the target
+// in any case.
 type Suspicion struct {
 	Target string `json:"target"`
 	Born   int64  `json:"born"`
 	By     string `json:"by"`
 	Reason string `json:"reason"`
+	// Confirmed is set if the entry hosts that have a path to targets agree. Earlier versions reported what a single one saw.
+	Confirmed bool `json:"confirmed"`
 }
 
 // Group is a group of targets that together serve one model, or a single target of a plain service.
