Leave the planner's lease when isolated

A planner that a partition separates from all targets kept its lease: it found everything dead, and its orders did not arrive. It now revokes the lease when it has no path to targets while another entry host has one, which it asks only when a check of its own path has failed. Before it takes a free lease, an entry host opens a connection to a target; without a path it waits 0.8 s longer, while the others may take it. A connection for an order that is refused says that the target does not listen only if this host has a path. Safety does not depend on any of this: plans are written by compare-and-swap, and orders carry epochs.

--- a/rudderd/ruddercoordinator/orders.go
+++ b/rudderd/ruddercoordinator/orders.go
@@ -21,6 +21,9 @@
 	begin := p.Uptime()
 	err := p.Control.Send(ctx, o.Target, o.Address, o.Order)
 	outcome := orderOutcome(err)
+	if outcome == "not_listening" && p.HasPath != nil && !p.HasPath(ctx) {
+		outcome = "unreachable" // the connection was refused on the way
+	}
 	p.Logger.Info().Err(err).Str("target", o.Target).Str("order", string(o.Order.Kind)).Str("group", o.Order.Group).
 		Int64("epoch", o.Order.Epoch).Str("model", o.Order.Model).Str("reason", o.Reason).Str("outcome", outcome).
 		Dur("took_ms", p.Uptime()-begin).Msg("order sent")
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -33,6 +33,8 @@
 	// lowCapacityDelay is the additional delay of an entry host of low capacity. It gives the others time to learn
 	// of the free lease from their watch and to write the key.
 	lowCapacityDelay = 500 * time.Millisecond
+	// isolatedDelay is the additional delay of an entry host without a path to targets.
+	isolatedDelay = 800 * time.Millisecond
 	// startedDelay is the additional delay of an entry host that has just started on a key-value service which was restored
 	// from a copy: others may know plans that the copy lacks.
 	startedDelay = time.Second
@@ -81,6 +83,9 @@
 	Probe func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
 	// LowCapacity reports whether other entry hosts have more capacity for planning than this one; optional.
 	LowCapacity func() bool
+	// HasPath reports whether this entry host has a path to targets, and CutOff whether it has none while another one has;
+	// optional.
+	HasPath, CutOff func(ctx context.Context) bool
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
 
@@ -134,6 +139,9 @@
 		if wait(ctx, changed, p.takeOverDelay()); p.View.Snapshot().PlannerHeld {
 			continue
 		}
+		if p.HasPath != nil && !p.HasPath(ctx) && !p.staysFree(ctx, isolatedDelay+rand.N(takeOverJitter)) {
+			continue
+		}
 		lease, err := p.acquireLease(ctx)
 		if err != nil {
 			p.Logger.Debug().Err(err).Msg("planner lease not acquired")
@@ -158,11 +166,30 @@
 	return delay
 }
 
+// staysFree waits and reports whether the lease is free all the time.
+func (p *Planner) staysFree(ctx context.Context, d time.Duration) bool {
+	for until := p.Uptime() + d; ctx.Err() == nil; {
+		changed := p.View.Changed()
+		if p.View.Snapshot().PlannerHeld {
+			return false
+		}
+		left := until - p.Uptime()
+		if left <= 0 {
+			return true
+		}
+		wait(ctx, changed, left)
+	}
+	return false
+}
+
 func (p *Planner) lowCapacity() bool { return p.LowCapacity != nil && p.LowCapacity() }
 
-// shouldYield reports whether an entry host of low capacity should leave the lease to one of high capacity. It
-// plans for yieldAfter first, so that the lease does not flap when no other entry host takes it.
-func (p *Planner) shouldYield() bool { return p.lowCapacity() && p.Uptime()-p.leaseSince >= yieldAfter }
+// shouldYield reports whether this entry host should leave the lease to another one that has a path to targets, or to
+// one of high capacity. For the latter it plans for yieldAfter first, so that the lease does not flap when no other entry
+// host takes it.
+func (p *Planner) shouldYield(ctx context.Context) bool {
+	return p.CutOff != nil && p.CutOff(ctx) || p.lowCapacity() && p.Uptime()-p.leaseSince >= yieldAfter
+}
 
 // hasEngine reports whether any service has targets that form groups.
 func hasEngine(t *rudderroute.Table) bool {
@@ -196,7 +223,7 @@
 			pause = stepInterval
 		}
 		p.waitForWork(held, changed, pause)
-		yielded = p.shouldYield()
+		yielded = p.shouldYield(held)
 	}
 	p.Logger.Warn().Int64("lease", lease).Bool("stopping", ctx.Err() != nil).Bool("yielded", yielded).Msg("planner lease ended")
 	if ctx.Err() != nil || yielded {
