Let the targets of the test of stopping hosts answer reports

Beside load a silent stream of TestStoppingHostFinishesWhatItAccepts was probed, and the test had no function for it: one nil dereference in a run of rudderedge with the race detector.

--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -1,6 +1,7 @@
 package rudderedge
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // stopTarget answers a stream with one event for each token that the request names, each after pace, and any other
@@ -73,6 +75,9 @@
 	}
 	e := edge("a", store)
 	e.Settings.StopGrace, e.Settings.Retries.Window = grace, time.Second
+	e.Ports.Control = &ruddertarget.GroupControl{Report: func(context.Context, string) (ruddertarget.GroupReport, error) {
+		return ruddertarget.GroupReport{Born: 1}, nil
+	}}
 	e.Ports.DecodeTarget = func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) }
 	e.Ports.Protocol = rudderforward.Protocol{
 		DecodeRequest: func(r *http.Request) (rudderforward.Request, error) {
