Keep the slots of entry hosts that are leaving

Callers of a stopping entry host saw late answers: with three chats every 40 ms and groups of 8 slots, requests waited 2 ms for a slot and up to 10 s for their first token, and were cut at the end of the grace time.

Cause: the owner of a shard freed the slots of each host that is not among the live members, and a leaving host is not. So it granted the slots of a leaving host again as soon as it saw them, while the requests ran. The slots are kept now until the host is suspected or has left.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -38,7 +38,7 @@
 
 func (a *App) wireAdmission() {
 	a.owner = &rudderowner.Owner{
-		Self: a.self, Members: a.node.Live, Groups: a.servable, Confirm: a.confirmGroup, Clock: a.Clock, HTTPClient: a.peers,
+		Self: a.self, Members: a.node.Live, Holders: a.node.Alive, Groups: a.servable, Confirm: a.confirmGroup, Clock: a.Clock, HTTPClient: a.peers,
 		Logger: a.Logger, Seed: xxhash.Sum64String(a.self.Name), HasSelector: a.expected,
 	}
 }
--- a/rudderd/ruddermember/choose.go
+++ b/rudderd/ruddermember/choose.go
@@ -61,15 +61,20 @@
 // live returns the members that are neither suspected nor leaving, sorted by name. A member without an entry
 // is not live.
 func (v view) live() []Member {
-	var live []Member
+	return slices.DeleteFunc(v.alive(), func(m Member) bool { return v.table.entries[memberID(m.Name)].leaving })
+}
+
+// alive returns the live members and those that are leaving, sorted by name.
+func (v view) alive() []Member {
+	var alive []Member
 	for _, m := range v.registry.Members {
-		e, found := v.table.entries[memberID(m.Name)]
-		if !found || e.leaving || m.Name != v.self.Name && v.suspected(m) {
+		_, found := v.table.entries[memberID(m.Name)]
+		if !found || m.Name != v.self.Name && v.suspected(m) {
 			continue
 		}
-		live = append(live, m)
+		alive = append(alive, m)
 	}
-	return live
+	return alive
 }
 
 // choosePeers returns the addresses to pull from in a round: members of the own region and, in some rounds, a
--- a/rudderd/ruddermember/query.go
+++ b/rudderd/ruddermember/query.go
@@ -24,6 +24,13 @@
 	return n.view().live()
 }
 
+// Alive returns the live members and those that are leaving, sorted by name.
+func (n *Node) Alive() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view().alive()
+}
+
 // Entry returns the newest entry of a member, or false if there is none.
 func (n *Node) Entry(name string) (Entry, bool) {
 	n.mu.Lock()
--- a/rudderd/rudderowner/owner.go
+++ b/rudderd/rudderowner/owner.go
@@ -46,6 +46,8 @@
 	Self ruddermember.Member
 	// Members returns the live members, Self included.
 	Members func() []ruddermember.Member
+	// Holders returns the members that may hold slots: the live ones and those that are leaving. Nil means Members.
+	Holders func() []ruddermember.Member
 	// Groups returns the groups that may serve now and those that are draining.
 	Groups func() []rudderrouter.Group
 	Clock  clockwork.Clock
@@ -103,6 +105,9 @@
 		o.chooser = &rudderrouter.Chooser{Rand: rand.New(rand.NewPCG(o.Seed, 1)), Hints: o.hints}
 		o.owned = map[string]*ownedShard{}
 		o.slots = map[string]*Slot{}
+		if o.Holders == nil {
+			o.Holders = o.Members
+		}
 		o.loads = map[string]timedLoad{}
 		o.suspect = map[string]time.Time{}
 		o.renewed = map[string]renewal{}
--- a/rudderd/rudderowner/owner_test.go
+++ b/rudderd/rudderowner/owner_test.go
@@ -25,6 +25,7 @@
 type fleet struct {
 	owners  []*Owner
 	members atomic.Pointer[[]ruddermember.Member]
+	holders atomic.Pointer[[]ruddermember.Member] // nil means members
 	servers []*httptest.Server
 }
 
@@ -39,7 +40,13 @@
 		o := &Owner{
 			Clock: clock, HTTPClient: http.DefaultClient, Logger: zerolog.Nop(),
 			Members: func() []ruddermember.Member { return *f.members.Load() },
-			Groups:  func() []rudderrouter.Group { return groups },
+			Holders: func() []ruddermember.Member {
+				if holders := f.holders.Load(); holders != nil {
+					return *holders
+				}
+				return *f.members.Load()
+			},
+			Groups: func() []rudderrouter.Group { return groups },
 		}
 		server := httptest.NewServer(o.Handler())
 		t.Cleanup(server.Close)
@@ -135,6 +142,29 @@
 	require.ErrorIs(t, err, ErrNoGroup)
 }
 
+// Guards against slots of an entry host that is leaving which are granted again while its requests run, and against slots
+// that are kept when it has left.
+func TestSlotsOfLeavingHostAreKept(t *testing.T) {
+	f := newFleet(t, 3, group("g", 1))
+	first, _, other := f.roles()
+	_, err := other.Acquire(context.Background(), work("a"))
+	require.NoError(t, err)
+	members := *f.members.Load()
+	staying := slices.DeleteFunc(slices.Clone(members), func(m ruddermember.Member) bool { return m.Name == other.Self.Name })
+	f.holders.Store(&members)
+	f.members.Store(&staying)
+	time.Sleep(2 * viewInterval)
+	waits := work("b")
+	waits.Deadline = time.Now().Add(500 * time.Millisecond)
+	_, err = first.Acquire(context.Background(), waits)
+	require.ErrorIs(t, err, ErrDeadline)
+
+	f.holders.Store(&staying)
+	time.Sleep(2 * viewInterval)
+	_, err = first.Acquire(context.Background(), work("c"))
+	require.NoError(t, err)
+}
+
 // Guards against an outage of the owner that stops admission, and against a new owner that grants slots which
 // are still held.
 func TestOwnerDies(t *testing.T) {
--- a/rudderd/rudderowner/view.go
+++ b/rudderd/rudderowner/view.go
@@ -47,7 +47,7 @@
 	o.view = v
 	o.hints.SetTime(now)
 	o.hints.PruneGroups(func(group string) bool { return v.byGroup[group] != "" })
-	o.syncOwnedShards(now, members)
+	o.syncOwnedShards(now)
 	o.pruneMembers(members)
 	o.cancelStalePolls()
 	gone := func(shard string) bool { _, known := v.byID[shard]; return !known }
@@ -92,10 +92,10 @@
 
 // syncOwnedShards updates the owned shards, redirects the queued requests of those that have another owner now,
 // and drops those for which this host is not even the second in rank.
-func (o *Owner) syncOwnedShards(now time.Time, members []ruddermember.Member) {
-	live := map[string]bool{o.Self.Name: true}
-	for _, m := range members {
-		live[m.Name] = true
+func (o *Owner) syncOwnedShards(now time.Time) {
+	alive := map[string]bool{o.Self.Name: true}
+	for _, m := range o.Holders() {
+		alive[m.Name] = true
 	}
 	for id, owned := range o.owned {
 		shard, exists := o.view.byID[id]
@@ -108,7 +108,7 @@
 			owned.redirectQueued(now)
 		}
 		owned.setGroups(now, shard)
-		owned.deliver(now, owned.shard.ReleaseDeadHolders(now, func(holder string) bool { return live[holder] }))
+		owned.deliver(now, owned.shard.ReleaseDeadHolders(now, func(holder string) bool { return alive[holder] }))
 	}
 }
 
