Serve requests on accepted connections before the server for callers closes

Callers saw: requests sent as an entry host exited ended without a response.

Cause: closing a listener resets the connections that the kernel has accepted, and Server.Shutdown closes a connection on which a request has just been read, without a response.

--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -66,9 +66,11 @@
 
 // serve runs the three HTTP servers until the context is cancelled.
 func (a *App) serve(ctx context.Context) error {
-	sockets := []net.Listener{a.listeners.caller, a.listeners.admin, a.listeners.peer}
+	callers := newCallerServer(a.servers[0], a.listeners.caller.(*net.TCPListener))
+	sockets := []net.Listener{a.listeners.admin, a.listeners.peer}
 	failed := make(chan error, len(a.servers))
-	for i, s := range a.servers {
+	go func() { failed <- callers.serve() }()
+	for i, s := range a.servers[1:] {
 		go func() { failed <- s.Serve(sockets[i]) }()
 	}
 	select {
@@ -81,6 +83,7 @@
 	}
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	callers.drain(shutdown)
 	for _, s := range a.servers {
 		if err := s.Shutdown(shutdown); err != nil {
 			_ = s.Close()
