Take only what ends in time while an entry host of the chat API stops

Callers saw: an entry host took chats and calls until the lifetime of rankings and 5 s after SIGTERM had passed, and cut what ran at the end of the grace time ("caller_gone"). A body that had arrived in part was waited for and its connection closed; an answer whose caller had lost its connection was gone when it came back.

Cause: the stop knew its end, but admission did not ask whether work fits before it. Now, while stopping: - A model request is started only if three times the slowest pace measured for its model in the last minutes (first token, then each token up to its limit) fits; a model without a measurement is refused. - A call is started only if its whole time limit fits, an idempotent one also if three times the slowest measured call does. - The check is made before and after the wait for a slot. A wait ends as not run when the time runs short. - Refusals are entry_not_ready, not_run, with Retry-After and better_entry, and responses close their connections. - Bodies that have not arrived when no more work is taken are refused as not run. - At the end of the grace time running chats end may_have_run (error event or 503) and calls cancelled, their claims kept. - The stop waits for answers that a caller may still resume, up to 30 s after it left, and for settlements of claims.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderadmission"
+	"comfreyrudder.example/rudderd/rudderentry"
 	"comfreyrudder.example/rudderd/rudderowner"
 	"comfreyrudder.example/rudderd/rudderrouter"
 	"comfreyrudder.example/rudderd/rudderservice"
@@ -71,14 +72,25 @@
 // acquireChat waits for a slot of a group that serves the model.
 func (a *App) acquireChat(ctx context.Context, q rudderstream.Request, exclude []string) (rudderstream.Slot, error) {
 	workspace := a.workspace(q.Workspace)
-	start := a.Clock.Now()
-	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
+	start, limit := a.Clock.Now(), a.chatLimit(q)
+	if q.Sent {
+		limit = rudderentry.Limit{Deadline: start} // continued until it is cut off
+	}
+	if !a.stopping.mayStart(start, limit) {
+		return rudderstream.Slot{}, stoppingRefusal()
+	}
+	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
+	defer cancel()
+	slot, err := a.owner.Acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the release of the previous attempt's slot may still be under way.
 		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
 		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: a.queueDeadline(start),
 		Avoid: append(a.suspectGroups(q.Fingerprint), exclude...), Blocks: rudderrouter.PrefixBlocks(q.Prompt),
 	})
+	if a.stoppedWaiting(wait, slot, limit) {
+		return rudderstream.Slot{}, stoppingRefusal()
+	}
 	if err != nil {
 		return rudderstream.Slot{}, refusalOf(err)
 	}
@@ -92,6 +104,19 @@
 	}, nil
 }
 
+// stoppedWaiting reports whether work must not be started after its wait because this entry host stops. It then releases
+// the slot, if there is one.
+func (a *App) stoppedWaiting(wait context.Context, slot *rudderowner.Slot, work rudderentry.Limit) bool {
+	if slot == nil {
+		return errors.Is(context.Cause(wait), rudderstream.ErrStopping)
+	}
+	if a.stopping.mayStart(a.Clock.Now(), work) {
+		return false
+	}
+	slot.Release(rudderowner.Outcome{Failed: true})
+	return true
+}
+
 // queueDeadline returns the time until which a request may wait for a slot. Zero means that the workspace's preset
 // decides.
 func (a *App) queueDeadline(start time.Time) time.Time {
@@ -104,12 +129,19 @@
 // acquireService waits for a slot on a host of a plain service.
 func (a *App) acquireService(ctx context.Context, call *rudderservice.Call, exclude []string) (string, func(), error) {
 	workspace := a.workspace(call.Workspace)
-	slot, err := a.owner.Acquire(ctx, rudderowner.Work{
+	deadline, _ := ctx.Deadline()
+	limit := a.callLimit(call, deadline)
+	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
+	defer cancel()
+	slot, err := a.owner.Acquire(wait, rudderowner.Work{
 		RequestID: call.RequestID, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
 		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.queueDeadline(a.Clock.Now()),
 		Avoid: a.groupsAt(exclude),
 	})
+	if a.stoppedWaiting(wait, slot, limit) {
+		return "", nil, errors.Mark(errors.New(messageStopping), rudderservice.ErrNotReady)
+	}
 	if err != nil {
 		return "", nil, err
 	}
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -66,14 +66,15 @@
 	metrics   appMetrics
 	verifier  *rudderpeer.Verifier
 
-	work      workHistory
+	history   workHistory
 	suspects  suspects
 	lastHosts hostCache
 	relists   chan struct{} // requests a read of all plans
 	stopping  stopState
-	// lifetime is the context of Run, for requests that outlive their caller's connection.
+	// lifetime is the context of Run. work is that of requests, which may outlive their caller's connection.
 	lifetime context.Context
 	end      context.CancelFunc
+	work     context.Context
 	servers  []*http.Server
 	started  chan struct{} // closed once Run has set lifetime and end, which Kill needs
 }
@@ -93,6 +94,7 @@
 		a.Clock = clockwork.NewRealClock()
 	}
 	a.started, a.relists = make(chan struct{}), make(chan struct{}, 1)
+	a.stopping.init()
 	if err := a.listen(); err != nil {
 		return err
 	}
@@ -118,6 +120,10 @@
 	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	a.lifetime, a.end = lifetime, end
+	work, cut := context.WithCancelCause(lifetime)
+	defer cut(nil)
+	defer context.AfterFunc(a.stopping.serving, func() { cut(context.Cause(a.stopping.serving)) })()
+	a.work = work
 	group, running := errgroup.WithContext(lifetime)
 	for _, part := range []struct {
 		name string
--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -20,8 +20,9 @@
 	a.callers = &rudderhttp.API{
 		Name: a.self.Name, Clock: a.Clock, Logger: a.Logger, Config: a.config.Current,
 		MaxBodyBytes: a.Settings.MaxBodyBytes, LimitShare: a.limitShare, Refuse: a.refuse,
-		Estimate: a.work.estimate, Start: a.startChat, Answers: a.answers,
+		Estimate: a.history.estimate, Start: a.startChat, Answers: a.answers,
 		ReadRemote: a.requests.ReadRemote, Call: a.callService, Entries: a.entries,
+		Leaving: a.stopping.begun, Accepting: a.stopping.accepting, Serving: a.stopping.serving, BetterEntry: a.betterEntry,
 		OnRefused: func(w rudderconfig.Workspace, r *rudderhttp.Refusal) {
 			a.countResult(rudderburn.RequestResult{Firm: w.Firm, Workspace: w.Name, Outcome: string(r.Outcome)})
 		},
@@ -36,7 +37,7 @@
 // refuse returns the reason why this entry host accepts no new requests now, or nil.
 func (a *App) refuse() *rudderhttp.Refusal {
 	if !a.stopping.takesNewWork() {
-		return a.notReady(rudderstream.CodeNotReady, "this entry host is stopping")
+		return a.notReady(rudderstream.CodeNotReady, messageStopping)
 	}
 	if err := a.config.Permit(a.Clock.Now()); err != nil {
 		return a.notReady(rudderstream.CodeNotReady, err.Error())
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -50,12 +50,13 @@
 // startChat runs a request in the background. The request does not depend on its caller's connection.
 func (a *App) startChat(q rudderstream.Request, answer *rudderstream.Answer) {
 	go func() {
-		timing := a.runner.Run(a.lifetime, q, answer)
+		timing := a.runner.Run(a.work, q, answer)
 		now := a.Clock.Now()
 		a.answers.MarkFinished(answer, now)
 		result, _ := answer.Done()
 		if result.Outcome == rudderstream.OutcomeComplete {
-			a.work.observe(q.Workspace, q.PromptTokens, timing.Tokens)
+			a.history.observe(q.Workspace, q.PromptTokens, timing.Tokens)
+			a.stopping.observe(now, paceOfModel(q.Model), timing.FirstToken-timing.Wait, timing.MeanGap)
 		}
 		a.recordResult(q, timing, result)
 		a.Logger.Info().Str("request_id", q.ID).Str("workspace", q.Workspace).Str("model", q.Model).
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -46,11 +46,23 @@
 
 // callService executes a call of a plain service for the caller API.
 func (a *App) callService(ctx context.Context, call rudderhttp.ServiceCall) rudderhttp.ServiceResponse {
-	result := a.services.Do(ctx, rudderservice.Call{
+	request := rudderservice.Call{
 		RequestID: call.RequestID, Workspace: call.Workspace.Name, Service: call.Service.Name,
 		Method: call.Method, Path: call.Path, RawQuery: call.Query, Header: call.Header, Body: call.Body,
 		RequireKey: call.Workspace.RequireIdempotencyKey,
-	})
+	}
+	if refusal := a.refuseCall(&request); refusal != nil {
+		a.countResult(rudderburn.RequestResult{Firm: call.Workspace.Firm, Workspace: call.Workspace.Name, Outcome: string(refusal.Outcome)})
+		return rudderhttp.ServiceResponse{Outcome: refusal.Outcome, Refusal: refusal}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(a.work, func() { cancel(context.Cause(a.work)) })()
+	begin := a.Clock.Now()
+	result := a.services.Do(ctx, request)
+	if result.Outcome == rudderservice.OutcomeComplete && !result.Replayed {
+		a.stopping.observe(a.Clock.Now(), paceOfService(call.Service.Name), a.Clock.Since(begin), 0)
+	}
 	a.Logger.Info().Str("request_id", call.RequestID).Str("workspace", call.Workspace.Name).
 		Str("service", call.Service.Name).Str("method", call.Method).Str("target", result.Target).
 		Str("outcome", string(result.Outcome)).Str("code", string(result.Code)).Msg("service call ended")
@@ -63,6 +75,9 @@
 	}
 	if result.Outcome != rudderservice.OutcomeComplete {
 		answer.Refusal = serviceRefusal(result)
+		if result.Code == rudderservice.CodeNoPermit {
+			answer.Refusal.BetterEntry = a.betterEntry()
+		}
 	}
 	return answer
 }
--- a/rudderd/rudderclaim/claims.go
+++ b/rudderd/rudderclaim/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,7 @@
 	peersMu        sync.Mutex
 	peers          map[string]rudderpeer.Claims
 	pendingChanges chan change
+	pendingCount   atomic.Int64 // changes that are queued or being applied
 	suspects       Suspects
 	grants         grantLog
 	unresponsive   unresponsiveHosts
@@ -214,9 +216,11 @@
 
 func (c *Claims) enqueue(ch change) {
 	c.init()
+	c.pendingCount.Add(1)
 	select {
 	case c.pendingChanges <- ch:
 	default:
+		c.pendingCount.Add(-1)
 		// The claim stays recorded, so another call with the key is answered may_have_run.
 		c.Logger.Error().Bool("settle", ch.settle).Msg("queue of settlements and releases is full, dropping one")
 	}
@@ -239,9 +243,13 @@
 			case <-c.Clock.After(pause):
 			}
 		}
+		c.pendingCount.Add(-1)
 	}
 }
 
+// Pending returns the number of settlements and releases that have not been applied.
+func (c *Claims) Pending() int { return int(c.pendingCount.Load()) }
+
 // change sends a settlement or release to the candidates in order, and reports whether one applied it.
 func (c *Claims) change(ctx context.Context, ch change) bool {
 	for _, m := range c.candidates(ch.request) {
--- a/rudderd/rudderentry/entry_test.go
+++ b/rudderd/rudderentry/entry_test.go
@@ -114,3 +114,53 @@
 	require.Equal(t, PhaseDraining, limited.Advance(start.Add(time.Minute), 1))
 	require.Equal(t, PhaseStopped, limited.Advance(start.Add(gossipMargin+RankingTTL+time.Minute), 1))
 }
+
+// Guards against work that is started although it can't end before it is cut off, and against refusing work that can.
+func TestShutdownTakesWorkThatEndsInTime(t *testing.T) {
+	begin := time.Unix(1_800_000_000, 0)
+	end := 4*time.Second + gossipMargin + RankingTTL - deliveryMargin
+	tests := []struct {
+		after time.Duration
+		work  Limit
+		want  bool
+	}{
+		{0, Limit{}, false},
+		{0, Limit{Duration: end + 1}, false},
+		{0, Limit{Duration: end - 1}, true},
+		{3 * time.Second, Limit{Duration: end - 2*time.Second}, false},
+		{3 * time.Second, Limit{Deadline: begin.Add(end)}, true},
+		{3 * time.Second, Limit{Deadline: begin.Add(end + 1)}, false},
+		{3 * time.Second, Limit{Deadline: begin.Add(end + 1), Duration: time.Second}, true},
+		{gossipMargin + RankingTTL, Limit{Duration: time.Second}, true},
+		{end, Limit{Duration: time.Second}, false},
+	}
+	for _, test := range tests {
+		var s Shutdown
+		require.True(t, s.Takes(begin, test.work))
+		s.Begin(begin, 4*time.Second)
+		now := begin.Add(test.after)
+		require.Equal(t, test.want, s.Takes(now, test.work), test)
+		s.Advance(now, 1)
+		require.Equal(t, test.want, s.MayStart(now, test.work), test)
+		require.Equal(t, test.want && s.Phase() == PhaseLeaving, s.Takes(now, test.work), test)
+	}
+	var unlimited Shutdown
+	unlimited.Begin(begin, 0)
+	require.True(t, unlimited.Takes(begin, Limit{}))
+}
+
+// Guards against estimates below the slowest work of the last minutes, and against slow work that counts for ever.
+func TestPaces(t *testing.T) {
+	var p Paces
+	now := time.Unix(1_800_000_000, 0)
+	require.Zero(t, p.Bound("a", 10))
+	p.Observe(now, "a", time.Second, 20*time.Millisecond)
+	p.Observe(now, "a", 2*time.Second, 10*time.Millisecond)
+	require.Equal(t, paceMargin*2180*time.Millisecond, p.Bound("a", 10))
+	require.Zero(t, p.Bound("b", 10))
+	for _, want := range []time.Duration{2 * time.Second, time.Second} {
+		now = now.Add(paceWindow + 1)
+		p.Observe(now, "a", time.Second, 0)
+		require.Equal(t, paceMargin*want, p.Bound("a", 1))
+	}
+}
--- /dev/null
+++ b/rudderd/rudderentry/pace.go
@@ -0,0 +1,57 @@
+package rudderentry
+
+import "time"
+
+const (
+	// paceWindow is how long the slowest work counts at least.
+	paceWindow = 5 * time.Minute
+	// paceMargin is multiplied with the measured times.
+	paceMargin = 3
+)
+
+// Paces estimates from work that has ended how long other work of its kind takes at most. The zero value is ready for
+// use. It is not safe for concurrent use.
+type Paces struct {
+	kinds map[string]*paceOfKind
+}
+
+// paceOfKind holds the slowest work of the current window and of the last one with any work.
+type paceOfKind struct {
+	since             time.Time
+	current, previous pace
+}
+
+type pace struct {
+	first, perUnit time.Duration
+}
+
+func (p pace) slowest(other pace) pace {
+	return pace{max(p.first, other.first), max(p.perUnit, other.perUnit)}
+}
+
+// Observe records work that has ended: the time to its first unit of output, and the mean time for each further one.
+func (p *Paces) Observe(now time.Time, kind string, first, perUnit time.Duration) {
+	if p.kinds == nil {
+		p.kinds = make(map[string]*paceOfKind)
+	}
+	k, ok := p.kinds[kind]
+	if !ok {
+		k = &paceOfKind{since: now}
+		p.kinds[kind] = k
+	}
+	if now.Sub(k.since) > paceWindow {
+		k.since, k.previous, k.current = now, k.current, pace{}
+	}
+	k.current = k.current.slowest(pace{first, perUnit})
+}
+
+// Bound returns the longest time that work of a kind with up to the given units of output is expected to take, or 0 if
+// no such work has ended yet.
+func (p *Paces) Bound(kind string, units int) time.Duration {
+	k, ok := p.kinds[kind]
+	if !ok {
+		return 0
+	}
+	slowest := k.current.slowest(k.previous)
+	return paceMargin * (slowest.first + time.Duration(max(0, units-1))*slowest.perUnit)
+}
--- a/rudderd/rudderentry/shutdown.go
+++ b/rudderd/rudderentry/shutdown.go
@@ -6,6 +6,9 @@
 // and has stopped ranking it.
 const gossipMargin = 5 * time.Second
 
+// deliveryMargin is the time between the end of work and its delivery to the caller.
+const deliveryMargin = 500 * time.Millisecond
+
 // Phase is a phase in the life cycle of an entry host.
 type Phase string
 
@@ -13,7 +16,8 @@
 const (
 	// PhaseServing: other entry hosts rank it, and it takes new work.
 	PhaseServing Phase = "serving"
-	// PhaseLeaving: it is no longer ranked, but still takes new work from callers with a cached ranking.
+	// PhaseLeaving: it is no longer ranked, but still takes new work that ends in time from callers with a cached
+	// ranking.
 	PhaseLeaving Phase = "leaving"
 	// PhaseDraining: it rejects new work, marked as not executed, and finishes running work.
 	PhaseDraining Phase = "draining"
@@ -67,11 +71,46 @@
 // Listed reports whether this entry host should appear in rankings.
 func (s *Shutdown) Listed() bool { return s.Phase() == PhaseServing }
 
-// TakesNewWork reports whether this entry host accepts new requests.
+// TakesNewWork reports whether this entry host accepts new requests, provided that they end in time.
 func (s *Shutdown) TakesNewWork() bool {
 	return s.Phase() == PhaseServing || s.Phase() == PhaseLeaving
 }
 
+// Limit bounds the time at which work ends.
+type Limit struct {
+	// Deadline is the time at which the work ends at the latest; zero means that it has none.
+	Deadline time.Time
+	// Duration is the longest time from the start of the work to its end; 0 means that it is unknown.
+	Duration time.Duration
+}
+
+// Takes reports whether this entry host accepts new work with a limit.
+func (s *Shutdown) Takes(now time.Time, work Limit) bool {
+	return s.TakesNewWork() && s.MayStart(now, work)
+}
+
+// MayStart reports whether work that is started now ends before running work is cut off.
+func (s *Shutdown) MayStart(now time.Time, work Limit) bool {
+	latest, limited := s.LatestStart(work)
+	return !limited || now.Before(latest)
+}
+
+// LatestStart returns the time from which on the work must not be started. limited is false if there is none, also
+// before Begin.
+func (s *Shutdown) LatestStart(work Limit) (latest time.Time, limited bool) {
+	if s.drainDeadline.IsZero() {
+		return time.Time{}, false
+	}
+	end := s.drainDeadline.Add(-deliveryMargin)
+	if !work.Deadline.IsZero() && !work.Deadline.After(end) {
+		return time.Time{}, false
+	}
+	if work.Duration == 0 {
+		return s.began, true
+	}
+	return end.Add(-work.Duration), true
+}
+
 // rankedFor is how long after Begin callers may still have a cached ranking that lists this entry host.
 func (s *Shutdown) rankedFor() time.Duration {
 	if s.RankingTTL > 0 {
--- a/rudderd/rudderhttp/answer.go
+++ b/rudderd/rudderhttp/answer.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if page.Result.Outcome != rudderstream.OutcomeComplete {
-			return refusalOf(page.Result)
+			return a.refusalOf(page.Result)
 		}
 		whole := source.newCompletion("chat.completion")
 		whole.Outcome = rudderstream.OutcomeComplete
@@ -111,7 +111,7 @@
 		writer.flush()
 		if page.Done {
 			if page.Result.Outcome != rudderstream.OutcomeComplete {
-				return a.endStream(c, writer, refusalOf(page.Result))
+				return a.endStream(c, writer, a.refusalOf(page.Result))
 			}
 			writer.finish(source, page.Result, after)
 			return nil
--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -39,6 +40,17 @@
 	// Refuse returns the reason why this entry host accepts no new requests now, or nil.
 	Refuse func() *Refusal
 
+	// Leaving reports whether this entry host is stopping. Responses then close their connections, so that callers move
+	// to another entry host. May be nil.
+	Leaving func() bool
+	// Accepting, if not nil, ends when this entry host takes no more requests. Requests whose bodies have not arrived are
+	// refused then.
+	Accepting context.Context
+	// Serving, if not nil, ends when this entry host cuts off the streams that it still passes on.
+	Serving context.Context
+	// BetterEntry returns the address of another entry host, or ""; may be nil.
+	BetterEntry func() string
+
 	// OnRefused is called for each request rejected by Refuse, because callers experience these as lost service; may
 	// be nil.
 	OnRefused func(workspace rudderconfig.Workspace, refusal *Refusal)
@@ -59,6 +71,7 @@
 	Entries func(key, dataCentre string) ([]Entry, time.Duration)
 
 	limits limits
+	open   atomic.Int64
 }
 
 // Entry is one element of the response of GET /v1/entries.
@@ -119,16 +132,26 @@
 	return server
 }
 
-// identify assigns the request ID before anything else, so that every response has one.
+// identify assigns the request ID before anything else, so that every response has one, and counts the requests.
 func (a *API) identify(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		id := a.newRequestID()
 		c.Set(contextRequestID, id)
 		c.Response().Header().Set(HeaderRequestID, id)
+		a.open.Add(1)
+		defer a.open.Add(-1)
+		c.Response().Before(func() {
+			if a.Leaving != nil && a.Leaving() {
+				c.Response().Header().Set("Connection", "close")
+			}
+		})
 		return next(c)
 	}
 }
 
+// Open returns the number of requests of any kind whose responses have not been written.
+func (a *API) Open() int { return int(a.open.Load()) }
+
 func (a *API) health(c echo.Context) error {
 	if refusal := a.Refuse(); refusal != nil {
 		return refusal
--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -88,7 +88,7 @@
 	return rudderstream.Request{
 		ID: requestIDOf(c), Workspace: workspace.Name, Firm: workspace.Firm, Model: parsed.Model,
 		Body: fields, Prompt: prompt, PromptTokens: promptTokens,
-		EstimatedTokens: estimated, Class: class,
+		EstimatedTokens: estimated, MaxTokens: parsed.MaxTokens, Class: class,
 		Fingerprint: uint64(rudderpoison.FingerprintOf(workspace.Name, body)), Parts: sharedParts(parsed.Model, parsed.Messages), Arrived: a.Clock.Now(),
 	}, parsed, nil
 }
@@ -174,6 +174,12 @@
 // resumeRemoteStream resumes the stream of an answer that another entry host keeps.
 func (a *API) resumeRemoteStream(c echo.Context, member, id string, after int) error {
 	workspace := workspaceOf(c).Name
+	if a.Serving != nil {
+		ctx, cancel := context.WithCancel(c.Request().Context())
+		defer cancel()
+		defer context.AfterFunc(a.Serving, cancel)()
+		c.SetRequest(c.Request().WithContext(ctx))
+	}
 	first, found := a.ReadRemote(c.Request().Context(), member, id, workspace, after)
 	if !found {
 		return answerNotFound()
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -1,6 +1,7 @@
 package rudderhttp
 
 import (
+	"context"
 	"errors"
 	"math"
 	"net/http"
@@ -115,10 +116,20 @@
 	if own := workspaceOf(c).Limits.BodyBytes; own > 0 {
 		limit = min(limit, own)
 	}
+	if a.Accepting != nil {
+		connection := http.NewResponseController(c.Response())
+		stop := context.AfterFunc(a.Accepting, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
+		defer stop()
+	}
 	body, err := rudderbody.Read(c.Request().Body, limit)
 	if errors.Is(err, rudderbody.ErrTooLarge) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is above the workspace's limit", "send a smaller body")
 	}
+	if a.Accepting != nil && a.Accepting.Err() != nil {
+		if refusal := a.Refuse(); refusal != nil {
+			return nil, refusal
+		}
+	}
 	if err != nil {
 		return nil, refuseBadRequest("the request body could not be read: " + err.Error())
 	}
--- a/rudderd/rudderhttp/refusal.go
+++ b/rudderd/rudderhttp/refusal.go
@@ -136,7 +136,7 @@
 }
 
 // refusalOf converts the result of a failed model request to a refusal.
-func refusalOf(result rudderstream.Result) *Refusal {
+func (a *API) refusalOf(result rudderstream.Result) *Refusal {
 	refusal := &Refusal{
 		Status: http.StatusServiceUnavailable, Code: result.Code, Message: result.Message,
 		NextStep: "send the request again; asking a model may be repeated",
@@ -155,6 +155,9 @@
 		refusal.NextStep = "no group serves the model now; send the request again after the time in Retry-After"
 	case rudderstream.CodeNotReady:
 		refusal.NextStep = "ask GET /v1/entries at another address and send the request there"
+		if a.BetterEntry != nil {
+			refusal.BetterEntry = a.BetterEntry()
+		}
 	}
 	return refusal
 }
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -54,6 +54,9 @@
 	CodeClaimUnavailable Code = "claims_unavailable"
 )
 
+// ErrNotReady marks an error of AcquireTarget that is due to this entry host.
+var ErrNotReady = errors.New("service: entry host is not ready")
+
 // Headers of calls with an idempotency key.
 const (
 	HeaderKey     = "Idempotency-Key"
@@ -190,6 +193,9 @@
 }
 
 func noTarget(err error) Result {
+	if errors.Is(err, ErrNotReady) {
+		return notRun(http.StatusServiceUnavailable, CodeNoPermit, err.Error())
+	}
 	return notRun(http.StatusServiceUnavailable, CodeNoTarget, err.Error())
 }
 
--- a/rudderd/rudderstream/answer.go
+++ b/rudderd/rudderstream/answer.go
@@ -51,6 +51,7 @@
 	result    Result
 	readers   int
 	idleSince time.Time     // when the last reader left; zero while there are readers
+	readToEnd bool          // a reader has got the end of the answer
 	changed   chan struct{} // closed and replaced with each change
 }
 
@@ -149,6 +150,7 @@
 		if after < len(a.tokens) {
 			page.Tokens = append(page.Tokens, a.tokens[after:]...)
 		}
+		a.readToEnd = a.readToEnd || page.Done
 		changed := a.changed
 		a.mu.Unlock()
 		if page.Done || len(page.Tokens) > 0 {
@@ -179,6 +181,14 @@
 	})
 }
 
+// awaitsReader reports whether a caller may still resume the answer: none has read its end, and the last one left
+// within the grace time.
+func (a *Answer) awaitsReader(now time.Time, grace time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.readToEnd && now.Sub(a.idleSince) <= grace
+}
+
 // abandoned reports whether the answer has had no reader for longer than the grace time.
 func (a *Answer) abandoned(now time.Time, grace time.Duration) bool {
 	a.mu.Lock()
--- a/rudderd/rudderstream/registry.go
+++ b/rudderd/rudderstream/registry.go
@@ -79,3 +79,20 @@
 	}
 	return len(r.answers) - r.finished.Len()
 }
+
+// Unread returns the number of finished answers whose end no caller has read and whose last caller left within the grace
+// time.
+func (r *Registry) Unread(now time.Time, grace time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.finished == nil {
+		return 0
+	}
+	unread := 0
+	for e := r.finished.Front(); e != nil; e = e.Next() {
+		if e.Value.(finishedAnswer).answer.awaitsReader(now, grace) {
+			unread++
+		}
+	}
+	return unread
+}
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -21,13 +21,17 @@
 	PromptTokens int
 	// EstimatedTokens, of the answer, and Class are estimated before the request runs.
 	EstimatedTokens int
-	Class           rudderconfig.WorkClass
-	Fingerprint     uint64
+	// MaxTokens is the greatest number of tokens of the answer.
+	MaxTokens   int
+	Class       rudderconfig.WorkClass
+	Fingerprint uint64
 	// Parts are the parts of the prompt that other requests may share.
 	Parts   []rudderpoison.Part
 	Arrived time.Time
 	// Attempt is set by the runner, counted from 1.
 	Attempt int
+	// Sent is set by the runner once a byte of the request may have reached a target.
+	Sent bool
 }
 
 // Slot is a permission to run one request on a group.
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -11,6 +11,9 @@
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
+// ErrStopping is the cause with which the context of Run is cancelled when the entry host stops.
+var ErrStopping = errors.New("stream: entry host is stopping")
+
 // Runner runs model requests to completion. Set the exported fields before the first call to Run.
 type Runner struct {
 	Clock  clockwork.Clock
@@ -73,7 +76,7 @@
 	state := &run{Runner: r, request: q, answer: a}
 	for {
 		state.attempt++
-		state.request.Attempt = state.attempt
+		state.request.Attempt, state.request.Sent = state.attempt, state.sent
 		err := state.runAttempt(ctx)
 		if result, ended := state.conclude(ctx, err); ended {
 			a.Finish(result)
@@ -166,6 +169,8 @@
 	}
 	var refusal *Refusal
 	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return s.failure(CodeNotReady, "the entry host stopped before the end of the answer", time.Second), true
 	case errors.As(err, &refusal):
 		return s.failure(refusal.Code, refusal.Message, refusal.RetryAfter), true
 	case errors.Is(err, ErrBadRequest):
