Record an error response of a stream's target that breaks off

Callers of streams that must not repeat were told 503, which promises that the request has not run, and the request ran at one target after another until its time was up.

An answer to a stream that is no stream is delivered by answerCall. If its body broke off, answerCall returned false and streamOnce passed that on without recording the failure: the request counted as never sent, and the next group, or the same one, got it again.

TestFailureThatBreaksOffIsNotSentAgain failed before: 503 in place of 502, after 3 s of repeated sends.

--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -207,3 +207,22 @@
 	require.NoError(t, err)
 	require.Equal(t, 3, strings.Count(body, "data: x"))
 }
+
+// Guards against a stream that runs twice, and is then refused as not run, because the error response of its target broke
+// off.
+func TestFailureThatBreaksOffIsNotSentAgain(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", streamRoute(false))
+	var arrivals atomic.Int32
+	for range 2 {
+		b.rawTarget("llm", func(w net.Conn, _ *http.Request, _, _ int) {
+			arrivals.Add(1)
+			_, _ = io.WriteString(w, "HTTP/1.1 500 Failed\r\nId: q1\r\nContent-Length: 100\r\n\r\nhalf")
+			_ = w.Close()
+		})
+	}
+	b.start()
+	response, _, _ := b.send("POST", "/s/x", "prompt")
+	require.Equal(t, 502, response.StatusCode)
+	require.Equal(t, int32(1), arrivals.Load())
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -117,7 +117,11 @@
 		f.recordFailure(ctx, j, g, errors.Newf("target %s answered %d", g.Leader.Name, status))
 		return false
 	default:
-		return f.answerCall(ctx, j, g, answer)
+		done := f.answerCall(ctx, j, g, answer)
+		if !done {
+			f.recordFailure(ctx, j, g, j.lastErr)
+		}
+		return done
 	}
 	return f.copyEvents(ctx, sendContext, j, g, answer, guard)
 }
