Start the forwarder's tests after the first read of the records

The testbed waited for the routing document, which the view publishes just before it records the time of the read; a request in between is refused. It now waits for the recorded read.

--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -162,7 +162,11 @@
 	go func() { _ = view.Run(ctx) }()
 	b.server = httptest.NewServer(b.forwarder)
 	b.t.Cleanup(func() { b.server.Close(); end() })
-	require.Eventually(b.t, func() bool { return view.Snapshot().Table != nil }, 5*time.Second, time.Millisecond)
+	select {
+	case <-view.Synced(): // before it, the routing document counts as stale
+	case <-time.After(5 * time.Second):
+		b.t.Fatal("the view has not read the records within 5 s")
+	}
 }
 
 // send sends a request and returns the response, its body and the error of reading the body.
