Send a request again whose reused connection was closed before it was written

After a response that was not theirs, the next callers of a target got 502 for requests that must not repeat, although no byte of them had been sent.

The HTTP client puts the connection of an empty response back into its pool before it returns the response. The forwarder then closes the connection of a response to another request, and until the client's read loop sees that, the next request gets the connection. The client reports the request as written once it is in its buffer, so the failed write counted as one that may have run. The same happens when a target's reset arrives just before the write.

Connections to targets now count the bytes written. A send of which none was written is repeated on the next connection if its own had been in use before, whatever the method; on a new connection it counts as not sent.

TestReusedConnectionThatIsClosed failed before (502 for GET and DELETE; the HTTP client itself repeats a POST without a body).

--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"comfreyrudder.example/rudderd/rudderforward"
 )
 
 const (
@@ -57,4 +59,8 @@
 	}
 }
 
-func targetClient() *http.Client { return NewClient(maxIdleConnectionsPerTarget) }
+func targetClient() *http.Client {
+	client := NewClient(maxIdleConnectionsPerTarget)
+	client.Transport.(*http.Transport).DialContext = rudderforward.TrackWrites(Dialer().DialContext)
+	return client
+}
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -78,7 +77,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	f.Metrics.Count("relayed.sent")
-	return f.receive(x, answer, false)
+	return f.receive(x, answer)
 }
 
 // blamePath marks the error of a direct send or response if this entry host reaches no target of the service.
@@ -95,8 +94,7 @@
 	exchange  *exchange
 	cancel    context.CancelCauseFunc
 	wrote     atomic.Bool
-	reused    atomic.Bool
-	used      atomic.Pointer[net.Conn]
+	used      atomic.Pointer[sendConn]
 	state     atomic.Int32
 
 	mu    sync.Mutex
@@ -158,8 +156,7 @@
 				_ = info.Conn.Close() // the request goes another way, so nothing of it may be written here
 				return
 			}
-			a.reused.Store(info.Reused)
-			a.used.Store(&info.Conn)
+			a.used.Store(newSendConn(info.Conn, info.Reused))
 			if !info.Reused {
 				a.forwarder.Metrics.Count("targets.connections")
 				a.forwarder.Path.Connected(pathTarget(a.exchange.group.Leader))
--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -104,6 +105,42 @@
 	}
 }
 
+// closedConn is a connection to a target that this host closes after its first request.
+type closedConn struct {
+	net.Conn
+	writes atomic.Int32
+}
+
+func (c *closedConn) Write(p []byte) (int, error) {
+	if c.writes.Add(1) > 1 {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a request that counts as one that may have run because its reused connection was closed before any byte
+// of it was written.
+func TestReusedConnectionThatIsClosed(t *testing.T) {
+	for _, method := range []string{"GET", "POST", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/p/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 1 })
+			var runs atomic.Int32
+			b.target("plain", func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); sealed(w) })
+			b.start()
+			b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &closedConn{Conn: c}, err
+			})
+			for range 3 {
+				response, _, _ := b.send(method, "/p/x", "")
+				require.Equal(t, 200, response.StatusCode)
+			}
+			require.Equal(t, int32(3), runs.Load())
+		})
+	}
+}
+
 const streamHead = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -35,6 +35,8 @@
 	errSlowConnect = errors.New("forward: connection to the target is not set up in time")
 	// errNoPath marks the error of a send that failed on this side of the target.
 	errNoPath = errors.New("forward: no path to any target of the service")
+	// errClosedConnection reports a reused connection that was closed before a byte of the request was written.
+	errClosedConnection = errors.New("forward: reused connection was closed")
 	// errPoisoned cancels a send that has not begun, because the request would crash the target.
 	errPoisoned = errors.New("forward: a part of the prompt crashes targets")
 )
@@ -43,7 +45,7 @@
 type reply struct {
 	Reply
 	response   *http.Response
-	connection *net.Conn // connection on which the response arrived; nil if it was relayed
+	connection *sendConn // connection on which the response arrived; nil if it was relayed
 }
 
 // framed reports whether the response has a length or chunks. Otherwise it ends with its connection, which a crash of the
@@ -57,7 +59,7 @@
 func (r *reply) discard() {
 	_ = r.response.Body.Close()
 	if r.connection != nil {
-		_ = (*r.connection).Close()
+		_ = r.connection.Close()
 	}
 }
 
@@ -85,9 +87,19 @@
 	sentAt     time.Duration
 }
 
-// sendDirect sends a request over a connection of this entry host. With impatient set, it gives up a connection that is not
-// set up soon; the error is errSlowConnect then.
+// sendDirect sends a request over a connection of this entry host. If a reused connection turns out to be closed, the next
+// one is used. With impatient set, it gives up a connection that is not set up soon; the error is errSlowConnect then.
 func (f *Forwarder) sendDirect(ctx context.Context, x *exchange, impatient bool) (*reply, error) {
+	for {
+		answer, err := f.sendOnce(ctx, x, impatient)
+		if !errors.Is(err, errClosedConnection) || ctx.Err() != nil {
+			return answer, err
+		}
+		f.Metrics.Count("targets.closed_connections")
+	}
+}
+
+func (f *Forwarder) sendOnce(ctx context.Context, x *exchange, impatient bool) (*reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
 	answer := &reply{}
@@ -101,7 +113,7 @@
 	f.Path.Heard(x.group.Service)
 	answer.response.Body = cancelledBody{answer.response.Body, cancel}
 	answer.connection = attempt.used.Load()
-	return f.receive(x, answer, attempt.reused.Load())
+	return f.receive(x, answer)
 }
 
 // sendError classifies the error of a send.
@@ -110,10 +122,15 @@
 	if cause != nil {
 		err = cause
 	}
-	switch {
+	connection := a.used.Load()
+	switch unwritten := connection != nil && connection.unwritten(); {
 	case a.abandoned():
 		f.Path.Failed(t)
 		return errors.Mark(err, ErrNotSent)
+	case unwritten && connection.reused:
+		return errors.Mark(errors.Mark(err, ErrNotSent), errClosedConnection)
+	case unwritten:
+		return errors.Mark(err, ErrNotSent)
 	case !a.wrote.Load() || neverConnected(err):
 		if cause == nil {
 			f.Path.Failed(t)
@@ -137,14 +154,14 @@
 }
 
 // receive decodes the headers of a response and records what they tell about the target.
-func (f *Forwarder) receive(x *exchange, answer *reply, reused bool) (*reply, error) {
+func (f *Forwarder) receive(x *exchange, answer *reply) (*reply, error) {
 	j, g := x.job, x.group
 	answer.Reply = f.Protocol.DecodeReply(answer.response)
 	if answer.Load != nil {
 		f.loads.report(g.Leader.Name, f.Uptime(), *answer.Load)
 	}
 	// On a reused connection, a response without a request ID may be a duplicate for an earlier request.
-	if answer.RequestID != j.request.ID && (answer.RequestID != "" || reused) {
+	if answer.RequestID != j.request.ID && (answer.RequestID != "" || answer.connection != nil && answer.connection.reused) {
 		_ = answer.response.Body.Close()
 		answer.discard()
 		return nil, errors.Mark(errors.Mark(errors.Newf("got the response for request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -114,7 +114,7 @@
 		},
 	}
 	b.forwarder = &Forwarder{
-		View: view, Client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, Logger: zerolog.Nop(), Uptime: uptime,
+		View: view, Client: &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: TrackWrites((&net.Dialer{}).DialContext)}}, Logger: zerolog.Nop(), Uptime: uptime,
 		Metrics:         Metrics{Count: func(string) {}, Observe: func(string, time.Duration) {}},
 		MaxKeyStaleness: time.Minute, Retries: RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Limits: &rudderlimit.Table{},
