Test that a refusal of an earlier request is not believed

A target that writes the refusal of an earlier request once more on a kept connection, at the point where the response to the next one is expected: the next request names another ID, so it counts as one that may have run, and is not sent again. It held before; the cases of TestAnswerOfAnotherRequest had no refusal that names an ID.

--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -70,6 +70,7 @@
 	}{
 		{"empty answer of another request", answer("other", ""), answer("q1", "own"), []int{502, 200}, false},
 		{"second copy without a name", answer("q1", "a"), answer("", "a"), []int{200, 502}, true},
+		{"earlier refusal once more", answer("q1", "a"), "HTTP/1.1 503 Full\r\nId: q0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", []int{200, 502}, true},
 		{"second copy with the not-run header", answer("q1", "a"), "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", []int{200, 502}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
