Do not pass on a status that promises more than the target has stated

Callers take 408, 421, 429 and 503 for the promise that a request has not run. A target's response with such a status and without the statement that it has not run the request was passed on unchanged, also for requests that must run at most once: their callers sent them again, although they may have run.

Such a request now ends with 502, without the target's seal. Those that may repeat still get the target's response.

--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -61,6 +61,10 @@
 		j.lastErr = errors.Mark(errors.New("response without the seal header"), ErrWrongAnswer)
 		return false
 	}
+	if !j.route.Repeatable() && promisesNotRun(response.StatusCode) {
+		j.lastErr = errors.Newf("target %s answered %d without the statement that the request has not run", g.Leader.Name, response.StatusCode)
+		return false
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		answer.discard()
@@ -93,6 +97,15 @@
 	return true
 }
 
+// promisesNotRun reports whether callers take a status as the promise that the request has not run and may be repeated.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // canRetry reports whether another group is left for the request and at least a quarter of its time.
 func (f *Forwarder) canRetry(ctx context.Context, j *job) bool {
 	if ctx.Err() != nil || j.remaining(f.Uptime()) < j.limit/4 {
--- a/rudderd/rudderforward/forward_test.go
+++ b/rudderd/rudderforward/forward_test.go
@@ -23,6 +23,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	failing := func(w http.ResponseWriter, _ *http.Request) { sealed(w); w.WriteHeader(http.StatusInternalServerError) }
+	busy := func(w http.ResponseWriter, _ *http.Request) { sealed(w); w.WriteHeader(http.StatusTooManyRequests) }
 	unsealed := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }
 	stranger := func(w http.ResponseWriter, _ *http.Request) {
 		sealed(w)
@@ -47,6 +48,9 @@
 		{"at most once, answer of another request", rudderroute.KindAtMostOnce, stranger, 502, 1},
 		{"at most once, answer cut", rudderroute.KindAtMostOnce, short, 502, 1},
 		{"at most once, refused unrun by all", rudderroute.KindAtMostOnce, full, 503, 3},
+		{"at most once, status of a refusal without the statement", rudderroute.KindAtMostOnce, busy, 502, 1},
+		{"stream, status of a refusal without the statement", rudderroute.KindStream, busy, 502, 1},
+		{"idempotent, status of a refusal without the statement", rudderroute.KindIdempotent, busy, 429, 1},
 		{"idempotent, failure of the target", rudderroute.KindIdempotent, failing, 500, 2},
 		{"at most once, failure of the target", rudderroute.KindAtMostOnce, failing, 500, 1},
 	} {
@@ -54,7 +58,7 @@
 			b := newTestbed(t)
 			b.route("/p/", func(r *rudderroute.Route) {
 				r.Kind = test.kind
-				if test.kind == rudderroute.KindAtMostOnce {
+				if !r.Repeatable() {
 					r.MaxAttempts = 1
 				}
 			})
