Do not use a target on by the record that an odd one has replaced

A target whose record another writer had overwritten with one that cannot be read was used on for two seconds if the next list of all records followed an outage, and stood for 30 s among the targets whose records were removed, by which members of groups count.

A watch dropped the target, but a list took every target without a usable record for one whose record was missing, and those are kept after an outage because they may be written again. A target that had been removed shortly before stayed among the removed ones.

Four of the six cases of TestRecordThatTurnsOdd failed before: a list, a list after an outage, a record removed before, records copied from another host. The cases of a watch and of relayed changes held.

--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -301,6 +301,8 @@
 		// A target whose record is malformed must not be used.
 		v.malformed(e.Key, err)
 		delete(s.Targets, name)
+		delete(s.Removed, name)
+		delete(v.pendingRemovals, name)
 		return
 	}
 	target.Revision, target.recordedLeaving = e.Revision, target.Leaving()
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,6 +124,56 @@
 	require.Contains(t, v.Snapshot().Targets, "b")
 }
 
+// Guards against the use of a target by its earlier record after another writer has replaced that by an odd one: in a watch,
+// in changes that a watcher relays, or in a list that follows an outage, after which missing records are kept for a while.
+func TestRecordThatTurnsOdd(t *testing.T) {
+	odd := rudderstore.Entry{Key: "targets/a", Value: []byte(strings.Repeat("[", 1<<20)), Revision: 11}
+	whole := []rudderstore.Entry{
+		put("routing", rudderroute.Document{Version: 1, Services: []rudderroute.Service{{Name: "x"}}}), put("targets/a", target("x")), put("targets/b", target("x")),
+	}
+	for _, test := range []struct {
+		name   string
+		change func(v *View)
+	}{
+		{"watch", func(v *View) {
+			v.applyChanges(rudderstore.WatchResult{Events: []rudderstore.Event{{Entry: odd}}, Revision: 11})
+		}},
+		{"list", func(v *View) { v.replace(append(slices.Clone(whole[:1]), odd, whole[2]), 11) }},
+		{"list after an outage", func(v *View) {
+			v.recoveredAt = v.Uptime()
+			v.replace(append(slices.Clone(whole[:1]), odd, whole[2]), 11)
+		}},
+		{"removal before", func(v *View) {
+			v.applyChanges(rudderstore.WatchResult{Events: []rudderstore.Event{removed("targets/a"), {Entry: odd}}, Revision: 11})
+		}},
+		{"relayed changes", func(v *View) {
+			v.ownWatchAt = v.Uptime()
+			v.FetchChanges = func(context.Context, int64, time.Duration, bool) (Changes, error) {
+				return Changes{Serving: true, Revision: 11, Events: []rudderstore.Event{{Entry: odd}}}, nil
+			}
+			require.NoError(t, v.followOnce(t.Context()))
+		}},
+		{"copied records", func(v *View) {
+			v.FetchRecords = func(context.Context) (RecordSet, error) {
+				return RecordSet{Serving: true, Revision: 11, Entries: append(slices.Clone(whole[:1]), odd, whole[2])}, nil
+			}
+			require.NoError(t, v.loadFromPeer(t.Context()))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			v := play(t, &script{list: whole}, &now)
+			require.Len(t, v.Snapshot().Groups("x", ""), 2)
+			test.change(v)
+			require.Len(t, v.Snapshot().Groups("x", ""), 1)
+			require.Equal(t, "b", v.Snapshot().Groups("x", "")[0].ID)
+			require.NotContains(t, v.Snapshot().Removed, "a")
+			v.applyChanges(rudderstore.WatchResult{Events: []rudderstore.Event{written("targets/a", target("x"))}, Revision: 12})
+			require.Len(t, v.Snapshot().Groups("x", ""), 2, "its own writer has written it again")
+		})
+	}
+}
+
 // Guards against dropping targets because their records lapsed during an outage, and against keeping targets
 // that do not write their records again.
 func TestRecordsComeBackAfterAnOutage(t *testing.T) {
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -186,6 +186,7 @@
 		v.lostRecords = v.records
 		v.mu.Unlock()
 	}
+	listed := keysOf(entries)
 	v.setRecords(entries, revision)
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
@@ -204,11 +205,11 @@
 		v.keepNewer(s, before)
 		v.lostRecords = nil
 		if v.OnRestored != nil {
-			v.OnRestored(keysOf(entries))
+			v.OnRestored(listed)
 		}
 	}
 	for name, target := range old {
-		if s.Targets[name] == nil {
+		if s.Targets[name] == nil && !listed[v.Keys.TargetPrefix+name] { // a listed one is malformed
 			s.Targets[name] = target
 			v.removeTarget(s, name)
 		}
