Bound the log line of a malformed record

A decoding error quotes the value that it could not use: the log line of a record with a number of 1 MB was 1 MB long. 256 bytes of the error are logged.

--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -381,6 +381,10 @@
 	s.EntryHosts = slices.DeleteFunc(s.EntryHosts, func(e EntryHost) bool { return e.Name == name })
 }
 
+// maxLoggedError bounds the part of a decoding error that is logged, in bytes: it may quote the record.
+const maxLoggedError = 256
+
 func (v *View) malformed(key string, err error) {
-	v.Logger.Warn().Err(err).Str("key", key).Msg("malformed record ignored")
+	text := err.Error()
+	v.Logger.Warn().Str("error", text[:min(len(text), maxLoggedError)]).Str("key", key).Msg("malformed record ignored")
 }
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -1,6 +1,7 @@
 package rudderview
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -174,6 +175,18 @@
 	}
 }
 
+// Guards against log lines as long as a malformed record, which decoding errors quote.
+func TestMalformedRecordIsNotLoggedWhole(t *testing.T) {
+	now := time.Minute
+	v := play(t, &script{}, &now)
+	var lines bytes.Buffer
+	v.Logger = zerolog.New(&lines)
+	number := rudderstore.Entry{Key: "targets/a", Value: []byte(`{"Slots":` + strings.Repeat("9", 1<<20) + "}")}
+	v.applyChanges(rudderstore.WatchResult{Events: []rudderstore.Event{{Entry: number}}, Revision: 11})
+	require.Contains(t, lines.String(), "malformed")
+	require.Less(t, lines.Len(), 2*maxLoggedError)
+}
+
 // Guards against dropping targets because their records lapsed during an outage, and against keeping targets
 // that do not write their records again.
 func TestRecordsComeBackAfterAnOutage(t *testing.T) {
