Write a plan again that an odd record has replaced

Once another writer had put an odd value under the key of a plan, the planner could not change that plan any more: each write expected the revision of the last plan that could be read, and failed. After a start in this state it expected no record at all. A valid plan under another plan's key made that one's groups count twice, and a registration under another host's key put that host twice on the lists for callers and owners of ledgers.

The view ignored a record that it could not read altogether, and did not compare records with their keys. It now keeps the plan that it knows, or an empty one, with the revision of the odd record, so that the planner replaces it like one that a restore has lost; a record that names another key counts as malformed.

TestOddPlansAndRegistrations failed before (revision 1 in place of 11). A plan in TestRestoreKeepsWhatIsNewer stood under a key that it did not name; it names it now, the checks are the same.

--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -154,7 +154,7 @@
 	return true
 }
 
-// saveLost writes the plans again that a restore of the key-value service has lost.
+// saveLost writes the plans again that a restore of the key-value service has lost, or a malformed record has replaced.
 func (p *Planner) saveLost(ctx context.Context, snapshot *rudderview.Snapshot) {
 	for key, record := range snapshot.Plans {
 		if !record.Unsaved {
@@ -167,7 +167,7 @@
 			continue // written already; the view does not show it yet
 		}
 		c := rudderplacement.PlanChange{
-			StoredPlan: rudderplacement.StoredPlan{Plan: record.Plan, Revision: record.Revision}, Notes: []string{"written again after a restore"},
+			StoredPlan: rudderplacement.StoredPlan{Plan: record.Plan, Revision: record.Revision}, Notes: []string{"written again after its record was lost"},
 		}
 		if p.mayStore(c) {
 			p.store(ctx, c)
--- a/rudderd/rudderview/restore_test.go
+++ b/rudderd/rudderview/restore_test.go
@@ -52,9 +52,10 @@
 	plan := func(serial int64) rudderroster.Plan {
 		return rudderroster.Plan{Service: "llm", Domain: "d", Serial: serial}
 	}
+	unknown := rudderroster.Plan{Service: "llm", Domain: "new", Serial: 1}
 	live, leaving := rudderhost.StateLive, rudderhost.StateLeaving
 	v.replace([]rudderstore.Entry{
-		at(1, 5, "routing", rudderroute.Document{Version: 7}), at(1, 20, PlanPrefix+"llm/d", plan(4)), at(1, 21, PlanPrefix+"llm/new", plan(1)),
+		at(1, 5, "routing", rudderroute.Document{Version: 7}), at(1, 20, PlanPrefix+"llm/d", plan(4)), at(1, 21, PlanPrefix+"llm/new", unknown),
 		at(1, 22, "targets/epoch", member(1, 30, live)), at(1, 23, "targets/left", member(1, 30, live)), at(1, 24, "targets/born", member(9, 2, live)),
 		at(1, 25, "targets/leaving", member(1, 1, leaving)), at(1, 9, "targets/ghost", member(1, 1, live)), at(1, 10, "targets/again", member(1, 1, live)),
 		at(1, 26, EntryPrefix+"a", EntryHost{Name: "a"}), at(1, 27, EntryPrefix+"b", EntryHost{Name: "b"}), at(1, 8, EntryPrefix+"gone", EntryHost{Name: "gone"}),
@@ -74,7 +75,7 @@
 	s := v.Snapshot()
 	require.Equal(t, int64(7), s.Table.Version())
 	require.Equal(t, PlanRecord{Plan: plan(4), Revision: rudderstore.JoinRevision(2, 12), RetiringSince: map[string]time.Duration{}, Unsaved: true}, s.Plans[PlanPrefix+"llm/d"])
-	require.Equal(t, PlanRecord{Plan: plan(1), RetiringSince: map[string]time.Duration{}, Unsaved: true}, s.Plans[PlanPrefix+"llm/new"])
+	require.Equal(t, PlanRecord{Plan: unknown, RetiringSince: map[string]time.Duration{}, Unsaved: true}, s.Plans[PlanPrefix+"llm/new"])
 	require.Equal(t, int64(30), s.Targets["epoch"].Membership.Epoch)
 	require.Equal(t, int64(9), s.Targets["born"].Born)
 	require.True(t, s.Targets["leaving"].Leaving())
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -16,8 +16,8 @@
 type PlanRecord struct {
 	Plan     rudderroster.Plan
 	Revision int64
-	// Unsaved is set if a restore of the key-value service has lost this plan. Revision is that of the older plan in its
-	// place, or 0.
+	// Unsaved is set if a restore of the key-value service has lost this plan, or a malformed record has replaced it.
+	// Revision is that of the record in its place, or 0.
 	Unsaved bool
 	// RetiringSince is the uptime at which this entry host first saw a group retiring, by GroupID.
 	RetiringSince map[string]time.Duration
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"comfreyrudder.example/rudderd/rudderroster"
@@ -229,20 +230,9 @@
 	case strings.HasPrefix(e.Key, v.Keys.TargetPrefix):
 		v.applyTarget(s, strings.TrimPrefix(e.Key, v.Keys.TargetPrefix), e)
 	case strings.HasPrefix(e.Key, EntryPrefix):
-		var entry EntryHost
-		if err := json.Unmarshal(e.Value, &entry); err != nil {
-			v.malformed(e.Key, err)
-			return
-		}
-		s.removeEntryHost(strings.TrimPrefix(e.Key, EntryPrefix))
-		s.addEntryHost(entry)
+		v.applyEntryHost(s, e)
 	case strings.HasPrefix(e.Key, PlanPrefix):
-		plan, err := rudderroster.Decode(e.Value)
-		if err != nil {
-			v.malformed(e.Key, err)
-			return
-		}
-		s.Plans[e.Key] = v.planRecord(s.Plans[e.Key], plan, e.Revision)
+		v.applyPlan(s, e)
 	case strings.HasPrefix(e.Key, SuspicionPrefix):
 		var x Suspicion
 		if err := json.Unmarshal(e.Value, &x); err != nil {
@@ -260,6 +250,40 @@
 	}
 }
 
+func (v *View) applyEntryHost(s *Snapshot, e rudderstore.Entry) {
+	var x EntryHost
+	err := json.Unmarshal(e.Value, &x)
+	if err == nil && EntryPrefix+x.Name != e.Key {
+		err = errors.Newf("registration of entry host %q", x.Name)
+	}
+	if err != nil {
+		v.malformed(e.Key, err)
+		return
+	}
+	s.removeEntryHost(x.Name)
+	s.addEntryHost(x)
+}
+
+// applyPlan updates a snapshot with a written plan. A malformed one does not replace the plan that is known, but its
+// revision is needed for the next write.
+func (v *View) applyPlan(s *Snapshot, e rudderstore.Entry) {
+	plan, err := rudderroster.Decode(e.Value)
+	if err == nil && PlanPrefix+plan.Key() != e.Key {
+		err = errors.Newf("plan of %q", plan.Key())
+	}
+	if err == nil {
+		s.Plans[e.Key] = v.planRecord(s.Plans[e.Key], plan, e.Revision)
+		return
+	}
+	v.malformed(e.Key, err)
+	kept, known := s.Plans[e.Key]
+	if !known {
+		kept.Plan.Service, kept.Plan.Domain, _ = strings.Cut(strings.TrimPrefix(e.Key, PlanPrefix), "/")
+	}
+	kept.Revision, kept.Unsaved = e.Revision, known
+	s.Plans[e.Key] = kept
+}
+
 // planRecord carries over the time at which this entry host first saw each group retire, in case it becomes
 // the planner.
 func (v *View) planRecord(old PlanRecord, plan rudderroster.Plan, revision int64) PlanRecord {
--- a/rudderd/rudderview/view_test.go
+++ b/rudderd/rudderview/view_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
@@ -187,6 +188,32 @@
 	require.Less(t, lines.Len(), 2*maxLoggedError)
 }
 
+// Guards against odd values under the keys of plans and registrations: a plan that cannot be written any more, because the
+// revision of the odd value is not known, groups that count twice, and hosts that stand under the name of others.
+func TestOddPlansAndRegistrations(t *testing.T) {
+	now := time.Minute
+	plan := rudderroster.Plan{Service: "x", Domain: "d", Groups: []rudderroster.Group{{Name: "g", Epoch: 1}}, Serial: 3}
+	other := rudderroster.Plan{Service: "x", Domain: "other", Groups: plan.Groups}
+	key, odd := PlanPrefix+plan.Key(), []byte(strings.Repeat("[", 1<<20))
+	for _, value := range [][]byte{odd, []byte("null"), put(key, other).Value} {
+		v := play(t, &script{list: []rudderstore.Entry{put(key, plan)}}, &now)
+		v.applyChanges(rudderstore.WatchResult{Events: []rudderstore.Event{{Entry: rudderstore.Entry{Key: key, Value: value, Revision: 11}}}, Revision: 11})
+		kept := v.Snapshot().Plans[key]
+		require.Equal(t, plan, kept.Plan)
+		require.Equal(t, int64(11), kept.Revision)
+		require.True(t, kept.Unsaved, "the planner writes it again")
+
+		v = play(t, &script{list: []rudderstore.Entry{{Key: key, Value: value, Revision: 9}}}, &now)
+		require.Equal(t, PlanRecord{Plan: rudderroster.Plan{Service: "x", Domain: "d"}, Revision: 9}, v.Snapshot().Plans[key])
+	}
+	host := EntryHost{Name: "e1", Address: "a:1"}
+	v := play(t, &script{list: []rudderstore.Entry{
+		put(EntryPrefix+"e1", host), put(EntryPrefix+"e2", host), {Key: EntryPrefix + "e3", Value: odd}, put(EntryPrefix+"e4", EntryHost{}),
+		{Key: SuspicionPrefix + "t", Value: odd}, {Key: PlannerKey, Value: odd},
+	}}, &now)
+	require.Equal(t, []EntryHost{host}, v.Snapshot().EntryHosts)
+}
+
 // Guards against dropping targets because their records lapsed during an outage, and against keeping targets
 // that do not write their records again.
 func TestRecordsComeBackAfterAnOutage(t *testing.T) {
