Leave an odd entry of the host list out, not the list

One entry of the platform's host list with a field of another type, a number too large or JSON nested too deeply failed the decoding of the whole list, so that entry hosts went on with the last one that they had read: new hosts were not used and leaving ones not noticed for as long as the entry stood. Entries with an address without a port, or with port 70000, counted as hosts.

The list is split into its entries before they are decoded, and an entry that names no usable host is left out and logged.

--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -18,6 +18,8 @@
 	// connections would be opened and closed all the time under load.
 	platformIdleConnections = 8
 	targetIdleConnections   = 64
+	// maxLoggedError bounds the part of a decoding error that is logged, in bytes: it may quote what was decoded.
+	maxLoggedError = 256
 )
 
 // wirePlatform creates the clients of the platform, of targets and of other entry hosts.
@@ -25,7 +27,10 @@
 	platform := &http.Client{Transport: orTransport(a.PlatformTransport, platformIdleConnections)}
 	store := &rudderstore.HTTP{BaseURL: a.Settings.KeyValueURL, Client: platform}
 	a.store = store.Store()
-	list := &rudderhost.HTTP{BaseURL: a.Settings.HostListURL, Client: platform}
+	list := &rudderhost.HTTP{BaseURL: a.Settings.HostListURL, Client: platform, OnInvalid: func(err error) {
+		text := err.Error()
+		a.Logger.Warn().Str("error", text[:min(len(text), maxLoggedError)]).Msg("entry of the host list ignored")
+	}}
 	a.hosts = list.List()
 	// Each control call opens a new connection: a pooled one may have broken unnoticed, and a probe must
 	// distinguish a broken connection from a dead target.
--- a/shared/rudderhost/http.go
+++ b/shared/rudderhost/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,6 +24,8 @@
 	BaseURL string
 	// Client sends the requests; nil means http.DefaultClient.
 	Client *http.Client
+	// OnInvalid is called for each entry that is left out; optional.
+	OnInvalid func(err error)
 }
 
 // List returns a List that reads from the service.
@@ -51,8 +52,16 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "unexpected HTTP status %d", response.StatusCode)
 	}
-	var hosts []Host
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&hosts); err != nil {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	hosts, err := decodeHosts(text, func(err error) {
+		if h.OnInvalid != nil {
+			h.OnInvalid(err)
+		}
+	})
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return hosts, nil
