Pass on events only as the rest of a stream that broke off

When the target that was to resume a stream answered 200 with a page or a text, or wrote an error object or a whole response into the stream, callers found it in the middle of their events. When it answered with a head and then closed the connection, or with an empty page, the stream ended as complete. Responses with another status or for another request were left out before.

The forwarder passed on any bytes up to a blank line, compared neither the content type with that of the stream's first response nor the form of an event, and took the end of a resumed stream without a length for complete even if it held no event. Bytes that are no event now break the stream, in the first response too: comments and fields, at least one of them of the format. A response of another type does not resume it, and the end of a connection without an event is no end of a stream.

--- a/rudderd/rudderforward/events.go
+++ b/rudderd/rudderforward/events.go
@@ -20,6 +20,7 @@
 	start   int   // index of the first unread byte
 	scanned int   // bytes from start that are known to contain no event terminator
 	readErr error // error of the last read from source
+	count   int   // events returned
 }
 
 // next returns the bytes of the next event, with its terminating blank line, and its ID, which may be empty.
@@ -29,6 +30,7 @@
 		if n := e.eventLength(); n > 0 {
 			event = e.buffer[e.start : e.start+n]
 			e.start, e.scanned = e.start+n, 0
+			e.count++
 			return event, eventID(event), nil
 		}
 		if e.readErr != nil {
@@ -88,6 +90,31 @@
 	return end
 }
 
+// validEvent reports whether a text has the form of an event: comments, or fields of which one at least has a name that
+// the format knows. A status line, a page or a JSON object does not.
+func validEvent(event []byte) bool {
+	fields, known := 0, false
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.ContainsFunc(name, func(r rune) bool { return !fieldNameRune(r) }) {
+			return false
+		}
+		fields++
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			known = true
+		}
+	}
+	return fields == 0 || known
+}
+
+func fieldNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_'
+}
+
 // eventID returns the value of the event's id field.
 func eventID(event []byte) string {
 	for len(event) > 0 {
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -75,6 +75,7 @@
 	resumed   int
 	firstByte time.Duration
 	lastEvent string
+	mediaType string // of the stream's first response
 }
 
 func (j *job) remaining(now time.Duration) time.Duration { return j.begin + j.limit - now }
--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -179,6 +179,58 @@
 	}
 }
 
+// Guards against the text of an error, or a whole response, in the middle of a stream, and against a stream that ends as if
+// it were complete: the target that is to resume it answers with something else.
+func TestErrorInPlaceOfTheRestOfAStream(t *testing.T) {
+	sealed := "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q1\r\n"
+	for _, test := range []struct{ name, second string }{
+		{"failure", "HTTP/1.1 500 Failed\r\nSeal: s\r\nId: q1\r\nContent-Length: 7\r\n\r\nfailed\n"},
+		{"failure in chunks", "HTTP/1.1 500 Failed\r\nId: q1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: failed\n\n") + "0\r\n\r\n"},
+		{"not found", "HTTP/1.1 404 Gone\r\nId: q1\r\nContent-Length: 6\r\n\r\ngone\n\n"},
+		{"refusal", "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nContent-Length: 6\r\n\r\nfull\n\n"},
+		{"page", sealed + "Content-Type: text/html\r\nContent-Length: 14\r\n\r\n<p>failed\n\n</p>"},
+		{"empty page", sealed + "Content-Type: text/html\r\nContent-Length: 0\r\n\r\n"},
+		{"text without a type", sealed + "Content-Length: 8\r\n\r\nfailed\n\n"},
+		{"object in the stream", streamHead + chunk(`{"error":"failed"}`+"\n\n") + "0\r\n\r\n"},
+		{"field in the stream", streamHead + chunk("error: failed\n\n") + "0\r\n\r\n"},
+		{"response in the stream", streamHead + chunk("HTTP/1.1 503 Full\r\nContent-Type: text/plain\r\n\r\nfull\n\n") + "0\r\n\r\n"},
+		{"response in place of a chunk", streamHead + "HTTP/1.1 503 Full\r\nContent-Length: 6\r\n\r\nfull\n\n"},
+		{"response in a stream without chunks", sealed + "Content-Type: text/event-stream\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 6\r\n\r\nfull\n\n"},
+		{"response for another request", strings.Replace(streamHead, "q1", "q0", 1) + chunk("id: 2\ndata: x\n\n") + "0\r\n\r\n"},
+		{"head alone", sealed + "Content-Type: text/event-stream\r\n\r\n"},
+	} {
+		for _, attempts := range []int{2, 3} {
+			t.Run(fmt.Sprint(test.name, " of ", attempts), func(t *testing.T) {
+				b := newTestbed(t)
+				b.route("/s/", func(r *rudderroute.Route) { streamRoute(true)(r); r.MaxAttempts = attempts })
+				var arrivals atomic.Int32
+				for range attempts {
+					b.rawTarget("llm", func(w net.Conn, _ *http.Request, _, _ int) {
+						switch n := arrivals.Add(1); {
+						case n == 1:
+							_, _ = io.WriteString(w, streamHead+chunk("id: 1\ndata: a\n\n"))
+						case n == 2 || attempts == 2:
+							_, _ = io.WriteString(w, test.second)
+						default:
+							_, _ = io.WriteString(w, streamHead+chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n")
+						}
+						_ = w.Close()
+					})
+				}
+				b.start()
+				_, body, err := b.send("POST", "/s/x", "prompt")
+				if attempts == 2 {
+					require.Error(t, err, "the stream is not complete")
+					require.Equal(t, "id: 1\ndata: a\n\n", body)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+			})
+		}
+	}
+}
+
 // Guards against treating a response without a length as complete when its connection was reset.
 func TestAnswerWithoutLengthThatIsReset(t *testing.T) {
 	b := newTestbed(t)
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +13,12 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// errCutEvent reports a stream that ended inside an event, or with its connection before the first one.
-var errCutEvent = errors.New("forward: stream ended inside an event")
+var (
+	// errCutEvent reports a stream that ended inside an event, or with its connection before the first one.
+	errCutEvent = errors.New("forward: stream ended inside an event")
+	// errNoEvent reports bytes in a stream that are no event, such as the response to another request.
+	errNoEvent = errors.New("forward: bytes in the stream are no event")
+)
 
 // resumeWait is how long a stream that has begun waits for a group that can resume it. The wait is short,
 // because the caller can resume a truncated stream at another entry host.
@@ -108,13 +113,13 @@
 	case answer.NotRun:
 		f.recordRefusal(j, g, answer)
 		return false
-	case status == http.StatusOK && answer.Sealed:
-	case status == http.StatusOK:
+	case status == http.StatusOK && answer.Sealed && (!j.started || mediaType(answer.response) == j.mediaType):
+	case status == http.StatusOK && !answer.Sealed:
 		answer.discard()
 		f.recordFailure(ctx, j, g, errors.Mark(errors.New("stream without the seal header"), ErrWrongAnswer))
 		return false
 	case j.started || status >= 500 && j.route.Repeatable() && j.runs+1 < max(j.route.MaxAttempts, 1):
-		f.recordFailure(ctx, j, g, errors.Newf("target %s answered %d", g.Leader.Name, status))
+		f.recordFailure(ctx, j, g, errors.Newf("target %s answered %d of type %q", g.Leader.Name, status, mediaType(answer.response)))
 		return false
 	default:
 		done := f.answerCall(ctx, j, g, answer)
@@ -151,6 +156,7 @@
 			f.countEvent(j)
 		}
 		if !j.started {
+			j.mediaType = mediaType(answer.response)
 			f.writeHead(j, answer.response, false, 0)
 			if j.pickedAt > 0 && j.sends == 0 {
 				f.firstEvents.observe(j.service+"\x00"+j.pickedModel, j.expectedWait, f.Uptime()-j.pickedAt)
@@ -181,12 +187,21 @@
 // nextEvent returns the next event of a stream. At its end, it returns io.EOF only if the stream may be complete.
 func nextEvent(j *job, answer *reply, events *eventReader) (event []byte, id string, err error) {
 	event, id, err = events.next()
-	if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer)) {
+	if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer, events)) {
 		err = errCutEvent
 	}
+	if err == nil && !validEvent(event) {
+		err = errNoEvent
+	}
 	return event, id, err
 }
 
+// mediaType returns the content type of a response without its parameters.
+func mediaType(r *http.Response) string {
+	value, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // endStream records the end of a stream that is complete.
 func (f *Forwarder) endStream(j *job, answer *reply) {
 	j.sends++
@@ -196,10 +211,13 @@
 	}
 }
 
-// endsEmpty reports whether a stream that has just begun ended with its connection and without an event, so that its end
-// is no proof of a complete response.
-func endsEmpty(j *job, answer *reply) bool {
-	return !answer.framed() && j.sendEvents == 0 && j.lastEvent == ""
+// endsEmpty reports whether a stream that has just begun, or has just been resumed by this entry host, ended with its
+// connection and without an event, so that its end is no proof of a complete response.
+func endsEmpty(j *job, answer *reply, events *eventReader) bool {
+	if answer.framed() {
+		return false
+	}
+	return j.sendEvents == 0 && j.lastEvent == "" || j.resumed > 0 && events.count == 0
 }
 
 func (f *Forwarder) callerLeft(j *job, err error) {
