Believe an engine's refusal only if it names the attempt

Callers of the chat API could be told "not run" for a request that an engine was running: the runner believed each response with Rudder-Not-Run, so a refusal of an earlier request or attempt, written once more on a kept connection, counted as the answer to the attempt that had just been sent.

Responses other than streams, whose chunks name their attempt, now have to name the request and the attempt if the connection was in use before; one that names another is never believed, and its connection is closed. The stand-in engine names both, and so does the fake one of the tests.

TestEarlierRefusalIsNotBelieved failed before in its three cases ("not_run").

--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -68,12 +70,20 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
-	response, err := e.Client.Do(request)
+	var used httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info }}
+	response, err := e.Client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, sendError(err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
+		if !isOwn(response.Header, extension, used.Reused) {
+			if used.Conn != nil {
+				_ = used.Conn.Close()
+			}
+			return nil, errors.Mark(errors.Newf("got the response for request %q", response.Header.Get(ruddertarget.HeaderRequestID)), ErrMalformed)
+		}
 		return nil, statusError(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, 4096)
@@ -83,6 +93,16 @@
 	}, nil
 }
 
+// isOwn reports whether a response belongs to an attempt. One that does not say so may be a late response to an earlier
+// request if the connection is reused. The chunks of a stream name their attempt themselves.
+func isOwn(h http.Header, extension ruddertarget.WorkExtension, reused bool) bool {
+	id := h.Get(ruddertarget.HeaderRequestID)
+	if id == "" {
+		return !reused
+	}
+	return id == extension.RequestID && h.Get(ruddertarget.HeaderAttempt) == strconv.Itoa(extension.Attempt)
+}
+
 // extend merges the extension fields into the caller's body and requests a stream.
 func extend(body map[string]json.RawMessage, extension ruddertarget.WorkExtension) ([]byte, error) {
 	fields, err := json.Marshal(extension)
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -95,7 +96,9 @@
 	}
 }
 
-func refuseRequest(w http.ResponseWriter, _ ruddertarget.WorkExtension, _ *http.Request) {
+func refuseRequest(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+	w.Header().Set(ruddertarget.HeaderRequestID, x.RequestID)
+	w.Header().Set(ruddertarget.HeaderAttempt, strconv.Itoa(x.Attempt))
 	w.Header().Set(ruddertarget.HeaderNotRun, "true")
 	w.WriteHeader(http.StatusConflict)
 }
@@ -230,6 +233,31 @@
 	}
 }
 
+// Guards against a refusal of an earlier attempt or request, once more on a kept connection, that is believed to be the
+// answer to an attempt which the engine runs.
+func TestEarlierRefusalIsNotBelieved(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(x *ruddertarget.WorkExtension)
+	}{
+		{"of an earlier attempt", func(x *ruddertarget.WorkExtension) { x.Attempt-- }},
+		{"of an earlier request", func(x *ruddertarget.WorkExtension) { x.RequestID = "entry.0" }},
+		{"without a name", func(x *ruddertarget.WorkExtension) { x.RequestID = "" }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			engine := newFakeEngine(t, refuseRequest, func(w http.ResponseWriter, x ruddertarget.WorkExtension, r *http.Request) {
+				test.change(&x)
+				refuseRequest(w, x, r)
+			})
+			r := testRunner(engine.address())
+			r.MaxAttempts = 2
+			page, _ := runRequest(t, r)
+			require.Equal(t, OutcomeMayHaveRun, page.Result.Outcome)
+			require.Len(t, engine.requests(), 2)
+		})
+	}
+}
+
 // Guards against counting a request to a closed port as one that may have run.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	engine := newFakeEngine(t, tokens(5, 5))
--- a/rudderstand/rudderengine/serve.go
+++ b/rudderstand/rudderengine/serve.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"comfreyrudder.example/rudderstand/rudderrole"
@@ -39,6 +40,8 @@
 		rudderrole.WriteNotRun(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
+	w.Header().Set(ruddertarget.HeaderRequestID, request.RequestID)
+	w.Header().Set(ruddertarget.HeaderAttempt, strconv.Itoa(request.Attempt))
 	work := newRun(request.WorkExtension, ruddertarget.PromptText(request.Messages), request.limit())
 	if refusal := e.enqueue(work, request.Model); refusal != nil {
 		rudderrole.WriteNotRun(w, refusal.status, refusal.code, refusal.message)
--- a/shared/ruddertarget/target.go
+++ b/shared/ruddertarget/target.go
@@ -154,5 +154,12 @@
 // takes from all entry hosts together. It holds until a response does not have it.
 const HeaderRequestLimit = "Rudder-Request-Limit"
 
+// HeaderRequestID and HeaderAttempt name, in a target's response, the request and the attempt that it belongs to. A call to
+// a plain service names its request in HeaderRequestID too; it has no attempts.
+const (
+	HeaderRequestID = "Rudder-Request-Id"
+	HeaderAttempt   = "Rudder-Attempt"
+)
+
 // HeaderNotRun is set to "true" on an error response if the target did not start the request.
 const HeaderNotRun = "Rudder-Not-Run"
