Take a response on a kept connection only for the call that it names

A call to a plain service that may be repeated could be answered with the late response to an earlier call, or reported as "not run" on account of an earlier refusal, although its target ran it: such calls use kept connections, and nothing told one response from another. Other calls have a connection each.

Calls carry Rudder-Request-Id. A response that names another call, or none on a connection that was in use before, counts as no answer to this call, which may have run, and its connection is closed. Connections are kept only to targets that name the call in their responses, so that services which know nothing of it get a new one for each call. The stand-in service names it.

--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -37,8 +37,8 @@
 			return notRun(http.StatusServiceUnavailable, CodeNoPermit, err.Error())
 		}
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connection atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info) }}
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
 	defer cancel(nil)
 	request, err := newTargetRequest(ctx, address, call)
@@ -48,18 +48,21 @@
 	if d.Probe != nil {
 		go d.probeUntilSilent(ctx, cancel, address)
 	}
-	result := d.exchange(ctx, transport, request, &connected)
+	result := d.exchange(ctx, transport, request, &connection)
 	result.Target = address
 	return result
 }
 
-func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, connected *atomic.Bool) Result {
+func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, connection *atomic.Pointer[httptrace.GotConnInfo]) Result {
 	sentAt := d.Clock.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return failedResult(ctx, err, connected.Load())
+		return failedResult(ctx, err, connection.Load() != nil)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !d.isOwn(request, response, connection.Load()) {
+		return mayHaveRun(http.StatusBadGateway, CodeInterrupted, "the target sent the answer to another call")
+	}
 	if d.OnResponse != nil {
 		d.OnResponse(request.URL.Host, response.Header, sentAt)
 	}
@@ -73,7 +76,35 @@
 	if int64(len(body)) > d.MaxResponseBytes {
 		return mayHaveRun(http.StatusBadGateway, CodeAnswerTooLarge, "the target's answer is larger than the limit")
 	}
-	return Result{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header, "Content-Length"), Body: body}
+	return Result{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header, "Content-Length", ruddertarget.HeaderRequestID), Body: body}
+}
+
+// isOwn reports whether a response belongs to a request. One that does not say so may be a late response to an earlier
+// request if the connection is reused. The connection of another request's response is closed.
+func (d *Dispatcher) isOwn(request *http.Request, response *http.Response, connection *httptrace.GotConnInfo) bool {
+	id := response.Header.Get(ruddertarget.HeaderRequestID)
+	own := id != "" && id == request.Header.Get(ruddertarget.HeaderRequestID)
+	if own {
+		d.naming.Store(request.URL.Host, true)
+		return true
+	}
+	d.naming.Delete(request.URL.Host)
+	if id == "" && (connection == nil || !connection.Reused) {
+		return true
+	}
+	if connection != nil {
+		_ = connection.Conn.Close()
+	}
+	return false
+}
+
+// idempotentTransport returns the transport for a call that may be retried. Connections are kept only to targets that name
+// the request in their responses.
+func (d *Dispatcher) idempotentTransport(address string) http.RoundTripper {
+	if _, naming := d.naming.Load(address); naming {
+		return d.persistent
+	}
+	return d.fresh
 }
 
 // failedResult returns the result of an attempt without a complete response. Once the attempt had a connection,
@@ -135,7 +166,7 @@
 	}
 	request.ContentLength = int64(len(call.Body))
 	request.Header = endToEnd(call.Header, "Authorization", "Content-Length", "Expect", "Host")
-	request.Header.Set("Rudder-Request-Id", call.RequestID)
+	request.Header.Set(ruddertarget.HeaderRequestID, call.RequestID)
 	return request, nil
 }
 
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -127,6 +127,7 @@
 	once       sync.Once
 	fresh      http.RoundTripper // opens a new connection for each call
 	persistent http.RoundTripper
+	naming     sync.Map // addresses of the targets whose last response named its request
 }
 
 // Do dispatches a call and returns its final result.
@@ -212,7 +213,7 @@
 			}
 			return last
 		}
-		result := d.attempt(ctx, d.persistent, address, call)
+		result := d.attempt(ctx, d.idempotentTransport(address), address, call)
 		release()
 		last = mergeOutcome(last, result)
 		final := result.Outcome == OutcomeComplete || result.Code == CodeAnswerTooLarge || result.Code == CodeBadRequest
--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -140,6 +141,69 @@
 	}
 }
 
+// serveHeads starts a target that answers the calls of each connection with one of the heads after the other. OWN in a head
+// stands for the ID of the call.
+func serveHeads(t *testing.T, heads ...string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for _, head := range heads {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			head = strings.Replace(head, "OWN", r.Header.Get(ruddertarget.HeaderRequestID), 1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 2\r\n\r\nok")
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a call that is answered with the late response to an earlier one on a kept connection, or is reported as
+// not run because of it.
+func TestResponseToAnEarlierCall(t *testing.T) {
+	const own, other, refused = "Rudder-Request-Id: OWN\r\n", "Rudder-Request-Id: c0\r\n", "Rudder-Not-Run: true\r\n"
+	for _, test := range []struct {
+		name          string
+		first, second string
+		want          []Outcome
+	}{
+		{"own answers", own, own, []Outcome{OutcomeComplete, OutcomeComplete}},
+		{"answer to an earlier call", own, other, []Outcome{OutcomeComplete, OutcomeMayHaveRun}},
+		{"answer without a name", own, "", []Outcome{OutcomeComplete, OutcomeMayHaveRun}},
+		{"refusal of an earlier call", own, other + refused, []Outcome{OutcomeComplete, OutcomeMayHaveRun}},
+		{"refusal without a name", own, refused, []Outcome{OutcomeComplete, OutcomeMayHaveRun}},
+		{"own refusal", own, own + refused, []Outcome{OutcomeComplete, OutcomeNotRun}},
+		{"target that names nothing", "", "", []Outcome{OutcomeComplete, OutcomeComplete}},
+		{"refusals of a target that names nothing", refused, refused, []Outcome{OutcomeNotRun, OutcomeNotRun}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveHeads(t, test.first, test.second)
+			d, _ := newDispatcher(target)
+			if test.first == own {
+				d.naming.Store(target, true) // as after an earlier answer
+			}
+			for i, want := range test.want {
+				result := d.Do(context.Background(), Call{RequestID: "c" + strconv.Itoa(i+1), Method: http.MethodGet, Path: "/booths", Header: http.Header{}})
+				require.Equal(t, want, result.Outcome)
+				require.Empty(t, result.Header.Get(ruddertarget.HeaderRequestID), "a stored answer is replayed to other calls")
+			}
+		})
+	}
+}
+
 // Guards against idempotent calls that fail although another target can respond, and against retries beyond the
 // retry budget.
 func TestIdempotentCallsAreRetriedWithinTheBudget(t *testing.T) {
--- a/rudderstand/rudderbackend/backend.go
+++ b/rudderstand/rudderbackend/backend.go
@@ -20,7 +20,7 @@
 
 // Headers that the service reads.
 const (
-	HeaderRequestID      = "Rudder-Request-Id"
+	HeaderRequestID      = ruddertarget.HeaderRequestID
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderGroup names the group that a call is for. A service in another group refuses the call with HTTP
 	// 409 and does not run it.
@@ -151,6 +151,7 @@
 }
 
 func (b *Backend) serveCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		rudderrole.WriteNotRun(w, http.StatusBadRequest, "bad_request", err.Error())
