Resume an answer elsewhere if the next engine rejects the request

Callers of the chat API found the error "invalid_request", with the text of an engine's 400, in the middle of an answer that had begun, although other engines could go on with it.

A 400 ended the request, as a retry would get it again. Once an answer has begun, an engine has accepted the request, so that a 400 in response to its resumption is a fault of the next engine.

One of the eight cases of TestErrorInPlaceOfTheRestOfAnAnswer failed before; failures with other statuses, pages, empty responses and errors in the stream were resumed elsewhere, and none of their text reached the answer.

--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -173,7 +173,7 @@
 		return s.failure(CodeNotReady, "the entry host stopped before the end of the answer", time.Second), true
 	case errors.As(err, &refusal):
 		return s.failure(refusal.Code, refusal.Message, refusal.RetryAfter), true
-	case errors.Is(err, ErrBadRequest):
+	case errors.Is(err, ErrBadRequest) && s.answer.Received() == 0: // else an engine has accepted the request before
 		return s.failure(CodeBadRequest, err.Error(), 0), true
 	case errors.Is(err, errAbandoned) || ctx.Err() != nil:
 		return s.failure(CodeAbandoned, "the caller left and did not come back", 0), true
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -197,6 +197,38 @@
 	}
 }
 
+// Guards against the text of an error, or the end of the stream, in the middle of an answer whose next engine answers with
+// something else than the rest.
+func TestErrorInPlaceOfTheRestOfAnAnswer(t *testing.T) {
+	answer := func(status int, body string) script {
+		return func(w http.ResponseWriter, _ ruddertarget.WorkExtension, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		second script
+	}{
+		{"failure", answer(500, "data: failed\n\n")},
+		{"invalid request", answer(400, "no such parameter")},
+		{"not found", answer(404, "")},
+		{"page", answer(200, "<p>failed\n\n</p>")},
+		{"empty page", answer(200, "")},
+		{"end marker", answer(200, "data: [DONE]\n\n")},
+		{"response in the stream", answer(200, "HTTP/1.1 503 Full\r\n\r\ndata: full\n\n")},
+		{"error in the stream", answer(200, "data: {\"error\":{\"message\":\"failed\"}}\n\n")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			engine := newFakeEngine(t, tokens(3, 5), test.second, tokens(5, 5))
+			page, timing := runRequest(t, testRunner(engine.address()))
+			require.Equal(t, OutcomeComplete, page.Result.Outcome, page.Result.Message)
+			require.Equal(t, expectedTokens(5), page.Tokens)
+			require.Equal(t, 3, timing.Attempts)
+		})
+	}
+}
+
 // Guards against reporting a request as not run although a target may have run it, and the reverse.
 func TestOutcomeIsTrue(t *testing.T) {
 	refusal := &Refusal{Code: CodeNoCapacity, Message: "full", RetryAfter: time.Second}
