Let the engine of TestPromptTokens answer probes

TestPromptTokens/cut_after_the_last_token failed once on arm64 beside other load: two attempts in place of one.

The runner of the tests probes an engine after 80 ms without an event, and its probes fail. Where the first token is read later than that, because the machine is busy, the attempt is given up and the request runs again, before the cut that the test is about. With a probe that an engine answers, as in a fleet, the runner goes on waiting. The checks are the same.

--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -384,7 +384,11 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			page, timing := runRequest(t, testRunner(newFakeEngine(t, test.engine).address()))
+			r := testRunner(newFakeEngine(t, test.engine).address())
+			r.Probe = func(context.Context, string, string) (ruddertarget.RequestStatus, error) {
+				return ruddertarget.RequestStatus{Attempt: 1, Queued: true}, nil // the engine lives, however late its tokens are read
+			}
+			page, timing := runRequest(t, r)
 			require.Equal(t, OutcomeComplete, page.Result.Outcome)
 			require.Equal(t, test.want, page.Result.PromptTokens)
 			require.Equal(t, 1, timing.Attempts)
