Measure how long connections to targets take before another path is tried

A request waited 250 ms for a connection that a partition swallows, within a region 60 times the usual set-up, and a relaying host as long again; a silent send was checked after 300 ms. The limit is four times the slowest recent set-up and 60 ms, at most 250 ms, and silent sends are checked after 200 ms. A host that knows that it is cut off checks no further targets.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -87,6 +87,7 @@
 	balance     *balance
 	limits      *rudderlimit.Table
 	path        *rudderpath.Monitor
+	pathPeers   *pathPeers
 	packer      packer
 	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
--- a/rudderd/rudderedge/path.go
+++ b/rudderd/rudderedge/path.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -52,6 +54,7 @@
 // newRelay returns the client for requests that go through other entry hosts. It has connections of its own, so that
 // long responses do not delay other calls.
 func (e *Edge) newRelay() *rudderpath.Relay {
+	e.pathPeers = &pathPeers{edge: e}
 	dialer := Dialer()
 	dialer.Timeout = relayDialTimeout
 	return &rudderpath.Relay{
@@ -59,16 +62,33 @@
 		Transport: &rudderpeer.Transport{
 			Keys: e.peers.keys, Clock: clockwork.NewRealClock(), Base: &rudderpeer.Pool{Dial: dialer.DialContext},
 		},
-		Peers: func() []rudderpath.Peer {
-			var list []rudderpath.Peer
-			for _, x := range e.view.Snapshot().EntryHosts {
-				if x.Peer != "" && x.Name != e.Settings.Name {
-					list = append(list, rudderpath.Peer{Name: x.Name, Address: x.Peer})
-				}
-			}
-			return list
-		},
+		Peers: e.pathPeers.of,
+	}
+}
+
+// pathPeers caches the other entry hosts of a snapshot.
+type pathPeers struct {
+	edge *Edge
+
+	mu       sync.Mutex
+	snapshot *rudderview.Snapshot
+	list     []rudderpath.Peer
+}
+
+func (p *pathPeers) of() []rudderpath.Peer {
+	snapshot := p.edge.view.Snapshot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.snapshot == snapshot {
+		return p.list
+	}
+	p.snapshot, p.list = snapshot, nil
+	for _, x := range snapshot.EntryHosts {
+		if x.Peer != "" && x.Name != p.edge.Settings.Name {
+			p.list = append(p.list, rudderpath.Peer{Name: x.Name, Address: x.Peer})
+		}
 	}
+	return p.list
 }
 
 // maxRelayed bounds the requests that this entry host relays at once.
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -16,7 +16,7 @@
 const (
 	// answerSilence is the time without response headers after which the path to the target is checked, unless other
 	// targets of the service answer. At secondAnswerSilence it is checked in any case.
-	answerSilence       = 300 * time.Millisecond
+	answerSilence       = 200 * time.Millisecond
 	secondAnswerSilence = 700 * time.Millisecond
 )
 
@@ -96,6 +96,7 @@
 	wrote     atomic.Bool
 	used      atomic.Pointer[sendConn]
 	state     atomic.Int32
+	dialledAt atomic.Int64 // uptime in nanoseconds
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -112,7 +113,7 @@
 func (f *Forwarder) startAttempt(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, impatient bool) *attempt {
 	a := &attempt{forwarder: f, exchange: x, cancel: cancel}
 	if impatient {
-		a.schedule(rudderpath.ConnectTimeout, a.checkConnect)
+		a.schedule(f.Path.ConnectTimeout(), a.checkConnect)
 	}
 	return a
 }
@@ -130,7 +131,7 @@
 		a.timer.Stop()
 	}
 	a.timer = time.AfterFunc(d, func() {
-		if a.forwarder.Uptime()-due > maxTimerDelay {
+		if a.forwarder.Uptime()-due > min(maxTimerDelay, d/2) {
 			a.schedule(d, check)
 			return
 		}
@@ -151,6 +152,7 @@
 
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { a.dialledAt.Store(int64(a.forwarder.Uptime())) },
 		GotConn: func(info httptrace.GotConnInfo) {
 			if !a.state.CompareAndSwap(attemptConnecting, attemptConnected) {
 				_ = info.Conn.Close() // the request goes another way, so nothing of it may be written here
@@ -159,6 +161,9 @@
 			a.used.Store(newSendConn(info.Conn, info.Reused))
 			if !info.Reused {
 				a.forwarder.Metrics.Count("targets.connections")
+				if began := a.dialledAt.Load(); began > 0 {
+					a.forwarder.Path.ConnectTook(a.forwarder.Uptime() - time.Duration(began))
+				}
 				a.forwarder.Path.Connected(pathTarget(a.exchange.group.Leader))
 			}
 			a.schedule(answerSilence, a.checkAnswer)
--- a/rudderd/rudderpath/monitor.go
+++ b/rudderd/rudderpath/monitor.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// ConnectTimeout bounds the set-up of a connection before another path is tried: several round trips between regions.
-	ConnectTimeout = 250 * time.Millisecond
-	// MaxTimerDelay is how late a timer may fire before this process counts as delayed itself.
-	MaxTimerDelay = 100 * time.Millisecond
+	// maxConnectTimeout bounds the set-up of a connection before another path is tried. Less than that is allowed for once it
+	// is known how long a connection takes: connectTimes times as long, and minConnectTimeout for delays of this process.
+	maxConnectTimeout = 250 * time.Millisecond
+	minConnectTimeout = 60 * time.Millisecond
+	connectTimes      = 4
+	// connectTimeDecay is how fast a long set-up is forgotten, for each shorter one.
+	connectTimeDecay = 0.95
 	// checkTTL is how long the result of a check is reused.
 	checkTTL = 300 * time.Millisecond
 	// recheckInterval is the time between two rounds of checks of unreachable targets.
@@ -80,6 +83,7 @@
 	checks      map[process]*check
 	tokens      float64
 	filledAt    time.Duration
+	connectTime time.Duration // time that connections take, at most
 	confirming  chan struct{} // closed when other targets have been checked; nil while none are
 }
 
@@ -117,6 +121,23 @@
 	}
 }
 
+// ConnectTook records how long the set-up of a connection took.
+func (m *Monitor) ConnectTook(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.connectTime = max(d, time.Duration(connectTimeDecay*float64(m.connectTime)), 1)
+}
+
+// ConnectTimeout returns the time after which a connection that is not set up should be given up for another path.
+func (m *Monitor) ConnectTimeout() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.connectTime == 0 {
+		return maxConnectTimeout
+	}
+	return min(minConnectTimeout+connectTimes*m.connectTime, maxConnectTimeout)
+}
+
 // Heard records that a target of a service has sent something.
 func (m *Monitor) Heard(service string) {
 	m.mu.Lock()
@@ -138,6 +159,7 @@
 // Failed records that a target did not accept a new connection. Other targets are checked to find out on which side the
 // fault is.
 func (m *Monitor) Failed(t Target) {
+	cut := m.Cut(t.Service)
 	m.mu.Lock()
 	if m.unreachable == nil {
 		m.unreachable = map[process]lostTarget{}
@@ -149,7 +171,7 @@
 	}
 	x.at = now
 	m.unreachable[t.process()] = x
-	confirm := !known && m.confirming == nil
+	confirm := !known && !cut && m.confirming == nil
 	if confirm {
 		m.confirming = make(chan struct{})
 	}
@@ -286,7 +308,7 @@
 		failed[x.target.Service] = max(failed[x.target.Service], x.at)
 	}
 	for service, at := range m.connected {
-		if at > since-ConnectTimeout && at > failed[service] {
+		if at > since-maxConnectTimeout && at > failed[service] {
 			count = 0
 		}
 	}
@@ -356,15 +378,18 @@
 }
 
 func (m *Monitor) connect(t Target) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), ConnectTimeout)
+	timeout := m.ConnectTimeout()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	began := m.Uptime()
 	connection, err := m.Dial(ctx, "tcp", t.Address)
+	took := m.Uptime() - began
 	switch {
 	case err == nil:
 		_ = connection.Close()
+		m.ConnectTook(took)
 		return Connected
-	case m.Uptime()-began > ConnectTimeout+MaxTimerDelay:
+	case took > timeout+timeout/2:
 		return Unknown // this process was delayed
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return Silent
--- a/rudderd/rudderpath/monitor_test.go
+++ b/rudderd/rudderpath/monitor_test.go
@@ -77,7 +77,7 @@
 	m := &Monitor{
 		Uptime: func() time.Duration { return now }, EntryHosts: func() int { return 2 }, Targets: func() []Target { return nil }, OnChange: func(Target, bool) {},
 		Dial: func(context.Context, string, string) (net.Conn, error) {
-			now += 2 * ConnectTimeout
+			now += 2 * maxConnectTimeout
 			return nil, syscall.ETIMEDOUT
 		},
 	}
--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -61,7 +61,7 @@
 // Relay sends requests through other entry hosts. Set the exported fields before use.
 type Relay struct {
 	Transport http.RoundTripper
-	// Peers returns the other entry hosts.
+	// Peers returns the other entry hosts. The list is not changed.
 	Peers  func() []Peer
 	Uptime func() time.Duration
 
@@ -95,8 +95,10 @@
 
 // Usable reports whether another entry host may have a path to the targets of a service.
 func (r *Relay) Usable(service string) bool {
-	_, found := r.choose(service, nil)
-	return found
+	now, list := r.Uptime(), r.Peers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(list, func(p Peer) bool { return r.noPath[peerKey{p.Address, service}] <= now })
 }
 
 // choose draws a peer at random. After another peer could not relay the request, it prefers those that have relayed one.
@@ -105,7 +107,7 @@
 	list := r.Peers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list = slices.DeleteFunc(list, func(p Peer) bool { return tried[p.Address] || r.noPath[peerKey{p.Address, service}] > now })
+	list = slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return tried[p.Address] || r.noPath[peerKey{p.Address, service}] > now })
 	if len(tried) > 0 {
 		good := slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return r.good[peerKey{p.Address, service}] <= now })
 		if len(good) > 0 {
