Give relayed requests a nonce cache of their own

Each signed call takes a place in the cache of nonces for 60 s. During a long partition the requests relayed for other entry hosts could fill the cache that they shared with all other calls between hosts, which would then be refused. Found by reading; not seen in a run. The larger limit on bodies now holds for relayed requests only.

--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -49,16 +49,20 @@
 
 // peerHandler serves the calls of other entry hosts.
 func (e *Edge) peerHandler() http.Handler {
-	verifier := &rudderpeer.Verifier{
-		Keys: e.peers.keys, Clock: clockwork.NewRealClock(), MaxBodyBytes: rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes,
-	}
+	verifier := &rudderpeer.Verifier{Keys: e.peers.keys, Clock: clockwork.NewRealClock()}
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
-	mux.HandleFunc(rudderpath.PathPrefix, e.forwarder.ServeRelayed)
 	mux.HandleFunc(http.MethodPost+" "+testifyPath, e.testify)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
-	return verifier.Wrap(mux)
+	// Relayed requests have a nonce cache of their own, so that many of them do not stop other calls.
+	relayVerifier := &rudderpeer.Verifier{
+		Keys: e.peers.keys, Clock: clockwork.NewRealClock(), MaxBodyBytes: rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes,
+	}
+	all := http.NewServeMux()
+	all.Handle(rudderpath.PathPrefix, relayVerifier.Wrap(http.HandlerFunc(e.forwarder.ServeRelayed)))
+	all.Handle("/", verifier.Wrap(mux))
+	return all
 }
 
 // setSecret sets the shared secret that was read from the key-value service.
