Blame no path for an idle connection that closes, nor cancel a response that has arrived

An idle connection that the target closes before the request is written counted as a failed connect, which moved a second of requests to other hosts. A check that ended just after the response headers cancelled the response.

--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -43,7 +43,7 @@
 	if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
 		return answer, err
 	}
-	if usable {
+	if usable && !f.Path.Direct(t) {
 		relayed, relayErr := f.sendRelayed(ctx, x)
 		if !errors.Is(relayErr, ErrNotSent) {
 			return relayed, relayErr
@@ -192,8 +192,15 @@
 
 func (a *attempt) checkPath() {
 	t := pathTarget(a.exchange.group.Leader)
-	if a.forwarder.Path.Check(t) == rudderpath.Silent && a.exchange.repeatable && a.forwarder.Relay.Usable(t.Service) {
-		a.cancel(errPathLost)
+	if !a.forwarder.Relay.Usable(t.Service) {
+		return
+	}
+	if a.forwarder.Path.Check(t) == rudderpath.Silent && a.exchange.repeatable {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.ended { // no response has arrived meanwhile
+			a.cancel(errPathLost)
+		}
 		return
 	}
 	a.schedule(secondAnswerSilence, a.checkPath)
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -129,12 +129,10 @@
 		return errors.Mark(err, ErrNotSent)
 	case unwritten && connection.reused:
 		return errors.Mark(errors.Mark(err, ErrNotSent), errClosedConnection)
-	case unwritten:
+	case neverConnected(err) && cause == nil:
+		f.Path.Failed(t)
 		return errors.Mark(err, ErrNotSent)
-	case !a.wrote.Load() || neverConnected(err):
-		if cause == nil {
-			f.Path.Failed(t)
-		}
+	case unwritten || !a.wrote.Load() || neverConnected(err):
 		return errors.Mark(err, ErrNotSent)
 	}
 	return f.blamePath(ctx, x.group.Leader, errors.Mark(err, ErrBroken))
