--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 	PlatformTransport http.RoundTripper
 	TargetTransport   http.RoundTripper
 	PeerTransport     http.RoundTripper
+	// TargetDial opens connections to targets, so that tests can cut an entry host off from them; nil selects the network.
+	TargetDial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	self      ruddermember.Member
 	listeners listeners
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -32,7 +32,7 @@
 	}
 	a.runner = &rudderstream.Runner{
 		Clock: a.Clock, Logger: a.Logger,
-		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: observedTransport{orTransport(a.TargetTransport, targetIdleConnections), a}}},
+		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: observedTransport{a.targetTransport(), a}}},
 		Permit:      func() error { return a.config.Permit(a.Clock.Now()) },
 		Acquire:     a.acquireChat,
 		Probe:       a.control.RequestStatus,
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -34,7 +34,7 @@
 	a.hosts = list.List()
 	// Each control call opens a new connection: a pooled one may have broken unnoticed, and a probe must
 	// distinguish a broken connection from a dead target.
-	fresh := newTransport(targetIdleConnections)
+	fresh := a.newTargetTransport()
 	fresh.DisableKeepAlives = true
 	var transport http.RoundTripper = fresh
 	if a.TargetTransport != nil {
@@ -56,6 +56,23 @@
 	return newTransport(idle)
 }
 
+// targetTransport returns the transport of model requests.
+func (a *App) targetTransport() http.RoundTripper {
+	if a.TargetTransport != nil {
+		return a.TargetTransport
+	}
+	return a.newTargetTransport()
+}
+
+// newTargetTransport returns a transport to targets.
+func (a *App) newTargetTransport() *http.Transport {
+	transport := newTransport(targetIdleConnections)
+	if a.TargetDial != nil {
+		transport.DialContext = a.TargetDial
+	}
+	return transport
+}
+
 func newTransport(idle int) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -21,9 +21,13 @@
 // errSilent is the cancellation cause of an attempt whose connection is unresponsive according to the probes.
 var errSilent = errors.New("service: connection silent")
 
-func newTransport(connectTimeout time.Duration) *http.Transport {
+func (d *Dispatcher) newTransport() *http.Transport {
+	dial := d.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
+	}
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     30 * time.Second,
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -115,8 +116,10 @@
 	// Transport sends the calls, so that tests can inject network faults; nil uses the network directly. It must
 	// open a new connection for each call that is not declared idempotent.
 	Transport http.RoundTripper
-	Clock     clockwork.Clock
-	Logger    zerolog.Logger
+	// Dial opens the connections if Transport is nil; nil uses the network.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Clock  clockwork.Clock
+	Logger zerolog.Logger
 
 	Timeout          time.Duration // of the whole call, retries included; 0 means 60 s
 	ConnectTimeout   time.Duration // also bounds a probe; 0 means 1 s
@@ -160,12 +163,12 @@
 			d.fresh, d.persistent = d.Transport, d.Transport
 			return
 		}
-		fresh := newTransport(d.ConnectTimeout)
+		fresh := d.newTransport()
 		// net/http resends a request on its own when a reused connection breaks and the request looks
 		// repeatable, that is, it has no body and its method is GET or it carries an Idempotency-Key. A new
 		// connection for each call prevents that, and also that an unresponsive connection is reused.
 		fresh.DisableKeepAlives = true
-		d.fresh, d.persistent = fresh, newTransport(d.ConnectTimeout)
+		d.fresh, d.persistent = fresh, d.newTransport()
 	})
 }
 
