Send requests of the chat API through other entry hosts while a host reaches no targets

Callers of entry hosts that had lost their links to all targets got no answer: in TestHostsWithoutLinksToTargetsServe 2 of 322 chats and 0 of 322 calls over three kinds of cuts (two of three hosts cut). Some chats were refused as poison, since a cut host took the groups that it could not reach for dead and told all hosts.

Cause: an entry host knew only its own connections. Now each request to a target, also polls and orders of planners, probes and calls, goes through a transport that asks the monitor of rudderpath. While the monitor has evidence that this host does not reach the target, or if a connection can't be set up within 250 ms and other targets can't be reached either, the request goes over the signed peer port to another entry host, which opens a new connection for it and never relays again. "Not sent" stays true: the relaying host tells whether it had a connection. A response that is cut off on the way aborts. A target that a cut host does not reach counts as dead only if the relaying host does not reach it either.

TestRelayedRequest: sent and not sent, complete and cut off.

--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -49,6 +49,7 @@
 	hosts   *rudderhost.List
 	control *ruddertarget.Control
 	peers   *http.Client
+	paths   paths
 
 	node      *ruddermember.Node
 	registrar *ruddermember.Registrar
@@ -101,6 +102,7 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
+	a.wirePaths()
 	a.wirePlatform()
 	a.wireMembers()
 	a.wireFleet()
@@ -138,6 +140,7 @@
 		{"plans", a.runRelists},
 		{"planner", a.planner.Run},
 		{"relay", a.relay.Run},
+		{"paths", a.paths.monitor.Run},
 		{"admission", a.owner.Run},
 		{"claims", a.claims.Run},
 		{"prefix caches", a.pollCaches},
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderstream"
@@ -82,7 +83,8 @@
 			probes++
 			go func() {
 				status, err := a.control.Status(ctx, m.Address)
-				gone := errors.Is(err, ruddertarget.ErrUnreachable) && ctx.Err() == nil
+				gone := errors.Is(err, ruddertarget.ErrUnreachable) && ctx.Err() == nil &&
+					(errors.Is(err, rudderpath.ErrUnreachable) || !a.cutOff(slot.Domain))
 				died <- gone || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
 			}()
 		}
--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -20,8 +21,8 @@
 	maxHeaderBytes    = 64 << 10
 	// shutdownTimeout bounds the wait for connections once all requests are done.
 	shutdownTimeout = 5 * time.Second
-	// maxPeerBodyBytes bounds the body of a call between entry hosts.
-	maxPeerBodyBytes = 2 << 20
+	// maxPeerBodyBytes bounds the body of a call between entry hosts, which may be a request to a target.
+	maxPeerBodyBytes = rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes
 	// peerClockSkew is the largest accepted difference between two entry hosts' clocks.
 	peerClockSkew = 30 * time.Second
 )
@@ -108,6 +109,7 @@
 	mux.Handle(rudderpeer.ClaimsPathPrefix, a.claims.Handler())
 	mux.Handle(rudderpeer.RequestsPathPrefix, a.requests.Handler())
 	mux.Handle(rudderpeer.ReportsPathPrefix, a.collector.Handler())
+	mux.HandleFunc(rudderpath.PathPrefix, a.serveRelayed)
 	return a.verifier.Wrap(mux)
 }
 
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -36,7 +36,7 @@
 	// distinguish a broken connection from a dead target.
 	fresh := a.newTargetTransport()
 	fresh.DisableKeepAlives = true
-	var transport http.RoundTripper = fresh
+	transport := a.throughPath(fresh)
 	if a.TargetTransport != nil {
 		transport = a.TargetTransport
 	}
@@ -61,15 +61,13 @@
 	if a.TargetTransport != nil {
 		return a.TargetTransport
 	}
-	return a.newTargetTransport()
+	return a.throughPath(a.newTargetTransport())
 }
 
 // newTargetTransport returns a transport to targets.
 func (a *App) newTargetTransport() *http.Transport {
 	transport := newTransport(targetIdleConnections)
-	if a.TargetDial != nil {
-		transport.DialContext = a.TargetDial
-	}
+	transport.DialContext = a.dialTarget
 	return transport
 }
 
--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -188,7 +188,7 @@
 // running returns the number of requests that are still executed, or whose callers are still connected or may come back
 // for their answers.
 func (a *App) running() int {
-	return max(a.answers.Running()+a.answers.Unread(a.Clock.Now(), abandonAfter), a.callers.Open())
+	return int(a.paths.relaying.Load()) + max(a.answers.Running()+a.answers.Unread(a.Clock.Now(), abandonAfter), a.callers.Open())
 }
 
 // wait returns after a duration, or when the context is cancelled.
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -116,8 +116,9 @@
 	// Transport sends the calls, so that tests can inject network faults; nil uses the network directly. It must
 	// open a new connection for each call that is not declared idempotent.
 	Transport http.RoundTripper
-	// Dial opens the connections if Transport is nil; nil uses the network.
+	// Dial opens the connections if Transport is nil; nil uses the network. Wrap, if not nil, wraps the transports then.
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Wrap   func(http.RoundTripper) http.RoundTripper
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
 
@@ -169,6 +170,9 @@
 		// connection for each call prevents that, and also that an unresponsive connection is reused.
 		fresh.DisableKeepAlives = true
 		d.fresh, d.persistent = fresh, d.newTransport()
+		if d.Wrap != nil {
+			d.fresh, d.persistent = d.Wrap(d.fresh), d.Wrap(d.persistent)
+		}
 	})
 }
 
--- a/rudderstand/rudderscene/path_test.go
+++ b/rudderstand/rudderscene/path_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +19,7 @@
 	"comfreyrudder.example/rudderstand/rudderengine"
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
 	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/shared/ruddergroup"
 )
 
 // linkCut is the way in which an entry host has lost its links to targets.
@@ -107,6 +110,23 @@
 	return c.Conn.Close()
 }
 
+// plannedGroups returns the IDs of the groups in the plans, sorted.
+func plannedGroups(t *testing.T, s *Scene) []string {
+	t.Helper()
+	entries, _, err := s.Fleet.KV.Store().List(t.Context(), ruddergroup.PlanPrefix)
+	require.NoError(t, err)
+	var groups []string
+	for _, e := range entries {
+		var plan ruddergroup.Plan
+		require.NoError(t, json.Unmarshal(e.Value, &plan))
+		for _, g := range plan.Groups {
+			groups = append(groups, g.ID)
+		}
+	}
+	slices.Sort(groups)
+	return groups
+}
+
 // Two of three entry hosts lose their links to all targets, while callers, the key-value service and the other entry host
 // still reach them. Guards against callers of these hosts that are refused meanwhile, and against groups that the whole
 // fleet drops because these hosts do not reach them.
@@ -152,6 +172,7 @@
 					codes[name+": "+r.Answer.Outcome+" "+r.Answer.Code]++
 				}
 			}
+			groups := plannedGroups(t, s)
 			dialers[0].set(test.cut)
 			dialers[1].set(test.cut)
 			time.Sleep(settle)
@@ -175,6 +196,7 @@
 			dialers[0].set(cutNone)
 			dialers[1].set(cutNone)
 			t.Log(served, sent, codes)
+			require.Equal(t, groups, plannedGroups(t, s))
 			for kind, count := range sent {
 				require.GreaterOrEqual(t, 50*served[kind], 49*count-50*2, kind)
 			}
