Let the monitor of paths tell the judge that this entry host may be isolated

The judge checked its path only after a failed verdict; the monitor knows from failed connections of requests.

--- a/rudderd/rudderedge/verdict.go
+++ b/rudderd/rudderedge/verdict.go
@@ -48,7 +48,7 @@
 func newJudge(e *Edge) *rudderverdict.Judge {
 	return &rudderverdict.Judge{
 		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre, Logger: e.Logger, Uptime: e.uptime, Snapshot: e.view.Snapshot,
-		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding,
+		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding, Isolated: func() bool { return e.path.Isolated() },
 	}
 }
 
