End the wait for the first routing document when an entry host stops

A request that arrives before the first read of the routing document waits for it, up to 1.5 s. An entry host that was told to stop meanwhile, with a grace time of less than that, closed its connection without a response: the wait is neither bound by the grace time nor cancelled at its end. Now the begin of the stop ends the wait, and the request is refused as not run.

--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -175,3 +175,34 @@
 		})
 	}
 }
+
+// Guards against requests that wait for the first read of the routing document when the entry host is told to stop, and are
+// cut off without a response when the process ends.
+func TestStopDuringStartAnswersWaitingRequests(t *testing.T) {
+	e := edge("a", newMemoryStore())
+	e.Settings.StopGrace = 500 * time.Millisecond // less than a request may wait
+	e.Ports.Protocol.DecodeRequest = func(r *http.Request) (rudderforward.Request, error) {
+		return rudderforward.Request{ID: "q", Header: r.Header}, nil
+	}
+	e.Ports.Protocol.SetRetryAfter = func(http.Header, time.Duration) {}
+	e.Prepare()
+	servers, err := e.listen()
+	require.NoError(t, err)
+	go func() { _ = servers[0].serve() }()
+	go func() { _ = e.forwarder.Run(t.Context()) }()
+	time.Sleep(20 * time.Millisecond) // until Run has begun
+	status := make(chan int, 1)
+	go func() {
+		response, err := http.Get("http://" + servers[0].listener.Addr().String() + "/x")
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = response.Body.Close()
+		status <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return e.forwarder.InFlight() == 1 }, time.Second, time.Millisecond)
+	e.leave(t.Context(), servers)
+	_ = servers[0].server.Close() // as Run does
+	require.Equal(t, http.StatusServiceUnavailable, <-status)
+}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -199,7 +199,7 @@
 )
 
 // awaitRouting lets a request wait for the first read of the routing document, until startupWait after the
-// start of the process and for at most a third of the caller's timeout.
+// start of the process and for at most a third of the caller's timeout. A shutdown ends the wait.
 func (f *Forwarder) awaitRouting(ctx context.Context, j *job) {
 	if _, synced := f.View.Staleness(); synced {
 		return
@@ -223,6 +223,7 @@
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-f.View.Synced():
+		case <-f.shutdown.beginning():
 		}
 	}
 	f.startupWaiters.Add(-1)
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -28,6 +28,14 @@
 type shutdown struct {
 	began, end atomic.Int64 // uptimes in nanoseconds; 0 while no shutdown is in progress
 	running    sync.Map     // set of *runningRequest
+	once       sync.Once
+	begun      chan struct{} // made by beginning
+}
+
+// beginning returns a channel that is closed when the shutdown begins.
+func (s *shutdown) beginning() chan struct{} {
+	s.once.Do(func() { s.begun = make(chan struct{}) })
+	return s.begun
 }
 
 // runningRequest is an accepted request.
@@ -42,7 +50,9 @@
 // uptime.
 func (f *Forwarder) BeginShutdown(end time.Duration) {
 	f.shutdown.end.Store(int64(end))
-	f.shutdown.began.Store(int64(f.Uptime()))
+	if f.shutdown.began.CompareAndSwap(0, int64(f.Uptime())) {
+		close(f.shutdown.beginning())
+	}
 }
 
 func (f *Forwarder) shuttingDown() bool { return f.shutdown.began.Load() > 0 }
