Remove the registration of an entry host that stops while it registers

An entry host that was told to stop while its registration was being written gave up without revoking the lease. The directory named it to callers until the lease ended, 4.5 s later, which is most of a grace time of 8 s.

--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -68,6 +68,9 @@
 	for failures := 0; ctx.Err() == nil; {
 		lease, err := s.register(ctx, value)
 		if err != nil {
+			if lease != 0 && ctx.Err() != nil {
+				s.revoke(lease) // the registration may have been stored
+			}
 			failures++
 			s.logger.Info().Err(err).Int("failures", failures).Msg("registration failed")
 			pause(ctx, rudderview.RetryAfter(failures, rand.Float64()))
@@ -80,6 +83,7 @@
 	return nil
 }
 
+// register returns the lease also with an error, once it has been granted.
 func (s *session) register(ctx context.Context, value []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -206,3 +206,24 @@
 	_ = servers[0].server.Close() // as Run does
 	require.Equal(t, http.StatusServiceUnavailable, <-status)
 }
+
+// Guards against an entry host that stops while it registers and stays in the directory until its lease ends.
+func TestStopDuringRegistrationRemovesIt(t *testing.T) {
+	store := newMemoryStore()
+	put, called := store.Put, make(chan struct{})
+	store.Put = func(ctx context.Context, r rudderstore.PutRequest) (int64, error) {
+		_, _ = put(ctx, r)
+		close(called)
+		<-ctx.Done() // the response does not arrive
+		return 0, ctx.Err()
+	}
+	e := edge("a", store)
+	e.Prepare()
+	ended := make(chan error, 1)
+	go func() { ended <- e.session.run(t.Context()) }()
+	<-called
+	e.session.leave()
+	require.NoError(t, <-ended)
+	_, _, err := store.Get(t.Context(), rudderview.EntryPrefix+"a")
+	require.ErrorIs(t, err, rudderstore.ErrNotFound)
+}
