Learn durations from all successful responses

A stopping entry host learnt how long requests take from responses with status 200 only. A service whose targets answer with another status of success, such as 201 or 204, counted as unknown, and its requests were refused for the whole stop.

--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -55,8 +55,7 @@
 func (f *Forwarder) answerCall(ctx context.Context, j *job, g *rudderview.Group, answer *reply) bool {
 	response := answer.response
 	defer func() { _ = response.Body.Close() }()
-	success := response.StatusCode >= 200 && response.StatusCode < 300
-	if success && !answer.Sealed {
+	if successful(response.StatusCode) && !answer.Sealed {
 		answer.discard()
 		j.lastErr = errors.Mark(errors.New("response without the seal header"), ErrWrongAnswer)
 		return false
@@ -106,6 +105,8 @@
 	return false
 }
 
+func successful(status int) bool { return status >= 200 && status < 300 }
+
 // canRetry reports whether another group is left for the request and at least a quarter of its time.
 func (f *Forwarder) canRetry(ctx context.Context, j *job) bool {
 	if ctx.Err() != nil || j.remaining(f.Uptime()) < j.limit/4 {
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -79,7 +79,7 @@
 		f.shutdown.running.Delete(r)
 		end()
 		cancel(nil)
-		if j.code == "" && j.status == http.StatusOK {
+		if j.code == "" && successful(j.status) {
 			now := f.Uptime()
 			f.durations.observe(r.kind, j.firstByte, now-j.begin, r.tokens, now)
 		}
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -89,3 +89,24 @@
 		})
 	}
 }
+
+// Guards against a service whose calls are all refused during a shutdown because its targets answer with a status of
+// success other than 200.
+func TestDurationsOfAllSuccesses(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/p/", func(*rudderroute.Route) {})
+	b.target("plain", func(w http.ResponseWriter, _ *http.Request) {
+		sealed(w)
+		w.WriteHeader(http.StatusCreated)
+	})
+	b.start()
+	for range minDurationSamples {
+		response, _, err := b.send("POST", "/p/x", "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusCreated, response.StatusCode)
+	}
+	b.forwarder.BeginShutdown(b.forwarder.Uptime() + 2*time.Second) // before the time limit of the route
+	response, body, err := b.send("POST", "/p/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, response.StatusCode, body)
+}
