Find the slowest recent request once for each admission during a stop

During a stop, each admission looked through all durations of its kind once for each request in flight, under a lock that every ending request takes too, and each request is admitted twice. No change in what is admitted: TestAdmissionDuringShutdown passes as it is.

--- a/rudderd/rudderforward/durations.go
+++ b/rudderd/rudderforward/durations.go
@@ -53,21 +53,25 @@
 	w.next = (w.next + 1) % durationSamples
 }
 
-// longest returns the duration of a request that is as slow as the slowest recent ones. ok is false if too few are known.
-func (d *durations) longest(kind string, tokens int, now time.Duration) (longest time.Duration, ok bool) {
+// slowest returns the longest fixed part and the longest time for each token of the recent requests, and the number of
+// these requests.
+func (d *durations) slowest(kind string, now time.Duration) (slowest durationSample, known int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.kinds[kind]
 	if w == nil {
-		return 0, false
+		return durationSample{}, 0
 	}
-	known := 0
-	var fixed, perToken time.Duration
 	for _, s := range w.samples {
 		if s.endedAt > 0 && now-s.endedAt <= durationTTL {
 			known++
-			fixed, perToken = max(fixed, s.fixed), max(perToken, s.perToken)
+			slowest.fixed, slowest.perToken = max(slowest.fixed, s.fixed), max(slowest.perToken, s.perToken)
 		}
 	}
-	return fixed + time.Duration(tokens)*perToken, known >= minDurationSamples
+	return slowest, known
+}
+
+// of returns the duration of a request with a number of tokens.
+func (s durationSample) of(tokens int) time.Duration {
+	return s.fixed + time.Duration(tokens)*s.perToken
 }
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -107,21 +107,22 @@
 	return known && j.expectedWait+time.Duration(margin*float64(expected)) <= left
 }
 
-// expectedDuration returns the longest duration that is expected of a request. Requests in flight that take longer than
-// the recent complete ones scale it.
-func (f *Forwarder) expectedDuration(j *job, now time.Duration) (time.Duration, bool) {
+// expectedDuration returns the longest duration that is expected of a request; ok is false if too few are known. Requests in
+// flight that take longer than the recent complete ones scale it.
+func (f *Forwarder) expectedDuration(j *job, now time.Duration) (expected time.Duration, ok bool) {
 	kind := f.durationKind(j)
-	expected, known := f.durations.longest(kind, j.request.AnswerTokens, now)
-	slowest := 1.0
+	slowest, known := f.durations.slowest(kind, now)
+	if known < minDurationSamples {
+		return 0, false
+	}
+	scale := 1.0
 	f.shutdown.running.Range(func(key, _ any) bool {
 		if r := key.(*runningRequest); r.kind == kind {
-			if usual, _ := f.durations.longest(kind, r.tokens, now); usual > 0 {
-				slowest = max(slowest, float64(now-r.begin)/float64(usual))
-			}
+			scale = max(scale, float64(now-r.begin)/float64(max(slowest.of(r.tokens), 1)))
 		}
 		return true
 	})
-	return time.Duration(slowest * float64(expected)), known
+	return time.Duration(scale * float64(slowest.of(j.request.AnswerTokens))), true
 }
 
 func shutdownRefusal() *refusal {
