--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -24,13 +24,17 @@
 )
 
 // stopTarget answers a stream with one event for each token that the request names, each after pace, and any other
-// request after two paces.
+// request after two paces. It never answers a request that asks it to hang.
 func stopTarget(pace time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
 		w.Header().Set("Seal", "s")
 		w.Header().Set("Id", r.Header.Get("Id"))
 		_, _ = io.ReadAll(r.Body)
+		if r.Header.Get("Hang") != "" {
+			<-r.Context().Done()
+			return
+		}
 		if tokens == 0 {
 			time.Sleep(2 * pace)
 			_, _ = io.WriteString(w, "done")
@@ -227,3 +231,46 @@
 	_, _, err := store.Get(t.Context(), rudderview.EntryPrefix+"a")
 	require.ErrorIs(t, err, rudderstore.ErrNotFound)
 }
+
+// Guards against requests that are in flight at the end of the grace time and lose their connection without a response.
+func TestStopAnswersWhatStillRuns(t *testing.T) {
+	e, servers := stoppingEdge(t, time.Second)
+	status := make(chan int, 1)
+	go func() {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/once/x", strings.NewReader("body"))
+		r.Host = "h"
+		r.Header.Set("Hang", "1")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = response.Body.Close()
+		status <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return e.forwarder.InFlight() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond) // until the target has it
+	e.leave(t.Context(), servers)
+	_ = servers[0].server.Close() // as Run does
+	require.Equal(t, http.StatusBadGateway, <-status)
+}
+
+// Guards against an entry host that closes its listener while callers still connect.
+func TestStoppingHostTakesConnectionsToItsEnd(t *testing.T) {
+	t.Parallel()
+	const grace = 4 * time.Second
+	e, servers := stoppingEdge(t, grace)
+	address := servers[0].listener.Addr().String()
+	left := make(chan struct{})
+	begin := time.Now()
+	go func() {
+		defer close(left)
+		e.leave(t.Context(), servers)
+	}()
+	for time.Since(begin) < grace-stopMargin(grace)-100*time.Millisecond {
+		_, err := http.Get("http://" + address + "/x")
+		require.NoError(t, err, "after %v", time.Since(begin))
+		time.Sleep(20 * time.Millisecond)
+	}
+	<-left
+}
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -1,7 +1,10 @@
 package rudderforward
 
 import (
+	"bufio"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -33,20 +36,27 @@
 		limit   time.Duration
 		tokens  int
 		wait    time.Duration
+		call    bool
 		want    bool
 	}{
-		{"time limit ends before", "new", 2 * time.Second, 30, 0, true},
-		{"nothing is known", "new", 8 * time.Second, 30, 0, false},
-		{"too little is known", "few", 8 * time.Second, 30, 0, false},
-		{"usual length", "known", 8 * time.Second, 30, 0, true},
-		{"long answer", "known", 8 * time.Second, 120, 0, false},
-		{"long wait for a group", "known", 8 * time.Second, 30, 2 * time.Second, false},
-		{"slow requests in flight", "slow", 8 * time.Second, 30, 0, false},
+		{"time limit ends before", "new", 2 * time.Second, 30, 0, false, true},
+		{"nothing is known", "new", 8 * time.Second, 30, 0, false, false},
+		{"too little is known", "few", 8 * time.Second, 30, 0, false, false},
+		{"usual length", "known", 8 * time.Second, 30, 0, false, true},
+		{"long answer", "known", 8 * time.Second, 120, 0, false, false},
+		{"long wait for a group", "known", 8 * time.Second, 30, 2 * time.Second, false, false},
+		{"slow requests in flight", "slow", 8 * time.Second, 30, 0, false, false},
+		{"margin of a stream", "known", 8 * time.Second, 96, 0, false, false},
+		{"short call", "known", 8 * time.Second, 30, 0, true, true},
+		{"margin of a call", "known", 8 * time.Second, 42, 0, true, false},
 	} {
 		j := &job{
 			begin: now, limit: test.limit, service: test.service, expectedWait: test.wait,
 			route: &rudderroute.Route{Kind: rudderroute.KindStream}, request: Request{AnswerTokens: test.tokens},
 		}
+		if test.call {
+			j.route.Kind = rudderroute.KindIdempotent
+		}
 		require.Equal(t, test.want, f.endsBeforeShutdown(j), test.name)
 	}
 }
@@ -110,3 +120,47 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusCreated, response.StatusCode, body)
 }
+
+// Guards against a request that is sent although the owner of the model expects a wait beyond the end of the shutdown.
+func TestShutdownRefusesLongWaits(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", streamRoute(false))
+	for range 2 {
+		b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	}
+	b.start()
+	f := b.forwarder
+	for range minDurationSamples {
+		f.durations.observe("llm\x00m", 10*time.Millisecond, 20*time.Millisecond, 0, f.Uptime())
+	}
+	wait := time.Duration(0)
+	f.Pick = func(context.Context, PickQuery) Pick { return Pick{Answered: true, Group: "g-t1", Wait: wait} }
+	f.BeginShutdown(f.Uptime() + time.Second)
+	response, _, err := b.send("POST", "/s/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	wait = 2 * time.Second
+	response, body, err := b.send("POST", "/s/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Contains(t, body, "stopping")
+}
+
+// Guards against a refusal that waits for the body of the request.
+func TestShutdownRefusesBeforeTheBody(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/p/", func(*rudderroute.Route) {})
+	b.target("plain", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	b.start()
+	b.forwarder.BeginShutdown(b.forwarder.Uptime() + time.Second)
+	c, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /p/x HTTP/1.1\r\nHost: h\r\nKey: key\r\nContent-Length: 10\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
