Leave time for a silent target in the duration expected during a stop

A sound target may fall silent for about a second and go on. Now at least 1.2 s are left beyond the expected duration.

--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -17,6 +17,9 @@
 	// after the shutdown. Calls are short, so that a queue at a target is a larger part of their duration.
 	streamDurationMargin = 1.25
 	callDurationMargin   = 2.5
+	// targetSilence is how long a sound target may fall silent before it goes on. At least this time is left for a request
+	// beyond its expected duration.
+	targetSilence = 1200 * time.Millisecond
 	// shutdownRetryAfter sends callers on at once: the other entry hosts can serve them now.
 	shutdownRetryAfter = 10 * time.Millisecond
 )
@@ -104,7 +107,8 @@
 		margin = streamDurationMargin
 	}
 	expected, known := f.expectedDuration(j, now)
-	return known && j.expectedWait+time.Duration(margin*float64(expected)) <= left
+	needed := max(time.Duration(margin*float64(expected)), expected+targetSilence)
+	return known && j.expectedWait+needed <= left
 }
 
 // expectedDuration returns the longest duration that is expected of a request; ok is false if too few are known. Requests in
