Notice the end of a grace time that passes while the host is suspended

The wait for the end of serving used one timer, which does not count suspended time, so that requests in flight were cancelled late after a suspension (found in review, by reading).

--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -41,12 +41,14 @@
 	e.session.leave()
 	e.planner.Resign()
 	e.Logger.Info().Int64("in_flight", e.forwarder.InFlight()).Msg("entry host is shutting down")
-	pause(ctx, serveUntil-begin)
+	for e.uptime() < serveUntil && ctx.Err() == nil {
+		pause(ctx, min(stopIdleTime, serveUntil-e.uptime())) // timers do not count suspended time
+	}
 	// From here on requests are rejected as not executed, but connections are still accepted: closing the listener would
 	// reset those that the kernel has already accepted, and lose the requests that callers have sent on them.
 	e.forwarder.Close()
 	for e.uptime() < end && ctx.Err() == nil && (e.forwarder.InFlight() > 0 || e.uptime() < max(serveUntil, e.forwarder.LastArrival())+stopIdleTime) {
-		pause(ctx, stopCheckInterval)
+		pause(ctx, min(stopCheckInterval, end-e.uptime()))
 	}
 	cancelled := e.forwarder.InFlight()
 	e.forwarder.CancelRunning()
