Let tests listen on ports that no connection takes

Tests of several entry hosts failed with "condition never satisfied": an entry host did not start, "bind: address already in use". The free port that they drew on 127.0.0.1 is also a source port of outgoing connections. Seen once in TestHostWithoutPathServes (error logged) beside four busy processes and once, without the error, in TestAnnouncedLeaveSpreadsWithCallsToOwners. On 127.0.0.2: eight runs of both beside four busy processes, no failure.

--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -38,9 +38,11 @@
 	return &counted, &lists
 }
 
+// freeAddress returns an address that nothing listens on. Connections on loopback take ports of 127.0.0.1 as their source,
+// so that a port of it may be in use again before a test listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.2:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
