Allow connections 150 ms before another path is tried

With 60 ms a host beside four busy processes took its own delay for a lost path: TestRelayedResponse failed with "unreachable for another entry host too".

--- a/rudderd/rudderpath/monitor.go
+++ b/rudderd/rudderpath/monitor.go
@@ -16,8 +16,8 @@
 const (
 	// maxConnectTimeout bounds the set-up of a connection before another path is tried. Less than that is allowed for once it
 	// is known how long a connection takes: connectTimes times as long, and minConnectTimeout for delays of this process.
-	maxConnectTimeout = 250 * time.Millisecond
-	minConnectTimeout = 60 * time.Millisecond
+	maxConnectTimeout = 500 * time.Millisecond
+	minConnectTimeout = 150 * time.Millisecond
 	connectTimes      = 4
 	// connectTimeDecay is how fast a long set-up is forgotten, for each shorter one.
 	connectTimeDecay = 0.95
