Copy relayed responses in one place

The platform path and the chat API each had a copy of the same 25 lines; the tests of relayed responses pass with the one copy (-race, rudderapp, rudderforward, rudderpath, those of rudderedge and rudderscene).

--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -22,8 +22,6 @@
 	linkTimeout = 250 * time.Millisecond
 	// relayDialTimeout bounds the set-up of a connection to an entry host that relays requests.
 	relayDialTimeout = 400 * time.Millisecond
-	// relayChunk is the size of the buffer of a relayed response.
-	relayChunk = 8 << 10
 	// pathTargetsTTL is how long the list of targets is reused.
 	pathTargetsTTL = time.Second
 )
@@ -230,8 +228,7 @@
 	defer a.paths.relaying.Add(-1)
 	refuse := func(outcome string) {
 		a.Logger.Info().Str("target", q.Target).Str("path", q.RequestTarget).Str("outcome", outcome).Msg("request of another entry host was not relayed")
-		w.Header().Set(rudderpath.HeaderOutcome, outcome)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		rudderpath.Refuse(w, outcome)
 	}
 	if relaying > int64(a.Settings.MaxInFlight) || a.stopping.begun() {
 		refuse(rudderpath.OutcomeBusy)
@@ -257,7 +254,9 @@
 	response, err := a.paths.direct.RoundTrip(request)
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
-		copyRelayed(w, response)
+		if rudderpath.CopyResponse(w, response, func() {}) != nil {
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	switch {
@@ -269,32 +268,3 @@
 		refuse(rudderpath.OutcomeUnreachable)
 	}
 }
-
-// copyRelayed passes a response on as it arrives. A response that is cut off aborts the call, so that it does not look
-// complete.
-func copyRelayed(w http.ResponseWriter, response *http.Response) {
-	head := rudderpath.ResponseHead{
-		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Chunked: len(response.TransferEncoding) > 0,
-	}
-	text, err := head.Encode()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set(rudderpath.HeaderOutcome, rudderpath.OutcomeAnswered)
-	_, err = w.Write(text)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, relayChunk)
-	for err == nil {
-		if err = control.Flush(); err != nil {
-			break
-		}
-		var n int
-		n, err = response.Body.Read(buffer)
-		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-			err = writeErr
-		}
-	}
-	if !errors.Is(err, io.EOF) {
-		panic(http.ErrAbortHandler)
-	}
-}
--- a/rudderd/rudderforward/relayed.go
+++ b/rudderd/rudderforward/relayed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -12,9 +11,6 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
-// relayChunk is the size of the buffer of a relayed response.
-const relayChunk = 8 << 10
-
 // ServeRelayed sends a request to a target for another entry host that cannot reach it. It is sent directly or not at all.
 func (f *Forwarder) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	q, err := rudderpath.DecodeRequest(r.Body)
@@ -89,8 +85,7 @@
 func (f *Forwarder) refuseRelayed(w http.ResponseWriter, q rudderpath.Request, outcome string, err error) {
 	f.Metrics.Count("relaying." + outcome)
 	f.Logger.Info().Err(err).Str("request_id", q.ID).Str("target", q.Target).Str("outcome", outcome).Msg("request of another entry host was not relayed")
-	w.Header().Set(rudderpath.HeaderOutcome, outcome)
-	w.WriteHeader(http.StatusServiceUnavailable)
+	rudderpath.Refuse(w, outcome)
 }
 
 // copyRelayed passes a response on as it arrives. A response that is cut off aborts the call, so that it does not look
@@ -100,31 +95,9 @@
 	if !answer.Sealed && answer.response.StatusCode < http.StatusMultipleChoices {
 		defer answer.discard()
 	}
-	head := rudderpath.ResponseHead{
-		Status: answer.response.StatusCode, Header: answer.response.Header, ContentLength: answer.response.ContentLength,
-		Chunked: len(answer.response.TransferEncoding) > 0,
-	}
-	text, err := head.Encode()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
 	f.Metrics.Count("relaying." + rudderpath.OutcomeAnswered)
-	w.Header().Set(rudderpath.HeaderOutcome, rudderpath.OutcomeAnswered)
-	_, err = w.Write(text)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, relayChunk)
-	for err == nil {
-		if err = control.Flush(); err != nil {
-			break
-		}
-		var n int
-		n, err = answer.response.Body.Read(buffer)
-		f.Path.Heard(x.group.Service)
-		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-			err = writeErr
-		}
-	}
-	if errors.Is(err, io.EOF) {
+	err := rudderpath.CopyResponse(w, answer.response, func() { f.Path.Heard(x.group.Service) })
+	if err == nil {
 		return
 	}
 	if ctx.Err() == nil {
