Expect answers of the full length while an entry host stops

Cause: the longest of its recent streams of the model had been much shorter. An answer of the full length at a full batch, by the engine's figures, is the least that is expected now.

The new cases of TestAdmissionDuringShutdown fail without it.

--- a/rudderd/rudderforward/durations.go
+++ b/rudderd/rudderforward/durations.go
@@ -71,7 +71,8 @@
 	return slowest, known
 }
 
-// of returns the duration of a request with a number of tokens.
-func (s durationSample) of(tokens int) time.Duration {
-	return s.fixed + time.Duration(tokens)*s.perToken
+// of returns the duration of a request with a number of tokens. Most answers are far shorter than their callers allow, so that
+// it is at least that of an answer of the full length.
+func (s durationSample) of(tokens int, fullAnswer time.Duration) time.Duration {
+	return s.fixed + max(time.Duration(tokens)*s.perToken, fullAnswer)
 }
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -45,6 +45,7 @@
 type runningRequest struct {
 	kind   string // key of durations
 	tokens int
+	answer time.Duration // of an answer of the full length
 	begin  time.Duration
 	cancel context.CancelCauseFunc
 }
@@ -76,7 +77,7 @@
 func (f *Forwarder) track(ctx context.Context, j *job) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx, end := context.WithTimeout(ctx, max(j.remaining(f.Uptime()), 0))
-	r := &runningRequest{kind: f.durationKind(j), tokens: j.request.AnswerTokens, begin: j.begin, cancel: cancel}
+	r := &runningRequest{kind: f.durationKind(j), tokens: j.request.AnswerTokens, answer: f.answerTime(j), begin: j.begin, cancel: cancel}
 	f.shutdown.running.Store(r, true)
 	return ctx, func() {
 		f.shutdown.running.Delete(r)
@@ -112,7 +113,7 @@
 }
 
 // expectedDuration returns the longest duration that is expected of a request; ok is false if too few are known. Requests in
-// flight that take longer than the recent complete ones scale it.
+// flight that take longer than expected scale it.
 func (f *Forwarder) expectedDuration(j *job, now time.Duration) (expected time.Duration, ok bool) {
 	kind := f.durationKind(j)
 	slowest, known := f.durations.slowest(kind, now)
@@ -122,11 +123,25 @@
 	scale := 1.0
 	f.shutdown.running.Range(func(key, _ any) bool {
 		if r := key.(*runningRequest); r.kind == kind {
-			scale = max(scale, float64(now-r.begin)/float64(max(slowest.of(r.tokens), 1)))
+			scale = max(scale, float64(now-r.begin)/float64(max(slowest.of(r.tokens, r.answer), 1)))
 		}
 		return true
 	})
-	return time.Duration(scale * float64(slowest.of(j.request.AnswerTokens))), true
+	return time.Duration(scale * float64(slowest.of(j.request.AnswerTokens, f.answerTime(j)))), true
+}
+
+// answerTime returns how long an answer of the full length takes; 0 for a service without model engines.
+func (f *Forwarder) answerTime(j *job) time.Duration {
+	table := f.View.Snapshot().Table
+	if table == nil {
+		return 0
+	}
+	service := table.Service(j.service)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	model, _ := service.Engine.Model(f.modelOf(j))
+	return service.Engine.AnswerTime(model, j.request.AnswerTokens)
 }
 
 func shutdownRefusal() *refusal {
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -17,6 +17,8 @@
 // Guards against an entry host that accepts requests which cannot end before it stops, or refuses those that can.
 func TestAdmissionDuringShutdown(t *testing.T) {
 	b := newTestbed(t)
+	b.document.Services[1].Engine.Step = 20 * time.Millisecond
+	b.target("llm", nil)
 	b.start()
 	f := b.forwarder
 	now := f.Uptime()
@@ -28,6 +30,9 @@
 	observe("known", minDurationSamples, time.Second)
 	observe("few", minDurationSamples-1, time.Second)
 	observe("slow", durationSamples, time.Second)
+	for range minDurationSamples {
+		f.durations.observe("llm\x00m", 50*time.Millisecond, 100*time.Millisecond, 100, now)
+	}
 	f.shutdown.running.Store(&runningRequest{kind: "slow\x00", tokens: 30, begin: now - 4*time.Second}, true)
 	f.BeginShutdown(now + 3*time.Second)
 	for _, test := range []struct {
@@ -48,6 +53,8 @@
 		{"slow requests in flight", "slow", 8 * time.Second, 30, 0, false, false},
 		{"silence of the target", "known", 8 * time.Second, 66, 0, false, false},
 		{"margin of a stream", "known", 8 * time.Second, 96, 0, false, false},
+		{"full length of an answer fits", "llm", 8 * time.Second, 50, 0, false, true},
+		{"full length of an answer, recent ones were short", "llm", 8 * time.Second, 100, 0, false, false},
 		{"short call", "known", 8 * time.Second, 30, 0, true, true},
 		{"margin of a call", "known", 8 * time.Second, 42, 0, true, false},
 	} {
--- a/rudderd/rudderroute/document.go
+++ b/rudderd/rudderroute/document.go
@@ -111,6 +111,16 @@
 	return time.Duration(float64(cost) * pace)
 }
 
+// AnswerTime returns how long a group of a model decodes an answer while its batch is full.
+func (e *Engine) AnswerTime(m Model, answerTokens int) time.Duration {
+	pace := m.TimeFactor
+	if pace <= 0 {
+		pace = 1
+	}
+	step := e.Step + time.Duration(e.Slots)*e.StepPerRequest
+	return time.Duration(pace * float64(answerTokens) * float64(step))
+}
+
 // Service is a set of targets that serve the same requests.
 type Service struct {
 	Name           string
