Wait at most 10 s for callers that have lost their connection while an entry host stops

Cause: since the stop waits for callers that may resume, it waited for each answer without a reader as long as a host that goes on does, 30 s. A caller that has lost its connection and comes back does so within seconds.

--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -157,6 +157,8 @@
 	stopPoll = 50 * time.Millisecond
 	// cutTimeout bounds the wait for the responses of requests that are cut off.
 	cutTimeout = 2 * time.Second
+	// resumeTimeout is how long a stop waits for a caller that has lost its connection to resume its complete answer.
+	resumeTimeout = 10 * time.Second
 	// settleTimeout bounds the wait for the settlements of the last calls.
 	settleTimeout = 5 * time.Second
 )
@@ -188,7 +190,7 @@
 // running returns the number of requests that are still executed, or whose callers are still connected or may come back
 // for their answers.
 func (a *App) running() int {
-	return int(a.paths.relaying.Load()) + max(a.answers.Running()+a.answers.Unread(a.Clock.Now(), abandonAfter), a.callers.Open())
+	return int(a.paths.relaying.Load()) + max(a.answers.Running()+a.answers.Unread(a.Clock.Now(), resumeTimeout), a.callers.Open())
 }
 
 // wait returns after a duration, or when the context is cancelled.
