Name the detector of dead targets and its indirect probes by the usual terms

rudderverdict.Judge is a failure detector that asks peers for indirect probes; its call between entry hosts is /indirect-probe.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -78,7 +78,7 @@
 	view        *rudderview.View
 	forwarder   *rudderforward.Forwarder
 	planner     *ruddercoordinator.Planner
-	judge       *rudderverdict.Judge
+	detector    *rudderverdict.Detector
 	session     *session
 	stop        stopState
 	poison      *poison
@@ -176,12 +176,12 @@
 	if e.connect == nil {
 		e.connect = connectTarget
 	}
-	e.judge = newJudge(e)
-	e.forwarder.Verdict = e.judge.Verdict
+	e.detector = newDetector(e)
+	e.forwarder.Verdict = e.detector.Verdict
 	e.planner = &ruddercoordinator.Planner{
 		Name: e.Settings.Name, View: e.view, Store: e.Ports.Store, Control: e.Ports.Control, Logger: e.Logger, Uptime: uptime,
-		StallTimeout: e.Settings.StallTimeout, Traffic: e.forwarder.ReceivedRequest, Demand: e.forwarder.Demand, Probe: e.judge.Verdict,
-		HasPath: func(ctx context.Context) bool { return e.judge.HasPath(ctx, nil) }, CutOff: e.judge.CutOff,
+		StallTimeout: e.Settings.StallTimeout, Traffic: e.forwarder.ReceivedRequest, Demand: e.forwarder.Demand, Probe: e.detector.Verdict,
+		HasPath: func(ctx context.Context) bool { return e.detector.HasPath(ctx, nil) }, CutOff: e.detector.CutOff,
 		LowCapacity: func() bool { return rudderview.LowCapacity(e.view.Snapshot().EntryHosts, e.Settings.Capacity) },
 		OnOrder:     func(kind, outcome string) { e.count("orders." + kind + "." + outcome) },
 	}
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -52,7 +52,7 @@
 	verifier := &rudderpeer.Verifier{Keys: e.peers.keys, Clock: clockwork.NewRealClock()}
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
-	mux.HandleFunc(http.MethodPost+" "+testifyPath, e.testify)
+	mux.HandleFunc(http.MethodPost+" "+indirectProbePath, e.serveIndirectProbe)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	// Relayed requests have a nonce cache of their own, so that many of them do not stop other calls.
--- a/rudderd/rudderedge/verdict.go
+++ b/rudderd/rudderedge/verdict.go
@@ -15,8 +15,8 @@
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
-// testifyPath is the path of the call with which entry hosts ask each other for a finding on a target.
-const testifyPath = "/testify"
+// indirectProbePath is the path of the call with which entry hosts ask each other for a finding on a target.
+const indirectProbePath = "/indirect-probe"
 
 // maxFindingBytes bounds a question and an answer.
 const maxFindingBytes = 64 << 10
@@ -45,8 +45,8 @@
 	Born       int64   `json:"born,omitempty"`
 }
 
-func newJudge(e *Edge) *rudderverdict.Judge {
-	return &rudderverdict.Judge{
+func newDetector(e *Edge) *rudderverdict.Detector {
+	return &rudderverdict.Detector{
 		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre, Logger: e.Logger, Uptime: e.uptime, Snapshot: e.view.Snapshot,
 		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding, Isolated: func() bool { return e.path.Isolated() },
 	}
@@ -61,7 +61,7 @@
 	return connection.Close()
 }
 
-// askForFinding implements rudderverdict.Judge.Ask.
+// askForFinding implements rudderverdict.Detector.Ask.
 func (e *Edge) askForFinding(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, silence time.Duration) (rudderverdict.Finding, error) {
 	question := findingRequest{SilenceMS: silence.Milliseconds()}
 	if t != nil {
@@ -71,7 +71,7 @@
 	if err != nil {
 		return rudderverdict.Finding{}, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Peer+testifyPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Peer+indirectProbePath, bytes.NewReader(body))
 	if err != nil {
 		return rudderverdict.Finding{}, err
 	}
@@ -97,8 +97,8 @@
 	}}, nil
 }
 
-// testify serves the questions of other entry hosts for a finding.
-func (e *Edge) testify(w http.ResponseWriter, r *http.Request) {
+// serveIndirectProbe serves the questions of other entry hosts for a finding.
+func (e *Edge) serveIndirectProbe(w http.ResponseWriter, r *http.Request) {
 	var question findingRequest
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxFindingBytes)).Decode(&question); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -121,7 +121,7 @@
 // finding answers a question. An incarnation that this entry host does not know is answered as if it had no path.
 func (e *Edge) finding(ctx context.Context, question findingRequest) rudderverdict.Finding {
 	if question.Target == "" {
-		return rudderverdict.Finding{Path: e.judge.HasPath(ctx, nil)}
+		return rudderverdict.Finding{Path: e.detector.HasPath(ctx, nil)}
 	}
 	snapshot := e.view.Snapshot()
 	t := snapshot.Targets[question.Target]
@@ -131,5 +131,5 @@
 	if t == nil || t.Born != question.Born {
 		return rudderverdict.Finding{}
 	}
-	return e.judge.Testify(t, time.Duration(question.SilenceMS)*time.Millisecond)
+	return e.detector.ProbeForPeer(t, time.Duration(question.SilenceMS)*time.Millisecond)
 }
--- a/rudderd/rudderverdict/judge.go
+++ b/rudderd/rudderverdict/detector.go
@@ -50,8 +50,8 @@
 	return "no path"
 }
 
-// Judge decides whether targets are dead. Set the exported fields before use.
-type Judge struct {
+// Detector decides whether targets are dead. Set the exported fields before use.
+type Detector struct {
 	Name, DataCentre string
 	Logger           zerolog.Logger
 	Uptime           func() time.Duration
@@ -105,26 +105,26 @@
 
 // Verdict probes a target and reports whether it is alive. The other entry hosts are asked as soon as the first try fails.
 // Without anyone who has a path, the target counts as alive.
-func (j *Judge) Verdict(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
-	begin := j.Uptime()
-	if report, known := j.recentlyAlive(t); known {
+func (d *Detector) Verdict(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool) {
+	begin := d.Uptime()
+	if report, known := d.recentlyAlive(t); known {
 		return report, true
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probed, said, path := make(chan Finding, 1), make(chan []statement, 1), make(chan bool, 1)
 	failed := func() {
-		others := j.others(t)
+		others := d.others(t)
 		if len(others) == 0 {
 			path <- true
 			said <- nil
 			return
 		}
-		go func() { path <- j.HasPath(ctx, t) }()
-		go func() { said <- j.ask(ctx, others, t, begin) }()
+		go func() { path <- d.HasPath(ctx, t) }()
+		go func() { said <- d.ask(ctx, others, t, begin) }()
 	}
 	go func() {
-		report, alive := j.Probe(ctx, t, failed)
+		report, alive := d.Probe(ctx, t, failed)
 		probed <- Finding{Answered: alive || report.Born != 0, Alive: alive, Report: report}
 	}()
 	var statements []statement
@@ -138,15 +138,15 @@
 		case statements = <-said:
 			said = nil
 			if found := answered(statements); found != nil {
-				j.logVerdict(t, begin, "unreachable", statements, !found.Alive)
-				j.remember(t, *found)
+				d.logVerdict(t, begin, "unreachable", statements, !found.Alive)
+				d.remember(t, *found)
 				return found.Report, found.Alive
 			}
 		}
 	}
 	own := Finding{Path: <-path}
 	dead := own.Path || slices.ContainsFunc(statements, statement.hasPath)
-	j.logVerdict(t, begin, own.String(), statements, dead)
+	d.logVerdict(t, begin, own.String(), statements, dead)
 	if dead {
 		return ruddertarget.GroupReport{}, false
 	}
@@ -156,34 +156,34 @@
 
 // recentlyAlive returns what another entry host has found out recently about a target that is alive, if this one has no
 // path: its connections to the target keep failing meanwhile.
-func (j *Judge) recentlyAlive(t *rudderview.Target) (report ruddertarget.GroupReport, known bool) {
-	if !j.path(t).lost(j.Uptime()) {
+func (d *Detector) recentlyAlive(t *rudderview.Target) (report ruddertarget.GroupReport, known bool) {
+	if !d.path(t).lost(d.Uptime()) {
 		return report, false
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	v, known := j.alive[t.Name]
-	return v.report, known && v.born == t.Born && j.Uptime()-v.at < lostTTL
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v, known := d.alive[t.Name]
+	return v.report, known && v.born == t.Born && d.Uptime()-v.at < lostTTL
 }
 
-func (j *Judge) remember(t *rudderview.Target, found Finding) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.alive == nil || len(j.alive) >= maxShared {
-		j.alive = map[string]aliveTarget{}
+func (d *Detector) remember(t *rudderview.Target, found Finding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.alive == nil || len(d.alive) >= maxShared {
+		d.alive = map[string]aliveTarget{}
 	}
 	if found.Alive {
-		j.alive[t.Name] = aliveTarget{born: t.Born, at: j.Uptime(), report: found.Report}
+		d.alive[t.Name] = aliveTarget{born: t.Born, at: d.Uptime(), report: found.Report}
 	}
 }
 
-func (j *Judge) logVerdict(t *rudderview.Target, begin time.Duration, own string, statements []statement, dead bool) {
+func (d *Detector) logVerdict(t *rudderview.Target, begin time.Duration, own string, statements []statement, dead bool) {
 	others := make([]string, len(statements))
 	for i, s := range statements {
 		others[i] = s.String()
 	}
-	j.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("own", own).Strs("others", others).Bool("dead", dead).
-		Dur("took_ms", j.Uptime()-begin).Msg("unresponsive target judged")
+	d.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("own", own).Strs("others", others).Bool("dead", dead).
+		Dur("took_ms", d.Uptime()-begin).Msg("unresponsive target probed with other entry hosts")
 }
 
 // answered returns the finding of an entry host to which a process at the target's address has answered, or nil.
@@ -199,14 +199,14 @@
 // others returns the other entry hosts in the order in which they are asked about a target: those of other data centres first,
 // because one cut often affects a whole data centre. The order within these depends on the target, so that the entry hosts
 // that ask about the same target at the same time share a probe.
-func (j *Judge) others(t *rudderview.Target) []rudderview.EntryHost {
+func (d *Detector) others(t *rudderview.Target) []rudderview.EntryHost {
 	name := ""
 	if t != nil {
 		name = t.Name
 	}
-	list := slices.DeleteFunc(slices.Clone(j.Snapshot().EntryHosts), func(x rudderview.EntryHost) bool { return x.Name == j.Name || x.Peer == "" })
+	list := slices.DeleteFunc(slices.Clone(d.Snapshot().EntryHosts), func(x rudderview.EntryHost) bool { return x.Name == d.Name || x.Peer == "" })
 	slices.SortFunc(list, func(a, b rudderview.EntryHost) int {
-		if near := a.DataCentre == j.DataCentre; near != (b.DataCentre == j.DataCentre) {
+		if near := a.DataCentre == d.DataCentre; near != (b.DataCentre == d.DataCentre) {
 			if near {
 				return 1
 			}
@@ -220,13 +220,13 @@
 // ask asks other entry hosts until one reaches the target, or minWitnesses with a path do not. Each that has no path or
 // does not answer is replaced by two others. An entry host without a path asks one at a time: it has many doubts, most of them
 // unfounded.
-func (j *Judge) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration) (statements []statement) {
+func (d *Detector) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration) (statements []statement) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	results := make(chan statement, len(hosts))
 	asked, open, witnesses := 0, 0, 0
-	first, silent := minWitnesses, func() time.Duration { return j.Uptime() - since }
-	if j.path(t).lost(since) {
+	first, silent := minWitnesses, func() time.Duration { return d.Uptime() - since }
+	if d.path(t).lost(since) {
 		first, silent = 1, func() time.Duration { return lostTTL }
 	}
 	start := func(n int) {
@@ -235,7 +235,7 @@
 			asked++
 			open++
 			go func() {
-				finding, err := j.Ask(ctx, x, t, silent())
+				finding, err := d.Ask(ctx, x, t, silent())
 				results <- statement{x.Name, finding, err}
 			}()
 		}
@@ -259,31 +259,31 @@
 	return statements
 }
 
-// Testify returns what this entry host finds out about a target that another one has not reached for some time. Several
+// ProbeForPeer returns what this entry host finds out about a target that another one has not reached for some time. Several
 // entry hosts that ask at the same time share a probe.
-func (j *Judge) Testify(t *rudderview.Target, silence time.Duration) Finding {
-	if j.path(t).lost(j.Uptime()) {
+func (d *Detector) ProbeForPeer(t *rudderview.Target, silence time.Duration) Finding {
+	if d.path(t).lost(d.Uptime()) {
 		return Finding{}
 	}
-	j.mu.Lock()
-	now := j.Uptime()
-	p := j.shared[t.Name]
+	d.mu.Lock()
+	now := d.Uptime()
+	p := d.shared[t.Name]
 	if p != nil && p.born == t.Born && p.usable(now, silence) {
-		j.mu.Unlock()
+		d.mu.Unlock()
 		<-p.done
 		return p.finding
 	}
-	if j.shared == nil || len(j.shared) >= maxShared {
-		j.shared = map[string]*sharedProbe{}
+	if d.shared == nil || len(d.shared) >= maxShared {
+		d.shared = map[string]*sharedProbe{}
 	}
 	p = &sharedProbe{born: t.Born, startedAt: now, done: make(chan struct{})}
-	j.shared[t.Name] = p
-	j.mu.Unlock()
+	d.shared[t.Name] = p
+	d.mu.Unlock()
 
 	ctx := context.Background()
 	var waiting sync.WaitGroup
 	hasPath := true
-	report, alive := j.Probe(ctx, t, func() { waiting.Go(func() { hasPath = j.HasPath(ctx, t) }) })
+	report, alive := d.Probe(ctx, t, func() { waiting.Go(func() { hasPath = d.HasPath(ctx, t) }) })
 	p.finding = Finding{Path: true, Answered: true, Alive: alive, Report: report}
 	if !alive && report.Born == 0 {
 		waiting.Wait()
@@ -308,22 +308,22 @@
 }
 
 // CutOff reports whether this entry host has no path to targets while another one has.
-func (j *Judge) CutOff(ctx context.Context) bool {
-	if !j.doubtful() || j.HasPath(ctx, nil) {
+func (d *Detector) CutOff(ctx context.Context) bool {
+	if !d.doubtful() || d.HasPath(ctx, nil) {
 		return false
 	}
-	return slices.ContainsFunc(j.ask(ctx, j.others(nil), nil, j.Uptime()), statement.hasPath)
+	return slices.ContainsFunc(d.ask(ctx, d.others(nil), nil, d.Uptime()), statement.hasPath)
 }
 
 // doubtful reports whether this entry host may have no path.
-func (j *Judge) doubtful() bool {
-	if j.Isolated != nil && j.Isolated() {
+func (d *Detector) doubtful() bool {
+	if d.Isolated != nil && d.Isolated() {
 		return true
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, p := range j.paths {
-		if p.lost(j.Uptime()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.paths {
+		if p.lost(d.Uptime()) {
 			return true
 		}
 	}
--- a/rudderd/rudderverdict/judge_test.go
+++ b/rudderd/rudderverdict/detector_test.go
@@ -26,9 +26,9 @@
 	noPath    = Finding{}
 )
 
-// newJudge returns the judge of entry host e0 in data centre z0, beside others in z1 and z2 that answer in their order.
+// newDetector returns the detector of entry host e0 in data centre z0, beside others in z1 and z2 that answer in their order.
 // Targets t0, t1 and t2 exist. Its own probes find own, and with path its connections to targets succeed.
-func newJudge(own Finding, path bool, others ...func() (Finding, error)) (*Judge, *atomic.Int32) {
+func newDetector(own Finding, path bool, others ...func() (Finding, error)) (*Detector, *atomic.Int32) {
 	s := &rudderview.Snapshot{Targets: map[string]*rudderview.Target{}, EntryHosts: []rudderview.EntryHost{{Name: "e0", Peer: "e0"}}}
 	s.Table = rudderroute.NewTable(rudderroute.Document{Services: []rudderroute.Service{{Name: "llm", Engine: &rudderroute.Engine{}}}})
 	for i := range 3 {
@@ -43,7 +43,7 @@
 	}
 	var asked, probes atomic.Int32
 	started := time.Now()
-	return &Judge{
+	return &Detector{
 		Name: "e0", DataCentre: "z0", Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Since(started) + time.Minute },
 		Snapshot: func() *rudderview.Snapshot { return s },
 		Probe: func(_ context.Context, _ *rudderview.Target, failed func()) (ruddertarget.GroupReport, bool) {
@@ -95,8 +95,8 @@
 		{"nobody has a path", dead, false, []answer{says(noPath), silent}, true, ruddertarget.GroupReport{Membership: ruddertarget.Membership{Group: "g", Epoch: 3}, Orders: 1, Born: 1}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			j, _ := newJudge(test.own, test.path, test.others...)
-			report, alive := j.Verdict(t.Context(), j.Snapshot().Targets["t0"])
+			d, _ := newDetector(test.own, test.path, test.others...)
+			report, alive := d.Verdict(t.Context(), d.Snapshot().Targets["t0"])
 			require.Equal(t, test.alive, alive)
 			require.Equal(t, test.report, report)
 		})
@@ -105,32 +105,32 @@
 
 // Guards against an entry host that waits for one that does not answer.
 func TestVerdictIsBounded(t *testing.T) {
-	j, _ := newJudge(dead, true)
-	j.Snapshot().EntryHosts = append(j.Snapshot().EntryHosts, rudderview.EntryHost{Name: "e1", Peer: "e1"}, rudderview.EntryHost{Name: "e2", Peer: "e2"})
-	j.Ask = func(ctx context.Context, _ rudderview.EntryHost, _ *rudderview.Target, _ time.Duration) (Finding, error) {
+	d, _ := newDetector(dead, true)
+	d.Snapshot().EntryHosts = append(d.Snapshot().EntryHosts, rudderview.EntryHost{Name: "e1", Peer: "e1"}, rudderview.EntryHost{Name: "e2", Peer: "e2"})
+	d.Ask = func(ctx context.Context, _ rudderview.EntryHost, _ *rudderview.Target, _ time.Duration) (Finding, error) {
 		<-ctx.Done()
 		return Finding{}, ctx.Err()
 	}
 	begin := time.Now()
-	_, alive := j.Verdict(t.Context(), j.Snapshot().Targets["t0"])
+	_, alive := d.Verdict(t.Context(), d.Snapshot().Targets["t0"])
 	require.False(t, alive)
 	require.Less(t, time.Since(begin), askTimeout+200*time.Millisecond)
 }
 
 // Guards against questions that all go to the entry hosts of the own data centre, which a cut affects together.
 func TestOtherDataCentresAreAskedFirst(t *testing.T) {
-	j, _ := newJudge(dead, true, silent, silent, silent, silent)
+	d, _ := newDetector(dead, true, silent, silent, silent, silent)
 	for i := range 4 {
 		name := fmt.Sprint("near", i)
-		j.Snapshot().EntryHosts = append(j.Snapshot().EntryHosts, rudderview.EntryHost{Name: name, Peer: name, DataCentre: "z0"})
+		d.Snapshot().EntryHosts = append(d.Snapshot().EntryHosts, rudderview.EntryHost{Name: name, Peer: name, DataCentre: "z0"})
 	}
-	for i, x := range j.others(j.Snapshot().Targets["t0"]) {
+	for i, x := range d.others(d.Snapshot().Targets["t0"]) {
 		require.Equal(t, i >= 4, strings.HasPrefix(x.Name, "near"))
 	}
 }
 
 // Guards against findings of an entry host without a path, and against a probe for each entry host that asks.
-func TestTestify(t *testing.T) {
+func TestProbeForPeer(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		own     Finding
@@ -146,9 +146,9 @@
 		{"restarted", restarted, false, 0, restarted, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			j, probes := newJudge(test.own, test.path)
+			d, probes := newDetector(test.own, test.path)
 			for range 2 {
-				require.Equal(t, test.want, j.Testify(j.Snapshot().Targets["t0"], test.silence))
+				require.Equal(t, test.want, d.ProbeForPeer(d.Snapshot().Targets["t0"], test.silence))
 			}
 			require.Equal(t, test.probes, probes.Load())
 		})
@@ -167,9 +167,9 @@
 		{"nobody has a path", false, says(noPath), false}, {"no answer", false, silent, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			j, _ := newJudge(dead, test.path, test.say)
-			j.Isolated = func() bool { return true }
-			require.Equal(t, test.want, j.CutOff(t.Context()))
+			d, _ := newDetector(dead, test.path, test.say)
+			d.Isolated = func() bool { return true }
+			require.Equal(t, test.want, d.CutOff(t.Context()))
 		})
 	}
 }
--- a/rudderd/rudderverdict/path.go
+++ b/rudderd/rudderverdict/path.go
@@ -31,20 +31,20 @@
 
 // path returns the path to the targets of the same service. If t is nil, it is that to the targets of all services with
 // groups.
-func (j *Judge) path(t *rudderview.Target) *path {
+func (d *Detector) path(t *rudderview.Target) *path {
 	service := ""
 	if t != nil {
 		service = t.Service
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.paths == nil {
-		j.paths = map[string]*path{}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.paths == nil {
+		d.paths = map[string]*path{}
 	}
-	if j.paths[service] == nil {
-		j.paths[service] = &path{}
+	if d.paths[service] == nil {
+		d.paths[service] = &path{}
 	}
-	return j.paths[service]
+	return d.paths[service]
 }
 
 // lost reports whether a recent check has found no path.
@@ -56,8 +56,8 @@
 
 // HasPath reports whether a new connection to another target of the service of t can be opened, or to one of any service with
 // groups if t is nil. It is true if there is no other target. Checks share their results.
-func (j *Judge) HasPath(ctx context.Context, t *rudderview.Target) bool {
-	p := j.path(t)
+func (d *Detector) HasPath(ctx context.Context, t *rudderview.Target) bool {
+	p := d.path(t)
 	p.mu.Lock()
 	if running := p.running; running != nil {
 		p.mu.Unlock()
@@ -67,13 +67,13 @@
 			return false
 		}
 		p.mu.Lock()
-	} else if p.checkedAt == 0 || j.Uptime()-p.checkedAt >= pathTTL {
+	} else if p.checkedAt == 0 || d.Uptime()-p.checkedAt >= pathTTL {
 		running = make(chan struct{})
 		p.running = running
 		p.mu.Unlock()
-		found := j.connect(j.pathTargets(t))
+		found := d.connect(d.pathTargets(t))
 		p.mu.Lock()
-		p.found, p.checkedAt, p.running = found, max(j.Uptime(), 1), nil
+		p.found, p.checkedAt, p.running = found, max(d.Uptime(), 1), nil
 		close(running)
 	}
 	defer p.mu.Unlock()
@@ -82,8 +82,8 @@
 
 // pathTargets returns the addresses of random other targets, each in another fabric domain if possible: the targets of one
 // domain are often lost together.
-func (j *Judge) pathTargets(t *rudderview.Target) []string {
-	s := j.Snapshot()
+func (d *Detector) pathTargets(t *rudderview.Target) []string {
+	s := d.Snapshot()
 	var list []*rudderview.Target
 	for _, x := range s.Targets {
 		if t != nil && x.Service == t.Service && x.Name != t.Name || t == nil && s.HasGroups(x.Service) {
@@ -109,7 +109,7 @@
 }
 
 // connect reports whether a connection to one of the addresses can be opened. It is true if there are none.
-func (j *Judge) connect(addresses []string) bool {
+func (d *Detector) connect(addresses []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout+pathTargets*connectDelay)
 	defer cancel()
 	results := make(chan error, len(addresses))
@@ -118,7 +118,7 @@
 		go func() {
 			attempt, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
-			results <- j.Connect(attempt, address)
+			results <- d.Connect(attempt, address)
 		}()
 		if i == len(addresses)-1 {
 			break
