--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 	folder := flag.String("folder", "", "folder of the case, for record.txt")
 	keep := flag.String("logs", "", "folder for the logs of the entry hosts; none are kept without it")
 	flag.Parse()
-	cases := map[string]func(trouble bool, directory string) ([]*entry, []string){"two": caseTwo, "limit": caseLimit, "unframed": caseUnframed}
+	cases := map[string]func(trouble bool, directory string) ([]*entry, []string){"two": caseTwo, "memory": caseMemory, "limit": caseLimit, "unframed": caseUnframed}
 	run := cases[*name]
 	keepLogs = *keep
 	out, err := os.Create(filepath.Join(*folder, "record.txt"))
