Log the events, the caller's length estimate and the expected duration of a request

Callers saw streams cut when an entry host stopped beside a burst. Log lines held neither how many events a cut response had delivered nor how long the request was expected to take when it was accepted, so that an estimate that is too short for all groups (hypothesis 1) and one slow group (hypothesis 2) looked alike: 9 of 9 cut responses had only their total time.

--- a/rudderd/rudderforward/crash.go
+++ b/rudderd/rudderforward/crash.go
@@ -155,6 +155,7 @@
 
 // countEvent counts a new event of the current send.
 func (f *Forwarder) countEvent(j *job) {
+	j.events++
 	j.sendEvents++
 	if j.sendEvents == survivalEvents {
 		f.recordSurvival(j)
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -50,6 +50,8 @@
 	blockedPart       rudderpoison.Part
 	trial             bool // passes although a part is blocked
 
+	expectedTime time.Duration   // expected duration at the admission during a shutdown; 0 without one
+	events       int             // events delivered to the caller
 	sendEvents   int             // new events of the current send
 	survived     bool            // the current send has been recorded as survived
 	suspectedIn  *crashCheck     // check of the last send's target, if this request may have crashed it
@@ -223,5 +225,6 @@
 	line.Str("group", j.group).Int("sends", j.sends).Int("runs", j.runs).Int("unsent", j.unsent).Int("resumed", j.resumed).
 		Int64("version", j.version).Dur("look_age_ms", age).Dur("first_byte_ms", j.firstByte).Dur("took_ms", took).Dur("expected_wait_ms", j.expectedWait).
 		Str("model", j.request.Model).Int("prompt_tokens", j.request.PromptTokens).Int("answer_tokens", j.request.AnswerTokens).
+		Int("expected_tokens", j.request.ExpectedTokens).Int("events", j.events).Dur("expected_ms", j.expectedTime).
 		Strs("prompt_parts", j.request.PromptParts).Msg("request ended")
 }
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -20,6 +20,8 @@
 	Model string
 	// PromptTokens and AnswerTokens are the sizes given by the caller; 0 if not given.
 	PromptTokens, AnswerTokens int
+	// ExpectedTokens is the caller's estimate of the answer's length, which is often far off; 0 if not given.
+	ExpectedTokens int
 	// PromptParts holds the IDs of the parts of the prompt in order. Requests share parts; the last one belongs to
 	// the request alone or to its session.
 	PromptParts []string
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -108,8 +108,9 @@
 		margin = streamDurationMargin
 	}
 	expected, known := f.expectedDuration(j, now)
-	needed := max(time.Duration(margin*float64(expected)), expected+targetSilence)
-	return known && j.expectedWait+needed <= left
+	needed := j.expectedWait + max(time.Duration(margin*float64(expected)), expected+targetSilence)
+	j.expectedTime = needed
+	return known && needed <= left
 }
 
 // expectedDuration returns the longest duration that is expected of a request; ok is false if too few are known. Requests in
