Finish accepted requests under the configuration that accepted them

Callers saw streams that had begun end without their last events beside a change of the configuration: when a group broke, the stream was resumed like a new request, and a key that had been withdrawn since, or an outage of the key-value service, ended it (codes unknown_key and configuration_stale after a first target had run it). Repeated calls failed with 502 alike.

Cause: the check right before a send was applied to each send, also to those that finish what a target has begun. Class: work is accepted under one state and judged under a later one. Withdrawn keys and old configurations must not admit new requests; a request that was sent before the change may finish, and its time limit bounds how long.

Now only sends of requests that no target has begun are checked.

--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -296,8 +296,12 @@
 		message: "the routing document has not been seen for too long", retryAfter: shortRetryAfter}
 }
 
-// permitted checks right before a send that the routing document is current and the key still valid.
+// permitted checks right before a send that the routing document is current and the key still valid. A request that a
+// target has begun is finished under the document with which it was accepted.
 func (f *Forwarder) permitted(j *job) *refusal {
+	if j.runs > 0 {
+		return nil
+	}
 	if !f.routingCurrent() {
 		return staleRefusal()
 	}
--- a/rudderd/rudderforward/stream_test.go
+++ b/rudderd/rudderforward/stream_test.go
@@ -86,6 +86,67 @@
 	}
 }
 
+// A request is accepted with a key and a configuration of its time. Guards against cutting it when its target fails after the
+// key has been withdrawn or the configuration has become stale, although another target could finish it.
+func TestAcceptedRequestOutlivesItsConfiguration(t *testing.T) {
+	withdraw := func(b *testbed) {
+		b.configure(func(d *rudderroute.Document) {
+			d.Workspaces = []rudderroute.Workspace{{Name: "firm", Keys: []string{"other"}}}
+		})
+	}
+	const staleness = time.Second
+	becomeStale := func(*testbed) { time.Sleep(staleness) }
+	for _, test := range []struct {
+		name            string
+		path            string
+		maxKeyStaleness time.Duration
+		maxStaleness    time.Duration
+		change          func(b *testbed)
+	}{
+		{"stream, key withdrawn", "/s/", time.Minute, 0, withdraw},
+		{"stream, key unchecked for too long", "/s/", staleness, 0, becomeStale},
+		{"stream, configuration stale", "/s/", time.Minute, staleness, becomeStale},
+		{"stream, routes removed", "/s/", time.Minute, 0, func(b *testbed) { b.configure(func(d *rudderroute.Document) { d.Routes = nil }) }},
+		{"call, key withdrawn", "/c/", time.Minute, 0, withdraw},
+		{"call, configuration stale", "/c/", time.Minute, staleness, becomeStale},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/s/", streamRoute(true))
+			b.route("/c/", func(r *rudderroute.Route) {})
+			var arrivals atomic.Int32
+			for range 2 {
+				b.target("llm", func(w http.ResponseWriter, _ *http.Request) {
+					if arrivals.Add(1) == 1 {
+						events(w, 0, 1, 0)
+						test.change(b)
+						cut(w)
+						return
+					}
+					events(w, 1, 2, 0)
+				})
+				b.target("plain", func(w http.ResponseWriter, _ *http.Request) {
+					if arrivals.Add(1) == 1 {
+						test.change(b)
+						cut(w)
+						return
+					}
+					events(w, 0, 2, 0)
+				})
+			}
+			b.start()
+			b.forwarder.MaxKeyStaleness, b.forwarder.MaxStaleness = test.maxKeyStaleness, test.maxStaleness
+			response, body, err := b.send("POST", test.path, "body")
+			require.NoError(t, err)
+			require.Equal(t, 200, response.StatusCode)
+			require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", body)
+			if response, _, err = b.send("POST", test.path, "body"); err == nil {
+				require.NotEqual(t, 200, response.StatusCode, "a new request needs the current configuration")
+			}
+		})
+	}
+}
+
 // Guards against streams that wait for a dead member of their group. The silence makes the forwarder probe
 // the members, and the stream is resumed elsewhere long before the caller's timeout.
 func TestSilentGroup(t *testing.T) {
