Expect the duration of a request by the events that recent answers delivered

Callers saw streams that a stopping entry host had accepted up to 1.7 s after SIGTERM beside a burst end without their last events. Cause: the expected duration took the time of recent answers for each token that their callers *allowed*. Most answers end far before that length (38 events at the median, 77 allowed), so that the time for an event was underestimated by a factor of two and more, and the full-batch time of the engines that was taken instead knows nothing of prompts that are read beside it: 54 ms an event where 95 to 120 ms were measured at the crest of a burst. Log lines of 9 cut streams: expected 5.7 s, 41 to 74 events in 6.2 to 7.1 s; the other groups of the model were as slow (hypothesis 1), one of 9 was in a group slower than the others (hypothesis 2). Class: an estimate by what was allowed in place of what was done.

Now the time between the delivered events counts, as a median of recent streams and of those in flight, with a margin of a half, and the number of events: those that the caller allows, or the caller's own estimate of the length, scaled by what 19 of 20 recent answers stayed below, whichever is less. So long answers are refused sooner, and short ones are served longer.

TestExpectedDurationFollowsDeliveredEvents failed before (a stream of 4 s accepted 2.5 s before the stop).

--- a/rudderd/rudderforward/durations.go
+++ b/rudderd/rudderforward/durations.go
@@ -1,16 +1,17 @@
 package rudderforward
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// durationSamples is the number of recent requests of one kind whose durations are kept, and minDurationSamples the
-	// number below which the durations count as unknown.
+	// durationSamples is the number of recent requests of one kind that are kept, and minDurationSamples the number below
+	// which their durations count as unknown.
 	durationSamples    = 64
 	minDurationSamples = 5
-	// durationTTL is how long a duration is used.
+	// durationTTL is how long a sample is used.
 	durationTTL = 30 * time.Second
 )
 
@@ -26,19 +27,16 @@
 	next    int
 }
 
-// durationSample splits the duration of a request into a fixed part and the time for each token of the answer.
+// durationSample is one complete request.
 type durationSample struct {
-	endedAt         time.Duration // uptime; 0 for an empty sample
-	fixed, perToken time.Duration
+	endedAt   time.Duration // uptime; 0 for an empty sample
+	took      time.Duration
+	firstByte time.Duration
+	// perEvent is the mean time between the events of a stream; 0 for fewer than two events.
+	perEvent time.Duration
 }
 
-// observe records a complete request. firstByte is the time to the first byte of the response, and tokens the number of
-// tokens that the caller allowed for the answer; 0 if it is not known.
-func (d *durations) observe(kind string, firstByte, took time.Duration, tokens int, now time.Duration) {
-	s := durationSample{endedAt: max(now, 1), fixed: took}
-	if tokens > 0 && firstByte > 0 {
-		s.fixed, s.perToken = firstByte, (took-firstByte)/time.Duration(tokens)
-	}
+func (d *durations) observe(kind string, s durationSample) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.kinds == nil {
@@ -53,26 +51,46 @@
 	w.next = (w.next + 1) % durationSamples
 }
 
-// slowest returns the longest fixed part and the longest time for each token of the recent requests, and the number of
-// these requests.
-func (d *durations) slowest(kind string, now time.Duration) (slowest durationSample, known int) {
+// recentDurations summarizes the recent complete requests of one kind.
+type recentDurations struct {
+	known int
+	// took and firstByte are the longest ones.
+	took, firstByte time.Duration
+	// typicalFirstByte and perEvent are medians; perEvent is 0 without a stream of several events.
+	typicalFirstByte, perEvent time.Duration
+}
+
+func (d *durations) recent(kind string, now time.Duration) recentDurations {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.kinds[kind]
 	if w == nil {
-		return durationSample{}, 0
+		return recentDurations{}
 	}
+	var r recentDurations
+	var firstBytes, perEvent [durationSamples]time.Duration
+	paced := 0
 	for _, s := range w.samples {
-		if s.endedAt > 0 && now-s.endedAt <= durationTTL {
-			known++
-			slowest.fixed, slowest.perToken = max(slowest.fixed, s.fixed), max(slowest.perToken, s.perToken)
+		if s.endedAt <= 0 || now-s.endedAt > durationTTL {
+			continue
+		}
+		firstBytes[r.known] = s.firstByte
+		r.known++
+		r.took, r.firstByte = max(r.took, s.took), max(r.firstByte, s.firstByte)
+		if s.perEvent > 0 {
+			perEvent[paced] = s.perEvent
+			paced++
 		}
 	}
-	return slowest, known
+	r.typicalFirstByte, r.perEvent = median(firstBytes[:r.known]), median(perEvent[:paced])
+	return r
 }
 
-// of returns the duration of a request with a number of tokens. Most answers are far shorter than their callers allow, so that
-// it is at least that of an answer of the full length.
-func (s durationSample) of(tokens int, fullAnswer time.Duration) time.Duration {
-	return s.fixed + max(time.Duration(tokens)*s.perToken, fullAnswer)
+// median sorts durations and returns the middle one; 0 without any.
+func median(d []time.Duration) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[len(d)/2]
 }
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -90,6 +90,7 @@
 	closed          atomic.Bool
 	shutdown        shutdown
 	durations       durations
+	lengths         lengthRatios
 	watchdogs       sync.Map // set of *watchdog, one for each running stream
 
 	startupWaiters atomic.Int64 // requests that wait for the first read of the routing document
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -52,6 +52,7 @@
 
 	expectedTime time.Duration   // expected duration at the admission during a shutdown; 0 without one
 	events       int             // events delivered to the caller
+	running      *runningRequest // nil for a request that is relayed for another entry host
 	sendEvents   int             // new events of the current send
 	survived     bool            // the current send has been recorded as survived
 	suspectedIn  *crashCheck     // check of the last send's target, if this request may have crashed it
--- /dev/null
+++ b/rudderd/rudderforward/lengths.go
@@ -0,0 +1,56 @@
+package rudderforward
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// lengthSamples is the number of recent answers whose lengths are compared with their callers' estimates, and
+	// minLengthSamples the number below which estimates are not used.
+	lengthSamples    = 128
+	minLengthSamples = 16
+	// lengthTTL is how long a sample is used.
+	lengthTTL = time.Minute
+	// lengthQuantile is the share of the recent answers that were not longer than the ratio of lengthRatios.high allows.
+	lengthQuantile = 0.95
+)
+
+// lengthRatios holds the lengths of recent answers as multiples of their callers' estimates.
+type lengthRatios struct {
+	mu      sync.Mutex
+	samples [lengthSamples]lengthSample
+	next    int
+}
+
+type lengthSample struct {
+	at    time.Duration // uptime; 0 for an empty sample
+	ratio float64
+}
+
+func (l *lengthRatios) observe(ratio float64, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples[l.next] = lengthSample{at: max(now, 1), ratio: ratio}
+	l.next = (l.next + 1) % lengthSamples
+}
+
+// high returns the ratio that few answers exceed; 0 if too few are known.
+func (l *lengthRatios) high(now time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ratios [lengthSamples]float64
+	known := 0
+	for _, s := range l.samples {
+		if s.at > 0 && now-s.at <= lengthTTL {
+			ratios[known] = s.ratio
+			known++
+		}
+	}
+	if known < minLengthSamples {
+		return 0
+	}
+	slices.Sort(ratios[:known])
+	return ratios[int(lengthQuantile*float64(known))]
+}
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,10 +14,17 @@
 )
 
 const (
-	// streamDurationMargin and callDurationMargin multiply the longest recent duration of a request whose time limit ends
-	// after the shutdown. Calls are short, so that a queue at a target is a larger part of their duration.
-	streamDurationMargin = 1.25
-	callDurationMargin   = 2.5
+	// streamPaceMargin multiplies the recent time between the events of a stream, and callDurationMargin the duration of a
+	// call, if the time limit of the request ends after the shutdown. Calls are short, so that a queue at a target is a larger
+	// part of their duration.
+	streamPaceMargin   = 1.5
+	callDurationMargin = 2.5
+	// lengthMargin multiplies the length that few recent answers have exceeded.
+	lengthMargin = 1.5
+	// minPacedEvents is the number of events after which the pace of a stream is known, and minPacedStreams the number of
+	// streams in flight whose paces are used.
+	minPacedEvents  = 4
+	minPacedStreams = 3
 	// targetSilence is how long a sound target may fall silent before it goes on. At least this time is left for a request
 	// beyond its expected duration.
 	targetSilence = 1200 * time.Millisecond
@@ -44,10 +52,32 @@
 // runningRequest is an accepted request.
 type runningRequest struct {
 	kind   string // key of durations
-	tokens int
-	answer time.Duration // of an answer of the full length
 	begin  time.Duration
 	cancel context.CancelCauseFunc
+
+	// Progress of the current send.
+	firstEvent atomic.Int64 // uptime in nanoseconds; 0 before it
+	events     atomic.Int64
+}
+
+// startSend resets the progress.
+func (r *runningRequest) startSend() {
+	r.firstEvent.Store(0)
+	r.events.Store(0)
+}
+
+func (r *runningRequest) countEvent(now time.Duration) {
+	r.firstEvent.CompareAndSwap(0, int64(now))
+	r.events.Add(1)
+}
+
+// perEvent returns the mean time between the events of the current send; 0 while there are too few of them.
+func (r *runningRequest) perEvent(now time.Duration) time.Duration {
+	n := r.events.Load()
+	if n < minPacedEvents {
+		return 0
+	}
+	return (now - time.Duration(r.firstEvent.Load())) / time.Duration(n-1)
 }
 
 // BeginShutdown makes each response close its connection. From now on only requests are accepted that end before an
@@ -77,21 +107,36 @@
 func (f *Forwarder) track(ctx context.Context, j *job) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx, end := context.WithTimeout(ctx, max(j.remaining(f.Uptime()), 0))
-	r := &runningRequest{kind: f.durationKind(j), tokens: j.request.AnswerTokens, answer: f.answerTime(j), begin: j.begin, cancel: cancel}
+	kind := f.durationKind(j)
+	r := &runningRequest{kind: kind, begin: j.begin, cancel: cancel}
+	j.running = r
 	f.shutdown.running.Store(r, true)
 	return ctx, func() {
 		f.shutdown.running.Delete(r)
 		end()
 		cancel(nil)
 		if j.code == "" && successful(j.status) {
-			now := f.Uptime()
-			f.durations.observe(r.kind, j.firstByte, now-j.begin, r.tokens, now)
+			f.observeDuration(kind, j)
 		}
 	}
 }
 
 func (f *Forwarder) durationKind(j *job) string { return j.service + "\x00" + f.modelOf(j) }
 
+// observeDuration records a complete request. The time between the events of a stream that was resumed here, or the length
+// of one that its caller has resumed, tells nothing about other streams.
+func (f *Forwarder) observeDuration(kind string, j *job) {
+	now := f.Uptime()
+	s := durationSample{endedAt: max(now, 1), took: now - j.begin, firstByte: j.firstByte}
+	if j.resumed == 0 && j.events > 1 {
+		s.perEvent = (s.took - s.firstByte) / time.Duration(j.events-1)
+	}
+	f.durations.observe(kind, s)
+	if j.request.ExpectedTokens > 0 && j.request.LastEvent == "" && j.events > 0 {
+		f.lengths.observe(float64(j.events*f.tokensPerEvent(j))/float64(j.request.ExpectedTokens), now)
+	}
+}
+
 // endsBeforeShutdown reports whether a request can be accepted: no shutdown is in progress, or the request will end
 // before it, by its time limit or by what recent requests have taken.
 func (f *Forwarder) endsBeforeShutdown(j *job) bool {
@@ -103,46 +148,107 @@
 	if j.remaining(now) <= left {
 		return true
 	}
-	margin := callDurationMargin
-	if j.route.Kind == rudderroute.KindStream {
-		margin = streamDurationMargin
-	}
-	expected, known := f.expectedDuration(j, now)
-	needed := j.expectedWait + max(time.Duration(margin*float64(expected)), expected+targetSilence)
+	needed, known := f.timeNeeded(j, now)
 	j.expectedTime = needed
 	return known && needed <= left
 }
 
-// expectedDuration returns the longest duration that is expected of a request; ok is false if too few are known. Requests in
-// flight that take longer than expected scale it.
-func (f *Forwarder) expectedDuration(j *job, now time.Duration) (expected time.Duration, ok bool) {
+// timeNeeded returns the time within which an answer of the greatest length should end; ok is false if too few durations are
+// known.
+func (f *Forwarder) timeNeeded(j *job, now time.Duration) (needed time.Duration, ok bool) {
 	kind := f.durationKind(j)
-	slowest, known := f.durations.slowest(kind, now)
-	if known < minDurationSamples {
+	recent := f.durations.recent(kind, now)
+	if recent.known < minDurationSamples {
 		return 0, false
 	}
-	scale := 1.0
+	running := f.runningProgress(kind, now)
+	expected := max(recent.took, running.longest, f.answerTime(j, j.request.AnswerTokens))
+	slow := scaled(expected, streamPaceMargin)
+	if events := time.Duration(f.maxEvents(j, now)); events > 0 && recent.perEvent > 0 {
+		firstByte := max(recent.firstByte, running.longestWait)
+		pace, fullBatch := max(recent.perEvent, running.perEvent), f.answerTime(j, f.tokensPerEvent(j))
+		expected = firstByte + events*max(pace, fullBatch)
+		slow = firstByte + events*max(scaled(pace, streamPaceMargin), fullBatch)
+	}
+	if j.route.Kind != rudderroute.KindStream {
+		slow = scaled(expected, callDurationMargin)
+	}
+	return j.expectedWait + max(slow, expected+targetSilence), true
+}
+
+func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
+
+// runningProgress summarizes the requests of one kind in flight.
+type runningProgress struct {
+	longest     time.Duration // since the begin of a request
+	longestWait time.Duration // since the begin of a request without an event
+	perEvent    time.Duration // median of the streams; 0 for too few
+}
+
+func (f *Forwarder) runningProgress(kind string, now time.Duration) runningProgress {
+	var p runningProgress
+	var paces []time.Duration
 	f.shutdown.running.Range(func(key, _ any) bool {
-		if r := key.(*runningRequest); r.kind == kind {
-			scale = max(scale, float64(now-r.begin)/float64(max(slowest.of(r.tokens, r.answer), 1)))
+		r := key.(*runningRequest)
+		if r.kind != kind {
+			return true
+		}
+		p.longest = max(p.longest, now-r.begin)
+		if r.events.Load() == 0 {
+			p.longestWait = max(p.longestWait, now-r.begin)
+		}
+		if pace := r.perEvent(now); pace > 0 {
+			paces = append(paces, pace)
 		}
 		return true
 	})
-	return time.Duration(scale * float64(slowest.of(j.request.AnswerTokens, f.answerTime(j)))), true
+	if len(paces) >= minPacedStreams {
+		p.perEvent = median(paces)
+	}
+	return p
+}
+
+// maxEvents returns the greatest number of events that is expected of an answer: by the number of tokens that the caller
+// allows, and by the caller's estimate, scaled by how far recent answers have exceeded theirs. It is 0 if neither is known.
+func (f *Forwarder) maxEvents(j *job, now time.Duration) int {
+	tokens := j.request.AnswerTokens
+	estimate := lengthMargin * f.lengths.high(now) * float64(j.request.ExpectedTokens)
+	if estimate > 0 && (tokens == 0 || estimate < float64(tokens)) {
+		tokens = int(math.Ceil(estimate))
+	}
+	perEvent := f.tokensPerEvent(j)
+	return (tokens + perEvent - 1) / perEvent
 }
 
-// answerTime returns how long an answer of the full length takes; 0 for a service without model engines.
-func (f *Forwarder) answerTime(j *job) time.Duration {
+// engine returns the engine of the service of a request and the model of its groups; the engine is nil for a service without
+// model engines.
+func (f *Forwarder) engine(j *job) (*rudderroute.Engine, rudderroute.Model) {
 	table := f.View.Snapshot().Table
 	if table == nil {
-		return 0
+		return nil, rudderroute.Model{}
 	}
 	service := table.Service(j.service)
 	if service == nil || service.Engine == nil {
-		return 0
+		return nil, rudderroute.Model{}
 	}
 	model, _ := service.Engine.Model(f.modelOf(j))
-	return service.Engine.AnswerTime(model, j.request.AnswerTokens)
+	return service.Engine, model
+}
+
+func (f *Forwarder) tokensPerEvent(j *job) int {
+	if engine, _ := f.engine(j); engine != nil {
+		return max(engine.TokensPerEvent, 1)
+	}
+	return 1
+}
+
+// answerTime returns how long tokens of an answer take at a full batch; 0 for a service without model engines.
+func (f *Forwarder) answerTime(j *job, tokens int) time.Duration {
+	engine, model := f.engine(j)
+	if engine == nil {
+		return 0
+	}
+	return engine.AnswerTime(model, tokens)
 }
 
 func shutdownRefusal() *refusal {
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,16 +27,34 @@
 	now := f.Uptime()
 	observe := func(service string, n int, took time.Duration) {
 		for range n {
-			f.durations.observe(service+"\x00", took/4, took, 30, now)
+			f.durations.observe(service+"\x00", durationSample{endedAt: now, took: took, firstByte: took / 4, perEvent: took * 3 / 4 / 30})
 		}
 	}
+	stream := func(service string, events int64, pace time.Duration) {
+		r := &runningRequest{kind: service + "\x00", begin: now - time.Duration(events)*pace}
+		r.firstEvent.Store(int64(now - time.Duration(events-1)*pace))
+		r.events.Store(events)
+		f.shutdown.running.Store(r, true)
+	}
 	observe("known", minDurationSamples, time.Second)
 	observe("few", minDurationSamples-1, time.Second)
 	observe("slow", durationSamples, time.Second)
 	for range minDurationSamples {
-		f.durations.observe("llm\x00m", 50*time.Millisecond, 100*time.Millisecond, 100, now)
+		f.durations.observe("llm\x00m", durationSample{endedAt: now, took: 100 * time.Millisecond, firstByte: 50 * time.Millisecond, perEvent: 500 * time.Microsecond})
+	}
+	f.shutdown.running.Store(&runningRequest{kind: "slow\x00", begin: now - 4*time.Second}, true)
+	for _, service := range []string{"busy", "one busy group", "few streams"} {
+		observe(service, durationSamples, time.Second)
+	}
+	for _, pace := range []time.Duration{100, 100, 25} {
+		stream("busy", minPacedEvents, pace*time.Millisecond)
+	}
+	for _, pace := range []time.Duration{25, 100, 25} {
+		stream("one busy group", minPacedEvents, pace*time.Millisecond)
+	}
+	for range minPacedStreams - 1 {
+		stream("few streams", minPacedEvents, 100*time.Millisecond)
 	}
-	f.shutdown.running.Store(&runningRequest{kind: "slow\x00", tokens: 30, begin: now - 4*time.Second}, true)
 	f.BeginShutdown(now + 3*time.Second)
 	for _, test := range []struct {
 		name    string
@@ -44,6 +65,9 @@
 		call    bool
 		want    bool
 	}{
+		{"streams in flight are slow", "busy", 8 * time.Second, 30, 0, false, false},
+		{"one stream in flight is slow", "one busy group", 8 * time.Second, 30, 0, false, true},
+		{"few streams in flight", "few streams", 8 * time.Second, 30, 0, false, true},
 		{"time limit ends before", "new", 2 * time.Second, 30, 0, false, true},
 		{"nothing is known", "new", 8 * time.Second, 30, 0, false, false},
 		{"too little is known", "few", 8 * time.Second, 30, 0, false, false},
@@ -69,6 +93,45 @@
 	}
 }
 
+// Most answers end far before the length that their callers allow. Guards against a duration that is expected by the allowed
+// length of recent answers, with which a stopping entry host accepts streams that it then cuts; and against refusing the
+// streams that callers rightly expect to be short.
+func TestExpectedDurationFollowsDeliveredEvents(t *testing.T) {
+	const pace = 20 * time.Millisecond
+	b := newTestbed(t)
+	b.route("/s/", streamRoute(false))
+	b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.Atoi(r.Header.Get("Events"))
+		for i := range n {
+			time.Sleep(pace)
+			events(w, i, i+1, 0)
+		}
+	})
+	b.start()
+	send := func(allowed, expected, events int) int {
+		r, err := http.NewRequest(http.MethodPost, b.server.URL+"/s/x", strings.NewReader("prompt"))
+		require.NoError(t, err)
+		r.Host = "h"
+		for name, value := range map[string]any{"Id": "q1", "Key": "key", "Answer": allowed, "Expected": expected, "Events": events} {
+			r.Header.Set(name, fmt.Sprint(value))
+		}
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	for range minLengthSamples {
+		require.Equal(t, http.StatusOK, send(200, 5, 5))
+	}
+	b.forwarder.BeginShutdown(b.forwarder.Uptime() + 2500*time.Millisecond) // before the time limit of the route
+	require.Equal(t, http.StatusServiceUnavailable, send(200, 0, 200), "an answer of the allowed length takes 4 s")
+	require.Equal(t, http.StatusServiceUnavailable, send(200, 100, 200), "the caller expects an answer of 2 s")
+	require.Equal(t, http.StatusOK, send(200, 5, 5), "the caller expects a short answer")
+	require.Equal(t, http.StatusOK, send(5, 100, 5), "the caller allows a short answer only")
+}
+
 // Guards against requests that end with a closed connection when the grace time is over, or with the promise that they
 // have not run.
 func TestCancelledAtTheEndOfAShutdown(t *testing.T) {
@@ -139,7 +202,7 @@
 	b.start()
 	f := b.forwarder
 	for range minDurationSamples {
-		f.durations.observe("llm\x00m", 10*time.Millisecond, 20*time.Millisecond, 0, f.Uptime())
+		f.durations.observe("llm\x00m", durationSample{endedAt: f.Uptime(), took: 20 * time.Millisecond, firstByte: 10 * time.Millisecond})
 	}
 	wait := time.Duration(0)
 	f.Pick = func(context.Context, PickQuery) Pick { return Pick{Answered: true, Group: "g-t1", Wait: wait} }
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -100,6 +100,7 @@
 		cancel(errPoisoned) // blocked since the group was chosen; later blocks cancel the watchdog
 	}
 	j.sendEvents, j.answeredAt, j.survived = 0, 0, false
+	j.running.startSend()
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
 		f.recordFailure(ctx, j, g, err)
@@ -154,6 +155,7 @@
 			}
 			guard.event()
 			f.countEvent(j)
+			j.running.countEvent(f.Uptime())
 		}
 		if !j.started {
 			j.mediaType = mediaType(answer.response)
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -149,7 +149,9 @@
 		Protocol: Protocol{
 			DecodeRequest: func(r *http.Request) (Request, error) {
 				prompt, _ := strconv.Atoi(r.Header.Get("Prompt"))
-				return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), PromptTokens: prompt, Header: r.Header.Clone()}, nil
+				answer, _ := strconv.Atoi(r.Header.Get("Answer"))
+				expected, _ := strconv.Atoi(r.Header.Get("Expected"))
+				return Request{AnswerTokens: answer, ExpectedTokens: expected, ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), PromptTokens: prompt, Header: r.Header.Clone()}, nil
 			},
 			EncodeAttempt: func(h http.Header, a Attempt) {
 				h.Set("Target", a.Target)
--- a/rudderd/rudderroute/document.go
+++ b/rudderd/rudderroute/document.go
@@ -80,6 +80,8 @@
 	LoadsAtOnce    int
 	// FormTime is the time from the order to open a group until the group serves.
 	FormTime time.Duration
+	// TokensPerEvent is the number of tokens in one event of a stream; 0 if it is not known.
+	TokensPerEvent int
 	// PromptTokensPerSecond is the prefill rate of a group at a TimeFactor of 1. A token of an answer takes
 	// Step, plus StepPerRequest for each running request.
 	PromptTokensPerSecond float64
