Let responses that have begun run to the end of the grace time

Cause: at the end of the grace time less a margin of 0.4 s all requests in flight were cancelled, also those that only need more time; the margin serves requests without a response, which get an error.

Now those without a response are cancelled at that time, and the others run on for three quarters of the margin.

--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -14,10 +14,11 @@
 	// stopServeShare is the fraction of the grace time in which a leaving entry host still accepts new requests that end
 	// in time, because callers may cache its address for some seconds.
 	stopServeShare = 0.75
-	// maxStopMargin bounds the time that is reserved at the end of the grace time, half of it for the last responses.
-	// stopMarginShare is its share of a short grace time.
+	// maxStopMargin bounds the time that is reserved at the end of the grace time. stopMarginShare is its share of a short
+	// grace time. In finishShare of it responses that have begun go on.
 	maxStopMargin   = 400 * time.Millisecond
 	stopMarginShare = 0.1
+	finishShare     = 0.75
 )
 
 type stopState struct{ flag atomic.Bool }
@@ -50,10 +51,22 @@
 	for e.uptime() < end && ctx.Err() == nil && (e.forwarder.InFlight() > 0 || e.uptime() < max(serveUntil, e.forwarder.LastArrival())+stopIdleTime) {
 		pause(ctx, min(stopCheckInterval, end-e.uptime()))
 	}
-	cancelled := e.forwarder.InFlight()
-	e.forwarder.CancelRunning()
-	finish, cancel := context.WithTimeout(ctx, margin/2)
+	unfinished := e.forwarder.InFlight()
+	e.forwarder.CancelUnanswered()
+	e.finishResponses(ctx, servers[0], end+time.Duration(finishShare*float64(margin)))
+	e.Logger.Info().Int64("unfinished", unfinished).Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", e.uptime()-begin).Msg("entry host stopped")
+}
+
+// finishResponses closes the listener and waits until an uptime for the responses that have begun. Those that are not
+// complete by then are truncated.
+func (e *Edge) finishResponses(ctx context.Context, callers boundServer, until time.Duration) {
+	finish, cancel := context.WithTimeout(ctx, max(until-e.uptime(), 0))
 	defer cancel()
-	_ = servers[0].server.Shutdown(finish) // completes the last responses
-	e.Logger.Info().Int64("cancelled", cancelled).Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", e.uptime()-begin).Msg("entry host stopped")
+	if callers.server.Shutdown(finish) == nil {
+		return
+	}
+	e.forwarder.CancelRunning()
+	for last := until + stopCheckInterval; e.forwarder.InFlight() > 0 && e.uptime() < last && ctx.Err() == nil; {
+		pause(ctx, time.Millisecond)
+	}
 }
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -272,6 +272,29 @@
 	require.Equal(t, http.StatusBadGateway, <-status)
 }
 
+// Guards against cutting a response that has begun before the process has to end, when only requests without a response need
+// the time for an error.
+func TestBegunResponsesRunToTheEndOfTheGraceTime(t *testing.T) {
+	t.Parallel()
+	const grace = 4 * time.Second
+	var silentUntil atomic.Pointer[time.Time]
+	e, servers := stoppingEdge(t, grace, &silentUntil)
+	e.forwarder.StallTimeout = grace // longer than the target is silent
+	r, err := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/stream/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Tokens", "2")
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	end := time.Now().Add(grace - stopMargin(grace)/2 - 20*time.Millisecond)
+	silentUntil.Store(&end)
+	go e.leave(t.Context(), servers)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, 2, strings.Count(string(body), "data:"))
+}
+
 // Guards against an entry host that closes its listener while callers still connect.
 func TestStoppingHostTakesConnectionsToItsEnd(t *testing.T) {
 	t.Parallel()
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -134,6 +134,7 @@
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
 	j.started = true
+	j.running.answered.Store(true)
 	j.writer.WriteHeader(response.StatusCode)
 }
 
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -54,6 +54,8 @@
 	kind   string // key of durations
 	begin  time.Duration
 	cancel context.CancelCauseFunc
+	// answered is set when the head of the response has been sent.
+	answered atomic.Bool
 
 	// Progress of the current send.
 	firstEvent atomic.Int64 // uptime in nanoseconds; 0 before it
@@ -94,11 +96,20 @@
 // Close makes the forwarder refuse new requests.
 func (f *Forwarder) Close() { f.closed.Store(true) }
 
-// CancelRunning cancels the requests in flight. Those without a response get an error that tells whether they may have
-// run; other responses are truncated.
-func (f *Forwarder) CancelRunning() {
+// CancelUnanswered cancels the requests in flight that have no response yet. They get an error that tells whether they may
+// have run.
+func (f *Forwarder) CancelUnanswered() {
+	f.cancelRunning(func(r *runningRequest) bool { return !r.answered.Load() })
+}
+
+// CancelRunning cancels all requests in flight. Responses that have begun are truncated.
+func (f *Forwarder) CancelRunning() { f.cancelRunning(func(*runningRequest) bool { return true }) }
+
+func (f *Forwarder) cancelRunning(applies func(r *runningRequest) bool) {
 	f.shutdown.running.Range(func(key, _ any) bool {
-		key.(*runningRequest).cancel(errShutDown)
+		if r := key.(*runningRequest); applies(r) {
+			r.cancel(errShutDown)
+		}
 		return true
 	})
 }
