Move streams that a slow group would not finish before a shutdown

Callers saw streams cut at the end of a stop that ran in one group whose targets were slower than the others: 6.4 to 7.2 s for up to 77 events (79 to 227 ms an event, 32 to 65 ms in other groups at the same time). Cause: once sent, a stream stayed in its group until the group broke or fell silent.

Now a stopping entry host compares the time between the events of each stream that can be resumed with that of the others of its model. One whose group takes half as long again and will not reach the greatest expected length in time goes on in another group, at the last moment at which that helps, if its attempts and the retry budget allow it. Streams that cannot move are accepted by the slowest recent pace.

TestStreamLeavesSlowGroupDuringShutdown failed before in its first case (the stream was cut); 5 of 5 runs pass with the race detector.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -53,7 +53,7 @@
 	if !j.started && !f.endsBeforeShutdown(j) {
 		return nil, shutdownRefusal() // the owner expects a longer wait, or an earlier send has taken too long
 	}
-	if j.sends > 0 && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
+	if j.sends > 0 && !j.retryTaken && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
 	}
 	return c.group, nil
@@ -200,7 +200,7 @@
 
 // brokenByTarget reports whether a send may have failed because its target died.
 func brokenByTarget(err error) bool {
-	return errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer)
+	return errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errSlowGroup) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer)
 }
 
 // recordRefusal records that a target answered without running the request.
--- a/rudderd/rudderforward/durations.go
+++ b/rudderd/rudderforward/durations.go
@@ -54,8 +54,8 @@
 // recentDurations summarizes the recent complete requests of one kind.
 type recentDurations struct {
 	known int
-	// took and firstByte are the longest ones.
-	took, firstByte time.Duration
+	// took, firstByte and slowestPerEvent are the longest ones.
+	took, firstByte, slowestPerEvent time.Duration
 	// typicalFirstByte and perEvent are medians; perEvent is 0 without a stream of several events.
 	typicalFirstByte, perEvent time.Duration
 }
@@ -80,6 +80,7 @@
 		if s.perEvent > 0 {
 			perEvent[paced] = s.perEvent
 			paced++
+			r.slowestPerEvent = max(r.slowestPerEvent, s.perEvent)
 		}
 	}
 	r.typicalFirstByte, r.perEvent = median(firstBytes[:r.known]), median(perEvent[:paced])
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -61,6 +61,7 @@
 	sends        int             // sends that reached a target
 	runs         int             // sends that the target may have run
 	unsent       int             // sends of which no byte reached a target
+	retryTaken   bool            // the next send has been taken from the retry budget
 	exclude      map[string]bool // groups on which this request failed
 	lastErr      error
 	expectedWait time.Duration // expected wait for the group, from the model's owner
--- /dev/null
+++ b/rudderd/rudderforward/move.go
@@ -0,0 +1,64 @@
+package rudderforward
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+)
+
+const (
+	// slowGroupFactor is the time between events, as a multiple of that of other streams, from which on a group counts as slow.
+	slowGroupFactor = 1.5
+	// moveMargin multiplies the time that a stream is expected to need in another group, and moveSlack is the least time to
+	// spare.
+	moveMargin = 1.25
+	moveSlack  = 500 * time.Millisecond
+)
+
+// errSlowGroup cancels a send whose group would not finish the stream before the shutdown.
+var errSlowGroup = errors.New("forward: group is too slow to finish before the shutdown")
+
+// movable reports whether a stream that is too slow in its group may go on in another one.
+func (j *job) movable() bool {
+	return j.route.Kind == rudderroute.KindStream && j.route.Repeatable() && j.runs+1 < j.route.MaxAttempts
+}
+
+// mustMove reports whether a stream should go on in another group now, because its own would not finish it before the
+// shutdown. Most answers end far before their greatest length, so that it waits for the last moment at which a move helps. It
+// takes the retry from the budget.
+func (f *Forwarder) mustMove(j *job) bool {
+	if !f.shuttingDown() || j.retryTaken || !j.movable() {
+		return false
+	}
+	now := f.Uptime()
+	left := time.Duration(f.shutdown.end.Load()) - now
+	pace, events := j.running.perEvent(now), time.Duration(f.eventsLeft(j, now))
+	if here := events * pace; pace == 0 || here <= left {
+		return false
+	}
+	recent := f.durations.recent(j.running.kind, now)
+	usualPace := max(recent.perEvent, f.runningProgress(j.running.kind, now).perEvent)
+	if recent.perEvent == 0 || pace < scaled(usualPace, slowGroupFactor) {
+		return false
+	}
+	elsewhere := recent.typicalFirstByte + events*usualPace
+	if left-pace > max(scaled(elsewhere, moveMargin), elsewhere+moveSlack) {
+		return false
+	}
+	snapshot := f.View.Snapshot()
+	if accepting, _ := f.accepting(snapshot.Groups(j.service, j.request.Model)); len(accepting) < 2 {
+		return false
+	}
+	j.retryTaken = f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts))
+	return j.retryTaken
+}
+
+// eventsLeft returns the greatest number of events that is expected of the rest of a stream; 0 if it is not known.
+func (f *Forwarder) eventsLeft(j *job, now time.Duration) int {
+	if n := f.maxEvents(j, now) - j.events; n > 0 {
+		return n
+	}
+	return max(j.request.AnswerTokens/f.tokensPerEvent(j)-j.events, 0)
+}
--- /dev/null
+++ b/rudderd/rudderforward/move_test.go
@@ -0,0 +1,89 @@
+package rudderforward
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderroute"
+)
+
+// Guards against cutting an accepted stream at the end of a shutdown because its group is slow, although another one could
+// have finished it, and against moves that cannot help.
+func TestStreamLeavesSlowGroupDuringShutdown(t *testing.T) {
+	const allowed = 40
+	for _, test := range []struct {
+		name      string
+		length    int           // events of the answer
+		otherPace time.Duration // of the second group
+		change    func(r *rudderroute.Route)
+		retries   float64
+		moved     bool
+		whole     bool
+	}{
+		{"other group is fast", allowed, 5 * time.Millisecond, nil, 100, true, true},
+		{"answer ends early", 10, 5 * time.Millisecond, nil, 100, false, true},
+		{"other group is as slow", allowed, 60 * time.Millisecond, nil, 100, false, false},
+		{"one attempt", allowed, 5 * time.Millisecond, func(r *rudderroute.Route) { r.MaxAttempts = 1 }, 100, false, false},
+		{"not resumable", allowed, 5 * time.Millisecond, func(r *rudderroute.Route) { r.Resumable = false }, 100, false, false},
+		{"retry budget is spent", allowed, 5 * time.Millisecond, nil, 0, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestbed(t)
+			b.route("/s/", streamRoute(true))
+			var arrivals atomic.Int32
+			for range 2 {
+				b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+					pace := 60 * time.Millisecond
+					if arrivals.Add(1) > 1 {
+						pace = test.otherPace
+					}
+					var after int
+					_, _ = fmt.Sscan(r.Header.Get("Last"), &after)
+					for i := after; i < test.length && r.Context().Err() == nil; i++ {
+						time.Sleep(pace)
+						events(w, i, i+1, 0)
+					}
+				})
+			}
+			if test.change != nil {
+				test.change(&b.document.Routes[0])
+			}
+			b.start()
+			b.forwarder.Retries = RetryLimits{Extra: test.retries, Window: 10 * time.Second}
+			f := b.forwarder
+			for range minDurationSamples {
+				f.durations.observe("llm\x00m", durationSample{endedAt: f.Uptime(), firstByte: test.otherPace, perEvent: test.otherPace})
+			}
+			stop := time.AfterFunc(200*time.Millisecond, func() { f.BeginShutdown(f.Uptime() + 1500*time.Millisecond) })
+			end := time.AfterFunc(1700*time.Millisecond, f.CancelRunning)
+			defer func() { stop.Stop(); end.Stop() }()
+			r, err := http.NewRequest(http.MethodPost, b.server.URL+"/s/x", strings.NewReader("prompt"))
+			require.NoError(t, err)
+			r.Host = "h"
+			for name, value := range map[string]string{"Id": "q1", "Key": "key", "Answer": fmt.Sprint(allowed)} {
+				r.Header.Set(name, value)
+			}
+			response, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			ids := eventIDs(string(body))
+			require.Equal(t, test.whole, err == nil, "%v", err)
+			require.Equal(t, test.moved, arrivals.Load() == 2)
+			for i, id := range ids {
+				require.Equal(t, fmt.Sprint(i+1), id)
+			}
+			if test.whole {
+				require.Len(t, ids, test.length)
+			}
+		})
+	}
+}
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -23,7 +23,7 @@
 	lengthMargin = 1.5
 	// minPacedEvents is the number of events after which the pace of a stream is known, and minPacedStreams the number of
 	// streams in flight whose paces are used.
-	minPacedEvents  = 4
+	minPacedEvents  = 8
 	minPacedStreams = 3
 	// targetSilence is how long a sound target may fall silent before it goes on. At least this time is left for a request
 	// beyond its expected duration.
@@ -180,6 +180,9 @@
 		pace, fullBatch := max(recent.perEvent, running.perEvent), f.answerTime(j, f.tokensPerEvent(j))
 		expected = firstByte + events*max(pace, fullBatch)
 		slow = firstByte + events*max(scaled(pace, streamPaceMargin), fullBatch)
+		if !j.movable() {
+			expected = max(expected, firstByte+events*recent.slowestPerEvent)
+		}
 	}
 	if j.route.Kind != rudderroute.KindStream {
 		slow = scaled(expected, callDurationMargin)
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -177,6 +177,9 @@
 			f.endStream(j, answer)
 			return true
 		}
+		if fresh && f.mustMove(j) {
+			guard.cancel(errSlowGroup)
+		}
 		if !events.buffered() {
 			if flushErr := control.Flush(); flushErr != nil {
 				f.callerLeft(j, flushErr)
--- a/rudderd/rudderforward/stream_test.go
+++ b/rudderd/rudderforward/stream_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// eventIDs returns the IDs of the events in a response.
+func eventIDs(body string) []string {
+	var ids []string
+	for lines := bufio.NewScanner(strings.NewReader(body)); lines.Scan(); {
+		if id, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func streamRoute(resumable bool) func(r *rudderroute.Route) {
 	return func(r *rudderroute.Route) {
 		r.Kind, r.Resumable, r.Shares = rudderroute.KindStream, resumable, []rudderroute.Share{{Service: "llm", Weight: 1}}
@@ -75,13 +86,7 @@
 				return
 			}
 			require.NoError(t, err)
-			var ids []string
-			for lines := bufio.NewScanner(strings.NewReader(body)); lines.Scan(); {
-				if id, found := strings.CutPrefix(lines.Text(), "id: "); found {
-					ids = append(ids, id)
-				}
-			}
-			require.Equal(t, []string{"1", "2", "3", "4", "5"}, ids)
+			require.Equal(t, []string{"1", "2", "3", "4", "5"}, eventIDs(body))
 		})
 	}
 }
