--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,33 @@
 	require.Contains(t, body, "stopping")
 }
 
+// Guards against failing a request whose target failed during a shutdown, because the rest of the time no longer covers the
+// expected duration. It may have run, so that it cannot be refused any more.
+func TestRequestIsRepeatedDuringShutdown(t *testing.T) {
+	for _, path := range []string{"/c/", "/s/"} {
+		t.Run(path, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/c/", func(*rudderroute.Route) {})
+			b.route("/s/", streamRoute(true))
+			var arrivals atomic.Int32
+			for _, service := range []string{"plain", "plain", "llm", "llm"} {
+				b.target(service, func(w http.ResponseWriter, _ *http.Request) {
+					if arrivals.Add(1) == 1 {
+						b.forwarder.BeginShutdown(b.forwarder.Uptime() + time.Second) // durations are not known
+						cut(w)
+						return
+					}
+					events(w, 0, 1, 0)
+				})
+			}
+			b.start()
+			response, body, err := b.send("POST", path, "body")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode, body)
+		})
+	}
+}
+
 // Guards against a refusal that waits for the body of the request.
 func TestShutdownRefusesBeforeTheBody(t *testing.T) {
 	b := newTestbed(t)
