--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -53,7 +53,9 @@
 	if j.runs == 0 && !f.endsBeforeShutdown(j) {
 		return nil, shutdownRefusal() // the owner expects a longer wait, or a send that was refused has taken too long
 	}
-	if j.sends > 0 && !j.retryTaken && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
+	taken := j.retryTaken
+	j.retryTaken = false
+	if j.sends > 0 && !taken && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
 	}
 	return c.group, nil
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -87,3 +87,78 @@
 		})
 	}
 }
+
+// slowGroupBed is a testbed whose first target that runs a stream is slow.
+type slowGroupBed struct {
+	*testbed
+	arrivals atomic.Int32
+}
+
+// sendSlow sends a stream and begins the shutdown after a number of events.
+func (b *slowGroupBed) sendSlow(allowed int) ([]string, error) {
+	r, err := http.NewRequest(http.MethodPost, b.server.URL+"/s/x", strings.NewReader("prompt"))
+	require.NoError(b.t, err)
+	r.Host = "h"
+	for name, value := range map[string]string{"Id": "q1", "Key": "key", "Answer": fmt.Sprint(allowed)} {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(b.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return eventIDs(string(body)), err
+}
+
+const (
+	slowPace = 60 * time.Millisecond
+	fastPace = 10 * time.Millisecond
+)
+
+// streamSlowly sends the events of a stream and begins a shutdown after the tenth.
+func streamSlowly(w http.ResponseWriter, r *http.Request, f *Forwarder, length int, left time.Duration) {
+	for i := 0; i < length && r.Context().Err() == nil; i++ {
+		if i == 10 {
+			f.BeginShutdown(f.Uptime() + left)
+			time.AfterFunc(left, f.CancelRunning)
+		}
+		time.Sleep(slowPace)
+		events(w, i, i+1, 0)
+	}
+}
+
+func streamFast(w http.ResponseWriter, r *http.Request, length int) {
+	var after int
+	_, _ = fmt.Sscan(r.Header.Get("Last"), &after)
+	for i := after; i < length && r.Context().Err() == nil; i++ {
+		time.Sleep(fastPace)
+		events(w, i, i+1, 0)
+	}
+}
+
+func observeFast(f *Forwarder, firstByte time.Duration) {
+	for range minDurationSamples {
+		f.durations.observe("llm\x00m", durationSample{endedAt: f.Uptime(), firstByte: firstByte, perEvent: fastPace})
+	}
+}
+
+// Guards against moves that count once in the retry budget and allow any number of repeated sends after it.
+func TestMoveTakesOneRetry(t *testing.T) {
+	b := &slowGroupBed{testbed: newTestbed(t)}
+	b.route("/s/", func(r *rudderroute.Route) { streamRoute(true)(r); r.MaxAttempts = 4 })
+	for range 5 {
+		b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+			if b.arrivals.Add(1) == 1 {
+				streamSlowly(w, r, b.forwarder, 40, 1200*time.Millisecond)
+				return
+			}
+			sealed(w)
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	b.start()
+	b.forwarder.Retries = RetryLimits{Extra: 2, Window: 10 * time.Second} // one retry for this entry host
+	observeFast(b.forwarder, fastPace)
+	_, _ = b.sendSlow(40)
+	require.LessOrEqual(t, b.arrivals.Load(), int32(2), "the first send and one retry")
+}
