Keep a stream in its slow group when it may not be sent again

A stream that targets had refused attempts+extraSends-1 times (3 with two attempts) left a slow group during a shutdown, and was then cut at once with attempts_exhausted. TestNoMoveWithoutSendsLeft failed before and passes now: all 20 events arrive.

--- a/rudderd/rudderforward/move.go
+++ b/rudderd/rudderforward/move.go
@@ -22,7 +22,8 @@
 
 // movable reports whether a stream that is too slow in its group may go on in another one.
 func (j *job) movable() bool {
-	return j.route.Kind == rudderroute.KindStream && j.route.Repeatable() && j.runs+1 < j.route.MaxAttempts
+	attempts := j.route.MaxAttempts
+	return j.route.Kind == rudderroute.KindStream && j.route.Repeatable() && j.runs+1 < attempts && j.sends+1 < attempts+extraSends
 }
 
 // mustMove reports whether a stream should go on in another group now, because its own would not finish it before the
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -162,3 +162,29 @@
 	_, _ = b.sendSlow(40)
 	require.LessOrEqual(t, b.arrivals.Load(), int32(2), "the first send and one retry")
 }
+
+// Guards against a move of a stream that may not be sent again, because targets have refused it.
+func TestNoMoveWithoutSendsLeft(t *testing.T) {
+	const length = 20
+	b := &slowGroupBed{testbed: newTestbed(t)}
+	b.route("/s/", streamRoute(true)) // two attempts and two more sends
+	for range 5 {
+		b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+			switch n := b.arrivals.Add(1); {
+			case n <= 3:
+				sealed(w)
+				w.Header().Set("Not-Run", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case n == 4:
+				streamSlowly(w, r, b.forwarder, length, time.Second)
+			default:
+				streamFast(w, r, length)
+			}
+		})
+	}
+	b.start()
+	observeFast(b.forwarder, fastPace)
+	ids, err := b.sendSlow(40)
+	require.NoError(t, err, "the stream would have ended in its own group")
+	require.Len(t, ids, length)
+}
