Keep a stream in its slow group when another one would deliver no more events in time

mustMove waits until the last moment at which a move helps, but nothing bounded it from below: with less time left than another group needs for the first event alone, or after the end of the shutdown while begun responses still run, the stream was moved and cut, although most answers end before their greatest length. TestNoMoveThatCannotHelp (1 s left, 1.5 s to the first event elsewhere, 0.6 s to the end here) failed before and passes now: all 20 events arrive.

--- a/rudderd/rudderforward/move.go
+++ b/rudderd/rudderforward/move.go
@@ -48,6 +48,9 @@
 	if left-pace > max(scaled(elsewhere, moveMargin), elsewhere+moveSlack) {
 		return false
 	}
+	if (left-recent.typicalFirstByte)/usualPace <= left/pace {
+		return false // no more events would arrive from another group
+	}
 	snapshot := f.View.Snapshot()
 	if accepting, _ := f.accepting(snapshot.Groups(j.service, j.request.Model)); len(accepting) < 2 {
 		return false
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -188,3 +188,26 @@
 	require.NoError(t, err, "the stream would have ended in its own group")
 	require.Len(t, ids, length)
 }
+
+// Guards against moving a stream when the time that is left is too short for another group; most answers end before their
+// greatest length.
+func TestNoMoveThatCannotHelp(t *testing.T) {
+	const length = 20
+	b := &slowGroupBed{testbed: newTestbed(t)}
+	b.route("/s/", streamRoute(true))
+	for range 2 {
+		b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+			if b.arrivals.Add(1) == 1 {
+				streamSlowly(w, r, b.forwarder, length, time.Second)
+				return
+			}
+			time.Sleep(1500 * time.Millisecond) // until the prompt has been read
+			streamFast(w, r, length)
+		})
+	}
+	b.start()
+	observeFast(b.forwarder, 1500*time.Millisecond)
+	ids, err := b.sendSlow(40)
+	require.NoError(t, err, "the stream would have ended in its own group")
+	require.Len(t, ids, length)
+}
