Expect the slowest recent pace of a stream whose model has one group

Streams that cannot leave a slow group are accepted during a shutdown by the slowest recent pace. A model with one group has nowhere to move to either, but its streams were accepted by the median. TestExpectedDurationWithOneGroup failed before: 60 events at up to 80 ms accepted with 3 s left.

--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -180,7 +180,7 @@
 		pace, fullBatch := max(recent.perEvent, running.perEvent), f.answerTime(j, f.tokensPerEvent(j))
 		expected = firstByte + events*max(pace, fullBatch)
 		slow = firstByte + events*max(scaled(pace, streamPaceMargin), fullBatch)
-		if !j.movable() {
+		if !j.movable() || len(f.View.Snapshot().Groups(j.service, j.request.Model)) < 2 {
 			expected = max(expected, firstByte+events*recent.slowestPerEvent)
 		}
 	}
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -263,3 +263,24 @@
 	_ = response.Body.Close()
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 }
+
+// Guards against expecting that a stream can move when its model has one group.
+func TestExpectedDurationWithOneGroup(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", streamRoute(true))
+	b.target("llm", nil)
+	b.start()
+	f := b.forwarder
+	now := f.Uptime()
+	for i := range 9 {
+		pace := 20 * time.Millisecond
+		if i == 0 {
+			pace *= 4
+		}
+		f.durations.observe("llm\x00m", durationSample{endedAt: now, took: time.Second, firstByte: 10 * time.Millisecond, perEvent: pace})
+	}
+	f.BeginShutdown(now + 3*time.Second)
+	j := &job{begin: now, limit: 8 * time.Second, service: "llm", request: Request{AnswerTokens: 60, Model: "m"},
+		route: &rudderroute.Route{Kind: rudderroute.KindStream, Resumable: true, MaxAttempts: 2}}
+	require.False(t, f.endsBeforeShutdown(j), "at the slowest pace it takes 4.8 s, and no group can take it over")
+}
