Look at the requests in flight only for streams that are slower than recent ones

Toward the end of a shutdown nearly every stream has more events left, by its greatest length, than would fit, and each event of each of them then looked at all requests in flight. The outcome is the same.

--- a/rudderd/rudderforward/move.go
+++ b/rudderd/rudderforward/move.go
@@ -40,8 +40,11 @@
 		return false
 	}
 	recent := f.durations.recent(j.running.kind, now)
+	if recent.perEvent == 0 || pace < scaled(recent.perEvent, slowGroupFactor) {
+		return false // without looking at all requests in flight
+	}
 	usualPace := max(recent.perEvent, f.runningProgress(j.running.kind, now).perEvent)
-	if recent.perEvent == 0 || pace < scaled(usualPace, slowGroupFactor) {
+	if pace < scaled(usualPace, slowGroupFactor) {
 		return false
 	}
 	elsewhere := recent.typicalFirstByte + events*usualPace
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
 )
 
 // Guards against cutting an accepted stream at the end of a shutdown because its group is slow, although another one could
@@ -211,3 +212,39 @@
 	require.NoError(t, err, "the stream would have ended in its own group")
 	require.Len(t, ids, length)
 }
+
+// BenchmarkMustMove measures the cost of an event during a shutdown.
+func BenchmarkMustMove(b *testing.B) {
+	for _, n := range []int{50, 500} {
+		uptime := func() time.Duration { return time.Minute }
+		f := &Forwarder{View: &rudderview.View{Uptime: uptime}, Uptime: uptime}
+		now := f.Uptime()
+		for i := range durationSamples {
+			f.durations.observe("llm\x00m", durationSample{endedAt: now, took: time.Second, firstByte: 100 * time.Millisecond, perEvent: time.Duration(20+i%7) * time.Millisecond})
+		}
+		for i := range lengthSamples {
+			f.lengths.observe(1+float64(i%13)/13, now)
+		}
+		var j *job
+		for range n {
+			r := &runningRequest{kind: "llm\x00m", begin: now}
+			r.firstEvent.Store(int64(now - 29*25*time.Millisecond))
+			r.events.Store(30)
+			f.shutdown.running.Store(r, true)
+			j = &job{running: r, begin: now, limit: 20 * time.Second, service: "llm", request: Request{AnswerTokens: 400, ExpectedTokens: 200, Model: "m"},
+				route: &rudderroute.Route{Kind: rudderroute.KindStream, Resumable: true, MaxAttempts: 2}, events: 30}
+		}
+		f.BeginShutdown(now + time.Hour)
+		b.Run(fmt.Sprintf("%d/event, would end", n), func(b *testing.B) {
+			for range b.N {
+				f.mustMove(j)
+			}
+		})
+		f.shutdown.end.Store(int64(now + 2*time.Second))
+		b.Run(fmt.Sprintf("%d/event, would not end", n), func(b *testing.B) {
+			for range b.N {
+				f.mustMove(j)
+			}
+		})
+	}
+}
