Let responses that are relayed for other entry hosts run to the end of the grace time

Callers of another entry host saw its relayed streams break 0.3 s before the relaying host had to end: as soon as its own callers were idle, it ended. TestRelayedResponsesRunToTheEndOfTheGraceTime failed before (the process ended after 3.60 s of 4 s) and passes now, both with the race detector.

--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -57,13 +57,14 @@
 	e.Logger.Info().Int64("unfinished", unfinished).Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", e.uptime()-begin).Msg("entry host stopped")
 }
 
-// finishResponses closes the listener and waits until an uptime for the responses that have begun. Those that are not
-// complete by then are truncated.
+// finishResponses closes the listener and waits until an uptime for the responses that have begun, also for those that are
+// relayed for other entry hosts. Those that are not complete by then are truncated.
 func (e *Edge) finishResponses(ctx context.Context, callers boundServer, until time.Duration) {
 	finish, cancel := context.WithTimeout(ctx, max(until-e.uptime(), 0))
 	defer cancel()
-	if callers.server.Shutdown(finish) == nil {
-		return
+	_ = callers.server.Shutdown(finish)
+	for e.forwarder.InFlight() > 0 && finish.Err() == nil {
+		pause(finish, time.Millisecond)
 	}
 	e.forwarder.CancelRunning()
 	for last := until + stopCheckInterval; e.forwarder.InFlight() > 0 && e.uptime() < last && ctx.Err() == nil; {
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -1,6 +1,7 @@
 package rudderedge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
@@ -314,3 +316,33 @@
 	}
 	<-left
 }
+
+// Guards against cutting a response that has begun and is relayed for another entry host, before the process has to end.
+func TestRelayedResponsesRunToTheEndOfTheGraceTime(t *testing.T) {
+	t.Parallel()
+	const grace = 4 * time.Second
+	var silentUntil atomic.Pointer[time.Time]
+	e, servers := stoppingEdge(t, grace, &silentUntil)
+	relay := httptest.NewServer(http.HandlerFunc(e.forwarder.ServeRelayed))
+	defer relay.Close()
+	message, err := rudderpath.Request{
+		Target: "t0", Born: 1, Service: "plain", ID: "q1", Remaining: 8 * time.Second, Method: http.MethodPost, RequestTarget: "/once/x", Host: "h",
+		Header: http.Header{"Tokens": {"2"}, "Id": {"q1"}}, Body: []byte("body"),
+	}.Encode()
+	require.NoError(t, err)
+	response, err := http.Post(relay.URL+rudderpath.PathPrefix, "", bytes.NewReader(message))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	begin := time.Now()
+	end := begin.Add(grace - stopMargin(grace)/2 - 20*time.Millisecond)
+	silentUntil.Store(&end)
+	left := make(chan time.Duration, 1)
+	go func() {
+		e.leave(t.Context(), servers)
+		left <- time.Since(begin)
+		relay.CloseClientConnections() // as Run closes the peers' server
+	}()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err, "the process ends %v after the stop", <-left)
+	require.Equal(t, 2, bytes.Count(body, []byte("data:")))
+}
