Count the wait of a resumed stream for its next event from its resumption

While a stream that was resumed, or moved, waited for the first event of its new group, its whole age counted as a wait for a first event, so that a stopping entry host refused all other streams of the model. TestResumedStreamIsNoLongWait fails without the change: 5.001 s in place of 1 ms.

--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -60,10 +60,15 @@
 	// Progress of the current send.
 	firstEvent atomic.Int64 // uptime in nanoseconds; 0 before it
 	events     atomic.Int64
+	// resumedAt is the uptime, in nanoseconds, at which a stream was last sent after it had delivered events; 0 before that.
+	resumedAt atomic.Int64
 }
 
 // startSend resets the progress.
-func (r *runningRequest) startSend() {
+func (r *runningRequest) startSend(now time.Duration) {
+	if r.events.Load() > 0 {
+		r.resumedAt.Store(int64(now))
+	}
 	r.firstEvent.Store(0)
 	r.events.Store(0)
 }
@@ -195,7 +200,7 @@
 // runningProgress summarizes the requests of one kind in flight.
 type runningProgress struct {
 	longest     time.Duration // since the begin of a request
-	longestWait time.Duration // since the begin of a request without an event
+	longestWait time.Duration // since the begin, or the resumption, of a request without an event
 	perEvent    time.Duration // median of the streams; 0 for too few
 }
 
@@ -209,7 +214,7 @@
 		}
 		p.longest = max(p.longest, now-r.begin)
 		if r.events.Load() == 0 {
-			p.longestWait = max(p.longestWait, now-r.begin)
+			p.longestWait = max(p.longestWait, now-max(r.begin, time.Duration(r.resumedAt.Load())))
 		}
 		if pace := r.perEvent(now); pace > 0 {
 			paces = append(paces, pace)
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -284,3 +284,23 @@
 		route: &rudderroute.Route{Kind: rudderroute.KindStream, Resumable: true, MaxAttempts: 2}}
 	require.False(t, f.endsBeforeShutdown(j), "at the slowest pace it takes 4.8 s, and no group can take it over")
 }
+
+// Guards against counting the whole age of a stream that is resumed as its wait for the first event, so that all streams of
+// its model are refused meanwhile.
+func TestResumedStreamIsNoLongWait(t *testing.T) {
+	b := newTestbed(t)
+	b.start()
+	f := b.forwarder
+	begin := f.Uptime()
+	now := begin + 5*time.Second
+	r := &runningRequest{kind: "plain\x00", begin: begin}
+	f.shutdown.running.Store(r, true)
+	r.countEvent(begin + 100*time.Millisecond)
+	require.Zero(t, f.runningProgress(r.kind, now).longestWait)
+	r.startSend(now)
+	require.Less(t, f.runningProgress(r.kind, now+time.Millisecond).longestWait, time.Second)
+	waiting := &runningRequest{kind: r.kind, begin: begin}
+	waiting.startSend(now) // its first target did not answer
+	f.shutdown.running.Store(waiting, true)
+	require.Equal(t, 5*time.Second, f.runningProgress(r.kind, now).longestWait)
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -100,7 +100,7 @@
 		cancel(errPoisoned) // blocked since the group was chosen; later blocks cancel the watchdog
 	}
 	j.sendEvents, j.answeredAt, j.survived = 0, 0, false
-	j.running.startSend()
+	j.running.startSend(f.Uptime())
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
 		f.recordFailure(ctx, j, g, err)
