Fail a request whose repeat would get no response before the end of a shutdown

A request whose target failed during a shutdown was sent again whatever time was left. With less than the typical time to the first byte, the second run was in vain, was cancelled at work, took from the retry budget, and its caller, who may ask another entry host, waited for the same 502 until the end. Repeats with unknown durations or enough time go on as before.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -53,6 +53,9 @@
 	if j.runs == 0 && !f.endsBeforeShutdown(j) {
 		return nil, shutdownRefusal() // the owner expects a longer wait, or a send that was refused has taken too long
 	}
+	if j.runs > 0 && f.repeatInVain(j) {
+		return nil, shutdownRefusal()
+	}
 	taken := j.retryTaken
 	j.retryTaken = false
 	if j.sends > 0 && !taken && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -169,6 +169,17 @@
 	return known && needed <= left
 }
 
+// repeatInVain reports whether a shutdown will end before a request that is sent again gets the begin of a response, as far as
+// the time until then is known.
+func (f *Forwarder) repeatInVain(j *job) bool {
+	if !f.shuttingDown() {
+		return false
+	}
+	now := f.Uptime()
+	recent := f.durations.recent(f.durationKind(j), now)
+	return recent.known >= minDurationSamples && recent.typicalFirstByte > time.Duration(f.shutdown.end.Load())-now
+}
+
 // timeNeeded returns the time within which an answer of the greatest length should end; ok is false if too few durations are
 // known.
 func (f *Forwarder) timeNeeded(j *job, now time.Duration) (needed time.Duration, ok bool) {
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -304,3 +304,37 @@
 	f.shutdown.running.Store(waiting, true)
 	require.Equal(t, 5*time.Second, f.runningProgress(r.kind, now).longestWait)
 }
+
+// Guards against sending a request again when the shutdown ends before an answer can arrive: the run is in vain, and the
+// caller, who may ask another entry host, waits for the error until the end.
+func TestNoRepeatThatCannotEndBeforeShutdown(t *testing.T) {
+	const took = 800 * time.Millisecond
+	b := newTestbed(t)
+	b.route("/c/", func(r *rudderroute.Route) { r.MaxAttempts = 2 })
+	var arrivals atomic.Int32
+	for range 2 {
+		b.target("plain", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			if arrivals.Add(1) == 1 {
+				b.forwarder.BeginShutdown(b.forwarder.Uptime() + took/2)
+				time.AfterFunc(took/2, b.forwarder.CancelUnanswered)
+				cut(w)
+				return
+			}
+			select {
+			case <-time.After(took):
+			case <-r.Context().Done():
+			}
+			events(w, 0, 1, 0)
+		})
+	}
+	b.start()
+	for range durationSamples {
+		b.forwarder.durations.observe("plain\x00", durationSample{endedAt: b.forwarder.Uptime(), took: took, firstByte: took})
+	}
+	begin := time.Now()
+	response, _, err := b.send("POST", "/c/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.EqualValues(t, 1, arrivals.Load(), "runs, of which none has a response after %v", time.Since(begin))
+}
