Let a leader without a record finish its requests before another one takes its place

When the record of a leader was gone for 500 ms, the planner started the next epoch of its group with another leader, and ordered the old one to join it. It was sound and still served the streams that it had; the order broke them all. They were resumed at other groups, and each used up one of the attempts of its route, so that the next fault cut them ("attempts_exhausted").

Targets that are replaced without announcing it remove their record and go on serving, and all records lapse when the key-value service is away.

The planner already probes members without a record. It now waits, for up to the grace of a leaving member, until the leader answers that no request is running or waiting.

TestLeaderWithoutRecordFinishesItsRequests failed before.

--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -11,6 +11,7 @@
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // input collects the state of a service for the next step.
@@ -37,7 +38,7 @@
 		}
 	}
 	dead := map[string]int64{}
-	removed := maps.Clone(snapshot.Removed)
+	removed, reports := maps.Clone(snapshot.Removed), map[string]ruddertarget.GroupReport{}
 	for name, v := range p.results {
 		if v.dead {
 			dead[name] = v.born
@@ -50,10 +51,11 @@
 			answered := *t
 			answered.Membership = v.report.Membership
 			removed[name] = &answered
+			reports[name] = v.report
 		}
 	}
 	in := rudderplacement.Input{
-		Now: p.Uptime(), EraStart: rudderstore.EraStart(snapshot.Revision), Service: service, Targets: snapshot.Targets, Removed: removed, Plans: plans, StallTimeout: p.StallTimeout,
+		Now: p.Uptime(), EraStart: rudderstore.EraStart(snapshot.Revision), Service: service, Targets: snapshot.Targets, Removed: removed, Reports: reports, Plans: plans, StallTimeout: p.StallTimeout,
 		Traffic: p.Traffic(), Settled: p.Traffic() || p.Uptime()-p.leaseSince > settleTime, State: p.states[service.Name],
 		WithinStartupGrace: p.View.WithinStartupGrace(),
 		Dead:               func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
--- a/rudderd/rudderplacement/form_test.go
+++ b/rudderd/rudderplacement/form_test.go
@@ -30,6 +30,10 @@
 	silent map[string]bool
 	// hidden targets run without a record that the planner has ever seen.
 	hidden map[string]*rudderview.Target
+	// reports holds the answers of targets without a record.
+	reports map[string]ruddertarget.GroupReport
+	// busy leaders have requests in flight.
+	busy map[string]bool
 	// left is the last membership of each target that left a group.
 	left map[string]ruddertarget.Membership
 	// withinStartupGrace is Input.WithinStartupGrace.
@@ -50,6 +54,7 @@
 	return &fleet{
 		t: t, now: time.Minute, targets: map[string]*rudderview.Target{}, removed: map[string]*rudderview.Target{},
 		plans: map[string]StoredPlan{}, dead: map[string]bool{}, state: NewState(), silent: map[string]bool{}, hidden: map[string]*rudderview.Target{}, left: map[string]ruddertarget.Membership{},
+		reports: map[string]ruddertarget.GroupReport{}, busy: map[string]bool{},
 		service:  &rudderroute.Service{Name: "llm", Engine: &rudderroute.Engine{Models: models, Slots: 8, LoadsPerSecond: 5, LoadsAtOnce: 8, MaxStagedModels: 1}},
 		breaksAt: map[string]time.Duration{}, loaded: map[string]time.Duration{},
 	}
@@ -72,7 +77,7 @@
 
 func (f *fleet) input() Input {
 	return Input{
-		Now: f.now, Service: f.service, Targets: f.targets, Removed: f.removed, Plans: f.plans, StallTimeout: stall, Traffic: f.traffic,
+		Now: f.now, Service: f.service, Targets: f.targets, Removed: f.removed, Reports: f.reports, Plans: f.plans, StallTimeout: stall, Traffic: f.traffic,
 		Settled: true, WithinStartupGrace: f.withinStartupGrace, Resumable: true, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 	}
 }
@@ -169,6 +174,9 @@
 	case ruddertarget.OrderClose:
 		if same {
 			own.Phase = ruddertarget.GroupReady
+			if f.busy[o.Target] {
+				own.Phase = ruddertarget.GroupClosing
+			}
 		}
 	case ruddertarget.OrderLeave:
 		if same {
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -40,6 +40,8 @@
 	Plans map[string]StoredPlan
 	// EraStart is below all revisions since the last restore of the key-value service, and above all earlier ones.
 	EraStart int64
+	// Reports holds the last answers of planned members that have answered since their record was removed.
+	Reports map[string]ruddertarget.GroupReport
 	// Dead reports whether this incarnation of a target does not answer.
 	Dead func(t *rudderview.Target) bool
 	// Resumable is set if every stream of the service can be resumed at another group, so that a group that
