Let a group with a leaving member finish its requests

A group whose member announces that it leaves was closed, and 1.2 s later its leader was ordered to leave the group, which broke the streams that still ran. The member stays for up to 10 s until they end. The order was meant to free the other members sooner, but each stream that is resumed elsewhere reads its prompt again and has used up an attempt.

The group now has until 9.5 s after the member began to leave, whether its streams can be resumed or not. Table.Resumable is no longer used.

TestGroupWithALeavingMemberFinishesItsRequests failed before.

--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -60,7 +60,6 @@
 		WithinStartupGrace: p.View.WithinStartupGrace(),
 		Dead:               func(t *rudderview.Target) bool { born, known := dead[t.Name]; return known && born == t.Born },
 	}
-	in.Resumable = snapshot.Table.Resumable(service.Name)
 	if p.Demand != nil {
 		in.Demand = p.Demand(service.Name)
 	}
--- a/rudderd/rudderplacement/finish_test.go
+++ b/rudderd/rudderplacement/finish_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -26,3 +28,30 @@
 	f.run(time.Second)
 	require.Greater(t, f.leader("large").Membership.Epoch, old.Epoch)
 }
+
+// A member announces that it leaves. Guards against breaking the streams of its group after 1.2 s, although the member stays
+// until they end; each used up one of the few attempts of its route.
+func TestGroupWithALeavingMemberFinishesItsRequests(t *testing.T) {
+	f := newFleet(t, large())
+	f.addMany("d", 7)
+	f.run(5 * time.Second)
+	f.traffic = true
+	leader := f.leader("large")
+	f.busy[leader.Name] = true
+	f.follower(leader).State = rudderhost.StateLeaving
+	f.run(6 * time.Second)
+	require.Equal(t, ruddertarget.GroupClosing, leader.Membership.Phase)
+	require.False(t, f.leaves(leader))
+	f.run(4 * time.Second) // the member is about to end
+	require.True(t, f.leaves(leader))
+}
+
+// leaves reports whether a target was ordered to leave its group.
+func (f *fleet) leaves(t *rudderview.Target) bool {
+	for _, o := range f.sent {
+		if o.Target == t.Name && o.Order.Kind == ruddertarget.OrderLeave {
+			return true
+		}
+	}
+	return false
+}
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -44,9 +44,6 @@
 	Reports map[string]ruddertarget.GroupReport
 	// Dead reports whether this incarnation of a target does not answer.
 	Dead func(t *rudderview.Target) bool
-	// Resumable is set if every stream of the service can be resumed at another group, so that a group that
-	// ends need not wait long for its requests.
-	Resumable bool
 	// Demand is the measured part of the work by model, 0 to 1.
 	Demand map[string]float64
 	// StallTimeout is the time after which a leader that lost a member reports a broken group.
--- a/rudderd/rudderplacement/replace.go
+++ b/rudderd/rudderplacement/replace.go
@@ -19,13 +19,17 @@
 	if leader == nil || leader.Leaving() || !in.State.complete[groupKey(g)] {
 		return false
 	}
-	key := groupKey(g)
-	since, known := in.State.leaving[key]
+	return in.Now-in.leavingSince(g) < leavingServeLimit && in.leavingMembers(g) > in.warmSpares(d, g.Model)
+}
+
+// leavingSince returns the uptime at which a group was first known to have a leaving member.
+func (in *Input) leavingSince(g rudderroster.Group) time.Duration {
+	since, known := in.State.leaving[groupKey(g)]
 	if !known {
 		since = in.Now
-		in.State.leaving[key] = since
+		in.State.leaving[groupKey(g)] = since
 	}
-	return in.Now-since < leavingServeLimit && in.leavingMembers(g) > in.warmSpares(d, g.Model)
+	return since
 }
 
 // leavingMembers counts the leaving members of a group.
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -9,12 +9,9 @@
 )
 
 const (
-	// leavingGrace is how long a group with a leaving member may take to finish its requests. The leaving
-	// member stays for about this long.
-	leavingGrace = 8 * time.Second
-	// resumableGrace applies instead if streams can be resumed elsewhere. Most of them end in this time.
-	// Cutting the others once costs less than leaving the group's members idle.
-	resumableGrace = 1200 * time.Millisecond
+	// leavingGrace is how long a group with a leaving member may take to finish its requests, from when the member
+	// began to leave. Until they end, the member stays for up to 10 s.
+	leavingGrace = 9500 * time.Millisecond
 	// leaderRecordTimeout is how long a group that no other member can lead waits for its leader's record.
 	leaderRecordTimeout = 10 * time.Second
 	// publishRetirementAfter is the time without a leader's answer after which the group is marked as retiring
@@ -77,11 +74,11 @@
 		switch {
 		case lost != "":
 		case gone != "":
-			r.reason, r.graceful = gone, in.Now+in.grace()
+			r.reason, r.graceful = gone, in.Now+leavingGrace
 		case leaving != "" && !g.Retiring && in.keepsServing(d, g):
 			return nil
 		case leaving != "":
-			r.reason, r.graceful = leaving, in.Now+in.grace()
+			r.reason, r.graceful = leaving, in.leavingSince(g)+leavingGrace
 		case g.Retiring:
 			r.reason = g.Reason
 		default:
@@ -116,13 +113,6 @@
 	return in.Plans[in.domainOf(g)].RetiringFor[groupKey(g)]
 }
 
-func (in *Input) grace() time.Duration {
-	if in.Resumable {
-		return resumableGrace
-	}
-	return leavingGrace
-}
-
 // memberLost returns why a group cannot run, or "". A member without a record is not lost while it answers.
 func (in *Input) memberLost(g rudderroster.Group) string {
 	all, leaderOpen := true, false
--- a/rudderd/rudderroute/table.go
+++ b/rudderd/rudderroute/table.go
@@ -86,16 +86,6 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Resumable reports whether all streams that may be sent to a service can be resumed at another target.
-func (t *Table) Resumable(service string) bool {
-	for _, r := range t.document.Routes {
-		if r.Kind == KindStream && !r.Resumable && slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
-			return false
-		}
-	}
-	return true
-}
-
 // normalizeHost removes the port from a host name and makes it lower case.
 func normalizeHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
