Let a leader finish its requests after a follower has left

A target that is replaced without announcing it removes its record, serves for a while and stops listening. As a member of a group it then stays until the leader has finished its requests, and the leader only accepts no new ones. The planner took it for dead when a probe was refused and ordered the leader to leave at once, which broke all its streams although nothing had failed.

A follower that answered after its record was gone and stops listening later has left; its group is closed and has the time of other groups with leaving members. One that stops answering while it has a record has crashed, as before.

TestLeaderFinishesItsRequestsAfterAFollowerHasLeft failed before.

--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -193,6 +193,13 @@
 	return t
 }
 
+// departed reports whether a follower has left as planned: it answered after its record was removed, and has stopped
+// listening since. It stays until its group's leader has finished its requests.
+func (in *Input) departed(t *rudderview.Target) bool {
+	_, answered := in.Reports[t.Name]
+	return answered && in.Targets[t.Name] == nil && in.Dead(t) && t.Membership.Rank > 0
+}
+
 // inGroup reports whether a target reports this epoch of the group.
 func inGroup(t *rudderview.Target, g rudderroster.Group) bool {
 	return t != nil && t.Membership.Group == g.Name && t.Membership.Epoch == g.Epoch
--- a/rudderd/rudderplacement/replace.go
+++ b/rudderd/rudderplacement/replace.go
@@ -16,7 +16,7 @@
 // follower still works. A leaving leader takes no requests.
 func (in *Input) keepsServing(d *domain, g rudderroster.Group) bool {
 	leader := in.Targets[g.Members[0].Target]
-	if leader == nil || leader.Leaving() || !in.State.complete[groupKey(g)] {
+	if leader == nil || leader.Leaving() || !in.State.complete[groupKey(g)] || in.followerDeparted(g) {
 		return false
 	}
 	return in.Now-in.leavingSince(g) < leavingServeLimit && in.leavingMembers(g) > in.warmSpares(d, g.Model)
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
@@ -126,7 +127,7 @@
 			continue
 		case t == nil:
 			return "member " + m.Target + " is gone"
-		case in.Dead(t):
+		case in.Dead(t) && !in.departed(t):
 			return "member " + m.Target + " does not answer"
 		}
 		member := inGroup(t, g)
@@ -182,13 +183,21 @@
 // memberLeaving returns a reason that names the first leaving member, or "".
 func (in *Input) memberLeaving(g rudderroster.Group) string {
 	for _, m := range g.Members {
-		if t := in.member(m); t != nil && t.Leaving() {
+		if t := in.member(m); t != nil && (t.Leaving() || in.departed(t)) {
 			return "member " + m.Target + " leaves"
 		}
 	}
 	return ""
 }
 
+// followerDeparted reports whether a follower has left, so that the leader accepts no new requests.
+func (in *Input) followerDeparted(g rudderroster.Group) bool {
+	return slices.ContainsFunc(g.Members, func(m rudderroster.Member) bool {
+		t := in.member(m)
+		return t != nil && in.departed(t)
+	})
+}
+
 func (in *Input) leaderDead(g rudderroster.Group) bool {
 	t := in.member(g.Members[0])
 	return t == nil || in.Dead(t)
