Test relayed responses that break off at every byte

A response that another entry host relays has a head of its own inside the body. TestRelayedResponseThatBreaksOff cuts the whole message at each of its bytes: the request counts as one that may have run, or the read of the body fails. It passed with -race in 0.45 s; no fix was needed.

--- /dev/null
+++ b/rudderd/rudderpath/relay_test.go
@@ -0,0 +1,73 @@
+package rudderpath
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// relayedResponse returns the bytes that an entry host sends for the response of a target.
+func relayedResponse(t *testing.T, body string) string {
+	recorder := httptest.NewRecorder()
+	target := httptest.NewRecorder()
+	_, _ = target.WriteString(body)
+	require.NoError(t, CopyResponse(recorder, target.Result(), func() {}))
+	response := recorder.Result()
+	response.ContentLength, response.TransferEncoding = -1, []string{"chunked"}
+	read, write := io.Pipe()
+	go func() { _ = write.CloseWithError(response.Write(write)) }()
+	text, err := io.ReadAll(read)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// Guards against a response that looks complete, and a request that is reported as not sent, because the entry host that
+// relays it dies inside its response.
+func TestRelayedResponseThatBreaksOff(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	part := make(chan string, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, <-part)
+			}
+			_ = c.Close()
+		}
+	}()
+	whole := relayedResponse(t, "whole answer")
+	begin := time.Now()
+	for offset := range len(whole) + 1 {
+		part <- whole[:offset]
+		relay := &Relay{Uptime: func() time.Duration { return time.Since(begin) + 1 }, Transport: &http.Transport{}, Peers: func() []Peer {
+			return []Peer{{Name: "peer", Address: l.Addr().String()}}
+		}}
+		response, err := relay.Send(context.Background(), Request{Target: "t", Method: http.MethodPost, RequestTarget: "/", Body: []byte("body")})
+		if err != nil {
+			require.True(t, errors.Is(err, ErrMayHaveRun) && !errors.Is(err, ErrNoPeer), "%q: %v", whole[:offset], err)
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if offset < len(whole) {
+			require.Error(t, err, "%q", whole[:offset])
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "whole answer", string(text))
+	}
+}
