Resume answers of the chat API that have begun without a permit

An answer ended with the error entry_not_ready in its middle when its group broke while the entry host had no permit, for example beside an outage of the key-value service: the permit was checked again before the attempt that resumes it. The request had been admitted under a permit, and an attempt that goes on is not interrupted either; the design says that an entry host without a permit finishes streams in flight.

The permit is checked only until the answer has begun.

--- a/rudderd/rudderchange/controller.go
+++ b/rudderd/rudderchange/controller.go
@@ -103,7 +103,7 @@
 }
 
 // Permit returns nil if this entry host may serve under Current at the time now, or else the reason. Check it
-// before each dispatch of a request.
+// before each dispatch of a request whose answer has not begun.
 func (c *Controller) Permit(now time.Time) error {
 	_, err := c.Serving(now)
 	return err
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -127,9 +127,10 @@
 }
 
 // dispatch sends the request to the group's leader and reads the stream. The permit is checked right before
-// sending, because it may have expired while the request waited for the slot.
+// sending, because it may have expired while the request waited for the slot. An answer that has begun is resumed
+// without one: it was admitted, and its caller waits for the rest.
 func (s *run) dispatch(ctx context.Context, slot Slot) error {
-	if err := s.Permit(); err != nil {
+	if err := s.Permit(); err != nil && s.answer.Received() == 0 {
 		return &Refusal{Code: CodeNotReady, Message: err.Error(), RetryAfter: time.Second}
 	}
 	s.engineAhead, s.pendingResult, s.attemptTokens = false, nil, 0
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -229,6 +229,31 @@
 	}
 }
 
+// Guards against an answer that is cut because the permit expired after it had begun: it is resumed, while an attempt that
+// would begin it is not made.
+func TestAnswerThatHasBegunIsResumedWithoutAPermit(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		received int
+		outcome  Outcome
+		sent     int
+	}{{"begun", 3, OutcomeComplete, 2}, {"sent, not begun", 0, OutcomeMayHaveRun, 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			engine := newFakeEngine(t, tokens(test.received, 5), tokens(5, 5))
+			r := testRunner(engine.address())
+			r.Permit = func() error {
+				if len(engine.requests()) > 0 {
+					return errors.New("permit expired")
+				}
+				return nil
+			}
+			page, _ := runRequest(t, r)
+			require.Equal(t, test.outcome, page.Result.Outcome, page.Result.Message)
+			require.Len(t, engine.requests(), test.sent)
+		})
+	}
+}
+
 // Guards against reporting a request as not run although a target may have run it, and the reverse.
 func TestOutcomeIsTrue(t *testing.T) {
 	refusal := &Refusal{Code: CodeNoCapacity, Message: "full", RetryAfter: time.Second}
