Expect no duration of long answers from answers of one token

A stopping entry host of the chat API accepted chats of any length if the recent answers of their model had one token each, for example classifications: such an answer shows no time between tokens, and 0 was taken for it. A chat of 1,000 tokens was expected to end within 150 ms and would have been cut at the end of the grace time. The duration is unknown now, so that the chat is refused as not run.

TestPacesOfSingleUnits failed before (150 ms in place of unknown).

--- a/rudderd/rudderentry/entry_test.go
+++ b/rudderd/rudderentry/entry_test.go
@@ -164,3 +164,15 @@
 		require.Equal(t, paceMargin*want, p.Bound("a", 1))
 	}
 }
+
+// Guards against an estimate for a long answer from answers of a single unit, which show nothing about the time for each
+// further unit.
+func TestPacesOfSingleUnits(t *testing.T) {
+	var p Paces
+	now := time.Unix(1_800_000_000, 0)
+	p.Observe(now, "a", 50*time.Millisecond, 0)
+	require.Zero(t, p.Bound("a", 1000))
+	require.Equal(t, paceMargin*50*time.Millisecond, p.Bound("a", 1))
+	p.Observe(now, "a", 50*time.Millisecond, 10*time.Millisecond)
+	require.Equal(t, paceMargin*(50+9990)*time.Millisecond, p.Bound("a", 1000))
+}
--- a/rudderd/rudderentry/pace.go
+++ b/rudderd/rudderentry/pace.go
@@ -46,12 +46,15 @@
 }
 
 // Bound returns the longest time that work of a kind with up to the given units of output is expected to take, or 0 if
-// no such work has ended yet.
+// it is unknown: no such work has ended yet, or only work with a single unit where more are expected.
 func (p *Paces) Bound(kind string, units int) time.Duration {
 	k, ok := p.kinds[kind]
 	if !ok {
 		return 0
 	}
 	slowest := k.current.slowest(k.previous)
+	if units > 1 && slowest.perUnit == 0 {
+		return 0
+	}
 	return paceMargin * (slowest.first + time.Duration(max(0, units-1))*slowest.perUnit)
 }
