Expect longer chats from groups whose running answers are slower than all that ended

A stopping entry host of the chat API took chats by the pace of answers that had ended, although those in flight showed that the groups had become slower, and cut them at the end of the grace time.

Attempts that hold a slot are tracked, and the slowest of them scales the expected duration, as on the platform path.

TestPacesOfRunningWork shows the estimate alone.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -95,9 +95,14 @@
 		return rudderstream.Slot{}, refusalOf(err)
 	}
 	a.suspects.started(slot.Group(), q.Fingerprint)
+	untrack := func() {}
+	if answer, found := a.answers.Find(q.ID); found {
+		untrack = a.stopping.track(a.Clock.Now(), paceOfModel(q.Model), answer)
+	}
 	return rudderstream.Slot{
 		Group: slot.Group(), Address: slot.Leader(), Domain: a.domainOf(slot.Group()), Wait: a.Clock.Since(start),
 		Release: func(u rudderstream.Usage) {
+			untrack()
 			a.suspects.ended(slot.Group(), q.Fingerprint)
 			slot.Release(rudderowner.Outcome{Tokens: u.Tokens, Failed: u.Failed})
 		},
--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	leaving rudderentry.Shutdown
 	paces   rudderentry.Paces
+	running map[*runningChat]bool
 	started chan struct{} // closed when the planned stop begins
 	// accepting ends when no new work is taken, and serving when running work is cut off.
 	accepting context.Context
@@ -31,6 +32,7 @@
 
 func (s *stopState) init() {
 	s.started = make(chan struct{})
+	s.running = map[*runningChat]bool{}
 	s.accepting, s.refuseNew = context.WithCancel(context.Background())
 	s.serving, s.cut = context.WithCancelCause(context.Background())
 }
@@ -112,10 +114,38 @@
 	s.paces.Observe(now, kind, first, perUnit)
 }
 
-func (s *stopState) bound(kind string, units int) time.Duration {
+// bound returns the longest time that work of a kind is expected to take from now on.
+func (s *stopState) bound(now time.Time, kind string, units int) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.paces.Bound(kind, units)
+	var running []rudderentry.Progress
+	for r := range s.running {
+		if r.kind == kind {
+			running = append(running, rudderentry.Progress{Elapsed: now.Sub(r.since), Units: r.answer.Received() - r.before})
+		}
+	}
+	return s.paces.Bound(kind, units, running...)
+}
+
+// runningChat is an attempt that holds a slot.
+type runningChat struct {
+	kind   string
+	since  time.Time
+	answer *rudderstream.Answer
+	before int // tokens received before this attempt
+}
+
+// track registers an attempt and returns the function to call at its end.
+func (s *stopState) track(now time.Time, kind string, answer *rudderstream.Answer) func() {
+	r := &runningChat{kind: kind, since: now, answer: answer, before: answer.Received()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[r] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, r)
+	}
 }
 
 func paceOfModel(model string) string     { return "model " + model }
@@ -123,7 +153,7 @@
 
 // chatLimit returns the limit of a model request that starts now.
 func (a *App) chatLimit(q rudderstream.Request) rudderentry.Limit {
-	return rudderentry.Limit{Duration: a.stopping.bound(paceOfModel(q.Model), q.MaxTokens)}
+	return rudderentry.Limit{Duration: a.stopping.bound(a.Clock.Now(), paceOfModel(q.Model), q.MaxTokens)}
 }
 
 // callLimit returns the limit of a call of a plain service that ends by a deadline. The time that earlier calls took
@@ -131,7 +161,7 @@
 func (a *App) callLimit(call *rudderservice.Call, deadline time.Time) rudderentry.Limit {
 	limit := rudderentry.Limit{Deadline: deadline}
 	if a.declaredIdempotent(call.Service, call.Method, call.Path) {
-		limit.Duration = a.stopping.bound(paceOfService(call.Service), 1)
+		limit.Duration = a.stopping.bound(a.Clock.Now(), paceOfService(call.Service), 1)
 	}
 	return limit
 }
--- a/rudderd/rudderentry/entry_test.go
+++ b/rudderd/rudderentry/entry_test.go
@@ -176,3 +176,22 @@
 	p.Observe(now, "a", 50*time.Millisecond, 10*time.Millisecond)
 	require.Equal(t, paceMargin*(50+9990)*time.Millisecond, p.Bound("a", 1000))
 }
+
+// Guards against an estimate that ignores work in progress which is slower than all work that has ended.
+func TestPacesOfRunningWork(t *testing.T) {
+	var p Paces
+	p.Observe(time.Unix(1_800_000_000, 0), "a", time.Second, 10*time.Millisecond)
+	usual := paceMargin * 1990 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		running []Progress
+		want    time.Duration
+	}{
+		{"waits for its first unit", []Progress{{Elapsed: 900 * time.Millisecond}}, usual},
+		{"waits four times as long", []Progress{{Elapsed: 4 * time.Second}, {Elapsed: time.Second}}, 4 * usual},
+		{"at the usual pace", []Progress{{Elapsed: 1500 * time.Millisecond, Units: 50}}, usual},
+		{"at a third of it", []Progress{{Elapsed: 4500 * time.Millisecond, Units: 50}}, 3 * usual},
+	} {
+		require.Equal(t, test.want, p.Bound("a", 100, test.running...), test.name)
+	}
+}
--- a/rudderd/rudderentry/pace.go
+++ b/rudderd/rudderentry/pace.go
@@ -29,6 +29,17 @@
 	return pace{max(p.first, other.first), max(p.perUnit, other.perUnit)}
 }
 
+// of returns how long work with the given units of output takes at this pace.
+func (p pace) of(units int) time.Duration {
+	return p.first + time.Duration(max(0, units-1))*p.perUnit
+}
+
+// Progress is what work that runs has done so far.
+type Progress struct {
+	Elapsed time.Duration // since its start
+	Units   int           // of output
+}
+
 // Observe records work that has ended: the time to its first unit of output, and the mean time for each further one.
 func (p *Paces) Observe(now time.Time, kind string, first, perUnit time.Duration) {
 	if p.kinds == nil {
@@ -46,8 +57,9 @@
 }
 
 // Bound returns the longest time that work of a kind with up to the given units of output is expected to take, or 0 if
-// it is unknown: no such work has ended yet, or only work with a single unit where more are expected.
-func (p *Paces) Bound(kind string, units int) time.Duration {
+// it is unknown: no such work has ended yet, or only work with a single unit where more are expected. Work of the kind that
+// runs and is slower than the slowest that has ended scales it.
+func (p *Paces) Bound(kind string, units int, running ...Progress) time.Duration {
 	k, ok := p.kinds[kind]
 	if !ok {
 		return 0
@@ -56,5 +68,9 @@
 	if units > 1 && slowest.perUnit == 0 {
 		return 0
 	}
-	return paceMargin * (slowest.first + time.Duration(max(0, units-1))*slowest.perUnit)
+	scale := 1.0
+	for _, r := range running {
+		scale = max(scale, float64(r.Elapsed)/float64(max(slowest.of(r.Units+1), 1)))
+	}
+	return time.Duration(paceMargin * scale * float64(slowest.of(units)))
 }
--- a/rudderstand/rudderscene/stop_test.go
+++ b/rudderstand/rudderscene/stop_test.go
@@ -233,3 +233,47 @@
 	require.NoError(t, <-stopped)
 	require.Less(t, time.Since(begin), 15*time.Second, "waits for nobody")
 }
+
+// Guards against chats that a stopping entry host takes by the pace of earlier answers and then cuts, because the groups have
+// become slow since and none of the answers that show it has ended.
+func TestStopTakesNoChatsFromSlowGroups(t *testing.T) {
+	location := Location{rudderfleetstand.RegionKigali, "kigali-1"}
+	s := &stopScene{Scene: &Scene{
+		Fleet: &rudderfleetstand.Fleet{Layout: rudderfleetstand.Small()}, Locations: []Location{location, location},
+		Settings: map[string]string{"stop-grace": "2s", "entry-lifetime": "1s"},
+	}, results: map[string][]ruddercaller.Result{}}
+	t.Cleanup(s.Close)
+	require.NoError(t, s.Start())
+	awaitAnswers(t, s.Scene)
+	for range 3 {
+		s.start("earlier", 60, true)
+	}
+	s.running.Wait()
+	s.counts(t, "earlier")
+	for _, host := range s.Fleet.Hosts {
+		if host.Engine != nil {
+			host.Engine.SetSlowdown(10)
+		}
+	}
+	for range 3 {
+		s.start("in flight", 60, true)
+	}
+	time.Sleep(500 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Entries()[0].Stop() }()
+	for ended := false; !ended; {
+		s.start("stream", 100, true)
+		s.start("chat", 100, false)
+		select {
+		case err := <-stopped:
+			require.NoError(t, err)
+			ended = true
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+	s.running.Wait()
+	for _, kind := range []string{"stream", "chat"} {
+		_, refused := s.counts(t, kind)
+		require.Positive(t, refused, kind)
+	}
+}
