Wait for a group when an answer of the chat API that has begun finds none with room

An answer ended in its middle with no_capacity or no_group when its group broke while the other groups were full, or while a new one was forming: the attempt that resumes it was refused like a new request. A caller that is refused can go elsewhere; one that waits for the rest of its answer cannot.

An answer that has begun now tries again each 0.5 s for up to 5 s. TestAnswerThatHasBegunWaitsForAGroup failed before in 2 of its 5 cases (full, no group) and passes now; a request that has not begun, and other refusals, end at once as before.

--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -55,6 +55,13 @@
 // survivalTokens is the number of tokens after which a group has survived the beginning of an answer.
 const survivalTokens = 2
 
+const (
+	// resumeWait is how long an answer that has begun waits for a group with room. Its caller cannot get it elsewhere.
+	resumeWait = 5 * time.Second
+	// resumeInterval is the time between two tries.
+	resumeInterval = 500 * time.Millisecond
+)
+
 // run is the state of one request over its attempts.
 type run struct {
 	*Runner
@@ -96,12 +103,7 @@
 	if s.Poisoned(s.request) {
 		return &Refusal{Code: CodePoison, Message: "targets died running this request"}
 	}
-	slot, err := s.Acquire(ctx, s.request, s.excluded)
-	if noGroupLeft(err) && len(s.excluded) > 0 {
-		// A group that failed an attempt may have recovered, and no other group is left.
-		s.excluded = nil
-		slot, err = s.Acquire(ctx, s.request, nil)
-	}
+	slot, err := s.acquire(ctx)
 	if err != nil {
 		return err
 	}
@@ -126,6 +128,33 @@
 	return err
 }
 
+// acquire waits for a slot. For an answer that has begun it tries again while no group has room.
+func (s *run) acquire(ctx context.Context) (Slot, error) {
+	until := s.Clock.Now().Add(resumeWait)
+	for {
+		slot, err := s.Acquire(ctx, s.request, s.excluded)
+		if noGroupLeft(err) && len(s.excluded) > 0 {
+			// A group that failed an attempt may have recovered, and no other group is left.
+			s.excluded = nil
+			slot, err = s.Acquire(ctx, s.request, nil)
+		}
+		if !lacksRoom(err) || s.answer.Received() == 0 || !s.Clock.Now().Before(until) {
+			return slot, err
+		}
+		select {
+		case <-ctx.Done():
+			return slot, err
+		case <-s.Clock.After(resumeInterval):
+		}
+	}
+}
+
+// lacksRoom reports whether a request was refused because no group has room for it now.
+func lacksRoom(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && (refusal.Code == CodeNoCapacity || refusal.Code == CodeNoGroup)
+}
+
 // dispatch sends the request to the group's leader and reads the stream. The permit is checked right before
 // sending, because it may have expired while the request waited for the slot. An answer that has begun is resumed
 // without one: it was admitted, and its caller waits for the rest.
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -254,6 +254,42 @@
 	}
 }
 
+// Guards against an answer that is cut because no group has room for it at the moment when its group breaks.
+func TestAnswerThatHasBegunWaitsForAGroup(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		refusal  Refusal
+		received int
+		refusals int
+		outcome  Outcome
+	}{
+		{"full", Refusal{Code: CodeNoCapacity, RetryAfter: 20 * time.Millisecond}, 3, 2, OutcomeComplete},
+		{"no group", Refusal{Code: CodeNoGroup, NoGroup: true, RetryAfter: 20 * time.Millisecond}, 3, 3, OutcomeComplete},
+		{"full for long", Refusal{Code: CodeNoCapacity, RetryAfter: resumeWait}, 3, 1000, OutcomeMayHaveRun},
+		{"entry host stops", Refusal{Code: CodeNotReady, RetryAfter: 20 * time.Millisecond}, 3, 1, OutcomeMayHaveRun},
+		{"not begun", Refusal{Code: CodeNoCapacity, RetryAfter: 20 * time.Millisecond}, 0, 1, OutcomeMayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			engine := newFakeEngine(t, tokens(test.received, 5), tokens(5, 5))
+			r := testRunner(engine.address())
+			acquire, refused := r.Acquire, 0
+			r.Acquire = func(ctx context.Context, q Request, excluded []string) (Slot, error) {
+				if len(engine.requests()) > 0 && refused < test.refusals {
+					refused++
+					return Slot{}, &test.refusal
+				}
+				return acquire(ctx, q, excluded)
+			}
+			page, _ := runRequest(t, r)
+			require.Equal(t, test.outcome, page.Result.Outcome, page.Result.Message)
+			if test.outcome == OutcomeComplete {
+				require.Equal(t, expectedTokens(5), page.Tokens)
+			}
+		})
+	}
+}
+
 // Guards against reporting a request as not run although a target may have run it, and the reverse.
 func TestOutcomeIsTrue(t *testing.T) {
 	refusal := &Refusal{Code: CodeNoCapacity, Message: "full", RetryAfter: time.Second}
