Compare lengths of answers with their callers' estimates by service

TestLengthsOfOtherServices failed: 15 events were expected where all 16 recent answers of the service had 80, because answers of a busier service filled the samples. Callers of one service may estimate far worse than those of another. The samples are kept by service now, and the test passes.

--- a/rudderd/rudderforward/lengths.go
+++ b/rudderd/rudderforward/lengths.go
@@ -17,9 +17,14 @@
 	lengthQuantile = 0.95
 )
 
-// lengthRatios holds the lengths of recent answers as multiples of their callers' estimates.
+// lengthRatios holds the lengths of recent answers as multiples of their callers' estimates, by service.
 type lengthRatios struct {
-	mu      sync.Mutex
+	mu       sync.Mutex
+	services map[string]*lengthWindow
+}
+
+// lengthWindow is a ring of samples.
+type lengthWindow struct {
 	samples [lengthSamples]lengthSample
 	next    int
 }
@@ -29,20 +34,32 @@
 	ratio float64
 }
 
-func (l *lengthRatios) observe(ratio float64, now time.Duration) {
+func (l *lengthRatios) observe(service string, ratio float64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.samples[l.next] = lengthSample{at: max(now, 1), ratio: ratio}
-	l.next = (l.next + 1) % lengthSamples
+	if l.services == nil {
+		l.services = map[string]*lengthWindow{}
+	}
+	w := l.services[service]
+	if w == nil {
+		w = &lengthWindow{}
+		l.services[service] = w
+	}
+	w.samples[w.next] = lengthSample{at: max(now, 1), ratio: ratio}
+	w.next = (w.next + 1) % lengthSamples
 }
 
-// high returns the ratio that few answers exceed; 0 if too few are known.
-func (l *lengthRatios) high(now time.Duration) float64 {
+// high returns the ratio that few answers of a service exceed; 0 if too few are known.
+func (l *lengthRatios) high(service string, now time.Duration) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w := l.services[service]
+	if w == nil {
+		return 0
+	}
 	var ratios [lengthSamples]float64
 	known := 0
-	for _, s := range l.samples {
+	for _, s := range w.samples {
 		if s.at > 0 && now-s.at <= lengthTTL {
 			ratios[known] = s.ratio
 			known++
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -224,7 +224,7 @@
 			f.durations.observe("llm\x00m", durationSample{endedAt: now, took: time.Second, firstByte: 100 * time.Millisecond, perEvent: time.Duration(20+i%7) * time.Millisecond})
 		}
 		for i := range lengthSamples {
-			f.lengths.observe(1+float64(i%13)/13, now)
+			f.lengths.observe("llm", 1+float64(i%13)/13, now)
 		}
 		var j *job
 		for range n {
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -149,7 +149,7 @@
 	}
 	f.durations.observe(kind, s)
 	if j.request.ExpectedTokens > 0 && j.request.LastEvent == "" && j.events > 0 {
-		f.lengths.observe(float64(j.events*f.tokensPerEvent(j))/float64(j.request.ExpectedTokens), now)
+		f.lengths.observe(j.service, float64(j.events*f.tokensPerEvent(j))/float64(j.request.ExpectedTokens), now)
 	}
 }
 
@@ -242,7 +242,7 @@
 // allows, and by the caller's estimate, scaled by how far recent answers have exceeded theirs. It is 0 if neither is known.
 func (f *Forwarder) maxEvents(j *job, now time.Duration) int {
 	tokens := j.request.AnswerTokens
-	estimate := lengthMargin * f.lengths.high(now) * float64(j.request.ExpectedTokens)
+	estimate := lengthMargin * f.lengths.high(j.service, now) * float64(j.request.ExpectedTokens)
 	if estimate > 0 && (tokens == 0 || estimate < float64(tokens)) {
 		tokens = int(math.Ceil(estimate))
 	}
