Count the whole wait of a request that has not been resumed

TestAdmissionDuringShutdown failed in its row "slow requests in flight" since waits count from the resumption of a stream: a request that began before uptime 0, as 4 s ago in a process that is 1 s old, waited since 0. The resumption counts only if there was one.

--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -73,6 +73,14 @@
 	r.events.Store(0)
 }
 
+// waitingSince returns the uptime at which the wait for the first event of the current send began.
+func (r *runningRequest) waitingSince() time.Duration {
+	if resumed := r.resumedAt.Load(); resumed > 0 {
+		return time.Duration(resumed)
+	}
+	return r.begin
+}
+
 func (r *runningRequest) countEvent(now time.Duration) {
 	r.firstEvent.CompareAndSwap(0, int64(now))
 	r.events.Add(1)
@@ -225,7 +233,7 @@
 		}
 		p.longest = max(p.longest, now-r.begin)
 		if r.events.Load() == 0 {
-			p.longestWait = max(p.longestWait, now-max(r.begin, time.Duration(r.resumedAt.Load())))
+			p.longestWait = max(p.longestWait, now-r.waitingSince())
 		}
 		if pace := r.perEvent(now); pace > 0 {
 			paces = append(paces, pace)
