Answer requests whose bodies are still arriving at the end of a shutdown

Callers that were still sending a body at the end of the grace time lost their connection without a response. Requests were tracked, and so cancelled, only once their bodies had been read. The reading is stopped now, and they are refused as not run.

--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -176,10 +176,14 @@
 	// A body that arrives later leaves too little time to serve the request.
 	left := max(j.remaining(f.Uptime())-f.minServiceTime(j, f.modelOf(j)), time.Millisecond)
 	_ = control.SetReadDeadline(time.Now().Add(left)) // not supported by test recorders
+	read := f.trackBody(func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(j.writer, r.Body, limit))
+	stopped := read()
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && stopped:
+		return shutdownRefusal()
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "request body is too large"}
 	case err != nil:
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -51,7 +51,7 @@
 
 // runningRequest is an accepted request.
 type runningRequest struct {
-	kind   string // key of durations
+	kind   string // key of durations; empty while the body is arriving
 	begin  time.Duration
 	cancel context.CancelCauseFunc
 	// answered is set when the head of the response has been sent.
@@ -145,6 +145,29 @@
 	}
 }
 
+// trackBody registers a request whose body is still arriving, with the function that stops the reading of it. The result is to
+// be called once the body has been read, and reports whether the reading was stopped.
+func (f *Forwarder) trackBody(stop func()) (read func() (stopped bool)) {
+	var mu sync.Mutex
+	ended, stopped := false, false
+	r := &runningRequest{cancel: func(error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			stopped = true
+			stop()
+		}
+	}}
+	f.shutdown.running.Store(r, true)
+	return func() bool {
+		f.shutdown.running.Delete(r)
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		return stopped
+	}
+}
+
 func (f *Forwarder) durationKind(j *job) string { return j.service + "\x00" + f.modelOf(j) }
 
 // observeDuration records a complete request. The time between the events of a stream that was resumed here, or the length
