Choose the next group of a stream before it leaves a slow one

TestNoMoveWithoutRoomElsewhere failed: the owner of the model answered that all groups are full after the stream had left its own, and it was cut after a second, although it would have ended 0.4 s before the shutdown. The group and the retry are taken first now, and the stream stays where there is no room; the next search follows 300 ms later at the earliest. The tests of moves pass with the race detector.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -34,6 +34,10 @@
 	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "attempts_exhausted", message: "no attempt is left", retryAfter: shortRetryAfter}
 	}
+	if g := j.moveTo; g != nil {
+		j.moveTo = nil
+		return g, nil
+	}
 	snapshot := f.View.Snapshot()
 	groups := snapshot.Groups(j.service, j.request.Model)
 	if len(groups) == 0 {
@@ -56,9 +60,7 @@
 	if j.runs > 0 && f.repeatInVain(j) {
 		return nil, shutdownRefusal()
 	}
-	taken := j.retryTaken
-	j.retryTaken = false
-	if j.sends > 0 && !taken && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
+	if j.sends > 0 && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
 	}
 	return c.group, nil
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -50,19 +50,20 @@
 	blockedPart       rudderpoison.Part
 	trial             bool // passes although a part is blocked
 
-	expectedTime time.Duration   // expected duration at the admission during a shutdown; 0 without one
-	events       int             // events delivered to the caller
-	running      *runningRequest // nil for a request that is relayed for another entry host
-	sendEvents   int             // new events of the current send
-	survived     bool            // the current send has been recorded as survived
-	suspectedIn  *crashCheck     // check of the last send's target, if this request may have crashed it
-	answeredAt   time.Duration   // uptime of the response headers of the current send; 0 before them
-	relayed      bool            // the current send goes through another entry host
-	sends        int             // sends that reached a target
-	runs         int             // sends that the target may have run
-	unsent       int             // sends of which no byte reached a target
-	retryTaken   bool            // the next send has been taken from the retry budget
-	exclude      map[string]bool // groups on which this request failed
+	expectedTime time.Duration     // expected duration at the admission during a shutdown; 0 without one
+	events       int               // events delivered to the caller
+	running      *runningRequest   // nil for a request that is relayed for another entry host
+	sendEvents   int               // new events of the current send
+	survived     bool              // the current send has been recorded as survived
+	suspectedIn  *crashCheck       // check of the last send's target, if this request may have crashed it
+	answeredAt   time.Duration     // uptime of the response headers of the current send; 0 before them
+	relayed      bool              // the current send goes through another entry host
+	sends        int               // sends that reached a target
+	runs         int               // sends that the target may have run
+	unsent       int               // sends of which no byte reached a target
+	moveTo       *rudderview.Group // group of the next send, chosen in advance
+	moveAfter    time.Duration     // uptime from which on a move may be tried again
+	exclude      map[string]bool   // groups on which this request failed
 	lastErr      error
 	expectedWait time.Duration // expected wait for the group, from the model's owner
 	pickedAt     time.Duration // uptime of the owner's answer; 0 without one
--- a/rudderd/rudderforward/move.go
+++ b/rudderd/rudderforward/move.go
@@ -1,11 +1,13 @@
 package rudderforward
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
 )
 
 const (
@@ -15,6 +17,8 @@
 	// spare.
 	moveMargin = 1.25
 	moveSlack  = 500 * time.Millisecond
+	// moveInterval is the time between two searches for a group with room.
+	moveInterval = 300 * time.Millisecond
 )
 
 // errSlowGroup cancels a send whose group would not finish the stream before the shutdown.
@@ -26,14 +30,42 @@
 	return j.route.Kind == rudderroute.KindStream && j.route.Repeatable() && j.runs+1 < attempts && j.sends+1 < attempts+extraSends
 }
 
-// mustMove reports whether a stream should go on in another group now, because its own would not finish it before the
-// shutdown. Most answers end far before their greatest length, so that it waits for the last moment at which a move helps. It
-// takes the retry from the budget.
-func (f *Forwarder) mustMove(j *job) bool {
-	if !f.shuttingDown() || j.retryTaken || !j.movable() {
+// leaveSlowGroup reports whether a stream goes on in another group now, because its own would not finish it before the
+// shutdown. The next send goes to that group and has been taken from the retry budget.
+func (f *Forwarder) leaveSlowGroup(ctx context.Context, j *job, g *rudderview.Group) bool {
+	if now := f.Uptime(); !f.tooSlow(j, now) || now < j.moveAfter {
+		return false
+	}
+	snapshot := f.View.Snapshot()
+	groups := snapshot.Groups(j.service, j.request.Model)
+	accepting, _ := f.accepting(groups)
+	if len(accepting) < 2 {
+		return false
+	}
+	j.moveAfter = f.Uptime() + moveInterval
+	releaseSend := j.releasePick
+	j.releasePick = nil
+	j.excludeGroup(g)
+	c := f.chooseAccepting(ctx, j, snapshot, groups, accepting)
+	if c.group == nil || !f.budget.takeRetry(j.service, f.Uptime(), f.Retries, len(snapshot.EntryHosts)) {
+		delete(j.exclude, g.ID)
+		j.release()
+		j.releasePick = releaseSend
+		return false
+	}
+	if releaseSend != nil {
+		releaseSend()
+	}
+	j.moveTo = c.group
+	return true
+}
+
+// tooSlow reports whether the group of a stream is slower than others and would not finish it before the shutdown. Most answers
+// end far before their greatest length, so that it waits for the last moment at which a move helps.
+func (f *Forwarder) tooSlow(j *job, now time.Duration) bool {
+	if !f.shuttingDown() || !j.movable() {
 		return false
 	}
-	now := f.Uptime()
 	left := time.Duration(f.shutdown.end.Load()) - now
 	pace, events := j.running.perEvent(now), time.Duration(f.eventsLeft(j, now))
 	if here := events * pace; pace == 0 || here <= left {
@@ -51,15 +83,7 @@
 	if left-pace > max(scaled(elsewhere, moveMargin), elsewhere+moveSlack) {
 		return false
 	}
-	if (left-recent.typicalFirstByte)/usualPace <= left/pace {
-		return false // no more events would arrive from another group
-	}
-	snapshot := f.View.Snapshot()
-	if accepting, _ := f.accepting(snapshot.Groups(j.service, j.request.Model)); len(accepting) < 2 {
-		return false
-	}
-	j.retryTaken = f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts))
-	return j.retryTaken
+	return (left-recent.typicalFirstByte)/usualPace > left/pace // more events will arrive from another group
 }
 
 // eventsLeft returns the greatest number of events that is expected of the rest of a stream; 0 if it is not known.
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -214,8 +214,8 @@
 	require.Len(t, ids, length)
 }
 
-// BenchmarkMustMove measures the cost of an event during a shutdown.
-func BenchmarkMustMove(b *testing.B) {
+// BenchmarkTooSlow measures the cost of an event during a shutdown.
+func BenchmarkTooSlow(b *testing.B) {
 	for _, n := range []int{50, 500} {
 		uptime := func() time.Duration { return time.Minute }
 		f := &Forwarder{View: &rudderview.View{Uptime: uptime}, Uptime: uptime}
@@ -238,13 +238,13 @@
 		f.BeginShutdown(now + time.Hour)
 		b.Run(fmt.Sprintf("%d/event, would end", n), func(b *testing.B) {
 			for range b.N {
-				f.mustMove(j)
+				f.tooSlow(j, now)
 			}
 		})
 		f.shutdown.end.Store(int64(now + 2*time.Second))
 		b.Run(fmt.Sprintf("%d/event, would not end", n), func(b *testing.B) {
 			for range b.N {
-				f.mustMove(j)
+				f.tooSlow(j, now)
 			}
 		})
 	}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -177,7 +177,7 @@
 			f.endStream(j, answer)
 			return true
 		}
-		if fresh && f.mustMove(j) {
+		if fresh && f.leaveSlowGroup(ctx, j, g) {
 			guard.cancel(errSlowGroup)
 		}
 		if !events.buffered() {
