--- a/rudderd/rudderforward/durations.go
+++ b/rudderd/rudderforward/durations.go
@@ -56,6 +56,8 @@
 	known int
 	// took, firstByte and slowestPerEvent are the longest ones.
 	took, firstByte, slowestPerEvent time.Duration
+	// fixed is the longest duration without the time between events.
+	fixed time.Duration
 	// typicalFirstByte and perEvent are medians; perEvent is 0 without a stream of several events.
 	typicalFirstByte, perEvent time.Duration
 }
@@ -77,7 +79,10 @@
 		firstBytes[r.known] = s.firstByte
 		r.known++
 		r.took, r.firstByte = max(r.took, s.took), max(r.firstByte, s.firstByte)
-		if s.perEvent > 0 {
+		if s.perEvent == 0 {
+			r.fixed = max(r.fixed, s.took)
+		} else {
+			r.fixed = max(r.fixed, s.firstByte)
 			perEvent[paced] = s.perEvent
 			paced++
 			r.slowestPerEvent = max(r.slowestPerEvent, s.perEvent)
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -221,6 +221,10 @@
 	}
 	running := f.runningProgress(kind, now)
 	expected := max(recent.took, running.longest, f.answerTime(j, j.request.AnswerTokens))
+	if j.route.Kind != rudderroute.KindStream {
+		// Streams of the same service tell how long the begin of a response takes.
+		expected = max(recent.fixed, running.longestWait, f.answerTime(j, j.request.AnswerTokens))
+	}
 	slow := scaled(expected, streamPaceMargin)
 	if events := time.Duration(f.maxEvents(j, now)); events > 0 && recent.perEvent > 0 {
 		firstByte := max(recent.firstByte, running.longestWait)
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -356,3 +356,21 @@
 	j := &job{service: "rare", request: Request{AnswerTokens: 400, ExpectedTokens: 10}, route: &rudderroute.Route{Kind: rudderroute.KindStream}}
 	require.GreaterOrEqual(t, f.maxEvents(j, now), 80, "all recent answers of the service had 80 events")
 }
+
+// A service answers calls and streams. Guards against expecting a call to take as long as a stream, so that all calls are
+// refused during a shutdown.
+func TestExpectedDurationOfACallBesideStreams(t *testing.T) {
+	b := newTestbed(t)
+	b.start()
+	f := b.forwarder
+	now := f.Uptime()
+	for range durationSamples / 2 {
+		call := &job{service: "plain", begin: now - 100*time.Millisecond, firstByte: 100 * time.Millisecond, status: http.StatusOK}
+		f.observeDuration("plain\x00", call)
+		stream := &job{service: "plain", begin: now - 2*time.Second, firstByte: 100 * time.Millisecond, status: http.StatusOK, events: 20, request: Request{AnswerTokens: 20}}
+		f.observeDuration("plain\x00", stream)
+	}
+	f.BeginShutdown(now + 3*time.Second)
+	j := &job{begin: now, limit: 8 * time.Second, service: "plain", route: &rudderroute.Route{Kind: rudderroute.KindIdempotent}}
+	require.True(t, f.endsBeforeShutdown(j), "expected %v", j.expectedTime)
+}
