--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -27,12 +27,8 @@
 	if refused := f.checkPoison(j); refused != nil {
 		return nil, refused
 	}
-	if j.runs > 0 && !j.route.Repeatable() {
-		return nil, &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
-	}
-	attempts := max(j.route.MaxAttempts, 1)
-	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends {
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: "attempts_exhausted", message: "no attempt is left", retryAfter: shortRetryAfter}
+	if refused := j.checkAttempts(); refused != nil {
+		return nil, refused
 	}
 	if g := j.moveTo; g != nil {
 		j.moveTo = nil
@@ -66,6 +62,18 @@
 	return c.group, nil
 }
 
+// checkAttempts returns a refusal if the request may not be sent again, or nil.
+func (j *job) checkAttempts() *refusal {
+	if j.runs > 0 && !j.route.Repeatable() {
+		return &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
+	}
+	attempts := max(j.route.MaxAttempts, 1)
+	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends {
+		return &refusal{status: http.StatusServiceUnavailable, code: "attempts_exhausted", message: "no attempt is left", retryAfter: shortRetryAfter}
+	}
+	return nil
+}
+
 // chooseAccepting chooses a group and checks it again, because the request may have waited for an owner's answer.
 func (f *Forwarder) chooseAccepting(ctx context.Context, j *job, snapshot *rudderview.Snapshot, groups, accepting []*rudderview.Group) choice {
 	c := f.choose(ctx, j, snapshot, groups)
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -150,19 +150,10 @@
 		}
 		fresh := newer(id, j.lastEvent)
 		if fresh {
-			if answer.connection != nil {
-				f.Path.Heard(g.Service)
-			}
-			guard.event()
-			f.countEvent(j)
-			j.running.countEvent(f.Uptime())
+			f.recordEvent(j, g, answer, guard)
 		}
 		if !j.started {
-			j.mediaType = mediaType(answer.response)
-			f.writeHead(j, answer.response, false, 0)
-			if j.pickedAt > 0 && j.sends == 0 {
-				f.firstEvents.observe(j.service+"\x00"+j.pickedModel, j.expectedWait, f.Uptime()-j.pickedAt)
-			}
+			f.beginStream(j, answer)
 		}
 		if len(event) > 0 && !older(id, j.lastEvent) {
 			if _, writeErr := j.writer.Write(event); writeErr != nil {
@@ -189,6 +180,25 @@
 	}
 }
 
+// recordEvent records an event that is new to the caller.
+func (f *Forwarder) recordEvent(j *job, g *rudderview.Group, answer *reply, guard *watchdog) {
+	if answer.connection != nil {
+		f.Path.Heard(g.Service)
+	}
+	guard.event()
+	f.countEvent(j)
+	j.running.countEvent(f.Uptime())
+}
+
+// beginStream sends the head of a stream.
+func (f *Forwarder) beginStream(j *job, answer *reply) {
+	j.mediaType = mediaType(answer.response)
+	f.writeHead(j, answer.response, false, 0)
+	if j.pickedAt > 0 && j.sends == 0 {
+		f.firstEvents.observe(j.service+"\x00"+j.pickedModel, j.expectedWait, f.Uptime()-j.pickedAt)
+	}
+}
+
 // nextEvent returns the next event of a stream. At its end, it returns io.EOF only if the stream may be complete.
 func nextEvent(j *job, answer *reply, events *eventReader) (event []byte, id string, err error) {
 	event, id, err = events.next()
