--- a/rudderd/rudderforward/forward_test.go
+++ b/rudderd/rudderforward/forward_test.go
@@ -151,3 +151,57 @@
 		t.Fatal("the request at the target was not cancelled within 5 s")
 	}
 }
+
+// A target refuses a request without running it, and the key is withdrawn meanwhile. Guards against sending the request to
+// another target, as requests that a target has begun are.
+func TestRefusedRequestNeedsTheCurrentConfiguration(t *testing.T) {
+	const staleness = time.Second
+	for _, kind := range []rudderroute.Kind{rudderroute.KindIdempotent, rudderroute.KindAtMostOnce, rudderroute.KindStream} {
+		for _, stale := range []bool{false, true} {
+			b := newTestbed(t)
+			b.route("/x/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = kind, 3 })
+			var arrivals atomic.Int32
+			for range 2 {
+				b.target("plain", func(w http.ResponseWriter, _ *http.Request) {
+					if arrivals.Add(1) == 1 {
+						if stale {
+							time.Sleep(staleness)
+						} else {
+							b.configure(func(d *rudderroute.Document) { d.Workspaces = nil })
+						}
+						sealed(w)
+						w.Header().Set("Not-Run", "1")
+						w.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+					events(w, 0, 1, 0)
+				})
+			}
+			b.start()
+			b.forwarder.MaxKeyStaleness = staleness
+			response, _, err := b.send("POST", "/x/x", "body")
+			require.NoError(t, err)
+			require.NotEqual(t, http.StatusOK, response.StatusCode)
+			require.EqualValues(t, 1, arrivals.Load())
+		}
+	}
+}
+
+// A request that may run once is sent, its connection closes, and its key is withdrawn. Guards against a second run.
+func TestBegunRequestRunsOnceAfterItsKeyIsWithdrawn(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/x/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 3 })
+	b.route("/s/", streamRoute(false))
+	var arrivals atomic.Int32
+	for _, service := range []string{"plain", "plain", "llm", "llm"} {
+		b.target(service, func(w http.ResponseWriter, _ *http.Request) { arrivals.Add(1); cut(w) })
+	}
+	b.start()
+	for _, path := range []string{"/x/x", "/s/x"} {
+		arrivals.Store(0)
+		response, _, err := b.send("POST", path, "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+		require.EqualValues(t, 1, arrivals.Load())
+	}
+}
