Bound the length that a request may name, and move only streams that the shutdown would cut

A stopping host accepted a request that allows 2^63-1 tokens, because its expected duration overflowed (row "length beyond all bounds" of TestAdmissionDuringShutdown failed before).

--- a/rudderd/rudderforward/move.go
+++ b/rudderd/rudderforward/move.go
@@ -67,6 +67,9 @@
 		return false
 	}
 	left := time.Duration(f.shutdown.end.Load()) - now
+	if j.remaining(now) <= left {
+		return false // its own time limit ends first
+	}
 	pace, events := j.running.perEvent(now), time.Duration(f.eventsLeft(j, now))
 	if here := events * pace; pace == 0 || here <= left {
 		return false
@@ -91,5 +94,5 @@
 	if n := f.maxEvents(j, now) - j.events; n > 0 {
 		return n
 	}
-	return max(j.request.AnswerTokens/f.tokensPerEvent(j)-j.events, 0)
+	return max(min(j.request.AnswerTokens, maxAnswerTokens)/f.tokensPerEvent(j)-j.events, 0)
 }
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -21,6 +21,8 @@
 	callDurationMargin = 2.5
 	// lengthMargin multiplies the length that few recent answers have exceeded.
 	lengthMargin = 1.5
+	// maxAnswerTokens bounds the length that a caller may name, so that durations do not overflow.
+	maxAnswerTokens = 1 << 24
 	// minPacedEvents is the number of events after which the pace of a stream is known, and minPacedStreams the number of
 	// streams in flight whose paces are used.
 	minPacedEvents  = 8
@@ -281,6 +283,7 @@
 	if estimate > 0 && (tokens == 0 || estimate < float64(tokens)) {
 		tokens = int(math.Ceil(estimate))
 	}
+	tokens = min(tokens, maxAnswerTokens)
 	perEvent := f.tokensPerEvent(j)
 	return (tokens + perEvent - 1) / perEvent
 }
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -80,6 +81,7 @@
 		{"margin of a stream", "known", 8 * time.Second, 96, 0, false, false},
 		{"full length of an answer fits", "llm", 8 * time.Second, 50, 0, false, true},
 		{"full length of an answer, recent ones were short", "llm", 8 * time.Second, 100, 0, false, false},
+		{"length beyond all bounds", "known", 8 * time.Second, math.MaxInt, 0, false, false},
 		{"short call", "known", 8 * time.Second, 30, 0, true, true},
 		{"margin of a call", "known", 8 * time.Second, 42, 0, true, false},
 	} {
