Confirm with other hosts that a leader has ended before its members join another group

Workers were ordered to join another group while the leader of theirs was open (TWO). Cause: a planner whose order to leave was refused took that for the end of the leader if it reached any other target.

Now up to eight other hosts with a path, or half of them in a small fleet, have to find the leader unreachable as well; one that reaches it, or another incarnation, settles it. Otherwise members wait until the leader must have broken. That time counted from the begin of the retirement although followers of an unreachable leader are ordered to leave two seconds later, or after the grace time; it counts from when the first of them left. The wire is unchanged: other hosts are asked with indirect probes.

TestRefusedConnectionDoesNotReleaseMembers and TestMembersOfAnUnreachableLeaderWaitFromWhenTheyLeft failed before. TestEnded guards the confirmation.

--- a/rudderd/ruddercoordinator/orders.go
+++ b/rudderd/ruddercoordinator/orders.go
@@ -12,17 +12,16 @@
 // send sends one order and records the outcome.
 func (p *Planner) send(ctx context.Context, state *rudderplacement.State, o rudderplacement.Order) {
 	p.calls.acquire()
-	defer p.calls.release()
 	if ctx.Err() != nil {
+		p.calls.release()
 		return // the lease was lost while the order waited
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	begin := p.Uptime()
-	err := p.Control.Send(ctx, o.Target, o.Address, o.Order)
+	err := p.call(ctx, o)
+	p.calls.release()
 	outcome := orderOutcome(err)
-	if outcome == "not_listening" && p.HasPath != nil && !p.HasPath(ctx) {
-		outcome = "unreachable" // the connection was refused on the way
+	if outcome == "not_listening" && !p.confirmEnded(ctx, o) {
+		outcome = "unreachable" // the connection may have been refused on the way
 	}
 	p.Logger.Info().Err(err).Str("target", o.Target).Str("order", string(o.Order.Kind)).Str("group", o.Order.Group).
 		Int64("epoch", o.Order.Epoch).Str("model", o.Order.Model).Str("reason", o.Reason).Str("outcome", outcome).
@@ -44,6 +43,27 @@
 	}
 }
 
+// call sends one order and waits for the answer.
+func (p *Planner) call(ctx context.Context, o rudderplacement.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return p.Control.Send(ctx, o.Target, o.Address, o.Order)
+}
+
+// confirmEnded reports whether a target that refused the connection for an order to leave has ended. Other orders take
+// no effect on the state of the plan when they fail.
+func (p *Planner) confirmEnded(ctx context.Context, o rudderplacement.Order) bool {
+	if o.Order.Kind != ruddertarget.OrderLeave || p.Ended == nil {
+		return false
+	}
+	snapshot := p.View.Snapshot()
+	t := snapshot.Targets[o.Target]
+	if t == nil {
+		t = snapshot.Removed[o.Target]
+	}
+	return t != nil && t.Address == o.Address && p.Ended(ctx, t)
+}
+
 // orderOutcome names the outcome of an order for logs and metrics.
 func orderOutcome(err error) string {
 	for _, known := range []struct {
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -86,6 +86,9 @@
 	// HasPath reports whether this entry host has a path to targets, and CutOff whether it has none while another one has;
 	// optional.
 	HasPath, CutOff func(ctx context.Context) bool
+	// Ended reports whether a target that refuses connections has ended, as other entry hosts confirm. If it is nil, a
+	// refused connection does not show that; optional.
+	Ended func(ctx context.Context, t *rudderview.Target) bool
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
 
--- a/rudderd/ruddercoordinator/planner_test.go
+++ b/rudderd/ruddercoordinator/planner_test.go
@@ -35,8 +35,9 @@
 	cut      map[string]bool // targets without a record
 	orders   []string
 	revision int64
-	refused  int  // number of plan writes that were refused
-	refuse   bool // plan writes fail at once
+	refused  int    // number of plan writes that were refused
+	refuse   bool   // plan writes fail at once
+	refusing string // target that refuses connections
 }
 
 const planPrefix = rudderview.PlanPrefix
@@ -162,6 +163,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.orders = append(w.orders, string(o.Kind)+" "+name)
+	if name == w.refusing {
+		return ruddertarget.ErrNotListening
+	}
 	t := w.targets[name]
 	switch o.Kind {
 	case ruddertarget.OrderJoin:
@@ -352,3 +356,57 @@
 	require.LessOrEqual(t, refused, 8)
 	require.Eventually(t, w.someOpen, 5*time.Second, 10*time.Millisecond)
 }
+
+// The planner's connections to a leader are refused, while other entry hosts reach it and its group serves; a follower leaves.
+// Guards against taking the refusal for the end of the leader: its members were ordered to join another group at once.
+func TestRefusedConnectionDoesNotReleaseMembers(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	w.targets["d"] = &rudderview.Target{
+		Host: rudderhost.Host{Name: "d", Address: "d", State: rudderhost.StateLive, FabricDomain: "d"}, Service: "llm", Born: 1, Staged: []string{"m"},
+	}
+	w.record("d")
+	p, _ := w.run(t, "planner")
+	var asked atomic.Int32
+	p.Ended = func(context.Context, *rudderview.Target) bool {
+		asked.Add(1)
+		return false
+	}
+	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
+	var leader, follower string
+	var serving ruddertarget.Membership
+	w.mu.Lock()
+	for name, x := range w.targets {
+		switch {
+		case x.Membership.Phase == ruddertarget.GroupOpen:
+			leader, serving = name, x.Membership
+		case x.Membership.Group != "":
+			follower = name
+		}
+	}
+	w.refusing = leader
+	before := len(w.orders)
+	w.mu.Unlock()
+	require.True(t, p.View.MarkLeaving(rudderview.Announcement{Target: follower, Born: 1}))
+	var left time.Time
+	require.Eventually(t, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, o := range w.orders[before:] {
+			kind, name, _ := strings.Cut(o, " ")
+			switch {
+			case kind == "leave" && name != leader && left.IsZero():
+				left = time.Now()
+			case kind == "join" && name != leader && w.targets[name].Membership.Epoch != serving.Epoch:
+				return true
+			}
+		}
+		if x := w.targets[leader]; !left.IsZero() && time.Since(left) > p.StallTimeout && x.Membership.Phase == ruddertarget.GroupOpen {
+			x.Membership.Phase = ruddertarget.GroupBroken
+			w.record(leader)
+		}
+		return false
+	}, 15*time.Second, 5*time.Millisecond, "the members join another group in the end")
+	require.False(t, left.IsZero(), "they leave first")
+	require.GreaterOrEqual(t, time.Since(left), p.StallTimeout, "they join after the leader must have broken")
+	require.Positive(t, asked.Load())
+}
--- a/rudderd/rudderplacement/form_test.go
+++ b/rudderd/rudderplacement/form_test.go
@@ -195,10 +195,11 @@
 	f.state.MarkAccepted(o)
 }
 
-// breakLeader makes a hidden leader that loses a member break after the stall time.
+// breakLeader makes a leader that the planner does not reach break after the stall time when it loses a member.
 func (f *fleet) breakLeader(m ruddertarget.Membership) {
-	for _, leader := range f.hidden {
-		if own := leader.Membership; m.Rank > 0 && own.Group == m.Group && own.Epoch == m.Epoch {
+	for _, leader := range f.all() {
+		unreached := f.hidden[leader.Name] != nil || f.silent[leader.Name]
+		if own := leader.Membership; unreached && f.breaksAt[leader.Name] == 0 && own.Rank == 0 && m.Rank > 0 && own.Group == m.Group && own.Epoch == m.Epoch {
 			f.breaksAt[leader.Name] = f.now + stall
 		}
 	}
--- a/rudderd/rudderplacement/replace_test.go
+++ b/rudderd/rudderplacement/replace_test.go
@@ -10,6 +10,7 @@
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // A follower leaves as planned at peak load, in a domain whose spares have other weights or none. Guards
@@ -94,6 +95,29 @@
 	require.Equal(t, 1, f.open()["large"])
 }
 
+// The planner alone does not reach the leader of a group that serves, and a follower leaves. Guards against members that join
+// another group before the leader must have broken: the time counted from the begin of the retirement, not from when the
+// followers left.
+func TestMembersOfAnUnreachableLeaderWaitFromWhenTheyLeft(t *testing.T) {
+	f := newFleet(t, large(), small())
+	f.addMany("d", 8)
+	f.run(5 * time.Second)
+	f.traffic = true
+	leader := f.leader("large")
+	leaving := f.follower(leader)
+	f.silent[leader.Name] = true
+	leaving.State = rudderhost.StateLeaving
+	epoch, joined := leader.Membership.Epoch, false
+	for end := f.now + 15*time.Second; f.now < end; {
+		f.step() // checkJoin checks each join
+		for _, x := range f.targets {
+			joined = joined || x != leader && x.Membership.Epoch > epoch && f.left[x.Name].Epoch == epoch
+		}
+	}
+	require.Equal(t, ruddertarget.GroupBroken, leader.Membership.Phase)
+	require.True(t, joined, "a member joins another group")
+}
+
 // A new planner does not know an open leader without a record and continues its group with other targets; then
 // the record of a former member comes back first. Guards against that member joining another group before the
 // unknown leader must have broken; the target was then a member of two groups (found on umuvumu-tap-now-grown
--- a/rudderd/rudderplacement/state.go
+++ b/rudderd/rudderplacement/state.go
@@ -56,6 +56,9 @@
 	reason string
 	// graceful is the uptime until which the group may finish its requests; 0 if it ends at once.
 	graceful time.Duration
+	// left is the uptime at which a follower was first known to have left; 0 before. From then on the leader is stalled, and
+	// it is broken after Input.StallTimeout.
+	left time.Duration
 }
 
 // stagingLoad is a load that one incarnation of a target was ordered to make.
@@ -121,7 +124,7 @@
 }
 
 // MarkInapplicable records that a target cannot be in the state that the order would end: it refused the order,
-// another target answers at its address, or nothing listens there.
+// another target answers at its address, or it has ended.
 func (st *State) MarkInapplicable(o Order) {
 	if s := st.orders[orderKey(o.Target, o.Order)]; s != nil {
 		s.inapplicable = true
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -88,6 +88,7 @@
 		if g.Retiring && in.anyFollowerLeft(g) {
 			// The previous planner ordered the members to leave right after it had written the plan.
 			r.since = min(r.since, in.Now-in.retiringFor(g)+takeOverMargin)
+			r.left = r.since
 		}
 		in.State.retirements[key] = r
 	}
@@ -231,10 +232,18 @@
 	if others == 0 && in.Targets[leader.Target] == nil {
 		return true // no member of the group exists any more
 	}
-	if others > 0 && left == 0 && !in.anyFollowerLeft(g) {
-		return in.Now-r.since > 2*(in.StallTimeout+stallMargin)
+	if r.left == 0 && (left > 0 || in.anyFollowerLeft(g)) {
+		r.left = in.Now
 	}
-	return in.Now-r.since > in.StallTimeout+stallMargin
+	stalled := r.left
+	switch {
+	case stalled > 0:
+	case others > 0:
+		stalled = r.since + in.StallTimeout + stallMargin
+	default:
+		stalled = r.since
+	}
+	return in.Now-stalled > in.StallTimeout+stallMargin
 }
 
 func leaveOrder(g rudderroster.Group) ruddertarget.GroupOrder {
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -23,6 +23,8 @@
 	askTimeout = 450 * time.Millisecond
 	// minWitnesses is the number of other entry hosts with a path that have to answer, as far as there are any.
 	minWitnesses = 2
+	// endWitnesses bounds the number of other entry hosts that have to confirm that a target has ended.
+	endWitnesses = 8
 	// shareTime is how long a failed probe answers the questions of several entry hosts.
 	shareTime = 300 * time.Millisecond
 	// maxShared bounds the number of targets that are remembered.
@@ -121,7 +123,7 @@
 			return
 		}
 		go func() { path <- d.HasPath(ctx, t) }()
-		go func() { said <- d.ask(ctx, others, t, begin) }()
+		go func() { said <- d.ask(ctx, others, t, begin, minWitnesses) }()
 	}
 	go func() {
 		report, alive := d.Probe(ctx, t, failed)
@@ -154,6 +156,33 @@
 	return ruddertarget.GroupReport{Membership: t.Membership, Orders: 1, Born: t.Born}, true
 }
 
+// Ended reports whether a target that refuses the connections of this entry host has ended. A verdict does not suffice: a
+// cut between the target and a part of the entry hosts may include all that are asked. Half of the others, or endWitnesses
+// of them, have to confirm it.
+func (d *Detector) Ended(ctx context.Context, t *rudderview.Target) bool {
+	others := d.others(t)
+	wanted := min(endWitnesses, (len(others)+1)/2)
+	if wanted == 0 || !d.HasPath(ctx, t) {
+		return false
+	}
+	begin := d.Uptime()
+	statements := d.ask(ctx, others, t, begin, wanted)
+	ended := false
+	if found := answered(statements); found != nil {
+		ended = !found.Alive
+	} else {
+		witnesses := 0
+		for _, s := range statements {
+			if s.hasPath() {
+				witnesses++
+			}
+		}
+		ended = witnesses >= wanted
+	}
+	d.logVerdict(t, begin, "refuses connections", statements, ended)
+	return ended
+}
+
 // recentlyAlive returns what another entry host has found out recently about a target that is alive, if this one has no
 // path: its connections to the target keep failing meanwhile.
 func (d *Detector) recentlyAlive(t *rudderview.Target) (report ruddertarget.GroupReport, known bool) {
@@ -217,15 +246,15 @@
 	return list
 }
 
-// ask asks other entry hosts until one reaches the target, or minWitnesses with a path do not. Each that has no path or
+// ask asks other entry hosts until one reaches the target, or the wanted number of them with a path do not. Each that has no path or
 // does not answer is replaced by two others. An entry host without a path asks one at a time: it has many doubts, most of them
 // unfounded.
-func (d *Detector) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration) (statements []statement) {
+func (d *Detector) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration, wanted int) (statements []statement) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	results := make(chan statement, len(hosts))
 	asked, open, witnesses := 0, 0, 0
-	first, silent := minWitnesses, func() time.Duration { return d.Uptime() - since }
+	first, silent := wanted, func() time.Duration { return d.Uptime() - since }
 	if d.path(t).lost(since) {
 		first, silent = 1, func() time.Duration { return lostTTL }
 	}
@@ -248,10 +277,10 @@
 		case s.err == nil && s.finding.Answered:
 			return statements
 		case s.hasPath():
-			if witnesses++; witnesses == minWitnesses || t == nil {
+			if witnesses++; witnesses == wanted || t == nil {
 				return statements
 			}
-			start(minWitnesses - witnesses - open)
+			start(wanted - witnesses - open)
 		case ctx.Err() == nil:
 			start(2)
 		}
@@ -312,7 +341,7 @@
 	if !d.doubtful() || d.HasPath(ctx, nil) {
 		return false
 	}
-	return slices.ContainsFunc(d.ask(ctx, d.others(nil), nil, d.Uptime()), statement.hasPath)
+	return slices.ContainsFunc(d.ask(ctx, d.others(nil), nil, d.Uptime(), minWitnesses), statement.hasPath)
 }
 
 // doubtful reports whether this entry host may have no path.
--- a/rudderd/rudderverdict/detector_test.go
+++ b/rudderd/rudderverdict/detector_test.go
@@ -173,3 +173,36 @@
 		})
 	}
 }
+
+// Guards against a cut between a target and a part of the entry hosts that is taken for the end of its process.
+func TestEnded(t *testing.T) {
+	type answer = func() (Finding, error)
+	unreachable, others := says(dead), func(n int, first ...answer) []answer {
+		list := first
+		for len(list) < n {
+			list = append(list, says(dead))
+		}
+		return list
+	}
+	for _, test := range []struct {
+		name   string
+		path   bool
+		others []answer
+		want   bool
+	}{
+		{"enough confirm it", true, others(17), true},
+		{"the first two are cut off as well", true, others(17, unreachable, unreachable, says(alive)), false},
+		{"all but the last one asked are cut off", true, others(17, unreachable, unreachable, unreachable, unreachable, unreachable, unreachable, unreachable, says(alive)), false},
+		{"another incarnation answers", true, others(17, unreachable, says(restarted)), true},
+		{"no path of its own", false, others(17), false},
+		{"few have a path", true, []answer{says(noPath), says(noPath), unreachable, says(noPath), silent}, false},
+		{"others replace those without a path", true, others(5, says(noPath), silent), true},
+		{"one of two others confirms it", true, others(2), true},
+		{"nobody else", true, nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, _ := newDetector(dead, test.path, test.others...)
+			require.Equal(t, test.want, d.Ended(t.Context(), d.Snapshot().Targets["t0"]))
+		})
+	}
+}
