Ask a key-value service that has answered when only the watchers lose it

Cause: after a compaction each follower watches once by itself and gets "not available". That answer counted as a failed watch of its own; when the service then refused the watchers, the follower took it for unreachable without another call for 3 s, and an unreachable service waives the greatest age of the configuration.

An answer that lacks the changes or arrives incomplete is no failure any more, and each answer, or the data of a watcher, ends the effect of an earlier failure.

TestFollowerOfRefusedWatchersAsksTheServiceThatAnswered failed before. Remains: after an outage for all that lasts longer for the watchers, a follower still asks by itself after up to 3 s only.

--- a/rudderd/rudderview/relay_test.go
+++ b/rudderd/rudderview/relay_test.go
@@ -148,6 +148,46 @@
 	}
 }
 
+// The service answers a follower that it no longer has the changes, and then refuses the watchers. Guards against taking that
+// answer, or a failure before the last answer, for an outage: followers went on with an old configuration for seconds
+// without a call of their own while the service served them.
+func TestFollowerOfRefusedWatchersAsksTheServiceThatAnswered(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		first  error
+		listed bool // all records are read in between
+		asked  bool
+	}{
+		{"compacted", rudderstore.ErrCompacted, false, true},
+		{"incomplete", rudderstore.ErrIncomplete, false, true},
+		{"unavailable, then read", errUnavailable, true, true},
+		{"unavailable", errUnavailable, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			s := &script{watches: []watchAnswer{{err: test.first}, {}}}
+			v := &View{Logger: zerolog.Nop(), Uptime: func() time.Duration { return now }, Store: s.store(), removedAt: map[string]time.Duration{}}
+			require.NoError(t, v.list(t.Context(), false))
+			require.ErrorIs(t, v.watch(t.Context(), firstWait), test.first)
+			v.FetchChanges = func(context.Context, int64, time.Duration, bool) (Changes, error) {
+				return Changes{Unavailable: true}, nil
+			}
+			now += time.Second
+			if test.listed {
+				require.NoError(t, v.list(t.Context(), false))
+			}
+			err := v.watch(t.Context(), firstWait)
+			if !test.asked {
+				require.ErrorIs(t, err, errServiceUnavailable)
+				return
+			}
+			require.NoError(t, err)
+			age, _ := v.Staleness()
+			require.Zero(t, age)
+		})
+	}
+}
+
 // Guards against a follower that learns late of the end of an outage: its call must be held until the service
 // answers its watcher.
 func TestFollowerLearnsOfTheEndOfAnOutage(t *testing.T) {
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -103,7 +103,7 @@
 		v.recoveredAt = v.Uptime()
 		v.Logger.Info().Dur("away_ms", v.recoveredAt-v.failingSince).Msg("key-value service is available again")
 	}
-	v.failingSince = 0
+	v.failingSince, v.ownWatchFailed = 0, false
 	v.failing.Store(false)
 	v.unreachable.Store(false)
 }
@@ -252,7 +252,8 @@
 	result, err := v.Store.Watch(watchContext, rudderstore.WatchRequest{
 		Prefixes: []string{""}, After: v.Snapshot().Revision, Wait: wait,
 	})
-	v.ownWatchFailed = err != nil
+	// A service that lacks the changes, or whose answer arrives incomplete, has answered.
+	v.ownWatchFailed = err != nil && !errors.Is(err, rudderstore.ErrCompacted) && !errors.Is(err, rudderstore.ErrIncomplete)
 	if err != nil {
 		return err
 	}
