--- a/rudderd/rudderplacement/leader.go
+++ b/rudderd/rudderplacement/leader.go
@@ -10,7 +10,7 @@
 )
 
 // replaceLeaderAfter is how long a group waits for the record of a leader that still answers before another
-// member takes its place, if the leader has finished its requests.
+// member takes its place. Most of its requests end in this time; the others are resumed elsewhere.
 const replaceLeaderAfter = 500 * time.Millisecond
 
 // replaceLeaders starts the next epoch of each group whose leader does not answer, or has no record and so gets
@@ -46,18 +46,12 @@
 	switch {
 	case r != nil && r.graceful == 0 && in.leaderDead(g):
 		return r.reason
-	case r == nil && leaderMissing && in.Now-since >= replaceLeaderAfter && in.State.complete[groupKey(g)] && !in.finishes(g, in.Now-since):
+	case r == nil && leaderMissing && in.Now-since >= replaceLeaderAfter && in.State.complete[groupKey(g)]:
 		return "leader " + g.Members[0].Target + " has no record"
 	}
 	return ""
 }
 
-// finishes reports whether a leader that has had no record for some time still has requests that it may finish.
-func (in *Input) finishes(g rudderroster.Group, missing time.Duration) bool {
-	report, answered := in.Reports[g.Members[0].Target]
-	return answered && report.Running+report.Waiting > 0 && missing < leavingGrace
-}
-
 // nextMembers returns the members of a group's next epoch: the surviving members, then warm free targets, then
 // members that answer but have no record. It returns nil if these are too few, or if no member with a record
 // survives to lead.
