--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -80,7 +80,7 @@
 	if leader != nil {
 		orders = append(orders, in.order(leader, leave, r.reason))
 	}
-	if in.leaderDead(g) || in.Now-r.since > leaderTimeout {
+	if in.leaderDead(g) || in.Now-r.ending > leaderTimeout {
 		for _, m := range g.Members[1:] {
 			if t := in.member(m); t != nil && !in.Dead(t) && !in.State.done(m.Target, leave) {
 				orders = append(orders, in.order(t, leave, "leader is not reachable"))
--- a/rudderd/rudderplacement/state.go
+++ b/rudderd/rudderplacement/state.go
@@ -56,6 +56,8 @@
 	reason string
 	// graceful is the uptime until which the group may finish its requests; 0 if it ends at once.
 	graceful time.Duration
+	// ending is the uptime from which on the group no longer waits for its requests.
+	ending time.Duration
 	// left is the uptime at which a follower was first known to have left; 0 before. From then on the leader is stalled, and
 	// it is broken after Input.StallTimeout.
 	left time.Duration
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -90,10 +90,11 @@
 			r.since = min(r.since, in.Now-in.retiringFor(g)+takeOverMargin)
 			r.left = r.since
 		}
+		r.ending = r.since
 		in.State.retirements[key] = r
 	}
 	if r.graceful > 0 && (lost != "" || in.Now >= r.graceful) {
-		r.graceful = 0
+		r.graceful, r.ending = 0, in.Now
 	}
 	return r
 }
@@ -239,9 +240,9 @@
 	switch {
 	case stalled > 0:
 	case others > 0:
-		stalled = r.since + in.StallTimeout + stallMargin
+		stalled = r.ending + in.StallTimeout + stallMargin
 	default:
-		stalled = r.since
+		stalled = r.ending
 	}
 	return in.Now-stalled > in.StallTimeout+stallMargin
 }
