Drop log lines that are written after the log was closed

The panic ends the process and with it every response that is still being written.

TestLogAfterClose panicked before and passes 3 of 3 runs with the race detector.

--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// Guards against a panic of a stopping process, which cuts the last responses, when a request logs after the writer was closed.
+func TestLogAfterClose(t *testing.T) {
+	w := NewLogWriter(io.Discard)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range logQueue {
+				_, _ = io.WriteString(w, "{\"line\":1}\n")
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	w.Close()
+}
+
 // edge returns an entry host that uses store as its key-value service.
 func edge(name string, store *rudderstore.Store) *Edge {
 	e := &Edge{
--- a/rudderd/rudderedge/logs.go
+++ b/rudderd/rudderedge/logs.go
@@ -24,7 +24,9 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewLogWriter returns a LogWriter that writes to output. Call Close to flush it.
@@ -34,8 +36,13 @@
 	return w
 }
 
-// Write queues one line. It never blocks and never fails.
+// Write queues one line. It never blocks and never fails. After Close, lines are dropped.
 func (w *LogWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -44,9 +51,14 @@
 	return len(line), nil
 }
 
-// Close flushes the queued lines and stops the writer. Write must not be called afterwards.
+// Close flushes the queued lines and stops the writer.
 func (w *LogWriter) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
 
