--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// stoppingEdge returns an entry host that serves an idempotent, an at-most-once, a resumable and a plain streaming route
-// by targets of different speed, and its caller-facing server.
-func stoppingEdge(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
+// stoppingHost returns an entry host with an idempotent, an at-most-once, a resumable and a plain streaming route to targets of
+// different speed.
+func stoppingHost(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) *Edge {
 	store := newMemoryStore()
 	put := func(key string, value any) {
 		text, err := json.Marshal(value)
@@ -102,6 +102,12 @@
 		SetRetryAfter: func(http.Header, time.Duration) {},
 	}
 	e.Prepare()
+	return e
+}
+
+// stoppingEdge returns a stoppingHost that serves, and its servers.
+func stoppingEdge(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
+	e := stoppingHost(t, grace, silentUntil)
 	servers, err := e.listen()
 	require.NoError(t, err)
 	go func() { _ = servers[0].serve() }()
