Let a stopping process end without waiting for its log writer and background work

The log writer writes its last lines at once, and drops them if nobody reads within 0.1 s. The process waits for background work until half of the time that is reserved for its end, and reserves three times the delay with which its own timers fire during the stop, if that is longer. The grace time counts from the signal, not from the end of the start that it interrupted.

TestLogNeverBlocks waits for the writer itself, since Close no longer does without a bound.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -101,9 +101,15 @@
 	if err != nil {
 		return err
 	}
+	return e.serve(ctx, servers)
+}
+
+// serve runs all parts until the context is cancelled, and then the planned stop.
+func (e *Edge) serve(ctx context.Context, servers []boundServer) error {
 	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, running := errgroup.WithContext(lifetime)
+	defer context.AfterFunc(ctx, func() { e.stop.request(e.uptime()) })()
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
@@ -135,7 +141,26 @@
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
-	return group.Wait()
+	if !e.stop.leaving() {
+		return group.Wait()
+	}
+	return e.awaitParts(group)
+}
+
+// awaitParts waits for the parts of an entry host that stops, but not longer than its grace time allows: a call to the key-value
+// service may take longer. Nothing that they do then is needed.
+func (e *Edge) awaitParts(parts *errgroup.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- parts.Wait() }()
+	timer := time.NewTimer(e.exitBy() - e.uptime())
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timer.C:
+		e.Logger.Warn().Msg("entry host ends before all of its background work has")
+		return nil
+	}
 }
 
 // Prepare connects the parts. Run calls it unless it has been called before.
--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -59,6 +59,7 @@
 	}
 	close(output.release)
 	w.Close()
+	<-w.done
 	require.Contains(t, output.text.String(), "log lines dropped")
 	for _, line := range strings.Split(strings.TrimSpace(output.text.String()), "\n") {
 		require.True(t, json.Valid([]byte(line)), line)
--- a/rudderd/rudderedge/grace_test.go
+++ b/rudderd/rudderedge/grace_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -22,16 +21,18 @@
 func stopWithResponse(t *testing.T, e *Edge, grace time.Duration) time.Duration {
 	lines := NewLogWriter(io.Discard)
 	e.Logger = zerolog.New(lines)
+	servers, err := e.listen()
+	require.NoError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	ended := make(chan error, 1)
 	go func() {
-		err := e.Run(ctx)
+		err := e.serve(ctx, servers)
 		lines.Close()
 		ended <- err
 	}()
 	require.Eventually(t, e.Ready, 5*time.Second, time.Millisecond)
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.Settings.CallerListen+"/stream/x", strings.NewReader("body"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/stream/x", strings.NewReader("body"))
 	require.NoError(t, err)
 	request.Host = "h"
 	request.Header.Set("Tokens", "100")
@@ -60,10 +61,6 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			e := stoppingHost(t, grace, new(atomic.Pointer[time.Time]))
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			e.Settings.CallerListen = listener.Addr().String()
-			require.NoError(t, listener.Close())
 			if test.silence {
 				release := make(chan struct{})
 				t.Cleanup(func() { close(release) })
--- a/rudderd/rudderedge/logs.go
+++ b/rudderd/rudderedge/logs.go
@@ -16,6 +16,8 @@
 	logDelay = 100 * time.Millisecond
 	// logBuffer is the size of the write buffer in bytes.
 	logBuffer = 32 << 10
+	// logCloseTimeout bounds the last write, for an output that nobody reads.
+	logCloseTimeout = 100 * time.Millisecond
 )
 
 // LogWriter writes log lines in the background. When its queue is full, lines are dropped and counted,
@@ -23,6 +25,7 @@
 type LogWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 
 	mu     sync.RWMutex
@@ -31,7 +34,7 @@
 
 // NewLogWriter returns a LogWriter that writes to output. Call Close to flush it.
 func NewLogWriter(output io.Writer) *LogWriter {
-	w := &LogWriter{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	w := &LogWriter{lines: make(chan []byte, logQueue), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run(bufio.NewWriterSize(output, logBuffer))
 	return w
 }
@@ -51,15 +54,21 @@
 	return len(line), nil
 }
 
-// Close flushes the queued lines and stops the writer.
+// Close flushes the queued lines and stops the writer. An output that does not take them within logCloseTimeout loses them.
 func (w *LogWriter) Close() {
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
+		close(w.closing)
 		close(w.lines)
 	}
 	w.mu.Unlock()
-	<-w.done
+	timer := time.NewTimer(logCloseTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
 }
 
 func (w *LogWriter) run(output *bufio.Writer) {
@@ -75,7 +84,17 @@
 			_, _ = fmt.Fprintf(output, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", n)
 		}
 		_ = output.Flush()
-		time.Sleep(logDelay)
+		w.awaitLines()
 	}
 	_ = output.Flush()
 }
+
+// awaitLines returns after logDelay, or at once when the writer is closed.
+func (w *LogWriter) awaitLines() {
+	timer := time.NewTimer(logDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.closing:
+	}
+}
--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -15,25 +15,55 @@
 	// in time, because callers may cache its address for some seconds.
 	stopServeShare = 0.75
 	// maxStopMargin bounds the time that is reserved at the end of the grace time. stopMarginShare is its share of a short
-	// grace time. In finishShare of it responses that have begun go on.
+	// grace time. In all but exitShare of it responses that have begun go on.
 	maxStopMargin   = 400 * time.Millisecond
 	stopMarginShare = 0.1
-	finishShare     = 0.75
+	exitShare       = 0.25
+	// exitDelays is the time that the end of the process takes on a host whose timers fire late, in multiples of their delay.
+	exitDelays = 3
 )
 
-type stopState struct{ flag atomic.Bool }
+type stopState struct {
+	flag      atomic.Bool
+	requested atomic.Int64 // uptime in nanoseconds; 0 before
+	delay     atomic.Int64 // longest delay of a timer during the stop, in nanoseconds
+}
 
 func (s *stopState) leaving() bool { return s.flag.Load() }
 
+// request records the uptime at which the stop was requested.
+func (s *stopState) request(now time.Duration) { s.requested.CompareAndSwap(0, int64(now)) }
+
+func (s *stopState) requestedAt() time.Duration { return time.Duration(s.requested.Load()) }
+
+// observeDelay records how late a timer has fired.
+func (s *stopState) observeDelay(delay time.Duration) {
+	if int64(delay) > s.delay.Load() {
+		s.delay.Store(int64(delay))
+	}
+}
+
 // stopMargin returns the time that is reserved at the end of a grace time.
 func stopMargin(grace time.Duration) time.Duration {
 	return min(maxStopMargin, time.Duration(stopMarginShare*float64(grace)))
 }
 
+// exitTime returns the time that is reserved for the end of the process after its last response.
+func (e *Edge) exitTime() time.Duration {
+	margin := stopMargin(e.Settings.StopGrace)
+	return min(margin, max(time.Duration(exitShare*float64(margin)), exitDelays*time.Duration(e.stop.delay.Load())))
+}
+
+// exitBy returns the uptime by which Run returns after a planned stop. The rest of the grace time is left for the last log lines.
+func (e *Edge) exitBy() time.Duration {
+	return e.stop.requestedAt() + e.Settings.StopGrace - e.exitTime()/2
+}
+
 // leave removes the entry host from the directory, serves until callers have stopped using its address and
 // its requests are done, and returns before the grace time ends.
 func (e *Edge) leave(ctx context.Context, servers []boundServer) {
-	begin := e.uptime()
+	e.stop.request(e.uptime())
+	begin := e.stop.requestedAt()
 	margin := stopMargin(e.Settings.StopGrace)
 	serveUntil := begin + time.Duration(float64(e.Settings.StopGrace)*stopServeShare)
 	end := begin + e.Settings.StopGrace - margin
@@ -49,14 +79,23 @@
 	// reset those that the kernel has already accepted, and lose the requests that callers have sent on them.
 	e.forwarder.Close()
 	for e.uptime() < end && ctx.Err() == nil && (e.forwarder.InFlight() > 0 || e.uptime() < max(serveUntil, e.forwarder.LastArrival())+stopIdleTime) {
-		pause(ctx, min(stopCheckInterval, end-e.uptime()))
+		e.pauseMeasured(ctx, min(stopCheckInterval, end-e.uptime()))
 	}
 	unfinished := e.forwarder.InFlight()
 	e.forwarder.CancelUnanswered()
-	e.finishResponses(ctx, servers[0], end+time.Duration(finishShare*float64(margin)))
+	e.finishResponses(ctx, servers[0], begin+e.Settings.StopGrace-e.exitTime())
 	e.Logger.Info().Int64("unfinished", unfinished).Int64("in_flight", e.forwarder.InFlight()).Dur("took_ms", e.uptime()-begin).Msg("entry host stopped")
 }
 
+// pauseMeasured pauses and records how late the pause ends.
+func (e *Edge) pauseMeasured(ctx context.Context, d time.Duration) {
+	until := e.uptime() + d
+	pause(ctx, d)
+	if ctx.Err() == nil {
+		e.stop.observeDelay(e.uptime() - until)
+	}
+}
+
 // finishResponses closes the listener and waits until an uptime for the responses that have begun, also for those that are
 // relayed for other entry hosts. Those that are not complete by then are truncated.
 func (e *Edge) finishResponses(ctx context.Context, callers boundServer, until time.Duration) {
@@ -67,7 +106,7 @@
 		pause(finish, time.Millisecond)
 	}
 	e.forwarder.CancelRunning()
-	for last := until + stopCheckInterval; e.forwarder.InFlight() > 0 && e.uptime() < last && ctx.Err() == nil; {
+	for last := until + (e.exitBy()-until)/2; e.forwarder.InFlight() > 0 && e.uptime() < last && ctx.Err() == nil; {
 		pause(ctx, time.Millisecond)
 	}
 }
