Bound the end of a stop of the chat API after its grace time

After the grace time of a stop each step has a time limit of its own, and their sum was neither bounded as a whole nor documented. All of it together now ends after 10 s, and the process within 15 s, as the setting says.

--- a/rudderd/rudderapp/stop.go
+++ b/rudderd/rudderapp/stop.go
@@ -191,6 +191,8 @@
 	resumeTimeout = 10 * time.Second
 	// settleTimeout bounds the wait for the settlements of the last calls.
 	settleTimeout = 5 * time.Second
+	// exitTimeout bounds all that follows the grace time, whatever the key-value service does.
+	exitTimeout = 10 * time.Second
 )
 
 // stop performs the planned stop of the entry host. It first leaves the list of entry addresses, serves until
@@ -204,13 +206,15 @@
 	for a.stopping.advance(a.Clock.Now(), a.running()) != rudderentry.PhaseStopped && ctx.Err() == nil {
 		a.wait(ctx, stopPoll)
 	}
+	ctx, cancel := context.WithTimeout(ctx, exitTimeout)
+	defer cancel()
 	cut := a.running()
 	a.stopping.cut(rudderstream.ErrStopping)
 	a.waitUntil(ctx, cutTimeout, func() bool { return a.running() == 0 })
 	a.waitUntil(ctx, settleTimeout, func() bool { return a.claims.Pending() == 0 })
 	a.collector.StoreSnapshot(ctx)
-	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
+	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	defer cancelLeave()
 	if err := a.registrar.Leave(leave); err != nil {
 		a.Logger.Warn().Err(err).Msg("cannot remove this entry host from the registry; others will remove it")
 	}
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -46,7 +46,7 @@
 	MaxInFlight   int           `name:"max-in-flight" default:"2000" doc:"Requests in flight above which this host refuses new ones and names another host."`
 	MaxBodyBytes  int64         `name:"max-body-bytes" default:"4194304" doc:"Largest request body, in bytes."`
 	EntryLifetime time.Duration `name:"entry-lifetime" default:"10s" doc:"How long callers may keep an answer of GET /v1/entries."`
-	StopGrace     time.Duration `name:"stop-grace" default:"10m" doc:"Longest time a stopping entry host waits for its requests in flight, once callers have stopped using its address. It takes no new work that may need longer."`
+	StopGrace     time.Duration `name:"stop-grace" default:"10m" doc:"Longest time a stopping entry host waits for its requests in flight, once callers have stopped using its address. It takes no new work that may need longer. The process ends at most 15 seconds after it."`
 
 	LogLevel string `name:"log-level" default:"info" doc:"Least level of log lines: debug, info, warn or error."`
 }
