Reserve the addresses of entry hosts in tests

TestRelayedResponse (chunks, cut) failed once beside load with "listen tcp 127.0.0.2:42391: bind: address already in use": freeAddress closed a port that the kernel had chosen, and chose again for a parallel test before the first one listened. It now keeps what it has returned and takes ports below those that the kernel chooses.

--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,14 +41,26 @@
 	return &counted, &lists
 }
 
-// freeAddress returns an address that nothing listens on. Connections on loopback take ports of 127.0.0.1 as their source,
-// so that a port of it may be in use again before a test listens on it.
+// reservedAddresses is the set of addresses that freeAddress has returned.
+var reservedAddresses sync.Map
+
+// freeAddress returns an address that nothing listens on, and that no other test gets. Its port is below those that the kernel
+// chooses, which may be in use again before a test listens on them.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const firstPort, ports, attempts = 12000, 8000, 100
+	for range attempts {
+		address := net.JoinHostPort("127.0.0.2", strconv.Itoa(firstPort+rand.IntN(ports)))
+		if _, reserved := reservedAddresses.LoadOrStore(address, true); reserved {
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
+	t.Fatal("no free address")
+	return ""
 }
 
 // Hundreds of entry hosts restart together. Guards against a list of all records for each of them, which saturates the
