Refuse a body that came too late without reading the rest of it first

A caller whose body with a Content-Length stopped halfway was to get 408 when the time for it was over. It got nothing: readBody ended the read deadline, and net/http then read the rest of the body, up to 256 KB and without a deadline, before it wrote the response. The request held its connection for as long as the caller kept it open. Chunked bodies were not concerned, as their reader keeps its error, which is why TestBodyIsNotAwaitedLongerThanItCanBeServed passed.

Refusals of bodies that are late or too large take the way of the early ones: response first, the rest of the body after it.

--- a/rudderd/rudderforward/early_test.go
+++ b/rudderd/rudderforward/early_test.go
@@ -100,3 +100,21 @@
 		})
 	}
 }
+
+// Guards against a refusal that waits for the rest of a body that has already come too late.
+func TestLateBodyIsRefusedInTime(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/p/", func(r *rudderroute.Route) { r.Timeout = 500 * time.Millisecond })
+	b.target("plain", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	b.start()
+	connection, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, err = fmt.Fprint(connection, "POST /p/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nKey: key\r\nContent-Length: 100\r\n\r\nhalf")
+	require.NoError(t, err)
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(2*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, 408, response.StatusCode)
+}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -182,7 +182,7 @@
 		return
 	}
 	if refused := f.readBody(r, j); refused != nil {
-		f.refuse(j, *refused)
+		f.refuseUnread(r, j, *refused)
 		return
 	}
 	f.budget.countRequest(j.service, f.Uptime(), f.Retries)
