Answer a caller that has closed only its sending side

A caller that shut down its sending side after a whole request, and waited for the answer, got its connection closed without one: net/http takes the end of what it reads for the end of the caller and cancels the request, and the request was aborted as caller_left. The same happened to a request whose context was cancelled by a read deadline that passed right after the body had been read.

A request cancelled in this way before its response has begun is refused with 503, or with 502 if it may have run; to a caller that has left, the write is lost. Log lines keep the code caller_left and now have that status in place of 0. A response that has begun is still cut off.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -166,8 +166,8 @@
 	if errors.Is(context.Cause(ctx), errShutDown) {
 		r = *shutdownRefusal()
 	} else if errors.Is(ctx.Err(), context.Canceled) {
-		j.code, j.abort = "caller_left", true
-		return
+		// net/http also cancels the context when a caller has closed only its sending side and still waits for a response.
+		r = refusal{status: http.StatusServiceUnavailable, code: "caller_left", message: "the connection was closed by its caller"}
 	}
 	if j.runs > 0 {
 		r.retryAfter = 0
--- a/rudderd/rudderforward/early_test.go
+++ b/rudderd/rudderforward/early_test.go
@@ -118,3 +118,26 @@
 	_ = response.Body.Close()
 	require.Equal(t, 408, response.StatusCode)
 }
+
+// Guards against a request that is read whole and gets no response because its caller closes only its sending side.
+func TestCallerThatClosesItsSendingSideGetsAResponse(t *testing.T) {
+	for _, kind := range []rudderroute.Kind{rudderroute.KindIdempotent, rudderroute.KindStream} {
+		t.Run(string(kind), func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/p/", func(r *rudderroute.Route) { r.Kind = kind })
+			b.target("plain", func(w http.ResponseWriter, _ *http.Request) { time.Sleep(200 * time.Millisecond); sealed(w) })
+			b.start()
+			connection, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+			require.NoError(t, err)
+			defer func() { _ = connection.Close() }()
+			_, err = fmt.Fprint(connection, "POST /p/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody")
+			require.NoError(t, err)
+			require.NoError(t, connection.(*net.TCPConn).CloseWrite())
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.Contains(t, []int{200, 502, 503}, response.StatusCode)
+		})
+	}
+}
