Let only one host grant the permits of a limit while the registration of the owner has lapsed

What callers saw: targets that name a limit got up to twice as many requests while the key-value service turned one host away. Cause: each host computes the owner from its own list. A host that is turned away keeps its list and its permits, while the others drop it after 4.5 s and compute another owner. Change: an owner that sent its last successful renewal 4.5 s ago or earlier grants no permits, refuses the calls of others with "failed_precondition", and asks the host that would be the owner without it; its callers do the same. The third in turn grants permits in any case. No calls to the key-value service are added.

--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -9,6 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
 	"comfreyrudder.example/rudderd/rudderbalance"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
@@ -39,13 +42,14 @@
 	ledgers      map[ledgerKey]*rudderbalance.Ledger
 	done         map[string][]string  // IDs of completed requests not yet sent to the owner, by peer address
 	backoffUntil map[string]time.Time // for owners that did not respond, by peer address
+	lapsedUntil  map[string]time.Time // for owners whose registration may have expired, by peer address
 	wake         chan struct{}
 }
 
 func newBalance(e *Edge) *balance {
 	return &balance{
 		edge: e, ledgers: map[ledgerKey]*rudderbalance.Ledger{}, done: map[string][]string{}, backoffUntil: map[string]time.Time{},
-		wake: make(chan struct{}, 1),
+		lapsedUntil: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -106,10 +110,62 @@
 
 // queryOwner requests a group from the owner of one partition of a model's ledger.
 func (b *balance) queryOwner(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery) rudderforward.Pick {
-	owner, found := b.owners.of(snapshot, ledgerKey{q.Service, q.Model, query.Partition})
+	key := ledgerKey{q.Service, q.Model, query.Partition}
+	owner, found := b.owners.of(snapshot, key)
 	if !found {
 		return rudderforward.Pick{}
 	}
+	if !b.grantsPermits(snapshot, key, nil) || !b.isLapsed(owner) {
+		pick, lapsed := b.queryHost(ctx, snapshot, q, query, owner)
+		if !lapsed {
+			return pick
+		}
+	}
+	chain := b.owners.chain(snapshot, key)
+	for i, owner := range chain {
+		last := i == len(chain)-1
+		if !last && b.isLapsed(owner) {
+			continue
+		}
+		pick, lapsed := b.queryHost(ctx, snapshot, q, query, owner)
+		if !lapsed || last {
+			return pick
+		}
+	}
+	return rudderforward.Pick{}
+}
+
+// grantsPermits reports whether the owner of a partition grants permits, because a target of the partition limits the rate of
+// requests as far as this entry host or the reports of another one know.
+func (b *balance) grantsPermits(s *rudderview.Snapshot, key ledgerKey, reports []rudderlimit.Report) bool {
+	return slices.ContainsFunc(b.edge.processesOf(s, key), b.edge.limits.Limited) ||
+		slices.ContainsFunc(reports, func(r rudderlimit.Report) bool { return r.Limited })
+}
+
+// isLapsed reports whether the registration of an owner may have expired, as far as is known here.
+func (b *balance) isLapsed(owner rudderview.EntryHost) bool {
+	if owner.Name == b.edge.Settings.Name {
+		return b.edge.session.lapsed()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.lapsedUntil[owner.Peer])
+}
+
+// refuses reports whether this entry host leaves the permits of a partition to the next owner, because other entry hosts may
+// no longer know this one. The last owner grants them in any case, so that they are used while the key-value service is down.
+func (b *balance) refuses(key ledgerKey, reports []rudderlimit.Report) bool {
+	snapshot := b.edge.view.Snapshot()
+	if !b.edge.session.lapsed() || !b.grantsPermits(snapshot, key, reports) {
+		return false
+	}
+	chain := b.owners.chain(snapshot, key)
+	return len(chain) > 0 && chain[len(chain)-1].Name != b.edge.Settings.Name
+}
+
+// queryHost requests a group from one entry host as the owner of a partition. lapsed is true if that host leaves the permits to
+// the next owner.
+func (b *balance) queryHost(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery, owner rudderview.EntryHost) (pick rudderforward.Pick, lapsed bool) {
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
 	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill}
 	if query.Spill {
@@ -118,11 +174,11 @@
 	if owner.Name == b.edge.Settings.Name {
 		pick := b.pickLocal(ledgerKey{q.Service, q.Model, query.Partition}, q.Urgency, request)
 		pick.Release = func() { b.finish([]string{id}) }
-		return pick
+		return pick, false
 	}
 	done, backingOff := b.takeDone(owner.Peer)
 	if backingOff {
-		return rudderforward.Pick{}
+		return rudderforward.Pick{}, false
 	}
 	reports := b.edge.limits.Reports(b.edge.processesOf(snapshot, ledgerKey{q.Service, q.Model, query.Partition}), b.edge.uptime())
 	ctx, cancel := context.WithTimeout(ctx, pickTimeout)
@@ -133,17 +189,39 @@
 		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
+	if isLapsedError(err) {
+		b.markLapsed(owner.Peer, done)
+		b.edge.limits.Return(reports)
+		b.edge.count("balance.owner_lapsed")
+		return rudderforward.Pick{}, true
+	}
 	if err != nil {
 		b.markUnreachable(owner.Peer, done)
 		b.edge.limits.Return(reports)
 		b.edge.count("balance.owner_unreachable")
 		b.edge.Logger.Warn().Err(err).Str("owner", owner.Name).Str("model", q.Model).Int("part", query.Partition).Msg("owner of the model is unreachable")
-		return rudderforward.Pick{Release: release}
+		return rudderforward.Pick{Release: release}, false
 	}
 	b.edge.applyAnnounced(owner.Name, answer.GetLeaving())
 	b.edge.mergeLimits(owner.Name, rudderlimit.Decode(answer.GetLimits()))
 	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
-		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}
+		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}, false
+}
+
+// isLapsedError reports whether an error is the response of an owner whose registration may have expired.
+func isLapsedError(err error) bool {
+	var t twirp.Error
+	return errors.As(err, &t) && t.Code() == twirp.FailedPrecondition
+}
+
+// markLapsed skips an owner for a while, and queues the completed requests again that it has not taken.
+func (b *balance) markLapsed(peer string, done []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lapsedUntil[peer] = time.Now().Add(ownerBackoff)
+	if len(b.done[peer])+len(done) <= maxQueuedDone {
+		b.done[peer] = append(b.done[peer], done...)
+	}
 }
 
 // takeDone removes and returns the completed requests queued for an owner. backingOff is true while no calls
@@ -299,11 +377,13 @@
 
 // Pick implements rudderpeer.Balance.
 func (s balanceServer) Pick(_ context.Context, r *rudderpeer.PickRequest) (*rudderpeer.PickResponse, error) {
+	key, reports := ledgerKey{r.GetService(), r.GetModel(), int(r.GetPart())}, rudderlimit.Decode(r.GetLimits())
+	if s.balance.refuses(key, reports) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "the registration of this entry host may have expired")
+	}
 	s.balance.finish(r.GetDone())
 	s.balance.edge.applyAnnounced("", r.GetLeaving())
-	reports := rudderlimit.Decode(r.GetLimits())
 	s.balance.edge.mergeLimits("", reports)
-	key := ledgerKey{r.GetService(), r.GetModel(), int(r.GetPart())}
 	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
--- a/rudderd/rudderedge/owners.go
+++ b/rudderd/rudderedge/owners.go
@@ -1,6 +1,7 @@
 package rudderedge
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -20,6 +21,41 @@
 	mu       sync.Mutex
 	snapshot *rudderview.Snapshot // that assigned was computed from
 	assigned map[ledgerKey]rudderview.EntryHost
+	chains   map[ledgerKey][]rudderview.EntryHost
+}
+
+// maxOwners bounds the entry hosts that may own a partition in turn while the registrations of the earlier ones have lapsed.
+const maxOwners = 3
+
+// chain returns the owner of a partition, followed by the one that would be computed without it, and so on.
+func (o *owners) chain(s *rudderview.Snapshot, key ledgerKey) []rudderview.EntryHost {
+	owner, found := o.of(s, key)
+	if !found {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if list := o.chains[key]; list != nil && o.snapshot == s {
+		return list
+	}
+	list, entries := []rudderview.EntryHost{owner}, slices.Clone(s.EntryHosts)
+	keys := []ledgerKey{key}
+	if key.model != "" {
+		keys = ledgerKeys(s)
+	}
+	for len(list) < maxOwners {
+		last := list[len(list)-1].Name
+		entries = slices.DeleteFunc(entries, func(x rudderview.EntryHost) bool { return x.Name == last })
+		next, found := assignOwners(entries, keys)[key]
+		if !found {
+			break
+		}
+		list = append(list, next)
+	}
+	if o.snapshot == s {
+		o.chains[key] = list
+	}
+	return list
 }
 
 // of returns the owner of a partition, computed from a snapshot of the fleet.
@@ -28,6 +64,7 @@
 	defer o.mu.Unlock()
 	if o.snapshot != s || o.assigned == nil {
 		o.snapshot, o.assigned = s, assignOwners(s.EntryHosts, ledgerKeys(s))
+		o.chains = map[ledgerKey][]rudderview.EntryHost{}
 	}
 	owner, found := o.assigned[key]
 	if !found && key.model == "" {
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,14 @@
 	left   chan struct{} // closed when the entry host leaves
 	once   sync.Once
 	check  chan struct{} // holds a value when the lease may be lost
+	// renewedAt is the uptime at which the last successful renewal was sent; 0 before the first registration.
+	renewedAt atomic.Int64
+}
+
+// lapsed reports whether the registration may have expired, so that other entry hosts no longer know this one.
+func (s *session) lapsed() bool {
+	at := time.Duration(s.renewedAt.Load())
+	return at == 0 || s.uptime()-at >= sessionTTL
 }
 
 // checkNow makes run renew the lease soon and register again if it is lost.
@@ -87,6 +96,7 @@
 func (s *session) register(ctx context.Context, value []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	sentAt := s.uptime()
 	lease, err := s.store.GrantLease(ctx, sessionTTL)
 	if err != nil {
 		return 0, err
@@ -94,6 +104,9 @@
 	_, err = s.store.Put(ctx, rudderstore.PutRequest{
 		Key: rudderview.EntryPrefix + s.entry.Name, Value: value, Expected: rudderstore.AnyRevision, Lease: lease,
 	})
+	if err == nil {
+		s.renewedAt.Store(int64(sentAt))
+	}
 	return lease, err
 }
 
@@ -111,8 +124,12 @@
 			return
 		}
 		callContext, cancel := context.WithTimeout(ctx, storeTimeout)
+		sentAt := s.uptime()
 		err := s.store.KeepAlive(callContext, lease)
 		cancel()
+		if err == nil {
+			s.renewedAt.Store(int64(sentAt))
+		}
 		if errors.Is(err, rudderstore.ErrNotFound) {
 			s.logger.Warn().Int64("lease", lease).Msg("registration expired; registering again")
 			return
