Check the target when a response ends with its connection

A plain answer cut that way even got a Content-Length. The end of such a connection was taken for the end of the response, and the kernel closes the connections of a process that dies.

If the process has ended, the response is broken as any other: resumed, sent again, or 502 or cut. The host that relays a response checks it. Rechecks use no earlier result of the path monitor.

--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -80,6 +80,12 @@
 			return false
 		}
 	}
+	if complete {
+		if err := f.checkEnd(ctx, answer, g.Leader); err != nil {
+			j.lastErr = err
+			return false
+		}
+	}
 	j.sends++
 	j.runs++
 	f.recordSurvival(j)
@@ -89,7 +95,11 @@
 		return true
 	}
 	if !complete {
-		if _, err := io.Copy(j.writer, response.Body); err != nil {
+		_, err := io.Copy(j.writer, response.Body)
+		if err == nil {
+			err = f.checkEnd(ctx, answer, g.Leader)
+		}
+		if err != nil {
 			j.abort, j.code, j.lastErr = true, "answer_broken", err
 		}
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -83,6 +83,7 @@
 	work            workShares
 	firstEvents     firstEventTimes
 	crashChecks     crashChecks
+	endChecks       endChecks
 	inFlight        atomic.Int64
 	relaying        atomic.Int64 // requests of other entry hosts
 	receivedRequest atomic.Bool
--- a/rudderd/rudderforward/relayed.go
+++ b/rudderd/rudderforward/relayed.go
@@ -97,6 +97,9 @@
 	}
 	f.Metrics.Count("relaying." + rudderpath.OutcomeAnswered)
 	err := rudderpath.CopyResponse(w, answer.response, func() { f.Path.Heard(x.group.Service) })
+	if err == nil {
+		err = f.checkEnd(ctx, answer, x.group.Leader)
+	}
 	if err == nil {
 		return
 	}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -138,6 +139,9 @@
 	control := http.NewResponseController(j.writer)
 	for {
 		event, id, err := nextEvent(j, answer, events)
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(f.checkEnd(ctx, answer, g.Leader), err)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			answer.discard()
 			if cause := context.Cause(sendContext); cause != nil {
--- a/rudderd/rudderpath/monitor.go
+++ b/rudderd/rudderpath/monitor.go
@@ -351,14 +351,25 @@
 // check connects to a target, once for all that wait for it, and records the result.
 func (m *Monitor) check(t Target) Result {
 	m.mu.Lock()
-	if m.checks == nil {
-		m.checks = map[process]*check{}
-	}
 	if c := m.checks[t.process()]; c != nil && (c.endedAt == 0 || m.Uptime()-c.endedAt <= checkTTL) {
 		m.mu.Unlock()
 		<-c.done
 		return c.result
 	}
+	return m.startCheck(t)
+}
+
+// Recheck connects to a target and records the result, whatever is known from before.
+func (m *Monitor) Recheck(t Target) Result {
+	m.mu.Lock()
+	return m.startCheck(t)
+}
+
+// startCheck releases the lock, which the caller holds.
+func (m *Monitor) startCheck(t Target) Result {
+	if m.checks == nil {
+		m.checks = map[process]*check{}
+	}
 	c := &check{done: make(chan struct{})}
 	m.checks[t.process()] = c
 	m.mu.Unlock()
--- a/rudderd/rudderpath/monitor_test.go
+++ b/rudderd/rudderpath/monitor_test.go
@@ -84,3 +84,24 @@
 	require.Equal(t, Unknown, m.Check(Target{Name: "a"}))
 	require.True(t, m.Reachable(Target{Name: "a"}))
 }
+
+// Guards against a target that counts as accepting connections by a check from before it died.
+func TestRecheckUsesNoEarlierResult(t *testing.T) {
+	began, dead := time.Now(), false
+	m := &Monitor{
+		Uptime: func() time.Duration { return time.Since(began) + time.Second }, EntryHosts: func() int { return 2 },
+		Targets: func() []Target { return nil }, OnChange: func(Target, bool) {},
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			if dead {
+				return nil, syscall.ECONNREFUSED
+			}
+			c, _ := net.Pipe()
+			return c, nil
+		},
+	}
+	x := Target{"a", 1, "s", "a"}
+	require.True(t, m.Confirm(x))
+	dead = true
+	require.Equal(t, Refused, m.Recheck(x))
+	require.False(t, m.Confirm(x), "the new result replaces the earlier one")
+}
