--- a/rudderd/rudderforward/ending.go
+++ b/rudderd/rudderforward/ending.go
@@ -37,6 +37,15 @@
 	ended bool // valid once done is closed
 }
 
+func (c *endCheck) finished() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // unproven reports whether the end of a response's body may be that of its target.
 func (r *reply) unproven() bool {
 	request := r.response.Request
@@ -56,9 +65,11 @@
 	case <-ctx.Done():
 		return nil
 	case <-timer.C:
+	case <-c.done:
+	}
+	if !c.finished() { // on a slow host both may be ready
 		f.Metrics.Count("targets.end_checks_without_result")
 		return nil
-	case <-c.done:
 	}
 	if !c.ended {
 		return nil
