Keep a connection open for callers that still send a late or too large body

When a change of the configuration lowered a time limit or the limit of bodies, callers that still sent got a reset in place of 408 or 413: the rest of a body above the limit was read only up to the same, possibly tiny, limit; the end of a body in chunks can't be found after a read deadline has passed in it; and after the time of a request only 50 ms were left for the rest.

At least 256 KB are dropped, as net/http does, and for up to 1 s after the time of the request (50 ms once the host stops). Where the end can't be found, the host ends its sending side and drops what still arrives before it closes the connection.

--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -182,6 +182,7 @@
 		return
 	}
 	if refused := f.readBody(r, j); refused != nil {
+		j.writer.Header().Set("Connection", "close") // the end of the body may not be found
 		f.refuseUnread(r, j, *refused)
 		return
 	}
--- a/rudderd/rudderforward/unread.go
+++ b/rudderd/rudderforward/unread.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	// lastBodyTimeout is how long such a body may take when the request's time is over or the host stops: two round trips
 	// within a region.
 	lastBodyTimeout = 50 * time.Millisecond
+	// minDropBytes is how much of such a body is read even if the limit of the routing document is lower: as much as net/http
+	// reads.
+	minDropBytes = 256 << 10
 	// dropBufferBytes is the size of the reads of a body that is dropped.
 	dropBufferBytes = 4 << 10
 )
@@ -45,9 +49,10 @@
 
 // bodyDeadline is the time by which the body of a refused request must have arrived.
 type bodyDeadline struct {
-	control *http.ResponseController
-	mu      sync.Mutex
-	until   time.Time
+	set   func(time.Time) error // sets the read deadline of the connection
+	mu    sync.Mutex
+	until time.Time
+	next  time.Time // read deadline in force
 }
 
 // extend allows the next read of the body, and reports whether there is time left for it.
@@ -55,11 +60,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	next := now.Add(bodyPauseTimeout)
-	if d.until.Before(next) {
-		next = d.until
+	d.next = now.Add(bodyPauseTimeout)
+	if d.until.Before(d.next) {
+		d.next = d.until
 	}
-	return now.Before(d.until) && d.control.SetReadDeadline(next) == nil
+	return now.Before(d.until) && d.set(d.next) == nil
+}
+
+// passed reports whether the read deadline in force has passed.
+func (d *bodyDeadline) passed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !time.Now().Before(d.next)
+}
+
+// use makes the deadline apply to a connection.
+func (d *bodyDeadline) use(c net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.set = c.SetReadDeadline
 }
 
 // shorten ends the reading of the body after lastBodyTimeout.
@@ -67,8 +86,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if end := time.Now().Add(lastBodyTimeout); end.Before(d.until) {
-		d.until = end
-		_ = d.control.SetReadDeadline(end)
+		d.until, d.next = end, end
+		_ = d.set(end)
 	}
 }
 
@@ -83,23 +102,49 @@
 		}
 	}
 	now := f.Uptime()
-	left := j.begin + limit - now
+	left := max(j.begin+limit-now, bodyPauseTimeout)
 	if f.shuttingDown() {
-		left = min(left, time.Duration(f.shutdown.end.Load())-now)
+		left = max(min(left, time.Duration(f.shutdown.end.Load())-now), lastBodyTimeout)
 	}
-	deadline := &bodyDeadline{control: http.NewResponseController(j.writer), until: time.Now().Add(max(left, lastBodyTimeout))}
+	control := http.NewResponseController(j.writer)
+	deadline := &bodyDeadline{set: control.SetReadDeadline, until: time.Now().Add(left)}
 	defer f.trackBody(deadline.shorten)()
+	size := max(f.bodyLimit(), minDropBytes)
+	err := drop(r.Body, size, deadline)
+	if errors.Is(err, io.EOF) {
+		_ = control.SetReadDeadline(time.Time{})
+		return true
+	}
+	if err != nil && !deadline.passed() {
+		// The end of a body in chunks can't be found after a read deadline has passed in it.
+		dropConnection(control, size, deadline)
+	}
+	return false
+}
+
+// drop reads and drops a body of at most size bytes. It returns io.EOF at its end.
+func drop(body io.Reader, size int64, deadline *bodyDeadline) error {
 	buffer := make([]byte, dropBufferBytes)
-	for size := f.bodyLimit(); size > 0 && deadline.extend(); {
-		n, err := r.Body.Read(buffer)
-		if errors.Is(err, io.EOF) {
-			_ = deadline.control.SetReadDeadline(time.Time{})
-			return true
-		}
+	for size > 0 && deadline.extend() {
+		n, err := body.Read(buffer)
 		if err != nil {
-			return false
+			return err
 		}
 		size -= int64(n)
 	}
-	return false
+	return nil
+}
+
+// dropConnection ends the sending side of a connection, drops what still arrives on it and closes it.
+func dropConnection(control *http.ResponseController, size int64, deadline *bodyDeadline) {
+	connection, _, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	deadline.use(connection)
+	if c, ok := connection.(*net.TCPConn); ok {
+		_ = c.CloseWrite()
+	}
+	_ = drop(connection, size, deadline)
 }
