Bound the memory of request bodies that a host holds at once

Callers that sent many long bodies at once lost their responses: each body was kept whole until its request ended, read into a buffer that grew by doubling, and nothing bounded the sum.

A budget of 0.65 of the memory limit (of the machine's memory if none is set) now covers request bodies, buffered responses and the copies that relayed requests need. Memory is reserved before it is allocated, and a body may take at most half of what is free, so that shorter ones still fit. What does not fit is refused at once as not run, 503 "memory_full"; a response without memory is streamed. Bodies of known length cost their length once.

--- a/rudderd/rudderbody/body.go
+++ b/rudderd/rudderbody/body.go
@@ -17,13 +17,5 @@
 
 // Read reads a body of at most limit bytes. It returns ErrTooLarge for a larger body, or the read error.
 func Read(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "reading the request body")
-	}
-	if int64(len(data)) <= limit {
-		return data, nil
-	}
-	_, _ = io.CopyN(io.Discard, body, drainBytes)
-	return nil, errors.WithStack(ErrTooLarge)
+	return new(Reservation).Read(body, -1, limit)
 }
--- /dev/null
+++ b/rudderd/rudderbody/budget.go
@@ -0,0 +1,153 @@
+package rudderbody
+
+import (
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ErrNoMemory reports a body that does not fit into the memory for bodies now.
+var ErrNoMemory = errors.New("no memory for the request body")
+
+const (
+	// fitShare is the fraction of the free part of a budget that one body may take, so that long bodies leave room for
+	// shorter ones.
+	fitShare = 0.5
+	// memoryShare leaves the rest to connections, the state of the fleet, and bodies that have not been collected yet.
+	memoryShare = 0.65
+	// firstBytes is the first size of the buffer for a body of unknown length.
+	firstBytes = 4 << 10
+)
+
+// Budget bounds the bytes of the bodies that are held at once. A nil Budget has no bound.
+type Budget struct {
+	limit int64
+
+	mu   sync.Mutex
+	held int64
+}
+
+// NewBudget returns a budget of limit bytes, or nil if limit is 0.
+func NewBudget(limit int64) *Budget {
+	if limit <= 0 {
+		return nil
+	}
+	return &Budget{limit: limit}
+}
+
+// Share returns the part of a process's memory limit that bodies may take, in bytes. If the limit is not known, 0, the memory of
+// the machine takes its place.
+func Share(memory int64) int64 {
+	if memory <= 0 {
+		memory = machineMemory()
+	}
+	return int64(memoryShare * float64(memory))
+}
+
+func machineMemory() int64 {
+	var info unix.Sysinfo_t
+	if unix.Sysinfo(&info) != nil {
+		return 0
+	}
+	return int64(uint64(info.Totalram) * uint64(info.Unit)) //nolint:unconvert // the types differ between architectures
+}
+
+// Held returns the reserved bytes.
+func (b *Budget) Held() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Reservation returns an empty reservation for a body of which the request holds a number of copies.
+func (b *Budget) Reservation(copies int64) *Reservation {
+	return &Reservation{budget: b, copies: copies}
+}
+
+// Reservation is the part of a budget that one request holds.
+type Reservation struct {
+	budget *Budget
+	copies int64
+	bytes  int64 // of all copies
+}
+
+// Resize reserves memory for a body of size bytes. If the reservation grows and is above half of what the others leave, the error
+// is ErrNoMemory and it stays as it is.
+func (r *Reservation) Resize(size int64) error {
+	b, bytes := r.budget, size*r.copies
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	others := b.held - r.bytes
+	if bytes > r.bytes && float64(bytes) > fitShare*float64(b.limit-others) {
+		return errors.WithStack(ErrNoMemory)
+	}
+	b.held, r.bytes = others+bytes, bytes
+	return nil
+}
+
+// Release returns the whole reservation.
+func (r *Reservation) Release() { _ = r.Resize(0) } // a smaller size always fits
+
+// Read reads a body of at most limit bytes; length is its length, or -1 if it is unknown. Memory is reserved before it is
+// allocated. The error is ErrTooLarge, ErrNoMemory or that of the read.
+func (r *Reservation) Read(body io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		if _, err := io.CopyN(io.Discard, body, limit+1); err != nil {
+			return nil, errors.Wrap(err, "reading the request body")
+		}
+		return nil, tooLarge(body)
+	}
+	if length >= 0 {
+		if err := r.Resize(length); err != nil {
+			return nil, err
+		}
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, errors.Wrap(err, "reading the request body")
+	}
+	data, complete, err := r.ReadPart(body, limit+1)
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "reading the request body")
+	case int64(len(data)) > limit:
+		return nil, tooLarge(body)
+	case !complete:
+		return nil, errors.WithStack(ErrNoMemory)
+	}
+	return data, nil
+}
+
+func tooLarge(body io.Reader) error {
+	_, _ = io.CopyN(io.Discard, body, drainBytes)
+	return errors.WithStack(ErrTooLarge)
+}
+
+// ReadPart reads at most limit bytes, or as many as memory can be reserved for. complete reports whether the body ends with
+// them.
+func (r *Reservation) ReadPart(body io.Reader, limit int64) (data []byte, complete bool, err error) {
+	for {
+		if len(data) == cap(data) {
+			size := min(max(2*int64(cap(data)), firstBytes), limit)
+			if size <= int64(len(data)) || r.Resize(size) != nil {
+				return data, false, nil
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, true, nil
+		}
+		if err != nil {
+			return data, false, err
+		}
+	}
+}
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/ruddercoordinator"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
@@ -32,6 +33,8 @@
 	Capacity float64
 	// LinkBandwidth is the bandwidth of this host, in bits per second; 0 if unknown.
 	LinkBandwidth float64
+	// Memory is the memory limit of this process, in bytes; 0 if unknown.
+	Memory int64
 	// Addresses to listen on, IP:PORT.
 	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
 	// MaxKeyStaleness is the maximum age of the last successful read of the routing document with which an API
@@ -194,7 +197,7 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
-		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(),
+		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: rudderbody.NewBudget(rudderbody.Share(e.Settings.Memory)),
 		Limits: e.limits, Report: e.Ports.Control.Report, Suspect: e.suspect, FindDeadMembers: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -60,7 +60,7 @@
 		Keys: e.peers.keys, Clock: clockwork.NewRealClock(), MaxBodyBytes: rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes,
 	}
 	all := http.NewServeMux()
-	all.Handle(rudderpath.PathPrefix, relayVerifier.Wrap(http.HandlerFunc(e.forwarder.ServeRelayed)))
+	all.Handle(rudderpath.PathPrefix, e.forwarder.LimitRelayed(relayVerifier.Wrap(http.HandlerFunc(e.forwarder.ServeRelayed))))
 	all.Handle("/", verifier.Wrap(mux))
 	return all
 }
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -12,8 +12,8 @@
 )
 
 // maxBufferedBytes bounds the response that is buffered before its headers are sent, so that targets with
-// endless responses do not exhaust the memory of a small host. A larger response is streamed to the caller
-// until the request's deadline and cannot be retried.
+// endless responses do not exhaust the memory of a small host. A larger response, or one for which there is no
+// memory, is streamed to the caller until the request's deadline and cannot be retried.
 const maxBufferedBytes = 256 << 10
 
 // call serves a request that has a single response.
@@ -64,7 +64,9 @@
 		j.lastErr = errors.Newf("target %s answered %d without the statement that the request has not run", g.Leader.Name, response.StatusCode)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	memory := f.Bodies.Reservation(1)
+	defer memory.Release()
+	body, complete, err := memory.ReadPart(response.Body, maxBufferedBytes)
 	if err != nil {
 		answer.discard()
 		j.lastErr = errors.Mark(errors.Wrap(err, "read response body"), ErrBroken)
@@ -73,7 +75,6 @@
 		}
 		return false
 	}
-	complete := len(body) < maxBufferedBytes
 	if response.StatusCode >= 500 && j.route.Repeatable() && complete && j.runs+1 < max(j.route.MaxAttempts, 1) {
 		if f.canRetry(ctx, j) {
 			j.lastErr = errors.Newf("target %s answered %d", g.Leader.Name, response.StatusCode)
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
@@ -52,6 +53,8 @@
 	Relay *rudderpath.Relay
 	// MaxRelayed bounds the requests that are relayed at once for other entry hosts.
 	MaxRelayed int
+	// Bodies bounds the memory of bodies; nil sets no bound.
+	Bodies *rudderbody.Budget
 	// Report requests the state of a target.
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Verdict probes a target and reports whether it is alive, as far as the entry hosts that have a path to targets agree.
@@ -143,7 +146,8 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.receivedRequest.Store(true)
 	f.lastArrival.Store(int64(f.Uptime()))
-	j := &job{begin: f.Uptime(), method: r.Method, target: r.RequestURI, host: r.Host, writer: w}
+	j := &job{begin: f.Uptime(), method: r.Method, target: r.RequestURI, host: r.Host, writer: w, memory: f.Bodies.Reservation(1)}
+	defer j.memory.Release()
 	if f.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
@@ -183,6 +187,7 @@
 		return
 	}
 	if refused := f.readBody(r, j); refused != nil {
+		j.memory.Release()
 		f.refuseUnread(r, j, *refused)
 		return
 	}
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -25,6 +25,8 @@
 	longRetryAfter  = time.Second
 	// maxRetryAfter bounds the Retry-After time when all groups are full.
 	maxRetryAfter = 3 * time.Second
+	// codeMemoryFull is the code of refusals of bodies that do not fit into the memory for them.
+	codeMemoryFull = "memory_full"
 	// extraSends is the number of additional targets, beyond the route's attempts, that a request may be sent
 	// to when targets refuse it without running it.
 	extraSends = 2
@@ -37,6 +39,7 @@
 	target            string // request target of the request line, unchanged
 	host              string
 	body              []byte
+	memory            *rudderbody.Reservation // for body
 	begin             time.Duration
 	limit             time.Duration // time allowed, counted from begin
 	route             *rudderroute.Route
@@ -175,11 +178,13 @@
 	left := max(j.remaining(f.Uptime())-f.minServiceTime(j, f.modelOf(j)), time.Millisecond)
 	_ = control.SetReadDeadline(time.Now().Add(left)) // not supported by test recorders
 	read := f.trackBody(func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(j.writer, r.Body, f.bodyLimit()))
+	body, err := j.memory.Read(http.MaxBytesReader(j.writer, r.Body, f.bodyLimit()), r.ContentLength, f.bodyLimit())
 	stopped := read()
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, rudderbody.ErrNoMemory):
+		return memoryRefusal()
 	case err != nil && stopped:
 		return shutdownRefusal()
 	case errors.As(err, &tooLarge):
@@ -192,6 +197,10 @@
 	return nil
 }
 
+func memoryRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: codeMemoryFull, message: "the bodies of other requests leave no memory for this one", retryAfter: shortRetryAfter}
+}
+
 // finish logs the request and updates its metrics.
 func (f *Forwarder) finish(j *job) {
 	now := f.Uptime()
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -63,6 +63,13 @@
 func (f *Forwarder) sendRelayed(ctx context.Context, x *exchange) (*reply, error) {
 	j, t := x.job, x.group.Leader
 	j.relayed = true
+	// The message with the body is held twice, for its signature and to be sent.
+	size := int64(len(j.body))
+	if j.memory.Resize((1+relayCopies)*size) != nil {
+		f.Metrics.Count("relayed.no_memory")
+		return nil, errors.Mark(errors.WithStack(rudderpath.ErrNoPeer), ErrNotSent)
+	}
+	defer func() { _ = j.memory.Resize(size) }()
 	answer := &reply{}
 	var err error
 	answer.response, err = f.Relay.Send(ctx, rudderpath.Request{ //nolint:bodyclose // whoever gets the reply closes it
--- a/rudderd/rudderforward/relayed.go
+++ b/rudderd/rudderforward/relayed.go
@@ -11,6 +11,27 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
+// relayCopies is the number of copies of a body that are made to relay a request, at either entry host.
+const relayCopies = 2
+
+// LimitRelayed refuses requests of other entry hosts for whose bodies there is no memory, before they are read. It has to run
+// before the check of the signature, which reads the body.
+func (f *Forwarder) LimitRelayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := r.ContentLength
+		if size < 0 {
+			size = rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes
+		}
+		memory := f.Bodies.Reservation(relayCopies)
+		defer memory.Release()
+		if err := memory.Resize(size); err != nil {
+			f.refuseRelayed(w, rudderpath.Request{}, rudderpath.OutcomeBusy, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ServeRelayed sends a request to a target for another entry host that cannot reach it. It is sent directly or not at all.
 func (f *Forwarder) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	q, err := rudderpath.DecodeRequest(r.Body)
--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/rudderconfig"
 )
@@ -34,6 +35,8 @@
 	Config func() *rudderconfig.Document
 
 	MaxBodyBytes int64
+	// Bodies bounds the memory of request bodies; nil sets no bound.
+	Bodies *rudderbody.Budget
 	// LimitShare returns the fraction of a workspace's rate and concurrency limits that this entry host
 	// grants, above 0 and at most 1.
 	LimitShare func() float64
--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/rudderconfig"
 )
@@ -261,3 +262,38 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Equal(t, string(rudderstream.OutcomeNotRun), response.Header.Get(HeaderOutcome))
 }
+
+// Guards against long bodies that exceed the memory of a host together, and against memory that stays reserved after a request or
+// is given back while its answer goes on.
+func TestBodiesAreBounded(t *testing.T) {
+	api := testAPI()
+	api.Bodies = rudderbody.NewBudget(64 << 10)
+	finish := api.Start
+	var running *rudderstream.Answer
+	api.Start = func(q rudderstream.Request, a *rudderstream.Answer) {
+		require.Equal(t, int64(chatCopies*len(chatBody)), api.Bodies.Held())
+		running = a
+		finish(q, a)
+	}
+	long := strings.Repeat(" ", 33<<10)
+	for _, test := range []struct {
+		path, key, body string
+		status          int
+	}{
+		{"/v1/chat/completions", "key-studio", chatBody + long, 503},
+		{"/v1/services/booking/x", "key-studio", long, 503},
+		{"/v1/services/booking/x", "key-studio", long[:1<<10], 201},
+		{"/v1/chat/completions", "key-kigali", "{", 400},
+		{"/v1/chat/completions", "key-kigali", chatBody, 200},
+	} {
+		got := do(t, api, "POST", test.path, test.key, test.body)
+		require.Equal(t, test.status, got.status, got.body)
+		if test.status == http.StatusServiceUnavailable {
+			require.Contains(t, got.body, "memory_full")
+			require.Equal(t, "1", got.header.Get("Retry-After"))
+			require.Equal(t, "not_run", got.header.Get(HeaderOutcome))
+		}
+		require.Zero(t, api.Bodies.Held())
+	}
+	require.NotNil(t, running)
+}
--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -18,6 +18,9 @@
 
 const (
 	defaultMaxTokens = 1024
+	// chatCopies is the number of copies of a body that a chat request holds: the body, its fields, the prompt, and the body
+	// that is sent.
+	chatCopies = 4
 	// bytesPerToken is the ratio used to estimate the prompt's tokens before an engine has counted them.
 	bytesPerToken = 4
 )
@@ -36,17 +39,21 @@
 
 // chat serves POST /v1/chat/completions.
 func (a *API) chat(c echo.Context) error {
-	body, err := a.readBody(c)
+	memory := a.Bodies.Reservation(chatCopies)
+	body, err := a.readBody(c, memory)
 	if err != nil {
+		memory.Release()
 		return err
 	}
 	request, parsed, err := a.parseChat(c, body)
 	if err != nil {
+		memory.Release()
 		return err
 	}
 	answer := rudderstream.NewAnswer(request.ID, request.Workspace, request.Model, request.Arrived)
 	defer answer.AddReader(a.Clock.Now)()
 	a.Answers.Add(answer)
+	answer.OnFinish(memory.Release)
 	a.Start(request, answer)
 	source := answerSource{
 		id: request.ID, model: request.Model, created: request.Arrived,
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -110,8 +110,8 @@
 	return r
 }
 
-// readBody reads a request body up to the workspace's limit.
-func (a *API) readBody(c echo.Context) ([]byte, error) {
+// readBody reads a request body up to the workspace's limit into memory that has to be reserved.
+func (a *API) readBody(c echo.Context, memory *rudderbody.Reservation) ([]byte, error) {
 	limit := a.MaxBodyBytes
 	if own := workspaceOf(c).Limits.BodyBytes; own > 0 {
 		limit = min(limit, own)
@@ -121,10 +121,15 @@
 		stop := context.AfterFunc(a.Accepting, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
 		defer stop()
 	}
-	body, err := rudderbody.Read(c.Request().Body, limit)
+	body, err := memory.Read(c.Request().Body, c.Request().ContentLength, limit)
 	if errors.Is(err, rudderbody.ErrTooLarge) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is above the workspace's limit", "send a smaller body")
 	}
+	if errors.Is(err, rudderbody.ErrNoMemory) {
+		refusal := refuse(http.StatusServiceUnavailable, "memory_full", "the bodies of other requests leave no memory for this one", "send the request again after the time in Retry-After, or to another entry host")
+		refusal.RetryAfter = time.Second
+		return nil, refusal
+	}
 	if a.Accepting != nil && a.Accepting.Err() != nil {
 		if refusal := a.Refuse(); refusal != nil {
 			return nil, refusal
--- a/rudderd/rudderhttp/service.go
+++ b/rudderd/rudderhttp/service.go
@@ -13,6 +13,9 @@
 // HeaderReplayed marks the stored response of an earlier call with the same idempotency key.
 const HeaderReplayed = "Idempotent-Replayed"
 
+// serviceCopies is the number of copies of a body that a call of a service holds: one of them is read again for each send.
+const serviceCopies = 2
+
 // service serves /v1/services/{service}/….
 func (a *API) service(c echo.Context) error {
 	workspace := workspaceOf(c)
@@ -26,7 +29,9 @@
 	if err := checkServicePath(c.Param("*")); err != nil {
 		return err
 	}
-	body, err := a.readBody(c)
+	memory := a.Bodies.Reservation(serviceCopies)
+	defer memory.Release()
+	body, err := a.readBody(c, memory)
 	if err != nil {
 		return err
 	}
--- a/rudderd/rudderstream/answer.go
+++ b/rudderd/rudderstream/answer.go
@@ -53,6 +53,7 @@
 	idleSince time.Time     // when the last reader left; zero while there are readers
 	readToEnd bool          // a reader has got the end of the answer
 	changed   chan struct{} // closed and replaced with each change
+	onFinish  func()        // may be nil
 }
 
 // NewAnswer returns an empty answer.
@@ -109,8 +110,14 @@
 	}
 	a.done, a.result = true, result
 	a.notify()
+	if a.onFinish != nil {
+		a.onFinish()
+	}
 }
 
+// OnFinish sets a function that the end of the answer calls. It has to be set before the answer can end.
+func (a *Answer) OnFinish(f func()) { a.onFinish = f }
+
 // notify wakes all readers. The caller holds the lock.
 func (a *Answer) notify() {
 	close(a.changed)
