--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -42,10 +42,11 @@
 	renewedAt atomic.Int64
 }
 
-// lapsed reports whether the registration may have expired, so that other entry hosts no longer know this one.
+// lapsed reports whether the registration may have expired, so that other entry hosts no longer know this one. Before the first
+// one they know it only by the registration of an earlier process, as it does itself.
 func (s *session) lapsed() bool {
 	at := time.Duration(s.renewedAt.Load())
-	return at == 0 || s.uptime()-at >= sessionTTL
+	return at != 0 && s.uptime()-at >= sessionTTL
 }
 
 // checkNow makes run renew the lease soon and register again if it is lost.
