End a stopping process in time when nobody reads its log

Callers could lose what a process had in flight when it was killed: with responses until the end of a stop and an output that nobody reads, the last write of the log waited its full 0.1 s, which is longer than what is left of the grace time then.

The wait for the last lines ends with half of what is left of the grace time, if that is shorter than 0.1 s.

--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -58,7 +58,7 @@
 		t.Fatal("a log line blocks")
 	}
 	close(output.release)
-	w.Close()
+	w.Close(logCloseTimeout)
 	<-w.done
 	require.Contains(t, output.text.String(), "log lines dropped")
 	for _, line := range strings.Split(strings.TrimSpace(output.text.String()), "\n") {
@@ -77,9 +77,9 @@
 			}
 		})
 	}
-	w.Close()
+	w.Close(logCloseTimeout)
 	writers.Wait()
-	w.Close()
+	w.Close(logCloseTimeout)
 }
 
 // edge returns an entry host that uses store as its key-value service.
--- a/rudderd/rudderedge/grace_test.go
+++ b/rudderd/rudderedge/grace_test.go
@@ -16,10 +16,10 @@
 	"comfreyrudder.example/shared/rudderstore"
 )
 
-// stopWithResponse runs an entry host, begins a response on it that ends with the grace time, stops it, and returns the time
-// until its process would have ended.
-func stopWithResponse(t *testing.T, e *Edge, grace time.Duration) time.Duration {
-	lines := NewLogWriter(io.Discard)
+// stopWithResponse runs an entry host that logs to output, begins a response on it that ends with the grace time, stops it, and
+// returns the time until its process would have ended.
+func stopWithResponse(t *testing.T, e *Edge, output io.Writer, grace time.Duration) time.Duration {
+	lines := NewLogWriter(output)
 	e.Logger = zerolog.New(lines)
 	servers, err := e.listen()
 	require.NoError(t, err)
@@ -28,7 +28,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		err := e.serve(ctx, servers)
-		lines.Close()
+		lines.Close(e.LogCloseTimeout())
 		ended <- err
 	}()
 	require.Eventually(t, e.Ready, 5*time.Second, time.Millisecond)
@@ -51,13 +51,14 @@
 }
 
 // Guards against a process that is killed at the end of its grace time because what follows its last response takes too long:
-// the pause of the log writer, or calls to a key-value service that does not answer.
+// the pause of the log writer, an output that nobody reads, or calls to a key-value service that does not answer.
 func TestProcessEndsWithinItsGraceTime(t *testing.T) {
 	const grace = 2 * time.Second
 	for _, test := range []struct {
 		name    string
 		silence bool // of the key-value service, from the begin of the stop
-	}{{"with a response in flight", false}, {"without the key-value service", true}} {
+		blocked bool // output of the log
+	}{{"with a response in flight", false, false}, {"without the key-value service", true, false}, {"without a reader of the log", true, true}} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			e := stoppingHost(t, grace, new(atomic.Pointer[time.Time]))
@@ -69,7 +70,13 @@
 					return errors.Mark(errors.New("no answer"), rudderstore.ErrUnavailable)
 				}
 			}
-			require.Less(t, stopWithResponse(t, e, grace), grace)
+			output := io.Discard
+			if test.blocked {
+				blocked := &blockedWriter{release: make(chan struct{})}
+				t.Cleanup(func() { close(blocked.release) })
+				output = blocked
+			}
+			require.Less(t, stopWithResponse(t, e, output, grace), grace)
 		})
 	}
 }
--- a/rudderd/rudderedge/logs.go
+++ b/rudderd/rudderedge/logs.go
@@ -16,7 +16,7 @@
 	logDelay = 100 * time.Millisecond
 	// logBuffer is the size of the write buffer in bytes.
 	logBuffer = 32 << 10
-	// logCloseTimeout bounds the last write, for an output that nobody reads.
+	// logCloseTimeout bounds the last write, for an output that nobody reads, where no grace time is about to end.
 	logCloseTimeout = 100 * time.Millisecond
 )
 
@@ -54,8 +54,8 @@
 	return len(line), nil
 }
 
-// Close flushes the queued lines and stops the writer. An output that does not take them within logCloseTimeout loses them.
-func (w *LogWriter) Close() {
+// Close flushes the queued lines and stops the writer. An output that does not take them within the timeout loses them.
+func (w *LogWriter) Close(timeout time.Duration) {
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
@@ -63,7 +63,7 @@
 		close(w.lines)
 	}
 	w.mu.Unlock()
-	timer := time.NewTimer(logCloseTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-w.done:
--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -59,6 +59,16 @@
 	return e.stop.requestedAt() + e.Settings.StopGrace - e.exitTime()/2
 }
 
+// LogCloseTimeout returns how long the process may wait for its last log lines: after a planned stop half of what is left of the
+// grace time, so that the rest is left for the end of the process.
+func (e *Edge) LogCloseTimeout() time.Duration {
+	if !e.stop.leaving() {
+		return logCloseTimeout
+	}
+	left := e.stop.requestedAt() + e.Settings.StopGrace - e.uptime()
+	return min(logCloseTimeout, max(left/2, 0))
+}
+
 // leave removes the entry host from the directory, serves until callers have stopped using its address and
 // its requests are done, and returns before the grace time ends.
 func (e *Edge) leave(ctx context.Context, servers []boundServer) {
