Keep a connection open for callers whose refused body is larger than what is dropped

Callers that sent a body well above the limit could get a reset in place of 413, 404 or 503: once as much as is dropped had been read, the handler was aborted and the connection closed at once, with more of the body in transit. net/http, which handled these refusals before, ends the sending side first and waits 500 ms.

The connection now ends as that of a body whose end can't be found: the sending side is ended, as much again is dropped, and if still more arrives the connection stays open for 500 ms. Nothing that a stop waits for is held meanwhile.

--- a/rudderd/rudderforward/early_test.go
+++ b/rudderd/rudderforward/early_test.go
@@ -101,6 +101,39 @@
 	}
 }
 
+// Guards against losing the refusal of a body that is larger than what is dropped of it, because the connection is reset before
+// the caller has read the response.
+func TestRefusalOfALargeBodyReachesItsCaller(t *testing.T) {
+	const bodyBytes = 32 << 20
+	b := newTestbed(t)
+	b.document.Limits.BodyBytes = 64 << 10
+	b.route("/p/", func(*rudderroute.Route) {})
+	b.target("plain", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+	b.start()
+	for _, test := range []struct {
+		path string
+		want int
+	}{{"/other/x", 404}, {"/p/x", 413}} {
+		t.Run(test.path, func(t *testing.T) {
+			connection, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+			require.NoError(t, err)
+			defer func() { _ = connection.Close() }()
+			_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nId: q1\r\nKey: key\r\nContent-Length: %d\r\n\r\n", test.path, bodyBytes)
+			require.NoError(t, err)
+			go func() { _, _ = connection.Write(make([]byte, bodyBytes)) }()
+			require.NoError(t, connection.SetReadDeadline(time.Now().Add(5*time.Second)))
+			reader := bufio.NewReader(connection)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.Equal(t, test.want, response.StatusCode)
+			_, err = reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
 // Guards against a refusal that waits for the rest of a body that has already come too late.
 func TestLateBodyIsRefusedInTime(t *testing.T) {
 	b := newTestbed(t)
--- a/rudderd/rudderforward/unread.go
+++ b/rudderd/rudderforward/unread.go
@@ -20,6 +20,9 @@
 	// minDropBytes is how much of such a body is read even if the limit of the routing document is lower: as much as net/http
 	// reads.
 	minDropBytes = 256 << 10
+	// resetDelay is how long a connection stays open after its sending side has ended if more of the body arrives than is
+	// read: as long as net/http waits.
+	resetDelay = 500 * time.Millisecond
 	// dropBufferBytes is the size of the reads of a body that is dropped.
 	dropBufferBytes = 4 << 10
 )
@@ -115,8 +118,8 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return true
 	}
-	if err != nil && !deadline.passed() {
-		// The end of a body in chunks can't be found after a read deadline has passed in it.
+	if !deadline.passed() {
+		// The body is too large, or its end can't be found: in chunks not after a read deadline has passed in them.
 		dropConnection(control, size, deadline)
 	}
 	return false
@@ -135,7 +138,8 @@
 	return nil
 }
 
-// dropConnection ends the sending side of a connection, drops what still arrives on it and closes it.
+// dropConnection ends the sending side of a connection, drops what still arrives on it and closes it. If more than size bytes
+// arrive, its caller gets resetDelay to read the response before the connection is reset.
 func dropConnection(control *http.ResponseController, size int64, deadline *bodyDeadline) {
 	connection, _, err := control.Hijack()
 	if err != nil {
@@ -146,5 +150,7 @@
 	if c, ok := connection.(*net.TCPConn); ok {
 		_ = c.CloseWrite()
 	}
-	_ = drop(connection, size, deadline)
+	if drop(connection, size, deadline) == nil && !deadline.passed() {
+		time.Sleep(resetDelay)
+	}
 }
