--- a/rudderd/ruddercoordinator/planner_test.go
+++ b/rudderd/ruddercoordinator/planner_test.go
@@ -39,6 +39,8 @@
 	refused  int    // number of plan writes that were refused
 	refuse   bool   // plan writes fail at once
 	refusing string // target that refuses connections
+	lost     string // target that does not answer
+	probes   int    // of the lost target
 }
 
 const planPrefix = rudderview.PlanPrefix
@@ -187,6 +189,10 @@
 func (w *world) probe(_ context.Context, t *rudderview.Target, _ bool) rudderverdict.Finding {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if t.Name == w.lost {
+		w.probes++
+		return rudderverdict.Finding{Path: true}
+	}
 	return rudderverdict.Finding{Answered: true, Alive: true, Report: ruddertarget.GroupReport{Membership: w.targets[t.Name].Membership}}
 }
 
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -102,7 +102,8 @@
 		switch {
 		case t == nil:
 			delete(p.results, name)
-		case v.dead && snapshot.Targets[name] != nil:
+		case v.dead && snapshot.Targets[name] == nil: // no plan needs it
+		case v.dead:
 			p.startProbe(t, recheckInterval)
 		case v.silent && v.silence(p.Uptime()) >= rudderverdict.MinSilence:
 			p.startProbe(t, 0)
--- a/rudderd/ruddercoordinator/suspects_test.go
+++ b/rudderd/ruddercoordinator/suspects_test.go
@@ -9,6 +9,37 @@
 	"comfreyrudder.example/rudderd/rudderverdict"
 )
 
+// Guards against a planner that probes a lost target all the time, with or without a record.
+func TestLostTargetIsProbedSeldom(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		registered bool
+	}{{"registered", true}, {"without a record", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld("a", "b")
+			p, _ := w.run(t, "e")
+			require.Eventually(t, p.Planning, 5*time.Second, time.Millisecond)
+			w.mu.Lock()
+			w.lost = "b"
+			w.mu.Unlock()
+			require.Eventually(t, func() bool {
+				_, silent, _ := p.Examine(t.Context(), map[string]int64{"b": 1}, 0)
+				return len(silent) == 1
+			}, 5*time.Second, examineInterval/10)
+			if !test.registered {
+				w.cutOff("b")
+			}
+			time.Sleep(2 * rudderverdict.MinSilence)
+			dead, _, _ := p.Examine(t.Context(), map[string]int64{"b": 1}, 0)
+			require.Equal(t, []string{"b"}, dead)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			require.LessOrEqual(t, w.probes, 6)
+		})
+	}
+}
+
 // Guards against a silent target that counts as dead, and against a dead one that counts as silent.
 func TestProbeResults(t *testing.T) {
 	alive, silent := rudderverdict.Finding{Answered: true, Alive: true}, rudderverdict.Finding{Path: true}
