Await a silent target whose connection broke before it counts as dead

A target whose connection broke and that did not answer two probes at that moment was reported as dead to all entry hosts at once, although a sound one may be silent for about a second, also just after it has closed a connection. Its group ended, and the streams in it lost an attempt or were cut.

The check of a crash now confirms the death like that of a silent group. A request that may have crashed its target waits at most 0.5 s for the check.

TestBrokenConnectionOfSilentTarget failed before ("Condition satisfied": a suspicion was recorded).

--- a/rudderd/rudderedge/silence_test.go
+++ b/rudderd/rudderedge/silence_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// A connection breaks, and its target is silent for a while. Guards against a target that is taken for dead because both happen
+// at once.
+func TestBrokenConnectionOfSilentTarget(t *testing.T) {
+	f := newVerdictFleet(t, 3)
+	f.silence("t0", time.Second)
+	f.breakStream(1, "m0")
+	require.Never(t, func() bool {
+		return f.recorded(rudderview.SuspicionPrefix) || len(f.edges[0].view.Snapshot().Groups("llm", "m0")) == 0
+	}, 1700*time.Millisecond, 10*time.Millisecond)
+}
+
 // A target is lost without closing its connections. Guards against streams and groups that wait for it longer than needed to
 // tell it from a silent one.
 func TestLostTargetIsFoundInTime(t *testing.T) {
--- a/rudderd/rudderforward/crash.go
+++ b/rudderd/rudderforward/crash.go
@@ -21,6 +21,9 @@
 	// crashCollectTime is how long broken sends to one target are collected before the target is checked: a crash
 	// breaks all of them at once.
 	crashCollectTime = 20 * time.Millisecond
+	// crashCheckWait is how long a request waits at most for the check of its last target. A target that is only silent is
+	// checked for longer.
+	crashCheckWait = 500 * time.Millisecond
 	// crashCheckTTL is how long the result of a check is kept.
 	crashCheckTTL = 5 * time.Second
 	// maxCrashSuspects bounds the suspects of one crash.
@@ -86,7 +89,7 @@
 }
 
 func (f *Forwarder) finishCrashCheck(key string, c *crashCheck, g *rudderview.Group) {
-	report, alive := f.Verdict(context.Background(), g.Leader)
+	report, alive := f.Confirm(context.Background(), g.Leader, 0)
 	restarted := alive && g.Model != "" && report.Orders == 0 // its group took orders to form
 	if !alive {
 		f.Suspect(g.Leader, "connection broke")
@@ -135,9 +138,13 @@
 	}
 	timer := time.NewTimer(min(suspectDelay, j.remaining(f.Uptime())/4))
 	defer timer.Stop()
+	checked := time.NewTimer(crashCheckWait)
+	defer checked.Stop()
 	select {
 	case <-ctx.Done():
 		return
+	case <-checked.C:
+		return
 	case <-c.done:
 	}
 	f.crashChecks.mu.Lock()
--- a/rudderd/rudderforward/cuthead_test.go
+++ b/rudderd/rudderforward/cuthead_test.go
@@ -59,7 +59,7 @@
 	f := b.forwarder
 	other := &Forwarder{
 		View: f.View, Protocol: f.Protocol, Client: f.Client, Logger: f.Logger, Uptime: f.Uptime, Metrics: f.Metrics, Limits: f.Limits, Path: f.Path,
-		Relay: f.Relay, Report: f.Report, Verdict: f.Verdict, Suspect: f.Suspect, RecordCrash: f.RecordCrash, RecordSurvival: f.RecordSurvival, MaxRelayed: 10,
+		Relay: f.Relay, Report: f.Report, Verdict: f.Verdict, Confirm: f.Confirm, ReachedElsewhere: f.ReachedElsewhere, Suspect: f.Suspect, RecordCrash: f.RecordCrash, RecordSurvival: f.RecordSurvival, MaxRelayed: 10,
 	}
 	server := httptest.NewServer(http.HandlerFunc(other.ServeRelayed))
 	t.Cleanup(server.Close)
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -59,8 +59,8 @@
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Verdict probes a target and reports whether it answers, as far as the entry hosts that have a path to targets agree.
 	Verdict func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
-	// Confirm reports whether a target that has been silent for some time is alive. It waits until that is certain.
-	Confirm func(ctx context.Context, t *rudderview.Target, silence time.Duration) (alive bool)
+	// Confirm is Verdict for a target that has been silent for some time. It waits until the target is alive or dead.
+	Confirm func(ctx context.Context, t *rudderview.Target, silence time.Duration) (report ruddertarget.GroupReport, alive bool)
 	// ReachedElsewhere reports whether another entry host reaches a target.
 	ReachedElsewhere func(ctx context.Context, t *rudderview.Target) bool
 	// ExamineGroup has the planner probe a group that has been silent for some time, 0 if that is not known; ok is false if the
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -182,7 +182,10 @@
 	results := make([]bool, len(g.Members))
 	var waiting sync.WaitGroup
 	for i, t := range g.Members {
-		waiting.Go(func() { results[i] = !f.Confirm(context.Background(), t, silence) })
+		waiting.Go(func() {
+			_, alive := f.Confirm(context.Background(), t, silence)
+			results[i] = !alive
+		})
 	}
 	waiting.Wait()
 	var dead []string
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -177,9 +177,8 @@
 	b.forwarder.Verdict = func(ctx context.Context, t *rudderview.Target) (ruddertarget.GroupReport, bool) {
 		return b.forwarder.ProbeTarget(ctx, t, nil)
 	}
-	b.forwarder.Confirm = func(ctx context.Context, t *rudderview.Target, _ time.Duration) bool {
-		_, alive := b.forwarder.ProbeTarget(ctx, t, nil)
-		return alive
+	b.forwarder.Confirm = func(ctx context.Context, t *rudderview.Target, _ time.Duration) (ruddertarget.GroupReport, bool) {
+		return b.forwarder.ProbeTarget(ctx, t, nil)
 	}
 	b.forwarder.ReachedElsewhere = func(context.Context, *rudderview.Target) bool { return false }
 	go func() { _ = view.Run(ctx) }()
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -125,23 +125,23 @@
 	return found.Report, found.Alive
 }
 
-// Confirm reports whether a target that has been silent for some time is alive. It takes until the target answers, has ended, or
-// has been silent for long enough.
-func (d *Detector) Confirm(ctx context.Context, t *rudderview.Target, silence time.Duration) (alive bool) {
+// Confirm probes a target that has been silent for some time and reports whether it is alive. It takes until the target answers,
+// has ended, or has been silent for long enough.
+func (d *Detector) Confirm(ctx context.Context, t *rudderview.Target, silence time.Duration) (report ruddertarget.GroupReport, alive bool) {
 	since := d.Uptime() - silence
 	suspected := silence >= MinSilence
 	for {
 		decides := d.Uptime()-since >= MinSilence
 		found := d.Examine(ctx, t, suspected)
 		if found.Alive || found.Ended() || decides {
-			return found.Alive
+			return found.Report, found.Alive
 		}
 		suspected = true
 		timer := time.NewTimer(since + MinSilence - d.Uptime())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return true
+			return ruddertarget.GroupReport{}, true
 		case <-timer.C:
 		}
 	}
--- a/rudderd/rudderverdict/silence_test.go
+++ b/rudderd/rudderverdict/silence_test.go
@@ -36,7 +36,7 @@
 			begin := time.Now()
 			d.Probe = func(_ context.Context, _ *rudderview.Target, failed func()) (ruddertarget.GroupReport, bool) {
 				if time.Since(begin) >= test.answers {
-					return alive.Report, true
+					return ruddertarget.GroupReport{Orders: 5, Born: 1}, true
 				}
 				failed()
 				return ruddertarget.GroupReport{}, false
@@ -47,7 +47,8 @@
 				}
 				return nil
 			}
-			require.Equal(t, test.alive, d.Confirm(t.Context(), d.Snapshot().Targets["t0"], test.silence))
+			_, alive := d.Confirm(t.Context(), d.Snapshot().Targets["t0"], test.silence)
+			require.Equal(t, test.alive, alive)
 			require.GreaterOrEqual(t, time.Since(begin), test.from)
 			require.Less(t, time.Since(begin), test.upTo)
 		})
