Count the silence of a target from its last answer to a probe too

A stream may have no event for long although its target is sound: in an overload, on a host without a path, on a connection that has gone silent for good. The entry host told the planner this silence, and a target that had answered a probe half a second ago was dead after one missed probe. Now the time of the last answered probe counts as a sign of life too.

TestSilenceBeginsAfterLastAnswer failed before: the target was dead at once.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -60,6 +60,9 @@
 	joiningInterval = 200 * time.Millisecond
 	// confirmInterval is how long a probe result is valid for a member of a new group.
 	confirmInterval = 2 * time.Second
+	// decidingDelay is how long after MinSilence a silent target is probed again: entry hosts differ by some milliseconds in
+	// when they have heard of it for the last time.
+	decidingDelay = 20 * time.Millisecond
 	// examineInterval is how long a probe result is valid for Examine.
 	examineInterval = 300 * time.Millisecond
 )
@@ -120,6 +123,8 @@
 	// aliveAt is the uptime at which its group showed for the last time that it was alive, as entry hosts have told; 0 if
 	// none has.
 	aliveAt time.Duration
+	// answeredAt is the uptime at which the last probe started that was answered; 0 if none was.
+	answeredAt time.Duration
 	// confirmed is set if an entry host has reported that the target is dead.
 	confirmed bool
 	report    ruddertarget.GroupReport // last answer while the target had no record
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -65,11 +65,13 @@
 	return dead, silent, true
 }
 
-// examineTarget starts a probe unless the last result is recent, or shows a silent target that is probed again when it may be
-// dead. The caller holds the lock.
+// examineTarget starts a probe unless the last result is recent, or shows a silent target that is probed soon because it may be
+// dead then. The caller holds the lock.
 func (p *Planner) examineTarget(t *rudderview.Target) <-chan struct{} {
-	if v := p.results[t.Name]; v != nil && v.born == t.Born && v.silent && !v.dead && v.silence(p.Uptime()) < rudderverdict.MinSilence {
-		return v.done
+	if v := p.results[t.Name]; v != nil && v.born == t.Born && v.silent && !v.dead {
+		if left := rudderverdict.MinSilence + decidingDelay - v.silence(p.Uptime()); left > 0 && left < examineInterval {
+			return v.done
+		}
 	}
 	return p.startProbe(t, examineInterval)
 }
@@ -105,7 +107,7 @@
 		case v.dead && snapshot.Targets[name] == nil: // no plan needs it
 		case v.dead:
 			p.startProbe(t, recheckInterval)
-		case v.silent && v.silence(p.Uptime()) >= rudderverdict.MinSilence:
+		case v.silent && v.silence(p.Uptime()) >= rudderverdict.MinSilence+decidingDelay:
 			p.startProbe(t, 0)
 		}
 	}
@@ -143,7 +145,7 @@
 	}
 	next := &probeResult{born: t.Born, checked: now, running: true, done: make(chan struct{})}
 	if v != nil && v.born == t.Born {
-		next.dead, next.report, next.known = v.dead, v.report, v.known
+		next.dead, next.report, next.known, next.answeredAt = v.dead, v.report, v.known, v.answeredAt
 		if v.silent {
 			next.silent, next.failedAt, next.aliveAt, next.confirmed = true, v.failedAt, v.aliveAt, v.confirmed
 		}
@@ -183,7 +185,7 @@
 // wakeAfterSilence makes the planner take a step when a silent target may be dead. The caller holds the lock.
 func (p *Planner) wakeAfterSilence(v *probeResult) {
 	if v.silent && !v.dead {
-		time.AfterFunc(rudderverdict.MinSilence-v.silence(p.Uptime()), p.wakeUp)
+		time.AfterFunc(rudderverdict.MinSilence+decidingDelay-v.silence(p.Uptime()), p.wakeUp)
 	}
 }
 
@@ -192,7 +194,7 @@
 func (v *probeResult) record(found rudderverdict.Finding, begin time.Duration) {
 	switch {
 	case found.Alive:
-		v.dead, v.silent, v.failedAt, v.aliveAt, v.confirmed = false, false, 0, 0, false
+		v.dead, v.silent, v.failedAt, v.aliveAt, v.confirmed, v.answeredAt = false, false, 0, 0, false, begin
 		return
 	case found.Ended() || v.confirmed:
 		v.dead = true
@@ -209,7 +211,7 @@
 	case !v.silent:
 		return 0
 	case v.aliveAt > 0:
-		return now - v.aliveAt
+		return now - max(v.aliveAt, v.answeredAt)
 	}
 	return now - v.failedAt
 }
--- a/rudderd/ruddercoordinator/suspects_test.go
+++ b/rudderd/ruddercoordinator/suspects_test.go
@@ -1,12 +1,15 @@
 package ruddercoordinator
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderverdict"
+	"comfreyrudder.example/rudderd/rudderview"
 )
 
 // Guards against a planner that probes a lost target all the time, with or without a record.
@@ -79,3 +82,35 @@
 		})
 	}
 }
+
+// A stream has had no event for long, its target answers a probe, and falls silent afterwards. Guards against counting the silence
+// of the stream as that of the target.
+func TestSilenceBeginsAfterLastAnswer(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	p, _ := w.run(t, "planner")
+	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
+	var silent atomic.Bool
+	p.mu.Lock()
+	p.Probe = func(ctx context.Context, x *rudderview.Target, suspected bool) rudderverdict.Finding {
+		if silent.Load() {
+			return rudderverdict.Finding{Path: true}
+		}
+		return w.probe(ctx, x, suspected)
+	}
+	p.mu.Unlock()
+	born := p.View.Snapshot().Targets["a"].Born
+	examine := func() (dead, silent []string) {
+		dead, silent, planning := p.Examine(t.Context(), map[string]int64{"a": born}, 2*rudderverdict.MinSilence)
+		require.True(t, planning)
+		return dead, silent
+	}
+	time.Sleep(examineInterval)
+	dead, unresponsive := examine()
+	require.Empty(t, dead)
+	require.Empty(t, unresponsive)
+	silent.Store(true)
+	time.Sleep(examineInterval + 10*time.Millisecond)
+	dead, unresponsive = examine()
+	require.Empty(t, dead)
+	require.Equal(t, []string{"a"}, unresponsive)
+}
