Let connections to targets outlive a silence of a second

Keep-alive probes gave up a connection 1.04 s after its target fell silent in the worst case, since TCP_USER_TIMEOUT (1.5 s) counts from the last packet before: once-only calls ended with 502, streams lost an attempt, and the target was examined as crashed. What a target sends while it cannot be reached is sent again 1.4 s after its begin only, and the limit of silence of a stream was 1.5 s of the 2 s that callers wait.

Connections to targets get 2.5 s; those to the key-value service and between entry hosts keep 1.5 s. The limit of silence is 0.85 of the callers' timeout. A group that is known to be broken ends its streams without awaiting a check of the path.

--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -19,6 +19,9 @@
 	// unackedTimeout closes a connection whose data is not acknowledged, for example because a middlebox has lost the
 	// connection's state.
 	unackedTimeout = 1500 * time.Millisecond
+	// targetUnackedTimeout replaces it for targets. A sound one may be silent for about a second, and the time counts from the
+	// last packet before.
+	targetUnackedTimeout = 2500 * time.Millisecond
 	// maxResponseHeaderBytes bounds a response header. A faulty server may send a header without end, and a small host
 	// waits for hundreds of responses at once.
 	maxResponseHeaderBytes = 64 << 10
@@ -32,7 +35,9 @@
 )
 
 // Dialer returns a dialer whose connections detect an unresponsive peer, by TCP keep-alives and TCP_USER_TIMEOUT.
-func Dialer() *net.Dialer {
+func Dialer() *net.Dialer { return dialer(unackedTimeout) }
+
+func dialer(unackedTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
@@ -61,6 +66,6 @@
 
 func targetClient() *http.Client {
 	client := NewClient(maxIdleConnectionsPerTarget)
-	client.Transport.(*http.Transport).DialContext = rudderforward.TrackWrites(Dialer().DialContext)
+	client.Transport.(*http.Transport).DialContext = rudderforward.TrackWrites(dialer(targetUnackedTimeout).DialContext)
 	return client
 }
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -29,7 +29,7 @@
 	silenceLimit = 1800 * time.Millisecond
 	// callerTimeoutShare is the share of the callers' idle timeout that is used instead, which leaves time
 	// to resume elsewhere.
-	callerTimeoutShare = 0.75
+	callerTimeoutShare = 0.85
 	// defaultStallTimeout and stallMargin bound the silence of a stream that cannot be resumed elsewhere. It may
 	// only be slow: a leader that has lost a member reports it after the stall time.
 	defaultStallTimeout = 6 * time.Second
@@ -140,7 +140,7 @@
 	lost := make(chan bool, 1)
 	go func() { lost <- w.pathLost() }()
 	health := w.forwarder.probeGroup(w.ctx, w.group, known)
-	noPath := <-lost
+	noPath := health != groupBroken && <-lost
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended || w.lastEvent != begin {
