Tell the owner of a model which groups are silent

Only entry hosts with a stream in a silent group avoided it; the others went on sending requests there, which began late or moved. Entry hosts now name the groups that the planner has found silent when they ask the owner of a model, and it chooses these last for all, for 300 ms after each report. An entry host that hears the group again stops naming it. Earlier owners ignore the new field of Pick, and earlier entry hosts do not send it.

TestSilentGroupIsChosenLast did not compile before.

--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -21,8 +21,8 @@
 // Group is one group that may take requests.
 type Group struct {
 	ID string
-	// Draining groups are chosen last.
-	Draining bool
+	// Draining and silent groups are chosen last.
+	Draining, Silent bool
 	// Wait is the time until the group's target takes a further request, because it limits their rate; 0 if it takes one now.
 	Wait time.Duration
 }
@@ -175,7 +175,7 @@
 			continue
 		}
 		cost, expected := a.cost(now, speed)
-		if g.Draining {
+		if g.Draining || g.Silent {
 			cost += draining
 		}
 		if r.Objective > 0 && expected > r.Objective {
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -146,3 +146,17 @@
 		})
 	}
 }
+
+// Guards against requests that go to a group of which a member does not respond, and against refusing them if there is no other.
+func TestSilentGroupIsChosenLast(t *testing.T) {
+	l := NewLedger()
+	silent, other := Group{ID: "a", Silent: true}, Group{ID: "b"}
+	for i := range 3 {
+		id, _, full := l.Pick(0, speed, []Group{silent, other}, Request{ID: string(rune('1' + i)), Limit: time.Minute})
+		require.Equal(t, "b", id)
+		require.False(t, full)
+	}
+	id, _, full := l.Pick(0, speed, []Group{silent}, Request{ID: "9", Limit: time.Minute})
+	require.Equal(t, "a", id)
+	require.False(t, full)
+}
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -28,6 +29,10 @@
 	// maxQueuedDone bounds the request completions that are queued for an owner that did not respond. Requests whose
 	// completion is dropped expire in the owner's ledger with their time limits.
 	maxQueuedDone = 4096
+	// silentTTL is how long a report that a group is silent holds. It is repeated with each call until the group is heard.
+	silentTTL = 300 * time.Millisecond
+	// maxSilentGroups bounds the groups of one report.
+	maxSilentGroups = 256
 	// doneInterval is how long request completions are batched before they are sent to their owners.
 	doneInterval = 40 * time.Millisecond
 )
@@ -43,13 +48,14 @@
 	done         map[string][]string  // IDs of completed requests not yet sent to the owner, by peer address
 	backoffUntil map[string]time.Time // for owners that did not respond, by peer address
 	lapsedUntil  map[string]time.Time // for owners whose registration may have expired, by peer address
+	silentUntil  map[string]time.Time // for groups that entry hosts have reported as silent, by ID
 	wake         chan struct{}
 }
 
 func newBalance(e *Edge) *balance {
 	return &balance{
 		edge: e, ledgers: map[ledgerKey]*rudderbalance.Ledger{}, done: map[string][]string{}, backoffUntil: map[string]time.Time{},
-		lapsedUntil: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		lapsedUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -172,6 +178,7 @@
 		request.Objective = time.Duration(spillShare * float64(q.Objective))
 	}
 	if owner.Name == b.edge.Settings.Name {
+		b.noteSilent(q.Silent)
 		pick := b.pickLocal(ledgerKey{q.Service, q.Model, query.Partition}, q.Urgency, request)
 		pick.Release = func() { b.finish([]string{id}) }
 		return pick, false
@@ -187,6 +194,7 @@
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
 		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
+		Silent: q.Silent,
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if isLapsedError(err) {
@@ -267,7 +275,7 @@
 	for _, g := range list {
 		wait := b.edge.limits.Wait(processOf(g), urgency, uptime)
 		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
-		groups = append(groups, rudderbalance.Group{ID: g.ID, Draining: g.Draining, Wait: wait})
+		groups = append(groups, rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Wait: wait})
 	}
 	if b.ledgers[key] == nil {
 		b.ledgers[key] = rudderbalance.NewLedger()
@@ -280,6 +288,20 @@
 	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Work: ledger.Work(now)}
 }
 
+// noteSilent makes the groups that an entry host has reported as silent the last choice for all of them.
+func (b *balance) noteSilent(groups []string) {
+	if len(groups) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(b.silentUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	for _, id := range groups[:min(len(groups), maxSilentGroups)] {
+		b.silentUntil[id] = now.Add(silentTTL)
+	}
+}
+
 // groupsOf returns the groups in a partition of a ledger.
 func groupsOf(s *rudderview.Snapshot, key ledgerKey) []*rudderview.Group {
 	var list []*rudderview.Group
@@ -384,6 +406,7 @@
 	s.balance.finish(r.GetDone())
 	s.balance.edge.applyAnnounced("", r.GetLeaving())
 	s.balance.edge.mergeLimits("", reports)
+	s.balance.noteSilent(r.GetSilent())
 	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -23,6 +23,7 @@
 	reportedAt  time.Duration // uptime of the last report; 0 without one
 	avoidUntil  time.Duration // uptime until which new requests avoid the leader
 	silentUntil time.Duration // uptime until which new requests avoid the leader unless it sends something before
+	silentFound time.Duration // uptime until which the planner's finding that the group is silent holds
 	usedAt      time.Duration // uptime of the last access, for forget
 }
 
@@ -84,11 +85,28 @@
 	x.silentUntil = max(x.silentUntil, until)
 }
 
+// foundSilent is silent for a group that the planner has found silent, which other entry hosts should know.
+func (l *loads) foundSilent(leader string, until, now time.Duration) {
+	l.silent(leader, until, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.get(leader, now).silentFound = until
+}
+
 // heard records that a leader has sent something.
 func (l *loads) heard(leader string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.get(leader, now).silentUntil = 0
+	x := l.get(leader, now)
+	x.silentUntil, x.silentFound = 0, 0
+}
+
+// isFoundSilent reports whether the planner has found a leader's group silent, and it has not been heard since.
+func (l *loads) isFoundSilent(leader string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.leaders[leader]
+	return x != nil && x.silentFound > now
 }
 
 // avoided reports whether new requests avoid a leader.
@@ -139,8 +157,8 @@
 	Limit time.Duration
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost time.Duration
-	// Avoid lists the groups that must not be picked.
-	Avoid []string
+	// Avoid lists the groups that must not be picked, and Silent those that the planner has found silent.
+	Avoid, Silent []string
 	// Objective is the longest wait for a group that the request can bear; 0 accepts any wait.
 	Objective time.Duration
 	// Urgency is the priority of the request, 0 for the highest.
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -154,7 +154,7 @@
 	case groupBroken:
 		f.loads.avoid(g.Leader.Name, f.Uptime()+brokenBackoff, f.Uptime())
 	case groupSilent:
-		f.loads.silent(g.Leader.Name, f.Uptime()+silentBackoff, f.Uptime())
+		f.loads.foundSilent(g.Leader.Name, f.Uptime()+silentBackoff, f.Uptime())
 	case groupAlive:
 	}
 	if !byPlanner {
