Do not cut a begun stream because connections to silent targets fail

Five connections that were not set up in time ended a begun stream with "attempts_exhausted", although nothing had been sent.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -68,7 +68,8 @@
 		return &refusal{status: http.StatusBadGateway, code: "may_have_run", message: "the request may have run and must not repeat"}
 	}
 	attempts := max(j.route.MaxAttempts, 1)
-	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends {
+	// A stream that has begun is not given up because connections fail: nobody else can finish its response.
+	if j.runs >= attempts || j.sends >= attempts+extraSends || j.unsent > attempts+extraSends && !j.started {
 		return &refusal{status: http.StatusServiceUnavailable, code: "attempts_exhausted", message: "no attempt is left", retryAfter: shortRetryAfter}
 	}
 	return nil
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -117,7 +117,7 @@
 		f.probes.groups = map[string]*groupProbe{}
 	}
 	p := f.probes.groups[g.ID]
-	if p != nil && (p.endedAt == 0 || f.Uptime()-p.endedAt < verdictTTL || p.health == groupBroken) {
+	if p != nil && (p.endedAt == 0 || f.Uptime()-p.endedAt < verdictTTL || p.health == groupBroken && f.Uptime()-p.endedAt < brokenBackoff) {
 		f.probes.mu.Unlock()
 		select {
 		case <-p.done:
