--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -82,6 +82,15 @@
 	health  groupHealth
 }
 
+// valid reports whether a probe is running or its result still holds.
+func (p *groupProbe) valid(now time.Duration) bool {
+	ttl := verdictTTL
+	if p.health == groupBroken {
+		ttl = brokenBackoff
+	}
+	return p.endedAt == 0 || now-p.endedAt < ttl
+}
+
 // ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
 // another incarnation or another target answers at its address. failed is called if the first attempt fails; optional.
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool) {
@@ -117,7 +126,7 @@
 		f.probes.groups = map[string]*groupProbe{}
 	}
 	p := f.probes.groups[g.ID]
-	if p != nil && (p.endedAt == 0 || f.Uptime()-p.endedAt < verdictTTL || p.health == groupBroken && f.Uptime()-p.endedAt < brokenBackoff) {
+	if p != nil && p.valid(f.Uptime()) {
 		f.probes.mu.Unlock()
 		select {
 		case <-p.done:
