Don't suspect a request of the death of an engine that it did not reach

On the chat API, an attempt that failed because no connection to the group's leader could be opened was reported as a death that the request may have caused: the group's member was gone, as it had been before. A request that met two dead leaders before the planner had replaced their groups was then refused as poison (422, "do not send this request again") for half an hour, at all entry hosts. awaitAnswers sends the same body again and again, so it got nothing else for its 20 s, although the groups had formed again after 3 s.

A death is now reported only if a byte of the request may have reached the group.

TestRequestIsNotSuspectedOfAnEarlierDeath failed before: "the request did not reach the group", twice.

--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -122,7 +122,8 @@
 		s.Logger.Warn().Err(err).Str("request_id", s.request.ID).Int("attempt", s.attempt).
 			Str("group", slot.Group).Int("received", s.answer.Received()).Msg("attempt failed")
 	}
-	if groupFailed(err) && s.GroupDied(ctx, slot) {
+	// A group that was dead before cannot have died of this request.
+	if groupFailed(err) && !errors.Is(err, ErrNotSent) && s.GroupDied(ctx, slot) {
 		s.ReportDeath(ctx, s.request, slot, s.attemptTokens < survivalTokens)
 	}
 	return err
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -361,6 +361,20 @@
 	require.Equal(t, 4, timing.Attempts)
 }
 
+// Guards against a request that counts as the cause of a death before it, and is then refused as poison.
+func TestRequestIsNotSuspectedOfAnEarlierDeath(t *testing.T) {
+	live := newFakeEngine(t, tokens(4, 4))
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	address := strings.TrimPrefix(gone.URL, "http://")
+	r := testRunner(address, address, live.address())
+	r.GroupDied = func(_ context.Context, slot Slot) bool { return slot.Address == address }
+	r.ReportDeath = func(context.Context, Request, Slot, bool) { t.Error("the request did not reach the group") }
+	page, timing := runRequest(t, r)
+	require.Equal(t, OutcomeComplete, page.Result.Outcome)
+	require.Equal(t, 3, timing.Attempts)
+}
+
 // Guards against a request that kills one group after another: the suspicion must be shared before the next
 // attempt.
 func TestSecondDeathStopsTheRequest(t *testing.T) {
