Keep a suspected request off a fabric domain only while a second death there would not count

On the chat API, a request in flight at a group that died is kept off all groups of the group's fabric domain, because two deaths of a domain within 2 s count as the loss of the domain. It was kept off for as long as the death is remembered, half an hour. Where no other domain has a serving group, each further send of the same body at any entry host was refused with no_group for that time, although sound groups stood beside the dead one.

The domain is now avoided for DomainLossWindow after the death. A second death after that counts, so a poison request still ends after two.

TestDomainIsAvoidedWhileASecondDeathWouldNotCount does not compile before, since the tracker was not given the time; it takes the place of the last line of TestSuspectsAreKeptApart.

--- a/rudderd/rudderapp/suspects.go
+++ b/rudderd/rudderapp/suspects.go
@@ -96,9 +96,9 @@
 	s.running[group] = list
 }
 
-// avoid returns, for a suspected request, the fabric domains in which a group died while it ran the request, and the
+// avoid returns, for a suspected request, the fabric domains in which a group died lately while it ran the request, and the
 // groups that run another suspected request.
-func (s *suspects) avoid(fingerprint uint64) (domains, groups []string) {
+func (s *suspects) avoid(now time.Time, fingerprint uint64) (domains, groups []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := rudderpoison.Fingerprint(fingerprint)
@@ -110,14 +110,14 @@
 			groups = append(groups, group)
 		}
 	}
-	return s.tracker.FailedDomains(f), groups
+	return s.tracker.AvoidedDomains(now, f), groups
 }
 
 // suspectGroups lists the groups to which a suspected request must not be sent. They include all groups of the fabric
-// domains with a death, because a second death in the same domain would be taken for the loss of the domain and would
+// domains with a recent death, because a second death in the same domain would be taken for the loss of the domain and would
 // not count.
 func (a *App) suspectGroups(fingerprint uint64) []string {
-	domains, groups := a.suspects.avoid(fingerprint)
+	domains, groups := a.suspects.avoid(a.Clock.Now(), fingerprint)
 	for _, domain := range domains {
 		plan, _ := a.fleet.Plan(domain)
 		for _, g := range plan.Groups {
--- a/rudderd/rudderpoison/poison.go
+++ b/rudderd/rudderpoison/poison.go
@@ -193,13 +193,13 @@
 	})
 }
 
-// FailedDomains returns the domains in which groups died with the request in flight. The next attempt should
-// use another domain: a second death in the same domain within DomainLossWindow would look like the loss of
-// the domain and would never count.
-func (t *Tracker) FailedDomains(f Fingerprint) []string {
+// AvoidedDomains returns the domains in which a group died within DomainLossWindow with the request in flight. The next
+// attempt should use another domain: a second death in the same domain within the window would look like the loss of the
+// domain and would never count.
+func (t *Tracker) AvoidedDomains(now time.Time, f Fingerprint) []string {
 	var domains []string
 	for _, d := range t.requests[f] {
-		if !slices.Contains(domains, d.Domain) {
+		if now.Sub(d.detectedAt()) <= DomainLossWindow && !slices.Contains(domains, d.Domain) {
 			domains = append(domains, d.Domain)
 		}
 	}
--- a/rudderd/rudderpoison/poison_test.go
+++ b/rudderd/rudderpoison/poison_test.go
@@ -75,7 +75,19 @@
 	require.False(t, tracker.CanColocate(1, []Fingerprint{5, 2}))
 	require.True(t, tracker.CanColocate(1, []Fingerprint{1, 5}))
 	require.True(t, tracker.CanColocate(5, []Fingerprint{1, 2}))
-	require.Equal(t, []string{"d1"}, tracker.FailedDomains(1))
+}
+
+// Guards against a request that is kept off a fabric domain for as long as a death in it is remembered, although a second
+// death there would count.
+func TestDomainIsAvoidedWhileASecondDeathWouldNotCount(t *testing.T) {
+	tracker := NewTracker(0)
+	tracker.Record(start, death("g1", "d1", 0, 1))
+	require.Equal(t, []string{"d1"}, tracker.AvoidedDomains(start.Add(DomainLossWindow), 1))
+	later := start.Add(DomainLossWindow + time.Millisecond)
+	require.Empty(t, tracker.AvoidedDomains(later, 1))
+	tracker.Record(later, death("g2", "d1", DomainLossWindow+time.Millisecond, 1))
+	require.Equal(t, Poison, tracker.Verdict(1))
+	require.Equal(t, []string{"d1"}, tracker.AvoidedDomains(later, 1))
 }
 
 // Guards against memory that grows without bound, or is not freed when deaths expire.
