Let a request that may have run wait for a group

On the chat API, a request whose engine died before the first token was refused with no_group, outcome may_have_run, if no other group served it at that moment: its fabric domain is avoided for 2 s after the death, and the groups of another one may just be forming. Only an answer with a token waited, for up to 5 s. TestWholePath printed this refusal once: beside load the engine is killed before the first token, and only one domain served yet.

A request that may have run now waits as well, if no group serves it. One that lacks only room is refused as before.

The row "not begun, no group" of TestAnswerThatHasBegunWaitsForAGroup failed before ("may_have_run" in place of "complete").

--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -56,7 +56,8 @@
 const survivalTokens = 2
 
 const (
-	// resumeWait is how long an answer that has begun waits for a group with room. Its caller cannot get it elsewhere.
+	// resumeWait is how long an answer that has begun waits for a group with room, and a request that may have run for a
+	// group. Its caller cannot get it elsewhere.
 	resumeWait = 5 * time.Second
 	// resumeInterval is the time between two tries.
 	resumeInterval = 500 * time.Millisecond
@@ -129,7 +130,8 @@
 	return err
 }
 
-// acquire waits for a slot. For an answer that has begun it tries again while no group has room.
+// acquire waits for a slot. For an answer that has begun it tries again while no group has room, and for a request that may
+// have run while no group serves it: its caller could send it again only at the risk of a second run.
 func (s *run) acquire(ctx context.Context) (Slot, error) {
 	until := s.Clock.Now().Add(resumeWait)
 	for {
@@ -139,7 +141,8 @@
 			s.excluded = nil
 			slot, err = s.Acquire(ctx, s.request, nil)
 		}
-		if !lacksRoom(err) || s.answer.Received() == 0 || !s.Clock.Now().Before(until) {
+		waits := s.answer.Received() > 0 && lacksRoom(err) || s.sent && noGroupLeft(err)
+		if !waits || !s.Clock.Now().Before(until) {
 			return slot, err
 		}
 		select {
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -268,6 +268,7 @@
 		{"full for long", Refusal{Code: CodeNoCapacity, RetryAfter: resumeWait}, 3, 1000, OutcomeMayHaveRun},
 		{"entry host stops", Refusal{Code: CodeNotReady, RetryAfter: 20 * time.Millisecond}, 3, 1, OutcomeMayHaveRun},
 		{"not begun", Refusal{Code: CodeNoCapacity, RetryAfter: 20 * time.Millisecond}, 0, 1, OutcomeMayHaveRun},
+		{"not begun, no group", Refusal{Code: CodeNoGroup, NoGroup: true, RetryAfter: 20 * time.Millisecond}, 0, 3, OutcomeComplete},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
