--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -124,84 +124,94 @@
 	err        error
 }
 
+// stopCase is a planned stop during which callers go on sending streams and calls.
+type stopCase struct {
+	name    string
+	grace   time.Duration
+	tokens  int           // of a stream
+	silence time.Duration // of the targets' streams, from three quarters of the grace time on
+}
+
 // Callers keep the address of an entry host that stops, and send streams and calls until its end. Guards against requests
 // that are accepted although they cannot end within the grace time, and are then cut off.
 func TestStoppingHostFinishesWhatItAccepts(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		grace   time.Duration
-		tokens  int           // of a stream
-		silence time.Duration // of the targets' streams, from three quarters of the grace time on
-	}{{"short", 3 * time.Second, 10, 0}, {"long", 5 * time.Second, 16, 0}, {"silent targets", 8 * time.Second, 20, 1100 * time.Millisecond}} {
-		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
-			var silentUntil atomic.Pointer[time.Time]
-			e, servers := stoppingEdge(t, test.grace, &silentUntil)
-			address := servers[0].listener.Addr().String()
-			warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
-			begin := time.Now().Add(warmUp)
-			var mu sync.Mutex
-			var outcomes []stopOutcome
-			var callers sync.WaitGroup
-			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
-			send := func(kind, id string) {
-				o := stopOutcome{kind: kind, sent: time.Since(begin)}
-				r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
-				r.Host = "h"
-				r.Header.Set("Id", id)
-				if kind == "resumable" || kind == "stream" {
-					r.Header.Set("Tokens", fmt.Sprint(test.tokens))
-				}
-				response, err := client.Do(r)
-				if o.err = err; err == nil {
-					o.status = response.StatusCode
-					_, o.err = io.ReadAll(response.Body)
-					_ = response.Body.Close()
-				}
-				o.took = time.Since(begin) - o.sent
-				mu.Lock()
-				outcomes = append(outcomes, o)
-				mu.Unlock()
-			}
-			kinds := []string{"idempotent", "once", "resumable", "stream"}
-			stopSending := make(chan struct{})
-			callers.Go(func() {
-				for i := 0; !isClosed(stopSending); i++ {
-					callers.Go(func() { send(kinds[i%len(kinds)], fmt.Sprint("q", i)) })
-					time.Sleep(20 * time.Millisecond)
-				}
-			})
-			time.Sleep(warmUp)
-			time.AfterFunc(3*test.grace/4, func() {
-				until := time.Now().Add(test.silence)
-				silentUntil.Store(&until)
-			})
-			e.leave(t.Context(), servers)
-			close(stopSending)
-			_ = servers[0].server.Close() // as Run does
-			callers.Wait()
-			servedLate := map[string]bool{}
-			var refusals []time.Duration
-			for _, o := range outcomes {
-				switch {
-				case o.sent > test.grace-stopMargin(test.grace)-stopIdleTime: // the listener may be closed
-				case o.status == http.StatusServiceUnavailable:
-					require.Positive(t, o.sent, "%+v", o)
-					require.Less(t, o.took, test.grace/2, "%+v refused late", o)
-					refusals = append(refusals, o.took)
-				default:
-					require.NoError(t, o.err, "%+v", o)
-					require.Equal(t, http.StatusOK, o.status, "%+v", o)
-					servedLate[o.kind] = servedLate[o.kind] || o.sent > test.grace/8
-				}
-			}
-			slices.Sort(refusals)
-			require.NotEmpty(t, refusals)
-			require.Less(t, refusals[len(refusals)*9/10], test.grace/10, "refusals are late")
-			for _, kind := range kinds {
-				require.True(t, servedLate[kind], "no %s request was served during the stop", kind)
-			}
-		})
+	for _, test := range []stopCase{{"long", 5 * time.Second, 16, 0}, {"silent targets", 8 * time.Second, 20, 1100 * time.Millisecond}} {
+		t.Run(test.name, func(t *testing.T) { test.check(t) })
+	}
+}
+
+// Guards against the same with a grace time that is little longer than a stream.
+func TestStoppingHostFinishesWhatItAcceptsInShortGraceTime(t *testing.T) {
+	stopCase{"short", 3 * time.Second, 10, 0}.check(t)
+}
+
+func (test stopCase) check(t *testing.T) {
+	t.Parallel()
+	var silentUntil atomic.Pointer[time.Time]
+	e, servers := stoppingEdge(t, test.grace, &silentUntil)
+	address := servers[0].listener.Addr().String()
+	warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
+	begin := time.Now().Add(warmUp)
+	var mu sync.Mutex
+	var outcomes []stopOutcome
+	var callers sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	send := func(kind, id string) {
+		o := stopOutcome{kind: kind, sent: time.Since(begin)}
+		r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
+		r.Host = "h"
+		r.Header.Set("Id", id)
+		if kind == "resumable" || kind == "stream" {
+			r.Header.Set("Tokens", fmt.Sprint(test.tokens))
+		}
+		response, err := client.Do(r)
+		if o.err = err; err == nil {
+			o.status = response.StatusCode
+			_, o.err = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+		}
+		o.took = time.Since(begin) - o.sent
+		mu.Lock()
+		outcomes = append(outcomes, o)
+		mu.Unlock()
+	}
+	kinds := []string{"idempotent", "once", "resumable", "stream"}
+	stopSending := make(chan struct{})
+	callers.Go(func() {
+		for i := 0; !isClosed(stopSending); i++ {
+			callers.Go(func() { send(kinds[i%len(kinds)], fmt.Sprint("q", i)) })
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	time.Sleep(warmUp)
+	time.AfterFunc(3*test.grace/4, func() {
+		until := time.Now().Add(test.silence)
+		silentUntil.Store(&until)
+	})
+	e.leave(t.Context(), servers)
+	close(stopSending)
+	_ = servers[0].server.Close() // as Run does
+	callers.Wait()
+	servedLate := map[string]bool{}
+	var refusals []time.Duration
+	for _, o := range outcomes {
+		switch {
+		case o.sent > test.grace-stopMargin(test.grace)-stopIdleTime: // the listener may be closed
+		case o.status == http.StatusServiceUnavailable:
+			require.Positive(t, o.sent, "%+v", o)
+			require.Less(t, o.took, test.grace/2, "%+v refused late", o)
+			refusals = append(refusals, o.took)
+		default:
+			require.NoError(t, o.err, "%+v", o)
+			require.Equal(t, http.StatusOK, o.status, "%+v", o)
+			servedLate[o.kind] = servedLate[o.kind] || o.sent > test.grace/8
+		}
+	}
+	slices.Sort(refusals)
+	require.NotEmpty(t, refusals)
+	require.Less(t, refusals[len(refusals)*9/10], test.grace/10, "refusals are late")
+	for _, kind := range kinds {
+		require.True(t, servedLate[kind], "no %s request was served during the stop", kind)
 	}
 }
 
