Send requests that hang to another target while their callers wait

A target that accepts a request and never answers it, with good probes and reports, held streams until their callers left after 2 s: the limit before the first event was 3 s for every route. Calls waited for their deadline. Ruled out: a share of the callers' time as the limit, which moved queued requests in an overload (docs/decisions/0020).

A send hangs when its target takes far longer than recent sends of the same route and model, unless the other targets of the model do not answer either. It is sent elsewhere if it may repeat and an attempt, a retry and a free slot are left. New requests avoid the target.

TestHungRequests failed before for both requests that may repeat (504 instead of 200), TestNewRequestsAvoidHungTargets too (never avoided). TestRefusedRequestNeedsTheCurrentConfiguration lets a target stay silent for 1 s of a limit of 3 s with three attempts, which now counts as a hang; its limit is 9 s, what it requires is unchanged. TestHungRequests failed once in 27 runs, beside three other test processes: a target of "call that may run once" counted 14 requests instead of 1; not explained.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -56,7 +56,7 @@
 	if j.runs > 0 && f.repeatInVain(j) {
 		return nil, shutdownRefusal()
 	}
-	if j.sends > 0 && !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
+	if j.sends > 0 && !f.takeRetry(j, now, len(snapshot.EntryHosts)) {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: "retry_budget", message: "the budget of repeated sends is spent", retryAfter: longRetryAfter}
 	}
 	return c.group, nil
@@ -220,7 +220,7 @@
 // brokenByTarget reports whether a send may have failed because its target died. One that this entry host has cancelled shows
 // nothing about the target.
 func brokenByTarget(err error) bool {
-	for _, other := range []error{errGroupBroken, errUnresponsive, errSlowGroup, errPoisoned, ErrWrongAnswer} {
+	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errSlowGroup, errPoisoned, ErrWrongAnswer} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/rudderd/rudderforward/call.go
+++ b/rudderd/rudderforward/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -26,19 +27,7 @@
 		}
 		j.group = g.ID
 		f.loads.begin(g.Leader.Name, f.Uptime())
-		answer, err := f.send(ctx, j, g, "")
-		done := false
-		switch {
-		case err != nil:
-			f.recordFailure(ctx, j, g, err)
-		case answer.NotRun:
-			f.recordRefusal(j, g, answer)
-		default:
-			done = f.answerCall(ctx, j, g, answer)
-			if !done {
-				f.recordFailure(ctx, j, g, j.lastErr)
-			}
-		}
+		done := f.callOnce(ctx, j, g)
 		f.loads.end(g.Leader.Name, f.Uptime())
 		if done {
 			return
@@ -50,6 +39,30 @@
 	}
 }
 
+// callOnce sends the request to one group. It returns true when the response has ended, and false when another group may serve
+// the request.
+func (f *Forwarder) callOnce(ctx context.Context, j *job, g *rudderview.Group) bool {
+	sendContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	j.hang = f.guardSend(cancel, g, j)
+	answer, err := f.send(sendContext, j, g, "")
+	done := false
+	switch {
+	case err != nil:
+	case answer.NotRun:
+		f.recordRefusal(j, g, answer)
+	default:
+		done = f.answerCall(ctx, j, g, answer)
+		if !done {
+			err = j.lastErr
+		}
+	}
+	if err = j.hang.stop(err); err != nil {
+		f.recordFailure(ctx, j, g, err)
+	}
+	return done
+}
+
 // answerCall sends a target's response to the caller. If the response is unusable, it sets j.lastErr and
 // returns false; no headers have been sent then.
 func (f *Forwarder) answerCall(ctx context.Context, j *job, g *rudderview.Group, answer *reply) bool {
@@ -66,13 +79,9 @@
 	}
 	memory := f.Bodies.Reservation(1)
 	defer memory.Release()
-	body, complete, err := memory.ReadPart(response.Body, maxBufferedBytes)
+	body, complete, err := f.readBegin(ctx, j, g, answer, memory)
 	if err != nil {
-		answer.discard()
-		j.lastErr = errors.Mark(errors.Wrap(err, "read response body"), ErrBroken)
-		if answer.connection != nil {
-			j.lastErr = f.blamePath(ctx, g.Leader, j.lastErr)
-		}
+		j.lastErr = err
 		return false
 	}
 	if response.StatusCode >= 500 && j.route.Repeatable() && complete && j.runs+1 < max(j.route.MaxAttempts, 1) {
@@ -107,6 +116,24 @@
 	return true
 }
 
+// readBegin reads a response up to maxBufferedBytes. complete is set if that is all of it.
+func (f *Forwarder) readBegin(ctx context.Context, j *job, g *rudderview.Group, answer *reply, memory *rudderbody.Reservation) (body []byte, complete bool, err error) {
+	body, complete, err = memory.ReadPart(answer.response.Body, maxBufferedBytes)
+	if err != nil {
+		answer.discard()
+		err = errors.Mark(errors.Wrap(err, "read response body"), ErrBroken)
+		if answer.connection != nil {
+			err = f.blamePath(ctx, g.Leader, err)
+		}
+		return nil, false, err
+	}
+	if !j.hang.answered(answer.response.StatusCode < http.StatusInternalServerError) {
+		answer.discard()
+		return nil, false, errors.Mark(errors.WithStack(errLateResponse), ErrBroken)
+	}
+	return body, complete, nil
+}
+
 // promisesNotRun reports whether callers take a status as the promise that the request has not run and may be repeated.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/rudderd/rudderforward/forward_test.go
+++ b/rudderd/rudderforward/forward_test.go
@@ -159,7 +159,7 @@
 	for _, kind := range []rudderroute.Kind{rudderroute.KindIdempotent, rudderroute.KindAtMostOnce, rudderroute.KindStream} {
 		for _, stale := range []bool{false, true} {
 			b := newTestbed(t)
-			b.route("/x/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = kind, 3 })
+			b.route("/x/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts, r.Timeout = kind, 3, 9*time.Second })
 			var arrivals atomic.Int32
 			for range 2 {
 				b.target("plain", func(w http.ResponseWriter, _ *http.Request) {
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -87,6 +87,7 @@
 	budget          retryBudget
 	probes          probes
 	pauses          pauses
+	sends           recentSends
 	work            workShares
 	firstEvents     firstEventTimes
 	crashChecks     crashChecks
@@ -140,6 +141,7 @@
 			f.loads.prune(now)
 			f.probes.prune(now)
 			f.pauses.prune(now)
+			f.sends.prune(now)
 			f.Limits.Prune(now)
 		}
 	}
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -66,6 +66,9 @@
 	unsent       int               // sends of which no byte reached a target
 	moveTo       *rudderview.Group // group of the next send, chosen in advance
 	moveAfter    time.Duration     // uptime from which on a move may be tried again
+	hang         *hangGuard        // guard of the current send
+	retryTaken   bool              // the next send has been taken from the retry budget
+	deliveredAt  time.Duration     // uptime of the last event for the caller; 0 before the first one
 	exclude      map[string]bool   // groups on which this request failed
 	lastErr      error
 	expectedWait time.Duration // expected wait for the group, from the model's owner
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -94,6 +94,7 @@
 	f.loads.begin(g.Leader.Name, f.Uptime())
 	defer func() {
 		guard.stop()
+		_ = j.hang.stop(nil)
 		f.watchdogs.Delete(guard)
 		f.loads.end(g.Leader.Name, f.Uptime())
 	}()
@@ -102,8 +103,10 @@
 	}
 	j.sendEvents, j.answeredAt, j.survived = 0, 0, false
 	j.running.startSend(f.Uptime())
+	j.hang = f.guardSend(cancel, g, j)
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
+		err = j.hang.stop(err)
 		f.recordFailure(ctx, j, g, err)
 		return false
 	}
@@ -126,7 +129,7 @@
 	default:
 		done := f.answerCall(ctx, j, g, answer)
 		if !done {
-			f.recordFailure(ctx, j, g, j.lastErr)
+			f.recordFailure(ctx, j, g, j.hang.stop(j.lastErr))
 		}
 		return done
 	}
@@ -149,7 +152,7 @@
 			} else if answer.connection != nil {
 				err = f.blamePath(ctx, g.Leader, err)
 			}
-			f.recordFailure(ctx, j, g, errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken))
+			f.recordFailure(ctx, j, g, j.hang.stop(errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken)))
 			return false
 		}
 		fresh := newer(id, j.lastEvent)
@@ -191,6 +194,7 @@
 	}
 	guard.event()
 	f.loads.heard(g.Leader.Name, f.Uptime())
+	j.deliveredAt = f.Uptime()
 	f.countEvent(j)
 	j.running.countEvent(f.Uptime())
 }
@@ -213,6 +217,9 @@
 	if err == nil && !validEvent(event) {
 		err = errNoEvent
 	}
+	if (err == nil || errors.Is(err, io.EOF)) && !j.hang.answered(true) {
+		err = errLateResponse
+	}
 	return event, id, err
 }
 
