Answer streams that have not begun shortly before their callers leave

A stream whose second send hangs too, or that must not be sent again, got nothing: the caller left at its idle timeout. It now gets a 502 after 0.95 of that time, which says that it may have run. A stream that has begun is not ended.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -27,6 +27,9 @@
 	if refused := f.checkPoison(j); refused != nil {
 		return nil, refused
 	}
+	if j.unanswered {
+		return nil, &refusal{status: http.StatusBadGateway, code: "unanswered", message: "no target has begun a response in time"}
+	}
 	if refused := j.checkAttempts(); refused != nil {
 		return nil, refused
 	}
@@ -201,7 +204,7 @@
 		return // cancelled by the caller or the deadline, which is no evidence about the group
 	}
 	onThisSide := errors.Is(err, errPathLost) || errors.Is(err, errNoPath)
-	if !onThisSide {
+	if !onThisSide && !errors.Is(err, errUnanswered) {
 		f.loads.avoid(g.Leader.Name, now+failureBackoff, now)
 	}
 	f.Metrics.Count("sends.failed")
@@ -220,7 +223,7 @@
 // brokenByTarget reports whether a send may have failed because its target died. One that this entry host has cancelled shows
 // nothing about the target.
 func brokenByTarget(err error) bool {
-	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errSlowGroup, errPoisoned, ErrWrongAnswer} {
+	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errUnanswered, errSlowGroup, errPoisoned, ErrWrongAnswer} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/rudderd/rudderforward/crash.go
+++ b/rudderd/rudderforward/crash.go
@@ -54,7 +54,7 @@
 // mayHaveCrashed reports whether the target had just begun the answer when the connection broke. A target that has
 // sent more than that, or nothing yet, crashed for another reason.
 func (j *job) mayHaveCrashed(err error) bool {
-	if !errors.Is(err, ErrBroken) || errors.Is(err, errUnresponsive) || errors.Is(err, errHung) {
+	if !errors.Is(err, ErrBroken) || errors.Is(err, errUnresponsive) || errors.Is(err, errHung) || errors.Is(err, errUnanswered) {
 		return false
 	}
 	if j.route.Kind == rudderroute.KindStream {
--- a/rudderd/rudderforward/hang.go
+++ b/rudderd/rudderforward/hang.go
@@ -22,6 +22,8 @@
 	repeatMargin = 2
 	// hangCheckInterval is the time between two checks of a send that hangs and has nowhere else to go.
 	hangCheckInterval = 200 * time.Millisecond
+	// answerShare is the share of the callers' idle timeout after which a stream that has not begun is answered with an error.
+	answerShare = 0.95
 	// sendSamples is the number of recent sends that are kept for a service.
 	sendSamples = 64
 )
@@ -29,6 +31,9 @@
 // errHung cancels a send whose target has not begun its response although other targets answer.
 var errHung = errors.New("forward: target has not begun its response within the usual time")
 
+// errUnanswered cancels a send whose caller is about to leave.
+var errUnanswered = errors.New("forward: target has not begun its response before the caller leaves")
+
 // errLateResponse reports a response that began after its send had been cancelled.
 var errLateResponse = errors.New("forward: response began after its send had been cancelled")
 
@@ -164,6 +169,7 @@
 	sample    *sendSample
 	leaves    time.Duration // uptime at which the caller leaves or the time limit ends
 	wait      time.Duration // expected wait and time for the prompt
+	answerBy  time.Duration // uptime at which a stream that has not begun is answered with an error; 0 for none
 	attempts  int           // left, this send included
 	exclude   map[string]bool
 
@@ -172,6 +178,8 @@
 	due   time.Duration // uptime at which the timer should fire
 	hung  bool          // the send has been cancelled, and a retry taken from the budget
 	ended bool
+	// unanswered is set if the send has been cancelled because its caller is about to leave.
+	unanswered bool
 }
 
 // guardSend records a send. When it hangs, new requests avoid its target, and it is cancelled if it may be repeated in time.
@@ -184,12 +192,15 @@
 	}
 	if idle := j.route.CallerIdleTimeout; idle > 0 {
 		h.leaves = min(h.leaves, max(j.begin, j.deliveredAt)+idle)
+		if !j.started {
+			h.answerBy = j.begin + scaled(idle, answerShare)
+		}
 	}
 	f.sends.begin(j.service, h.sample)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.due = now + h.limit(f.sends.usual(j.service, h.sample, now))
-	h.timer = time.AfterFunc(h.due-now, h.check)
+	h.timer = time.AfterFunc(time.Hour, h.check)
+	h.schedule(h.limit(f.sends.usual(j.service, h.sample, now)))
 	return h
 }
 
@@ -214,9 +225,13 @@
 	return max(least, max(hangFactor*u.median, slowFactor*u.slow)+h.wait)
 }
 
-// schedule sets the timer. The caller holds the lock.
+// schedule sets the timer, to answerBy at the latest. The caller holds the lock.
 func (h *hangGuard) schedule(d time.Duration) {
-	h.due = h.forwarder.Uptime() + d
+	now := h.forwarder.Uptime()
+	if h.answerBy > 0 {
+		d = min(d, max(h.answerBy-now, 0))
+	}
+	h.due = now + d
 	h.timer.Reset(d)
 }
 
@@ -225,13 +240,19 @@
 	defer h.mu.Unlock()
 	f, j := h.forwarder, h.job
 	now := f.Uptime()
-	if h.ended || h.hung {
+	if h.ended || h.hung || h.unanswered {
 		return
 	}
 	if now-h.due > maxTimerDelay {
 		h.schedule(hangCheckInterval) // this process was delayed, and the response may have arrived
 		return
 	}
+	if h.answerBy > 0 && now >= h.answerBy {
+		f.Metrics.Count("sends.unanswered")
+		h.unanswered = true
+		h.cancel(errUnanswered)
+		return
+	}
 	usual := f.sends.usual(j.service, h.sample, now)
 	if left := h.limit(usual) - h.sample.silence(now); left > 0 {
 		h.schedule(left)
@@ -280,15 +301,20 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.end(sound)
-	return !h.hung
+	return !h.hung && !h.unanswered
 }
 
-// stop ends the guard. It marks the error of a send that was cancelled because it hung.
+// stop ends the guard. It marks the error of a send that it has cancelled.
 func (h *hangGuard) stop(err error) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.end(false)
-	if err != nil && h.hung {
+	switch {
+	case err == nil:
+	case h.unanswered:
+		h.job.unanswered = true
+		return errors.Mark(err, errUnanswered)
+	case h.hung:
 		h.job.retryTaken = true
 		return errors.Mark(err, errHung)
 	}
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -67,6 +67,7 @@
 	moveTo       *rudderview.Group // group of the next send, chosen in advance
 	moveAfter    time.Duration     // uptime from which on a move may be tried again
 	hang         *hangGuard        // guard of the current send
+	unanswered   bool              // the caller of a stream that has not begun is about to leave
 	retryTaken   bool              // the next send has been taken from the retry budget
 	deliveredAt  time.Duration     // uptime of the last event for the caller; 0 before the first one
 	exclude      map[string]bool   // groups on which this request failed
