Tell the owner of a model which targets hang

A cancelled send left the ledger of the model's owner at once, so that a target whose requests hang looked idle there and got more of them from the other entry hosts. Streams that the target has begun go on and do not end the report.

Without the line in attempt.go TestHungRequests reports 0 groups, expected 1.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -123,7 +123,7 @@
 			if !j.exclude[g.ID] && (f.loads.avoided(g.Leader.Name, now) || f.pauses.left(g.Leader, now) > 0) {
 				q.Avoid = append(q.Avoid, g.ID)
 			}
-			if f.loads.isFoundSilent(g.Leader.Name, now) {
+			if f.loads.isFoundSilent(g.Leader.Name, now) || f.loads.isHung(g.Leader.Name, now) {
 				q.Silent = append(q.Silent, g.ID)
 			}
 		}
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -24,6 +24,7 @@
 	avoidUntil  time.Duration // uptime until which new requests avoid the leader
 	silentUntil time.Duration // uptime until which new requests avoid the leader unless it sends something before
 	silentFound time.Duration // uptime until which the planner's finding that the group is silent holds
+	hungUntil   time.Duration // uptime until which other entry hosts should know that requests to the leader hang
 	usedAt      time.Duration // uptime of the last access, for forget
 }
 
@@ -157,7 +158,7 @@
 	Limit time.Duration
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost time.Duration
-	// Avoid lists the groups that must not be picked, and Silent those that the planner has found silent.
+	// Avoid lists the groups that must not be picked, and Silent those that are silent or whose requests hang.
 	Avoid, Silent []string
 	// Objective is the longest wait for a group that the request can bear; 0 accepts any wait.
 	Objective time.Duration
--- a/rudderd/rudderforward/hang.go
+++ b/rudderd/rudderforward/hang.go
@@ -263,7 +263,7 @@
 		h.schedule(hangCheckInterval)
 		return
 	}
-	f.loads.avoid(h.group.Leader.Name, now+failureBackoff, now)
+	f.loads.hung(h.group.Leader.Name, now+failureBackoff, now)
 	inTime := now+repeatMargin*usual.median+h.wait < h.leaves
 	if h.attempts < 2 || !inTime || f.repeatInVain(j) || !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
 		f.Metrics.Count("sends.hung_kept")
@@ -295,6 +295,22 @@
 	return !x.avoided(now) && x.estimate(now, 0) < float64(max(g.Slots, 1))
 }
 
+// hung makes new requests avoid a leader until an uptime, those of other entry hosts too if there is another choice. Streams that
+// it has begun may go on.
+func (l *loads) hung(leader string, until, now time.Duration) {
+	l.avoid(leader, until, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.get(leader, now).hungUntil = until
+}
+
+func (l *loads) isHung(leader string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.leaders[leader]
+	return x != nil && x.hungUntil > now
+}
+
 // answered records that the response has begun; sound is not set for one that reports a failure. The send is not cancelled
 // from then on. The result is false if it has been cancelled, so that the response must not be used.
 func (h *hangGuard) answered(sound bool) bool {
--- a/rudderd/rudderforward/hang_test.go
+++ b/rudderd/rudderforward/hang_test.go
@@ -60,6 +60,11 @@
 				}
 			}
 			b.start()
+			var reported atomic.Int32 // groups of the last report to the owner of the model
+			b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
+				reported.Store(int32(len(q.Silent)))
+				return Pick{}
+			}
 			for range minDurationSamples {
 				response, _, err := b.send("POST", test.path+"x", "body")
 				require.NoError(t, err)
@@ -75,6 +80,9 @@
 			switch {
 			case test.sends > 1:
 				require.Less(t, time.Since(begin), idle*3/4, "the caller leaves after %v", idle)
+				if test.path == "/s/" {
+					require.EqualValues(t, 1, reported.Load(), "other entry hosts do not learn that the target hangs")
+				}
 			case test.status == http.StatusBadGateway:
 				require.Less(t, time.Since(begin), idle, "the caller has left without an answer")
 			}
