Cancel a silent send only if another one is possible

A stream or a call at a silent target was cancelled when it had an attempt left, although no other group could take it, the retry budget was spent, or a stop would end before the next response: it failed with "groups_failed", "retry_budget" or "stopping" where its target would have answered. A stream that may not be repeated and had not begun ended after 3 s although all members answered.

The next send is now taken first, from the attempts, the retry budget and the free groups, as for sends that hang; without one the send goes on. A check of the path asks whether another entry host reaches the target, and without such a host it needs another group.

--- a/rudderd/rudderforward/hang.go
+++ b/rudderd/rudderforward/hang.go
@@ -275,6 +275,27 @@
 	h.cancel(errHung)
 }
 
+// takeNext takes the next send of the request from its attempts and the retry budget, so that the current one may be cancelled.
+// With elsewhere set, another group has to be free for it. It reports whether that was possible. A nil guard, of a request that is
+// relayed, does not count sends.
+func (h *hangGuard) takeNext(elsewhere bool) bool {
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hung || h.unanswered || h.attempts < 2 {
+		return false
+	}
+	f, j := h.forwarder, h.job
+	now, snapshot := f.Uptime(), f.View.Snapshot()
+	if elsewhere && !h.hasOther(snapshot, now) || f.repeatInVain(j) || !f.budget.takeRetry(j.service, now, f.Retries, len(snapshot.EntryHosts)) {
+		return false
+	}
+	h.hung = true
+	return true
+}
+
 // hasOther reports whether another group has a free slot for the request. More work for groups that are full would delay all.
 func (h *hangGuard) hasOther(snapshot *rudderview.Snapshot, now time.Duration) bool {
 	f, j := h.forwarder, h.job
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -197,17 +197,25 @@
 	a.checkPath()
 }
 
+// cancelForNext cancels a send whose target this entry host does not reach, if the request can be sent through another entry host
+// or to another target. It reports whether the send has ended.
+func (a *attempt) cancelForNext() bool {
+	reached := a.forwarder.ReachedElsewhere(context.Background(), a.exchange.group.Leader)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended && a.exchange.hang.takeNext(!reached) {
+		a.cancel(errPathLost)
+		return true
+	}
+	return a.ended // a response has arrived meanwhile
+}
+
 func (a *attempt) checkPath() {
 	t := pathTarget(a.exchange.group.Leader)
 	if !a.forwarder.Relay.Usable(t.Service) {
 		return
 	}
-	if a.forwarder.Path.Check(t) == rudderpath.Silent && !a.exchange.last {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if !a.ended { // no response has arrived meanwhile
-			a.cancel(errPathLost)
-		}
+	if !a.exchange.last && a.forwarder.Path.Check(t) == rudderpath.Silent && a.cancelForNext() {
 		return
 	}
 	a.schedule(secondAnswerSilence, a.checkPath)
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -74,7 +74,7 @@
 		header["User-Agent"] = []string{""} // keeps the HTTP client from adding its own
 	}
 	f.Limits.CountSend(processOf(g.Leader), j.sends > 0)
-	x := &exchange{job: j, group: g, header: header, repeatable: j.route.Repeatable(), last: !j.repeatable(), sentAt: f.Uptime()}
+	x := &exchange{job: j, group: g, header: header, repeatable: j.route.Repeatable(), last: !j.repeatable(), hang: j.hang, sentAt: f.Uptime()}
 	return f.sendByPath(ctx, x)
 }
 
@@ -85,6 +85,7 @@
 	header     http.Header
 	repeatable bool
 	last       bool // it is not sent again if this send fails
+	hang       *hangGuard
 	sentAt     time.Duration
 }
 
--- a/rudderd/rudderforward/silence_test.go
+++ b/rudderd/rudderforward/silence_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 )
@@ -41,3 +43,84 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, []string{"1", "2", "3", "4", "5"}, eventIDs(body))
 }
+
+// A stream has not begun, its target is silent for a second, and no other send is possible. Guards against a failure in place of the
+// response that the target would send.
+func TestUnbegunStreamWaitsForSilentTarget(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		targets int
+		retries RetryLimits
+	}{
+		{"no other group", 1, RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second}},
+		{"retry budget is spent", 2, RetryLimits{Window: 10 * time.Second}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/s/", func(r *rudderroute.Route) {
+				streamRoute(true)(r)
+				r.MaxAttempts, r.Timeout = 2, 10*time.Second
+			})
+			for range test.targets {
+				b.target("llm", func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(1100 * time.Millisecond)
+					events(w, 0, 3, 0)
+				})
+			}
+			b.start()
+			b.forwarder.Retries = test.retries
+			b.forwarder.ExamineGroup = func(context.Context, *rudderview.Group, time.Duration) (GroupFinding, bool) {
+				return GroupFinding{Silent: []string{"t"}}, true
+			}
+			response, body, err := b.send("POST", "/s/x", "prompt")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode, body)
+			require.Equal(t, []string{"1", "2", "3"}, eventIDs(body))
+		})
+	}
+}
+
+// A stream that cannot be sent again waits for its first event while its target is alive. Guards against a failure in place of its
+// response.
+func TestUnbegunStreamThatCannotBeResumedWaits(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", func(r *rudderroute.Route) {
+		streamRoute(false)(r)
+		r.Timeout = 10 * time.Second
+	})
+	b.target("llm", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(firstEventLimit + 600*time.Millisecond)
+		events(w, 0, 3, 0)
+	})
+	b.start()
+	b.forwarder.ExamineGroup = func(context.Context, *rudderview.Group, time.Duration) (GroupFinding, bool) {
+		return GroupFinding{}, true
+	}
+	response, body, err := b.send("POST", "/s/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, body)
+	require.Equal(t, []string{"1", "2", "3"}, eventIDs(body))
+}
+
+// A target accepts no connections for a second, and the retry budget is spent. Guards against the failure of a request because a check of
+// its path has cancelled the only send.
+func TestUnbegunCallWaitsForSilentTarget(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/c/", func(r *rudderroute.Route) {
+		streamRoute(true)(r)
+		r.Kind, r.MaxAttempts, r.Timeout = rudderroute.KindIdempotent, 2, 10*time.Second
+	})
+	b.target("llm", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1100 * time.Millisecond)
+		sealed(w)
+		_, _ = w.Write([]byte("ok"))
+	})
+	b.start()
+	b.forwarder.Path.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	b.forwarder.Retries = RetryLimits{Window: 10 * time.Second}
+	b.forwarder.Relay.Transport = http.DefaultTransport
+	b.forwarder.Relay.Peers = func() []rudderpath.Peer { return []rudderpath.Peer{{Name: "e1", Address: "127.0.0.1:1"}} }
+	response, body, err := b.send("POST", "/c/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, body)
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -89,6 +89,7 @@
 func (f *Forwarder) streamOnce(ctx context.Context, j *job, g *rudderview.Group) bool {
 	sendContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	j.hang = f.guardSend(cancel, g, j)
 	guard := f.watch(sendContext, cancel, g, j)
 	f.watchdogs.Store(guard, true)
 	f.loads.begin(g.Leader.Name, f.Uptime())
@@ -103,7 +104,6 @@
 	}
 	j.sendEvents, j.answeredAt, j.survived = 0, 0, false
 	j.running.startSend(f.Uptime())
-	j.hang = f.guardSend(cancel, g, j)
 	answer, err := f.send(sendContext, j, g, j.lastEvent)
 	if err != nil {
 		err = j.hang.stop(err)
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -50,8 +50,8 @@
 	limit     time.Duration // silence after which a stream that has begun is cancelled
 	cancel    context.CancelCauseFunc
 	ctx       context.Context
-	resumable bool
-	last      bool        // a stream that can be resumed has no attempt left
+	hang      *hangGuard
+	last      bool        // the stream has no attempt left
 	direct    atomic.Bool // the response arrives over a connection of this entry host
 
 	mu        sync.Mutex
@@ -66,8 +66,7 @@
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, g *rudderview.Group, j *job) *watchdog {
 	now := f.Uptime()
 	silence := max(firstEventSilence, firstEventSilence/2+2*j.expectedWait)
-	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence, resumable: j.route.Repeatable()}
-	w.last = w.resumable && !j.repeatable()
+	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence, hang: j.hang, last: !j.repeatable()}
 	w.timer = time.AfterFunc(silence, w.check)
 	return w
 }
@@ -116,8 +115,9 @@
 	w.timer.Stop()
 }
 
-// check probes the members of a silent group. It cancels the send if one is dead. Unless it is the last attempt, it also cancels
-// one that has not begun if a member does not respond, and one whose silence has reached its limit: a silent target may go on.
+// check probes the members of a silent group. It cancels the send if one is dead. A silent target may recover: a send that has not
+// begun and whose group has a member that does not respond, and one whose silence has reached its limit, are cancelled only if
+// another send is possible.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	begin, events := w.lastEvent, w.events
@@ -154,9 +154,9 @@
 	switch {
 	case health == groupBroken:
 		w.cancel(errGroupBroken)
-	case noPath && !w.last:
+	case noPath && w.hang.takeNext(false):
 		w.cancel(errPathLost)
-	case !w.last && (silence >= limit || health == groupSilent && !events && w.resumable):
+	case (silence >= limit || health == groupSilent && !events) && w.hang.takeNext(true):
 		w.cancel(errUnresponsive)
 	case silence >= limit:
 		w.schedule(probeInterval)
@@ -168,7 +168,7 @@
 // pathLost reports whether a silent stream should be resumed through another entry host, because this one no longer reaches
 // the target and another one does.
 func (w *watchdog) pathLost() bool {
-	return w.direct.Load() && w.resumable && !w.last && w.forwarder.pathLost(w.ctx, w.group.Leader)
+	return w.direct.Load() && !w.last && w.forwarder.pathLost(w.ctx, w.group.Leader)
 }
 
 // pathLost reports whether a silent target is reached by another entry host, but not by this one.
