Bound the memory of response heads together, on the platform face

Each head was limited to 64 kB, and nothing limited their sum. A parsed head of short fields takes 15 times its length (64 kB: 984 kB; with equal names 6 times), and it is held until its response ends. Connections to targets, to the key-value service and for reports and orders now count what arrives of a head, and reserve memory for it beyond 12 kB; a response that finds none ends as broken with the code memory_full, and may have run. Bodies of the key-value service, of other entry hosts and of reports are read as a whole and take memory from budgets of their own, so that neither callers nor targets can keep an entry host from reading its configuration. Shares of the memory limit: bodies 0.65 as before, responses 0.1, replies 0.07, reports 0.03.

--- a/rudderd/rudderbody/budget.go
+++ b/rudderd/rudderbody/budget.go
@@ -2,14 +2,15 @@
 
 import (
 	"io"
+	"runtime/debug"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// ErrNoMemory reports a body that does not fit into the memory for bodies now.
-var ErrNoMemory = errors.New("no memory for the request body")
+// ErrNoMemory reports a body or a head that does not fit into the memory for them now.
+var ErrNoMemory = errors.New("no memory for the request or response")
 
 const (
 	// fitShare is the fraction of the free part of a budget that one body may take, so that long bodies leave room for
@@ -17,6 +18,11 @@
 	fitShare = 0.5
 	// memoryShare leaves the rest to connections, the state of the fleet, and bodies that have not been collected yet.
 	memoryShare = 0.65
+	// The other shares are apart, so that callers can't end the responses to others, nor callers and targets keep an entry host
+	// from reading its configuration.
+	responseShare = 0.1
+	replyShare    = 0.07
+	reportShare   = 0.03
 	// firstBytes is the first size of the buffer for a body of unknown length.
 	firstBytes = 4 << 10
 )
@@ -37,13 +43,29 @@
 	return &Budget{limit: limit}
 }
 
-// Share returns the part of a process's memory limit that bodies may take, in bytes. If the limit is not known, 0, the memory of
+// Budgets are the budgets of an entry host.
+type Budgets struct {
+	// Bodies bounds the bodies of requests, and of responses that are buffered only while there is memory.
+	Bodies *Budget
+	// Responses bounds what has to be held of the responses to requests.
+	Responses *Budget
+	// Replies bounds the responses of the key-value service, the list of hosts and other entry hosts.
+	Replies *Budget
+	// Reports bounds the responses of targets to status requests and orders.
+	Reports *Budget
+}
+
+// NewBudgets divides a process's memory limit, in bytes. If the limit is not known, 0, that of the Go runtime or the memory of
 // the machine takes its place.
-func Share(memory int64) int64 {
+func NewBudgets(memory int64) Budgets {
 	if memory <= 0 {
 		memory = machineMemory()
+		if limit := debug.SetMemoryLimit(-1); memory <= 0 || limit < memory {
+			memory = limit
+		}
 	}
-	return int64(memoryShare * float64(memory))
+	part := func(share float64) *Budget { return NewBudget(int64(share * float64(memory))) }
+	return Budgets{Bodies: part(memoryShare), Responses: part(responseShare), Replies: part(replyShare), Reports: part(reportShare)}
 }
 
 func machineMemory() int64 {
@@ -69,7 +91,7 @@
 	return &Reservation{budget: b, copies: copies}
 }
 
-// Reservation is the part of a budget that one request holds.
+// Reservation is the part of a budget that one request holds. A nil Reservation has no bound.
 type Reservation struct {
 	budget *Budget
 	copies int64
@@ -79,10 +101,10 @@
 // Resize reserves memory for a body of size bytes. If the reservation grows and is above half of what the others leave, the error
 // is ErrNoMemory and it stays as it is.
 func (r *Reservation) Resize(size int64) error {
-	b, bytes := r.budget, size*r.copies
-	if b == nil {
+	if r == nil || r.budget == nil {
 		return nil
 	}
+	b, bytes := r.budget, size*r.copies
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	others := b.held - r.bytes
--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderforward"
 )
 
@@ -19,9 +20,6 @@
 	// unackedTimeout closes a connection whose data is not acknowledged, for example because a middlebox has lost the
 	// connection's state.
 	unackedTimeout = 1500 * time.Millisecond
-	// maxResponseHeaderBytes bounds a response header. A faulty server may send a header without end, and a small host
-	// waits for hundreds of responses at once.
-	maxResponseHeaderBytes = 64 << 10
 	// maxIdleConnectionsPerTarget is the number of idle connections to one target that are kept for reuse.
 	maxIdleConnectionsPerTarget = 16
 	// maxIdleConnections bounds the idle connections to all servers together: each takes some 10 kB, and a planner calls
@@ -53,14 +51,25 @@
 		Transport: &http.Transport{
 			DialContext: Dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: maxIdleConnections,
 			IdleConnTimeout: idleConnectionTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func targetClient() *http.Client {
+// NewMeteredClient returns a client like that of NewClient for responses that are read as a whole. They take memory from a budget
+// until their bodies are closed.
+func NewMeteredClient(idlePerHost int, memory *rudderbody.Budget) *http.Client {
+	client := NewClient(idlePerHost)
+	base := client.Transport.(*http.Transport)
+	base.DialContext = memory.Dial(Dialer().DialContext)
+	client.Transport = &rudderbody.Transport{Base: base, Budget: memory}
+	return client
+}
+
+// targetClient returns the client for requests to targets. The heads of the responses take memory from a budget.
+func targetClient(memory *rudderbody.Budget) *http.Client {
 	client := NewClient(maxIdleConnectionsPerTarget)
-	client.Transport.(*http.Transport).DialContext = rudderforward.TrackWrites(Dialer().DialContext)
+	client.Transport.(*http.Transport).DialContext = rudderforward.TrackWrites(memory.Dial(Dialer().DialContext))
 	return client
 }
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -74,6 +74,8 @@
 	Settings Settings
 	Ports    Ports
 	Logger   zerolog.Logger
+	// Memory bounds what is held of requests and responses; the zero value takes the budgets of the settings' memory.
+	Memory rudderbody.Budgets
 
 	uptime      func() time.Duration                            // replaced in tests
 	connect     func(ctx context.Context, address string) error // replaced in tests
@@ -175,6 +177,9 @@
 		e.uptime = suspendedUptime(e.Logger)
 	}
 	uptime := e.uptime
+	if e.Memory == (rudderbody.Budgets{}) {
+		e.Memory = rudderbody.NewBudgets(e.Settings.Memory)
+	}
 	e.poison = newPoison(e)
 	e.view = &rudderview.View{
 		Store: e.Ports.Store, Keys: e.Ports.Keys, Logger: e.Logger, Uptime: uptime,
@@ -186,6 +191,7 @@
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
+	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
 	e.limits = &rudderlimit.Table{}
 	e.path = e.newPath()
 	e.balance = newBalance(e)
@@ -194,10 +200,10 @@
 		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity},
 	}
 	e.forwarder = &rudderforward.Forwarder{
-		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(), Logger: e.Logger, Uptime: uptime,
+		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(e.Memory.Responses), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
-		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: rudderbody.NewBudget(rudderbody.Share(e.Settings.Memory)),
+		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: e.Memory.Bodies, Responses: e.Memory.Responses,
 		Limits: e.limits, Report: e.Ports.Control.Report, Suspect: e.suspect, FindDeadMembers: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -169,6 +170,9 @@
 		// net/http also cancels the context when a caller has closed only its sending side and still waits for a response.
 		r = refusal{status: http.StatusServiceUnavailable, code: "caller_left", message: "the connection was closed by its caller"}
 	}
+	if errors.Is(j.lastErr, rudderbody.ErrNoMemory) && ctx.Err() == nil {
+		r.code, r.message = codeMemoryFull, "the responses to other requests leave no memory for this one"
+	}
 	if j.runs > 0 {
 		r.retryAfter = 0
 		r.status = http.StatusBadGateway
@@ -215,7 +219,7 @@
 
 // brokenByTarget reports whether a send may have failed because its target died.
 func brokenByTarget(err error) bool {
-	return errors.Is(err, ErrBroken) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errSlowGroup) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer)
+	return errors.Is(err, ErrBroken) && !errors.Is(err, rudderbody.ErrNoMemory) && !errors.Is(err, errGroupBroken) && !errors.Is(err, errSlowGroup) && !errors.Is(err, errPoisoned) && !errors.Is(err, ErrWrongAnswer)
 }
 
 // recordRefusal records that a target answered without running the request.
--- a/rudderd/rudderforward/connection.go
+++ b/rudderd/rudderforward/connection.go
@@ -34,6 +34,9 @@
 	return n, err
 }
 
+// NetConn returns the connection within.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // sendConn is the connection of one send.
 type sendConn struct {
 	net.Conn
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -53,8 +53,8 @@
 	Relay *rudderpath.Relay
 	// MaxRelayed bounds the requests that are relayed at once for other entry hosts.
 	MaxRelayed int
-	// Bodies bounds the memory of bodies; nil sets no bound.
-	Bodies *rudderbody.Budget
+	// Bodies bounds the memory of bodies, and Responses that of heads and events of responses; nil sets no bound.
+	Bodies, Responses *rudderbody.Budget
 	// Report requests the state of a target.
 	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Verdict probes a target and reports whether it is alive, as far as the entry hosts that have a path to targets agree.
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -104,7 +105,7 @@
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
 	answer := &reply{}
 	var err error
-	answer.response, err = f.Client.Do(f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x)) //nolint:bodyclose // whoever gets the reply closes it
+	answer.response, err = f.Responses.Do(f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x), f.Client.Do) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
 	if err != nil {
 		defer cancel(nil)
@@ -135,6 +136,9 @@
 	case unwritten || !a.wrote.Load() || neverConnected(err):
 		return errors.Mark(err, ErrNotSent)
 	}
+	if errors.Is(err, rudderbody.ErrNoMemory) {
+		return errors.Mark(err, ErrBroken)
+	}
 	return f.blamePath(ctx, x.group.Leader, errors.Mark(err, ErrBroken))
 }
 
