Bound the memory of unfinished events together, on the platform face

An event may be 256 kB long, and nothing limited what the unfinished events of all streams take. A buffer above 8 kB now takes its memory from that for responses; a stream whose event finds none breaks with the code memory_full, as one that the target has cut. After a long event the buffer is given back; streams of short events need no memory and go on.

TestLongEventsTakeMemoryWhileHeld is new.

--- a/rudderd/rudderforward/endless_test.go
+++ b/rudderd/rudderforward/endless_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderbody"
@@ -38,6 +39,7 @@
 		{"head that stays held", "/p/", "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q1\r\nContent-Length: 9\r\n" + fields + "\r\n"},
 		{"body", "/p/", answerHead("200 OK") + strings.Repeat("x", 250<<10)},
 		{"body of an error", "/p/", answerHead("404 None") + strings.Repeat("x", 250<<10)},
+		{"event", "/s/", streamHead + chunk("id: 1\ndata: a\n\n") + "f0000\r\ndata: " + strings.Repeat("x", 250<<10)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newTestbed(t)
@@ -102,6 +104,46 @@
 	}
 }
 
+// Guards against memory that a stream keeps after a long event, and against sound streams that end because there is none: short
+// events need none.
+func TestLongEventsTakeMemoryWhileHeld(t *testing.T) {
+	long := "id: 1\ndata: " + strings.Repeat("x", 200<<10) + "\n\n"
+	for _, test := range []struct {
+		name  string
+		limit int64
+		sent  []string
+		want  error
+	}{
+		{"long events", 2 << 20, []string{long, "id: 2\ndata: b\n\n", long}, nil},
+		{"short events without memory", 1, []string{"id: 1\ndata: a\n\n", strings.Repeat("id: 2\ndata: b\n\n", 1000)}, nil},
+		{"long event without memory", 100 << 10, []string{long}, rudderbody.ErrNoMemory},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			memory := rudderbody.NewBudget(test.limit)
+			r := eventReader{source: strings.NewReader(strings.Join(test.sent, "")), memory: memory.Reservation(1)}
+			var got strings.Builder
+			for {
+				event, _, err := r.next()
+				if errors.Is(err, io.EOF) {
+					break
+				}
+				if test.want != nil {
+					require.ErrorIs(t, err, test.want)
+					return
+				}
+				require.NoError(t, err)
+				got.Write(event)
+			}
+			require.Equal(t, strings.Join(test.sent, ""), got.String())
+			require.LessOrEqual(t, memory.Held(), test.limit)
+			r.source, r.readErr = strings.NewReader("id: 3\ndata: c\n\n"), nil
+			_, _, err := r.next()
+			require.NoError(t, err)
+			require.Zero(t, memory.Held(), "a stream of short events holds no memory")
+		})
+	}
+}
+
 // post sends a request and returns the status and the beginning of the response; the caller does not hold the rest.
 func (b *testbed) post(target string) string {
 	r, err := http.NewRequest(http.MethodPost, b.server.URL+target, strings.NewReader("prompt"))
--- a/rudderd/rudderforward/events.go
+++ b/rudderd/rudderforward/events.go
@@ -6,16 +6,26 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderbody"
 )
 
-// maxEventBytes bounds one event, so that a faulty target cannot exhaust the memory.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes bounds one event, so that a faulty target cannot exhaust the memory.
+	maxEventBytes = 256 << 10
+	// eventChunk is the least free part of the buffer before a read.
+	eventChunk = 2048
+	// freeEventBytes is the size up to which a buffer takes no memory from the budget, so that streams of short events go on
+	// without any. It is less than the buffers of the stream's connections.
+	freeEventBytes = 8 << 10
+)
 
 var errEventTooLong = errors.New("forward: event exceeds the size limit")
 
 // eventReader splits an event stream into complete events. It never returns a truncated event as complete.
 type eventReader struct {
 	source  io.Reader
+	memory  *rudderbody.Reservation // for buffer; nil sets no bound
 	buffer  []byte
 	start   int   // index of the first unread byte
 	scanned int   // bytes from start that are known to contain no event terminator
@@ -41,7 +51,9 @@
 		if len(e.buffer)-e.start > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
-		e.fill()
+		if err := e.fill(); err != nil {
+			return nil, "", err
+		}
 	}
 }
 
@@ -62,20 +74,34 @@
 	return 0
 }
 
-func (e *eventReader) fill() {
-	const chunk = 2048
+// fill reads more bytes. The error is rudderbody.ErrNoMemory if there is none for a longer buffer.
+func (e *eventReader) fill() error {
 	if e.start > 0 {
 		e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.start:])]
 		e.start = 0
 	}
-	if cap(e.buffer)-len(e.buffer) < chunk {
-		grown := make([]byte, len(e.buffer), 2*cap(e.buffer)+chunk)
+	if len(e.buffer) == 0 && cap(e.buffer) > freeEventBytes { // a long event need not be followed by another one
+		e.buffer = nil
+		e.memory.Release()
+	}
+	if old := cap(e.buffer); old-len(e.buffer) < eventChunk {
+		size := 2*old + eventChunk
+		if size > freeEventBytes {
+			if err := e.memory.Resize(int64(old + size)); err != nil {
+				return err
+			}
+		}
+		grown := make([]byte, len(e.buffer), size)
 		copy(grown, e.buffer)
 		e.buffer = grown
+		if size > freeEventBytes {
+			_ = e.memory.Resize(int64(size)) // a smaller size always fits
+		}
 	}
 	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
 	e.buffer = e.buffer[:len(e.buffer)+n]
 	e.readErr = err
+	return nil
 }
 
 // eventEnd returns the length of the first event with its terminator, or 0.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -135,7 +136,8 @@
 
 // copyEvents forwards complete events as they arrive.
 func (f *Forwarder) copyEvents(ctx, sendContext context.Context, j *job, g *rudderview.Group, answer *reply, guard *watchdog) bool {
-	events := &eventReader{source: answer.response.Body}
+	events := &eventReader{source: answer.response.Body, memory: f.Responses.Reservation(1)}
+	defer events.memory.Release()
 	control := http.NewResponseController(j.writer)
 	for {
 		event, id, err := nextEvent(j, answer, events)
@@ -146,7 +148,7 @@
 			answer.discard()
 			if cause := context.Cause(sendContext); cause != nil {
 				err = cause
-			} else if answer.connection != nil {
+			} else if answer.connection != nil && !errors.Is(err, rudderbody.ErrNoMemory) {
 				err = f.blamePath(ctx, g.Leader, err)
 			}
 			f.recordFailure(ctx, j, g, errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken))
