Bound the memory of response heads together, on the chat API

The limit of one head was that of net/http, 10 MB. Clients of the chat API now have the limit of the platform face, 64 kB, and take memory for heads as its clients do: those of model requests, of plain services and of relayed requests from the memory for responses, those of reports and orders, and of the key-value service, the host list and other entry hosts, together with their bodies, from the budgets for them. A call whose response finds none ends with memory_full and may have run. The head of a relayed response takes memory before it is decoded, on both faces. Responses are no longer decompressed: what that takes is in no budget. The new setting memory-bytes gives the memory limit; without it GOMEMLIMIT or the machine's memory counts.

--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderchange"
 	"comfreyrudder.example/rudderd/rudderclaim"
@@ -42,6 +43,7 @@
 	// TargetDial opens connections to targets, so that tests can cut an entry host off from them; nil selects the network.
 	TargetDial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	memory    rudderbody.Budgets
 	self      ruddermember.Member
 	listeners listeners
 
@@ -99,6 +101,7 @@
 	}
 	a.started, a.relists = make(chan struct{}), make(chan struct{}, 1)
 	a.stopping.init()
+	a.memory = rudderbody.NewBudgets(a.Settings.MemoryBytes)
 	if err := a.listen(); err != nil {
 		return err
 	}
--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -65,10 +65,10 @@
 		base = &rudderpeer.Pool{Dial: (&net.Dialer{Timeout: relayDialTimeout}).DialContext}
 	}
 	a.paths.relay = &rudderpath.Relay{
-		Uptime: uptime, Peers: a.pathPeers, Transport: &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base},
+		Uptime: uptime, Peers: a.pathPeers, Responses: a.memory.Responses, Transport: &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base},
 	}
-	a.paths.direct = a.newTargetTransport()
-	a.paths.direct.DisableKeepAlives, a.paths.direct.DisableCompression = true, true
+	a.paths.direct = a.newTargetTransport(a.memory.Responses)
+	a.paths.direct.DisableKeepAlives = true
 }
 
 // pathTargets returns the members of all groups by address. Those of a fabric domain share their path.
@@ -251,7 +251,7 @@
 	if len(q.Body) == 0 {
 		request.Body = http.NoBody
 	}
-	response, err := a.paths.direct.RoundTrip(request)
+	response, err := a.memory.Responses.Do(request, a.paths.direct.RoundTrip)
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
 		if rudderpath.CopyResponse(w, response, func() {}) != nil {
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -1,10 +1,12 @@
 package rudderapp
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
@@ -24,7 +26,7 @@
 
 // wirePlatform creates the clients of the platform, of targets and of other entry hosts.
 func (a *App) wirePlatform() {
-	platform := &http.Client{Transport: orTransport(a.PlatformTransport, platformIdleConnections)}
+	platform := &http.Client{Transport: a.platformTransport()}
 	store := &rudderstore.HTTP{BaseURL: a.Settings.KeyValueURL, Client: platform}
 	a.store = store.Store()
 	list := &rudderhost.HTTP{BaseURL: a.Settings.HostListURL, Client: platform, OnInvalid: func(err error) {
@@ -34,9 +36,9 @@
 	a.hosts = list.List()
 	// Each control call opens a new connection: a pooled one may have broken unnoticed, and a probe must
 	// distinguish a broken connection from a dead target.
-	fresh := a.newTargetTransport()
+	fresh := a.newTargetTransport(a.memory.Reports)
 	fresh.DisableKeepAlives = true
-	transport := a.throughPath(fresh)
+	var transport http.RoundTripper = &rudderbody.Transport{Base: a.throughPath(fresh), Budget: a.memory.Reports}
 	if a.TargetTransport != nil {
 		transport = a.TargetTransport
 	}
@@ -46,14 +48,17 @@
 	if base == nil {
 		base = &rudderpeer.Pool{}
 	}
-	a.peers = &http.Client{Transport: &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base}}
+	signed := &rudderpeer.Transport{Keys: a.keyring(), Clock: a.Clock, Base: base}
+	a.peers = &http.Client{Transport: &rudderbody.Transport{Base: signed, Budget: a.memory.Replies}}
 }
 
-func orTransport(given http.RoundTripper, idle int) http.RoundTripper {
-	if given != nil {
-		return given
+// platformTransport returns the transport to the key-value service and the host list.
+func (a *App) platformTransport() http.RoundTripper {
+	if a.PlatformTransport != nil {
+		return a.PlatformTransport
 	}
-	return newTransport(idle)
+	dial := a.memory.Replies.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return &rudderbody.Transport{Base: newTransport(platformIdleConnections, dial), Budget: a.memory.Replies}
 }
 
 // targetTransport returns the transport of model requests.
@@ -61,20 +66,20 @@
 	if a.TargetTransport != nil {
 		return a.TargetTransport
 	}
-	return a.throughPath(a.newTargetTransport())
+	return &rudderbody.Transport{Base: a.throughPath(a.newTargetTransport(a.memory.Responses)), Budget: a.memory.Responses, Streamed: true}
 }
 
-// newTargetTransport returns a transport to targets.
-func (a *App) newTargetTransport() *http.Transport {
-	transport := newTransport(targetIdleConnections)
-	transport.DialContext = a.dialTarget
-	return transport
+// newTargetTransport returns a transport to targets, the heads of whose responses can take memory from a budget.
+func (a *App) newTargetTransport(memory *rudderbody.Budget) *http.Transport {
+	return newTransport(targetIdleConnections, memory.Dial(a.dialTarget))
 }
 
-func newTransport(idle int) *http.Transport {
+func newTransport(idle int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idle,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dial,
+		DisableCompression:     true, // decompressing takes more memory than most responses
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 	}
 }
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -24,7 +24,7 @@
 		AcquireTarget: a.acquireService, IsIdempotent: a.declaredIdempotent,
 		Claim: a.claims.Claim, Settle: a.claims.Settle, Release: a.claims.Release,
 		CheckPermit: func() error { return a.config.Permit(a.Clock.Now()) },
-		Probe:       a.control.Status, TakeRetry: a.owner.TakeRetry, Transport: a.TargetTransport, Dial: a.dialTarget, Wrap: a.throughPath, OnResponse: a.observeResponse,
+		Probe:       a.control.Status, TakeRetry: a.owner.TakeRetry, Transport: a.TargetTransport, Dial: a.dialTarget, Wrap: a.throughPath, OnResponse: a.observeResponse, Responses: a.memory.Responses,
 		Clock: a.Clock, Logger: a.Logger, Timeout: a.Settings.CallTimeout, MaxBodyBytes: a.Settings.MaxBodyBytes,
 	}
 }
--- a/rudderd/rudderbody/budget.go
+++ b/rudderd/rudderbody/budget.go
@@ -91,10 +91,17 @@
 	return &Reservation{budget: b, copies: copies}
 }
 
+// ReservationAbove returns a reservation that begins above a number of free bytes of all copies, so that short contents need no
+// memory of the budget.
+func (b *Budget) ReservationAbove(free, copies int64) *Reservation {
+	return &Reservation{budget: b, copies: copies, free: free}
+}
+
 // Reservation is the part of a budget that one request holds. A nil Reservation has no bound.
 type Reservation struct {
 	budget *Budget
 	copies int64
+	free   int64
 	bytes  int64 // of all copies
 }
 
@@ -104,7 +111,7 @@
 	if r == nil || r.budget == nil {
 		return nil
 	}
-	b, bytes := r.budget, size*r.copies
+	b, bytes := r.budget, max(size*r.copies-r.free, 0)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	others := b.held - r.bytes
--- a/rudderd/rudderbody/response.go
+++ b/rudderd/rudderbody/response.go
@@ -51,7 +51,7 @@
 	if b == nil {
 		return send(r)
 	}
-	m := &responseMemory{reservation: b.Reservation(1), free: freeHeadBytes}
+	m := &responseMemory{reservation: b.ReservationAbove(freeHeadBytes, 1)}
 	var used atomic.Pointer[meteredConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c := metered(info.Conn); c != nil {
@@ -120,7 +120,6 @@
 
 	mu       sync.Mutex
 	bytes    int64
-	free     int64 // bytes that are not reserved
 	err      error
 	released bool
 }
@@ -132,7 +131,7 @@
 	if m.err != nil || m.released {
 		return m.err
 	}
-	if m.err = m.reservation.Resize(max(m.bytes+size-m.free, 0)); m.err == nil {
+	if m.err = m.reservation.Resize(m.bytes + size); m.err == nil {
 		m.bytes += size
 	}
 	return m.err
--- a/rudderd/rudderforward/endless_test.go
+++ b/rudderd/rudderforward/endless_test.go
@@ -120,7 +120,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			memory := rudderbody.NewBudget(test.limit)
-			r := eventReader{source: strings.NewReader(strings.Join(test.sent, "")), memory: memory.Reservation(1)}
+			r := eventReader{source: strings.NewReader(strings.Join(test.sent, "")), memory: memory.ReservationAbove(freeEventBytes, 1)}
 			var got strings.Builder
 			for {
 				event, _, err := r.next()
--- a/rudderd/rudderforward/events.go
+++ b/rudderd/rudderforward/events.go
@@ -86,17 +86,13 @@
 	}
 	if old := cap(e.buffer); old-len(e.buffer) < eventChunk {
 		size := 2*old + eventChunk
-		if size > freeEventBytes {
-			if err := e.memory.Resize(int64(old + size)); err != nil {
-				return err
-			}
+		if err := e.memory.Resize(int64(old + size)); err != nil {
+			return err
 		}
 		grown := make([]byte, len(e.buffer), size)
 		copy(grown, e.buffer)
 		e.buffer = grown
-		if size > freeEventBytes {
-			_ = e.memory.Resize(int64(size)) // a smaller size always fits
-		}
+		_ = e.memory.Resize(int64(size)) // a smaller size always fits
 	}
 	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
 	e.buffer = e.buffer[:len(e.buffer)+n]
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -136,7 +136,7 @@
 
 // copyEvents forwards complete events as they arrive.
 func (f *Forwarder) copyEvents(ctx, sendContext context.Context, j *job, g *rudderview.Group, answer *reply, guard *watchdog) bool {
-	events := &eventReader{source: answer.response.Body, memory: f.Responses.Reservation(1)}
+	events := &eventReader{source: answer.response.Body, memory: f.Responses.ReservationAbove(freeEventBytes, 1)}
 	defer events.memory.Release()
 	control := http.NewResponseController(j.writer)
 	for {
--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderbody"
 )
 
 // Errors of a relayed request. With all but ErrMayHaveRun, no byte of the request can have reached the target.
@@ -64,6 +66,8 @@
 	// Peers returns the other entry hosts. The list is not changed.
 	Peers  func() []Peer
 	Uptime func() time.Duration
+	// Responses bounds the memory of the heads of responses; nil sets no bound.
+	Responses *rudderbody.Budget
 
 	mu     sync.Mutex
 	noPath map[peerKey]time.Duration // uptime until which a peer is skipped
@@ -142,7 +146,8 @@
 	// The cause of a cancellation is not passed on, so that the transport does not take it for a broken connection.
 	callContext, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	detach := context.AfterFunc(ctx, cancel)
-	end := func() { detach(); cancel() }
+	memory := r.Responses.Reservation(headCopies)
+	end := func() { detach(); cancel(); memory.Release() }
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(callContext, trace), http.MethodPost, "http://"+p.Address+PathPrefix, bytes.NewReader(message))
@@ -166,7 +171,7 @@
 	outcome := response.Header.Get(HeaderOutcome)
 	if response.StatusCode == http.StatusOK && outcome == OutcomeAnswered {
 		r.remember(p, service, true)
-		answer, err := readResponse(body{response.Body, end})
+		answer, err := readResponse(body{response.Body, end}, memory)
 		if err != nil {
 			_ = response.Body.Close()
 			end()
--- a/rudderd/rudderpath/wire.go
+++ b/rudderd/rudderpath/wire.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderbody"
 )
 
 // Request is a request to a target that is sent through another entry host.
@@ -44,6 +46,8 @@
 	MaxHeadBytes = 256 << 10
 	// MaxBodyBytes bounds the body of a request that is relayed.
 	MaxBodyBytes = 4 << 20
+	// headCopies bounds what a head takes while it is decoded, as a multiple of its length.
+	headCopies = 6
 )
 
 var errMalformed = errors.New("path: malformed message")
@@ -108,8 +112,8 @@
 	return append(append(out, text...), rest...), nil
 }
 
-// decode reads a head from the beginning of a message.
-func decode(r io.Reader, head any) error {
+// decode reads a head from the beginning of a message, into memory that has to be reserved.
+func decode(r io.Reader, head any, memory *rudderbody.Reservation) error {
 	var length [4]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return err
@@ -118,6 +122,9 @@
 	if n > MaxHeadBytes {
 		return errMalformed
 	}
+	if err := memory.Resize(int64(n)); err != nil {
+		return err
+	}
 	text := make([]byte, n)
 	if _, err := io.ReadFull(r, text); err != nil {
 		return err
@@ -136,7 +143,7 @@
 // DecodeRequest reads a request.
 func DecodeRequest(source io.Reader) (Request, error) {
 	var head requestHead
-	if err := decode(source, &head); err != nil {
+	if err := decode(source, &head, nil); err != nil {
 		return Request{}, err
 	}
 	body, err := io.ReadAll(source)
@@ -156,10 +163,10 @@
 }
 
 // readResponse reads the head of a response. The response's body reads the rest of source and closes it.
-func readResponse(source io.ReadCloser) (*http.Response, error) {
+func readResponse(source io.ReadCloser, memory *rudderbody.Reservation) (*http.Response, error) {
 	reader := bufio.NewReader(source)
 	var head responseHead
-	if err := decode(reader, &head); err != nil {
+	if err := decode(reader, &head, memory); err != nil {
 		return nil, err
 	}
 	response := &http.Response{
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -27,10 +28,11 @@
 		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            d.Responses.Dial(dial),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 	}
 }
 
@@ -116,6 +118,8 @@
 func failedResult(ctx context.Context, err error, connected bool) Result {
 	status, code := http.StatusBadGateway, CodeInterrupted
 	switch cause := context.Cause(ctx); {
+	case errors.Is(err, rudderbody.ErrNoMemory): // a part of the response has arrived
+		connected, code = true, CodeMemoryFull
 	case errors.Is(cause, errSilent):
 		status, code = http.StatusGatewayTimeout, CodeSilent
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderclaim"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -44,6 +45,7 @@
 	CodeCancelled        Code = "cancelled"
 	CodeBodyTooLarge     Code = "body_too_large"
 	CodeAnswerTooLarge   Code = "answer_too_large"
+	CodeMemoryFull       Code = "memory_full"
 	CodeBadRequest       Code = "bad_request"
 	CodeKeyRequired      Code = "idempotency_key_required"
 	CodeBadKey           Code = "bad_idempotency_key"
@@ -119,6 +121,9 @@
 	// Dial opens the connections if Transport is nil; nil uses the network. Wrap, if not nil, wraps the transports then.
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Wrap   func(http.RoundTripper) http.RoundTripper
+	// Responses bounds the memory of responses, but for that of their heads with Transport; nil sets no bound.
+	Responses *rudderbody.Budget
+
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
 
@@ -173,6 +178,8 @@
 		if d.Wrap != nil {
 			d.fresh, d.persistent = d.Wrap(d.fresh), d.Wrap(d.persistent)
 		}
+		d.fresh = &rudderbody.Transport{Base: d.fresh, Budget: d.Responses, Streamed: true}
+		d.persistent = &rudderbody.Transport{Base: d.persistent, Budget: d.Responses, Streamed: true}
 	})
 }
 
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -43,6 +43,7 @@
 	AnswerBytes     int64         `name:"answer-bytes" default:"33554432" doc:"Memory for finished answers, in bytes. The oldest ones are dropped first."`
 	ClaimRetention  time.Duration `name:"claim-retention" default:"24h" doc:"How long an idempotency key and its stored answer are kept."`
 
+	MemoryBytes   int64         `name:"memory-bytes" default:"0" doc:"Memory limit of this process, in bytes; it bounds what is held of requests and responses. 0 takes that of the Go runtime, GOMEMLIMIT, or else the memory of the machine."`
 	MaxInFlight   int           `name:"max-in-flight" default:"2000" doc:"Requests in flight above which this host refuses new ones and names another host."`
 	MaxBodyBytes  int64         `name:"max-body-bytes" default:"4194304" doc:"Largest request body, in bytes."`
 	EntryLifetime time.Duration `name:"entry-lifetime" default:"10s" doc:"How long callers may keep an answer of GET /v1/entries."`
--- a/shared/rudderpeer/pool.go
+++ b/shared/rudderpeer/pool.go
@@ -20,6 +20,9 @@
 	pingTimeout = 5 * time.Second
 )
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // Pool is an http.RoundTripper for HTTP/2 cleartext that stops using a connection on which a call failed or timed out,
 // because an established connection can stop delivering data while new ones work. The zero value is ready to use.
 type Pool struct {
@@ -61,7 +64,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	t := &http.Transport{
-		DialContext: p.Dial, Protocols: protocols, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: p.Dial, Protocols: protocols, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	p.byHost[host] = t
