Bound the memory of answers of plain services together

Each answer could take 16 MB, and nothing limited their sum. Their bodies now take memory from that for responses while they grow, until the caller has them; above 8 kB an answer that finds none ends with memory_full, and the call may have run. An answer with a length is read into a buffer of that length.

--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -19,7 +19,7 @@
 func (a *App) wireCallers() {
 	a.callers = &rudderhttp.API{
 		Name: a.self.Name, Clock: a.Clock, Logger: a.Logger, Config: a.config.Current,
-		MaxBodyBytes: a.Settings.MaxBodyBytes, Bodies: a.memory.Bodies, LimitShare: a.limitShare, Refuse: a.refuse,
+		MaxBodyBytes: a.Settings.MaxBodyBytes, Bodies: a.memory.Bodies, Responses: a.memory.Responses, LimitShare: a.limitShare, Refuse: a.refuse,
 		Estimate: a.history.estimate, Start: a.startChat, Answers: a.answers,
 		ReadRemote: a.requests.ReadRemote, Call: a.callService, Entries: a.entries,
 		Leaving: a.stopping.begun, Accepting: a.stopping.accepting, Serving: a.stopping.serving, BetterEntry: a.betterEntry,
--- a/rudderd/rudderapp/services.go
+++ b/rudderd/rudderapp/services.go
@@ -48,7 +48,7 @@
 func (a *App) callService(ctx context.Context, call rudderhttp.ServiceCall) rudderhttp.ServiceResponse {
 	request := rudderservice.Call{
 		RequestID: call.RequestID, Workspace: call.Workspace.Name, Service: call.Service.Name,
-		Method: call.Method, Path: call.Path, RawQuery: call.Query, Header: call.Header, Body: call.Body,
+		Method: call.Method, Path: call.Path, RawQuery: call.Query, Header: call.Header, Body: call.Body, Memory: call.Memory,
 		RequireKey: call.Workspace.RequireIdempotencyKey,
 	}
 	if refusal := a.refuseCall(&request); refusal != nil {
--- a/rudderd/rudderhttp/api.go
+++ b/rudderd/rudderhttp/api.go
@@ -35,8 +35,8 @@
 	Config func() *rudderconfig.Document
 
 	MaxBodyBytes int64
-	// Bodies bounds the memory of request bodies; nil sets no bound.
-	Bodies *rudderbody.Budget
+	// Bodies bounds the memory of request bodies, and Responses that of answers; nil sets no bound.
+	Bodies, Responses *rudderbody.Budget
 	// LimitShare returns the fraction of a workspace's rate and concurrency limits that this entry host
 	// grants, above 0 and at most 1.
 	LimitShare func() float64
@@ -103,6 +103,8 @@
 	Header         http.Header
 	Body           []byte
 	IdempotencyKey string
+	// Memory is reserved for the body of the response.
+	Memory *rudderbody.Reservation
 }
 
 // ServiceResponse is the result of a call of a plain service.
--- a/rudderd/rudderhttp/service.go
+++ b/rudderd/rudderhttp/service.go
@@ -16,6 +16,13 @@
 // serviceCopies is the number of copies of a body that a call of a service holds: one of them is read again for each send.
 const serviceCopies = 2
 
+const (
+	// responseCopies is the number of copies of a response's body that are held while it is read.
+	responseCopies = 2
+	// freeResponseBytes is what a response takes without memory of the budget, so that short ones never lack it.
+	freeResponseBytes = 8 << 10
+)
+
 // service serves /v1/services/{service}/….
 func (a *API) service(c echo.Context) error {
 	workspace := workspaceOf(c)
@@ -35,11 +42,13 @@
 	if err != nil {
 		return err
 	}
+	response := a.Responses.ReservationAbove(freeResponseBytes, responseCopies)
+	defer response.Release()
 	request := c.Request()
 	answer := a.Call(request.Context(), ServiceCall{
 		RequestID: requestIDOf(c), Workspace: workspace, Service: declared,
 		Method: request.Method, Path: "/" + strings.TrimPrefix(c.Param("*"), "/"), Query: request.URL.RawQuery,
-		Header: request.Header, Body: body, IdempotencyKey: request.Header.Get(HeaderIdempotencyKey),
+		Header: request.Header, Body: body, IdempotencyKey: request.Header.Get(HeaderIdempotencyKey), Memory: response,
 	})
 	if answer.Refusal != nil {
 		return answer.Refusal
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -54,12 +54,12 @@
 	if d.Probe != nil {
 		go d.probeUntilSilent(ctx, cancel, address)
 	}
-	result := d.exchange(ctx, transport, request, &connection)
+	result := d.exchange(ctx, transport, request, call.Memory, &connection)
 	result.Target = address
 	return result
 }
 
-func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, connection *atomic.Pointer[httptrace.GotConnInfo]) Result {
+func (d *Dispatcher) exchange(ctx context.Context, transport http.RoundTripper, request *http.Request, memory *rudderbody.Reservation, connection *atomic.Pointer[httptrace.GotConnInfo]) Result {
 	sentAt := d.Clock.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -75,12 +75,19 @@
 	if response.Header.Get(ruddertarget.HeaderNotRun) == "true" {
 		return notRun(http.StatusServiceUnavailable, CodeRefused, "the target refused the call")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, d.MaxResponseBytes+1))
-	if err != nil {
-		return failedResult(ctx, err, true)
+	memory.Release() // an earlier attempt may have reserved some
+	limit := d.MaxResponseBytes
+	if length := response.ContentLength; length >= 0 {
+		limit = min(limit, length) // no longer buffer than the answer
 	}
-	if int64(len(body)) > d.MaxResponseBytes {
+	body, complete, err := memory.ReadPart(response.Body, limit+1)
+	switch {
+	case err != nil:
+		return failedResult(ctx, err, true)
+	case int64(len(body)) > limit:
 		return mayHaveRun(http.StatusBadGateway, CodeAnswerTooLarge, "the target's answer is larger than the limit")
+	case !complete:
+		return failedResult(ctx, errors.Wrap(rudderbody.ErrNoMemory, "reading the answer"), true)
 	}
 	return Result{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header, "Content-Length", ruddertarget.HeaderRequestID), Body: body}
 }
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -78,6 +78,8 @@
 	Body      []byte
 	// RequireKey refuses a call that is neither declared idempotent nor carries an idempotency key.
 	RequireKey bool
+	// Memory is reserved for the response's body; nil sets no bound. The caller releases it after it has used the response.
+	Memory *rudderbody.Reservation
 }
 
 // Result is the result of a call. When the outcome is complete, Status, Header and Body are the target's
--- a/rudderd/rudderservice/endless_test.go
+++ b/rudderd/rudderservice/endless_test.go
@@ -71,6 +71,8 @@
 	}{
 		{"heads", "HTTP/1.1 200 OK\r\n" + fields(9<<20), 60},
 		{"heads below the limit of one", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X:\r\n", 15<<10), 240},
+		{"bodies", "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n" + strings.Repeat("x", 15<<20), 60},
+		{"bodies below half of the memory", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1<<20), 60},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var written atomic.Int64
@@ -80,7 +82,9 @@
 			memory := rudderbody.NewBudget(limit)
 			d.Timeout, d.Responses = time.Minute, memory
 			checkSound := func(size int) {
-				sound := d.Do(t.Context(), Call{RequestID: "q", Method: http.MethodPost, Path: fmt.Sprint("/", size)})
+				answer := memory.ReservationAbove(8<<10, 2)
+				defer answer.Release()
+				sound := d.Do(t.Context(), Call{RequestID: "q", Method: http.MethodPost, Path: fmt.Sprint("/", size), Memory: answer})
 				require.Equal(t, OutcomeComplete, sound.Outcome, "%s %s", sound.Code, sound.Reason)
 				require.Len(t, sound.Body, size)
 			}
@@ -90,7 +94,9 @@
 			results := make(chan Result, test.calls)
 			for range test.calls {
 				go func() {
-					results <- d.Do(ctx, Call{RequestID: "q", Method: http.MethodPost, Path: "/endless"})
+					response := memory.ReservationAbove(8<<10, 2)
+					defer response.Release()
+					results <- d.Do(ctx, Call{RequestID: "q", Method: http.MethodPost, Path: "/endless", Memory: response})
 				}()
 			}
 			require.Eventually(t, func() bool { return written.Load() == int64(test.calls) }, 30*time.Second, 10*time.Millisecond)
