Bound the memory of lines and answers of engines together, on the chat API

A line of a stream could take 1 MB, an answer any number of tokens, and nothing limited their sum. Lines above 8 kB, and answers from some 200 tokens on, now take memory from that for responses; the request of one that finds none ends with memory_full, for a line after the attempts that it has. The registry counts what the tokens of finished answers take beside their text.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -33,7 +33,7 @@
 	}
 	a.runner = &rudderstream.Runner{
 		Clock: a.Clock, Logger: a.Logger,
-		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: observedTransport{a.targetTransport(), a}}},
+		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: observedTransport{a.targetTransport(), a}}, Responses: a.memory.Responses},
 		Permit:      func() error { return a.config.Permit(a.Clock.Now()) },
 		Acquire:     a.acquireChat,
 		Probe:       a.control.RequestStatus,
--- a/rudderd/rudderhttp/chat.go
+++ b/rudderd/rudderhttp/chat.go
@@ -54,6 +54,7 @@
 	defer answer.AddReader(a.Clock.Now)()
 	a.Answers.Add(answer)
 	answer.OnFinish(memory.Release)
+	answer.SetMemory(a.Responses)
 	a.Start(request, answer)
 	source := answerSource{
 		id: request.ID, model: request.Model, created: request.Arrived,
--- a/rudderd/rudderstream/answer.go
+++ b/rudderd/rudderstream/answer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderbody"
 )
 
 // Outcome of a request. Every request ends with exactly one of them.
@@ -24,6 +26,15 @@
 // ErrGap reports a token that arrived before its predecessor; the stream must be resumed.
 var ErrGap = errors.New("stream: token missing before this one")
 
+const (
+	// tokenBytes is what a token takes beside its text.
+	tokenBytes = 32
+	// answerCopies is the number of copies of an answer that are held: one of them is written to its caller.
+	answerCopies = 2
+	// freeAnswerBytes is what an answer takes without memory of the budget, so that short ones never lack it.
+	freeAnswerBytes = 16 << 10
+)
+
 // Result is the end state of a request.
 type Result struct {
 	Outcome Outcome
@@ -46,7 +57,7 @@
 	mu        sync.Mutex
 	attempt   int
 	tokens    []string
-	bytes     int64
+	bytes     int64 // of all tokens
 	done      bool
 	result    Result
 	readers   int
@@ -54,6 +65,7 @@
 	readToEnd bool          // a reader has got the end of the answer
 	changed   chan struct{} // closed and replaced with each change
 	onFinish  func()        // may be nil
+	memory    *rudderbody.Reservation
 }
 
 // NewAnswer returns an empty answer.
@@ -85,7 +97,8 @@
 }
 
 // Append adds a token of an attempt; tokens are numbered from 1. Tokens of an older attempt and repeated
-// tokens are dropped, with added false. A token that skips one is rejected with ErrGap.
+// tokens are dropped, with added false. A token that skips one is rejected with ErrGap, and one for which there is no memory
+// with rudderbody.ErrNoMemory.
 func (a *Answer) Append(attempt, seq int, text string) (added bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -95,8 +108,11 @@
 	if seq > len(a.tokens)+1 {
 		return false, ErrGap
 	}
-	a.tokens = append(a.tokens, text)
-	a.bytes += int64(len(text))
+	size := a.bytes + int64(len(text)) + tokenBytes
+	if err := a.memory.Resize(size); err != nil {
+		return false, err
+	}
+	a.tokens, a.bytes = append(a.tokens, text), size
 	a.notify()
 	return true, nil
 }
@@ -109,12 +125,18 @@
 		return
 	}
 	a.done, a.result = true, result
+	a.memory.Release()
 	a.notify()
 	if a.onFinish != nil {
 		a.onFinish()
 	}
 }
 
+// SetMemory makes the answer take memory from a budget until it ends. It has to be called before the answer can grow.
+func (a *Answer) SetMemory(b *rudderbody.Budget) {
+	a.memory = b.ReservationAbove(freeAnswerBytes, answerCopies)
+}
+
 // OnFinish sets a function that the end of the answer calls. It has to be set before the answer can end.
 func (a *Answer) OnFinish(f func()) { a.onFinish = f }
 
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -31,8 +32,14 @@
 	ErrMalformed = errors.New("stream: malformed")
 )
 
-// maxEventBytes bounds one server-sent event, so that a faulty engine cannot exhaust the memory.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one server-sent event, so that a faulty engine cannot exhaust the memory.
+	maxEventBytes = 1 << 20
+	// lineCopies is the number of copies of a long line that are held while it is read and decoded.
+	lineCopies = 4
+	// freeLineBytes is what a line takes without memory of the budget, so that usual ones never lack it.
+	freeLineBytes = 32 << 10
+)
 
 // Event is one token of a stream, or its end.
 type Event struct {
@@ -56,6 +63,8 @@
 // Engine opens streams on model engines.
 type Engine struct {
 	Client *http.Client
+	// Responses bounds the memory of lines of streams; nil sets no bound.
+	Responses *rudderbody.Budget
 }
 
 // Open sends a request body, with the extension fields of this attempt, to a group's leader.
@@ -87,8 +96,12 @@
 		return nil, statusError(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, 4096)
+	memory := e.Responses.ReservationAbove(freeLineBytes, lineCopies)
 	return &Stream{
-		Next:  func() (Event, error) { return nextEvent(reader) },
+		Next: func() (Event, error) {
+			defer memory.Release()
+			return nextEvent(reader, memory)
+		},
 		Close: func() { _ = response.Body.Close() },
 	}, nil
 }
@@ -145,9 +158,9 @@
 }
 
 // nextEvent reads one server-sent event.
-func nextEvent(reader *bufio.Reader) (Event, error) {
+func nextEvent(reader *bufio.Reader, memory *rudderbody.Reservation) (Event, error) {
 	for {
-		line, err := readLine(reader)
+		line, err := readLine(reader, memory)
 		if err != nil {
 			return Event{}, err
 		}
@@ -162,13 +175,16 @@
 	}
 }
 
-func readLine(reader *bufio.Reader) (string, error) {
+func readLine(reader *bufio.Reader, memory *rudderbody.Reservation) (string, error) {
 	var line []byte
 	for {
 		part, isPrefix, err := reader.ReadLine()
 		if err != nil {
 			return "", errors.Mark(errors.Wrap(err, "reading the stream"), ErrBroken)
 		}
+		if err := memory.Resize(int64(len(line) + len(part))); err != nil {
+			return "", errors.Mark(errors.Wrap(err, "reading the stream"), ErrBroken)
+		}
 		line = append(line, part...)
 		if len(line) > maxEventBytes {
 			return "", errors.Mark(errors.New("event too long"), ErrMalformed)
--- a/rudderd/rudderstream/fuzz_test.go
+++ b/rudderd/rudderstream/fuzz_test.go
@@ -35,7 +35,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		reader := bufio.NewReaderSize(bytes.NewReader(data), 16)
 		for range len(data) + 1 {
-			if _, err := nextEvent(reader); err != nil {
+			if _, err := nextEvent(reader, nil); err != nil {
 				require.True(t, errors.Is(err, io.EOF) || errors.Is(err, ErrBroken) || errors.Is(err, ErrMalformed), err)
 				return
 			}
--- a/rudderd/rudderstream/registry.go
+++ b/rudderd/rudderstream/registry.go
@@ -11,7 +11,7 @@
 type Registry struct {
 	// Retention is how long a finished answer is kept.
 	Retention time.Duration
-	// MaxBytes bounds the total text of finished answers; the oldest are evicted first.
+	// MaxBytes bounds the memory of finished answers; the oldest are evicted first.
 	MaxBytes int64
 
 	mu       sync.Mutex
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -87,6 +87,7 @@
 	CodeTargetFailed   = "target_failed"
 	CodeAbandoned      = "caller_gone"
 	CodeRetryExhausted = "retries_exhausted"
+	CodeMemoryFull     = "memory_full"
 )
 
 // Priorities of engine requests; a lower number runs first.
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -207,6 +208,8 @@
 		return s.failure(CodeBadRequest, err.Error(), 0), true
 	case errors.Is(err, errAbandoned) || ctx.Err() != nil:
 		return s.failure(CodeAbandoned, "the caller left and did not come back", 0), true
+	case errors.Is(err, rudderbody.ErrNoMemory) && (s.attempt >= s.MaxAttempts || !errors.Is(err, ErrBroken)):
+		return s.failure(CodeMemoryFull, "the answers to other requests leave no memory for this one", time.Second), true
 	case s.attempt >= s.MaxAttempts:
 		return s.failure(CodeRetryExhausted, err.Error(), time.Second), true
 	case s.answer.Received() == 0 && !s.TakeRetry():
