--- a/shared/rudderadmin/client.go
+++ b/shared/rudderadmin/client.go
@@ -22,6 +22,9 @@
 	ErrNoEntryHost = errors.New("admin API: no entry host can be reached")
 )
 
+// maxResponseBytes bounds a response.
+const maxResponseBytes = 64 << 20
+
 // Error is an error response of the admin API.
 type Error struct {
 	Status   int       `json:"-"`
@@ -117,10 +120,13 @@
 }
 
 func decode(response *http.Response, result any) error {
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "read response")
 	}
+	if len(text) > maxResponseBytes {
+		return errors.New("the response of the entry host is too long")
+	}
 	if response.StatusCode >= http.StatusBadRequest {
 		failure := &Error{Status: response.StatusCode}
 		if json.Unmarshal(text, failure) != nil || failure.Message == "" {
