Bound the memory of decompressed records of other entry hosts

A response of 512 kB could take 64 MB once it was decompressed. It now takes memory from that for replies. The share for replies is 0.1 and that for reports 0.02, so that a page of the key-value service fits on hosts with little memory. TestPackedRecordsTakeMemory: 32 MB of zeros with a budget of 4 MB are refused; the function had no budget before.

--- a/rudderd/rudderbody/budget.go
+++ b/rudderd/rudderbody/budget.go
@@ -21,8 +21,8 @@
 	// The other shares are apart, so that callers can't end the responses to others, nor callers and targets keep an entry host
 	// from reading its configuration.
 	responseShare = 0.1
-	replyShare    = 0.07
-	reportShare   = 0.03
+	replyShare    = 0.1
+	reportShare   = 0.02
 	// firstBytes is the first size of the buffer for a body of unknown length.
 	firstBytes = 4 << 10
 )
--- a/rudderd/rudderbody/response.go
+++ b/rudderd/rudderbody/response.go
@@ -64,7 +64,7 @@
 	if c != nil {
 		c.head.CompareAndSwap(m, nil)
 	} else if err == nil {
-		m.add(headerMemory(response.Header)) // HTTP/2, or another transport
+		_ = m.add(headerMemory(response.Header)) // HTTP/2, or another transport
 	}
 	if full := m.full(); full != nil {
 		if err == nil {
--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -1,6 +1,8 @@
 package rudderedge
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,8 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderpeer"
@@ -165,7 +169,7 @@
 	build := func() []*rudderpeer.Change { builds++; return changesOf(events) }
 	text, err := p.pack(packKey{3, 7}, build)
 	require.NoError(t, err)
-	got, err := unpack(text)
+	got, err := unpack(text, nil)
 	require.NoError(t, err)
 	require.Equal(t, events, got)
 	again, err := p.pack(packKey{3, 7}, build)
@@ -177,12 +181,24 @@
 		require.NoError(t, err)
 	}
 	require.Len(t, p.lists, packedLists)
-	_, err = unpack([]byte("no records"))
+	_, err = unpack([]byte("no records"), nil)
 	require.Error(t, err)
-	_, err = unpack(text[:len(text)/2])
+	_, err = unpack(text[:len(text)/2], nil)
 	require.Error(t, err)
 }
 
+// Guards against a short response of another entry host that takes all memory once it is decompressed.
+func TestPackedRecordsTakeMemory(t *testing.T) {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, err := w.Write(make([]byte, 32<<20))
+	require.NoError(t, errors.CombineErrors(err, w.Close()))
+	memory := rudderbody.NewBudget(4 << 20)
+	_, err = unpack(packed.Bytes(), memory)
+	require.ErrorIs(t, err, rudderbody.ErrNoMemory)
+	require.Zero(t, memory.Held())
+}
+
 // 300 entry hosts have 3,000 targets that form groups: each record changes several times within seconds, and a watcher on
 // a link of 20 Mbit/s must send all changes to 48 followers. Guards against followers that all read from the key-value
 // service at once because the changes exceed their watcher's limit.
--- a/rudderd/rudderedge/pack.go
+++ b/rudderd/rudderedge/pack.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
 )
@@ -64,13 +64,18 @@
 	return out.Bytes(), nil
 }
 
-// unpack returns the changes of a compressed list.
-func unpack(text []byte) ([]rudderstore.Event, error) {
+// unpack returns the changes of a compressed list. What it holds meanwhile takes memory from a budget.
+func unpack(text []byte, budget *rudderbody.Budget) ([]rudderstore.Event, error) {
 	r, err := gzip.NewReader(bytes.NewReader(text))
 	if err != nil {
 		return nil, errors.Wrap(err, "open compressed records of another entry host")
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxPackedBytes))
+	memory := budget.Reservation(1)
+	defer memory.Release()
+	plain, complete, err := memory.ReadPart(r, maxPackedBytes)
+	if err == nil && !complete {
+		err = rudderbody.ErrNoMemory
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records of another entry host")
 	}
--- a/rudderd/rudderedge/relay.go
+++ b/rudderd/rudderedge/relay.go
@@ -140,7 +140,7 @@
 		changes.Events = eventsOf(answer.GetChanges())
 		return changes, nil
 	}
-	changes.Events, err = unpack(answer.GetPacked())
+	changes.Events, err = unpack(answer.GetPacked(), e.Memory.Replies)
 	return changes, err
 }
 
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -146,12 +146,7 @@
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			answer.discard()
-			if cause := context.Cause(sendContext); cause != nil {
-				err = cause
-			} else if answer.connection != nil && !errors.Is(err, rudderbody.ErrNoMemory) {
-				err = f.blamePath(ctx, g.Leader, err)
-			}
-			f.recordFailure(ctx, j, g, errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken))
+			f.recordFailure(ctx, j, g, f.streamError(ctx, sendContext, g, answer, err))
 			return false
 		}
 		fresh := newer(id, j.lastEvent)
@@ -186,6 +181,16 @@
 	}
 }
 
+// streamError returns the error of a stream that broke, with its cause.
+func (f *Forwarder) streamError(ctx, sendContext context.Context, g *rudderview.Group, answer *reply, err error) error {
+	if cause := context.Cause(sendContext); cause != nil {
+		err = cause
+	} else if answer.connection != nil && !errors.Is(err, rudderbody.ErrNoMemory) {
+		err = f.blamePath(ctx, g.Leader, err)
+	}
+	return errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken)
+}
+
 // recordEvent records an event that is new to the caller.
 func (f *Forwarder) recordEvent(j *job, g *rudderview.Group, answer *reply, guard *watchdog) {
 	if answer.connection != nil {
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -121,8 +121,8 @@
 	// open a new connection for each call that is not declared idempotent.
 	Transport http.RoundTripper
 	// Dial opens the connections if Transport is nil; nil uses the network. Wrap, if not nil, wraps the transports then.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	Wrap   func(http.RoundTripper) http.RoundTripper
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Wrap func(http.RoundTripper) http.RoundTripper
 	// Responses bounds the memory of responses, but for that of their heads with Transport; nil sets no bound.
 	Responses *rudderbody.Budget
 
