--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -34,15 +34,7 @@
 		a.Logger.Warn().Str("error", text[:min(len(text), maxLoggedError)]).Msg("entry of the host list ignored")
 	}}
 	a.hosts = list.List()
-	// Each control call opens a new connection: a pooled one may have broken unnoticed, and a probe must
-	// distinguish a broken connection from a dead target.
-	fresh := a.newTargetTransport(a.memory.Reports)
-	fresh.DisableKeepAlives = true
-	var transport http.RoundTripper = &rudderbody.Transport{Base: a.throughPath(fresh), Budget: a.memory.Reports}
-	if a.TargetTransport != nil {
-		transport = a.TargetTransport
-	}
-	control := &ruddertarget.HTTP{Client: &http.Client{Transport: transport}}
+	control := &ruddertarget.HTTP{Client: &http.Client{Transport: a.controlTransport()}}
 	a.control = control.Control()
 	base := a.PeerTransport
 	if base == nil {
@@ -61,6 +53,17 @@
 	return &rudderbody.Transport{Base: newTransport(platformIdleConnections, dial), Budget: a.memory.Replies}
 }
 
+// controlTransport returns the transport of reports and orders. Each control call opens a new connection: a pooled one may have
+// broken unnoticed, and a probe must distinguish a broken connection from a dead target.
+func (a *App) controlTransport() http.RoundTripper {
+	if a.TargetTransport != nil {
+		return a.TargetTransport
+	}
+	fresh := a.newTargetTransport(a.memory.Reports)
+	fresh.DisableKeepAlives = true
+	return &rudderbody.Transport{Base: a.throughPath(fresh), Budget: a.memory.Reports}
+}
+
 // targetTransport returns the transport of model requests.
 func (a *App) targetTransport() http.RoundTripper {
 	if a.TargetTransport != nil {
