--- a/rudderd/rudderforward/endless_test.go
+++ b/rudderd/rudderforward/endless_test.go
@@ -57,6 +57,9 @@
 							_, _ = io.WriteString(c, chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n")
 							return
 						}
+						if r.Header.Get("Id") != "q1" {
+							return // of another process that has had the port
+						}
 						runs.Add(1)
 						_, _ = io.WriteString(c, test.text)
 						written.Add(1)
