--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -176,6 +177,9 @@
 		// net/http also cancels the context when a caller has closed only its sending side and still waits for a response.
 		r = refusal{status: http.StatusServiceUnavailable, code: "caller_left", message: "the connection was closed by its caller"}
 	}
+	if errors.Is(j.lastErr, rudderbody.ErrNoMemory) && ctx.Err() == nil {
+		r.code, r.message = codeMemoryFull, "the responses to other requests leave no memory for this one"
+	}
 	if j.runs > 0 {
 		r.retryAfter = 0
 		r.status = http.StatusBadGateway
@@ -223,7 +227,7 @@
 // brokenByTarget reports whether a send may have failed because its target died. One that this entry host has cancelled shows
 // nothing about the target.
 func brokenByTarget(err error) bool {
-	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errUnanswered, errSlowGroup, errPoisoned, ErrWrongAnswer} {
+	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errUnanswered, errSlowGroup, errPoisoned, ErrWrongAnswer, rudderbody.ErrNoMemory} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -138,7 +139,8 @@
 
 // copyEvents forwards complete events as they arrive.
 func (f *Forwarder) copyEvents(ctx, sendContext context.Context, j *job, g *rudderview.Group, answer *reply, guard *watchdog) bool {
-	events := &eventReader{source: answer.response.Body}
+	events := &eventReader{source: answer.response.Body, memory: f.Responses.ReservationAbove(freeEventBytes, 1)}
+	defer events.memory.Release()
 	control := http.NewResponseController(j.writer)
 	for {
 		event, id, err := nextEvent(j, answer, events)
@@ -147,12 +149,7 @@
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			answer.discard()
-			if cause := context.Cause(sendContext); cause != nil {
-				err = cause
-			} else if answer.connection != nil {
-				err = f.blamePath(ctx, g.Leader, err)
-			}
-			f.recordFailure(ctx, j, g, j.hang.stop(errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken)))
+			f.recordFailure(ctx, j, g, j.hang.stop(f.streamError(ctx, sendContext, g, answer, err)))
 			return false
 		}
 		fresh := newer(id, j.lastEvent)
@@ -187,6 +184,16 @@
 	}
 }
 
+// streamError returns the error of a stream that broke, with its cause.
+func (f *Forwarder) streamError(ctx, sendContext context.Context, g *rudderview.Group, answer *reply, err error) error {
+	if cause := context.Cause(sendContext); cause != nil {
+		err = cause
+	} else if answer.connection != nil && !errors.Is(err, rudderbody.ErrNoMemory) {
+		err = f.blamePath(ctx, g.Leader, err)
+	}
+	return errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken)
+}
+
 // recordEvent records an event that is new to the caller.
 func (f *Forwarder) recordEvent(j *job, g *rudderview.Group, answer *reply, guard *watchdog) {
 	if answer.connection != nil {
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderclaim"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -44,6 +45,7 @@
 	CodeCancelled        Code = "cancelled"
 	CodeBodyTooLarge     Code = "body_too_large"
 	CodeAnswerTooLarge   Code = "answer_too_large"
+	CodeMemoryFull       Code = "memory_full"
 	CodeBadRequest       Code = "bad_request"
 	CodeKeyRequired      Code = "idempotency_key_required"
 	CodeBadKey           Code = "bad_idempotency_key"
@@ -76,6 +78,8 @@
 	Body      []byte
 	// RequireKey refuses a call that is neither declared idempotent nor carries an idempotency key.
 	RequireKey bool
+	// Memory is reserved for the response's body; nil sets no bound. The caller releases it after it has used the response.
+	Memory *rudderbody.Reservation
 }
 
 // Result is the result of a call. When the outcome is complete, Status, Header and Body are the target's
@@ -117,8 +121,11 @@
 	// open a new connection for each call that is not declared idempotent.
 	Transport http.RoundTripper
 	// Dial opens the connections if Transport is nil; nil uses the network. Wrap, if not nil, wraps the transports then.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	Wrap   func(http.RoundTripper) http.RoundTripper
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Wrap func(http.RoundTripper) http.RoundTripper
+	// Responses bounds the memory of responses, but for that of their heads with Transport; nil sets no bound.
+	Responses *rudderbody.Budget
+
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
 
@@ -173,6 +180,8 @@
 		if d.Wrap != nil {
 			d.fresh, d.persistent = d.Wrap(d.fresh), d.Wrap(d.persistent)
 		}
+		d.fresh = &rudderbody.Transport{Base: d.fresh, Budget: d.Responses, Streamed: true}
+		d.persistent = &rudderbody.Transport{Base: d.persistent, Budget: d.Responses, Streamed: true}
 	})
 }
 
