Keep attempts at engines that are silent for a while and go on

An engine from which nothing came for 2 s was probed once, and its attempt ended unless it answered within 1 s: also the last allowed attempt, so that an answer that had begun was cut, and also when an event came during the probe. Attempts whose connection could not be set up counted against the limit of attempts of an answer that had begun.

Probes now run beside the reading of the stream, and any event ends them. An engine that does not answer counts as dead only after 1.1 s without an event or an answered probe, by a probe that may be answered until 1.35 s; at once if its port refuses connections, if it answers without knowing the attempt, or if the plan has dropped the group. A request that has not begun moves after the first probe without an answer, if it has an attempt and a retry left. The last attempt waits.

TestSilentEngineGoesOn failed before in "begun, goes on" (2 attempts in place of 1), and in "begun, last attempt", "not begun, last attempt" and "not begun, no retry left" (answers cut). TestAttemptsThatReachNoEngineDoNotCutAnAnswer failed with "t1 t2". The scene with half of the targets silent passes before and after: 0 begun answers cut and no group dropped in 3 silences of 15 s each.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,13 +13,17 @@
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
 	probeTimeout = time.Second
+	// deadAfter is the time without any sign of life after which an engine that does not answer counts as dead. Sound ones may
+	// be silent for about a second.
+	deadAfter = 1100 * time.Millisecond
 	// stragglerFactor, multiplied by the silence limit, is how long a live engine may make no progress.
-	stragglerFactor = 5
+	stragglerFactor = 12
 	// abandonAfter is how long a request continues after its caller has disconnected; the caller may resume the stream.
 	abandonAfter = 30 * time.Second
 	maxDeaths    = 4096
@@ -39,11 +44,13 @@
 		Probe:       a.control.RequestStatus,
 		Cancel:      a.control.Cancel,
 		GroupDied:   a.groupDied,
+		GroupLost:   a.groupLost,
 		ReportDeath: a.reportDeath,
 		Poisoned:    a.poisoned,
 		Survived:    a.recordSurvival,
 		TakeRetry:   a.owner.TakeRetry,
-		MaxAttempts: a.Settings.MaxAttempts, SilenceAfter: a.Settings.SilenceAfter, ProbeTimeout: probeTimeout,
+		MaxAttempts: a.Settings.MaxAttempts, SilenceAfter: a.Settings.SilenceAfter,
+		DeadAfter: max(deadAfter, a.Settings.SilenceAfter), ProbeTimeout: probeTimeout,
 		StragglerAfter: stragglerFactor * a.Settings.SilenceAfter, AbandonAfter: abandonAfter,
 	}
 }
@@ -67,6 +74,16 @@
 	}()
 }
 
+// groupLost reports whether the plan no longer has a group, or lists a member as unresponsive.
+func (a *App) groupLost(slot rudderstream.Slot) bool {
+	plan, known := a.fleet.Plan(slot.Domain)
+	i := slices.IndexFunc(plan.Groups, func(g ruddergroup.Group) bool { return g.ID == slot.Group })
+	if i < 0 {
+		return known
+	}
+	return slices.ContainsFunc(plan.Groups[i].Members, func(m ruddergroup.Member) bool { return slices.Contains(plan.Unresponsive, m.Host) })
+}
+
 // groupDied queries the members of a group for their incarnations, and reports whether a member is unreachable or has
 // restarted since it joined. A member that does not respond in time counts as paused, not as dead.
 func (a *App) groupDied(ctx context.Context, slot rudderstream.Slot) bool {
--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -3,23 +3,12 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
-var (
-	errSilent    = errors.New("stream: connection silent")
-	errStraggler = errors.New("stream: engine makes no progress")
-	errAbandoned = errors.New("stream: no caller reads the answer")
-)
-
-// aheadDivisor divides the silence limit while the engine is ahead: the connection gets that time to deliver
-// tokens that the engine has already produced.
-const aheadDivisor = 8
-
 // readResult is an event or an error from the goroutine that reads a stream.
 type readResult struct {
 	event Event
@@ -43,12 +32,11 @@
 		stream, err := s.Engine.Open(openContext, slot.Address, s.request.Body, extension)
 		result <- opened{stream, err}
 	}()
-	waitStart := s.Clock.Now()
+	silence := s.watchSilence(slot, true)
+	defer silence.stop()
 	for {
-		timer := s.Clock.NewTimer(s.silenceLimit())
 		select {
 		case o := <-result:
-			timer.Stop()
 			if o.err != nil {
 				cancel()
 				return nil, o.err
@@ -56,13 +44,14 @@
 			closeStream := o.stream.Close
 			o.stream.Close = func() { cancel(); closeStream() }
 			return o.stream, nil
-		case <-timer.Chan():
-			if err := s.checkSilentEngine(ctx, slot, waitStart); err != nil {
+		case <-silence.timer.Chan():
+			silence.probe(ctx)
+		case r := <-silence.results:
+			if err := silence.judge(r); err != nil {
 				cancel()
 				return nil, err
 			}
 		case <-ctx.Done():
-			timer.Stop()
 			cancel()
 			return nil, errors.Mark(ctx.Err(), ErrBroken)
 		}
@@ -73,30 +62,29 @@
 func (s *run) read(ctx context.Context, slot Slot, stream *Stream) error {
 	events := make(chan readResult)
 	go readEvents(ctx, stream, events)
-	progress := s.Clock.Now()
+	silence := s.watchSilence(slot, false)
+	defer silence.stop()
 	for {
-		timer := s.Clock.NewTimer(s.silenceLimit())
 		select {
 		case r := <-events:
-			timer.Stop()
-			s.engineAhead = false
 			if complete, err := s.handleRead(r); complete || err != nil {
 				return err
 			}
-			progress = s.Clock.Now()
-			if s.answer.abandoned(progress, s.AbandonAfter) {
+			silence.event()
+			if s.answer.abandoned(silence.progress, s.AbandonAfter) {
 				return errAbandoned
 			}
-		case <-timer.Chan():
+		case <-silence.timer.Chan():
 			if s.pendingResult != nil {
 				s.completeAnswer(0)
 				return nil
 			}
-			if err := s.checkSilentEngine(ctx, slot, progress); err != nil {
+			silence.probe(ctx)
+		case r := <-silence.results:
+			if err := silence.judge(r); err != nil {
 				return err
 			}
 		case <-ctx.Done():
-			timer.Stop()
 			return errors.Mark(ctx.Err(), ErrBroken)
 		}
 	}
@@ -116,14 +104,6 @@
 	return false, err
 }
 
-// silenceLimit returns the time without an event after which the engine is probed.
-func (s *run) silenceLimit() time.Duration {
-	if s.engineAhead {
-		return s.SilenceAfter / aheadDivisor
-	}
-	return s.SilenceAfter
-}
-
 // readEvents reads the stream until it ends or the context does.
 func readEvents(ctx context.Context, stream *Stream, events chan<- readResult) {
 	for {
@@ -196,29 +176,3 @@
 		s.Survived(s.request)
 	}
 }
-
-// checkSilentEngine probes a silent engine on a new connection. It returns nil if the engine is alive and
-// only slow: it has queued the request, or has produced no more tokens than were received.
-func (s *run) checkSilentEngine(ctx context.Context, slot Slot, progress time.Time) error {
-	if s.answer.abandoned(s.Clock.Now(), s.AbandonAfter) {
-		return errAbandoned
-	}
-	probeContext, cancel := context.WithTimeout(ctx, s.ProbeTimeout)
-	defer cancel()
-	status, err := s.Probe(probeContext, slot.Address, s.request.ID)
-	switch {
-	case err != nil:
-		return errors.Mark(errors.Wrap(err, "probing the engine"), errSilent)
-	case status.Attempt != s.attempt:
-		return errors.Mark(errors.New("the engine runs another attempt"), errSilent)
-	case status.Done || status.Generated > s.answer.Received():
-		// A token may be in transit, so the connection gets one more short interval.
-		if s.engineAhead {
-			return errors.Mark(errors.New("the engine is ahead of the connection"), errSilent)
-		}
-		s.engineAhead = true
-	case !status.Queued && s.Clock.Since(progress) > s.StragglerAfter:
-		return errStraggler
-	}
-	return nil
-}
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -32,6 +32,8 @@
 	// GroupDied reports whether the process of one of the group's members has died since the slot was
 	// acquired.
 	GroupDied func(ctx context.Context, slot Slot) bool
+	// GroupLost reports whether the planner has found that the group lost a member. Optional.
+	GroupLost func(slot Slot) bool
 	// ReportDeath shares the suspicion that a request killed a group. begun is set if the group had just begun the
 	// answer. It returns when the other entry hosts have been notified, or after a bounded time.
 	ReportDeath func(ctx context.Context, q Request, slot Slot, begun bool)
@@ -45,7 +47,9 @@
 
 	MaxAttempts  int
 	SilenceAfter time.Duration // time without a token after which the engine is probed
-	ProbeTimeout time.Duration
+	// DeadAfter is the time without any sign of life after which an engine that does not answer counts as dead.
+	DeadAfter    time.Duration
+	ProbeTimeout time.Duration // of requests to cancel an attempt
 	// StragglerAfter is the time without progress after which an attempt at a live engine is cancelled.
 	StragglerAfter time.Duration
 	// AbandonAfter is how long a request keeps running after its last caller has left.
@@ -69,7 +73,8 @@
 	answer        *Answer
 	attempt       int
 	sent          bool    // a byte of the request may have reached a target
-	engineAhead   bool    // at the last probe the engine had produced more than was received
+	sends         int     // attempts that may have reached a target, the current one included
+	retryTaken    bool    // a retry was taken from the budget for the next attempt
 	pendingResult *Result // set with the last token, until the usage arrives
 	excluded      []string
 	timing        Timing
@@ -89,6 +94,12 @@
 			a.Finish(result)
 			break
 		}
+		if state.attempt >= r.MaxAttempts {
+			select {
+			case <-ctx.Done():
+			case <-r.Clock.After(resumeInterval):
+			}
+		}
 	}
 	state.timing.Attempts = state.attempt
 	state.timing.Tokens = a.Received()
@@ -162,13 +173,18 @@
 	if err := s.Permit(); err != nil && s.answer.Received() == 0 {
 		return &Refusal{Code: CodeNotReady, Message: err.Error(), RetryAfter: time.Second}
 	}
-	s.engineAhead, s.pendingResult, s.attemptTokens = false, nil, 0
+	s.pendingResult, s.attemptTokens, s.retryTaken = nil, 0, false
 	received, text := s.answer.StartAttempt(s.attempt)
 	attemptContext, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.sends++
 	stream, err := s.open(attemptContext, slot, received, text)
 	if err != nil {
-		s.sent = s.sent || !isNotSent(err)
+		if isNotSent(err) {
+			s.sends--
+		} else {
+			s.sent = true
+		}
 		return err
 	}
 	s.sent = true
@@ -207,15 +223,30 @@
 		return s.failure(CodeBadRequest, err.Error(), 0), true
 	case errors.Is(err, errAbandoned) || ctx.Err() != nil:
 		return s.failure(CodeAbandoned, "the caller left and did not come back", 0), true
-	case s.attempt >= s.MaxAttempts:
+	case s.attemptsSpent():
 		return s.failure(CodeRetryExhausted, err.Error(), time.Second), true
-	case s.answer.Received() == 0 && !s.TakeRetry():
-		// A stream that has begun is resumed regardless of the budget: its caller waits for the rest.
+	case !s.takeRetry():
 		return s.failure(CodeTargetFailed, "retry budget spent: "+err.Error(), time.Second), true
 	}
 	return Result{}, false
 }
 
+// attemptsSpent reports whether no attempt is left after the current one. For an answer that has begun, attempts that did
+// not reach a target do not count for some time: its caller cannot get the rest elsewhere.
+func (s *run) attemptsSpent() bool {
+	if s.answer.Received() == 0 || s.Clock.Since(s.lastToken) >= resumeWait {
+		return s.attempt >= s.MaxAttempts
+	}
+	return s.sends >= s.MaxAttempts
+}
+
+// takeRetry takes a retry from the budget, unless it has been taken for the next attempt. A stream that has begun is resumed
+// regardless of the budget: its caller waits for the rest.
+func (s *run) takeRetry() bool {
+	s.retryTaken = s.retryTaken || s.answer.Received() > 0 || s.TakeRetry()
+	return s.retryTaken
+}
+
 // failure returns a failed result. Its outcome depends on whether any byte may have reached a target.
 func (s *run) failure(code, message string, retryAfter time.Duration) Result {
 	outcome := OutcomeNotRun
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -469,3 +472,63 @@
 	_, _ = runRequest(t, r)
 	require.Equal(t, 1, survived)
 }
+
+// Guards against ending an attempt at an engine that is silent for a while: one that has begun the answer counts as dead only
+// after DeadAfter, or when its port refuses connections, and the last attempt waits.
+func TestSilentEngineGoesOn(t *testing.T) {
+	pause := func(after int, silence time.Duration) script {
+		return func(w http.ResponseWriter, x ruddertarget.WorkExtension, _ *http.Request) {
+			for seq := 1; seq <= after; seq++ {
+				writeToken(w, x, seq, "")
+			}
+			time.Sleep(silence)
+			x.ResumeAfter = after
+			tokens(5, 5)(w, x, nil)
+		}
+	}
+	timeout := fmt.Errorf("%w: %w", ruddertarget.ErrUnreachable, context.DeadlineExceeded)
+	refused := fmt.Errorf("%w: %w", ruddertarget.ErrUnreachable, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
+	tests := []struct {
+		name        string
+		first       script
+		probe       error
+		maxAttempts int
+		noBudget    bool
+		attempts    int
+		within      time.Duration
+	}{
+		{"begun, goes on", pause(2, 300*time.Millisecond), timeout, 4, false, 1, time.Second},
+		{"begun, does not go on", silent(2), timeout, 4, false, 2, 700 * time.Millisecond},
+		{"begun, refuses connections", silent(2), refused, 4, false, 2, 200 * time.Millisecond},
+		{"begun, last attempt", pause(2, time.Second), timeout, 1, false, 1, 2 * time.Second},
+		{"not begun", silent(0), timeout, 4, false, 2, 300 * time.Millisecond},
+		{"not begun, last attempt", pause(0, time.Second), timeout, 1, false, 1, 2 * time.Second},
+		{"not begun, no retry left", pause(0, time.Second), timeout, 4, true, 1, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := testRunner(newFakeEngine(t, test.first, tokens(5, 5)).address())
+			r.MaxAttempts, r.DeadAfter = test.maxAttempts, 400*time.Millisecond
+			r.TakeRetry = func() bool { return !test.noBudget }
+			r.Probe = func(context.Context, string, string) (ruddertarget.RequestStatus, error) {
+				return ruddertarget.RequestStatus{}, test.probe
+			}
+			begin := time.Now()
+			page, timing := runRequest(t, r)
+			require.Equal(t, expectedTokens(5), page.Tokens, page.Result.Message)
+			require.Equal(t, test.attempts, timing.Attempts)
+			require.Less(t, time.Since(begin), test.within)
+		})
+	}
+}
+
+// Guards against cutting an answer that has begun because its next engines cannot be connected to.
+func TestAttemptsThatReachNoEngineDoNotCutAnAnswer(t *testing.T) {
+	closed := newFakeEngine(t, tokens(5, 5))
+	address := closed.address()
+	closed.server.Close()
+	engine := newFakeEngine(t, tokens(2, 5), tokens(5, 5))
+	page, timing := runRequest(t, testRunner(engine.address(), address, address, address, engine.address()))
+	require.Equal(t, expectedTokens(5), page.Tokens, page.Result.Message)
+	require.Equal(t, 5, timing.Attempts)
+}
--- /dev/null
+++ b/rudderstand/rudderscene/silence_test.go
@@ -0,0 +1,272 @@
+package rudderscene
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderapp"
+	"comfreyrudder.example/rudderstand/ruddercaller"
+	"comfreyrudder.example/rudderstand/rudderengine"
+	"comfreyrudder.example/rudderstand/rudderfleetstand"
+	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderconfig"
+)
+
+// silences holds back the packets of silent targets: their connections live on without traffic, and new ones are not
+// accepted.
+type silences struct {
+	mu   sync.Mutex
+	ends map[string]chan struct{} // by address of a silent target
+}
+
+func (s *silences) set(address string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end, was := s.ends[address]
+	switch {
+	case silent && !was:
+		s.ends[address] = make(chan struct{})
+	case !silent && was:
+		delete(s.ends, address)
+		close(end)
+	}
+}
+
+// wait waits until the target is not silent. It returns false if the channel is closed first.
+func (s *silences) wait(address string, done <-chan struct{}) bool {
+	for {
+		s.mu.Lock()
+		end, silent := s.ends[address]
+		s.mu.Unlock()
+		if !silent {
+			return true
+		}
+		select {
+		case <-end:
+		case <-done:
+			return false
+		}
+	}
+}
+
+func (s *silences) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !s.wait(address, ctx.Done()) {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: conn, silences: s, address: address, closed: make(chan struct{})}, nil
+}
+
+type silentConn struct {
+	net.Conn
+	silences *silences
+	address  string
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.silences.wait(c.address, c.closed) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *silentConn) Write(b []byte) (int, error) {
+	if !c.silences.wait(c.address, c.closed) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// silentScene is a scene whose targets fall silent.
+type silentScene struct {
+	stopScene
+	silences silences
+	live     []*Entry // not stopping; guarded by stopScene.mu
+}
+
+// entry returns the address of an entry host that is not stopping.
+func (s *silentScene) entry(i int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live[i%len(s.live)].App.CallerAddress()
+}
+
+func startSilentScene(t *testing.T) *silentScene {
+	t.Helper()
+	location := Location{rudderfleetstand.RegionKigali, "kigali-1"}
+	s := &silentScene{silences: silences{ends: map[string]chan struct{}{}}}
+	s.results = map[string][]ruddercaller.Result{}
+	s.Scene = &Scene{
+		Fleet: &rudderfleetstand.Fleet{Layout: rudderfleetstand.Small()}, Locations: []Location{location, location, location},
+		Settings:     map[string]string{"entry-lifetime": "1s", "stop-grace": "10s"},
+		BeforeListen: func(_ int, app *rudderapp.App) { app.TargetDial = s.silences.dial },
+	}
+	if os.Getenv("SCENE_LOGS") != "" {
+		s.Logs = os.Stderr
+	}
+	t.Cleanup(s.Close)
+	require.NoError(t, s.Start())
+	awaitAnswers(t, s.Scene)
+	require.NoError(t, Await(20*time.Second, "five groups", func() bool { return len(plannedGroups(t, s.Scene)) == 5 }))
+	awaitAnswers(t, s.Scene)
+	s.live = s.Entries()
+	return s
+}
+
+// callAt starts a request at an entry host. It is sent again only if the entry host says that it did not run.
+func (s *silentScene) callAt(address, kind string, request func(context.Context, *ruddercaller.Caller) ruddercaller.Result) {
+	workspace := rudderfleetstand.WorkspaceName(rudderfleetstand.FirmUmuvumu, 1)
+	s.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		c := &ruddercaller.Caller{Key: rudderfleetstand.WorkspaceKey(workspace), Workspace: workspace, HTTP: http.DefaultClient, Record: s.recorder.Answer, MaxAttempts: 1}
+		r := request(ctx, c.UseEntry(address))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.results[kind] = append(s.results[kind], r)
+	})
+}
+
+func (s *silentScene) chatAt(address, name string, tokens int) {
+	s.callAt(address, "chat", func(ctx context.Context, c *ruddercaller.Caller) ruddercaller.Result {
+		return c.Chat(ctx, ruddercaller.Chat{Model: rudderfleetstand.ModelLedger, Prompt: name + rudderengine.LengthMark(tokens), MaxTokens: tokens, Stream: true})
+	})
+}
+
+// Half of the targets fall silent for a time and go on, again and again, beside changes of the configuration and planned
+// stops of entry hosts. Guards against answers that are cut, groups that are dropped and attempts that are spent
+// because of it.
+func TestSilentTargetsGoOn(t *testing.T) {
+	const period, length, interval = 2900 * time.Millisecond, 15 * time.Second, 120 * time.Millisecond
+	for _, silence := range []time.Duration{500 * time.Millisecond, 1100 * time.Millisecond, 1300 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			s := startSilentScene(t)
+			groups := plannedGroups(t, s.Scene)
+			ctx, cancel := context.WithTimeout(t.Context(), length)
+			defer cancel()
+			var background sync.WaitGroup
+			background.Go(func() { s.silenceHalf(ctx, silence, period) })
+			background.Go(func() { s.changeAndStop(ctx, t) })
+			for i := 0; ctx.Err() == nil; i++ {
+				name := fmt.Sprint("silence ", i, " ")
+				address := s.entry(i)
+				if i%4 == 3 {
+					s.callAt(address, "call", func(ctx context.Context, c *ruddercaller.Caller) ruddercaller.Result {
+						return c.Call(ctx, ruddercaller.Call{Service: rudderfleetstand.ServiceLedger, Method: http.MethodPost, Path: "/book", Body: name, Key: name})
+					})
+				} else {
+					s.chatAt(address, name, []int{20, 150, 300}[i%3])
+				}
+				time.Sleep(interval)
+			}
+			background.Wait()
+			s.running.Wait()
+			s.report(t)
+			require.Equal(t, groups, plannedGroups(t, s.Scene), "groups")
+			require.Empty(t, rudderoracle.Check(s.recorder.Evidence(s.Fleet.Fabric.Ledger.Runs(), s.Fleet.Calls.Calls())))
+		})
+	}
+}
+
+// report logs the outcomes, and fails the test for an answer that has begun and was cut.
+func (s *silentScene) report(t *testing.T) {
+	t.Helper()
+	outcomes, cut := map[string]int{}, 0
+	var longest time.Duration
+	for kind, results := range s.results {
+		for _, r := range results {
+			outcomes[kind+" "+r.Answer.Outcome+" "+r.Answer.Code]++
+			if r.Answer.Text != "" && r.Answer.Outcome != rudderoracle.OutcomeComplete {
+				cut++
+			}
+			for _, gap := range r.Gaps {
+				longest = max(longest, gap)
+			}
+		}
+	}
+	attempts := map[int]int{}
+	for _, run := range s.Fleet.Fabric.Ledger.Runs() {
+		attempts[run.Attempt]++
+	}
+	t.Logf("outcomes %v, begun answers cut %d, longest gap %v, runs by attempt %v", outcomes, cut, longest, attempts)
+	require.Zero(t, cut, "answers that have begun were cut")
+}
+
+// silenceHalf silences a random half of the targets in each period.
+func (s *silentScene) silenceHalf(ctx context.Context, silence, period time.Duration) {
+	random := rand.New(rand.NewPCG(45, 1))
+	var addresses []string
+	for _, h := range s.Fleet.Hosts {
+		addresses = append(addresses, h.Address)
+	}
+	slices.Sort(addresses)
+	for ctx.Err() == nil {
+		random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		half := addresses[:len(addresses)/2]
+		for _, a := range half {
+			s.silences.set(a, true)
+		}
+		time.Sleep(silence)
+		for _, a := range half {
+			s.silences.set(a, false)
+		}
+		time.Sleep(period - silence)
+	}
+}
+
+// changeAndStop changes the configuration and stops and replaces an entry host, in turn.
+func (s *silentScene) changeAndStop(ctx context.Context, t *testing.T) {
+	for i := 0; ctx.Err() == nil; i++ {
+		s.mu.Lock()
+		admin := &rudderadmin.Client{Addresses: []string{s.live[len(s.live)-1].App.AdminAddress()}, Token: rudderfleetstand.OperatorToken, HTTP: http.DefaultClient}
+		s.mu.Unlock()
+		selector := s.Fleet.Document.Selectors[slices.IndexFunc(s.Fleet.Document.Selectors, func(c rudderconfig.Selector) bool { return c.Service == "" })]
+		selector.Priority += 1 + i
+		if err := admin.Do(ctx, http.MethodPut, "/selectors/"+selector.Name, nil, 0, selector, &rudderadmin.ChangeResult{}); err != nil {
+			t.Log("change: ", err)
+		}
+		s.mu.Lock()
+		stopping := s.live[0]
+		s.live = slices.Clone(s.live[1:])
+		s.mu.Unlock()
+		if err := stopping.Stop(); err != nil {
+			t.Error(err)
+		}
+		next, err := s.StartEntry(i % len(s.Locations))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		s.mu.Lock()
+		s.live = append(s.live, next)
+		s.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+	}
+}
