Do not count a silent group as killed by its request

Two groups that were only silent for a second made the request count as poison: its answer was cut, and it was refused from then on. The question also delayed the next attempt by up to a second.

A member counts as dead only if its port refuses connections or another incarnation answers. What another entry host does not reach either is checked directly. Nothing is asked after an attempt that reached no target, or whose engine does not respond.

TestSilentGroupIsNotKilled failed before in "silent": died was true.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,7 +15,6 @@
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/ruddergroup"
-	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
@@ -84,8 +84,8 @@
 	return slices.ContainsFunc(plan.Groups[i].Members, func(m ruddergroup.Member) bool { return slices.Contains(plan.Unresponsive, m.Host) })
 }
 
-// groupDied queries the members of a group for their incarnations, and reports whether a member is unreachable or has
-// restarted since it joined. A member that does not respond in time counts as paused, not as dead.
+// groupDied queries the members of a group for their incarnations, and reports whether a member refuses connections or has
+// restarted since it joined. A member that does not respond counts as paused, not as dead.
 func (a *App) groupDied(ctx context.Context, slot rudderstream.Slot) bool {
 	plan, _ := a.fleet.Plan(slot.Domain)
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -100,9 +100,7 @@
 			probes++
 			go func() {
 				status, err := a.control.Status(ctx, m.Address)
-				gone := errors.Is(err, ruddertarget.ErrUnreachable) && ctx.Err() == nil &&
-					(errors.Is(err, rudderpath.ErrUnreachable) || !a.cutOff(slot.Domain))
-				died <- gone || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
+				died <- a.processGone(slot.Domain, m.Address, err) || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
 			}()
 		}
 	}
@@ -113,6 +111,15 @@
 	return dead
 }
 
+// processGone reports whether an error of a call to a target shows that its process is gone: its port refuses connections.
+// What another entry host does not reach either may be silent.
+func (a *App) processGone(domain, address string, err error) bool {
+	if errors.Is(err, rudderpath.ErrUnreachable) {
+		return a.paths.monitor.Recheck(a.pathTarget(address)) == rudderpath.Refused
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) && !a.cutOff(domain)
+}
+
 // poisoned reports whether a request is refused because of targets that died.
 func (a *App) poisoned(q rudderstream.Request) bool {
 	if a.suspects.poisoned(q.Fingerprint) {
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -133,7 +133,7 @@
 		s.Logger.Warn().Err(err).Str("request_id", s.request.ID).Int("attempt", s.attempt).
 			Str("group", slot.Group).Int("received", s.answer.Received()).Msg("attempt failed")
 	}
-	if groupFailed(err) && s.GroupDied(ctx, slot) {
+	if mayHaveKilled(err) && s.GroupDied(ctx, slot) {
 		s.ReportDeath(ctx, s.request, slot, s.attemptTokens < survivalTokens)
 	}
 	return err
@@ -271,6 +271,11 @@
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrBadRequest)
 }
 
+// mayHaveKilled reports whether an attempt that ended with the error may have killed a member of its group.
+func mayHaveKilled(err error) bool {
+	return groupFailed(err) && !errors.Is(err, ErrNotSent) && !errors.Is(err, errUnresponsive)
+}
+
 // groupFailed reports whether the error is a fault of the group.
 func groupFailed(err error) bool {
 	for _, fault := range []error{ErrNotSent, ErrBroken, ErrMalformed, ErrGap, errSilent, errStraggler} {
