End the probe of a silent engine when it counts as dead

A probe that fails is sent again through other entry hosts, after checks that do not end with its context. It ended up to 0.5 s late, and the stream of an engine that was lost for good waited as long.

--- a/rudderd/rudderstream/silence.go
+++ b/rudderd/rudderstream/silence.go
@@ -71,14 +71,26 @@
 
 // probe starts a probe. It ends when the engine counts as dead if it does not answer.
 func (w *silence) probe(ctx context.Context) {
-	timeout := max(decidingTime, w.DeadAfter+decidingTime-w.Clock.Since(w.heard))
+	timeout := w.DeadAfter + decidingTime - w.Clock.Since(w.heard)
+	if timeout <= 0 {
+		timeout = decidingTime
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
-	results := make(chan probeResult, 1)
+	answered, results := make(chan probeResult, 1), make(chan probeResult, 1)
 	w.results, w.cancel = results, cancel
+	address, id := w.slot.Address, w.request.ID
+	go func() {
+		status, err := w.Probe(ctx, address, id)
+		answered <- probeResult{status, err}
+	}()
 	go func() {
 		defer cancel()
-		status, err := w.Probe(ctx, w.slot.Address, w.request.ID)
-		results <- probeResult{status, err}
+		select {
+		case r := <-answered:
+			results <- r
+		case <-ctx.Done(): // a probe may end later, when it looks for another path
+			results <- probeResult{err: ctx.Err()}
+		}
 	}()
 }
 
--- a/rudderstand/rudderscene/silence_test.go
+++ b/rudderstand/rudderscene/silence_test.go
@@ -270,3 +270,42 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// Guards against streams that wait long for targets that are lost for good.
+func TestLostTargetsAreRepairedSoon(t *testing.T) {
+	const limit, tokens = 1500 * time.Millisecond, 250
+	for _, test := range []struct {
+		name string
+		lose func(s *silentScene, host *rudderfleetstand.Host)
+	}{
+		{"killed", func(_ *silentScene, host *rudderfleetstand.Host) { host.Engine.Kill() }},
+		{"restarted", func(_ *silentScene, host *rudderfleetstand.Host) { _ = host.Engine.Restart() }},
+		{"silent for good", func(s *silentScene, host *rudderfleetstand.Host) { s.silences.set(host.Address, true) }},
+		{"open connections silent for good", func(_ *silentScene, host *rudderfleetstand.Host) { host.Engine.StallConnections() }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startSilentScene(t)
+			for i := range 8 {
+				s.chatAt(s.entry(i), fmt.Sprint("loss ", i, " "), tokens)
+			}
+			time.Sleep(time.Second)
+			runs := s.Fleet.Fabric.Ledger.Runs()
+			lost, on := runs[len(runs)-1].Host, 0
+			for _, r := range runs {
+				if r.Host == lost && r.End.IsZero() {
+					on++
+				}
+			}
+			test.lose(s, s.Fleet.Host(lost))
+			s.running.Wait()
+			var longest time.Duration
+			for _, r := range s.results["chat"] {
+				require.Equal(t, rudderoracle.OutcomeComplete, r.Answer.Outcome, "%+v", r.Answer)
+				longest = max(longest, slices.Max(r.Gaps))
+			}
+			t.Logf("%d streams on the lost group, longest gap %v", on, longest)
+			require.Positive(t, on)
+			require.Less(t, longest, limit)
+		})
+	}
+}
