Keep calls at services that are silent for a while, and move them from lost ones

A call to a plain service was cut when two probes, 3 s apart, found no answer, whatever came between: a sound target that is silent for 1.1 s in every 2.9 s could hit both. A repeatable call at a target that was lost or hung moved only after 6 s, and was cut also when there was nowhere to move.

A target counts as silent only while it answers no probe: a probe that failed is repeated. A once-only call ends after 3 s without an answer, or two reports that nothing runs, as before. A repeatable call is probed every 0.8 s and moves when its target is silent for 1.35 s or reports twice that nothing runs, if a retry and another target are left; otherwise it waits like a once-only one. Each attempt has its own slot, because the next one is acquired before the last one ends.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -139,7 +139,8 @@
 	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
 	defer cancel()
 	slot, err := a.owner.Acquire(wait, rudderowner.Work{
-		RequestID: call.RequestID, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		// Each attempt has its own slot ID, because the slot of the previous attempt may still be held.
+		RequestID: call.RequestID + "#" + strconv.Itoa(len(exclude)), Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
 		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.queueDeadline(a.Clock.Now()),
 		Avoid: a.groupsAt(exclude),
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -34,8 +34,9 @@
 	}
 }
 
-// attempt sends the call to one target and reads the whole response.
-func (d *Dispatcher) attempt(ctx context.Context, transport http.RoundTripper, address string, call *Call) Result {
+// attempt sends the call to one target and reads the whole response. If move is not nil and the target is silent, it is called
+// to find another target, and the attempt ends if there is one.
+func (d *Dispatcher) attempt(ctx context.Context, transport http.RoundTripper, address string, call *Call, move func(context.Context) bool) Result {
 	if d.CheckPermit != nil {
 		if err := d.CheckPermit(); err != nil {
 			return notRun(http.StatusServiceUnavailable, CodeNoPermit, err.Error())
@@ -49,10 +50,16 @@
 	if err != nil {
 		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
 	}
-	if d.Probe != nil {
-		go d.probeUntilSilent(ctx, cancel, address)
-	}
+	probes := make(chan struct{})
+	go func() {
+		defer close(probes)
+		if d.Probe != nil {
+			d.probeUntilSilent(ctx, cancel, address, move)
+		}
+	}()
 	result := d.exchange(ctx, transport, request, &connection)
+	cancel(nil)
+	<-probes
 	result.Target = address
 	return result
 }
@@ -131,26 +138,87 @@
 	return notRun(status, code, err.Error())
 }
 
-// probeUntilSilent probes the target while the call is open. It cancels the call with errSilent after two
-// consecutive probes that failed or reported no running and no waiting requests although the call is open.
-func (d *Dispatcher) probeUntilSilent(ctx context.Context, cancel context.CancelCauseFunc, address string) {
-	const maxSilentProbes = 2
-	for silent := 0; silent < maxSilentProbes; {
+const (
+	// movableProbeInterval bounds the wait before each probe of a target whose call can be sent elsewhere.
+	movableProbeInterval = 800 * time.Millisecond
+	// deadAfter is the time without any sign of life after which a target that does not answer counts as dead. Sound ones may
+	// be silent for about a second. The last probe may be answered for decidingTime more.
+	deadAfter    = 1100 * time.Millisecond
+	decidingTime = 250 * time.Millisecond
+	// probePause is the time between a probe that failed early and the next one.
+	probePause = 50 * time.Millisecond
+	// maxIdleProbes is the number of consecutive probes with which a target shows that it does not run the call.
+	maxIdleProbes = 2
+)
+
+// probeUntilSilent probes the target while the call is open. It cancels the call with errSilent when the target has answered no
+// probe for an interval, or has reported twice that no request runs or waits. A call that can be moved to another target is
+// cancelled when this one counts as dead.
+func (d *Dispatcher) probeUntilSilent(ctx context.Context, cancel context.CancelCauseFunc, address string, move func(context.Context) bool) {
+	interval := d.ProbeInterval
+	if move != nil {
+		interval = min(interval, movableProbeInterval)
+	}
+	var silentSince time.Time // start of the first of the probes that have failed
+	idle := 0
+	for wait := interval; ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-d.Clock.After(d.ProbeInterval):
+		case <-d.Clock.After(wait):
+		}
+		dead := d.ProbeInterval
+		if move != nil {
+			dead = min(dead, deadAfter+decidingTime)
+		}
+		if silentSince.IsZero() {
+			silentSince = d.Clock.Now()
+		}
+		status, err := d.probe(ctx, address, max(dead-d.Clock.Since(silentSince), decidingTime))
+		if ctx.Err() != nil {
+			return
+		}
+		silent := d.Clock.Since(silentSince)
+		wait = interval
+		switch {
+		case err != nil:
+			wait = min(interval, probePause)
+		case status.Load.Running+status.Load.Waiting > 0:
+			silentSince, idle = time.Time{}, 0
+		default:
+			silentSince = time.Time{}
+			idle++
 		}
-		probeCtx, cancelProbe := context.WithTimeout(ctx, d.ConnectTimeout)
-		status, err := d.Probe(probeCtx, address)
-		cancelProbe()
-		if err == nil && status.Load.Running+status.Load.Waiting > 0 {
-			silent = 0
+		if idle < maxIdleProbes && (err == nil || silent < dead-wait) {
 			continue
 		}
-		silent++
+		if move == nil || move(ctx) {
+			cancel(errSilent)
+			return
+		}
+		move, interval, idle = nil, d.ProbeInterval, 0
+	}
+}
+
+// probe reads the status of a target. It returns at the end of the timeout, even while another path to it is looked for.
+func (d *Dispatcher) probe(ctx context.Context, address string, timeout time.Duration) (ruddertarget.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, d.ConnectTimeout))
+	type answer struct {
+		status ruddertarget.Status
+		err    error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		status, err := d.Probe(ctx, address)
+		answered <- answer{status, err}
+	}()
+	defer cancel()
+	select {
+	case a := <-answered:
+		return a.status, a.err
+	case <-ctx.Done():
+		return ruddertarget.Status{}, ctx.Err()
 	}
-	cancel(errSilent)
 }
 
 // newTargetRequest builds the request to a target, without the caller's credentials.
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -197,7 +197,7 @@
 		return noTarget(err)
 	}
 	defer release()
-	return d.attempt(ctx, d.fresh, address, call)
+	return d.attempt(ctx, d.fresh, address, call, nil)
 }
 
 func noTarget(err error) Result {
@@ -212,22 +212,38 @@
 func (d *Dispatcher) doIdempotent(ctx context.Context, call *Call) Result {
 	var tried []string
 	var last Result
+	address, release, err := d.AcquireTarget(ctx, call, nil)
+	if err != nil {
+		return noTarget(err)
+	}
 	for {
-		address, release, err := d.AcquireTarget(ctx, call, tried)
-		if err != nil {
-			if len(tried) == 0 {
-				return noTarget(err)
+		tried = append(slices.Clone(tried), address)
+		var next string
+		var releaseNext func()
+		result := d.attempt(ctx, d.idempotentTransport(address), address, call, func(ctx context.Context) bool {
+			if !d.TakeRetry() {
+				return false
 			}
-			return last
-		}
-		result := d.attempt(ctx, d.idempotentTransport(address), address, call)
+			other, releaseOther, err := d.AcquireTarget(ctx, call, tried)
+			next, releaseNext = other, releaseOther
+			return err == nil
+		})
 		release()
 		last = mergeOutcome(last, result)
+		moved := releaseNext != nil
 		final := result.Outcome == OutcomeComplete || result.Code == CodeAnswerTooLarge || result.Code == CodeBadRequest
-		if final || ctx.Err() != nil || !d.TakeRetry() {
+		if final || ctx.Err() != nil || !moved && !d.TakeRetry() {
+			if moved {
+				releaseNext()
+			}
 			return last
 		}
-		tried = append(slices.Clone(tried), address)
+		if !moved {
+			if next, releaseNext, err = d.AcquireTarget(ctx, call, tried); err != nil {
+				return last
+			}
+		}
+		address, release = next, releaseNext
 	}
 }
 
