Add targets that hang to the stand-ins, and ask engines that do not know an attempt again soon

The fault "hang" makes an engine or a plain service accept requests and never answer them, while it reports that it is sound. A request that an engine does not know was asked for again only after 0.8 s, because it may arrive after the probe; 0.25 s are enough.

--- a/rudderd/rudderstream/silence.go
+++ b/rudderd/rudderstream/silence.go
@@ -105,7 +105,7 @@
 	wait, err := w.SilenceAfter, error(nil)
 	switch unknown := errors.Is(r.err, ruddertarget.ErrNotFound) || r.err == nil && r.status.Attempt != w.attempt; {
 	case unknown:
-		err = w.judgeUnknown(now)
+		wait, err = decidingTime, w.judgeUnknown(now)
 	case errors.Is(r.err, syscall.ECONNREFUSED):
 		return errors.Mark(errors.Wrap(r.err, "probing the engine"), errSilent)
 	case r.err != nil:
--- a/rudderstand/rudderbackend/backend.go
+++ b/rudderstand/rudderbackend/backend.go
@@ -54,6 +54,7 @@
 	dead       bool
 	resumed    chan struct{} // closed on Resume; nil unless paused
 	leaving    bool
+	hang       bool
 	delay      time.Duration
 	killBefore int
 	killAfter  int
@@ -157,6 +158,10 @@
 		rudderrole.WriteNotRun(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
+	if b.hangs() {
+		<-r.Context().Done()
+		return
+	}
 	sum := sha256.Sum256(body)
 	call := Call{
 		RequestID: r.Header.Get(HeaderRequestID), IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
--- a/rudderstand/rudderbackend/faults.go
+++ b/rudderstand/rudderbackend/faults.go
@@ -73,6 +73,20 @@
 	b.delay = delay
 }
 
+// SetHang makes the process accept calls and neither run nor answer them, while it reports that it is sound, or ends that for
+// new calls.
+func (b *Backend) SetHang(hang bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hang = hang
+}
+
+func (b *Backend) hangs() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hang
+}
+
 // SetLeaving sets the leaving flag in the status.
 func (b *Backend) SetLeaving(leaving bool) {
 	b.mu.Lock()
--- a/rudderstand/rudderengine/serve.go
+++ b/rudderstand/rudderengine/serve.go
@@ -40,6 +40,10 @@
 		rudderrole.WriteNotRun(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
+	if e.hangs() {
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set(ruddertarget.HeaderRequestID, request.RequestID)
 	w.Header().Set(ruddertarget.HeaderAttempt, strconv.Itoa(request.Attempt))
 	work := newRun(request.WorkExtension, ruddertarget.PromptText(request.Messages), request.limit())
--- a/rudderstand/rudderengine/stream_faults.go
+++ b/rudderstand/rudderengine/stream_faults.go
@@ -11,6 +11,7 @@
 	crashMarker   string
 	malformedNext int
 	staleChunks   bool
+	hang          bool
 	requestLimit  string
 }
 
@@ -53,6 +54,20 @@
 	e.faults.staleChunks = stale
 }
 
+// SetHang makes the process accept requests and never answer them, while it reports that it is sound, or ends that for new
+// requests.
+func (e *Engine) SetHang(hang bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.hang = hang
+}
+
+func (e *Engine) hangs() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.hang
+}
+
 // malformedAt and staleEvery are the positions of injected chunks in a stream, which starts with some good
 // chunks.
 const (
--- a/rudderstand/rudderscene/silence_test.go
+++ b/rudderstand/rudderscene/silence_test.go
@@ -19,6 +19,7 @@
 	"comfreyrudder.example/rudderstand/rudderengine"
 	"comfreyrudder.example/rudderstand/rudderfleetstand"
 	"comfreyrudder.example/rudderstand/rudderoracle"
+	"comfreyrudder.example/rudderstand/rudderswitch"
 	"comfreyrudder.example/shared/rudderadmin"
 	"comfreyrudder.example/shared/rudderconfig"
 )
@@ -118,13 +119,15 @@
 	return s.live[i%len(s.live)].App.CallerAddress()
 }
 
-func startSilentScene(t *testing.T) *silentScene {
+func startSilentScene(t *testing.T, change func(*rudderfleetstand.Layout)) *silentScene {
 	t.Helper()
+	layout := rudderfleetstand.Small()
+	change(&layout)
 	location := Location{rudderfleetstand.RegionKigali, "kigali-1"}
 	s := &silentScene{silences: silences{ends: map[string]chan struct{}{}}}
 	s.results = map[string][]ruddercaller.Result{}
 	s.Scene = &Scene{
-		Fleet: &rudderfleetstand.Fleet{Layout: rudderfleetstand.Small()}, Locations: []Location{location, location, location},
+		Fleet: &rudderfleetstand.Fleet{Layout: layout}, Locations: []Location{location, location, location},
 		Settings:     map[string]string{"entry-lifetime": "1s", "stop-grace": "10s"},
 		BeforeListen: func(_ int, app *rudderapp.App) { app.TargetDial = s.silences.dial },
 	}
@@ -134,7 +137,8 @@
 	t.Cleanup(s.Close)
 	require.NoError(t, s.Start())
 	awaitAnswers(t, s.Scene)
-	require.NoError(t, Await(20*time.Second, "five groups", func() bool { return len(plannedGroups(t, s.Scene)) == 5 }))
+	planned := layout.Document.Selectors[0].WantedGroups + len(layout.Services)
+	require.NoError(t, Await(20*time.Second, "groups", func() bool { return len(plannedGroups(t, s.Scene)) == planned }))
 	awaitAnswers(t, s.Scene)
 	s.live = s.Entries()
 	return s
@@ -167,7 +171,7 @@
 	const period, length, interval = 2900 * time.Millisecond, 15 * time.Second, 120 * time.Millisecond
 	for _, silence := range []time.Duration{500 * time.Millisecond, 1100 * time.Millisecond, 1300 * time.Millisecond} {
 		t.Run(silence.String(), func(t *testing.T) {
-			s := startSilentScene(t)
+			s := startSilentScene(t, func(*rudderfleetstand.Layout) {})
 			groups := plannedGroups(t, s.Scene)
 			ctx, cancel := context.WithTimeout(t.Context(), length)
 			defer cancel()
@@ -284,7 +288,7 @@
 		{"open connections silent for good", func(_ *silentScene, host *rudderfleetstand.Host) { host.Engine.StallConnections() }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s := startSilentScene(t)
+			s := startSilentScene(t, func(*rudderfleetstand.Layout) {})
 			for i := range 8 {
 				s.chatAt(s.entry(i), fmt.Sprint("loss ", i, " "), tokens)
 			}
@@ -309,3 +313,66 @@
 		})
 	}
 }
+
+// A third of the targets accept requests and never answer them, for a time in each period, while they report that they are
+// sound. Guards against requests that wait for such a target until their callers leave, and against once-only calls that are
+// sent twice or reported as not run.
+func TestHangingTargets(t *testing.T) {
+	const hang, period, length, interval = 1200 * time.Millisecond, 2900 * time.Millisecond, 12 * time.Second, 100 * time.Millisecond
+	const chatLimit, callLimit = 3 * time.Second, 8 * time.Second
+	s := startSilentScene(t, func(l *rudderfleetstand.Layout) {
+		for i := range 2 {
+			more := l.Services[0]
+			more.Name = fmt.Sprint(more.Name, "-", i+2)
+			l.Services = append(l.Services, more)
+		}
+		l.Document.Services[0].Idempotent = []rudderconfig.IdempotencyRule{{Method: http.MethodGet, Path: "/balance/*"}}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	hosts := slices.Clone(s.Fleet.Hosts)
+	random := rand.New(rand.NewPCG(45, 2))
+	s.running.Go(func() {
+		for ctx.Err() == nil {
+			random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+			for _, off := range []bool{false, true} {
+				for _, h := range hosts[:len(hosts)/3] {
+					if err := h.Set(rudderswitch.Fault{Kind: rudderswitch.KindHang, Off: off}); err != nil {
+						t.Error(err)
+					}
+				}
+				if off {
+					time.Sleep(period - hang)
+				} else {
+					time.Sleep(hang)
+				}
+			}
+		}
+	})
+	for i := 0; ctx.Err() == nil; i++ {
+		name := fmt.Sprint("hang ", i, " ")
+		call := ruddercaller.Call{Service: rudderfleetstand.ServiceLedger, Method: http.MethodPost, Path: "/book", Body: name, Key: name}
+		kind := "once-only"
+		if i%2 == 0 {
+			kind, call = "repeatable", ruddercaller.Call{Service: rudderfleetstand.ServiceLedger, Method: http.MethodGet, Path: fmt.Sprint("/balance/", i), Idempotent: true}
+		}
+		s.chatAt(s.entry(i), name, 15)
+		s.callAt(s.entry(i), kind, func(ctx context.Context, c *ruddercaller.Caller) ruddercaller.Result { return c.Call(ctx, call) })
+		time.Sleep(interval)
+	}
+	s.running.Wait()
+	s.report(t)
+	for kind, results := range s.results {
+		var longest time.Duration
+		for _, r := range results {
+			longest = max(longest, r.Answer.EndedAt.Sub(r.Answer.SentAt))
+		}
+		t.Logf("%s: %d sent, longest %v", kind, len(results), longest)
+		limit := chatLimit
+		if kind == "once-only" {
+			limit = callLimit
+		}
+		require.Less(t, longest, limit, kind)
+	}
+	require.Empty(t, rudderoracle.Check(s.recorder.Evidence(s.Fleet.Fabric.Ledger.Runs(), s.Fleet.Calls.Calls())))
+}
--- a/rudderstand/rudderswitch/fault.go
+++ b/rudderstand/rudderswitch/fault.go
@@ -40,6 +40,7 @@
 	KindStraggle    Kind = "straggle"     // slower by Factor; Off ends it
 	KindCrashMarker Kind = "crash_marker" // crash on prompts that contain Marker; Off ends it
 	KindMalform     Kind = "malform"      // malformed event in the next Count streams
+	KindHang        Kind = "hang"         // requests are accepted and never answered; Off ends it
 	KindStaleChunks Kind = "stale_chunks" // duplicates and chunks of earlier attempts; Off ends it
 )
 
@@ -104,6 +105,7 @@
 	SetBlocked(ip string, blocked bool)
 	StallConnections()
 	SetLeaving(leaving bool)
+	SetHang(hang bool)
 	Alive() bool
 	Close()
 }
@@ -144,6 +146,8 @@
 		t.StallConnections()
 	case KindLeaving:
 		t.SetLeaving(!f.Off)
+	case KindHang:
+		t.SetHang(!f.Off)
 	default:
 		if h.Engine != nil {
 			return setEngine(h.Engine, f)
