Form no group with a target that did not answer the last poll

A target that was silent at the last poll, and heard from in the last 3 s, joined new groups, whose other members then waited for it.

TestSilentHostJoinsNoGroup failed before: the new group had "h00", "h01", which were silent, in place of "h02", "h03".

--- a/rudderd/rudderallocator/form.go
+++ b/rudderd/rudderallocator/form.go
@@ -145,10 +145,10 @@
 	return members
 }
 
-// free reports whether a host can join a new group now: it is in no group, it answers polls, it is not leaving,
+// free reports whether a host can join a new group now: it is in no group, it answered the last poll, it is not leaving,
 // and it does not belong to an unlisted group that is still running.
 func (st *stepper) free(h rudderhost.Host, o Observation) bool {
-	if st.hosts.drainReason(h.Name) != "" || !o.fresh(st.in.Timing) || o.Dead(st.in.Timing) || o.Status.Leaving {
+	if st.hosts.drainReason(h.Name) != "" || !o.fresh(st.in.Timing) || o.Missed > 0 || o.Status.Leaving {
 		return false
 	}
 	for _, g := range st.groups {
--- a/rudderd/rudderallocator/step_test.go
+++ b/rudderd/rudderallocator/step_test.go
@@ -132,6 +132,20 @@
 	require.Empty(t, d.orders)
 }
 
+// Guards against a new group with a host that is silent for a while, for which the others wait.
+func TestSilentHostJoinsNoGroup(t *testing.T) {
+	d := newDomain(5)
+	d.tick()
+	d.silent["h00"], d.silent["h01"] = true, true
+	d.in.Config.Selectors = []rudderconfig.Selector{model("a", 2, 2, 0)}
+	d.tick()
+	require.Equal(t, []string{"h02", "h03"}, d.hostsOf(0))
+	require.Len(t, d.in.Plan.Groups, 1)
+	clear(d.silent)
+	d.ticks(2)
+	require.Equal(t, []ruddergroup.State{ruddergroup.StateServing, ruddergroup.StateServing}, d.states())
+}
+
 // Guards against reacting to a single missed poll, and against a replacement host that has to fetch weights
 // although a spare host has them.
 func TestDeadMemberIsReplaced(t *testing.T) {
