Send new work to groups whose members accept connections

A request to a target that did not accept connections was tried directly or through another entry host, for 0.25 s and more, and spent an attempt and a retry, although it was known that the target is silent. Slots are now acquired on other groups while there are any. Targets of fabric domains that this entry host does not reach at all are not avoided: others relay requests to them.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -81,7 +81,7 @@
 	}
 	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
 	defer cancel()
-	slot, err := a.owner.Acquire(wait, rudderowner.Work{
+	slot, err := a.acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the release of the previous attempt's slot may still be under way.
 		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
@@ -138,7 +138,7 @@
 	limit := a.callLimit(call, deadline)
 	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
 	defer cancel()
-	slot, err := a.owner.Acquire(wait, rudderowner.Work{
+	slot, err := a.acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the slot of the previous attempt may still be held.
 		RequestID: call.RequestID + "#" + strconv.Itoa(len(exclude)), Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -7,13 +7,16 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderowner"
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -114,6 +117,33 @@
 	return a.paths.monitor.Isolated() || a.paths.monitor.Cut(domain)
 }
 
+// silentGroups returns the groups with a member that does not accept connections.
+func (a *App) silentGroups() []string {
+	var groups []string
+	for _, t := range a.paths.monitor.Unreachable() {
+		plan, _ := a.fleet.Plan(t.Service)
+		for _, g := range plan.Groups {
+			if slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool { return m.Address == t.Address }) {
+				groups = append(groups, g.ID)
+			}
+		}
+	}
+	return groups
+}
+
+// acquire waits for a slot. It avoids silent groups if there are others.
+func (a *App) acquire(ctx context.Context, work rudderowner.Work) (*rudderowner.Slot, error) {
+	avoid := work.Avoid
+	silent := a.silentGroups()
+	work.Avoid = slices.Concat(avoid, silent)
+	slot, err := a.owner.Acquire(ctx, work)
+	if errors.Is(err, rudderowner.ErrNoGroup) && len(silent) > 0 {
+		work.Avoid = avoid
+		return a.owner.Acquire(ctx, work)
+	}
+	return slot, err
+}
+
 // dialTarget opens a connection to a target and records the result.
 func (a *App) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
 	dial, cancel := context.WithTimeout(ctx, linkTimeout)
--- a/rudderd/rudderpath/monitor.go
+++ b/rudderd/rudderpath/monitor.go
@@ -250,6 +250,21 @@
 	return !lost
 }
 
+// Unreachable returns the targets that this entry host does not reach, without those of services of which it reaches no
+// target: they may be reached through other entry hosts.
+func (m *Monitor) Unreachable() []Target {
+	m.mu.Lock()
+	var lost []Target
+	for _, x := range m.unreachable {
+		lost = append(lost, x.target)
+	}
+	m.mu.Unlock()
+	if len(lost) == 0 || m.Isolated() {
+		return nil
+	}
+	return slices.DeleteFunc(lost, func(t Target) bool { return m.Cut(t.Service) })
+}
+
 // ReachableName is Reachable for a target that is known by its name only.
 func (m *Monitor) ReachableName(target string) bool {
 	m.mu.Lock()
--- a/rudderstand/rudderscene/silence_test.go
+++ b/rudderstand/rudderscene/silence_test.go
@@ -376,3 +376,24 @@
 	}
 	require.Empty(t, rudderoracle.Check(s.recorder.Evidence(s.Fleet.Fabric.Ledger.Runs(), s.Fleet.Calls.Calls())))
 }
+
+// Guards against new requests that spend attempts at a target which is known to be silent.
+func TestNewRequestsAvoidSilentTargets(t *testing.T) {
+	const requests, limit, interval = 40, 4, 60 * time.Millisecond
+	s := startSilentScene(t, func(*rudderfleetstand.Layout) {})
+	runs := s.Fleet.Fabric.Ledger.Runs()
+	s.silences.set(s.Fleet.Host(runs[len(runs)-1].Host).Address, true)
+	for i := range requests {
+		s.chatAt(s.entry(0), fmt.Sprint("new ", i, " "), 5)
+		time.Sleep(interval)
+	}
+	s.running.Wait()
+	s.report(t)
+	later := 0
+	for _, r := range s.Fleet.Fabric.Ledger.Runs() {
+		if r.Attempt > 1 {
+			later++
+		}
+	}
+	require.Less(t, later, limit, "requests that spent an attempt")
+}
