--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -7,13 +7,16 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderowner"
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -22,6 +25,8 @@
 	linkTimeout = 250 * time.Millisecond
 	// relayDialTimeout bounds the set-up of a connection to an entry host that relays requests.
 	relayDialTimeout = 400 * time.Millisecond
+	// soundGroupWait is how long work waits for a group that is not silent before it takes any. Silent ones may go on soon.
+	soundGroupWait = 250 * time.Millisecond
 	// pathTargetsTTL is how long the list of targets is reused.
 	pathTargetsTTL = time.Second
 )
@@ -114,6 +119,36 @@
 	return a.paths.monitor.Isolated() || a.paths.monitor.Cut(domain)
 }
 
+// silentGroups returns the groups with a member that does not accept connections.
+func (a *App) silentGroups() []string {
+	var groups []string
+	for _, t := range a.paths.monitor.Unreachable() {
+		plan, _ := a.fleet.Plan(t.Service)
+		for _, g := range plan.Groups {
+			if slices.ContainsFunc(g.Members, func(m ruddergroup.Member) bool { return m.Address == t.Address }) {
+				groups = append(groups, g.ID)
+			}
+		}
+	}
+	return groups
+}
+
+// acquire waits for a slot. It avoids silent groups if others soon have room.
+func (a *App) acquire(ctx context.Context, work rudderowner.Work) (*rudderowner.Slot, error) {
+	if silent := a.silentGroups(); len(silent) > 0 {
+		first, until := work, a.Clock.Now().Add(soundGroupWait)
+		first.RequestID += "~" // its removal from a queue may still be under way later
+		first.Avoid = slices.Concat(work.Avoid, silent)
+		if first.Deadline.IsZero() || until.Before(first.Deadline) {
+			first.Deadline = until
+		}
+		if slot, err := a.owner.Acquire(ctx, first); err == nil || ctx.Err() != nil {
+			return slot, err
+		}
+	}
+	return a.owner.Acquire(ctx, work)
+}
+
 // dialTarget opens a connection to a target and records the result.
 func (a *App) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
 	dial, cancel := context.WithTimeout(ctx, linkTimeout)
