Read all records again without first reading the registrations

When a watch fails because the key-value service was restored or has compacted its history, an entry host reads all records anew. Before that it read the shared secret and the registrations from the service, one after the other, to learn whether it should copy the records from a watcher, which fleets of fewer than 48 hosts never do. Meanwhile the last sync grows old, and requests are refused with configuration_stale (TestRestoreInterruptsNobody): in one trace of "configuration has changed" the two reads took 735 ms of the 1.5 s for which 14 requests were refused, and the list itself 125 ms.

TestRecordsAreReadAgainWithoutFurtherCalls failed before (2 calls).

--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -33,12 +33,15 @@
 var errNoCopySource = errors.New("edge: no entry host to copy the snapshot from")
 
 // copyRecords implements rudderview.View.FetchRecords. It reads the few registrations of entry hosts from the key-value service,
-// and all other records from a watcher. It returns errNoCopySource on an entry host that is itself a watcher, and if the
-// fleet is too small.
+// unless they are known, and all other records from a watcher. It returns errNoCopySource on an entry host that is itself a
+// watcher, and if the fleet is too small.
 func (e *Edge) copyRecords(ctx context.Context) (rudderview.RecordSet, error) {
-	entries, err := e.registered(ctx)
-	if err != nil {
-		return rudderview.RecordSet{}, err
+	entries := e.view.Snapshot().EntryHosts
+	if _, synced := e.view.Staleness(); !synced || len(entries) == 0 {
+		var err error
+		if entries, err = e.registered(ctx); err != nil {
+			return rudderview.RecordSet{}, err
+		}
 	}
 	list := candidates(entries, e.Settings.Name, e.Settings.DataCentre)
 	if len(list) == 0 || len(entries) < copyMinEntries {
--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// The key-value service comes back and lacks the history that a watch needs. Guards against calls to it before the list of all
+// records, during which the known configuration becomes too old to serve with.
+func TestRecordsAreReadAgainWithoutFurtherCalls(t *testing.T) {
+	store := newMemoryStore()
+	for key, value := range map[string]string{rudderview.SecretKey: "secret", rudderview.EntryPrefix + "b": `{"Name":"b","Peer":"127.0.0.1:1"}`} {
+		_, err := store.Put(t.Context(), rudderstore.PutRequest{Key: key, Value: []byte(value)})
+		require.NoError(t, err)
+	}
+	var calls atomic.Int64
+	store.ListStale = func(ctx context.Context, prefix string) ([]rudderstore.Entry, int64, error) {
+		calls.Add(1)
+		return store.List(ctx, prefix)
+	}
+	e := edge("a", store)
+	e.Prepare()
+	go func() { _ = e.view.Run(t.Context()) }()
+	<-e.view.Synced()
+	require.Positive(t, calls.Swap(0))
+	_, err := e.copyRecords(t.Context())
+	require.ErrorIs(t, err, errNoCopySource)
+	require.Zero(t, calls.Load())
+}
+
 // Guards against an entry host that waits for ever at its start because the key-value service accepts calls but does not
 // respond.
 func TestCopyEndsIfServiceDoesNotRespond(t *testing.T) {
