Serve as in an outage until the first answer after it has been applied

While the key-value service does not answer, an entry host serves with a configuration of any age, since nobody can change it. The service counted as answering again before its answer was applied and the sync recorded: for as long as that takes (5 to 93 ms in traces beside load) the last sync was as old as the outage, and requests were refused with configuration_stale. In four traces of TestRestoreInterruptsNobody with a single refusal, three came right before "all records read", at ages of 2,095 to 2,639 ms, and one in the 13 ms around it. The flag now ends after the sync, and requests read it before the age, so that its end does not fall between the two.

TestServiceIsUnreachableUntilItsAnswerIsApplied failed before in all three rows ("the last sync is old").

--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -297,8 +297,9 @@
 // routingCurrent reports whether requests may be decided by the known routing document: the last read of it
 // is recent enough, or the key-value service does not answer, so that nobody can change the document.
 func (f *Forwarder) routingCurrent() bool {
+	unreachable := f.View.Unreachable() // ends after a sync, so it is read first
 	age, ok := f.View.Staleness()
-	return ok && (f.MaxStaleness == 0 || age <= f.MaxStaleness || f.View.Unreachable())
+	return ok && (f.MaxStaleness == 0 || age <= f.MaxStaleness || unreachable)
 }
 
 // MayServe reports whether this entry host may serve requests; keyed is set if they need a key.
--- a/rudderd/rudderview/staleness_test.go
+++ b/rudderd/rudderview/staleness_test.go
@@ -37,3 +37,49 @@
 	}
 	require.LessOrEqual(t, most, OutageDetectionTime)
 }
+
+// Guards against requests that are refused at the end of an outage because the service answers again, but its answer has not
+// been applied yet.
+func TestServiceIsUnreachableUntilItsAnswerIsApplied(t *testing.T) {
+	entry := rudderstore.Entry{Key: "routing", Value: []byte("x"), Revision: 2}
+	for _, test := range []struct {
+		name string
+		read func(v *View) error
+	}{
+		{"list", func(v *View) error { return v.list(t.Context(), false) }},
+		{"watch", func(v *View) error { return v.watch(t.Context(), time.Millisecond) }},
+		{"another entry host", func(v *View) error { return v.loadFromPeer(t.Context()) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var v *View
+			applied := false
+			v = &View{
+				Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Minute }, Keys: Keys{Routing: "routing", TargetPrefix: "targets/"},
+				DecodeRouting: func([]byte) (rudderroute.Document, error) {
+					applied = true
+					require.True(t, v.Unreachable(), "the last sync is old")
+					return rudderroute.Document{}, nil
+				},
+				Store: &rudderstore.Store{
+					List: func(context.Context, string) ([]rudderstore.Entry, int64, error) {
+						return []rudderstore.Entry{entry}, 2, nil
+					},
+					Watch: func(context.Context, rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
+						return rudderstore.WatchResult{Events: []rudderstore.Event{{Entry: entry}}, Revision: 2}, nil
+					},
+				},
+			}
+			v.markFailed(errUnavailable)
+			if test.name == "another entry host" {
+				v.FetchRecords = func(context.Context) (RecordSet, error) {
+					return RecordSet{Serving: true, Entries: []rudderstore.Entry{entry}, Revision: 2}, nil
+				}
+			}
+			require.NoError(t, test.read(v))
+			require.True(t, applied)
+			require.False(t, v.Unreachable())
+			age, _ := v.Staleness()
+			require.Zero(t, age)
+		})
+	}
+}
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -95,9 +95,15 @@
 	return longest/2 + time.Duration(jitter*float64(longest)/2)
 }
 
-// markAnswered records that the service answers. It is called before the answer is applied, which may defer
-// removals after an outage.
+// markAnswered records that the service answers, and that its answer has been applied.
 func (v *View) markAnswered() {
+	v.endOutage()
+	v.unreachable.Store(false)
+}
+
+// endOutage records that the service answers. It is called before the answer is applied, which may defer removals after an
+// outage. Until that is done the service counts as unreachable, because the last sync is as old as before.
+func (v *View) endOutage() {
 	if v.outage {
 		v.outage = false
 		v.recoveredAt = v.Uptime()
@@ -105,7 +111,6 @@
 	}
 	v.failingSince, v.ownWatchFailed = 0, false
 	v.failing.Store(false)
-	v.unreachable.Store(false)
 }
 
 // markFailed records a failed call and logs the start of an outage once.
@@ -151,7 +156,8 @@
 	if restored {
 		v.askNewerRouting(ctx) // before the service counts as available: requests are served as in its outage until then
 	}
-	v.markAnswered()
+	v.endOutage()
+	defer v.unreachable.Store(false) // after the sync
 	v.replace(entries, revision)
 	if first && rudderstore.EraStart(revision) > 0 && !v.askNewerRouting(ctx) && v.Uptime()-v.startedAt < firstAnswerTime {
 		return errNoOtherHost
@@ -261,18 +267,20 @@
 		v.probing, v.followAfter = false, v.Uptime()+followRetry // only the watchers cannot reach the service
 	}
 	failed := v.failing.Load()
-	v.markAnswered()
+	v.endOutage()
 	v.appendLog(result.Events, result.Revision)
 	if len(result.Events) > 0 || result.Revision != v.Snapshot().Revision {
 		v.applyChanges(result)
 	}
 	if v.partial = !complete(result.Events); v.partial {
+		v.unreachable.Store(false)
 		v.Logger.Info().Int("changes", len(result.Events)).Int64("revision", result.Revision).Msg("answer may be truncated; watching again at once")
 		return nil
 	}
 	// The answer may have been on its way or unread for long, so it only proves the state as of the start of
 	// the call.
 	v.markSynced(begin, begin)
+	v.unreachable.Store(false)
 	if failed {
 		v.notifyWaiters() // followers wait for the end of the outage
 	}
