--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -145,6 +145,9 @@
 			continue
 		}
 		answer, err := rudderpeer.NewSuspectsProtobufClient("http://"+x.Peer, e.peers.client).Examine(ctx, request)
+		if err != nil && ctx.Err() == context.Canceled {
+			return found, false // nobody waits for the answer
+		}
 		if err != nil {
 			e.view.SkipBatchPause() // another entry host may have taken over as the planner
 			e.Logger.Warn().Err(err).Str("planner", x.Name).Str("group", g.ID).Msg("planner is unreachable; probing the group from this entry host")
