--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -15,13 +15,11 @@
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/ruddergroup"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
 	probeTimeout = time.Second
-	// deadAfter is the time without any sign of life after which an engine that does not answer counts as dead. Sound ones may
-	// be silent for about a second.
-	deadAfter = 1100 * time.Millisecond
 	// stragglerFactor, multiplied by the silence limit, is how long a live engine may make no progress.
 	stragglerFactor = 12
 	// abandonAfter is how long a request continues after its caller has disconnected; the caller may resume the stream.
@@ -50,7 +48,7 @@
 		Survived:    a.recordSurvival,
 		TakeRetry:   a.owner.TakeRetry,
 		MaxAttempts: a.Settings.MaxAttempts, SilenceAfter: a.Settings.SilenceAfter,
-		DeadAfter: max(deadAfter, a.Settings.SilenceAfter), ProbeTimeout: probeTimeout,
+		DeadAfter: max(ruddertarget.MinSilence, a.Settings.SilenceAfter), ProbeTimeout: probeTimeout,
 		StragglerAfter: stragglerFactor * a.Settings.SilenceAfter, AbandonAfter: abandonAfter,
 	}
 }
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -69,7 +69,7 @@
 // dead then. The caller holds the lock.
 func (p *Planner) examineTarget(t *rudderview.Target) <-chan struct{} {
 	if v := p.results[t.Name]; v != nil && v.born == t.Born && v.silent && !v.dead {
-		if left := rudderverdict.MinSilence + decidingDelay - v.silence(p.Uptime()); left > 0 && left < examineInterval {
+		if left := ruddertarget.MinSilence + decidingDelay - v.silence(p.Uptime()); left > 0 && left < examineInterval {
 			return v.done
 		}
 	}
@@ -107,7 +107,7 @@
 		case v.dead && snapshot.Targets[name] == nil: // no plan needs it
 		case v.dead:
 			p.startProbe(t, recheckInterval)
-		case v.silent && v.silence(p.Uptime()) >= rudderverdict.MinSilence+decidingDelay:
+		case v.silent && v.silence(p.Uptime()) >= ruddertarget.MinSilence+decidingDelay:
 			p.startProbe(t, 0)
 		}
 	}
@@ -185,7 +185,7 @@
 // wakeAfterSilence makes the planner take a step when a silent target may be dead. The caller holds the lock.
 func (p *Planner) wakeAfterSilence(v *probeResult) {
 	if v.silent && !v.dead {
-		time.AfterFunc(rudderverdict.MinSilence+decidingDelay-v.silence(p.Uptime()), p.wakeUp)
+		time.AfterFunc(ruddertarget.MinSilence+decidingDelay-v.silence(p.Uptime()), p.wakeUp)
 	}
 }
 
@@ -202,10 +202,10 @@
 	if !v.silent {
 		v.silent, v.failedAt = true, begin
 	}
-	v.dead = v.dead || v.silence(begin) >= rudderverdict.MinSilence
+	v.dead = v.dead || v.silence(begin) >= ruddertarget.MinSilence
 }
 
-// silence returns for how long a silent target has shown no sign of life at an uptime.
+// silence returns for how long a silent target has not responded at an uptime.
 func (v *probeResult) silence(now time.Duration) time.Duration {
 	switch {
 	case !v.silent:
--- a/rudderd/ruddercoordinator/suspects_test.go
+++ b/rudderd/ruddercoordinator/suspects_test.go
@@ -10,6 +10,7 @@
 
 	"comfreyrudder.example/rudderd/rudderverdict"
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 // Guards against a planner that probes a lost target all the time, with or without a record.
@@ -33,7 +34,7 @@
 			if !test.registered {
 				w.cutOff("b")
 			}
-			time.Sleep(2 * rudderverdict.MinSilence)
+			time.Sleep(2 * ruddertarget.MinSilence)
 			dead, _, _ := p.Examine(t.Context(), map[string]int64{"b": 1}, 0)
 			require.Equal(t, []string{"b"}, dead)
 			w.mu.Lock()
@@ -60,10 +61,10 @@
 		dead, silent bool
 	}{
 		{"answers", 0, false, []probe{{0, alive}}, false, false},
-		{"silent", 0, false, []probe{{0, silent}, {rudderverdict.MinSilence - 1, silent}}, false, true},
-		{"silent for long", 0, false, []probe{{0, silent}, {rudderverdict.MinSilence, silent}}, true, true},
-		{"silent before the first probe", 300 * time.Millisecond, false, []probe{{0, silent}, {rudderverdict.MinSilence - 300*time.Millisecond, silent}}, true, true},
-		{"silent twice", 0, false, []probe{{0, silent}, {500 * time.Millisecond, alive}, {rudderverdict.MinSilence, silent}}, false, true},
+		{"silent", 0, false, []probe{{0, silent}, {ruddertarget.MinSilence - 1, silent}}, false, true},
+		{"silent for long", 0, false, []probe{{0, silent}, {ruddertarget.MinSilence, silent}}, true, true},
+		{"silent before the first probe", 300 * time.Millisecond, false, []probe{{0, silent}, {ruddertarget.MinSilence - 300*time.Millisecond, silent}}, true, true},
+		{"silent twice", 0, false, []probe{{0, silent}, {500 * time.Millisecond, alive}, {ruddertarget.MinSilence, silent}}, false, true},
 		{"refuses connections", 0, false, []probe{{0, refused}}, true, true},
 		{"restarted", 0, false, []probe{{0, restarted}}, true, true},
 		{"found dead by another entry host", 0, true, []probe{{0, silent}}, true, true},
@@ -100,7 +101,7 @@
 	p.mu.Unlock()
 	born := p.View.Snapshot().Targets["a"].Born
 	examine := func() (dead, silent []string) {
-		dead, silent, planning := p.Examine(t.Context(), map[string]int64{"a": born}, 2*rudderverdict.MinSilence)
+		dead, silent, planning := p.Examine(t.Context(), map[string]int64{"a": born}, 2*ruddertarget.MinSilence)
 		require.True(t, planning)
 		return dead, silent
 	}
--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -18,7 +18,6 @@
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
-	"comfreyrudder.example/rudderd/rudderverdict"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
@@ -193,7 +192,7 @@
 				f.breakStream(i, "m0")
 				f.breakStream(i, "m1")
 				g := f.edges[i].view.Snapshot().Groups("llm", "m2")[0]
-				found, _ := f.edges[i].examine(t.Context(), g, rudderverdict.MinSilence)
+				found, _ := f.edges[i].examine(t.Context(), g, ruddertarget.MinSilence)
 				require.Empty(t, found)
 			}
 			require.Never(t, func() bool { return len(f.edges[3].view.Snapshot().Groups("llm", "")) < 3 }, time.Second, 10*time.Millisecond)
@@ -236,7 +235,7 @@
 			f.kill("t0")
 			f.breakStream(test.reporter, "m0")
 			begin := time.Now()
-			dead, _, planning := f.edges[0].planner.Examine(t.Context(), map[string]int64{"t0": 1, "t1": 1}, rudderverdict.MinSilence)
+			dead, _, planning := f.edges[0].planner.Examine(t.Context(), map[string]int64{"t0": 1, "t1": 1}, ruddertarget.MinSilence)
 			require.Equal(t, []string{"t0"}, dead)
 			require.True(t, planning)
 			require.Less(t, time.Since(begin), examineTimeout)
--- a/rudderd/rudderforward/expected.go
+++ b/rudderd/rudderforward/expected.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
@@ -23,7 +24,7 @@
 	minPacedStreams = 3
 	// targetSilence is how long a sound target may fall silent before it goes on. At least this time is left for a request
 	// beyond its expected duration.
-	targetSilence = 1200 * time.Millisecond
+	targetSilence = ruddertarget.MinSilence + 100*time.Millisecond
 )
 
 // timeNeeded returns the time within which an answer of the greatest length should end; ok is false if too few durations are
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -19,7 +19,7 @@
 	// verdictTTL is how long the result of a group's probe is reused, so that many silent streams of one
 	// group share a probe.
 	verdictTTL = 400 * time.Millisecond
-	// silentBackoff is how long new requests avoid the leader of a group with a silent member, unless the group goes on
+	// silentBackoff is how long new requests avoid the leader of a group with a silent member, unless the group sends something
 	// before. It lasts until the next probe has ended.
 	silentBackoff = time.Second
 	// brokenBackoff is how long new requests avoid the leader of a broken group, until the view shows the
@@ -60,7 +60,7 @@
 	return true
 }
 
-// GroupFinding names the members of a group that do not respond: the dead ones, and the others, which may go on.
+// GroupFinding names the members of a group that do not respond: the dead ones, and the others, which may recover.
 type GroupFinding struct {
 	Dead, Silent []string
 }
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -43,7 +43,7 @@
 	// Reports holds the last answers of planned members that have answered since their record was removed.
 	Reports map[string]ruddertarget.GroupReport
 	// Dead reports whether this incarnation of a target is dead. Silent reports whether it did not answer the last probe; it
-	// may go on, but takes no part in new groups meanwhile.
+	// may recover, but takes no part in new groups meanwhile.
 	Dead, Silent func(t *rudderview.Target) bool
 	// Demand is the measured part of the work by model, 0 to 1.
 	Demand map[string]float64
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -152,9 +152,7 @@
 const (
 	// movableProbeInterval bounds the wait before each probe of a target whose call can be sent elsewhere.
 	movableProbeInterval = 800 * time.Millisecond
-	// deadAfter is the time without any sign of life after which a target that does not answer counts as dead. Sound ones may
-	// be silent for about a second. The last probe may be answered for decidingTime more.
-	deadAfter    = 1100 * time.Millisecond
+	// decidingTime is how long the last probe of a silent target may take.
 	decidingTime = 250 * time.Millisecond
 	// probePause is the time between a probe that failed early and the next one.
 	probePause = 50 * time.Millisecond
@@ -180,7 +178,7 @@
 		}
 		dead := d.ProbeInterval
 		if move != nil {
-			dead = min(dead, deadAfter+decidingTime)
+			dead = min(dead, ruddertarget.MinSilence+decidingTime)
 		}
 		if silentSince.IsZero() {
 			silentSince = d.Clock.Now()
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -35,7 +35,7 @@
 	WeightRate   int64         `name:"weight-rate" default:"2000000000" doc:"Bytes per second that the weight store gives one host; sets how early loads begin ahead of a window."`
 
 	QueueDeadline time.Duration `name:"queue-deadline" default:"0s" zero:"true" doc:"Longest time a request waits for a slot before it is refused as not run. 0s takes the deadlines of the workspace's preset."`
-	SilenceAfter  time.Duration `name:"silence-after" default:"800ms" doc:"Time without a token after which the engine is probed on a new connection. An engine that does not answer counts as dead after this time, but not before 1.1 seconds without a sign of life."`
+	SilenceAfter  time.Duration `name:"silence-after" default:"800ms" doc:"Time without a token after which the engine is probed on a new connection. An engine that does not answer counts as dead after this time, but not before 1.1 seconds without a response."`
 	MaxAttempts   int           `name:"max-attempts" default:"4" doc:"Greatest number of engines that one request is sent to."`
 	CallTimeout   time.Duration `name:"call-timeout" default:"30s" doc:"Longest time a call to a plain service may take."`
 
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -48,7 +48,7 @@
 
 	MaxAttempts  int
 	SilenceAfter time.Duration // time without a token after which the engine is probed
-	// DeadAfter is the time without any sign of life after which an engine that does not answer counts as dead.
+	// DeadAfter is the time without any response after which an engine that does not answer counts as dead.
 	DeadAfter    time.Duration
 	ProbeTimeout time.Duration // of requests to cancel an attempt
 	// StragglerAfter is the time without progress after which an attempt at a live engine is cancelled.
--- a/rudderd/rudderstream/silence.go
+++ b/rudderd/rudderstream/silence.go
@@ -35,13 +35,13 @@
 }
 
 // silence decides whether an attempt from which nothing comes has failed, by probes on new connections. A sound engine may
-// be silent for a while and go on.
+// be silent for a while.
 type silence struct {
 	*run
 	slot     Slot
 	opening  bool      // the engine has not accepted the request yet
 	progress time.Time // of the last event
-	heard    time.Time // of the last sign of life of the engine: an event or the answer to a probe
+	heard    time.Time // of the last response of the engine: an event or the answer to a probe
 	aheadAt  time.Time // when the engine was first found ahead of the connection; zero if it was not
 	unknown  int       // consecutive probes that the engine answered without knowing the attempt
 	timer    clockwork.Timer
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -1,6 +1,7 @@
 // Package rudderverdict decides whether a target is dead. A failed probe alone does not show it: the path from this entry
 // host may be broken while others reach the target. So other entry hosts are asked to probe it too, and only the answers of
-// those count that have a path to some target. A target that nobody reaches is dead only after MinSilence, unless its process
+// those count that have a path to some target. A target that nobody reaches is dead only after ruddertarget.MinSilence, unless its
+// process
 // has ended.
 package rudderverdict
 
@@ -34,10 +35,6 @@
 	maxShared = 4096
 )
 
-// MinSilence is how long a target has shown no sign of life when the probe starts that finds it dead. A sound target may be
-// silent for about a second.
-const MinSilence = 1100 * time.Millisecond
-
 // Finding is what one entry host says about a target.
 type Finding struct {
 	// Path is set if the entry host has a path to targets. Otherwise it says nothing about this one.
@@ -129,15 +126,15 @@
 // has ended, or has been silent for long enough.
 func (d *Detector) Confirm(ctx context.Context, t *rudderview.Target, silence time.Duration) (report ruddertarget.GroupReport, alive bool) {
 	since := d.Uptime() - silence
-	suspected := silence >= MinSilence
+	suspected := silence >= ruddertarget.MinSilence
 	for {
-		decides := d.Uptime()-since >= MinSilence
+		decides := d.Uptime()-since >= ruddertarget.MinSilence
 		found := d.Examine(ctx, t, suspected)
 		if found.Alive || found.Ended() || decides {
 			return found.Report, found.Alive
 		}
 		suspected = true
-		timer := time.NewTimer(since + MinSilence - d.Uptime())
+		timer := time.NewTimer(since + ruddertarget.MinSilence - d.Uptime())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/rudderd/rudderverdict/silence_test.go
+++ b/rudderd/rudderverdict/silence_test.go
@@ -25,8 +25,8 @@
 	}{
 		{"answers", 0, nil, 0, true, 0, 300 * time.Millisecond},
 		{"silent for a second", time.Second, errDown, 0, true, time.Second, 1400 * time.Millisecond},
-		{"lost", never, errDown, 0, false, MinSilence, 1500 * time.Millisecond},
-		{"lost for a while", never, errDown, 600 * time.Millisecond, false, MinSilence - 600*time.Millisecond, 900 * time.Millisecond},
+		{"lost", never, errDown, 0, false, ruddertarget.MinSilence, 1500 * time.Millisecond},
+		{"lost for a while", never, errDown, 600 * time.Millisecond, false, ruddertarget.MinSilence - 600*time.Millisecond, 900 * time.Millisecond},
 		{"lost for long", never, errDown, 2 * time.Second, false, 0, 600 * time.Millisecond},
 		{"nothing listens", never, syscall.ECONNREFUSED, 0, false, 0, 600 * time.Millisecond},
 	} {
