--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -1,8 +1,7 @@
 // Package rudderverdict decides whether a target is dead. A failed probe alone does not show it: the path from this entry
 // host may be broken while others reach the target. So other entry hosts are asked to probe it too, and only the answers of
 // those count that have a path to some target. A target that nobody reaches is dead only after ruddertarget.MinSilence, unless its
-// process
-// has ended.
+// process has ended.
 package rudderverdict
 
 import (
