Do not form a group again whose end its leader has confirmed

The plan without the group was not stored, because a member of the group planned next did not answer. The step had already forgotten that the group ended, so the planner ordered its members to join the same epoch again and opened it. When the silent member counted as dead 1 s later, the leave order of before released the group at once, and its leader joined another one while it served. Before silent targets were told from dead ones the member counted as dead at once; a plan that the key-value service does not take leads to the same.

What is known of the end of a group is now kept until no stored plan has the group.

TestEndedGroupDoesNotFormAgain failed before ("d-00 joins").

--- a/rudderd/rudderplacement/fleet_test.go
+++ b/rudderd/rudderplacement/fleet_test.go
@@ -35,6 +35,8 @@
 	busy map[string]bool
 	// left is the last membership of each target that left a group.
 	left map[string]ruddertarget.Membership
+	// storeFails makes changed plans fail to be stored.
+	storeFails bool
 	// withinStartupGrace is Input.WithinStartupGrace.
 	withinStartupGrace bool
 	sent               []Order
@@ -88,6 +90,9 @@
 	f.now += 100 * time.Millisecond
 	f.endLoads()
 	for _, c := range Step(f.input()) {
+		if f.storeFails {
+			continue
+		}
 		f.revision++
 		f.plans[c.Plan.Domain] = StoredPlan{Plan: c.Plan, Revision: f.revision}
 	}
--- a/rudderd/rudderplacement/leader.go
+++ b/rudderd/rudderplacement/leader.go
@@ -27,7 +27,6 @@
 		if members == nil {
 			continue
 		}
-		delete(in.State.retirements, groupKey(g))
 		delete(in.State.leaderMissing, groupKey(g))
 		next := rudderroster.Group{Name: g.Name, Epoch: in.nextEpoch(d), Model: g.Model}
 		for _, t := range members {
--- a/rudderd/rudderplacement/replace_test.go
+++ b/rudderd/rudderplacement/replace_test.go
@@ -171,3 +171,23 @@
 		require.Equal(t, test.want, in.nextEpoch(&domain{stored: StoredPlan{Revision: test.revision}}))
 	}
 }
+
+// A new planner finds a leader whose group is broken and ends the group, but the plan without it is not stored. Guards against
+// forming the same epoch again: its end, which the leader has confirmed, would later free the members of a group that serves.
+func TestEndedGroupDoesNotFormAgain(t *testing.T) {
+	f := newFleet(t, large())
+	f.addMany("d", 6)
+	f.run(5 * time.Second)
+	leader := f.leader("large")
+	ended := leader.Membership
+	f.state, f.sent, f.storeFails = NewState(), nil, true
+	leader.Membership.Phase = ruddertarget.GroupBroken
+	f.run(2 * time.Second)
+	require.True(t, f.leaves(leader))
+	for _, o := range f.sent {
+		require.False(t, o.Order.Kind == ruddertarget.OrderJoin && o.Order.Group == ended.Group && o.Order.Epoch == ended.Epoch, "%s joins", o.Target)
+	}
+	f.storeFails = false
+	f.run(5 * time.Second)
+	require.Equal(t, ruddertarget.GroupOpen, f.leader("large").Membership.Phase)
+}
--- a/rudderd/rudderplacement/state.go
+++ b/rudderd/rudderplacement/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderroster"
@@ -159,6 +160,19 @@
 	}
 }
 
+// forgetGroups drops what is known of the ends of groups that no stored plan has any more. It is kept until then, because a plan
+// without the group may fail to be stored: a group that has ended must not form again.
+func (st *State) forgetGroups(plans map[string]StoredPlan) {
+	planned := map[string]bool{}
+	for _, stored := range plans {
+		for _, g := range stored.Plan.Groups {
+			planned[groupKey(g)] = true
+		}
+	}
+	maps.DeleteFunc(st.retirements, func(key string, _ *retirement) bool { return !planned[key] })
+	maps.DeleteFunc(st.leaving, func(key string, _ time.Duration) bool { return !planned[key] })
+}
+
 // loadBucket is a token bucket for loads from the weight store.
 type loadBucket struct {
 	tokens  float64
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -24,6 +24,7 @@
 // Step returns the plans to store next.
 func Step(in Input) []PlanChange {
 	in.State.prune(in.Now)
+	in.State.forgetGroups(in.Plans)
 	domains := in.domains()
 	for _, d := range domains {
 		in.noteLeaders(d.groups)
@@ -52,8 +53,6 @@
 		case r == nil:
 		case in.released(g, r):
 			d.note(fmt.Sprintf("group %s released after %s: %s", groupKey(g), (in.Now - r.since).Round(time.Millisecond), r.reason))
-			delete(in.State.retirements, groupKey(g))
-			delete(in.State.leaving, groupKey(g))
 			continue
 		case !g.Retiring && r.graceful == 0 && (in.Now-r.since > publishRetirementAfter || in.leaderDead(g)):
 			g.Retiring, g.Reason = true, r.reason
