Resume a stream whose connection has failed at the same group if there is no other

Since a silent send is cancelled only if another one is possible, a stream whose connection had gone silent for good waited until its caller left where no other group was free, although its own group answered probes. A group that is alive may now take it again.

TestStreamLeavesFailedConnection failed before ("unexpected EOF" after 6 s).

--- a/rudderd/rudderforward/silence_test.go
+++ b/rudderd/rudderforward/silence_test.go
@@ -44,6 +44,31 @@
 	require.Equal(t, []string{"1", "2", "3", "4", "5"}, eventIDs(body))
 }
 
+// The connection of a stream goes silent for good, its target is alive, and no other group serves the model. Guards against a
+// response that waits until its caller leaves, although the target would resume it on another connection.
+func TestStreamLeavesFailedConnection(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", func(r *rudderroute.Route) {
+		streamRoute(true)(r)
+		r.MaxAttempts, r.Timeout = 2, 6*time.Second
+	})
+	b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last") != "" {
+			events(w, 2, 5, 0)
+			return
+		}
+		events(w, 0, 2, 0)
+		<-r.Context().Done()
+	})
+	b.start()
+	b.forwarder.ExamineGroup = func(context.Context, *rudderview.Group, time.Duration) (GroupFinding, bool) {
+		return GroupFinding{}, true
+	}
+	_, body, err := b.send("POST", "/s/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, []string{"1", "2", "3", "4", "5"}, eventIDs(body))
+}
+
 // A stream has not begun, its target is silent for a second, and no other send is possible. Guards against a failure in place of the
 // response that the target would send.
 func TestUnbegunStreamWaitsForSilentTarget(t *testing.T) {
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -156,7 +156,9 @@
 		w.cancel(errGroupBroken)
 	case noPath && w.hang.takeNext(false):
 		w.cancel(errPathLost)
-	case (silence >= limit || health == groupSilent && !events) && w.hang.takeNext(true):
+	case health == groupSilent && !events && w.hang.takeNext(true):
+		w.cancel(errUnresponsive)
+	case silence >= limit && w.hang.takeNext(health == groupSilent): // if the group is alive, the connection may have failed
 		w.cancel(errUnresponsive)
 	case silence >= limit:
 		w.schedule(probeInterval)
