Store a watchdog's timer before its check can use it

The timer of a watchdog was stored without the lock that its check holds; on a loaded host the check may run first, and would then use a nil timer and end the process. TestWatchdogFiresBeforeItsSendGoesOn reports the race in 1 of 1 runs (-race) without the fix; with it 20 of 20 passed.

--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -67,7 +67,9 @@
 	now := f.Uptime()
 	silence := max(firstEventSilence, firstEventSilence/2+2*j.expectedWait)
 	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence, hang: j.hang, last: !j.repeatable()}
-	w.timer = time.AfterFunc(silence, w.check)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(silence, w.check) // which waits for the lock before it uses the timer
 	return w
 }
 
--- a/rudderd/rudderforward/watchdog_test.go
+++ b/rudderd/rudderforward/watchdog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +58,19 @@
 	}
 }
 
+// Guards against a watchdog whose timer fires on a loaded host before the timer has been stored.
+func TestWatchdogFiresBeforeItsSendGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		f, g, _ := silentGroup(func() time.Duration { return 2 * time.Since(begin) }) // so that the timer fires late
+		ctx, cancel := context.WithCancelCause(t.Context())
+		guard := f.watch(ctx, cancel, g, &job{route: &rudderroute.Route{}})
+		time.Sleep(firstEventSilence)
+		synctest.Wait()
+		guard.stop()
+	})
+}
+
 // In an overload of a large fleet, streams of all groups are silent. Guards against examinations that grow
 // with the number of hosts times the number of groups and add to the overload.
 func TestExaminationsAreBoundedOverTheFleet(t *testing.T) {
