Keep the probes of a target within the limit of requests that it names

A target that names a limit of requests got more of them while it was silent or slow. Each round about it was up to six requests for a report (two tries by the host and by each of two that it asks), made by the planner every 0.3 s and by every host whose connections broke. They were deducted from the permits afterwards, but nothing bounded them.

Now only the planner sends requests for a report to such a target, with one other host if its own probe fails, as far as a quarter of the limit allows. All other probes open a connection: one that is accepted shows that the target is not lost, one that fails leads to the usual questions. A lost or ended target is found as before, because no request has to reach it for that. Between two probes the planner keeps its last finding, a silent one for a second. It learns of the limits with the question (Examine has a new field, the indirect probe a new member; hosts that do not know them probe as before).

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -63,6 +63,8 @@
 	// decidingDelay is how long after MinSilence a silent target is probed again: entry hosts differ by some milliseconds in
 	// when they have heard of it for the last time.
 	decidingDelay = 20 * time.Millisecond
+	// silentTTL is how long a target counts as silent that may not be probed again, because it names a limit of requests.
+	silentTTL = time.Second
 	// examineInterval is how long a probe result is valid for Examine.
 	examineInterval = 300 * time.Millisecond
 )
@@ -120,6 +122,10 @@
 	// started.
 	silent   bool
 	failedAt time.Duration
+	// triedAt is the uptime at which the last probe started that failed.
+	triedAt time.Duration
+	// skipped is set if the last probe was not made, because the target names a limit of requests.
+	skipped bool
 	// aliveAt is the uptime at which its group showed for the last time that it was alive, as entry hosts have told; 0 if
 	// none has.
 	aliveAt time.Duration
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -58,7 +58,7 @@
 		case v == nil || v.born != incarnations[probe.name]:
 		case v.dead:
 			dead = append(dead, probe.name)
-		case v.silent:
+		case v.silent && (!v.skipped || p.Uptime()-v.triedAt <= silentTTL):
 			silent = append(silent, probe.name)
 		}
 	}
@@ -107,6 +107,8 @@
 		case v.dead && snapshot.Targets[name] == nil: // no plan needs it
 		case v.dead:
 			p.startProbe(t, recheckInterval)
+		case v.silent && v.skipped:
+			p.startProbe(t, examineInterval)
 		case v.silent && v.silence(p.Uptime()) >= ruddertarget.MinSilence+decidingDelay:
 			p.startProbe(t, 0)
 		}
@@ -147,7 +149,7 @@
 	if v != nil && v.born == t.Born {
 		next.dead, next.report, next.known, next.answeredAt = v.dead, v.report, v.known, v.answeredAt
 		if v.silent {
-			next.silent, next.failedAt, next.aliveAt, next.confirmed = true, v.failedAt, v.aliveAt, v.confirmed
+			next.silent, next.failedAt, next.triedAt, next.aliveAt, next.confirmed = true, v.failedAt, v.triedAt, v.aliveAt, v.confirmed
 		}
 	}
 	p.results[t.Name] = next
@@ -169,12 +171,12 @@
 	defer p.mu.Unlock()
 	before := *v
 	v.record(found, begin)
-	if v.dead || v.silent || before.dead || before.silent {
+	if !v.skipped && (v.dead || v.silent || before.dead || before.silent) {
 		p.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("finding", found.String()).Dur("silence_ms", v.silence(p.Uptime())).
 			Bool("dead", v.dead).Bool("before", before.dead).Msg("suspected target probed")
 	}
 	v.running, v.checked = false, p.Uptime()
-	if found.Alive && !recorded {
+	if found.Alive && !found.Skipped && !recorded {
 		v.report, v.known = found.Report, true
 	}
 	close(v.done)
@@ -185,14 +187,24 @@
 // wakeAfterSilence makes the planner take a step when a silent target may be dead. The caller holds the lock.
 func (p *Planner) wakeAfterSilence(v *probeResult) {
 	if v.silent && !v.dead {
-		time.AfterFunc(ruddertarget.MinSilence+decidingDelay-v.silence(p.Uptime()), p.wakeUp)
+		wait := ruddertarget.MinSilence + decidingDelay - v.silence(p.Uptime())
+		if v.skipped {
+			wait = max(wait, examineInterval)
+		}
+		time.AfterFunc(wait, p.wakeUp)
 	}
 }
 
 // record updates the result with the finding of a probe that started at an uptime. A target that does not answer is dead if it
 // had been silent for long enough at the start of the probe.
 func (v *probeResult) record(found rudderverdict.Finding, begin time.Duration) {
+	v.skipped = found.Skipped
 	switch {
+	case found.Skipped:
+		if v.aliveAt > v.triedAt && !v.dead {
+			v.silent, v.failedAt, v.confirmed = false, 0, false
+		}
+		return
 	case found.Alive:
 		v.dead, v.silent, v.failedAt, v.aliveAt, v.confirmed, v.answeredAt = false, false, 0, 0, false, begin
 		return
@@ -202,6 +214,7 @@
 	if !v.silent {
 		v.silent, v.failedAt = true, begin
 	}
+	v.triedAt = begin
 	v.dead = v.dead || v.silence(begin) >= ruddertarget.MinSilence
 }
 
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"comfreyrudder.example/rudderd/rudderforward"
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderpeer"
@@ -128,9 +129,11 @@
 // examine has the planner probe the members of a group that has not responded for some time.
 func (e *Edge) examine(ctx context.Context, g *rudderview.Group, silence time.Duration) (found rudderforward.GroupFinding, ok bool) {
 	incarnations := map[string]int64{}
+	var processes []rudderlimit.Process
 	request := &rudderpeer.ExamineRequest{Reporter: e.Settings.Name, Group: g.ID, SilenceMs: silence.Milliseconds()}
 	for _, m := range g.Members {
 		incarnations[m.Name] = m.Born
+		processes = append(processes, rudderlimit.Process{Target: m.Name, Born: m.Born})
 		request.Targets = append(request.Targets, &rudderpeer.SuspectTarget{Name: m.Name, Born: m.Born})
 	}
 	ctx, cancel := context.WithTimeout(ctx, examineTimeout)
@@ -139,6 +142,7 @@
 		found.Dead, found.Silent, ok = e.planner.Examine(ctx, incarnations, silence)
 		return found, ok
 	}
+	request.Limits = rudderlimit.Encode(e.limits.Known(processes, e.uptime()))
 	snapshot := e.view.Snapshot()
 	for _, x := range snapshot.EntryHosts {
 		if x.Name != snapshot.PlannerName || x.Peer == "" {
@@ -167,6 +171,7 @@
 	for _, t := range r.GetTargets() {
 		incarnations[t.GetName()] = t.GetBorn()
 	}
+	s.edge.mergeLimits(r.GetReporter(), rudderlimit.Decode(r.GetLimits()))
 	dead, silent, planning := s.edge.planner.Examine(ctx, incarnations, time.Duration(r.GetSilenceMs())*time.Millisecond)
 	s.edge.Logger.Info().Str("reporter", r.GetReporter()).Str("group", r.GetGroup()).Strs("dead", dead).Strs("silent", silent).Bool("planning", planning).
 		Msg("unresponsive group examined for another entry host")
--- a/rudderd/rudderedge/verdict.go
+++ b/rudderd/rudderedge/verdict.go
@@ -27,6 +27,8 @@
 	Born   int64  `json:"born,omitempty"`
 	// SilenceMS is how long the target has not answered the entry host that asks.
 	SilenceMS int64 `json:"silence_ms,omitempty"`
+	// Report is set if a target that names a limit of requests is to be probed too.
+	Report bool `json:"report,omitempty"`
 }
 
 // findingResponse is a rudderverdict.Finding.
@@ -49,6 +51,7 @@
 	return &rudderverdict.Detector{
 		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre, Logger: e.Logger, Uptime: e.uptime, Snapshot: e.view.Snapshot,
 		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding, Isolated: func() bool { return e.path.Isolated() },
+		Limits: e.limits, Planning: func() bool { return e.planner.Planning() },
 	}
 }
 
@@ -62,8 +65,8 @@
 }
 
 // askForFinding implements rudderverdict.Detector.Ask.
-func (e *Edge) askForFinding(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, silence time.Duration) (rudderverdict.Finding, error) {
-	question := findingRequest{SilenceMS: silence.Milliseconds()}
+func (e *Edge) askForFinding(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, q rudderverdict.Question) (rudderverdict.Finding, error) {
+	question := findingRequest{SilenceMS: q.Silence.Milliseconds(), Report: q.Report}
 	if t != nil {
 		question.Target, question.Born = t.Name, t.Born
 	}
@@ -131,5 +134,5 @@
 	if t == nil || t.Born != question.Born {
 		return rudderverdict.Finding{}
 	}
-	return e.detector.ProbeForPeer(t, time.Duration(question.SilenceMS)*time.Millisecond)
+	return e.detector.ProbeForPeer(t, rudderverdict.Question{Silence: time.Duration(question.SilenceMS) * time.Millisecond, Report: question.Report})
 }
--- a/rudderd/rudderforward/ending.go
+++ b/rudderd/rudderforward/ending.go
@@ -114,8 +114,7 @@
 	if now := f.View.Snapshot().Targets[t.Name]; now != nil && now.Born > t.Born {
 		return true
 	}
-	if f.reports(t) {
-		f.Limits.CountProbe(processOf(t))
+	if f.reports(t) && !f.Limits.Limited(processOf(t)) {
 		ctx, cancel := context.WithTimeout(context.Background(), firstProbeTimeout)
 		report, err := f.Report(ctx, t.Address)
 		cancel()
--- a/rudderd/rudderlimit/limit.go
+++ b/rudderd/rudderlimit/limit.go
@@ -60,6 +60,7 @@
 	permits bucket                       // of all entry hosts, on the one that grants them
 	askedAt [urgencyLevels]time.Duration // when requests of each urgency last asked for a permit
 	share   bucket                       // of this entry host, for requests without a permit
+	probes  bucket                       // of all entry hosts, for requests for a report
 	// unreported is the number of requests that were sent without a permit and are not deducted from permits yet.
 	unreported int
 }
--- a/rudderd/rudderlimit/report.go
+++ b/rudderd/rudderlimit/report.go
@@ -35,6 +35,20 @@
 	return list
 }
 
+// Known returns what is known of processes. The requests that have not been reported are left for the entry host that grants the
+// permits.
+func (t *Table) Known(processes []Process, now time.Duration) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Report
+	for _, p := range processes {
+		if s := t.find(p); s != nil {
+			list = append(list, Report{Process: p, Limited: s.limited, Rate: s.rate, Age: now - s.knownAt})
+		}
+	}
+	return list
+}
+
 // Return takes back the unreported requests of reports that did not arrive.
 func (t *Table) Return(list []Report) {
 	t.mu.Lock()
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -42,11 +43,15 @@
 	Answered, Alive bool
 	// Refused is set if nothing listens at the target's address.
 	Refused bool
+	// Skipped is set if the target was not probed, because it names a limit of requests. It accepts connections.
+	Skipped bool
 	Report  ruddertarget.GroupReport // if Answered
 }
 
 func (f Finding) String() string {
 	switch {
+	case f.Skipped:
+		return "not probed"
 	case f.Alive:
 		return "alive"
 	case f.Answered:
@@ -62,6 +67,16 @@
 // Ended reports whether the process of the target has ended. One that is only unreachable may be silent for a while.
 func (f Finding) Ended() bool { return !f.Alive && (f.Answered || f.Refused) }
 
+// Question is what another entry host is asked about a target.
+type Question struct {
+	// Silence is the time since the target has last answered.
+	Silence time.Duration
+	// Report is set if a target that names a limit of requests is to be probed too.
+	Report bool
+
+	since time.Duration // uptime from which on Silence is counted
+}
+
 // Detector decides whether targets are dead. Set the exported fields before use.
 type Detector struct {
 	Name, DataCentre string
@@ -72,11 +87,13 @@
 	Probe func(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool)
 	// Connect opens a new connection to an address and closes it.
 	Connect func(ctx context.Context, address string) error
-	// Ask requests the finding of another entry host on a target that has not answered since a time ago. If t is nil, it
-	// only asks whether the entry host has a path.
-	Ask func(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, silence time.Duration) (Finding, error)
+	// Ask requests the finding of another entry host on a target. If t is nil, it only asks whether the entry host has a path.
+	Ask func(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, q Question) (Finding, error)
 	// Isolated reports whether requests to several targets fail on this entry host; optional.
 	Isolated func() bool
+	// Limits holds the request rates that targets name, and Planning reports whether this entry host is the planner; optional.
+	Limits   *rudderlimit.Table
+	Planning func() bool
 
 	mu     sync.Mutex
 	paths  map[string]*path        // by service; "" for all services with groups
@@ -150,11 +167,14 @@
 	if report, known := d.recentlyAlive(t); known {
 		return Finding{Answered: true, Alive: true, Report: report}
 	}
+	if d.limited(t) {
+		return d.examineLimited(ctx, t)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probed, said, path, refused := make(chan Finding, 1), make(chan []statement, 1), make(chan bool, 1), make(chan bool, 1)
 	failed := sync.OnceFunc(func() {
-		go func() { refused <- d.refuses(ctx, t) }()
+		go func() { refused <- errors.Is(d.tryConnect(ctx, t), syscall.ECONNREFUSED) }()
 		others := d.others(t)
 		if len(others) == 0 {
 			path <- true
@@ -162,7 +182,7 @@
 			return
 		}
 		go func() { path <- d.HasPath(ctx, t) }()
-		go func() { said <- d.ask(ctx, others, t, begin, minWitnesses) }()
+		go func() { said <- d.ask(ctx, others, t, Question{since: begin}, minWitnesses) }()
 	})
 	if suspected {
 		failed()
@@ -190,26 +210,36 @@
 	}
 	own := Finding{Path: <-path, Refused: <-refused}
 	own.Refused = own.Refused && own.Path
+	return d.conclude(t, begin, own, statements)
+}
+
+// conclude returns the finding on a target that neither this entry host nor those that it has asked reach.
+func (d *Detector) conclude(t *rudderview.Target, begin time.Duration, own Finding, statements []statement) Finding {
 	if !own.Path && !slices.ContainsFunc(statements, statement.hasPath) {
 		d.logVerdict(t, begin, own.String(), statements, "no path")
-		// The record is all that is known. A target without orders would seem to have restarted.
-		return Finding{Alive: true, Report: ruddertarget.GroupReport{Membership: t.Membership, Orders: 1, Born: t.Born}}
+		return asRecorded(t)
 	}
 	found := Finding{Path: true, Refused: own.Refused}
 	d.logVerdict(t, begin, own.String(), statements, found.String())
 	return found
 }
 
-// refuses reports whether nothing listens at a target's address.
-func (d *Detector) refuses(ctx context.Context, t *rudderview.Target) bool {
+// asRecorded returns the finding on a target of which its record is all that is known. Without orders it would seem to have
+// restarted.
+func asRecorded(t *rudderview.Target) Finding {
+	return Finding{Alive: true, Report: ruddertarget.GroupReport{Membership: t.Membership, Orders: 1, Born: t.Born}}
+}
+
+// tryConnect opens a new connection to a target.
+func (d *Detector) tryConnect(ctx context.Context, t *rudderview.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	return errors.Is(d.Connect(ctx, t.Address), syscall.ECONNREFUSED)
+	return d.Connect(ctx, t.Address)
 }
 
 // ReachedElsewhere reports whether another entry host reaches a target.
 func (d *Detector) ReachedElsewhere(ctx context.Context, t *rudderview.Target) bool {
-	found := answered(d.ask(ctx, d.others(t), t, d.Uptime(), minWitnesses))
+	found := answered(d.ask(ctx, d.others(t), t, Question{since: d.Uptime()}, minWitnesses))
 	return found != nil && found.Alive
 }
 
@@ -223,7 +253,7 @@
 		return false
 	}
 	begin := d.Uptime()
-	statements := d.ask(ctx, others, t, begin, wanted)
+	statements := d.ask(ctx, others, t, Question{since: begin}, wanted)
 	ended := false
 	if found := answered(statements); found != nil {
 		ended = !found.Alive
@@ -310,13 +340,13 @@
 // ask asks other entry hosts until one reaches the target, or the wanted number of them with a path do not. Each that has no path or
 // does not answer is replaced by two others. An entry host without a path asks one at a time: it has many doubts, most of them
 // unfounded.
-func (d *Detector) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, since time.Duration, wanted int) (statements []statement) {
+func (d *Detector) ask(ctx context.Context, hosts []rudderview.EntryHost, t *rudderview.Target, q Question, wanted int) (statements []statement) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	results := make(chan statement, len(hosts))
 	asked, open, witnesses := 0, 0, 0
-	first, silent := wanted, func() time.Duration { return d.Uptime() - since }
-	if d.path(t).lost(since) {
+	first, silent := wanted, func() time.Duration { return d.Uptime() - q.since }
+	if d.path(t).lost(q.since) {
 		first, silent = 1, func() time.Duration { return lostTTL }
 	}
 	start := func(n int) {
@@ -325,7 +355,7 @@
 			asked++
 			open++
 			go func() {
-				finding, err := d.Ask(ctx, x, t, silent())
+				finding, err := d.Ask(ctx, x, t, Question{Silence: silent(), Report: q.Report})
 				results <- statement{x.Name, finding, err}
 			}()
 		}
@@ -351,14 +381,17 @@
 
 // ProbeForPeer returns what this entry host finds out about a target that another one has not reached for some time. Several
 // entry hosts that ask at the same time share a probe.
-func (d *Detector) ProbeForPeer(t *rudderview.Target, silence time.Duration) Finding {
+func (d *Detector) ProbeForPeer(t *rudderview.Target, q Question) Finding {
 	if d.path(t).lost(d.Uptime()) {
 		return Finding{}
 	}
+	if d.limited(t) && !q.Report {
+		return d.connectForPeer(t)
+	}
 	d.mu.Lock()
 	now := d.Uptime()
 	p := d.shared[t.Name]
-	if p != nil && p.born == t.Born && p.usable(now, silence) {
+	if p != nil && p.born == t.Born && p.usable(now, q.Silence) {
 		d.mu.Unlock()
 		<-p.done
 		return p.finding
@@ -402,7 +435,7 @@
 	if !d.doubtful() || d.HasPath(ctx, nil) {
 		return false
 	}
-	return slices.ContainsFunc(d.ask(ctx, d.others(nil), nil, d.Uptime(), minWitnesses), statement.hasPath)
+	return slices.ContainsFunc(d.ask(ctx, d.others(nil), nil, Question{since: d.Uptime()}, minWitnesses), statement.hasPath)
 }
 
 // doubtful reports whether this entry host may have no path.
--- a/rudderd/rudderverdict/detector_test.go
+++ b/rudderd/rudderverdict/detector_test.go
@@ -59,7 +59,7 @@
 			}
 			return errDown
 		},
-		Ask: func(context.Context, rudderview.EntryHost, *rudderview.Target, time.Duration) (Finding, error) {
+		Ask: func(context.Context, rudderview.EntryHost, *rudderview.Target, Question) (Finding, error) {
 			return others[asked.Add(1)-1]()
 		},
 	}, &probes
@@ -107,7 +107,7 @@
 func TestVerdictIsBounded(t *testing.T) {
 	d, _ := newDetector(dead, true)
 	d.Snapshot().EntryHosts = append(d.Snapshot().EntryHosts, rudderview.EntryHost{Name: "e1", Peer: "e1"}, rudderview.EntryHost{Name: "e2", Peer: "e2"})
-	d.Ask = func(ctx context.Context, _ rudderview.EntryHost, _ *rudderview.Target, _ time.Duration) (Finding, error) {
+	d.Ask = func(ctx context.Context, _ rudderview.EntryHost, _ *rudderview.Target, _ Question) (Finding, error) {
 		<-ctx.Done()
 		return Finding{}, ctx.Err()
 	}
@@ -148,7 +148,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			d, probes := newDetector(test.own, test.path)
 			for range 2 {
-				require.Equal(t, test.want, d.ProbeForPeer(d.Snapshot().Targets["t0"], test.silence))
+				require.Equal(t, test.want, d.ProbeForPeer(d.Snapshot().Targets["t0"], Question{Silence: test.silence}))
 			}
 			require.Equal(t, test.probes, probes.Load())
 		})
