Keep the records of followers when the watcher changes

A stop or return of an entry host changes which hosts watch the key-value service for the others. The new watcher began with an empty log, although it had followed all changes until then, and answered followers that were behind or ahead of it that changes are missing.

A follower now logs the changes that it applies, within the number and the size that it could relay, so that it can answer from the revision of its list on when it becomes a watcher. A follower that is ahead of its watcher, because it has followed another one, lacks nothing that the watcher knows; its call waits for the next change.

--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 	// records of a large fleet, so that a follower which was disconnected for a while does not have to read
 	// all of them.
 	maxLogChanges = 8192
+	// maxFollowedChanges limits the changes that a follower keeps in case it becomes a watcher. The other followers are behind
+	// it by less than a second.
+	maxFollowedChanges = 1024
 	// maxRelayStaleness is the staleness up to which a watcher answers its followers.
 	maxRelayStaleness = 2200 * time.Millisecond
 	// followerTimeout is how long a watcher assumes that it has followers after their last call.
@@ -72,14 +76,33 @@
 			v.log = append(v.log, e)
 		}
 	}
-	if len(v.log) > maxLogChanges {
-		v.log = lastOfEachKey(v.log)
+	v.logRevision = max(v.logRevision, revision)
+	if v.direct.Load() {
+		v.trimLog(maxLogChanges, math.MaxInt)
+		return
 	}
-	if over := len(v.log) - maxLogChanges; over > 0 {
-		v.logFrom = v.log[over-1].Revision
-		v.log = slices.Delete(v.log, 0, over)
+	// When a follower becomes a watcher, the other followers are behind it.
+	v.trimLog(maxFollowedChanges, v.relayBytes())
+}
+
+// trimLog bounds the number and the size of the changes in the log. The caller holds v.mu.
+func (v *View) trimLog(most, mostBytes int) {
+	if len(v.log) <= most && bytesOf(v.log) <= mostBytes {
+		return
 	}
-	v.logRevision = max(v.logRevision, revision)
+	v.log = lastOfEachKey(v.log)
+	for size := bytesOf(v.log); len(v.log) > most || size > mostBytes; v.log = v.log[1:] {
+		size -= len(v.log[0].Value)
+		v.logFrom = v.log[0].Revision
+	}
+}
+
+func bytesOf(events []rudderstore.Event) int {
+	size := 0
+	for _, e := range events {
+		size += len(e.Value)
+	}
+	return size
 }
 
 // lastOfEachKey returns the last change of each key, in the order of the changes. Whatever revision a
@@ -158,21 +181,19 @@
 	return defaultRelayBytes
 }
 
+// changesAfter returns the logged changes after a revision. A follower may be ahead, because it has followed another watcher: it
+// then lacks nothing that this watcher knows.
 func (v *View) changesAfter(after int64) Changes {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := Changes{Revision: v.logRevision, Gap: after < v.logFrom || after > v.logRevision}
+	c := Changes{Revision: v.logRevision, Gap: after < v.logFrom}
 	first := len(v.log)
 	for first > 0 && v.log[first-1].Revision > after {
 		first--
 	}
 	// While groups form, targets write their records several times a second.
 	c.Events = lastOfEachKey(v.log[first:])
-	size := 0
-	for _, e := range c.Events {
-		size += len(e.Value)
-	}
-	if size > v.relayBytes() {
+	if bytesOf(c.Events) > v.relayBytes() {
 		c.Gap, c.Events = true, nil
 	}
 	return c
@@ -190,6 +211,7 @@
 	}
 	v.direct.Store(false)
 	if len(c.Events) > 0 || c.Revision > v.Snapshot().Revision {
+		v.appendLog(c.Events, c.Revision)
 		v.applyChanges(rudderstore.WatchResult{Events: c.Events, Revision: c.Revision})
 	}
 	v.markSynced(begin, begin+c.Held-c.Age)
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -244,10 +244,7 @@
 		return err
 	}
 	v.ownWatchAt = v.Uptime()
-	if !v.direct.Load() {
-		v.resetLog(v.Snapshot().Revision)
-		v.direct.Store(true)
-	}
+	v.direct.Store(true)
 	begin := v.Uptime()
 	beyond := watchTimeout
 	if v.hasFollowers() {
@@ -299,11 +296,7 @@
 )
 
 func complete(events []rudderstore.Event) bool {
-	size := 0
-	for _, e := range events {
-		size += len(e.Value)
-	}
-	return len(events) < completeEvents && size < completeBytes
+	return len(events) < completeEvents && bytesOf(events) < completeBytes
 }
 
 // pauseBetweenWatches lets changes accumulate, so that the next answer holds several of them.
