Copy missed records from the watcher also in small fleets

A follower of a watcher that lacks the changes it needs, for example because the watcher has just started, read all records from the key-value service if the fleet had fewer than 48 hosts. The watcher that reports the gap has just answered, so the follower now copies its records, and reads the service if that fails.

--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -34,9 +34,12 @@
 
 // copyRecords implements rudderview.View.FetchRecords. It reads the few registrations of entry hosts from the key-value service,
 // unless they are known, and all other records from a watcher. It returns errNoCopySource on an entry host that is itself a
-// watcher, and if the fleet is too small.
+// watcher, and for the first snapshot if the fleet is too small.
 func (e *Edge) copyRecords(ctx context.Context) (rudderview.RecordSet, error) {
 	entries := e.view.Snapshot().EntryHosts
+	if _, synced := e.view.Staleness(); synced && len(entries) < copyMinEntries {
+		return e.copyMissed(ctx, entries)
+	}
 	if _, synced := e.view.Staleness(); !synced || len(entries) == 0 {
 		var err error
 		if entries, err = e.registered(ctx); err != nil {
@@ -63,6 +66,25 @@
 	}
 }
 
+// copyMissed fetches the records after changes were missed. The watcher that has reported the gap answers; others are not waited
+// for, because the key-value service can send all records of a small fleet.
+func (e *Edge) copyMissed(ctx context.Context, entries []rudderview.EntryHost) (rudderview.RecordSet, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
+	defer cancel()
+	now, err := e.uptime(), errNoCopySource
+	for _, watcher := range candidates(entries, e.Settings.Name, e.Settings.DataCentre) {
+		if now < e.unavailable[watcher.Peer] {
+			continue
+		}
+		var c rudderview.RecordSet
+		if c, err = e.copyFromWatcher(ctx, watcher); err == nil && c.Serving {
+			return c, nil
+		}
+		break
+	}
+	return rudderview.RecordSet{}, errors.CombineErrors(err, errNoCopySource)
+}
+
 // registered reads the registrations of entry hosts, including those of hosts that have just died, and sets the shared
 // secret.
 func (e *Edge) registered(ctx context.Context) ([]rudderview.EntryHost, error) {
--- a/rudderd/rudderedge/copy_test.go
+++ b/rudderd/rudderedge/copy_test.go
@@ -144,6 +144,48 @@
 	}
 }
 
+// A watcher that has just become one lacks the changes that a follower needs. Guards against a small fleet whose hosts all read all
+// records from the key-value service each time.
+func TestSmallFleetCopiesMissedRecords(t *testing.T) {
+	store := newMemoryStore()
+	document, err := json.Marshal(rudderroute.Document{Version: 3})
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), rudderstore.PutRequest{Key: "routing", Value: document})
+	require.NoError(t, err)
+	hosts, lists, stops := map[string]*Edge{}, map[string]*atomic.Int32{}, map[string]func(){}
+	for _, name := range []string{"a", "b"} {
+		counted, count := countLists(store)
+		e := edge(name, counted)
+		e.Settings.PeerListen = freeAddress(t)
+		e.Prepare()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = e.Run(ctx)
+		}()
+		hosts[name], lists[name], stops[name] = e, count, func() { cancel(); <-ended }
+		t.Cleanup(stops[name])
+	}
+	for _, e := range hosts {
+		require.Eventually(t, func() bool {
+			return e.Ready() && len(e.view.Snapshot().EntryHosts) == len(hosts) && isClosed(e.peers.secretKnown)
+		}, 5*time.Second, 5*time.Millisecond)
+	}
+	follower := "a"
+	if watchers(hosts["a"].view.Snapshot().EntryHosts, "d")[0].Name == "a" {
+		follower = "b"
+	}
+	stops[follower]() // so that only this test uses its view
+	clear(hosts[follower].unavailable)
+	before := lists[follower].Load()
+	c, err := hosts[follower].copyRecords(t.Context())
+	require.NoError(t, err)
+	require.True(t, c.Serving)
+	require.Greater(t, len(c.Entries), 1)
+	require.Equal(t, before, lists[follower].Load())
+}
+
 // The key-value service comes back and lacks the history that a watch needs. Guards against calls to it before the list of all
 // records, during which the known configuration becomes too old to serve with.
 func TestRecordsAreReadAgainWithoutFurtherCalls(t *testing.T) {
