--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -250,9 +250,10 @@
 func TestStopDuringRegistrationRemovesIt(t *testing.T) {
 	store := newMemoryStore()
 	put, called := store.Put, make(chan struct{})
+	notify := sync.OnceFunc(func() { close(called) })
 	store.Put = func(ctx context.Context, r rudderstore.PutRequest) (int64, error) {
 		_, _ = put(ctx, r)
-		close(called)
+		notify()
 		<-ctx.Done() // the response does not arrive
 		return 0, ctx.Err()
 	}
