Repeat late renewals of the planner's lease before it expires

No groups are formed until another host has taken over, and a planner watches the key-value service by itself. The next attempt now follows at once, with time limits of 0.1, 0.2 and 0.3 s.

The plans of all fabric domains wait for a write. The first write of a plan now waits for 0.2 s in place of 0.8 s; the time doubles with each failed one. A late one fails, because its expected revision has passed.

TestPlannerKeepsItsLeaseThroughLateRenewals failed before in the rows "two late" and "three late".

--- a/rudderd/ruddercoordinator/lease.go
+++ b/rudderd/ruddercoordinator/lease.go
@@ -33,22 +33,29 @@
 	return lease, err
 }
 
-// keepLease renews the lease, and calls lost when the lease has ended or may have expired.
+// keepLease renews the lease, and calls lost when the lease has ended or may have expired. A failed renewal is repeated at once,
+// because a single answer may be lost; a slow service gets more time with each attempt.
 func (p *Planner) keepLease(ctx context.Context, lost context.CancelFunc, lease int64) {
 	defer lost()
-	last := p.Uptime()
+	last, failures := p.Uptime(), 0
 	for {
-		wait(ctx, nil, renewInterval)
+		if failures == 0 {
+			wait(ctx, nil, renewInterval)
+		}
 		if ctx.Err() != nil {
 			return
 		}
 		begin := p.Uptime()
-		callContext, cancel := context.WithTimeout(ctx, renewInterval)
+		callContext, cancel := context.WithTimeout(ctx, min(firstRenewTimeout<<min(failures, 8), renewInterval))
 		err := p.Store.KeepAlive(callContext, lease)
+		if err != nil && !errors.Is(err, rudderstore.ErrNotFound) {
+			failures++
+			<-callContext.Done() // a service that refuses calls answers at once
+		}
 		cancel()
 		switch {
 		case err == nil:
-			last = begin
+			last, failures = begin, 0
 		case errors.Is(err, rudderstore.ErrNotFound), p.Uptime()-last > LeaseTTL:
 			p.Logger.Warn().Err(err).Int64("lease", lease).Msg("planner lease not renewed")
 			return
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -25,8 +25,10 @@
 	// soon. A planner that has lost its lease does no harm: plans are written by compare-and-swap, and orders
 	// carry epochs.
 	LeaseTTL = time.Second
-	// renewInterval allows for two failed renewals within LeaseTTL.
-	renewInterval = 300 * time.Millisecond
+	// renewInterval is the interval between renewals, and the most that one may take. firstRenewTimeout bounds the first attempt
+	// of a renewal, and doubles with each failed one: three may fail within LeaseTTL.
+	renewInterval     = 300 * time.Millisecond
+	firstRenewTimeout = 100 * time.Millisecond
 	// stepInterval is the time between two steps while a change is in progress.
 	stepInterval = 100 * time.Millisecond
 	// takeOverJitter bounds the random delay before an entry host tries to acquire a free lease.
@@ -42,8 +44,10 @@
 	// yieldAfter is how long an entry host of low capacity plans before it leaves the lease to one of high
 	// capacity.
 	yieldAfter = 3 * time.Second
-	// storeTimeout bounds a call to the key-value service.
-	storeTimeout = 800 * time.Millisecond
+	// storeTimeout bounds a call to the key-value service. firstStoreTimeout bounds the first write of a plan, and doubles with
+	// each failed one: the plans of all fabric domains wait for a write whose answer is lost.
+	storeTimeout      = 800 * time.Millisecond
+	firstStoreTimeout = 200 * time.Millisecond
 	// orderTimeout bounds a call that sends an order; targets answer within a round trip or not at all.
 	orderTimeout = 500 * time.Millisecond
 	// maxCalls bounds the concurrent orders and probes. Each takes a connection and its buffers, and a fleet of
--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -148,9 +148,12 @@
 		p.Logger.Error().Err(err).Str("domain", c.Plan.Domain).Msg("cannot encode plan")
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	key := planKey(c)
+	p.mu.Lock()
+	timeout := min(firstStoreTimeout<<min(p.failedWrites[key].failures, 8), storeTimeout)
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	revision, err := p.Store.Put(ctx, rudderstore.PutRequest{Key: key, Value: value, Expected: c.Revision})
 	p.Logger.Info().Err(err).Str("domain", c.Plan.Domain).Int64("expected", c.Revision).Int64("revision", revision).
 		Str("changes", strings.Join(c.Notes, "; ")).Msg("plan written")
