Close connections of callers when the fleet has grown

Callers choose an entry host only when they open a connection.

A host now closes a connection, with its next response, when the mean number of hosts that take new work within the lifetime of the directory's responses has grown by a factor of 1.25 to 2 since the connection was opened, or since its lowest value then. The factor is drawn for each connection, so that the callers of a host do not move at once. A single host that returns moves nobody.

TestReturnedHostsGetTheirShare failed before in the rows "all but one are away" (1,200 of 1,200 callers stay with the first host) and "a short absence" (844 of 1,200; now 404).

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -17,6 +18,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/ruddercoordinator"
+	"comfreyrudder.example/rudderd/rudderentry"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpath"
@@ -93,6 +95,7 @@
 	limits      *rudderlimit.Table
 	path        *rudderpath.Monitor
 	pathPeers   *pathPeers
+	rebalancer  *rudderentry.Rebalancer
 	packer      packer
 	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
@@ -193,6 +196,10 @@
 	e.peers = newPeers()
 	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
 	e.limits = &rudderlimit.Table{}
+	e.rebalancer = &rudderentry.Rebalancer{
+		Lifetime: e.Settings.DirectoryLifetime, Hosts: func() int { return len(e.view.Snapshot().EntryHosts) }, Uptime: uptime,
+		Draw: rand.Float64, OnClose: func() { e.count("connections.moved") },
+	}
 	e.path = e.newPath()
 	e.balance = newBalance(e)
 	e.session = &session{
--- a/rudderd/rudderedge/listen.go
+++ b/rudderd/rudderedge/listen.go
@@ -25,7 +25,7 @@
 // listen opens all listening sockets. The first server in the result is the one for callers.
 func (e *Edge) listen() ([]boundServer, error) {
 	callers := newEcho()
-	handler := echo.WrapHandler(e.forwarder)
+	handler := echo.WrapHandler(e.rebalancer.Wrap(e.forwarder))
 	callers.Any("/*", handler)
 	callers.RouteNotFound("/*", handler)
 	directory, readiness, report := newEcho(), newEcho(), newEcho()
@@ -57,6 +57,7 @@
 			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}})
 	}
+	servers[0].server.ConnContext = e.rebalancer.ConnContext
 	return servers, nil
 }
 
--- a/rudderd/rudderentry/rank.go
+++ b/rudderd/rudderentry/rank.go
@@ -1,5 +1,5 @@
-// Package rudderentry ranks the addresses of entry hosts for callers and implements the state machine of an
-// entry host's shutdown. It does no I/O and reads no clock; the time is passed as an argument.
+// Package rudderentry ranks the addresses of entry hosts for callers, spreads their connections over a fleet that grows, and
+// implements the state machine of an entry host's shutdown. It does no I/O and reads no clock; the time is passed in.
 package rudderentry
 
 import (
