Shorten the lifetime of rankings while entry hosts leave

Callers of the chat API use the first address of a ranking for its lifetime of 10 s. While most hosts leave, the first one that is back is first in every ranking, and all callers stayed with it for 10 s although the others return within seconds. The lifetime is now multiplied by the share of the hosts that take new work, and is at least 1 s.

TestRankingsAreShortLivedWhileHostsLeave: before, every response had the usual lifetime.

--- a/rudderd/rudderapp/callers.go
+++ b/rudderd/rudderapp/callers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderburn"
+	"comfreyrudder.example/rudderd/rudderentry"
 	"comfreyrudder.example/rudderd/rudderhttp"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/rudderconfig"
@@ -62,5 +63,5 @@
 }
 
 func (a *App) entries(key, dataCentre string) ([]rudderhttp.Entry, time.Duration) {
-	return a.ranked(key, dataCentre), a.Settings.EntryLifetime
+	return a.ranked(key, dataCentre), rudderentry.Lifetime(a.Settings.EntryLifetime, a.entryHosts())
 }
--- a/rudderd/rudderentry/entry_test.go
+++ b/rudderd/rudderentry/entry_test.go
@@ -195,3 +195,22 @@
 		require.Equal(t, test.want, p.Bound("a", 100, test.running...), test.name)
 	}
 }
+
+// Hosts stop one after the other. Guards against callers that all stay for the usual time with the first host that is back.
+func TestRankingsAreShortLivedWhileHostsLeave(t *testing.T) {
+	taking, leaving, dead := Host{Live: true}, Host{Live: true, Leaving: true}, Host{}
+	for _, test := range []struct {
+		usual time.Duration
+		hosts []Host
+		want  time.Duration
+	}{
+		{10 * time.Second, []Host{taking, taking, dead}, 10 * time.Second},
+		{10 * time.Second, []Host{taking, taking, taking, leaving}, 7500 * time.Millisecond},
+		{10 * time.Second, []Host{taking, leaving, leaving, leaving, leaving}, 2 * time.Second},
+		{10 * time.Second, []Host{leaving, leaving}, time.Second},
+		{500 * time.Millisecond, []Host{taking, leaving, leaving}, 500 * time.Millisecond},
+		{10 * time.Second, nil, 10 * time.Second},
+	} {
+		require.Equal(t, test.want, Lifetime(test.usual, test.hosts), "%v", test.hosts)
+	}
+}
--- a/rudderd/rudderentry/rank.go
+++ b/rudderd/rudderentry/rank.go
@@ -10,8 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// RankingTTL is how long a caller may cache a ranking.
-const RankingTTL = 10 * time.Second
+// RankingTTL is how long a caller may cache a ranking, and minLifetime the least time while hosts are leaving.
+const (
+	RankingTTL  = 10 * time.Second
+	minLifetime = time.Second
+)
 
 const (
 	// overloadedPermille is the queue utilisation from which an entry host is ranked behind all others.
@@ -89,6 +92,24 @@
 	return ranked
 }
 
+// Lifetime returns how long a caller may cache a ranking. It is the shorter the more hosts are leaving: a host that takes new work
+// while most others are away is the first one in all rankings, and the others will be back within seconds.
+func Lifetime(usual time.Duration, hosts []Host) time.Duration {
+	taking, leaving := 0, 0
+	for _, h := range hosts {
+		switch {
+		case h.Leaving:
+			leaving++
+		case h.Live:
+			taking++
+		}
+	}
+	if leaving == 0 {
+		return usual
+	}
+	return max(usual*time.Duration(taking)/time.Duration(taking+leaving), min(usual, minLifetime))
+}
+
 // LessLoaded returns the address to which an overloaded entry host redirects a caller. It returns false
 // unless some other host takes new work, is not overloaded and has at most as many requests in flight.
 func LessLoaded(caller Caller, self Host, hosts []Host) (Ranked, bool) {
