Let the time limits of calls follow the answers of the key-value service

While a third of the writes got no answer, the slowest tenth of the hosts that started was registered after 1.9 to 3.4 s, the last one after 12.6 s; until then the few hosts that were back got their requests, and callers went on to stopping hosts. The limit is now 0.1 s, or four times the last answer of a slower service. It doubles with each call that gets no answer, and the first three are repeated without a pause, because the wait was one. The planner's renewals and writes of plans do the same.

TestRegistrationLastsThroughLateWrites has a row with a slow service (answers after 0.25 s), and demands at most 16 calls in 22 s in all rows.

--- a/rudderd/ruddercoordinator/lease.go
+++ b/rudderd/ruddercoordinator/lease.go
@@ -37,7 +37,7 @@
 // because a single answer may be lost; a slow service gets more time with each attempt.
 func (p *Planner) keepLease(ctx context.Context, lost context.CancelFunc, lease int64) {
 	defer lost()
-	last, failures := p.Uptime(), 0
+	last, failures, timeout := p.Uptime(), 0, firstRenewTimeout
 	for {
 		if failures == 0 {
 			wait(ctx, nil, renewInterval)
@@ -46,16 +46,19 @@
 			return
 		}
 		begin := p.Uptime()
-		callContext, cancel := context.WithTimeout(ctx, min(firstRenewTimeout<<min(failures, 8), renewInterval))
+		callContext, cancel := context.WithTimeout(ctx, timeout)
 		err := p.Store.KeepAlive(callContext, lease)
 		if err != nil && !errors.Is(err, rudderstore.ErrNotFound) {
 			failures++
+			timeout = min(2*timeout, renewInterval)
 			<-callContext.Done() // a service that refuses calls answers at once
 		}
 		cancel()
 		switch {
 		case err == nil:
 			last, failures = begin, 0
+			timeout = min(max(answerMargin*(p.Uptime()-begin), firstRenewTimeout), renewInterval)
+			p.answered.Store(int64(p.Uptime() - begin))
 		case errors.Is(err, rudderstore.ErrNotFound), p.Uptime()-last > LeaseTTL:
 			p.Logger.Warn().Err(err).Int64("lease", lease).Msg("planner lease not renewed")
 			return
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -26,9 +26,11 @@
 	// carry epochs.
 	LeaseTTL = time.Second
 	// renewInterval is the interval between renewals, and the most that one may take. firstRenewTimeout bounds the first attempt
-	// of a renewal, and doubles with each failed one: three may fail within LeaseTTL.
+	// of a renewal, and doubles with each failed one: three may fail within LeaseTTL. A slow service gets answerMargin times its
+	// last answer.
 	renewInterval     = 300 * time.Millisecond
 	firstRenewTimeout = 100 * time.Millisecond
+	answerMargin      = 4
 	// stepInterval is the time between two steps while a change is in progress.
 	stepInterval = 100 * time.Millisecond
 	// takeOverJitter bounds the random delay before an entry host tries to acquire a free lease.
@@ -44,8 +46,8 @@
 	// yieldAfter is how long an entry host of low capacity plans before it leaves the lease to one of high
 	// capacity.
 	yieldAfter = 3 * time.Second
-	// storeTimeout bounds a call to the key-value service. firstStoreTimeout bounds the first write of a plan, and doubles with
-	// each failed one: the plans of all fabric domains wait for a write whose answer is lost.
+	// storeTimeout bounds a call to the key-value service. firstStoreTimeout bounds the first write of a plan to a service that
+	// answers fast, and doubles with each failed one: the plans of all fabric domains wait for a write whose answer is lost.
 	storeTimeout      = 800 * time.Millisecond
 	firstStoreTimeout = 200 * time.Millisecond
 	// orderTimeout bounds a call that sends an order; targets answer within a round trip or not at all.
@@ -102,6 +104,7 @@
 
 	calls        callSlots
 	planning     atomic.Bool
+	answered     atomic.Int64 // time that the last answered renewal took, in nanoseconds
 	mu           sync.Mutex
 	states       map[string]*rudderplacement.State     // by service
 	plans        map[string]rudderplacement.StoredPlan // by key, as read or last written by this planner
--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -150,7 +150,8 @@
 	}
 	key := planKey(c)
 	p.mu.Lock()
-	timeout := min(firstStoreTimeout<<min(p.failedWrites[key].failures, 8), storeTimeout)
+	timeout := max(firstStoreTimeout, answerMargin*time.Duration(p.answered.Load()))
+	timeout = min(timeout<<min(p.failedWrites[key].failures, 8), storeTimeout)
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -26,9 +26,12 @@
 	sessionCheckSpread = 300 * time.Millisecond
 	// storeTimeout bounds a call to the key-value service.
 	storeTimeout = 800 * time.Millisecond
-	// firstSessionTimeout bounds the first attempt of a call of the session. It doubles with each failed attempt up to
-	// storeTimeout: the answer to a single call may be lost, and a slow service needs more time.
-	firstSessionTimeout = 200 * time.Millisecond
+	// minSessionTimeout bounds a call of the session to a service that answers fast. A slow one gets answerMargin times its last
+	// answer. The bound doubles with each call without an answer, up to storeTimeout.
+	minSessionTimeout = 100 * time.Millisecond
+	answerMargin      = 4
+	// repeatsAtOnce is the number of calls without an answer that are repeated without a pause: their answers may be lost.
+	repeatsAtOnce = 3
 	// sessionRetry is the pause after a failed call.
 	sessionRetry = 250 * time.Millisecond
 )
@@ -51,6 +54,8 @@
 	lease       int64
 	leaseSentAt time.Duration
 	revision    int64
+	timeout     time.Duration // of the next call; 0 before the first one
+	unanswered  int           // consecutive calls without an answer
 	// renewedAt is the uptime at which the last successful renewal was sent; 0 before the first registration.
 	renewedAt atomic.Int64
 }
@@ -89,10 +94,10 @@
 		}
 	}()
 	for failures := 0; ctx.Err() == nil; {
-		if err := s.register(ctx, value, sessionTimeout(failures)); err != nil {
+		if err := s.register(ctx, value); err != nil {
 			failures++
 			s.logger.Info().Err(err).Int("failures", failures).Msg("registration failed")
-			pause(ctx, rudderview.RetryAfter(failures, rand.Float64()))
+			pause(ctx, s.retryAfter(failures))
 			continue
 		}
 		failures = 0
@@ -105,28 +110,51 @@
 	return nil
 }
 
-// sessionTimeout returns the time limit of a call after a number of consecutive failed ones.
-func sessionTimeout(failures int) time.Duration {
-	return min(firstSessionTimeout<<min(failures, 8), storeTimeout)
+// call calls the key-value service with a time limit that follows its answers.
+func (s *session) call(ctx context.Context, do func(ctx context.Context) error) error {
+	timeout := max(s.timeout, minSessionTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begin := s.uptime()
+	err := do(ctx)
+	if err != nil && ctx.Err() != nil {
+		s.unanswered++
+		s.timeout = min(2*timeout, storeTimeout)
+		return err
+	}
+	s.unanswered = 0
+	s.timeout = min(answerMargin*(s.uptime()-begin), storeTimeout)
+	return err
+}
+
+// retryAfter returns the pause after a number of consecutive failed calls.
+func (s *session) retryAfter(failures int) time.Duration {
+	if s.unanswered > 0 && s.unanswered <= repeatsAtOnce {
+		return 0
+	}
+	return rudderview.RetryAfter(failures, rand.Float64())
 }
 
 // register writes the registration. All attempts use one lease while it lasts: a write without an answer may be carried out
 // seconds later, and with a lease of its own it would replace a newer registration and then expire.
-func (s *session) register(ctx context.Context, value []byte, timeout time.Duration) error {
+func (s *session) register(ctx context.Context, value []byte) error {
 	if s.lease == 0 || s.uptime()-s.leaseSentAt >= sessionTTL {
-		grantContext, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
 		sentAt := s.uptime()
-		lease, err := s.store.GrantLease(grantContext, sessionTTL)
+		err := s.call(ctx, func(ctx context.Context) (err error) {
+			s.lease, err = s.store.GrantLease(ctx, sessionTTL)
+			return err
+		})
 		if err != nil {
+			s.lease = 0
 			return err
 		}
-		s.lease, s.leaseSentAt = lease, sentAt
+		s.leaseSentAt = sentAt
 	}
-	putContext, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	revision, err := s.store.Put(putContext, rudderstore.PutRequest{
-		Key: rudderview.EntryPrefix + s.entry.Name, Value: value, Expected: rudderstore.AnyRevision, Lease: s.lease,
+	err := s.call(ctx, func(ctx context.Context) (err error) {
+		s.revision, err = s.store.Put(ctx, rudderstore.PutRequest{
+			Key: rudderview.EntryPrefix + s.entry.Name, Value: value, Expected: rudderstore.AnyRevision, Lease: s.lease,
+		})
+		return err
 	})
 	if errors.Is(err, rudderstore.ErrNotFound) {
 		s.lease = 0
@@ -134,7 +162,6 @@
 	if err != nil {
 		return err
 	}
-	s.revision = revision
 	s.renewedAt.Store(int64(s.leaseSentAt))
 	return nil
 }
@@ -161,10 +188,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		callContext, cancel := context.WithTimeout(ctx, sessionTimeout(failures))
 		sentAt := s.uptime()
-		err := s.store.KeepAlive(callContext, s.lease)
-		cancel()
+		err := s.call(ctx, func(ctx context.Context) error { return s.store.KeepAlive(ctx, s.lease) })
 		next := sessionRenew
 		switch {
 		case err == nil:
@@ -177,7 +202,7 @@
 			return
 		default:
 			failures++
-			next = rudderview.RetryAfter(failures, rand.Float64())
+			next = s.retryAfter(failures)
 		}
 		timer.Reset(next)
 	}
@@ -186,9 +211,7 @@
 // revoke removes the registration. A revocation without an answer is repeated until the lease ends by itself.
 func (s *session) revoke(lease int64) {
 	for failures := 0; ; {
-		ctx, cancel := context.WithTimeout(context.Background(), sessionTimeout(failures))
-		err := s.store.RevokeLease(ctx, lease)
-		cancel()
+		err := s.call(context.Background(), func(ctx context.Context) error { return s.store.RevokeLease(ctx, lease) })
 		if err == nil || errors.Is(err, rudderstore.ErrNotFound) {
 			return
 		}
@@ -197,7 +220,7 @@
 			s.logger.Warn().Err(err).Int64("lease", lease).Msg("cannot remove registration; it expires with its lease")
 			return
 		}
-		pause(context.Background(), rudderview.RetryAfter(failures, rand.Float64()))
+		pause(context.Background(), s.retryAfter(failures))
 	}
 }
 
--- a/rudderd/rudderedge/session_test.go
+++ b/rudderd/rudderedge/session_test.go
@@ -20,6 +20,7 @@
 	late     map[int]bool
 	lateEnds int // number of revocations that are late
 	lateness time.Duration
+	answer   time.Duration // time that an answer takes
 
 	mu       sync.Mutex
 	writes   int
@@ -43,8 +44,12 @@
 	late := l.late[l.writes]
 	l.mu.Unlock()
 	if !late {
-		time.Sleep(4 * time.Millisecond)
-		return locked()
+		select {
+		case <-time.After(l.answer):
+			return locked()
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
 	}
 	time.AfterFunc(l.lateness, func() { _, _ = locked() })
 	<-ctx.Done()
@@ -144,26 +149,29 @@
 // callers do not learn of it, and the other hosts get its share of the requests. Also guards against one that stops and stays
 // registered until its lease ends.
 func TestRegistrationLastsThroughLateWrites(t *testing.T) {
+	const fast = 4 * time.Millisecond
 	for _, test := range []struct {
 		name   string
 		late   []int
 		absent time.Duration // at most
 		// other writes a registration with another lease, which ends, as an earlier process does.
-		other bool
+		other  bool
+		answer time.Duration
 	}{
-		{"in calm", nil, 0, false},
-		{"grant", []int{1}, 0, false},
-		{"registration", []int{2}, 0, false},
-		{"registration, twice", []int{2, 3}, 0, false},
-		{"renewal", []int{3}, 0, false},
-		{"two renewals", []int{3, 4}, 0, false},
-		{"registration of an earlier process", nil, time.Second, true},
+		{"in calm", nil, 0, false, fast},
+		{"grant", []int{1}, 0, false, fast},
+		{"registration", []int{2}, 0, false, fast},
+		{"registration, twice", []int{2, 3}, 0, false, fast},
+		{"renewal", []int{3}, 0, false, fast},
+		{"two renewals", []int{3, 4}, 0, false, fast},
+		{"registration of an earlier process", nil, time.Second, true, fast},
+		{"slow service", nil, 0, false, 250 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				l := &lateStore{late: map[int]bool{}, lateness: 3 * time.Second, leases: map[int64]time.Time{}, changed: make(chan struct{})}
+				l := &lateStore{late: map[int]bool{}, lateness: 3 * time.Second, answer: test.answer, leases: map[int64]time.Time{}, changed: make(chan struct{})}
 				for _, n := range test.late {
 					l.late[n] = true
 				}
@@ -187,7 +195,10 @@
 				require.True(t, l.registered())
 				require.LessOrEqual(t, l.absent, test.absent)
 				require.False(t, s.lapsed())
-				l.lateEnds = 2
+				require.LessOrEqual(t, l.writes, 16, "too many calls")
+				if test.answer == fast {
+					l.lateEnds = 2
+				}
 				cancel()
 				time.Sleep(1200 * time.Millisecond)
 				require.False(t, l.registered(), "the registration is not revoked")
