--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -204,7 +204,7 @@
 	e.balance = newBalance(e)
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}), check: make(chan struct{}, 1),
-		changed: e.view.Changed, missing: e.registrationMissing,
+		changed: e.view.Changed, missing: e.registrationMissing, unreachable: e.storeUnreachable,
 		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity},
 	}
 	e.forwarder = &rudderforward.Forwarder{
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -32,6 +32,8 @@
 	answerMargin      = 4
 	// repeatsAtOnce is the number of calls without an answer that are repeated without a pause: their answers may be lost.
 	repeatsAtOnce = 3
+	// outageRetry is the pause between two calls while the view finds that the service does not answer.
+	outageRetry = 2 * time.Second
 	// sessionRetry is the pause after a failed call.
 	sessionRetry = 250 * time.Millisecond
 )
@@ -49,6 +51,8 @@
 	// new as a revision lacks the registration.
 	changed func() <-chan struct{}
 	missing func(revision int64) bool
+	// unreachable reports whether the key-value service does not answer the view.
+	unreachable func() bool
 	// lease is 0 for none, and leaseSentAt the uptime at which its grant or last renewal was sent. revision is that of the
 	// registration. They are used only by run.
 	lease       int64
@@ -97,7 +101,7 @@
 		if err := s.register(ctx, value); err != nil {
 			failures++
 			s.logger.Info().Err(err).Int("failures", failures).Msg("registration failed")
-			pause(ctx, s.retryAfter(failures))
+			s.pauseAfter(ctx, failures)
 			continue
 		}
 		failures = 0
@@ -127,12 +131,30 @@
 	return err
 }
 
-// retryAfter returns the pause after a number of consecutive failed calls.
-func (s *session) retryAfter(failures int) time.Duration {
-	if s.unanswered > 0 && s.unanswered <= repeatsAtOnce {
-		return 0
+// pauseAfter pauses after a number of consecutive failed calls. In an outage it waits until the view notices the end.
+func (s *session) pauseAfter(ctx context.Context, failures int) {
+	if !s.unreachable() {
+		if s.unanswered == 0 || s.unanswered > repeatsAtOnce {
+			pause(ctx, rudderview.RetryAfter(failures, rand.Float64()))
+		}
+		return
+	}
+	timer := time.NewTimer(outageRetry)
+	defer timer.Stop()
+	for {
+		changed := s.changed()
+		if !s.unreachable() {
+			pause(ctx, rand.N(sessionCheckSpread))
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
-	return rudderview.RetryAfter(failures, rand.Float64())
 }
 
 // register writes the registration. All attempts use one lease while it lasts: a write without an answer may be carried out
@@ -202,7 +224,8 @@
 			return
 		default:
 			failures++
-			next = s.retryAfter(failures)
+			s.pauseAfter(ctx, failures)
+			next = 0
 		}
 		timer.Reset(next)
 	}
@@ -220,7 +243,7 @@
 			s.logger.Warn().Err(err).Int64("lease", lease).Msg("cannot remove registration; it expires with its lease")
 			return
 		}
-		pause(context.Background(), s.retryAfter(failures))
+		s.pauseAfter(context.Background(), failures)
 	}
 }
 
@@ -238,3 +261,9 @@
 	snapshot := e.view.Snapshot()
 	return snapshot.Revision >= revision && !slices.ContainsFunc(snapshot.EntryHosts, func(x rudderview.EntryHost) bool { return x.Name == e.Settings.Name })
 }
+
+// storeUnreachable reports whether the key-value service does not answer the view, or has not answered it since the start.
+func (e *Edge) storeUnreachable() bool {
+	_, synced := e.view.Staleness()
+	return !synced || e.view.Unreachable()
+}
--- a/rudderd/rudderedge/session_test.go
+++ b/rudderd/rudderedge/session_test.go
@@ -180,6 +180,7 @@
 					store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
 					left: make(chan struct{}), check: make(chan struct{}, 1),
 					changed: l.change, missing: func(int64) bool { return !l.registered() },
+					unreachable: func() bool { return false },
 				}
 				go l.expire(ctx)
 				go func() { _ = s.run(ctx) }()
@@ -206,3 +207,33 @@
 		})
 	}
 }
+
+// A service that does not answer for seconds while an entry host starts. Guards against calls in quick succession, which all hosts
+// make then, and against a registration long after the end of the outage.
+func TestRegistrationWaitsForTheEndOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 6 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		l := &lateStore{late: map[int]bool{}, lateness: time.Hour, answer: time.Millisecond, leases: map[int64]time.Time{}, changed: make(chan struct{})}
+		for n := range 100 {
+			l.late[n] = true
+		}
+		s := &session{
+			store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
+			left: make(chan struct{}), check: make(chan struct{}, 1), changed: l.change, missing: func(int64) bool { return false },
+			unreachable: func() bool { return time.Since(begin) < outage },
+		}
+		go func() { _ = s.run(ctx) }()
+		time.Sleep(outage)
+		l.mu.Lock()
+		require.LessOrEqual(t, l.writes, 4)
+		l.late = map[int]bool{}
+		l.notify()
+		l.mu.Unlock()
+		time.Sleep(storeTimeout + sessionCheckSpread)
+		require.True(t, l.registered())
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
