Let a follower that is ahead of its watcher read no records again

A follower that had read all records itself could be ahead of its watcher.

The gap names the watcher's revision.

--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -215,6 +215,10 @@
 		v.followAfter = v.Uptime() + followRetry
 		v.Logger.Info().Err(err).Bool("serving", c.Serving).Msg("no usable watcher; watching the key-value service directly")
 		return errNoWatcher
+	case c.Gap && c.Revision > 0 && c.Revision < v.Snapshot().Revision:
+		// This host has read newer records than the watcher, and would read all of them again until the watcher catches up.
+		v.followAfter = v.Uptime() + gapWatchTime
+		return errNoWatcher
 	case c.Gap && v.FetchRecords != nil:
 		return errGap
 	case c.Gap:
--- a/rudderd/rudderview/relay_test.go
+++ b/rudderd/rudderview/relay_test.go
@@ -209,3 +209,26 @@
 		t.Fatal("the call is still held")
 	}
 }
+
+// A follower has read records that its watcher has not seen yet. Guards against a follower that reads all records again and again
+// until the watcher catches up: 20 to 30 times within a second where stopping hosts changed the watchers beside a silent service.
+func TestFollowerAheadOfItsWatcherReadsNoRecords(t *testing.T) {
+	s := &script{}
+	ctx, end := context.WithTimeout(t.Context(), 5*time.Second)
+	defer end()
+	s.end = end
+	now, calls := time.Minute, 0
+	v := &View{
+		Store: s.store(), Keys: Keys{Routing: "routing", TargetPrefix: "targets/"}, Logger: zerolog.Nop(), Uptime: func() time.Duration { return now },
+		FetchRecords: func(context.Context) (RecordSet, error) { return RecordSet{}, errUnavailable },
+		FetchChanges: func(_ context.Context, after int64, _ time.Duration, _ bool) (Changes, error) {
+			if calls++; calls > 10 {
+				end()
+			}
+			return Changes{Serving: true, Gap: true, Revision: after - 1}, nil
+		},
+	}
+	require.NoError(t, v.Run(ctx))
+	require.Equal(t, 1, s.lists)
+	require.Len(t, s.waits, 1, "it watches the service itself for a while")
+}
