Announce planned stops to the other entry hosts directly

A registration now names its process. A host that stops calls all other entry hosts, again where it gets no answer, and those that start meanwhile too. They hide the registration of exactly this process, whichever way the record comes back. A process that starts asks three others for the departures that they know, and again while it is not registered, since hosts that stop may not know it then. A host that serves and cannot register announces itself in the same way: with departures alone, a rolling restart beside an outage would leave all callers to the hosts that have not restarted yet. Hosts of earlier versions answer 404 and are not called again.

TestFleetLearnsOfAStopWhileTheStoreIsSilent and TestHostThatCannotRegisterIsListed fail without the calls.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -126,6 +126,8 @@
 		{"forwarder", e.forwarder.Run},
 		{"planner", e.planner.Run},
 		{"registration", e.session.run},
+		{"departures", e.learnDepartures},
+		{"arrival", e.announceArrival},
 		{"shared secret", e.agreeOnSecret},
 		{"balance", e.balance.run},
 		{"evidence", e.poison.records.run},
@@ -197,7 +199,7 @@
 	e.balance = newBalance(e)
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}), check: make(chan struct{}, 1),
-		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity},
+		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity, Instance: newInstance()},
 	}
 	e.forwarder = &rudderforward.Forwarder{
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(e.Memory.Responses), Logger: e.Logger, Uptime: uptime,
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -55,6 +55,7 @@
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
 	mux.HandleFunc(http.MethodPost+" "+indirectProbePath, e.serveIndirectProbe)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
+	mux.Handle(rudderpeer.DeparturesPathPrefix, rudderpeer.NewDeparturesServer(departuresServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	// Relayed requests have a nonce cache of their own, so that many of them do not stop other calls.
 	relayVerifier := &rudderpeer.Verifier{
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -49,6 +49,12 @@
 	return at != 0 && s.uptime()-at >= sessionTTL
 }
 
+// registered reports whether this process has registered since its start.
+func (s *session) registered() bool { return s.renewedAt.Load() != 0 }
+
+// current reports whether the registration of this process has not expired, as far as is known here.
+func (s *session) current() bool { return s.registered() && !s.lapsed() }
+
 // checkNow makes run renew the lease soon and register again if it is lost.
 func (s *session) checkNow() {
 	select {
--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -80,6 +80,7 @@
 	e.stop.flag.Store(true)
 	e.forwarder.BeginShutdown(end)
 	e.session.leave()
+	defer e.announceDeparture(ctx)()
 	e.planner.Resign()
 	e.Logger.Info().Int64("in_flight", e.forwarder.InFlight()).Msg("entry host is shutting down")
 	for e.uptime() < serveUntil && ctx.Err() == nil {
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -45,6 +45,10 @@
 	DataCentre string `json:"data_centre"`
 	// Capacity is the processor share of the entry host, in cores; 0 if unknown.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Instance identifies the process. Earlier versions do not set it.
+	Instance string `json:"instance,omitempty"`
+
+	unregistered bool // the process has announced itself and has no record yet
 }
 
 // highCapacityShare is the fraction of the largest capacity in the fleet that an entry host of high capacity
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -92,6 +92,8 @@
 	// snapshotMu serialises the updates of the snapshot: it is held from cloneSnapshot until publish.
 	snapshotMu    sync.Mutex
 	announcements announcements
+	departures    map[process]departure // guarded by snapshotMu
+	arrivals      map[string]arrival    // by name, guarded by snapshotMu
 
 	direct       atomic.Bool  // this entry host watches the service itself
 	failing      atomic.Bool  // the last call to the service failed
@@ -196,6 +198,7 @@
 // publish replaces the snapshot and wakes the waiters. The caller holds v.snapshotMu.
 func (v *View) publish(s *Snapshot) {
 	v.applyAnnounced(s)
+	v.applyProcesses(s)
 	s.index()
 	v.current.Store(s)
 	v.notifyWaiters()
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -368,6 +368,7 @@
 
 // dropExpired drops the targets that did not write their records again within ReturnGrace after an outage.
 func (v *View) dropExpired() {
+	v.expireArrivals()
 	var due []string
 	for name, until := range v.pendingRemovals {
 		if v.Uptime() >= until {
