Do not send callers to a process that has read no records

A process that starts while the key-value service is silent knows no entry host, and its directory named the process itself. Callers that asked it sent all requests there and got 503 "no_configuration" although other hosts served.

Such a directory now names no address until the records are read, and callers ask the next one. With its records read it names itself as before if there is no other host: at the first start of a fleet its 503 tells callers when to come back.

The test failed before: the address was listed.

--- a/rudderd/rudderedge/departures_test.go
+++ b/rudderd/rudderedge/departures_test.go
@@ -245,3 +245,16 @@
 		})
 	}
 }
+
+// A process starts while the key-value service is silent. Guards against a directory that sends callers to it, although it rejects
+// everything and others serve: up to 900 requests of a day were rejected for want of a configuration.
+func TestDirectoryOfAHostThatKnowsNothing(t *testing.T) {
+	faults := &storeFaults{}
+	faults.all.Store(true)
+	h := startHost(t, "a", freeAddress(t), faults.wrap(newMemoryStore()))
+	require.Eventually(t, h.view.AwaitsRecords, time.Second, time.Millisecond)
+	require.Never(t, func() bool { return !h.view.AwaitsRecords() || h.lists(h.Settings.CallerListen) }, 300*time.Millisecond, 5*time.Millisecond)
+	faults.all.Store(false)
+	// Nobody else is there: callers that come early are told when to come back.
+	require.Eventually(t, func() bool { return h.lists(h.Settings.CallerListen) }, 10*time.Second, 5*time.Millisecond)
+}
--- a/rudderd/rudderedge/directory.go
+++ b/rudderd/rudderedge/directory.go
@@ -14,7 +14,8 @@
 		leaving = e.Settings.Name
 	}
 	list := callerAddresses(e.view.Snapshot().EntryHosts, leaving, caller, limit)
-	if len(list) == 0 && !e.stop.leaving() {
+	// Before it has read the records, this entry host rejects all requests, while others that callers ask next may serve.
+	if len(list) == 0 && !e.stop.leaving() && !e.view.AwaitsRecords() {
 		list = append(list, e.Settings.CallerListen)
 	}
 	return list, e.Settings.DirectoryLifetime
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -94,6 +94,7 @@
 	announcements announcements
 	departures    map[process]departure // guarded by snapshotMu
 	arrivals      map[string]arrival    // by name, guarded by snapshotMu
+	running       atomic.Bool
 
 	direct       atomic.Bool  // this entry host watches the service itself
 	failing      atomic.Bool  // the last call to the service failed
@@ -165,6 +166,9 @@
 	return v.changed
 }
 
+// AwaitsRecords reports whether the view runs and has not read any records yet.
+func (v *View) AwaitsRecords() bool { return v.running.Load() && v.current.Load() == nil }
+
 // Staleness returns the time since the last sync, as of which every change of the routing document is known.
 // ok is false before the first sync.
 func (v *View) Staleness() (age time.Duration, ok bool) {
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -44,6 +44,7 @@
 // watches the service, and reads all records again after it missed changes.
 func (v *View) Run(ctx context.Context) error {
 	v.removedAt, v.startedAt = map[string]time.Duration{}, v.Uptime()
+	v.running.Store(true)
 	wait := firstWait
 	listed, failures, first := false, 0, true
 	for ctx.Err() == nil {
