Let callers cache addresses for half the time while hosts stop

Callers keep a list for its lifetime, some for three times as long, so that requests still reached a host 3 to 6 s after its SIGTERM.

If all known entry hosts stop, a directory named none, and callers kept lists of hosts that had ended. It now names those that serve for two more lifetimes.

--- a/rudderd/rudderedge/departures_test.go
+++ b/rudderd/rudderedge/departures_test.go
@@ -153,6 +153,8 @@
 	for _, h := range hosts[1:] {
 		require.Eventually(t, gone(h), 10*time.Second, 5*time.Millisecond, h.Settings.Name)
 	}
+	_, lifetime := others[0].Addresses(rudderentry.Caller{Key: "c"}, 64)
+	require.Less(t, lifetime, others[0].Settings.DirectoryLifetime, "others may follow")
 
 	// A host that starts meanwhile reads the registrations when the service answers again. They have not expired.
 	<-restarted.ended
@@ -258,3 +260,28 @@
 	// Nobody else is there: callers that come early are told when to come back.
 	require.Eventually(t, func() bool { return h.lists(h.Settings.CallerListen) }, 10*time.Second, 5*time.Millisecond)
 }
+
+// All entry hosts stop one after the other, with a grace time longer than that takes. Guards against a directory that lists none of
+// them, although they still serve, and against one that lists those that are about to end.
+func TestDirectoryWhileAllEntryHostsStop(t *testing.T) {
+	e := edge("a", newMemoryStore())
+	e.Settings.StopGrace = 8 * time.Second
+	now := time.Minute
+	e.uptime = func() time.Duration { return now }
+	e.Prepare()
+	addresses := func() []string {
+		list, _ := e.Addresses(rudderentry.Caller{Key: "c"}, 64)
+		return list
+	}
+	b := rudderview.EntryHost{Name: "b", Instance: "1", Address: "b:1"}
+	require.True(t, e.view.MarkArrived(b))
+	require.Equal(t, []string{"b:1"}, addresses())
+	require.True(t, e.view.MarkDeparted(rudderview.Departure{EntryHost: b}))
+	e.stop.flag.Store(true)
+	require.True(t, e.view.MarkDeparted(rudderview.Departure{EntryHost: e.session.entry, Age: 2 * time.Second}))
+	require.ElementsMatch(t, []string{"b:1", e.Settings.CallerListen}, addresses())
+	now += 3 * time.Second
+	require.Equal(t, []string{"b:1"}, addresses())
+	now += 2 * time.Second
+	require.Empty(t, addresses())
+}
--- a/rudderd/rudderedge/directory.go
+++ b/rudderd/rudderedge/directory.go
@@ -7,18 +7,39 @@
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
+// stoppingLifetime is the share of the usual lifetime for which callers may cache addresses while entry hosts stop.
+const stoppingLifetime = 0.5
+
 // Addresses returns the addresses of up to limit entry hosts that a caller should use, and how long it may cache them.
 func (e *Edge) Addresses(caller rudderentry.Caller, limit int) ([]string, time.Duration) {
-	leaving := ""
-	if !e.Ready() {
+	leaving, ready := "", e.Ready()
+	if !ready {
 		leaving = e.Settings.Name
 	}
 	list := callerAddresses(e.view.Snapshot().EntryHosts, leaving, caller, limit)
+	if len(list) == 0 && !ready {
+		list = callerAddresses(e.stoppingHosts(), "", caller, limit)
+	}
 	// Before it has read the records, this entry host rejects all requests, while others that callers ask next may serve.
 	if len(list) == 0 && !e.stop.leaving() && !e.view.AwaitsRecords() {
 		list = append(list, e.Settings.CallerListen)
 	}
-	return list, e.Settings.DirectoryLifetime
+	lifetime := e.Settings.DirectoryLifetime
+	if age, known := e.view.LastDeparture(); known && age < e.Settings.StopGrace {
+		lifetime = time.Duration(stoppingLifetime * float64(lifetime)) // others may follow, as in a rolling restart
+	}
+	return list, lifetime
+}
+
+// stoppingHosts returns the entry hosts that stop and still accept requests for long after callers may have cached their addresses.
+// They are better than none.
+func (e *Edge) stoppingHosts() []rudderview.EntryHost {
+	serve := time.Duration(stopServeShare * float64(e.Settings.StopGrace))
+	var list []rudderview.EntryHost
+	for _, d := range e.view.Departures(serve - 2*e.Settings.DirectoryLifetime) {
+		list = append(list, d.EntryHost)
+	}
+	return list
 }
 
 // callerAddresses chooses the entry hosts for one caller, excluding the one that is leaving. Callers pick among their
--- a/rudderd/rudderview/departed.go
+++ b/rudderd/rudderview/departed.go
@@ -48,6 +48,7 @@
 	}
 	v.limitDepartures(now)
 	v.departures[key] = departure{entry: d.EntryHost, announcedAt: now - d.Age, seenAt: now - d.Age}
+	v.lastDeparture.Store(max(int64(now-d.Age), v.lastDeparture.Load(), 1))
 	if !slices.ContainsFunc(v.Snapshot().EntryHosts, func(x EntryHost) bool { return x.process() == key }) {
 		return true
 	}
@@ -116,4 +117,10 @@
 	return list
 }
 
+// LastDeparture returns the time since the last departure was announced. known is false if none was.
+func (v *View) LastDeparture() (age time.Duration, known bool) {
+	at := v.lastDeparture.Load()
+	return v.Uptime() - time.Duration(at), at != 0
+}
+
 func (x EntryHost) process() process { return process{x.Name, x.Instance} }
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -94,6 +94,7 @@
 	announcements announcements
 	departures    map[process]departure // guarded by snapshotMu
 	arrivals      map[string]arrival    // by name, guarded by snapshotMu
+	lastDeparture atomic.Int64          // uptime of the last announced departure, in nanoseconds; 0 for none
 	running       atomic.Bool
 
 	direct       atomic.Bool  // this entry host watches the service itself
