--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -71,6 +71,12 @@
 	return at != 0 && s.uptime()-at >= sessionTTL
 }
 
+// registered reports whether this process has registered since its start.
+func (s *session) registered() bool { return s.renewedAt.Load() != 0 }
+
+// current reports whether the registration of this process has not expired, as far as is known here.
+func (s *session) current() bool { return s.registered() && !s.lapsed() }
+
 // checkNow makes run renew the lease soon and register again if it is lost.
 func (s *session) checkNow() {
 	select {
@@ -256,10 +262,12 @@
 	}
 }
 
-// registrationMissing reports whether the view is at least as new as a revision and lacks the registration of this entry host.
+// registrationMissing reports whether the view is at least as new as a revision and lacks the registration of this process.
 func (e *Edge) registrationMissing(revision int64) bool {
 	snapshot := e.view.Snapshot()
-	return snapshot.Revision >= revision && !slices.ContainsFunc(snapshot.EntryHosts, func(x rudderview.EntryHost) bool { return x.Name == e.Settings.Name })
+	return snapshot.Revision >= revision && !slices.ContainsFunc(snapshot.EntryHosts, func(x rudderview.EntryHost) bool {
+		return x.Name == e.Settings.Name && x.Instance == e.session.entry.Instance
+	})
 }
 
 // storeUnreachable reports whether the key-value service does not answer the view, or has not answered it since the start.
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -92,6 +92,10 @@
 	// snapshotMu serialises the updates of the snapshot: it is held from cloneSnapshot until publish.
 	snapshotMu    sync.Mutex
 	announcements announcements
+	departures    map[process]departure // guarded by snapshotMu
+	arrivals      map[string]arrival    // by name, guarded by snapshotMu
+	lastDeparture atomic.Int64          // uptime of the last announced departure, in nanoseconds; 0 for none
+	running       atomic.Bool
 
 	direct       atomic.Bool  // this entry host watches the service itself
 	failing      atomic.Bool  // the last call to the service failed
@@ -163,6 +167,9 @@
 	return v.changed
 }
 
+// AwaitsRecords reports whether the view runs and has not read any records yet.
+func (v *View) AwaitsRecords() bool { return v.running.Load() && v.current.Load() == nil }
+
 // Staleness returns the time since the last sync, as of which every change of the routing document is known.
 // ok is false before the first sync.
 func (v *View) Staleness() (age time.Duration, ok bool) {
@@ -196,6 +203,7 @@
 // publish replaces the snapshot and wakes the waiters. The caller holds v.snapshotMu.
 func (v *View) publish(s *Snapshot) {
 	v.applyAnnounced(s)
+	v.applyProcesses(s)
 	s.index()
 	v.current.Store(s)
 	v.notifyWaiters()
--- a/shared/rudderpeer/suspects.twirp.go
+++ b/shared/rudderpeer/suspects.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *suspectsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 0
+	return twirpFileDescriptor9, 0
 }
 
 func (s *suspectsServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Suspects")
 }
 
-var twirpFileDescriptor8 = []byte{
+var twirpFileDescriptor9 = []byte{
 	// 329 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x51, 0x4f, 0x4b, 0xfb, 0x40,
 	0x10, 0x25, 0x4d, 0xff, 0x65, 0x7e, 0xb4, 0x3f, 0x58, 0x44, 0x42, 0x41, 0x8c, 0xf1, 0x60, 0xbd,
