Share the youngest look at the key-value service in an outage

Cause: an entry host relied on its own watch, or on that of its watchers. A watcher that missed the 0.9 s in which the service answered stayed without a look for 5.8 s, and its whole data centre with it, although other watchers had one. A follower that heard of the outage also probed the service for 1.1 s, while its look passed the limit of 2 s.

Now a watcher that gets no answer tells what it knows with its true age, to its followers and to other watchers, over the existing call. A probe waits 50 ms for a change, as after any failure. A look remains as old as it is: the limits on its age decide as before.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -186,7 +186,7 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
 		OnSync:     func(d time.Duration) { e.count("store.looks") },
 		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
+		FetchLook: e.fetchLook, FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
 		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
--- a/rudderd/rudderedge/relay.go
+++ b/rudderd/rudderedge/relay.go
@@ -97,9 +97,10 @@
 	now := e.uptime()
 	list = slices.DeleteFunc(list, func(x rudderview.EntryHost) bool { return now < e.unavailable[x.Peer] })
 	err, allAway := errNoWatcher, len(list) > 0
+	var away rudderview.Changes
 	for i, watcher := range list[:min(len(list), followAttempts)] {
 		if i > 0 {
-			wait = 0 // the last successful read is old by now, so the call must not be held
+			wait = max(wait-(e.uptime()-now), 0) // the last successful read grows old, so the call must not be held for longer
 		}
 		var changes rudderview.Changes
 		changes, err = e.followWatcher(ctx, watcher, after, wait, inOutage)
@@ -107,6 +108,9 @@
 			return changes, nil
 		}
 		if err == nil && changes.Unavailable {
+			if away.Revision == 0 || changes.Revision > 0 && changes.Age-changes.Held < away.Age-away.Held {
+				away = changes
+			}
 			continue // not skipped later, so that it can report the end of the outage
 		}
 		allAway = false
@@ -119,7 +123,8 @@
 		}
 		e.unavailable[watcher.Peer] = e.uptime() + watcherBackoff
 	}
-	return rudderview.Changes{Unavailable: allAway}, err
+	away.Unavailable = allAway
+	return away, err
 }
 
 // followWatcher requests changes from one watcher.
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -52,7 +52,8 @@
 type Changes struct {
 	// Serving is false when the answering entry host does not watch the service or its view is too stale.
 	Serving bool
-	// Unavailable is set when the answering entry host watches the service, and the service does not answer.
+	// Unavailable is set when the answering entry host watches the service, and the service does not answer. The answer then
+	// tells what it knows since its last sync, if Revision is not 0.
 	Unavailable bool
 	// Gap is set when not all changes after the requested revision are known any more, or when they are too
 	// large to pass on.
@@ -108,16 +109,18 @@
 // the outage, at most for the given time.
 func (v *View) Changes(ctx context.Context, after int64, wait time.Duration, inOutage bool) Changes {
 	begin := v.Uptime()
-	v.lastFollower.Store(int64(begin))
+	v.noteFollower(begin, wait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; ; {
 		changed := v.Changed()
 		age, ok := v.Staleness()
-		switch failing := v.failing.Load(); {
-		case failing && v.direct.Load() && inOutage && waiting:
-		case !ok || age > maxRelayStaleness || !v.direct.Load() || failing:
-			return Changes{Unavailable: failing && v.direct.Load()}
+		switch failing, direct := v.failing.Load(), v.direct.Load(); {
+		case failing && direct && inOutage && waiting:
+		case failing && direct:
+			return v.changesInOutage(after, begin)
+		case !ok || age > maxRelayStaleness || !direct || failing:
+			return Changes{}
 		default:
 			c := v.changesAfter(after)
 			if c.Gap || len(c.Events) > 0 || !waiting {
@@ -135,6 +138,13 @@
 	}
 }
 
+// noteFollower records a call of a follower. One that does not wait may be that of another watcher.
+func (v *View) noteFollower(now, wait time.Duration) {
+	if wait > 0 {
+		v.lastFollower.Store(int64(now))
+	}
+}
+
 // hasFollowers reports whether other entry hosts follow this one.
 func (v *View) hasFollowers() bool {
 	last := v.lastFollower.Load()
@@ -185,6 +195,7 @@
 	}
 	begin := v.Uptime()
 	c, err := v.FetchChanges(ctx, v.Snapshot().Revision, relayWait, v.watchersInOutage)
+	v.applyLook(c, begin)
 	if err := v.checkChanges(c, err, begin); err != nil {
 		return err
 	}
@@ -215,6 +226,9 @@
 		v.followAfter = v.Uptime() + followRetry
 		v.Logger.Info().Err(err).Bool("serving", c.Serving).Msg("no usable watcher; watching the key-value service directly")
 		return errNoWatcher
+	case c.Gap && c.Revision > 0 && c.Revision < v.Snapshot().Revision: // the watcher lags behind where the records are from
+		v.followAfter = v.Uptime() + gapWatchTime
+		return errNoWatcher
 	case c.Gap && v.FetchRecords != nil:
 		return errGap
 	case c.Gap:
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -73,6 +73,9 @@
 	// FetchRecords fetches all records from a watcher, for the first snapshot of a process or after changes
 	// were missed. Optional.
 	FetchRecords func(ctx context.Context) (RecordSet, error)
+	// FetchLook asks other watchers for changes after a revision while the service does not answer this entry host, and returns
+	// those with the least age. Optional.
+	FetchLook func(ctx context.Context, after int64) (Changes, error)
 	// FetchRouting asks other entry hosts for the record of a routing document with a version above the given one, which
 	// is empty if they know none. answered is false if none of them could be asked. Optional.
 	FetchRouting func(ctx context.Context, above int64) (record []byte, answered bool)
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -82,7 +82,9 @@
 			v.markFailed(err)
 			wait = firstWait
 			failures++
-			sleep(ctx, RetryAfter(failures, rand.Float64()))
+			retryAt := v.Uptime() + RetryAfter(failures, rand.Float64())
+			v.lookElsewhere(ctx)
+			sleep(ctx, retryAt-v.Uptime())
 		}
 	}
 	return nil
@@ -248,6 +250,9 @@
 		v.resetLog(v.Snapshot().Revision)
 		v.direct.Store(true)
 	}
+	if v.probing {
+		wait = firstWait // requests may be refused until it is known whether the service is down
+	}
 	begin := v.Uptime()
 	beyond := watchTimeout
 	if v.hasFollowers() {
