Start from another entry host while the key-value service is silent

Cause: a new process read everything from the service. It knows neither other hosts nor the secret that signs calls to them.

Now it asks the hosts that the settings name as seeds, if the service has not answered after 150 ms. The seeds know it by its IP address. The age of the look comes along, so that withdrawn keys are refused as soon as at the source, and so do the announcements of leaving targets. A host that has to read all records again asks watchers in the same way; until now it knew nothing new for 3 s. A watch after a revision that another host has told of must not take its era for one that has passed, so the adapter observes it.

TestRestartWhileStoreIsSilent failed before in both cases ("Condition never satisfied" after 1.5 s).

--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -36,6 +36,7 @@
 // unless they are known, and all other records from a watcher. It returns errNoCopySource on an entry host that is itself a
 // watcher, and if the fleet is too small.
 func (e *Edge) copyRecords(ctx context.Context) (rudderview.RecordSet, error) {
+	defer func() { e.seedsFrom.Store(int64(e.uptime() + bootstrapDelay)) }()
 	entries := e.view.Snapshot().EntryHosts
 	if _, synced := e.view.Staleness(); !synced || len(entries) == 0 {
 		var err error
@@ -80,6 +81,7 @@
 		return nil, rudderview.ErrFirstStart
 	}
 	e.setSecret(secret[0].Value)
+	e.seedsFrom.Store(int64(e.uptime() + copyTimeout)) // a watcher is asked first
 	records, _, err := read(ctx, rudderview.EntryPrefix)
 	if err != nil {
 		return nil, err
@@ -119,13 +121,7 @@
 	if !c.Serving {
 		return &rudderpeer.RecordsResponse{}, nil
 	}
-	records, err := s.edge.packer.pack(packKey{allRecords, c.Revision}, func() []*rudderpeer.Change {
-		list := make([]*rudderpeer.Change, 0, len(c.Entries))
-		for _, x := range c.Entries {
-			list = append(list, &rudderpeer.Change{Key: x.Key, Value: x.Value, Revision: x.Revision})
-		}
-		return list
-	})
+	records, err := s.edge.packer.pack(packKey{allRecords, c.Revision}, func() []*rudderpeer.Change { return changesOfEntries(c.Entries) })
 	return &rudderpeer.RecordsResponse{
 		Serving: err == nil, Revision: c.Revision, Records: records, AgeMs: c.Age.Milliseconds() + 1, HeldMs: c.Held.Milliseconds(),
 	}, err
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,10 @@
 	Memory int64
 	// Addresses to listen on, IP:PORT.
 	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
+	// BootstrapListen is the address on which this host tells others that have just started what it knows, and Seeds those
+	// of up to a few hosts that can be asked. They may be down, and may include this one. Both may be empty.
+	BootstrapListen string
+	Seeds           []string
 	// MaxKeyStaleness is the maximum age of the last successful read of the routing document with which an API
 	// key is still accepted.
 	MaxKeyStaleness time.Duration
@@ -77,24 +82,28 @@
 	// Memory bounds what is held of requests and responses; the zero value takes the budgets of the settings' memory.
 	Memory rudderbody.Budgets
 
-	uptime      func() time.Duration                            // replaced in tests
-	connect     func(ctx context.Context, address string) error // replaced in tests
-	registry    metrics.Registry
-	view        *rudderview.View
-	forwarder   *rudderforward.Forwarder
-	planner     *ruddercoordinator.Planner
-	detector    *rudderverdict.Detector
-	session     *session
-	stop        stopState
-	poison      *poison
-	reported    reportedSuspicions
-	peers       *peers
-	balance     *balance
-	limits      *rudderlimit.Table
-	path        *rudderpath.Monitor
-	pathPeers   *pathPeers
-	packer      packer
-	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
+	uptime        func() time.Duration                            // replaced in tests
+	connect       func(ctx context.Context, address string) error // replaced in tests
+	registry      metrics.Registry
+	view          *rudderview.View
+	forwarder     *rudderforward.Forwarder
+	planner       *ruddercoordinator.Planner
+	detector      *rudderverdict.Detector
+	session       *session
+	stop          stopState
+	poison        *poison
+	reported      reportedSuspicions
+	peers         *peers
+	balance       *balance
+	limits        *rudderlimit.Table
+	path          *rudderpath.Monitor
+	pathPeers     *pathPeers
+	packer        packer
+	seedClient    *http.Client
+	bootstraps    chan struct{}            // holds a value for each call that is being served
+	seedsFrom     atomic.Int64             // uptime from which on seeds are asked, in nanoseconds
+	formerAskedAt atomic.Int64             // uptime of the last question about former entry hosts, in nanoseconds
+	unavailable   map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
 
 // Run serves until the context is cancelled and then shuts down gracefully.
@@ -186,12 +195,14 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
 		OnSync:     func(d time.Duration) { e.count("store.looks") },
 		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		FetchLook: e.fetchLook, FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
+		FetchKnown: e.fetchKnown, FetchLook: e.fetchLook, FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
 		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
+	e.seedClient = NewMeteredClient(1, e.Memory.Replies)
+	e.bootstraps = make(chan struct{}, maxBootstrapCalls)
 	e.limits = &rudderlimit.Table{}
 	e.path = e.newPath()
 	e.balance = newBalance(e)
--- a/rudderd/rudderedge/listen.go
+++ b/rudderd/rudderedge/listen.go
@@ -33,14 +33,13 @@
 	e.Ports.Readiness(readiness, e)
 	report.GET("/metrics", e.report)
 	var servers []boundServer
-	peerServer := rudderpeer.NewServer(e.peerHandler())
 	for _, x := range []struct {
 		address string
-		handler http.Handler
+		server  *http.Server
 	}{
-		{e.Settings.CallerListen, callers}, {e.Settings.DirectoryListen, directory},
-		{e.Settings.ReadyListen, readiness}, {e.Settings.MetricsListen, report},
-		{e.Settings.PeerListen, nil},
+		{e.Settings.CallerListen, newServer(callers)}, {e.Settings.DirectoryListen, newServer(directory)},
+		{e.Settings.ReadyListen, newServer(readiness)}, {e.Settings.MetricsListen, newServer(report)},
+		{e.Settings.PeerListen, rudderpeer.NewServer(e.peerHandler())}, {e.Settings.BootstrapListen, e.newBootstrapServer()},
 	} {
 		if x.address == "" {
 			continue
@@ -49,17 +48,15 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		if x.address == e.Settings.PeerListen {
-			servers = append(servers, boundServer{listener: listener, server: peerServer})
-			continue
-		}
-		servers = append(servers, boundServer{listener: listener, server: &http.Server{
-			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}})
+		servers = append(servers, boundServer{listener: listener, server: x.server})
 	}
 	return servers, nil
 }
 
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 func newEcho() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
--- a/rudderd/rudderedge/pack.go
+++ b/rudderd/rudderedge/pack.go
@@ -103,3 +103,11 @@
 	}
 	return changes
 }
+
+func changesOfEntries(entries []rudderstore.Entry) []*rudderpeer.Change {
+	changes := make([]*rudderpeer.Change, 0, len(entries))
+	for _, x := range entries {
+		changes = append(changes, &rudderpeer.Change{Key: x.Key, Value: x.Value, Revision: x.Revision})
+	}
+	return changes
+}
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -55,6 +55,8 @@
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
 	mux.HandleFunc(http.MethodPost+" "+indirectProbePath, e.serveIndirectProbe)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
+	mux.Handle(rudderpeer.BootstrapPathPrefix, e.limitBootstraps(rudderpeer.NewBootstrapServer(bootstrapServer{e})))
+	mux.Handle(rudderpeer.FormerHostsPathPrefix, rudderpeer.NewFormerHostsServer(formerServer{e}))
 	mux.Handle(rudderpeer.BalancePathPrefix, rudderpeer.NewBalanceServer(balanceServer{e.balance}))
 	// Relayed requests have a nonce cache of their own, so that many of them do not stop other calls.
 	relayVerifier := &rudderpeer.Verifier{
--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -66,17 +66,24 @@
 	if !ok || age > maxRelayStaleness || !v.direct.Load() || v.failing.Load() {
 		return RecordSet{}
 	}
+	c := RecordSet{Serving: true, Age: age}
+	c.Entries, c.Revision = v.allRecords()
+	c.Held = v.Uptime() - begin
+	return c
+}
+
+// allRecords returns all records and their revision.
+func (v *View) allRecords() ([]rudderstore.Entry, int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := RecordSet{Serving: true, Revision: v.recordsRevision, Age: age, Entries: make([]rudderstore.Entry, 0, len(v.records))}
+	entries := make([]rudderstore.Entry, 0, len(v.records))
 	for key, e := range v.records {
 		if key == v.Keys.Routing && v.routing.Key != "" {
 			e.Value = v.routing.Value
 		}
-		c.Entries = append(c.Entries, e)
+		entries = append(entries, e)
 	}
-	c.Held = v.Uptime() - begin
-	return c
+	return entries, v.recordsRevision
 }
 
 // setRecords replaces the records. The revision changes under the same lock: a RecordSet must not carry a
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -76,6 +76,9 @@
 	// FetchLook asks other watchers for changes after a revision while the service does not answer this entry host, and returns
 	// those with the least age. Optional.
 	FetchLook func(ctx context.Context, after int64) (Changes, error)
+	// FetchKnown asks other entry hosts for all that they know, until one of them has answered or the context ends. It is to
+	// begin only once the service has been silent for a while. Optional.
+	FetchKnown func(ctx context.Context) (Known, error)
 	// FetchRouting asks other entry hosts for the record of a routing document with a version above the given one, which
 	// is empty if they know none. answered is false if none of them could be asked. Optional.
 	FetchRouting func(ctx context.Context, above int64) (record []byte, answered bool)
@@ -89,7 +92,7 @@
 	OnSecret func(secret []byte)
 
 	current  atomic.Pointer[Snapshot]
-	lastSync atomic.Int64 // uptime as of which all changes are known, in nanoseconds; 0 before the first sync
+	lastSync atomic.Pointer[time.Duration] // uptime as of which all changes are known, which may be before the start; nil before the first sync
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced with each new snapshot
 	// snapshotMu serialises the updates of the snapshot: it is held from cloneSnapshot until publish.
@@ -116,6 +119,8 @@
 	skipPauseOnce sync.Once
 	skipPause     chan struct{}
 
+	former formerHosts
+
 	// The fields below are used only by the goroutine of Run.
 	pendingRemovals map[string]time.Duration // targets whose removal is deferred, with the uptime at which it is due
 	removedAt       map[string]time.Duration // targets in Snapshot.Removed, with the uptime of their removal
@@ -170,10 +175,10 @@
 // ok is false before the first sync.
 func (v *View) Staleness() (age time.Duration, ok bool) {
 	at := v.lastSync.Load()
-	if at == 0 {
+	if at == nil {
 		return 0, false
 	}
-	return v.Uptime() - time.Duration(at), true
+	return v.Uptime() - *at, true
 }
 
 // WithinStartupGrace reports whether less than ReturnGrace has passed since the first sync, so that records
@@ -350,7 +355,9 @@
 	case strings.HasPrefix(e.Key, v.Keys.TargetPrefix):
 		v.removeTarget(s, strings.TrimPrefix(e.Key, v.Keys.TargetPrefix))
 	case strings.HasPrefix(e.Key, EntryPrefix):
-		s.removeEntryHost(strings.TrimPrefix(e.Key, EntryPrefix))
+		name := strings.TrimPrefix(e.Key, EntryPrefix)
+		v.noteFormer(s.EntryHosts, func(x EntryHost) bool { return x.Name == name })
+		s.removeEntryHost(name)
 	case strings.HasPrefix(e.Key, PlanPrefix):
 		delete(s.Plans, e.Key)
 	case strings.HasPrefix(e.Key, SuspicionPrefix):
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -46,10 +46,14 @@
 	v.removedAt, v.startedAt = map[string]time.Duration{}, v.Uptime()
 	wait := firstWait
 	listed, failures, first := false, 0, true
+	b := v.startBootstrap(ctx)
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			err = v.list(ctx, first)
+			if b.ended {
+				b = v.startBootstrap(ctx)
+			}
+			err = v.readAll(b, first)
 			listed, first = err == nil, first && errors.Is(err, errNoOtherHost)
 		} else {
 			err = v.watch(ctx, wait)
@@ -58,8 +62,8 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			wait, failures = watchWait, 0
-			if _, synced := v.Staleness(); !synced || v.partial {
-				wait = firstWait
+			if _, synced := v.Staleness(); !synced || v.partial || b.adopted {
+				wait, b.adopted = firstWait, false
 			}
 			v.dropExpired()
 		case errors.Is(err, rudderstore.ErrCompacted):
@@ -74,7 +78,7 @@
 			v.markFailed(err)
 			listed = false
 		case errors.Is(err, errNoOtherHost):
-			sleep(ctx, firstAnswerPause)
+			sleep(b.reads, firstAnswerPause)
 		case errors.Is(err, errServiceUnavailable):
 			v.markFailed(err) // the watcher holds the next call until the outage ends
 			sleep(ctx, relayPause)
@@ -84,7 +88,7 @@
 			failures++
 			retryAt := v.Uptime() + RetryAfter(failures, rand.Float64())
 			v.lookElsewhere(ctx)
-			sleep(ctx, retryAt-v.Uptime())
+			sleep(b.reads, retryAt-v.Uptime())
 		}
 	}
 	return nil
@@ -216,6 +220,7 @@
 			v.OnRestored(listed)
 		}
 	}
+	v.noteFormer(before.EntryHosts, func(x EntryHost) bool { return !s.hasEntryHost(x.Name) })
 	for name, target := range old {
 		if s.Targets[name] == nil && !listed[v.Keys.TargetPrefix+name] { // a listed one is malformed
 			s.Targets[name] = target
@@ -359,8 +364,8 @@
 
 // markSynced records a sync that began at begin and as of which, at asOf, every change is known.
 func (v *View) markSynced(begin, asOf time.Duration) {
-	if int64(asOf) > v.lastSync.Load() {
-		v.lastSync.Store(int64(asOf))
+	if last := v.lastSync.Load(); last == nil || asOf > *last {
+		v.lastSync.Store(&asOf)
 	}
 	v.firstSyncOnce.Do(func() {
 		v.firstSyncAt.Store(max(int64(v.Uptime()), 1))
--- a/shared/rudderpeer/claims.twirp.go
+++ b/shared/rudderpeer/claims.twirp.go
@@ -1625,7 +1625,7 @@
 }
 
 func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *claimsServer) ProtocGenTwirpVersion() string {
@@ -1639,7 +1639,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Claims")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 841 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x56, 0xdd, 0x6e, 0x1b, 0x55,
 	0x10, 0xd6, 0x66, 0xeb, 0xf5, 0x66, 0xd6, 0x55, 0xcb, 0x21, 0x2a, 0x26, 0x40, 0x13, 0x16, 0x68,
--- a/shared/rudderpeer/fleet.twirp.go
+++ b/shared/rudderpeer/fleet.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *fleetServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *fleetServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Fleet")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 440 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x93, 0xcf, 0x6e, 0xd3, 0x40,
 	0x10, 0xc6, 0x65, 0xd2, 0xa4, 0xc9, 0x24, 0x6e, 0x61, 0xd5, 0xa2, 0x55, 0xc5, 0xc1, 0x2a, 0x87,
--- a/shared/rudderpeer/membership.twirp.go
+++ b/shared/rudderpeer/membership.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Membership")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 593 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x54, 0x41, 0x6e, 0xd4, 0x30,
 	0x14, 0x55, 0x9a, 0x36, 0x33, 0xf3, 0x27, 0x33, 0x54, 0x06, 0x5a, 0x6b, 0x10, 0x90, 0x06, 0x41,
