Learn plans from other entry hosts while the key-value service does not answer

On the chat API a host that restarted at its address in an outage of the key-value service had a configuration after 0.6 s, from other entry hosts, and refused all chats with "no_group" until the service was back, while the others served.

Cause: plans came from the service only, and were requested after its first answer.

Now a host that knows no plan asks up to three live ones after 0.3 s, until it knows some or the service has listed all. A plan replaces only one of a lower number, so the list of the service corrects what another host knew.

--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -76,7 +77,9 @@
 	suspects  suspects
 	lastHosts hostCache
 	relists   chan struct{} // requests a read of all plans
-	stopping  stopState
+	// plansListed is set once the key-value service has listed all plans.
+	plansListed atomic.Bool
+	stopping    stopState
 	// lifetime is the context of Run. work is that of requests, which may outlive their caller's connection.
 	lifetime context.Context
 	end      context.CancelFunc
@@ -141,6 +144,7 @@
 		{"registry", a.registrar.Run},
 		{"configuration", a.config.Run},
 		{"plans", a.runRelists},
+		{"plans of other entry hosts", a.fetchPlans},
 		{"planner", a.planner.Run},
 		{"relay", a.relay.Run},
 		{"paths", a.paths.monitor.Run},
--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -105,6 +105,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.MembershipPathPrefix, rudderpeer.NewMembershipServer(a.node))
 	mux.Handle(rudderpeer.FleetPathPrefix, a.relay.Handler())
+	mux.Handle(rudderpeer.PlansPathPrefix, rudderpeer.NewPlansServer(plansServer{a}))
 	mux.Handle(rudderpeer.AdmissionPathPrefix, a.owner.Handler())
 	mux.Handle(rudderpeer.ClaimsPathPrefix, a.claims.Handler())
 	mux.Handle(rudderpeer.RequestsPathPrefix, a.requests.Handler())
--- a/rudderd/rudderapp/members.go
+++ b/rudderd/rudderapp/members.go
@@ -116,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	a.plansListed.Store(true)
 	for _, e := range entries {
 		a.applyPlan(e.Key, e.Value)
 	}
--- a/rudderd/rudderedge/bootstrap.go
+++ b/rudderd/rudderedge/bootstrap.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,14 @@
 	maxBootstrapRequest   = 1 << 10
 )
 
+// bootstrapState is what an entry host keeps to ask others for what they know, and to answer them.
+type bootstrapState struct {
+	client        *http.Client  // for calls that are not signed
+	calls         chan struct{} // holds a value for each call that is being served
+	seedsFrom     atomic.Int64  // uptime from which on seeds are asked, in nanoseconds
+	formerAskedAt atomic.Int64  // uptime of the last question about former entry hosts, in nanoseconds
+}
+
 // errNoSource reports that there is no other entry host that could be asked.
 var errNoSource = errors.New("edge: no entry host to ask for what it knows")
 
@@ -65,7 +74,7 @@
 	}
 	for _, address := range e.Settings.Seeds {
 		if address != e.Settings.BootstrapListen {
-			list = append(list, source{address, e.seedClient})
+			list = append(list, source{address, e.bootstrap.client})
 		}
 	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
@@ -80,7 +89,7 @@
 		if len(list) == 0 {
 			return rudderview.Known{}, errNoSource
 		}
-		if left := max(begin+delay, time.Duration(e.seedsFrom.Load())) - e.uptime(); left > 0 {
+		if left := max(begin+delay, time.Duration(e.bootstrap.seedsFrom.Load())) - e.uptime(); left > 0 {
 			pause(ctx, min(left, bootstrapDelay))
 			continue
 		}
@@ -181,8 +190,8 @@
 func (e *Edge) limitBootstraps(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
-		case e.bootstraps <- struct{}{}:
-			defer func() { <-e.bootstraps }()
+		case e.bootstrap.calls <- struct{}{}:
+			defer func() { <-e.bootstrap.calls }()
 		default:
 			_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, "other entry hosts are being served"))
 			return
--- a/rudderd/rudderedge/bootstrap_test.go
+++ b/rudderd/rudderedge/bootstrap_test.go
@@ -116,7 +116,7 @@
 	require.Equal(t, http.StatusForbidden, call("10.0.0.2:5"))
 	require.Equal(t, http.StatusForbidden, call("nonsense"))
 	for range maxBootstrapCalls {
-		e.bootstraps <- struct{}{}
+		e.bootstrap.calls <- struct{}{}
 	}
 	require.Equal(t, http.StatusTooManyRequests, call("10.0.0.1:5"))
 }
--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -36,7 +36,7 @@
 // unless they are known, and all other records from a watcher. It returns errNoCopySource on an entry host that is itself a
 // watcher, and if the fleet is too small.
 func (e *Edge) copyRecords(ctx context.Context) (rudderview.RecordSet, error) {
-	defer func() { e.seedsFrom.Store(int64(e.uptime() + bootstrapDelay)) }()
+	defer func() { e.bootstrap.seedsFrom.Store(int64(e.uptime() + bootstrapDelay)) }()
 	entries := e.view.Snapshot().EntryHosts
 	if _, synced := e.view.Staleness(); !synced || len(entries) == 0 {
 		var err error
@@ -81,7 +81,7 @@
 		return nil, rudderview.ErrFirstStart
 	}
 	e.setSecret(secret[0].Value)
-	e.seedsFrom.Store(int64(e.uptime() + copyTimeout)) // a watcher is asked first
+	e.bootstrap.seedsFrom.Store(int64(e.uptime() + copyTimeout)) // a watcher is asked first
 	records, _, err := read(ctx, rudderview.EntryPrefix)
 	if err != nil {
 		return nil, err
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,28 +81,25 @@
 	// Memory bounds what is held of requests and responses; the zero value takes the budgets of the settings' memory.
 	Memory rudderbody.Budgets
 
-	uptime        func() time.Duration                            // replaced in tests
-	connect       func(ctx context.Context, address string) error // replaced in tests
-	registry      metrics.Registry
-	view          *rudderview.View
-	forwarder     *rudderforward.Forwarder
-	planner       *ruddercoordinator.Planner
-	detector      *rudderverdict.Detector
-	session       *session
-	stop          stopState
-	poison        *poison
-	reported      reportedSuspicions
-	peers         *peers
-	balance       *balance
-	limits        *rudderlimit.Table
-	path          *rudderpath.Monitor
-	pathPeers     *pathPeers
-	packer        packer
-	seedClient    *http.Client
-	bootstraps    chan struct{}            // holds a value for each call that is being served
-	seedsFrom     atomic.Int64             // uptime from which on seeds are asked, in nanoseconds
-	formerAskedAt atomic.Int64             // uptime of the last question about former entry hosts, in nanoseconds
-	unavailable   map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
+	uptime      func() time.Duration                            // replaced in tests
+	connect     func(ctx context.Context, address string) error // replaced in tests
+	registry    metrics.Registry
+	view        *rudderview.View
+	forwarder   *rudderforward.Forwarder
+	planner     *ruddercoordinator.Planner
+	detector    *rudderverdict.Detector
+	session     *session
+	stop        stopState
+	poison      *poison
+	reported    reportedSuspicions
+	peers       *peers
+	balance     *balance
+	limits      *rudderlimit.Table
+	path        *rudderpath.Monitor
+	pathPeers   *pathPeers
+	packer      packer
+	bootstrap   bootstrapState
+	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
 
 // Run serves until the context is cancelled and then shuts down gracefully.
@@ -201,8 +197,7 @@
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
-	e.seedClient = NewMeteredClient(1, e.Memory.Replies)
-	e.bootstraps = make(chan struct{}, maxBootstrapCalls)
+	e.bootstrap.client, e.bootstrap.calls = NewMeteredClient(1, e.Memory.Replies), make(chan struct{}, maxBootstrapCalls)
 	e.limits = &rudderlimit.Table{}
 	e.path = e.newPath()
 	e.balance = newBalance(e)
--- a/rudderd/rudderedge/former.go
+++ b/rudderd/rudderedge/former.go
@@ -21,8 +21,8 @@
 // askFormer asks other entry hosts which hosts have lost their registrations, in the background. A process that has started
 // after them cannot know it.
 func (e *Edge) askFormer() {
-	now, last := int64(e.uptime()), e.formerAskedAt.Load()
-	if _, synced := e.view.Staleness(); !synced || last > 0 && now-last < int64(formerInterval) || !e.formerAskedAt.CompareAndSwap(last, now) {
+	now, last := int64(e.uptime()), e.bootstrap.formerAskedAt.Load()
+	if _, synced := e.view.Staleness(); !synced || last > 0 && now-last < int64(formerInterval) || !e.bootstrap.formerAskedAt.CompareAndSwap(last, now) {
 		return
 	}
 	list := slices.DeleteFunc(slices.Clone(e.view.Snapshot().EntryHosts), func(x rudderview.EntryHost) bool {
--- a/shared/rudderpeer/relay.twirp.go
+++ b/shared/rudderpeer/relay.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Relay")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 475 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x54, 0xcb, 0x6e, 0xdb, 0x30,
 	0x10, 0x84, 0x2c, 0x5b, 0x52, 0x37, 0x85, 0x1d, 0x10, 0x7d, 0x08, 0x3e, 0x19, 0x2c, 0xd0, 0x3a,
--- a/shared/rudderpeer/reports.twirp.go
+++ b/shared/rudderpeer/reports.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *reportsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor7, 0
+	return twirpFileDescriptor8, 0
 }
 
 func (s *reportsServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Reports")
 }
 
-var twirpFileDescriptor7 = []byte{
+var twirpFileDescriptor8 = []byte{
 	// 173 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2d, 0x4a, 0x2d, 0xc8,
 	0x2f, 0x2a, 0x29, 0xd6, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0x12, 0x4a, 0xce, 0xcf, 0x4d, 0x2b,
--- a/shared/rudderpeer/requests.twirp.go
+++ b/shared/rudderpeer/requests.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *requestsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 0
+	return twirpFileDescriptor9, 0
 }
 
 func (s *requestsServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Requests")
 }
 
-var twirpFileDescriptor8 = []byte{
+var twirpFileDescriptor9 = []byte{
 	// 529 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x53, 0x4d, 0x6f, 0x13, 0x31,
 	0x10, 0xd5, 0x36, 0xdd, 0x4d, 0x76, 0x12, 0x90, 0x30, 0xa5, 0x98, 0x08, 0xc4, 0x12, 0x3e, 0xba,
--- a/shared/rudderpeer/suspects.twirp.go
+++ b/shared/rudderpeer/suspects.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *suspectsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor9, 0
+	return twirpFileDescriptor10, 0
 }
 
 func (s *suspectsServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Suspects")
 }
 
-var twirpFileDescriptor9 = []byte{
+var twirpFileDescriptor10 = []byte{
 	// 299 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x41, 0x4b, 0xfb, 0x40,
 	0x10, 0xc5, 0x49, 0xd3, 0x7f, 0xdb, 0xcc, 0x1f, 0x2b, 0x2c, 0x22, 0xa1, 0x20, 0xc4, 0x78, 0xb0,
