--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -39,6 +39,10 @@
 	Memory int64
 	// Addresses to listen on, IP:PORT.
 	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
+	// BootstrapListen is the address on which this host tells others that have just started what it knows, and Seeds those
+	// of up to a few hosts that can be asked. They may be down, and may include this one. Both may be empty.
+	BootstrapListen string
+	Seeds           []string
 	// MaxKeyStaleness is the maximum age of the last successful read of the routing document with which an API
 	// key is still accepted.
 	MaxKeyStaleness time.Duration
@@ -97,6 +101,7 @@
 	pathPeers   *pathPeers
 	rebalancer  *rudderentry.Rebalancer
 	packer      packer
+	bootstrap   bootstrapState
 	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
 }
 
@@ -191,12 +196,13 @@
 		DecodeRouting: e.Ports.DecodeRouting, DecodeTarget: e.Ports.DecodeTarget, ReturnGrace: e.Settings.ReturnGrace, BatchPause: e.Settings.BatchPause, RelayBytes: maxRelayPlainBytes,
 		OnSync:     func(d time.Duration) { e.count("store.looks") },
 		OnEvidence: e.poison.applyRecord, OnSecret: e.setSecret, FetchChanges: e.follow, FetchRecords: e.copyRecords,
-		FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
+		FetchKnown: e.fetchKnown, FetchLook: e.fetchLook, FetchRouting: e.fetchRouting, OnRestored: e.restoreRecords,
 		Urgent: func() bool { return e.planner.Planning() || e.poison.urgent() },
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
 	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
+	e.bootstrap.client, e.bootstrap.calls = NewMeteredClient(1, e.Memory.Replies), make(chan struct{}, maxBootstrapCalls)
 	e.limits = &rudderlimit.Table{}
 	e.rebalancer = &rudderentry.Rebalancer{
 		Lifetime: e.Settings.DirectoryLifetime, Hosts: func() int { return len(e.view.Snapshot().EntryHosts) }, Uptime: uptime,
--- a/shared/rudderpeer/departures.twirp.go
+++ b/shared/rudderpeer/departures.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *departuresServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *departuresServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "comfreyrudder.peer", "Departures")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 320 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0xcf, 0x4a, 0xf3, 0x40,
 	0x14, 0xc5, 0x99, 0x96, 0x96, 0xf6, 0x7e, 0x29, 0x5f, 0x19, 0x10, 0x4a, 0x51, 0x88, 0xb1, 0x60,
