--- a/rudderd/rudderedge/departures_test.go
+++ b/rudderd/rudderedge/departures_test.go
@@ -83,13 +83,15 @@
 // startHost starts a process that serves other entry hosts at the address.
 func startHost(t *testing.T, name, peer string, store *rudderstore.Store) *fleetHost {
 	t.Helper()
-	e := edge(name, store)
+	dead := &storeFaults{} // what goes on after Run ends with a process
+	e := edge(name, dead.wrap(store))
 	e.Settings.CallerListen, e.Settings.PeerListen, e.Settings.StopGrace = freeAddress(t), peer, 2*time.Second
 	ctx, stop := context.WithCancel(t.Context())
 	e.Prepare()
 	h := &fleetHost{e, stop, make(chan struct{})}
 	go func() {
 		defer close(h.ended)
+		defer dead.all.Store(true)
 		_ = e.Run(ctx)
 	}()
 	t.Cleanup(func() { stop(); <-h.ended })
