Set the timer of a watchdog under its lock

The watchdog of a stream set its timer field after time.AfterFunc had started the timer. On a host so slow that the timer fires first, its function read the field at the same time.

The race detector reported it in a run of ./rudderd/rudderforward at a load average of 44 (TestHeadThatBreaksOff, schedule in check against watch). The field is now written under the lock that check takes first. It has no test of its own: the timer is never shorter than 500 ms, so that only a busy machine shows the race.

--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -67,6 +67,8 @@
 	now := f.Uptime()
 	silence := max(firstEventSilence, firstEventSilence/2+2*j.expectedWait)
 	w := &watchdog{forwarder: f, group: g, parts: j.parts, cancel: cancel, ctx: ctx, limit: f.silenceLimit(j.route), lastEvent: now, due: now + silence, hang: j.hang, last: !j.repeatable()}
+	w.mu.Lock() // on a slow host the timer may fire before it is set
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(silence, w.check)
 	return w
 }
