Choose slow groups last until they have recovered

A group runs at the pace of its slowest member. With half of the targets six times slower, new streams went on being sent to their groups: only silences of 220 ms made single entry hosts avoid them for 0.3 s at a time, and requests that hung there moved late.

The reports of probed members name their pace, and nobody read it. Examine and the probes of an entry host now return the slow members. A group is also probed if all of its recent events took 2.5 times as long as at a full batch, because x3 causes no silence of 220 ms; long events alone show nothing, since prompts are read between them. Entry hosts tell the owner of the model with their next pick, which chooses slow groups last and names them in its answers. Since no stream shows then that a group has recovered, the owner probes the slow member every 0.5 s, one group of a partition whose groups are all slow. A request that hangs does not move from one slow group to another.

--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -21,8 +21,8 @@
 // Group is one group that may take requests.
 type Group struct {
 	ID string
-	// Draining and silent groups are chosen last.
-	Draining, Silent bool
+	// Draining, silent and slow groups are chosen last.
+	Draining, Silent, Slow bool
 	// Wait is the time until the group's target takes a further request, because it limits their rate; 0 if it takes one now.
 	Wait time.Duration
 }
@@ -158,8 +158,8 @@
 		if avoids(r.Avoid, g.ID) {
 			continue
 		}
-		if r.Spill && g.Draining {
-			full = true // another ledger may have a group that is not draining
+		if r.Spill && (g.Draining || g.Slow) {
+			full = true // another ledger may have a group that is neither draining nor slow
 			continue
 		}
 		a := l.account(g.ID)
@@ -175,7 +175,7 @@
 			continue
 		}
 		cost, expected := a.cost(now, speed)
-		if g.Draining || g.Silent {
+		if g.Draining || g.Silent || g.Slow {
 			cost += draining
 		}
 		if r.Objective > 0 && expected > r.Objective {
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -58,6 +58,33 @@
 	require.Equal(t, "other", id)
 }
 
+// Guards against requests that are sent to a slow group while another one has room, and against refusing them when all are slow.
+func TestSlowGroupsComeLast(t *testing.T) {
+	request := func(i int) Request {
+		return Request{ID: fmt.Sprint(i), PromptTokens: 1, Limit: time.Minute, Objective: 50 * time.Millisecond}
+	}
+	l := NewLedger()
+	list := []Group{{ID: "slow", Slow: true}, {ID: "usual"}}
+	for i := range speed.Slots {
+		id, _, _ := l.Pick(0, speed, list, request(i))
+		require.Equal(t, "usual", id)
+	}
+	id, _, full := l.Pick(0, speed, list, request(speed.Slots))
+	require.Equal(t, "slow", id, "the other group has no slot within the objective")
+	require.False(t, full)
+	id, _, full = l.Pick(0, speed, list, Request{ID: "spill", PromptTokens: 1, Limit: time.Minute, Objective: 50 * time.Millisecond, Spill: true})
+	require.Empty(t, id, "another partition may have a group that is not slow")
+	require.True(t, full)
+
+	l = NewLedger()
+	chosen := map[string]int{}
+	for i := range 2 * speed.Slots {
+		id, _, _ := l.Pick(0, speed, []Group{{ID: "a", Slow: true}, {ID: "b", Slow: true}}, request(i))
+		chosen[id]++
+	}
+	require.Equal(t, map[string]int{"a": speed.Slots, "b": speed.Slots}, chosen, "all are slow")
+}
+
 // Guards against requests of a dead entry host that occupy their slot for ever.
 func TestUnreportedEndExpires(t *testing.T) {
 	l := NewLedger()
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -129,6 +129,7 @@
 	confirmed bool
 	report    ruddertarget.GroupReport // last answer while the target had no record
 	known     bool                     // report is set
+	slow      bool                     // by the last answer
 	running   bool
 	checked   time.Duration // uptime of the last start or end of a probe
 	done      chan struct{} // closed when the probe has ended
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -65,6 +65,18 @@
 	return dead, silent, true
 }
 
+// Slow returns those of some targets that were slow by their last answer to a probe.
+func (p *Planner) Slow(incarnations map[string]int64) (slow []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, born := range incarnations {
+		if v := p.results[name]; v != nil && v.born == born && v.slow {
+			slow = append(slow, name)
+		}
+	}
+	return slow
+}
+
 // examineTarget starts a probe unless the last result is recent, or shows a silent target that is probed soon because it may be
 // dead then. The caller holds the lock.
 func (p *Planner) examineTarget(t *rudderview.Target) <-chan struct{} {
@@ -145,7 +157,7 @@
 	}
 	next := &probeResult{born: t.Born, checked: now, running: true, done: make(chan struct{})}
 	if v != nil && v.born == t.Born {
-		next.dead, next.report, next.known, next.answeredAt = v.dead, v.report, v.known, v.answeredAt
+		next.dead, next.report, next.known, next.answeredAt, next.slow = v.dead, v.report, v.known, v.answeredAt, v.slow
 		if v.silent {
 			next.silent, next.failedAt, next.aliveAt, next.confirmed = true, v.failedAt, v.aliveAt, v.confirmed
 		}
@@ -174,6 +186,7 @@
 			Bool("dead", v.dead).Bool("before", before.dead).Msg("suspected target probed")
 	}
 	v.running, v.checked = false, p.Uptime()
+	v.slow = found.Alive && found.Report.Slow()
 	if found.Alive && !recorded {
 		v.report, v.known = found.Report, true
 	}
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -42,6 +42,7 @@
 	edge   *Edge
 	next   atomic.Int64
 	owners owners
+	slow   slowGroups
 
 	mu           sync.Mutex
 	ledgers      map[ledgerKey]*rudderbalance.Ledger
@@ -70,8 +71,11 @@
 	snapshot := b.edge.view.Snapshot()
 	counts, groups := b.edge.groupsByPartition(snapshot, q)
 	var best, spilled rudderforward.Pick
+	var slow []string
 	for _, query := range rudderbalance.PartitionQueries(counts, rand.Float64) {
 		pick := b.queryOwner(ctx, snapshot, q, query)
+		slow = append(slow, pick.Slow...)
+		pick.Slow = slow
 		pick.Work = pick.Work * time.Duration(groups) / time.Duration(counts.All[query.Partition])
 		if pick.Group != "" {
 			return pick
@@ -173,13 +177,15 @@
 // the next owner.
 func (b *balance) queryHost(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery, owner rudderview.EntryHost) (pick rudderforward.Pick, lapsed bool) {
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
+	key := ledgerKey{q.Service, q.Model, query.Partition}
 	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill}
 	if query.Spill {
 		request.Objective = time.Duration(spillShare * float64(q.Objective))
 	}
 	if owner.Name == b.edge.Settings.Name {
 		b.noteSilent(q.Silent)
-		pick := b.pickLocal(ledgerKey{q.Service, q.Model, query.Partition}, q.Urgency, request)
+		b.noteSlow(key, q.Slow)
+		pick := b.pickLocal(key, q.Urgency, request)
 		pick.Release = func() { b.finish([]string{id}) }
 		return pick, false
 	}
@@ -187,14 +193,14 @@
 	if backingOff {
 		return rudderforward.Pick{}, false
 	}
-	reports := b.edge.limits.Reports(b.edge.processesOf(snapshot, ledgerKey{q.Service, q.Model, query.Partition}), b.edge.uptime())
+	reports := b.edge.limits.Reports(b.edge.processesOf(snapshot, key), b.edge.uptime())
 	ctx, cancel := context.WithTimeout(ctx, pickTimeout)
 	defer cancel()
 	answer, err := rudderpeer.NewBalanceProtobufClient("http://"+owner.Peer, b.edge.peers.client).Pick(ctx, &rudderpeer.PickRequest{
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
 		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
-		Silent: q.Silent,
+		Silent: q.Silent, Slow: q.Slow,
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if isLapsedError(err) {
@@ -212,7 +218,7 @@
 	}
 	b.edge.applyAnnounced(owner.Name, answer.GetLeaving())
 	b.edge.mergeLimits(owner.Name, rudderlimit.Decode(answer.GetLimits()))
-	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Slow: answer.GetSlow(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
 		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}, false
 }
 
@@ -271,11 +277,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	uptime, limited := b.edge.uptime(), false
+	var slow []string
 	groups := make([]rudderbalance.Group, 0, len(list))
 	for _, g := range list {
 		wait := b.edge.limits.Wait(processOf(g), urgency, uptime)
 		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
-		groups = append(groups, rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Wait: wait})
+		state := rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Slow: b.slow.has(g.ID), Wait: wait}
+		if state.Slow {
+			slow = append(slow, g.ID)
+		}
+		groups = append(groups, state)
 	}
 	if b.ledgers[key] == nil {
 		b.ledgers[key] = rudderbalance.NewLedger()
@@ -285,7 +296,7 @@
 	if i := slices.IndexFunc(list, func(g *rudderview.Group) bool { return g.ID == group }); i >= 0 {
 		b.edge.limits.Take(processOf(list[i]))
 	}
-	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Work: ledger.Work(now)}
+	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Slow: slow, Work: ledger.Work(now)}
 }
 
 // noteSilent makes the groups that an entry host has reported as silent the last choice for all of them.
@@ -407,6 +418,7 @@
 	s.balance.edge.applyAnnounced("", r.GetLeaving())
 	s.balance.edge.mergeLimits("", reports)
 	s.balance.noteSilent(r.GetSilent())
+	s.balance.noteSlow(key, r.GetSlow())
 	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
@@ -414,7 +426,7 @@
 	})
 	return &rudderpeer.PickResponse{
 		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
-		Leaving: s.balance.edge.announced(), Limits: s.balance.edge.missingLimits(key, reports),
+		Leaving: s.balance.edge.announced(), Limits: s.balance.edge.missingLimits(key, reports), Slow: pick.Slow,
 	}, nil
 }
 
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -128,6 +128,7 @@
 		{"registration", e.session.run},
 		{"shared secret", e.agreeOnSecret},
 		{"balance", e.balance.run},
+		{"slow groups", e.balance.recheckSlow},
 		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
 		{"limits", e.logLimitedSends},
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -137,6 +137,7 @@
 	defer cancel()
 	if e.planner.Planning() {
 		found.Dead, found.Silent, ok = e.planner.Examine(ctx, incarnations, silence)
+		found.Slow = e.planner.Slow(incarnations)
 		return found, ok
 	}
 	snapshot := e.view.Snapshot()
@@ -153,7 +154,7 @@
 			e.Logger.Warn().Err(err).Str("planner", x.Name).Str("group", g.ID).Msg("planner is unreachable; probing the group from this entry host")
 			return found, false
 		}
-		return rudderforward.GroupFinding{Dead: answer.GetDead(), Silent: answer.GetSilent()}, answer.GetPlanning()
+		return rudderforward.GroupFinding{Dead: answer.GetDead(), Silent: answer.GetSilent(), Slow: answer.GetSlow()}, answer.GetPlanning()
 	}
 	return found, false
 }
@@ -170,5 +171,5 @@
 	dead, silent, planning := s.edge.planner.Examine(ctx, incarnations, time.Duration(r.GetSilenceMs())*time.Millisecond)
 	s.edge.Logger.Info().Str("reporter", r.GetReporter()).Str("group", r.GetGroup()).Strs("dead", dead).Strs("silent", silent).Bool("planning", planning).
 		Msg("unresponsive group examined for another entry host")
-	return &rudderpeer.ExamineResponse{Planning: planning, Dead: dead, Silent: silent}, nil
+	return &rudderpeer.ExamineResponse{Planning: planning, Dead: dead, Silent: silent, Slow: s.edge.planner.Slow(incarnations)}, nil
 }
--- a/rudderd/rudderedge/silence_test.go
+++ b/rudderd/rudderedge/silence_test.go
@@ -21,10 +21,10 @@
 	silentFleetInterval = 50 * time.Millisecond
 )
 
-// silentFleet is a fleet of one entry host and targets that send events, except while they are silent.
-func silentFleet(t *testing.T) *verdictFleet {
+// silentFleet is a fleet of entry hosts and targets that send events, except while they are silent.
+func silentFleet(t *testing.T, hosts int) *verdictFleet {
 	var f *verdictFleet
-	f = newVerdictFleetOf(t, 1, 2, func(w http.ResponseWriter, r *http.Request) {
+	f = newVerdictFleetOf(t, hosts, 2, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		for i := range silentFleetEvents {
 			for f.isSilent(r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()) && r.Context().Err() == nil {
@@ -89,7 +89,7 @@
 	for _, silence := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 1100 * time.Millisecond} {
 		t.Run(silence.String(), func(t *testing.T) {
 			t.Parallel()
-			f := silentFleet(t)
+			f := silentFleet(t, 1)
 			group := f.edges[0].view.Snapshot().Groups("llm", "m0")[0].ID
 			events, err := f.stream("m0", func() { f.silence("t0", silence) })
 			require.NoError(t, err)
@@ -116,7 +116,7 @@
 // A target is lost without closing its connections. Guards against streams and groups that wait for it longer than needed to
 // tell it from a silent one.
 func TestLostTargetIsFoundInTime(t *testing.T) {
-	f := silentFleet(t)
+	f := silentFleet(t, 1)
 	found := make(chan time.Duration, 1)
 	_, err := f.stream("m0", func() {
 		f.silence("t0", time.Hour)
--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -35,6 +35,8 @@
 	isolated map[string]bool // by name of an entry host
 	dead     map[string]bool // by address
 	silent   map[string]bool // by address; their probes get no answer
+	factor   float64         // time factor of all targets
+	reports  int             // number of reports
 }
 
 func (f *verdictFleet) put(key string, value any) {
@@ -116,7 +118,8 @@
 			if f.isolated[e.Settings.Name] || f.dead[address] {
 				return ruddertarget.GroupReport{}, errors.New("unreachable")
 			}
-			return ruddertarget.GroupReport{Orders: 2, Born: 1}, nil
+			f.reports++
+			return ruddertarget.GroupReport{Orders: 2, Born: 1, TimeFactor: f.factor}, nil
 		},
 	}
 	e.Ports.Protocol = rudderforward.Protocol{
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -127,9 +127,13 @@
 			if f.loads.isFoundSilent(g.Leader.Name, now) || f.loads.isHung(g.Leader.Name, now) {
 				q.Silent = append(q.Silent, g.ID)
 			}
+			if f.loads.isFoundSlow(g.Leader.Name, now) {
+				q.Slow = append(q.Slow, g.ID)
+			}
 		}
 		pick := f.Pick(ctx, q)
 		j.releasePick = pick.Release
+		f.recordSlow(groups, pick.Slow)
 		if pick.Answered {
 			j.expectedWait, j.pickedAt, j.pickedModel = pick.Wait, f.Uptime(), model
 			f.work.set(j.service, model, pick.Work)
@@ -165,7 +169,12 @@
 }
 
 func (f *Forwarder) chooseByLoad(j *job, snapshot *rudderview.Snapshot, groups []*rudderview.Group) choice {
-	return f.loads.choose(groups, choiceInputs{now: f.Uptime(), entries: len(snapshot.EntryHosts), dataCentre: f.DataCentre, exclude: j.exclude})
+	slow := map[string]bool{} // found before loads is locked
+	now := f.Uptime()
+	for _, g := range groups {
+		slow[g.ID] = f.isSlow(g, now)
+	}
+	return f.loads.choose(groups, choiceInputs{now: now, entries: len(snapshot.EntryHosts), dataCentre: f.DataCentre, exclude: j.exclude, slow: slow})
 }
 
 // finishFailed ends a request that will not be sent again. The status for a request that may have run never
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -25,6 +25,9 @@
 	silentUntil time.Duration // uptime until which new requests avoid the leader unless it sends something before
 	silentFound time.Duration // uptime until which the planner's finding that the group is silent holds
 	hungUntil   time.Duration // uptime until which other entry hosts should know that requests to the leader hang
+	slowUntil   time.Duration // uptime until which the report of the model's owner that the group is slow holds
+	slowFound   time.Duration // uptime until which the finding of a probe that a member is slow holds
+	pace        pace
 	usedAt      time.Duration // uptime of the last access, for forget
 }
 
@@ -158,8 +161,9 @@
 	Limit time.Duration
 	// Cost is the time that a group needs for the request when its batch is full.
 	Cost time.Duration
-	// Avoid lists the groups that must not be picked, and Silent those that are silent or whose requests hang.
-	Avoid, Silent []string
+	// Avoid lists the groups that must not be picked, Silent those that are silent or whose requests hang, and Slow those whose
+	// events take much longer than usual.
+	Avoid, Silent, Slow []string
 	// Objective is the longest wait for a group that the request can bear; 0 accepts any wait.
 	Objective time.Duration
 	// Urgency is the priority of the request, 0 for the highest.
@@ -178,6 +182,8 @@
 	Work time.Duration
 	// Wait is the expected wait for the group.
 	Wait time.Duration
+	// Slow lists the groups of the model that entry hosts have reported as slow.
+	Slow []string
 	// Release must be called when the send has ended; it is nil if the owner need not be notified.
 	Release func()
 }
@@ -199,6 +205,7 @@
 	entries    int // number of entry hosts
 	dataCentre string
 	exclude    map[string]bool // groups on which this request failed
+	slow       map[string]bool // groups that are slow
 	draw       func(n int) int // replaced in tests; nil takes random numbers
 }
 
@@ -211,7 +218,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var preferred, draining, avoided []*rudderview.Group
+	var preferred, last, avoided []*rudderview.Group
 	full := false
 	others := l.others(groups, c)
 	for _, g := range groups {
@@ -222,13 +229,13 @@
 			full = true
 		case x.avoided(c.now):
 			avoided = append(avoided, g)
-		case g.Draining:
-			draining = append(draining, g)
+		case g.Draining || c.slow[g.ID]:
+			last = append(last, g)
 		default:
 			preferred = append(preferred, g)
 		}
 	}
-	for _, tier := range [][]*rudderview.Group{preferred, draining, avoided} {
+	for _, tier := range [][]*rudderview.Group{preferred, last, avoided} {
 		if len(tier) == 0 {
 			continue
 		}
--- a/rudderd/rudderforward/hang.go
+++ b/rudderd/rudderforward/hang.go
@@ -296,12 +296,14 @@
 	return true
 }
 
-// hasOther reports whether another group has a free slot for the request. More work for groups that are full would delay all.
+// hasOther reports whether another group has a free slot for the request. More work for groups that are full would delay all, and a
+// slow group is no better than another one.
 func (h *hangGuard) hasOther(snapshot *rudderview.Snapshot, now time.Duration) bool {
 	f, j := h.forwarder, h.job
 	groups, _ := f.accepting(snapshot.Groups(j.service, j.request.Model))
+	slow := f.isSlow(h.group, now)
 	for _, g := range groups {
-		if g.ID != h.group.ID && !h.exclude[g.ID] && f.loads.free(g, now) {
+		if g.ID != h.group.ID && !h.exclude[g.ID] && f.loads.free(g, now) && (!slow || !f.isSlow(g, now)) {
 			return true
 		}
 	}
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -45,14 +45,19 @@
 	probeBurst   = 4
 )
 
-// takeToken takes one probe from this entry host's share of the fleet's rate. The caller holds the lock.
-func (p *probes) takeToken(now time.Duration, entries int) bool {
+// fill adds the tokens for the time since the last call. The caller holds the lock.
+func (p *probes) fill(now time.Duration, entries int) {
 	if p.filledAt == 0 {
 		p.tokens = probeBurst
 	}
 	rate := max(minProbeRate, fleetProbeRate/float64(max(entries, 1)))
 	p.tokens = min(probeBurst, p.tokens+rate*(now-p.filledAt).Seconds())
 	p.filledAt = now
+}
+
+// takeToken takes one probe from this entry host's share of the fleet's rate. The caller holds the lock.
+func (p *probes) takeToken(now time.Duration, entries int) bool {
+	p.fill(now, entries)
 	if p.tokens < 1 {
 		return false
 	}
@@ -60,9 +65,18 @@
 	return true
 }
 
-// GroupFinding names the members of a group that do not respond: the dead ones, and the others, which may recover.
+// hasSpare reports whether silent groups leave tokens for probes of others.
+func (p *probes) hasSpare(now time.Duration, entries int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fill(now, entries)
+	return p.tokens > probeBurst/2
+}
+
+// GroupFinding names the members of a group that do not respond, the dead ones and the others, which may recover, and those that
+// are slow.
 type GroupFinding struct {
-	Dead, Silent []string
+	Dead, Silent, Slow []string
 }
 
 // groupHealth is what a probe tells about a group.
@@ -150,14 +164,17 @@
 		if silence > 0 {
 			silence += f.Uptime() - begin
 		}
-		found.Dead = f.deadMembers(g, silence)
+		found.Dead, found.Slow = f.probeMembers(g, silence)
 	}
 	health := found.health()
+	if len(found.Slow) > 0 {
+		f.loads.foundSlow(g.Leader.Name, f.Uptime()+slowFoundTTL, f.Uptime())
+	}
 	f.probes.mu.Lock()
 	p.health, p.endedAt = health, max(f.Uptime(), 1)
 	f.probes.mu.Unlock()
 	close(p.done)
-	f.Logger.Info().Str("group", g.ID).Int("members", len(g.Members)).Strs("dead", found.Dead).Strs("silent", found.Silent).Dur("silence_ms", silence).
+	f.Logger.Info().Str("group", g.ID).Int("members", len(g.Members)).Strs("dead", found.Dead).Strs("silent", found.Silent).Strs("slow", found.Slow).Dur("silence_ms", silence).
 		Bool("by_planner", byPlanner).Msg("probed unresponsive group")
 	switch health {
 	case groupBroken:
@@ -186,24 +203,27 @@
 	return groupAlive
 }
 
-// deadMembers probes all members of a group that has been silent for some time and returns the names of the dead ones.
-func (f *Forwarder) deadMembers(g *rudderview.Group, silence time.Duration) []string {
-	results := make([]bool, len(g.Members))
+// probeMembers probes all members of a group that has been silent for some time and returns the names of the dead and slow ones.
+func (f *Forwarder) probeMembers(g *rudderview.Group, silence time.Duration) (dead, slow []string) {
+	type result struct{ alive, slow bool }
+	results := make([]result, len(g.Members))
 	var waiting sync.WaitGroup
 	for i, t := range g.Members {
 		waiting.Go(func() {
-			_, alive := f.Confirm(context.Background(), t, silence)
-			results[i] = !alive
+			report, alive := f.Confirm(context.Background(), t, silence)
+			results[i] = result{alive, alive && report.Slow()}
 		})
 	}
 	waiting.Wait()
-	var dead []string
 	for i, t := range g.Members {
-		if results[i] {
+		if !results[i].alive {
 			dead = append(dead, t.Name)
 		}
+		if results[i].slow {
+			slow = append(slow, t.Name)
+		}
 	}
-	return dead
+	return dead, slow
 }
 
 // prune drops old probe results.
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -142,6 +142,7 @@
 	events := &eventReader{source: answer.response.Body, memory: f.Responses.ReservationAbove(freeEventBytes, 1)}
 	defer events.memory.Release()
 	control := http.NewResponseController(j.writer)
+	reading := f.Uptime() // since when this entry host waits for the next event
 	for {
 		event, id, err := nextEvent(j, answer, events)
 		if errors.Is(err, io.EOF) {
@@ -154,7 +155,7 @@
 		}
 		fresh := newer(id, j.lastEvent)
 		if fresh {
-			f.recordEvent(j, g, answer, guard)
+			f.recordEvent(j, g, answer, guard, reading)
 		}
 		if !j.started {
 			f.beginStream(j, answer)
@@ -181,6 +182,9 @@
 				return true
 			}
 		}
+		if fresh {
+			reading = f.Uptime()
+		}
 	}
 }
 
@@ -194,13 +198,18 @@
 	return errors.Mark(errors.Wrap(err, "read event stream"), ErrBroken)
 }
 
-// recordEvent records an event that is new to the caller.
-func (f *Forwarder) recordEvent(j *job, g *rudderview.Group, answer *reply, guard *watchdog) {
+// recordEvent records an event that is new to the caller and was waited for since an uptime. A caller that reads slowly shortens
+// that wait and does not make a group look slow.
+func (f *Forwarder) recordEvent(j *job, g *rudderview.Group, answer *reply, guard *watchdog, waitedSince time.Duration) {
 	if answer.connection != nil {
 		f.Path.Heard(g.Service)
 	}
 	guard.event()
 	f.loads.heard(g.Leader.Name, f.Uptime())
+	if j.sendEvents > 0 {
+		f.loads.observeGap(g.Leader.Name, f.Uptime()-waitedSince, f.Uptime())
+		f.checkPace(g)
+	}
 	j.deliveredAt = f.Uptime()
 	f.countEvent(j)
 	j.running.countEvent(f.Uptime())
--- a/shared/ruddertarget/group.go
+++ b/shared/ruddertarget/group.go
@@ -44,7 +44,7 @@
 	// Orders counts the orders that the target has started to execute since its process started.
 	Orders           int64
 	Running, Waiting int
-	// TimeFactor compares the target's execution times with those of its kind; a value above 1 means slower.
+	// TimeFactor compares the target's execution times with those of its kind; a value above 1 means slower. 0 if it is not known.
 	TimeFactor float64
 	// Born is the incarnation of the target that answered; 0 if it does not report it.
 	Born int64
@@ -87,3 +87,9 @@
 	// low, ErrOtherTarget, ErrUnreachable if the order cannot have been delivered, or ErrUnknownOutcome.
 	Send func(ctx context.Context, name, address string, order GroupOrder) error
 }
+
+// slowTimeFactor is the time factor from which on a target counts as slow.
+const slowTimeFactor = 2
+
+// Slow reports whether the target is much slower than others of its kind.
+func (r GroupReport) Slow() bool { return r.TimeFactor >= slowTimeFactor }
