Keep probes of slow events out of the findings on silent groups

A group whose events take long was probed like a silent one, and the finding that it is alive was reused for 0.4 s. A stream that fell silent in that time, because a member had died, looked again only 0.6 s later.

Such a probe is no longer kept as a finding, and takes a token only while half of them are left. No test of its own: TestSlowGroupsAreReported covers the path.

--- a/rudderd/rudderforward/pace.go
+++ b/rudderd/rudderforward/pace.go
@@ -143,11 +143,23 @@
 	if full <= 0 || !f.loads.mayBeSlow(g.Leader.Name, scaled(full, slowPaceFactor), now) {
 		return
 	}
-	if f.probes.hasSpare(now, len(f.View.Snapshot().EntryHosts)) {
-		go f.probeGroup(context.Background(), g, 0)
+	if f.probes.takeSpare(now, len(f.View.Snapshot().EntryHosts)) {
+		go f.probePace(g)
 	}
 }
 
+// probePace has the planner probe a group that sends events. The result tells nothing about a silence that begins later, so that it
+// is not kept as that of probeGroup.
+func (f *Forwarder) probePace(g *rudderview.Group) {
+	found, _ := f.ExamineGroup(context.Background(), g, 0)
+	now := f.Uptime()
+	if len(found.Slow) > 0 {
+		f.loads.foundSlow(g.Leader.Name, now+slowFoundTTL, now)
+	}
+	f.Logger.Info().Str("group", g.ID).Int("members", len(g.Members)).Strs("slow", found.Slow).Dur("pace_ms", f.loads.pace(g.Leader.Name, now)).
+		Msg("probed group whose events take long")
+}
+
 // mayBeSlow reports whether a leader's group should be probed because the time between its events has reached a limit.
 func (l *loads) mayBeSlow(leader string, limit, now time.Duration) bool {
 	l.mu.Lock()
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -65,12 +65,12 @@
 	return true
 }
 
-// hasSpare reports whether silent groups leave tokens for probes of others.
-func (p *probes) hasSpare(now time.Duration, entries int) bool {
+// takeSpare is takeToken for probes that have to leave tokens for those of silent groups.
+func (p *probes) takeSpare(now time.Duration, entries int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill(now, entries)
-	return p.tokens > probeBurst/2
+	return p.tokens > probeBurst/2 && p.takeToken(now, entries)
 }
 
 // GroupFinding names the members of a group that do not respond, the dead ones and the others, which may recover, and those that
