Move streams out of slow groups before their time limit

Streams in a slow group ran into their time limit although another group had room: only a host that was stopping moved them. A stream that may be resumed, in a group that a probe or the model's owner has found slow, now goes on in another one at the last moment at which that still fits the greatest length expected of it. It takes one attempt and one retry of the budget. A move does not make new requests of the host avoid the slow group altogether.

TestStreamLeavesSlowGroupBeforeItsTimeLimit/other_group_has_its_usual_pace failed with moves allowed only during a shutdown ("unexpected EOF").

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -217,7 +217,7 @@
 		return // cancelled by the caller or the deadline, which is no evidence about the group
 	}
 	onThisSide := errors.Is(err, errPathLost) || errors.Is(err, errNoPath)
-	if !onThisSide && !errors.Is(err, errUnanswered) {
+	if !onThisSide && !errors.Is(err, errUnanswered) && !errors.Is(err, errSlowGroup) {
 		f.loads.avoid(g.Leader.Name, now+failureBackoff, now)
 	}
 	f.Metrics.Count("sends.failed")
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -143,6 +143,13 @@
 	return float64(x.inFlight) + others
 }
 
+// load estimates the number of requests at a group.
+func (l *loads) load(g *rudderview.Group, now time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.get(g.Leader.Name, now).estimate(now, 0)
+}
+
 // others estimates the mean number of requests that the other entry hosts have sent to one of the groups. It
 // assumes that each of them has as many requests in flight as this one.
 func (l *loads) others(groups []*rudderview.Group, c choiceInputs) float64 {
--- a/rudderd/rudderforward/move_test.go
+++ b/rudderd/rudderforward/move_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -227,6 +228,7 @@
 			f.lengths.observe("llm", 1+float64(i%13)/13, now)
 		}
 		var j *job
+		g := &rudderview.Group{Leader: &rudderview.Target{}}
 		for range n {
 			r := &runningRequest{kind: "llm\x00m", begin: now}
 			r.firstEvent.Store(int64(now - 29*25*time.Millisecond))
@@ -238,13 +240,13 @@
 		f.BeginShutdown(now + time.Hour)
 		b.Run(fmt.Sprintf("%d/event, would end", n), func(b *testing.B) {
 			for range b.N {
-				f.tooSlow(j, now)
+				f.tooSlow(j, g, now)
 			}
 		})
 		f.shutdown.end.Store(int64(now + 2*time.Second))
 		b.Run(fmt.Sprintf("%d/event, would not end", n), func(b *testing.B) {
 			for range b.N {
-				f.tooSlow(j, now)
+				f.tooSlow(j, g, now)
 			}
 		})
 	}
@@ -274,3 +276,76 @@
 	require.NoError(t, err, "the stream would have ended in its own group")
 	require.Len(t, ids, length)
 }
+
+// Guards against a stream that runs into its time limit at a slow group although another one would have finished it, and against
+// moves that cannot help or that only add work when all groups are slow.
+func TestStreamLeavesSlowGroupBeforeItsTimeLimit(t *testing.T) {
+	const allowed, full = 40, 10 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		length  int // events of the answer
+		slow    []string
+		wait    time.Duration // expected for another group
+		change  func(r *rudderroute.Route)
+		retries float64
+		moved   bool
+		whole   bool
+	}{
+		{"other group has its usual pace", allowed, []string{"g-t1@1"}, 0, nil, 100, true, true},
+		{"answer ends early", 5, []string{"g-t1@1"}, 0, nil, 100, false, true},
+		{"all groups are slow", allowed, []string{"g-t1@1", "g-t2@1"}, 0, nil, 100, false, false},
+		{"group reads prompts", allowed, nil, 0, nil, 100, false, false},
+		{"other group has no room", allowed, []string{"g-t1@1"}, time.Second, nil, 100, false, false},
+		{"one attempt", allowed, []string{"g-t1@1"}, 0, func(r *rudderroute.Route) { r.MaxAttempts = 1 }, 100, false, false},
+		{"not resumable", allowed, []string{"g-t1@1"}, 0, func(r *rudderroute.Route) { r.Resumable = false }, 100, false, false},
+		{"retry budget is spent", allowed, []string{"g-t1@1"}, 0, nil, 0, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := &slowGroupBed{testbed: newTestbed(t)}
+			b.document.Services[1].Engine.Step, b.document.Services[1].Engine.TokensPerEvent = full, 1
+			b.route("/s/", func(r *rudderroute.Route) {
+				streamRoute(true)(r)
+				r.Timeout = 1500 * time.Millisecond
+				if test.change != nil {
+					test.change(r)
+				}
+			})
+			for range 2 {
+				b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+					if b.arrivals.Add(1) > 1 {
+						streamFast(w, r, test.length)
+						return
+					}
+					for i := 0; i < test.length && r.Context().Err() == nil; i++ {
+						time.Sleep(slowPace)
+						events(w, i, i+1, 0)
+					}
+				})
+			}
+			b.start()
+			b.forwarder.Retries = RetryLimits{Extra: test.retries, Window: 10 * time.Second}
+			b.forwarder.ExamineGroup = func(_ context.Context, g *rudderview.Group, _ time.Duration) (GroupFinding, bool) {
+				if slices.Contains(test.slow, g.ID) {
+					return GroupFinding{Slow: []string{"t"}}, true
+				}
+				return GroupFinding{}, true
+			}
+			b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
+				if !slices.Contains(q.Avoid, "g-t1@1") {
+					return Pick{Answered: true, Group: "g-t1@1", Slow: test.slow}
+				}
+				return Pick{Answered: true, Group: "g-t2@1", Slow: test.slow, Wait: test.wait}
+			}
+			ids, err := b.sendSlow(allowed)
+			require.Equal(t, test.whole, err == nil, "%v", err)
+			require.Equal(t, test.moved, b.arrivals.Load() == 2)
+			for i, id := range ids {
+				require.Equal(t, fmt.Sprint(i+1), id)
+			}
+			if test.whole {
+				require.Len(t, ids, test.length)
+			}
+		})
+	}
+}
