--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -138,6 +138,7 @@
 		{"arrival", e.announceArrival},
 		{"shared secret", e.agreeOnSecret},
 		{"balance", e.balance.run},
+		{"slow groups", e.balance.recheckSlow},
 		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
 		{"limits", e.logLimitedSends},
