--- a/rudderd/rudderview/bootstrap_test.go
+++ b/rudderd/rudderview/bootstrap_test.go
@@ -81,3 +81,14 @@
 	require.False(t, other.HasEntryHostAt("10.0.0.1"))
 	require.Empty(t, other.FormerHosts())
 }
+
+// A stopping host announces its departure before it loses its registration, also to hosts that have never seen that. Guards against
+// an entry host that is not recognised when it restarts after an announced stop.
+func TestDepartedEntryHostIsRecognised(t *testing.T) {
+	now := time.Minute
+	v := silentView(&now)
+	require.True(t, v.MarkDeparted(Departure{EntryHost: EntryHost{Name: "a", Instance: "1", Peer: "10.0.0.1:81"}}))
+	require.True(t, v.HasEntryHostAt("10.0.0.1"))
+	now += formerRetention + 1
+	require.False(t, v.HasEntryHostAt("10.0.0.1"))
+}
--- a/rudderd/rudderview/departed.go
+++ b/rudderd/rudderview/departed.go
@@ -47,6 +47,7 @@
 		v.departures = map[process]departure{}
 	}
 	v.limitDepartures(now)
+	v.addFormer(d.EntryHost, d.Age)
 	v.departures[key] = departure{entry: d.EntryHost, announcedAt: now - d.Age, seenAt: now - d.Age}
 	v.lastDeparture.Store(max(int64(now-d.Age), v.lastDeparture.Load(), 1))
 	if !slices.ContainsFunc(v.Snapshot().EntryHosts, func(x EntryHost) bool { return x.process() == key }) {
--- a/rudderd/rudderview/former.go
+++ b/rudderd/rudderview/former.go
@@ -23,13 +23,17 @@
 func (v *View) noteFormer(entries []EntryHost, lost func(EntryHost) bool) {
 	for _, x := range entries {
 		if lost(x) {
-			for _, address := range []string{x.Address, x.Peer} {
-				v.AddFormerHost(ipOf(address), 0)
-			}
+			v.addFormer(x, 0)
 		}
 	}
 }
 
+func (v *View) addFormer(x EntryHost, age time.Duration) {
+	for _, address := range []string{x.Address, x.Peer} {
+		v.AddFormerHost(ipOf(address), age)
+	}
+}
+
 // AddFormerHost remembers the IP address of an entry host that lost its registration some time ago.
 func (v *View) AddFormerHost(ip string, age time.Duration) {
 	f, now := &v.former, v.Uptime()
