Replace records by those of another entry host only if they are newer

A host that reads all records again takes over what a watcher knows if the service is silent for 0.5 s, and ended its read for it even if that was no newer. Two hosts that were suspended while the service was restored could so keep each other from reading it while the machine is slow.

Such an answer now has to be younger, and for 5 s after one was used the read has 5 s.

--- a/rudderd/rudderedge/bootstrap.go
+++ b/rudderd/rudderedge/bootstrap.go
@@ -23,6 +23,8 @@
 	// relistDelay replaces it for a process that has a snapshot and reads all records again, which takes longer with hundreds of
 	// hosts.
 	relistDelay = 500 * time.Millisecond
+	// relistInterval replaces relistDelay until this time after the last answer that was used.
+	relistInterval = 5 * time.Second
 	// sourceStagger is the time after which the next source is asked as well, and sourceTimeout bounds one round of questions:
 	// a large fleet's records take some hundred milliseconds on a slow link.
 	sourceStagger = 50 * time.Millisecond
@@ -45,6 +47,7 @@
 	client        *http.Client  // for calls that are not signed
 	calls         chan struct{} // holds a value for each call that is being served
 	seedsFrom     atomic.Int64  // uptime from which on seeds are asked, in nanoseconds
+	usedAt        atomic.Int64  // uptime of the last answer that was used, in nanoseconds
 	formerAskedAt atomic.Int64  // uptime of the last question about former entry hosts, in nanoseconds
 }
 
@@ -70,6 +73,9 @@
 		for _, x := range e.otherWatchers() {
 			list = append(list, source{x.Peer, e.peers.client})
 		}
+		if used := time.Duration(e.bootstrap.usedAt.Load()); used > 0 && e.uptime()-used < relistInterval {
+			return list, relistInterval // the service may be slow, and its answer must arrive at last
+		}
 		return list, relistDelay
 	}
 	for _, address := range e.Settings.Seeds {
@@ -94,11 +100,11 @@
 			continue
 		}
 		a := e.askSources(ctx, list)
-		fresh := e.uptime()-a.AsOf <= e.Settings.MaxKeyStaleness || e.uptime()-begin >= oldAnswerDelay
-		if a.Revision > 0 && a.Revision >= e.view.Snapshot().Revision && fresh && ctx.Err() == nil {
+		if ctx.Err() == nil && e.usable(a.Known, e.uptime()-begin) {
 			if e.peers.secret.Load() == nil && len(a.secret) > 0 {
 				e.setSecret(a.secret)
 			}
+			e.bootstrap.usedAt.Store(int64(e.uptime()))
 			return a.Known, nil
 		}
 		pause(ctx, rudderview.RetryAfter(rounds, rand.Float64()))
@@ -106,6 +112,16 @@
 	return rudderview.Known{}, ctx.Err()
 }
 
+// usable reports whether an answer may replace what this entry host knows. It ends the read of all records from the key-value
+// service, which has been silent for some time.
+func (e *Edge) usable(k rudderview.Known, silent time.Duration) bool {
+	age := e.uptime() - k.AsOf
+	if own, synced := e.view.Staleness(); synced && own <= age {
+		return false // the answer is no newer
+	}
+	return k.Revision > 0 && k.Revision >= e.view.Snapshot().Revision && (age <= e.Settings.MaxKeyStaleness || silent >= oldAnswerDelay)
+}
+
 // askSources asks the sources one shortly after the other until one has recent records, and returns the newest answer. Its
 // revision is 0 if no source knows anything.
 func (e *Edge) askSources(ctx context.Context, list []source) sourceAnswer {
--- a/rudderd/rudderedge/bootstrap_test.go
+++ b/rudderd/rudderedge/bootstrap_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +121,42 @@
 	}
 	require.Equal(t, http.StatusTooManyRequests, call("10.0.0.1:5"))
 }
+
+// Guards against a host that ends its read of all records for what another one knows, although that is no newer: two hosts that
+// were suspended while the key-value service was restored then kept each other from reading it.
+func TestOnlyNewerAnswersAreUsed(t *testing.T) {
+	e := edge("a", newMemoryStore())
+	var now atomic.Int64
+	now.Store(int64(time.Minute))
+	e.uptime = func() time.Duration { return time.Duration(now.Load()) }
+	e.Settings.MaxKeyStaleness = 4 * time.Second
+	e.Prepare()
+	known := func(revision int64, age time.Duration) rudderview.Known {
+		return rudderview.Known{Revision: revision, AsOf: time.Minute - age}
+	}
+	require.False(t, e.usable(known(0, 0), time.Minute))
+	require.True(t, e.usable(known(5, 4*time.Second), 0))
+	require.False(t, e.usable(known(5, 5*time.Second), 0))
+	require.True(t, e.usable(known(5, 5*time.Second), oldAnswerDelay))
+	require.NoError(t, listOnce(t, e))
+	now.Add(int64(3 * time.Second))
+	require.False(t, e.usable(known(5, 0), time.Minute), "as old as what is known")
+	require.True(t, e.usable(known(5, -time.Second), time.Minute))
+	require.False(t, e.usable(known(4, -time.Second), time.Minute), "an earlier revision")
+}
+
+// listOnce lets the view read all records at revision 5.
+func listOnce(t *testing.T, e *Edge) error {
+	t.Helper()
+	for range 5 {
+		if _, err := e.Ports.Store.Put(t.Context(), rudderstore.PutRequest{Key: "k", Expected: rudderstore.AnyRevision}); err != nil {
+			return err
+		}
+	}
+	ctx, end := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- e.view.Run(ctx) }()
+	<-e.view.Synced()
+	end()
+	return <-ended
+}
