Retry sooner on entry hosts that have followers

A host with followers now pauses for 0.3 s at most.

Without the change TestFollowedHostRetriesSoon does not hold: the pause is 0.6 s to 1.2 s.

--- a/rudderd/rudderview/look_test.go
+++ b/rudderd/rudderview/look_test.go
@@ -97,3 +97,16 @@
 	require.NoError(t, v.watch(t.Context(), watchWait))
 	require.Equal(t, []time.Duration{firstWait}, s.waits)
 }
+
+// Guards against a watcher whose pauses between calls are longer than the service answers in an outage that comes and goes, so that
+// its followers refuse requests for seconds.
+func TestFollowedHostRetriesSoon(t *testing.T) {
+	now := time.Minute
+	v := silentView(&now)
+	const failures = 10
+	require.GreaterOrEqual(t, v.retryAfter(failures), maxRetryPause/2)
+	v.noteFollower(now, time.Millisecond)
+	require.LessOrEqual(t, v.retryAfter(failures), followedRetryPause)
+	now += followerTimeout
+	require.GreaterOrEqual(t, v.retryAfter(failures), maxRetryPause/2)
+}
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -32,6 +32,9 @@
 	// a second from a hundred entry hosts.
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 1200 * time.Millisecond
+	// followedRetryPause bounds the pause on an entry host that has followers, of which there are few: an outage that comes and
+	// goes may end for less than a second.
+	followedRetryPause = 300 * time.Millisecond
 	// outageAfter is the time without an answer after which the service is considered to be in an outage.
 	outageAfter = time.Second
 )
@@ -86,7 +89,7 @@
 			v.markFailed(err)
 			wait = firstWait
 			failures++
-			retryAt := v.Uptime() + RetryAfter(failures, rand.Float64())
+			retryAt := v.Uptime() + v.retryAfter(failures)
 			v.lookElsewhere(ctx)
 			sleep(b.reads, retryAt-v.Uptime())
 		}
@@ -101,6 +104,15 @@
 	return longest/2 + time.Duration(jitter*float64(longest)/2)
 }
 
+// retryAfter is RetryAfter, bounded by followedRetryPause on an entry host that has followers.
+func (v *View) retryAfter(failures int) time.Duration {
+	pause := RetryAfter(failures, rand.Float64())
+	if v.hasFollowers() {
+		return min(pause, followedRetryPause)
+	}
+	return pause
+}
+
 // markAnswered records that the service answers, and that its answer has been applied.
 func (v *View) markAnswered() {
 	v.endOutage()
