Run the tests of accepted requests at a stopping host in a bubble

TestStoppingHostFinishesWhatItAcceptsInShortGraceTime failed beside load, because 0.2 s of lateness leave no stream that a host with a grace time of 3 s accepts late in the stop; make test passed over it. It and TestStoppingHostFinishesWhatItAccepts now run under testing/synctest, with a network in memory (new package ruddertestnet) for callers and targets and the clock of the bubble for the host. What they send, check and allow is the same. The store of the tests wakes its watches by a channel instead of looking each millisecond.

--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -107,10 +107,18 @@
 	revision int64
 	entries  map[string]rudderstore.Entry
 	events   []rudderstore.Event
+	changed  chan struct{} // closed with the next event
+}
+
+// add adds an event. The caller holds the lock.
+func (m *memoryStore) add(e rudderstore.Event) {
+	m.events = append(m.events, e)
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 func newMemoryStore() *rudderstore.Store {
-	m := &memoryStore{entries: map[string]rudderstore.Entry{}}
+	m := &memoryStore{entries: map[string]rudderstore.Entry{}, changed: make(chan struct{})}
 	return &rudderstore.Store{
 		Get: func(_ context.Context, key string) (rudderstore.Entry, int64, error) {
 			m.mu.Lock()
@@ -138,7 +146,7 @@
 			m.revision++
 			e := rudderstore.Entry{Key: r.Key, Value: r.Value, Revision: m.revision, Lease: r.Lease}
 			m.entries[r.Key] = e
-			m.events = append(m.events, rudderstore.Event{Entry: e})
+			m.add(rudderstore.Event{Entry: e})
 			return m.revision, nil
 		},
 		GrantLease: func(context.Context, time.Duration) (int64, error) {
@@ -155,7 +163,7 @@
 				if e.Lease == lease {
 					m.revision++
 					delete(m.entries, key)
-					m.events = append(m.events, rudderstore.Event{Entry: rudderstore.Entry{Key: key, Revision: m.revision}, Deleted: true})
+					m.add(rudderstore.Event{Entry: rudderstore.Entry{Key: key, Revision: m.revision}, Deleted: true})
 				}
 			}
 			return nil
@@ -165,19 +173,26 @@
 }
 
 func (m *memoryStore) watch(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
-	for until := time.Now().Add(r.Wait); ; {
+	timer := time.NewTimer(r.Wait)
+	defer timer.Stop()
+	for over := false; ; {
 		m.mu.Lock()
-		result := rudderstore.WatchResult{Revision: m.revision}
+		changed, result := m.changed, rudderstore.WatchResult{Revision: m.revision}
 		for _, e := range m.events {
 			if e.Revision > r.After {
 				result.Events = append(result.Events, e)
 			}
 		}
 		m.mu.Unlock()
-		if len(result.Events) > 0 || time.Now().After(until) || ctx.Err() != nil {
+		if len(result.Events) > 0 || over || ctx.Err() != nil {
 			return result, ctx.Err()
 		}
-		time.Sleep(time.Millisecond)
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,6 +22,7 @@
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
@@ -58,6 +60,11 @@
 // stoppingHost returns an entry host with an idempotent, an at-most-once, a resumable and a plain streaming route to targets of
 // different speed.
 func stoppingHost(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) *Edge {
+	return stoppingHostOn(t, nil, grace, silentUntil)
+}
+
+// stoppingHostOn is stoppingHost on a network in memory, unless that is nil.
+func stoppingHostOn(t *testing.T, network *ruddertestnet.Network, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) *Edge {
 	store := newMemoryStore()
 	put := func(key string, value any) {
 		text, err := json.Marshal(value)
@@ -76,7 +83,12 @@
 	}
 	put("routing", document)
 	for i, pace := range []time.Duration{40 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond} {
-		server := httptest.NewServer(stopTarget(pace, silentUntil))
+		server := httptest.NewUnstartedServer(stopTarget(pace, silentUntil))
+		if network != nil {
+			_ = server.Listener.Close()
+			server.Listener = network.Listen()
+		}
+		server.Start()
 		t.Cleanup(server.Close)
 		name := fmt.Sprint("t", i)
 		put("targets/"+name, rudderview.Target{
@@ -101,17 +113,44 @@
 		},
 		SetRetryAfter: func(http.Header, time.Duration) {},
 	}
+	if network == nil {
+		e.Prepare()
+		return e
+	}
+	started := time.Now()
+	e.uptime = func() time.Duration { return time.Since(started) + time.Second }
+	e.connect = func(ctx context.Context, address string) error {
+		c, err := network.Dial(ctx, "tcp", address)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	}
 	e.Prepare()
+	e.path.Dial = network.Dial
+	transport := e.forwarder.Client.Transport.(*http.Transport)
+	transport.DialContext = rudderforward.TrackWrites(network.Dial)
+	t.Cleanup(transport.CloseIdleConnections)
 	return e
 }
 
 // stoppingEdge returns a stoppingHost that serves, and its servers.
 func stoppingEdge(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
-	e := stoppingHost(t, grace, silentUntil)
+	return stoppingEdgeOn(t, nil, grace, silentUntil)
+}
+
+func stoppingEdgeOn(t *testing.T, network *ruddertestnet.Network, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
+	e := stoppingHostOn(t, network, grace, silentUntil)
 	servers, err := e.listen()
 	require.NoError(t, err)
+	if network != nil {
+		_ = servers[0].listener.Close()
+		servers[0].listener = network.Listen()
+	}
 	go func() { _ = servers[0].serve() }()
-	go func() { _ = e.view.Run(t.Context()) }()
+	var viewing sync.WaitGroup
+	viewing.Go(func() { _ = e.view.Run(t.Context()) })
+	t.Cleanup(viewing.Wait)
 	require.Eventually(t, func() bool { return len(e.view.Snapshot().Targets) == 3 && e.Ready() }, 5*time.Second, time.Millisecond)
 	return e, servers
 }
@@ -136,26 +175,32 @@
 // that are accepted although they cannot end within the grace time, and are then cut off.
 func TestStoppingHostFinishesWhatItAccepts(t *testing.T) {
 	for _, test := range []stopCase{{"long", 5 * time.Second, 16, 0}, {"silent targets", 8 * time.Second, 20, 1100 * time.Millisecond}} {
-		t.Run(test.name, func(t *testing.T) { test.check(t) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, test.check)
+		})
 	}
 }
 
 // Guards against the same with a grace time that is little longer than a stream.
 func TestStoppingHostFinishesWhatItAcceptsInShortGraceTime(t *testing.T) {
-	stopCase{"short", 3 * time.Second, 10, 0}.check(t)
+	t.Parallel()
+	synctest.Test(t, stopCase{"short", 3 * time.Second, 10, 0}.check)
 }
 
 func (test stopCase) check(t *testing.T) {
-	t.Parallel()
 	var silentUntil atomic.Pointer[time.Time]
-	e, servers := stoppingEdge(t, test.grace, &silentUntil)
+	network := &ruddertestnet.Network{}
+	e, servers := stoppingEdgeOn(t, network, test.grace, &silentUntil)
 	address := servers[0].listener.Addr().String()
 	warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
 	begin := time.Now().Add(warmUp)
 	var mu sync.Mutex
 	var outcomes []stopOutcome
 	var callers sync.WaitGroup
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 100, DialContext: network.Dial}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
 	send := func(kind, id string) {
 		o := stopOutcome{kind: kind, sent: time.Since(begin)}
 		r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
