Test that the planner does not spin on a silent target which it may not probe

A silent target with a limit of requests may not be probed again for some seconds. Three rows of TestProbeResults show that a probe which is not made changes neither silent nor dead.

--- a/rudderd/ruddercoordinator/planner_test.go
+++ b/rudderd/ruddercoordinator/planner_test.go
@@ -203,6 +203,13 @@
 }
 
 func (w *world) start(t *testing.T, name string, lowCapacity func() bool) (*Planner, <-chan struct{}) {
+	t.Helper()
+	p := w.planner(t, name, lowCapacity)
+	return p, w.serve(t, p)
+}
+
+// planner returns a planner with a view.
+func (w *world) planner(t *testing.T, name string, lowCapacity func() bool) *Planner {
 	t.Helper()
 	started := time.Now()
 	uptime := func() time.Duration { return time.Since(started) + time.Minute }
@@ -211,17 +218,22 @@
 		DecodeRouting: func(value []byte) (d rudderroute.Document, err error) { return d, json.Unmarshal(value, &d) },
 		DecodeTarget:  func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) },
 	}
-	p := &Planner{
+	return &Planner{
 		Name: name, View: view, Store: w.store(), Control: &ruddertarget.GroupControl{Send: w.send}, Logger: zerolog.Nop(), Uptime: uptime,
 		StallTimeout: time.Second, Traffic: func() bool { return true }, Probe: w.probe, LowCapacity: lowCapacity,
 	}
-	go func() { _ = view.Run(t.Context()) }()
+}
+
+// serve runs a planner and its view, and returns a channel that is closed when the planner's Run has returned.
+func (w *world) serve(t *testing.T, p *Planner) <-chan struct{} {
+	t.Helper()
+	go func() { _ = p.View.Run(t.Context()) }()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = p.Run(t.Context())
 	}()
-	return p, done
+	return done
 }
 
 // groups returns the stored plan as JSON.
--- a/rudderd/ruddercoordinator/suspects_test.go
+++ b/rudderd/ruddercoordinator/suspects_test.go
@@ -44,10 +44,36 @@
 	}
 }
 
+// Guards against a planner that tries all the time to probe a silent target which may not be probed again.
+func TestSilentTargetThatMayNotBeProbed(t *testing.T) {
+	w := newWorld("a", "b")
+	var tries atomic.Int32
+	p := w.planner(t, "e", nil)
+	p.Probe = func(ctx context.Context, x *rudderview.Target, suspected bool) rudderverdict.Finding {
+		switch {
+		case x.Name != "b":
+			return w.probe(ctx, x, suspected)
+		case tries.Add(1) == 1:
+			return rudderverdict.Finding{Path: true}
+		}
+		return rudderverdict.Finding{Alive: true, Skipped: true}
+	}
+	w.serve(t, p)
+	require.Eventually(t, p.Planning, 5*time.Second, time.Millisecond)
+	begin := time.Now()
+	for time.Since(begin) < 2*ruddertarget.MinSilence {
+		dead, _, _ := p.Examine(t.Context(), map[string]int64{"b": 1}, 0)
+		require.Empty(t, dead)
+		time.Sleep(examineInterval / 10)
+	}
+	require.LessOrEqual(t, int(tries.Load()), 2+int(time.Since(begin)/examineInterval))
+}
+
 // Guards against a silent target that counts as dead, and against a dead one that counts as silent.
 func TestProbeResults(t *testing.T) {
 	alive, silent := rudderverdict.Finding{Answered: true, Alive: true}, rudderverdict.Finding{Path: true}
 	refused, restarted := rudderverdict.Finding{Path: true, Refused: true}, rudderverdict.Finding{Answered: true}
+	skipped := rudderverdict.Finding{Alive: true, Skipped: true}
 	const begin = time.Minute
 	type probe struct {
 		after   time.Duration
@@ -68,6 +94,9 @@
 		{"refuses connections", 0, false, []probe{{0, refused}}, true, true},
 		{"restarted", 0, false, []probe{{0, restarted}}, true, true},
 		{"found dead by another entry host", 0, true, []probe{{0, silent}}, true, true},
+		{"silent, then not probed", 0, false, []probe{{0, silent}, {2 * ruddertarget.MinSilence, skipped}}, false, true},
+		{"dead, then not probed", 0, false, []probe{{0, refused}, {ruddertarget.MinSilence, skipped}}, true, true},
+		{"silent after not probed", 0, false, []probe{{0, silent}, {300 * time.Millisecond, skipped}, {ruddertarget.MinSilence, silent}}, true, true},
 		{"back", 0, true, []probe{{0, silent}, {2 * time.Second, alive}}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
