Run tests of hung requests, of endings and of random pauses in bubbles

TestHungRequests, TestResponseThatEndsWithItsConnection and TestRandomPausesAndLeaves failed now and then beside load. They now run under testing/synctest on a testbed whose callers, targets and relays are connected in memory. Checks and bounds are the same.

--- a/rudderd/rudderforward/cuthead_test.go
+++ b/rudderd/rudderforward/cuthead_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,9 +60,10 @@
 		View: f.View, Protocol: f.Protocol, Client: f.Client, Logger: f.Logger, Uptime: f.Uptime, Metrics: f.Metrics, Limits: f.Limits, Path: f.Path,
 		Relay: f.Relay, Report: f.Report, Verdict: f.Verdict, Confirm: f.Confirm, ReachedElsewhere: f.ReachedElsewhere, Suspect: f.Suspect, RecordCrash: f.RecordCrash, RecordSurvival: f.RecordSurvival, MaxRelayed: 10,
 	}
-	server := httptest.NewServer(http.HandlerFunc(other.ServeRelayed))
+	server, transport := b.serve(http.HandlerFunc(other.ServeRelayed)), &http.Transport{DialContext: b.dial}
 	t.Cleanup(server.Close)
-	f.Relay = &rudderpath.Relay{Uptime: f.Uptime, Transport: &http.Transport{}, Peers: func() []rudderpath.Peer {
+	t.Cleanup(transport.CloseIdleConnections)
+	f.Relay = &rudderpath.Relay{Uptime: f.Uptime, Transport: transport, Peers: func() []rudderpath.Peer {
 		return []rudderpath.Peer{{Name: "other", Address: strings.TrimPrefix(server.URL, "http://")}}
 	}}
 	f.Path = &rudderpath.Monitor{
--- a/rudderd/rudderforward/ending_test.go
+++ b/rudderd/rudderforward/ending_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -52,7 +52,11 @@
 // newEndings serves text on the first run, after which before is called with the target's server, and the events after
 // the last one that was received on the others.
 func newEndings(t *testing.T, service, text string, before func(e *endings, s *httptest.Server), change func(r *rudderroute.Route)) *endings {
-	e := &endings{testbed: newTestbed(t)}
+	return newEndingsOn(newTestbed(t), service, text, before, change)
+}
+
+func newEndingsOn(b *testbed, service, text string, before func(e *endings, s *httptest.Server), change func(r *rudderroute.Route)) *endings {
+	e := &endings{testbed: b}
 	e.route("/x/", func(r *rudderroute.Route) {
 		r.Shares = []rudderroute.Share{{Service: service, Weight: 1}}
 		change(r)
@@ -94,7 +98,7 @@
 			<-ctx.Done()
 			return ruddertarget.GroupReport{}, ctx.Err()
 		}
-		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		connection, err := e.dial(ctx, "tcp", address)
 		if err != nil {
 			return ruddertarget.GroupReport{}, err
 		}
@@ -179,23 +183,25 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			e := newEndings(t, test.service, test.text, test.before, test.change)
-			if test.relayed {
-				e.relayThrough(t, e.pathTargets(test.service))
-			}
-			begin := time.Now()
-			response, body, err := e.send("POST", "/x/x", "prompt")
-			took := time.Since(begin)
-			require.Equal(t, test.status, response.StatusCode, body)
-			if test.status == 200 {
-				require.Equal(t, test.cut, err != nil, "cut: %v", err)
-				require.True(t, test.body == body, "%d bytes: %.100s", len(body), body)
-			}
-			require.Less(t, took, 2*time.Second)
-			e.mu.Lock()
-			require.Equal(t, test.runs, e.runs)
-			e.mu.Unlock()
-			require.Equal(t, test.checks, e.checks.Load(), "checks")
+			synctest.Test(t, func(t *testing.T) {
+				e := newEndingsOn(newBubbleTestbed(t), test.service, test.text, test.before, test.change)
+				if test.relayed {
+					e.relayThrough(t, e.pathTargets(test.service))
+				}
+				begin := time.Now()
+				response, body, err := e.send("POST", "/x/x", "prompt")
+				took := time.Since(begin)
+				require.Equal(t, test.status, response.StatusCode, body)
+				if test.status == 200 {
+					require.Equal(t, test.cut, err != nil, "cut: %v", err)
+					require.True(t, test.body == body, "%d bytes: %.100s", len(body), body)
+				}
+				require.Less(t, took, 2*time.Second)
+				e.mu.Lock()
+				require.Equal(t, test.runs, e.runs)
+				e.mu.Unlock()
+				require.Equal(t, test.checks, e.checks.Load(), "checks")
+			})
 		})
 	}
 }
--- a/rudderd/rudderforward/hang_test.go
+++ b/rudderd/rudderforward/hang_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -37,55 +38,57 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			b := newTestbed(t)
-			resumable := func(resumable bool) func(r *rudderroute.Route) {
-				return func(r *rudderroute.Route) { streamRoute(resumable)(r); r.CallerIdleTimeout = idle }
-			}
-			b.route("/s/", resumable(true))
-			b.route("/single/", resumable(false))
-			b.route("/c/", func(*rudderroute.Route) {})
-			b.route("/once/", func(r *rudderroute.Route) { r.Kind = rudderroute.KindAtMostOnce })
-			var hangs atomic.Bool
-			var arrivals atomic.Int32
-			for range 2 {
-				for _, service := range []string{"llm", "plain"} {
-					b.target(service, func(w http.ResponseWriter, r *http.Request) {
-						arrivals.Add(1)
-						if hangs.Swap(false) {
-							hang(t, r)
-							return
-						}
-						events(w, 0, 2, 0)
-					})
+			synctest.Test(t, func(t *testing.T) {
+				b := newBubbleTestbed(t)
+				resumable := func(resumable bool) func(r *rudderroute.Route) {
+					return func(r *rudderroute.Route) { streamRoute(resumable)(r); r.CallerIdleTimeout = idle }
 				}
-			}
-			b.start()
-			var reported atomic.Int32 // groups of the last report to the owner of the model
-			b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
-				reported.Store(int32(len(q.Silent)))
-				return Pick{}
-			}
-			for range minDurationSamples {
+				b.route("/s/", resumable(true))
+				b.route("/single/", resumable(false))
+				b.route("/c/", func(*rudderroute.Route) {})
+				b.route("/once/", func(r *rudderroute.Route) { r.Kind = rudderroute.KindAtMostOnce })
+				var hangs atomic.Bool
+				var arrivals atomic.Int32
+				for range 2 {
+					for _, service := range []string{"llm", "plain"} {
+						b.target(service, func(w http.ResponseWriter, r *http.Request) {
+							arrivals.Add(1)
+							if hangs.Swap(false) {
+								hang(t, r)
+								return
+							}
+							events(w, 0, 2, 0)
+						})
+					}
+				}
+				b.start()
+				var reported atomic.Int32 // groups of the last report to the owner of the model
+				b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
+					reported.Store(int32(len(q.Silent)))
+					return Pick{}
+				}
+				for range minDurationSamples {
+					response, _, err := b.send("POST", test.path+"x", "body")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.StatusCode)
+				}
+				hangs.Store(true)
+				arrivals.Store(0)
+				begin := time.Now()
 				response, _, err := b.send("POST", test.path+"x", "body")
 				require.NoError(t, err)
-				require.Equal(t, http.StatusOK, response.StatusCode)
-			}
-			hangs.Store(true)
-			arrivals.Store(0)
-			begin := time.Now()
-			response, _, err := b.send("POST", test.path+"x", "body")
-			require.NoError(t, err)
-			require.Equal(t, test.status, response.StatusCode)
-			require.Equal(t, test.sends, arrivals.Load())
-			switch {
-			case test.sends > 1:
-				require.Less(t, time.Since(begin), idle*3/4, "the caller leaves after %v", idle)
-				if test.path == "/s/" {
-					require.EqualValues(t, 1, reported.Load(), "other entry hosts do not learn that the target hangs")
+				require.Equal(t, test.status, response.StatusCode)
+				require.Equal(t, test.sends, arrivals.Load())
+				switch {
+				case test.sends > 1:
+					require.Less(t, time.Since(begin), idle*3/4, "the caller leaves after %v", idle)
+					if test.path == "/s/" {
+						require.EqualValues(t, 1, reported.Load(), "other entry hosts do not learn that the target hangs")
+					}
+				case test.status == http.StatusBadGateway:
+					require.Less(t, time.Since(begin), idle, "the caller has left without an answer")
 				}
-			case test.status == http.StatusBadGateway:
-				require.Less(t, time.Since(begin), idle, "the caller has left without an answer")
-			}
+			})
 		})
 	}
 }
--- a/rudderd/rudderforward/pauses_test.go
+++ b/rudderd/rudderforward/pauses_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -201,7 +202,7 @@
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprint(service, " seed ", seed), func(t *testing.T) {
 				t.Parallel()
-				runRandomPauses(t, service, seed)
+				synctest.Test(t, func(t *testing.T) { runRandomPauses(t, service, seed) })
 			})
 		}
 	}
@@ -209,7 +210,7 @@
 
 func runRandomPauses(t *testing.T, service string, seed uint64) {
 	draw := rand.New(rand.NewPCG(seed, 1))
-	b := newTestbed(t)
+	b := newBubbleTestbed(t)
 	b.route("/p/", func(r *rudderroute.Route) {
 		r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 2
 		r.Shares = []rudderroute.Share{{Service: service, Weight: 1}}
@@ -217,7 +218,10 @@
 	targets := make([]*fakeTarget, 6)
 	for i := range targets {
 		targets[i] = &fakeTarget{runs: map[string]int{}}
-		b.target(service, targets[i].ServeHTTP)
+		b.target(service, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(10 * time.Millisecond) // or the clock would not advance
+			targets[i].ServeHTTP(w, r)
+		})
 	}
 	b.start()
 	var callers sync.WaitGroup
@@ -237,7 +241,7 @@
 				}
 				r.Host = "h"
 				r.Header = http.Header{"Id": {fmt.Sprint("r", next.Add(1))}, "Key": {"key"}}
-				response, err := http.DefaultClient.Do(r)
+				response, err := b.client.Do(r)
 				if err != nil {
 					t.Error(err)
 					return
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -24,6 +24,7 @@
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderstore"
@@ -41,10 +42,24 @@
 	suspects    sync.Map
 	unavailable chan struct{} // closed when the key-value service becomes unreachable
 	changes     chan rudderstore.Entry
+	network     *ruddertestnet.Network // in memory; nil for real sockets
+	client      *http.Client           // of callers
+	handlers    sync.WaitGroup         // on the network in memory
+}
+
+// newBubbleTestbed returns a testbed that uses no sockets, for a test in a bubble of testing/synctest.
+func newBubbleTestbed(t *testing.T) *testbed {
+	b := newTestbed(t)
+	b.network = &ruddertestnet.Network{}
+	transport := &http.Transport{DialContext: b.network.Dial}
+	t.Cleanup(b.handlers.Wait) // those of hijacked connections outlive their server
+	t.Cleanup(transport.CloseIdleConnections)
+	b.client = &http.Client{Transport: transport}
+	return b
 }
 
 func newTestbed(t *testing.T) *testbed {
-	return &testbed{t: t, unavailable: make(chan struct{}), changes: make(chan rudderstore.Entry), document: rudderroute.Document{
+	return &testbed{t: t, client: http.DefaultClient, unavailable: make(chan struct{}), changes: make(chan rudderstore.Entry), document: rudderroute.Document{
 		Version: 1, KeyRequired: true, Workspaces: []rudderroute.Workspace{{Name: "firm", Keys: []string{"key"}}},
 		Services: []rudderroute.Service{{Name: "plain"}, {Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 1}}}}},
 	}}
@@ -67,12 +82,36 @@
 
 // target starts a fake target that is served by h.
 func (b *testbed) target(service string, h http.HandlerFunc) *httptest.Server {
-	server := httptest.NewServer(h)
+	server := b.serve(h)
 	b.t.Cleanup(server.Close)
 	b.add(service, strings.TrimPrefix(server.URL, "http://"))
 	return server
 }
 
+// serve starts a server on the network of the testbed.
+func (b *testbed) serve(h http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(h)
+	if b.network != nil {
+		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			b.handlers.Add(1)
+			defer b.handlers.Done()
+			h.ServeHTTP(w, r)
+		})
+		_ = server.Listener.Close()
+		server.Listener = b.network.Listen()
+	}
+	server.Start()
+	return server
+}
+
+// dial opens a connection on the network of the testbed.
+func (b *testbed) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if b.network != nil {
+		return b.network.Dial(ctx, network, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 // add records a target that listens at an address.
 func (b *testbed) add(service, address string) {
 	b.targets++
@@ -105,6 +144,7 @@
 func (b *testbed) start() {
 	b.record("routing", b.document)
 	ctx, end := context.WithCancel(b.t.Context())
+	transport := &http.Transport{DisableCompression: true, DialContext: TrackWrites(b.dial)}
 	started := time.Now()
 	uptime := func() time.Duration { return time.Since(started) + time.Second }
 	view := &rudderview.View{
@@ -128,12 +168,12 @@
 		},
 	}
 	b.forwarder = &Forwarder{
-		View: view, Client: &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: TrackWrites((&net.Dialer{}).DialContext)}}, Logger: zerolog.Nop(), Uptime: uptime,
+		View: view, Client: &http.Client{Transport: transport}, Logger: zerolog.Nop(), Uptime: uptime,
 		Metrics:         Metrics{Count: func(string) {}, Observe: func(string, time.Duration) {}},
 		MaxKeyStaleness: time.Minute, Retries: RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Limits: &rudderlimit.Table{},
 		Path: &rudderpath.Monitor{
-			Uptime: uptime, Dial: (&net.Dialer{}).DialContext, Targets: func() []rudderpath.Target { return nil },
+			Uptime: uptime, Dial: b.dial, Targets: func() []rudderpath.Target { return nil },
 			EntryHosts: func() int { return 1 }, OnChange: func(rudderpath.Target, bool) {},
 		},
 		Relay: &rudderpath.Relay{Uptime: uptime, Peers: func() []rudderpath.Peer { return nil }},
@@ -181,9 +221,17 @@
 		return b.forwarder.ProbeTarget(ctx, t, nil)
 	}
 	b.forwarder.ReachedElsewhere = func(context.Context, *rudderview.Target) bool { return false }
-	go func() { _ = view.Run(ctx) }()
-	b.server = httptest.NewServer(b.forwarder)
-	b.t.Cleanup(func() { b.server.Close(); end() })
+	var viewing sync.WaitGroup
+	viewing.Go(func() { _ = view.Run(ctx) })
+	b.server = b.serve(b.forwarder)
+	b.t.Cleanup(func() {
+		b.server.Close()
+		end()
+		if b.network != nil {
+			transport.CloseIdleConnections()
+			viewing.Wait()
+		}
+	})
 	select {
 	case <-view.Synced(): // before it, the routing document counts as stale
 	case <-time.After(5 * time.Second):
@@ -199,7 +247,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", "q1")
 	r.Header.Set("Key", "key")
-	response, err := http.DefaultClient.Do(r)
+	response, err := b.client.Do(r)
 	require.NoError(b.t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
