Give renewals and revocations more time before they are repeated

They are less urgent than a registration, and the first calls without an answer may be the begin of an outage that the view has not noticed yet. Their time limit begins at 0.4 s in place of 0.1 s.

--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -30,6 +30,9 @@
 	// answer. The bound doubles with each call without an answer, up to storeTimeout.
 	minSessionTimeout = 100 * time.Millisecond
 	answerMargin      = 4
+	// minRenewTimeout replaces minSessionTimeout for renewals and revocations, which are less urgent: without an answer to them an
+	// outage may have begun that the view has not noticed yet.
+	minRenewTimeout = 400 * time.Millisecond
 	// repeatsAtOnce is the number of calls without an answer that are repeated without a pause: their answers may be lost.
 	repeatsAtOnce = 3
 	// outageRetry is the pause between two calls while the view finds that the service does not answer.
@@ -115,8 +118,8 @@
 }
 
 // call calls the key-value service with a time limit that follows its answers.
-func (s *session) call(ctx context.Context, do func(ctx context.Context) error) error {
-	timeout := max(s.timeout, minSessionTimeout)
+func (s *session) call(ctx context.Context, least time.Duration, do func(ctx context.Context) error) error {
+	timeout := max(s.timeout, least)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	begin := s.uptime()
@@ -162,7 +165,7 @@
 func (s *session) register(ctx context.Context, value []byte) error {
 	if s.lease == 0 || s.uptime()-s.leaseSentAt >= sessionTTL {
 		sentAt := s.uptime()
-		err := s.call(ctx, func(ctx context.Context) (err error) {
+		err := s.call(ctx, minSessionTimeout, func(ctx context.Context) (err error) {
 			s.lease, err = s.store.GrantLease(ctx, sessionTTL)
 			return err
 		})
@@ -172,7 +175,7 @@
 		}
 		s.leaseSentAt = sentAt
 	}
-	err := s.call(ctx, func(ctx context.Context) (err error) {
+	err := s.call(ctx, minSessionTimeout, func(ctx context.Context) (err error) {
 		s.revision, err = s.store.Put(ctx, rudderstore.PutRequest{
 			Key: rudderview.EntryPrefix + s.entry.Name, Value: value, Expected: rudderstore.AnyRevision, Lease: s.lease,
 		})
@@ -211,7 +214,7 @@
 			return
 		}
 		sentAt := s.uptime()
-		err := s.call(ctx, func(ctx context.Context) error { return s.store.KeepAlive(ctx, s.lease) })
+		err := s.call(ctx, minRenewTimeout, func(ctx context.Context) error { return s.store.KeepAlive(ctx, s.lease) })
 		next := sessionRenew
 		switch {
 		case err == nil:
@@ -234,7 +237,7 @@
 // revoke removes the registration. A revocation without an answer is repeated until the lease ends by itself.
 func (s *session) revoke(lease int64) {
 	for failures := 0; ; {
-		err := s.call(context.Background(), func(ctx context.Context) error { return s.store.RevokeLease(ctx, lease) })
+		err := s.call(context.Background(), minRenewTimeout, func(ctx context.Context) error { return s.store.RevokeLease(ctx, lease) })
 		if err == nil || errors.Is(err, rudderstore.ErrNotFound) {
 			return
 		}
