Deliver what was sent before a reset on the network in memory

As on Linux, a reader gets the bytes that arrived before the connection was reset, and then the error. Tests of responses that break off depend on it.

--- a/rudderd/ruddertestnet/conn.go
+++ b/rudderd/ruddertestnet/conn.go
@@ -70,13 +70,13 @@
 		switch {
 		case s.deadline[reading].passed():
 			return 0, os.ErrDeadlineExceeded
-		case s.broken:
-			return 0, syscall.ECONNRESET
-		case len(s.data) > 0 || len(p) == 0:
+		case len(s.data) > 0 || len(p) == 0: // on Linux also after a reset
 			n := copy(p, s.data)
 			s.data = s.data[n:]
 			s.changed.Broadcast()
 			return n, nil
+		case s.broken:
+			return 0, syscall.ECONNRESET
 		case s.ended:
 			return 0, io.EOF
 		}
