Test that the planner learns limits of requests with the questions of others

TestPlannerLearnsLimitsWithQuestions: a host that has got a target's limit asks the planner, which gets no traffic, about the target's group.

--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -246,3 +246,22 @@
 		})
 	}
 }
+
+// Guards against a planner that probes a target without regard to the limit that the target names, because only other entry hosts
+// have got responses of it.
+func TestPlannerLearnsLimitsWithQuestions(t *testing.T) {
+	f := newVerdictFleet(t, 2)
+	g := f.edges[1].view.Snapshot().Groups("llm", "m0")[0]
+	f.edges[1].limits.Name(processOf(g), 5, f.edges[1].uptime())
+	_, byPlanner := f.edges[1].examine(t.Context(), g, 0)
+	require.True(t, byPlanner)
+	rate, limited := f.edges[0].limits.Rate(processOf(g))
+	require.True(t, limited)
+	require.InDelta(t, 5, rate, 0)
+	require.Eventually(t, func() bool {
+		now := f.edges[1].uptime()
+		f.edges[1].limits.NameNone(processOf(g), now, now)
+		_, _ = f.edges[1].examine(t.Context(), g, 0)
+		return !f.edges[0].limits.Limited(processOf(g))
+	}, 5*time.Second, 20*time.Millisecond)
+}
