Run the tests of heads that break off in bubbles

TestHeadThatBreaksOff of rudderstream failed once beside load: its engines are given up after 80 ms without an answer. That of rudderforward failed at a load of 60 to 70, where it took longer than the minute after which its routing document counts as stale. Both now run under testing/synctest on connections in memory, with the same checks.

--- a/rudderd/rudderforward/cuthead_test.go
+++ b/rudderd/rudderforward/cuthead_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -44,7 +45,7 @@
 		case q.Get("cut") != "" && (run == 1 || run == 2 && q.Get("begun") != ""):
 			_, _ = io.WriteString(w, head[:offset])
 			if q.Get("reset") != "" {
-				_ = w.(*net.TCPConn).SetLinger(0)
+				_ = w.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 			}
 			_ = w.Close()
 		default:
@@ -109,57 +110,59 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			b := newTestbed(t)
-			var targets []rudderpath.Target
-			c := &cutHeads{runs: map[string]int{}}
-			for i, head := range heads {
-				prefix, service := fmt.Sprint("/", i, "/"), fmt.Sprint("s", i)
-				b.document.Services = append(b.document.Services, rudderroute.Service{Name: service})
-				b.route(prefix, func(r *rudderroute.Route) {
-					r.Kind, r.MaxAttempts, r.Resumable, r.Timeout = test.kind, test.attempts, test.resume, 20*time.Second
-					r.Shares = []rudderroute.Share{{Service: service, Weight: 1}}
-				})
-				for range 3 {
-					b.rawTarget(service, c.serve(head, "HTTP/1.1 200 OK\r\n"+length+answerLines+"\r\n"+events))
-					targets = append(targets, rudderpath.Target{Name: fmt.Sprint("t", b.targets), Born: 1, Service: service})
+			synctest.Test(t, func(t *testing.T) {
+				b := newBubbleTestbed(t)
+				var targets []rudderpath.Target
+				c := &cutHeads{runs: map[string]int{}}
+				for i, head := range heads {
+					prefix, service := fmt.Sprint("/", i, "/"), fmt.Sprint("s", i)
+					b.document.Services = append(b.document.Services, rudderroute.Service{Name: service})
+					b.route(prefix, func(r *rudderroute.Route) {
+						r.Kind, r.MaxAttempts, r.Resumable, r.Timeout = test.kind, test.attempts, test.resume, 20*time.Second
+						r.Shares = []rudderroute.Share{{Service: service, Weight: 1}}
+					})
+					for range 3 {
+						b.rawTarget(service, c.serve(head, "HTTP/1.1 200 OK\r\n"+length+answerLines+"\r\n"+events))
+						targets = append(targets, rudderpath.Target{Name: fmt.Sprint("t", b.targets), Born: 1, Service: service})
+					}
 				}
-			}
-			b.start()
-			b.forwarder.Retries.Extra = 10000
-			if test.relayed {
-				b.relayThrough(t, targets)
-			}
-			for i, head := range heads {
-				for offset := range len(head) {
-					for _, ending := range []string{"", "&reset=1"} {
-						if offset%2 == 0 { // the next request reuses a connection
-							_, _, err := b.send("POST", fmt.Sprintf("/%d/x?before=%d%s", i, offset, ending), "body")
-							require.NoError(t, err)
-						}
-						target := fmt.Sprintf("/%d/x?cut=%d%s", i, offset, ending)
-						if test.begun {
-							target += "&begun=1"
-						}
-						response, body, err := b.send("POST", target, "body")
-						switch {
-						case test.want != 0:
-							require.Equal(t, test.want, response.StatusCode, "%s: %s", target, body)
-						case response.StatusCode == http.StatusOK:
-							require.Error(t, err, "%s: looks complete: %q", target, body)
-						default:
-							require.Equal(t, 502, response.StatusCode, target)
-						}
-						if test.want == 200 {
-							require.NoError(t, err, target)
-							require.Equal(t, events, body, target)
+				b.start()
+				b.forwarder.Retries.Extra = 10000
+				if test.relayed {
+					b.relayThrough(t, targets)
+				}
+				for i, head := range heads {
+					for offset := range len(head) {
+						for _, ending := range []string{"", "&reset=1"} {
+							if offset%2 == 0 { // the next request reuses a connection
+								_, _, err := b.send("POST", fmt.Sprintf("/%d/x?before=%d%s", i, offset, ending), "body")
+								require.NoError(t, err)
+							}
+							target := fmt.Sprintf("/%d/x?cut=%d%s", i, offset, ending)
+							if test.begun {
+								target += "&begun=1"
+							}
+							response, body, err := b.send("POST", target, "body")
+							switch {
+							case test.want != 0:
+								require.Equal(t, test.want, response.StatusCode, "%s: %s", target, body)
+							case response.StatusCode == http.StatusOK:
+								require.Error(t, err, "%s: looks complete: %q", target, body)
+							default:
+								require.Equal(t, 502, response.StatusCode, target)
+							}
+							if test.want == 200 {
+								require.NoError(t, err, target)
+								require.Equal(t, events, body, target)
+							}
+							c.mu.Lock()
+							require.Equal(t, test.runs, c.runs[target], target)
+							c.mu.Unlock()
 						}
-						c.mu.Lock()
-						require.Equal(t, test.runs, c.runs[target], target)
-						c.mu.Unlock()
 					}
 				}
-			}
-			require.Positive(t, c.kept)
+				require.Positive(t, c.kept)
+			})
 		})
 	}
 }
--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -20,8 +20,7 @@
 // rawTarget adds a fake target that writes raw bytes. It serves the requests of a connection one after the
 // other; serve gets the number of the connection, and of the request on it, counted from 1.
 func (b *testbed) rawTarget(service string, serve func(w net.Conn, r *http.Request, connection, request int)) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b.t, err)
+	listener := b.listen()
 	b.t.Cleanup(func() { _ = listener.Close() })
 	var connections atomic.Int32
 	go func() {
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -104,6 +104,16 @@
 	return server
 }
 
+// listen returns a listener on the network of the testbed.
+func (b *testbed) listen() net.Listener {
+	if b.network != nil {
+		return b.network.Listen()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b.t, err)
+	return listener
+}
+
 // dial opens a connection on the network of the testbed.
 func (b *testbed) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if b.network != nil {
--- a/rudderd/rudderstream/cuthead_test.go
+++ b/rudderd/rudderstream/cuthead_test.go
@@ -10,9 +10,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -56,7 +58,7 @@
 		if part != "whole" {
 			_, _ = io.WriteString(conn, part)
 			if reset {
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 			}
 			return
 		}
@@ -70,9 +72,11 @@
 
 // Guards against an answer that looks complete, and a request that is reported as not run, because an engine closes or resets
 // the connection inside the head of its response.
-func TestHeadThatBreaksOff(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+func TestHeadThatBreaksOff(t *testing.T) { synctest.Test(t, testHeadThatBreaksOff) }
+
+func testHeadThatBreaksOff(t *testing.T) {
+	network := &ruddertestnet.Network{}
+	l := network.Listen()
 	t.Cleanup(func() { _ = l.Close() })
 	cutting := &cutHeadEngine{}
 	go func() {
@@ -84,8 +88,10 @@
 			go cutting.serve(conn)
 		}
 	}()
-	begun, sound := newFakeEngine(t, tokens(3, 5)), newFakeEngine(t, tokens(5, 5))
-	client := &http.Client{Transport: &http.Transport{}}
+	begun, sound := newFakeEngineOn(t, network, tokens(3, 5)), newFakeEngineOn(t, network, tokens(5, 5))
+	transport := &http.Transport{DialContext: network.Dial}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport}
 	run := func(attempts int, addresses ...string) Page {
 		r := testRunner(addresses...)
 		r.MaxAttempts, r.Engine.Client = attempts, client
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -34,9 +35,15 @@
 type script func(w http.ResponseWriter, extension ruddertarget.WorkExtension, r *http.Request)
 
 func newFakeEngine(t *testing.T, scripts ...script) *fakeEngine {
+	t.Helper()
+	return newFakeEngineOn(t, nil, scripts...)
+}
+
+// newFakeEngineOn starts an engine on a network in memory, unless that is nil.
+func newFakeEngineOn(t *testing.T, network *ruddertestnet.Network, scripts ...script) *fakeEngine {
 	t.Helper()
 	e := &fakeEngine{}
-	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var extension ruddertarget.WorkExtension
 		if err := json.NewDecoder(r.Body).Decode(&extension); err != nil {
 			panic(err)
@@ -47,6 +54,11 @@
 		e.mu.Unlock()
 		scripts[min(n, len(scripts)-1)](w, extension, r)
 	}))
+	if network != nil {
+		_ = e.server.Listener.Close()
+		e.server.Listener = network.Listen()
+	}
+	e.server.Start()
 	t.Cleanup(func() {
 		e.server.CloseClientConnections()
 		e.server.Close()
