Pass on changes that a follower has taken over in an outage

A follower whose watchers the key-value service does not answer takes over their changes, but kept them for others only if it was a watcher already. When hosts stop in turn it becomes one: its followers that lacked the changes (a withdrawn key among them) were told of no gap, took over its sync as theirs, and missed the changes until they read all records again.

The log now gets every change that is applied. TestLooksArePassedOn failed before (the new watcher answers with revision 9 and no change instead of 10) and passes now.

--- a/rudderd/rudderview/look.go
+++ b/rudderd/rudderview/look.go
@@ -38,9 +38,7 @@
 		return
 	}
 	if len(c.Events) > 0 || c.Revision > v.Snapshot().Revision {
-		if v.direct.Load() {
-			v.appendLog(c.Events, c.Revision)
-		}
+		v.appendLog(c.Events, c.Revision) // a follower may become a watcher
 		v.applyChanges(rudderstore.WatchResult{Events: c.Events, Revision: c.Revision})
 	}
 	v.markSynced(begin, begin+c.Held-c.Age)
--- a/rudderd/rudderview/look_test.go
+++ b/rudderd/rudderview/look_test.go
@@ -84,6 +84,29 @@
 	require.Equal(t, time.Second, age, "a host with older records tells nothing")
 }
 
+// A follower takes over a change from a watcher that the service does not answer, and then becomes a watcher itself. Guards against
+// followers of it that never learn of the change, and yet count as being in sync.
+func TestLooksArePassedOn(t *testing.T) {
+	now := time.Minute
+	withdrawn := rudderstore.Event{Entry: rudderstore.Entry{Key: "routing", Value: []byte{6}, Revision: 10}}
+	v := silentView(&now)
+	v.replace([]rudderstore.Entry{{Key: "routing", Value: []byte{5}, Revision: 8}}, 9)
+	v.markSynced(now-4*time.Second, now-4*time.Second)
+	v.FetchChanges = func(context.Context, int64, time.Duration, bool) (Changes, error) {
+		return Changes{Unavailable: true, Revision: 10, Events: []rudderstore.Event{withdrawn}, Age: time.Second}, nil
+	}
+	ctx, end := context.WithTimeout(t.Context(), time.Millisecond)
+	defer end()
+	require.Error(t, v.watch(ctx, firstWait), "it asks the service itself")
+	v.markFailed(errUnavailable)
+	require.True(t, v.WatchesDirectly())
+	require.Equal(t, int64(6), v.Snapshot().Table.Version())
+
+	c := v.Changes(t.Context(), 9, 0, true)
+	require.Equal(t, int64(10), c.Revision)
+	require.Equal(t, []rudderstore.Event{withdrawn}, c.Events)
+}
+
 // A follower's watchers report an outage. Guards against a probe of the service that lasts so long that the follower refuses
 // requests meanwhile.
 func TestFollowerProbesForAShortTime(t *testing.T) {
