Ask for the stops of the whole time that an entry host was away

A host that was frozen or cut off for more than 10 s, and wakes while the key-value service is silent, asked others only for the stops of the last 10 s, and went on sending callers to hosts that had stopped before. It now asks for those since it last knew all of them.

Its store let all renewals succeed in an outage when two faults were nested, so that the registration never lapsed: KeepAlive did not call the wrapped service.

--- a/rudderd/rudderedge/departures.go
+++ b/rudderd/rudderedge/departures.go
@@ -24,7 +24,7 @@
 	// knownPeers is the number of entry hosts that are asked for the departures and arrivals that they know.
 	knownPeers = 3
 	// knownInterval is the interval of these calls while this process is not registered, so that others that stop or start do not
-	// know it. knownAge is the age up to which departures are of interest after the first call.
+	// know it. knownAge is by how much the departures of interest may be older than the last answer.
 	knownInterval = time.Second
 	knownAge      = 10 * knownInterval
 	// maxKnownRegistrations bounds the registrations that are read from one response.
@@ -103,10 +103,15 @@
 // its start may still hold their registrations.
 func (e *Edge) learnDepartures(ctx context.Context) error {
 	answered := false
+	knownAt := time.Duration(0) // uptime as of which this process knows what was announced, or was known to those who announce
 	for failures := 0; ctx.Err() == nil; {
-		changed := e.view.Changed()
+		changed, now := e.view.Changed(), e.uptime()
 		peers := e.otherEntryHosts()
-		if len(peers) == 0 || answered && e.session.current() {
+		current := answered && e.session.current()
+		if current {
+			knownAt = now
+		}
+		if len(peers) == 0 || current {
 			select {
 			case <-ctx.Done():
 			case <-changed:
@@ -117,10 +122,10 @@
 		mathrand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 		maxAge := time.Duration(0)
 		if answered {
-			maxAge = knownAge
+			maxAge = now - knownAt + knownAge
 		}
 		if e.askDepartures(ctx, peers[:min(len(peers), knownPeers)], maxAge) {
-			answered, failures = true, 0
+			answered, knownAt, failures = true, now, 0
 			pause(ctx, knownInterval)
 			continue
 		}
--- a/rudderd/rudderedge/departures_test.go
+++ b/rudderd/rudderedge/departures_test.go
@@ -63,7 +63,12 @@
 		}
 		return store.GrantLease(ctx, ttl)
 	}
-	faulty.KeepAlive = func(ctx context.Context, lease int64) error { return wait(ctx, true) }
+	faulty.KeepAlive = func(ctx context.Context, lease int64) error {
+		if err := wait(ctx, true); err != nil {
+			return err
+		}
+		return store.KeepAlive(ctx, lease)
+	}
 	faulty.RevokeLease = func(ctx context.Context, lease int64) error {
 		if err := wait(ctx, true); err != nil {
 			return err
@@ -82,9 +87,16 @@
 
 // startHost starts a process that serves other entry hosts at the address.
 func startHost(t *testing.T, name, peer string, store *rudderstore.Store) *fleetHost {
+	t.Helper()
+	return startHostAt(t, name, peer, store, nil)
+}
+
+// startHostAt is startHost with a clock, nil for the usual one.
+func startHostAt(t *testing.T, name, peer string, store *rudderstore.Store, uptime func() time.Duration) *fleetHost {
 	t.Helper()
 	dead := &storeFaults{} // what goes on after Run ends with a process
 	e := edge(name, dead.wrap(store))
+	e.uptime = uptime
 	e.Settings.CallerListen, e.Settings.PeerListen, e.Settings.StopGrace = freeAddress(t), peer, 2*time.Second
 	ctx, stop := context.WithCancel(t.Context())
 	e.Prepare()
@@ -287,3 +299,27 @@
 	now += 2 * time.Second
 	require.Empty(t, addresses())
 }
+
+// A host was frozen for longer than knownAge while another one stopped, and the key-value service is silent when it wakes. Guards
+// against a host that lists the other one until the service answers again.
+func TestHostThatWasFrozenLearnsOfEarlierStops(t *testing.T) {
+	faults := &storeFaults{}
+	store, hosts := startFleet(t, 1, faults)
+	begin, frozen := time.Now(), atomic.Int64{}
+	h := startHostAt(t, "e1", freeAddress(t), faults.wrap(store), func() time.Duration {
+		return time.Since(begin) + time.Second + time.Duration(frozen.Load())
+	})
+	gone := rudderview.EntryHost{Name: "e2", Instance: "1", Peer: "127.0.0.1:1"}
+	registration, err := json.Marshal(gone)
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), rudderstore.PutRequest{Key: rudderview.EntryPrefix + "e2", Value: registration})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(h.view.Snapshot().EntryHosts) == 3 && h.session.registered() && h.Ready() }, 10*time.Second, 5*time.Millisecond)
+	time.Sleep(2 * knownInterval) // it has asked what the other one knows
+	faults.all.Store(true)
+	require.Eventually(t, h.view.Unreachable, 10*time.Second, 5*time.Millisecond)
+	require.Len(t, h.instances("e2"), 1)
+	require.True(t, hosts[0].view.MarkDeparted(rudderview.Departure{EntryHost: gone, Age: knownAge + 5*time.Second}))
+	frozen.Store(int64(knownAge + 6*time.Second))
+	require.Eventually(t, func() bool { return len(h.instances("e2")) == 0 }, 5*time.Second, 5*time.Millisecond)
+}
