Wait with a process's own address until it has read records

The directory of a starting process that had learned of an arrival and a departure listed its own address before it had read any records, since the arrival counted as records: callers got 503s there while others served.

TestArrivalsAreNoRecords failed before and passes now.

--- a/rudderd/rudderview/departed_test.go
+++ b/rudderd/rudderview/departed_test.go
@@ -70,3 +70,14 @@
 	require.True(t, v.MarkDeparted(Departure{EntryHost: EntryHost{Name: "b", Instance: "1"}}))
 	require.Len(t, v.Departures(time.Hour), 1)
 }
+
+// Guards against a directory that sends callers to a process which has read no records, because others have arrived and departed.
+func TestArrivalsAreNoRecords(t *testing.T) {
+	v := silentView(new(time.Duration))
+	v.running.Store(true)
+	require.True(t, v.AwaitsRecords())
+	x := EntryHost{Name: "a", Instance: "1"}
+	require.True(t, v.MarkArrived(x))
+	require.True(t, v.MarkDeparted(Departure{EntryHost: x}))
+	require.True(t, v.AwaitsRecords())
+}
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -102,6 +102,7 @@
 	arrivals      map[string]arrival    // by name, guarded by snapshotMu
 	lastDeparture atomic.Int64          // uptime of the last announced departure, in nanoseconds; 0 for none
 	running       atomic.Bool
+	hasRecords    atomic.Bool // all records have been read, here or elsewhere
 
 	direct       atomic.Bool  // this entry host watches the service itself
 	failing      atomic.Bool  // the last call to the service failed
@@ -176,7 +177,7 @@
 }
 
 // AwaitsRecords reports whether the view runs and has not read any records yet.
-func (v *View) AwaitsRecords() bool { return v.running.Load() && v.current.Load() == nil }
+func (v *View) AwaitsRecords() bool { return v.running.Load() && !v.hasRecords.Load() }
 
 // Staleness returns the time since the last sync, as of which every change of the routing document is known.
 // ok is false before the first sync.
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -242,6 +242,7 @@
 	}
 	v.resetLog(revision)
 	v.publish(s)
+	v.hasRecords.Store(true)
 }
 
 func keysOf(entries []rudderstore.Entry) map[string]bool {
