Measure how long a call was held before the age of its answer

A watcher that was suspended, or waited for a lock, between reading the age of its last sync and reading how long the call had been held told an answer that was younger than it was by that time: a follower accepted a withdrawn key for longer, by up to the time limit of the call. The shared looks repeated the order of the older answers; all three now measure the hold first, so that a pause makes the answer older.

--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -62,13 +62,13 @@
 	case <-timer.C:
 	case <-v.Synced():
 	}
+	held := v.Uptime() - begin // before the age, so that the answer is at least as old as it says
 	age, ok := v.Staleness()
 	if !ok || age > maxRelayStaleness || !v.direct.Load() || v.failing.Load() {
 		return RecordSet{}
 	}
-	c := RecordSet{Serving: true, Age: age}
+	c := RecordSet{Serving: true, Age: age, Held: held}
 	c.Entries, c.Revision = v.allRecords()
-	c.Held = v.Uptime() - begin
 	return c
 }
 
--- a/rudderd/rudderview/look.go
+++ b/rudderd/rudderview/look.go
@@ -10,12 +10,13 @@
 // changesInOutage answers a follower or another watcher while the service does not answer this one. The sync that it tells of
 // may be that of another watcher.
 func (v *View) changesInOutage(after int64, begin time.Duration) Changes {
-	age, ok := v.Staleness() // before the changes are read, so that they are at least as new
+	held := v.Uptime() - begin
+	age, ok := v.Staleness() // after held and before the changes are read, so that they are at least as new
 	c := v.changesAfter(after)
 	if !ok || c.Gap || after > c.Revision {
 		return Changes{Unavailable: true}
 	}
-	c.Unavailable, c.Age, c.Held = true, age, v.Uptime()-begin
+	c.Unavailable, c.Age, c.Held = true, age, held
 	return c
 }
 
--- a/rudderd/rudderview/look_test.go
+++ b/rudderd/rudderview/look_test.go
@@ -107,6 +107,35 @@
 	require.Equal(t, []rudderstore.Event{withdrawn}, c.Events)
 }
 
+// A watcher is suspended while it answers. Guards against a sync that counts as younger than it is by that time, so that a withdrawn
+// key is accepted for longer.
+func TestSuspendedAnswerIsNoYounger(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		asOf  func(v *View) time.Duration // as an entry host sees it that calls now
+		fails bool
+	}{
+		{"changes", func(v *View) time.Duration { c := v.Changes(t.Context(), 9, 0, false); return c.Held - c.Age }, false},
+		{"changes in an outage", func(v *View) time.Duration { c := v.Changes(t.Context(), 9, 0, true); return c.Held - c.Age }, true},
+		{"records", func(v *View) time.Duration { c := v.Records(t.Context(), 0); return c.Held - c.Age }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			v := silentView(&now)
+			v.replace([]rudderstore.Entry{{Key: "routing", Value: []byte{5}, Revision: 8}}, 9)
+			v.markSynced(now, now)
+			v.direct.Store(true)
+			v.failing.Store(test.fails)
+			begin, step := now, 100*time.Millisecond
+			v.Uptime = func() time.Duration { // each step takes longer than the one before
+				now, step = now+step, 2*step
+				return now
+			}
+			require.LessOrEqual(t, begin+test.asOf(v), begin)
+		})
+	}
+}
+
 // A follower's watchers report an outage. Guards against a probe of the service that lasts so long that the follower refuses
 // requests meanwhile.
 func TestFollowerProbesForAShortTime(t *testing.T) {
--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -137,6 +137,7 @@
 	defer timer.Stop()
 	for waiting := true; ; {
 		changed := v.Changed()
+		held := v.Uptime() - begin // before the age, so that the answer is at least as old as it says
 		age, ok := v.Staleness()
 		switch failing, direct := v.failing.Load(), v.direct.Load(); {
 		case failing && direct && inOutage && waiting:
@@ -147,7 +148,7 @@
 		default:
 			c := v.changesAfter(after)
 			if c.Gap || len(c.Events) > 0 || !waiting {
-				c.Serving, c.Age, c.Held = true, age, v.Uptime()-begin
+				c.Serving, c.Age, c.Held = true, age, held
 				return c
 			}
 		}
