Keep an arrival when a third entry host reports another process

An entry host that could not register was killed and started again; an unregistered one that asked a third host, which did not know the later process yet, replaced that by the earlier one. The stop of the later process then left the host listed until the key-value service answered. Only the process itself replaces what is known of its name now; it repeats its announcement until each entry host has answered.

TestArrivalOfAnEarlierProcess failed before (the report replaced process 2 by process 1) and passes now.

--- a/rudderd/rudderedge/departures.go
+++ b/rudderd/rudderedge/departures.go
@@ -160,7 +160,7 @@
 			}
 			registrations := response.GetRegistrations()
 			for _, r := range registrations[:min(len(registrations), maxKnownRegistrations)] {
-				e.markArrived(x.Name, r)
+				e.markArrived(x.Name, r, e.view.MarkReportedArrival)
 			}
 			answers <- err == nil || isEarlierVersion(err)
 		}()
@@ -190,13 +190,13 @@
 	}
 }
 
-// markArrived applies a registration that another entry host has reported.
-func (e *Edge) markArrived(from string, registration []byte) {
+// markArrived applies a registration that another entry host has announced or reported.
+func (e *Edge) markArrived(from string, registration []byte, mark func(rudderview.EntryHost) bool) {
 	var x rudderview.EntryHost
 	if err := json.Unmarshal(registration, &x); err != nil || x.Name == e.Settings.Name {
 		return
 	}
-	if e.view.MarkArrived(x) {
+	if mark(x) {
 		e.Logger.Info().Str("entry_host", x.Name).Str("instance", x.Instance).Str("by", from).Msg("entry host serves and is not registered yet")
 	}
 }
@@ -215,7 +215,7 @@
 		s.edge.markDeparted("", d)
 	}
 	if len(r.GetRegistration()) > 0 {
-		s.edge.markArrived("", r.GetRegistration())
+		s.edge.markArrived("", r.GetRegistration(), s.edge.view.MarkArrived)
 	}
 	return &rudderpeer.AnnounceResponse{Instance: s.edge.session.entry.Instance}, nil
 }
--- a/rudderd/rudderview/arrived.go
+++ b/rudderd/rudderview/arrived.go
@@ -22,7 +22,13 @@
 
 // MarkArrived adds an entry host that serves and cannot register yet. The registration of its name replaces it, unless that is
 // hidden because its process has departed. It returns false if the arrival was known, or if the process has departed.
-func (v *View) MarkArrived(x EntryHost) bool {
+func (v *View) MarkArrived(x EntryHost) bool { return v.markArrived(x, true) }
+
+// MarkReportedArrival is MarkArrived for a process that a third entry host has reported. It may have ended before the one that is
+// known here, which it does not replace.
+func (v *View) MarkReportedArrival(x EntryHost) bool { return v.markArrived(x, false) }
+
+func (v *View) markArrived(x EntryHost, replace bool) bool {
 	v.snapshotMu.Lock()
 	defer v.snapshotMu.Unlock()
 	old, known := v.arrivals[x.Name]
@@ -30,7 +36,7 @@
 	switch {
 	case x.Name == "" || x.Instance == "" || departed:
 		return false
-	case known && old.entry.process() == x.process():
+	case known && (!replace || old.entry.process() == x.process()):
 		return false
 	case !known && len(v.arrivals) >= maxArrivals:
 		return false
--- a/rudderd/rudderview/departed_test.go
+++ b/rudderd/rudderview/departed_test.go
@@ -81,3 +81,20 @@
 	require.True(t, v.MarkDeparted(Departure{EntryHost: x}))
 	require.True(t, v.AwaitsRecords())
 }
+
+// A host was killed while it could not register, and started again; an entry host that does not know that yet tells of the first
+// process. Guards against that process in place of the later one: its stop then left the host listed.
+func TestArrivalOfAnEarlierProcess(t *testing.T) {
+	now := time.Minute
+	v := play(t, &script{}, &now)
+	first, second := EntryHost{Name: "a", Instance: "1"}, EntryHost{Name: "a", Instance: "2"}
+	require.True(t, v.MarkArrived(first))
+	now += time.Second
+	require.True(t, v.MarkArrived(second))
+	now += time.Second
+	require.False(t, v.MarkReportedArrival(first))
+	require.Len(t, v.Snapshot().EntryHosts, 1)
+	require.Equal(t, "2", v.Snapshot().EntryHosts[0].Instance)
+	require.True(t, v.MarkDeparted(Departure{EntryHost: second}))
+	require.Empty(t, v.Snapshot().EntryHosts)
+}
