--- a/rudderd/rudderedge/departures.go
+++ b/rudderd/rudderedge/departures.go
@@ -24,7 +24,7 @@
 	// knownPeers is the number of entry hosts that are asked for the departures and arrivals that they know.
 	knownPeers = 3
 	// knownInterval is the interval of these calls while this process is not registered, so that others that stop or start do not
-	// know it. knownAge is the age up to which departures are of interest after the first call.
+	// know it. knownAge is by how much the departures of interest may be older than the last answer.
 	knownInterval = time.Second
 	knownAge      = 10 * knownInterval
 	// maxKnownRegistrations bounds the registrations that are read from one response.
@@ -103,10 +103,15 @@
 // its start may still hold their registrations.
 func (e *Edge) learnDepartures(ctx context.Context) error {
 	answered := false
+	knownAt := time.Duration(0) // uptime as of which this process knows what was announced, or was known to those who announce
 	for failures := 0; ctx.Err() == nil; {
-		changed := e.view.Changed()
+		changed, now := e.view.Changed(), e.uptime()
 		peers := e.otherEntryHosts()
-		if len(peers) == 0 || answered && e.session.current() {
+		current := answered && e.session.current()
+		if current {
+			knownAt = now
+		}
+		if len(peers) == 0 || current {
 			select {
 			case <-ctx.Done():
 			case <-changed:
@@ -117,10 +122,10 @@
 		mathrand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 		maxAge := time.Duration(0)
 		if answered {
-			maxAge = knownAge
+			maxAge = now - knownAt + knownAge
 		}
 		if e.askDepartures(ctx, peers[:min(len(peers), knownPeers)], maxAge) {
-			answered, failures = true, 0
+			answered, knownAt, failures = true, now, 0
 			pause(ctx, knownInterval)
 			continue
 		}
@@ -155,7 +160,7 @@
 			}
 			registrations := response.GetRegistrations()
 			for _, r := range registrations[:min(len(registrations), maxKnownRegistrations)] {
-				e.markArrived(x.Name, r)
+				e.markArrived(x.Name, r, e.view.MarkReportedArrival)
 			}
 			answers <- err == nil || isEarlierVersion(err)
 		}()
@@ -185,13 +190,13 @@
 	}
 }
 
-// markArrived applies a registration that another entry host has reported.
-func (e *Edge) markArrived(from string, registration []byte) {
+// markArrived applies a registration that another entry host has announced or reported.
+func (e *Edge) markArrived(from string, registration []byte, mark func(rudderview.EntryHost) bool) {
 	var x rudderview.EntryHost
 	if err := json.Unmarshal(registration, &x); err != nil || x.Name == e.Settings.Name {
 		return
 	}
-	if e.view.MarkArrived(x) {
+	if mark(x) {
 		e.Logger.Info().Str("entry_host", x.Name).Str("instance", x.Instance).Str("by", from).Msg("entry host serves and is not registered yet")
 	}
 }
@@ -210,7 +215,7 @@
 		s.edge.markDeparted("", d)
 	}
 	if len(r.GetRegistration()) > 0 {
-		s.edge.markArrived("", r.GetRegistration())
+		s.edge.markArrived("", r.GetRegistration(), s.edge.view.MarkArrived)
 	}
 	return &rudderpeer.AnnounceResponse{Instance: s.edge.session.entry.Instance}, nil
 }
--- a/rudderd/rudderview/look.go
+++ b/rudderd/rudderview/look.go
@@ -10,12 +10,13 @@
 // changesInOutage answers a follower or another watcher while the service does not answer this one. The sync that it tells of
 // may be that of another watcher.
 func (v *View) changesInOutage(after int64, begin time.Duration) Changes {
-	age, ok := v.Staleness() // before the changes are read, so that they are at least as new
+	held := v.Uptime() - begin
+	age, ok := v.Staleness() // after held and before the changes are read, so that they are at least as new
 	c := v.changesAfter(after)
 	if !ok || c.Gap || after > c.Revision {
 		return Changes{Unavailable: true}
 	}
-	c.Unavailable, c.Age, c.Held = true, age, v.Uptime()-begin
+	c.Unavailable, c.Age, c.Held = true, age, held
 	return c
 }
 
@@ -38,9 +39,7 @@
 		return
 	}
 	if len(c.Events) > 0 || c.Revision > v.Snapshot().Revision {
-		if v.direct.Load() {
-			v.appendLog(c.Events, c.Revision)
-		}
+		v.appendLog(c.Events, c.Revision) // a follower may become a watcher
 		v.applyChanges(rudderstore.WatchResult{Events: c.Events, Revision: c.Revision})
 	}
 	v.markSynced(begin, begin+c.Held-c.Age)
