Pause longer before a registration that is lost again and again

Two processes of one name (an overlap without SIGTERM, or an error in the settings) each found its registration missing and wrote it again after 0 to 300 ms; each write reaches the whole fleet. The pause now doubles with repeated losses up to the lease.

--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -63,6 +63,8 @@
 	revision    int64
 	timeout     time.Duration // of the next call; 0 before the first one
 	unanswered  int           // consecutive calls without an answer
+	losses      int           // consecutive losses of the registration to another writer
+	lostAt      time.Duration // uptime of the last one
 	// renewedAt is the uptime at which the last successful renewal was sent; 0 before the first registration.
 	renewedAt atomic.Int64
 }
@@ -205,7 +207,7 @@
 		changed := s.changed()
 		if s.missing(s.revision) {
 			s.logger.Warn().Int64("lease", s.lease).Msg("registration is missing; registering again")
-			pause(ctx, rand.N(sessionCheckSpread))
+			pause(ctx, s.lossPause())
 			return
 		}
 		select {
@@ -240,6 +242,18 @@
 	}
 }
 
+// lossPause returns the pause before a lost registration is written again. It grows with repeated losses, because two processes of
+// one name replace each other's registrations, and each write reaches the whole fleet.
+func (s *session) lossPause() time.Duration {
+	now := s.uptime()
+	if now-s.lostAt > 2*sessionTTL {
+		s.losses = 0
+	}
+	longest := min(sessionCheckSpread<<min(s.losses, 8), sessionTTL)
+	s.losses, s.lostAt = s.losses+1, now
+	return rand.N(longest)
+}
+
 // revoke removes the registration. A revocation without an answer is repeated until the lease ends by itself.
 func (s *session) revoke(lease int64) {
 	for failures := 0; ; {
--- a/rudderd/rudderedge/session_test.go
+++ b/rudderd/rudderedge/session_test.go
@@ -237,3 +237,25 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against two processes of one name that replace each other's registrations several times a second.
+func TestProcessesOfOneNameRegisterSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		l := &lateStore{late: map[int]bool{}, answer: time.Millisecond, leases: map[int64]time.Time{}, changed: make(chan struct{})}
+		s := &session{
+			store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
+			left: make(chan struct{}), check: make(chan struct{}, 1), changed: l.change, missing: func(int64) bool { return true },
+			unreachable: func() bool { return false },
+		}
+		go func() { _ = s.run(ctx) }()
+		time.Sleep(10 * sessionTTL)
+		l.mu.Lock()
+		writes := l.writes
+		l.mu.Unlock()
+		cancel()
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, writes, 100)
+	})
+}
