Take a relayed call without a known outcome for one that may have run

Callers could see a request that must run once run twice, or a 503 for one that ran: an entry host that relays a request told of its outcome in a header, and any response without a known outcome, such as a 500, a 200 or an outcome of a later version, counted as "no path". The request was then offered to the next entry host, sent directly, or refused as not run.

No handler of this version answers so after a send: it names an outcome or aborts the call. Nothing else ensured it, and a middleware that turns a panic into a 500, or a later outcome, would have been enough.

Only a response with a client error is known to come before the send: the checks of the signature, the size and the form of a call answer so.

--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -190,13 +190,25 @@
 		err = ErrMayHaveRun
 	case OutcomeBusy:
 		err = ErrNoPeer
-	default:
+	case OutcomeNoPath:
 		r.remember(p, service, false)
 		err = ErrNoPeer
+	default:
+		r.remember(p, service, false)
+		err = unknownOutcome(response.StatusCode)
 	}
 	return nil, errors.Wrapf(err, "relay %s answered %d %q", p.Name, response.StatusCode, outcome)
 }
 
+// unknownOutcome returns the error for a response without an outcome of this version. Calls are rejected with a client error before
+// they are relayed: without a valid signature, malformed or too large. A server error may follow a send.
+func unknownOutcome(status int) error {
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return ErrNoPeer
+	}
+	return ErrMayHaveRun
+}
+
 // body ends its call when it is closed.
 type body struct {
 	io.ReadCloser
--- a/rudderd/rudderpath/relay_test.go
+++ b/rudderd/rudderpath/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -71,3 +72,37 @@
 		require.Equal(t, "whole answer", string(text))
 	}
 }
+
+// Guards against a second run of a request whose relaying entry host answers without an outcome after it has sent the request.
+func TestResponseWithoutAnOutcome(t *testing.T) {
+	for _, test := range []struct {
+		status  int
+		outcome string
+		want    error
+	}{
+		{401, "", ErrNoPeer}, {404, "", ErrNoPeer}, {429, "", ErrNoPeer}, {503, OutcomeNoPath, ErrNoPeer}, {503, OutcomeBusy, ErrNoPeer},
+		{503, OutcomeUnreachable, ErrUnreachable}, {503, OutcomeDeclined, ErrDeclined}, {503, OutcomeMayHaveRun, ErrMayHaveRun},
+		{200, "", ErrMayHaveRun}, {500, "", ErrMayHaveRun}, {502, "", ErrMayHaveRun}, {503, "", ErrMayHaveRun}, {504, "", ErrMayHaveRun},
+		{503, "outcome of a later version", ErrMayHaveRun},
+	} {
+		t.Run(fmt.Sprint(test.status, " ", test.outcome), func(t *testing.T) {
+			calls := 0
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls++
+				w.Header().Set(HeaderOutcome, test.outcome)
+				w.WriteHeader(test.status)
+			}))
+			address := peer.Listener.Addr().String()
+			relay := &Relay{Uptime: func() time.Duration { return time.Second }, Transport: &http.Transport{}, Peers: func() []Peer { return []Peer{{Name: "peer", Address: address}} }}
+			response, err := relay.Send(context.Background(), Request{Target: "t", Method: http.MethodPost, RequestTarget: "/"})
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			peer.Close()
+			require.Equal(t, 1, calls)
+			require.ErrorIs(t, err, test.want)
+			notSent := errors.IsAny(err, ErrNoPeer, ErrUnreachable, ErrDeclined)
+			require.NotEqual(t, notSent, errors.Is(err, ErrMayHaveRun))
+		})
+	}
+}
