Keep the HTTP client from repeating idempotent calls beside the retry budget

Targets of plain services got a call twice although the retry budget was spent: net/http repeats a request without a body on its own when a kept connection breaks after the request was sent, if the method is GET or the request carries an Idempotency-Key. When targets fall silent and their connections end, each call in flight on a kept connection is repeated at once, and no budget counts it.

The HTTP client now asks before it repeats a call and is refused once the head of the call has been written. The dispatcher then decides, with a retry from the budget. A call of which nothing was written is still repeated on another connection, since a closed kept connection is common and costs no run. The path to targets through other entry hosts keeps this property of a request.

--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -213,13 +213,19 @@
 // withBody returns a copy of a request. Only a copy of one that could be sent again can be sent again.
 func withBody(r *http.Request, body []byte) *http.Request {
 	copied := r.WithContext(r.Context())
-	if len(body) == 0 {
+	if r.Body == nil || r.Body == http.NoBody || len(body) == 0 && r.GetBody == nil {
 		copied.Body, copied.GetBody = http.NoBody, nil
 		return copied
 	}
 	copied.Body = io.NopCloser(bytes.NewReader(body))
 	if r.GetBody != nil {
-		copied.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+		copied.GetBody = func() (io.ReadCloser, error) {
+			original, err := r.GetBody()
+			if err != nil {
+				return nil, err
+			}
+			return io.NopCloser(bytes.NewReader(body)), original.Close()
+		}
 	}
 	return copied
 }
--- a/rudderd/rudderapp/path_test.go
+++ b/rudderd/rudderapp/path_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -74,3 +75,29 @@
 		})
 	}
 }
+
+// Guards against a repeat by the HTTP client of a request that its sender has marked as sent.
+func TestSentRequestIsNotRepeatedBelowThePath(t *testing.T) {
+	a := &App{Clock: clockwork.NewRealClock(), fleet: &rudderfleet.Fleet{}}
+	a.wirePaths()
+	var runs atomic.Int64
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer target.Close()
+	transport := a.throughPath(a.newTargetTransport(nil))
+	for _, broken := range []bool{false, true} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, target.URL, io.NopCloser(strings.NewReader("")))
+		require.NoError(t, err)
+		request.ContentLength = -1
+		request.GetBody = func() (io.ReadCloser, error) { return nil, errors.New("sent") }
+		response, err := transport.RoundTrip(request)
+		require.Equal(t, broken, err != nil, "%v", err)
+		if err == nil {
+			require.NoError(t, response.Body.Close())
+		}
+	}
+	require.Equal(t, int64(2), runs.Load())
+}
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -45,13 +45,20 @@
 		}
 	}
 	var connection atomic.Pointer[httptrace.GotConnInfo]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info) }}
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { connection.Store(&info) },
+		WroteHeaders: func() { wrote.Store(true) },
+	}
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
 	defer cancel(nil)
 	request, err := newTargetRequest(ctx, address, call)
 	if err != nil {
 		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
 	}
+	if transport == d.persistent {
+		repeatUnsentOnly(request, wrote.Load)
+	}
 	probes := make(chan struct{})
 	go func() {
 		defer close(probes)
@@ -251,6 +258,35 @@
 	return request, nil
 }
 
+// errSent stops the HTTP client from repeating a request on its own.
+var errSent = errors.New("service: the connection broke after the call was sent")
+
+// repeatUnsentOnly lets the HTTP client repeat a request without a body on another connection only if it was not sent on the one that
+// broke. The client repeats by itself what looks repeatable, besides the retry budget.
+func repeatUnsentOnly(request *http.Request, sent func() bool) {
+	if request.Body != nil || lengthExpected(request) {
+		return
+	}
+	request.Body, request.ContentLength = emptyBody(), -1 // no body is sent, or an empty one in chunks
+	request.GetBody = func() (io.ReadCloser, error) {
+		if sent() {
+			return nil, errSent
+		}
+		return emptyBody(), nil
+	}
+}
+
+func emptyBody() io.ReadCloser { return io.NopCloser(strings.NewReader("")) }
+
+// lengthExpected reports whether a request without a body needs an explicit length. The HTTP client does not repeat it.
+func lengthExpected(request *http.Request) bool {
+	switch request.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return request.Header.Get(HeaderKey) == "" && request.Header.Get("X-"+HeaderKey) == ""
+	}
+	return false
+}
+
 // hopByHop are the headers that apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -270,3 +270,33 @@
 	require.Equal(t, 1, c.released)
 	require.Zero(t, runs.Load())
 }
+
+// Guards against calls that the HTTP client repeats itself, besides the retry budget, when a kept connection breaks.
+func TestHTTPClientRepeatsNoCallThatWasSent(t *testing.T) {
+	for _, call := range []Call{
+		{Method: http.MethodGet, Path: "/booths", Header: http.Header{}},
+		{Method: http.MethodGet, Path: "/booths", Header: http.Header{}, Body: []byte("filter")},
+		{Method: http.MethodDelete, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
+		{Method: http.MethodPost, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
+	} {
+		t.Run(call.Method, func(t *testing.T) {
+			var runs atomic.Int64
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set(ruddertarget.HeaderRequestID, r.Header.Get(ruddertarget.HeaderRequestID))
+			}))
+			defer target.Close()
+			d, _ := newDispatcher(address(target))
+			d.IsIdempotent = func(string, string, string) bool { return true }
+			d.TakeRetry = func() bool { return false }
+			d.naming.Store(address(target), true) // as after an earlier answer
+			call.RequestID = "c1"
+			require.Equal(t, OutcomeComplete, d.Do(t.Context(), call).Outcome)
+			call.RequestID = "c2"
+			require.Equal(t, OutcomeMayHaveRun, d.Do(t.Context(), call).Outcome)
+			require.Equal(t, int64(2), runs.Load())
+		})
+	}
+}
