Tell idempotent calls apart without comparing transports

Only idempotent calls can be moved and use kept connections, which the dispatcher knows without a comparison.

--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
 	}
-	if transport == d.persistent {
+	if move != nil { // the connection may have been kept
 		repeatUnsentOnly(request, wrote.Load)
 	}
 	probes := make(chan struct{})
