Survive the response to another call that another entry host has relayed

A call of a plain service ended with a closed connection, without an outcome, when another entry host relayed the response to an earlier call: the dispatcher closes the connection of such a response, and a relayed one has none. The panic also left the claim of a keyed call open.

--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -119,7 +119,7 @@
 	if id == "" && (connection == nil || !connection.Reused) {
 		return true
 	}
-	if connection != nil {
+	if connection != nil && connection.Conn != nil { // a relayed response has none
 		_ = connection.Conn.Close()
 	}
 	return false
--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -300,3 +301,18 @@
 		})
 	}
 }
+
+// relayedTransport answers as a path through another entry host does: without a connection to the target.
+type relayedTransport struct{ header http.Header }
+
+func (r relayedTransport) RoundTrip(q *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(q.Context()).GotConn(httptrace.GotConnInfo{})
+	return &http.Response{StatusCode: http.StatusOK, Header: r.header, Body: http.NoBody}, nil
+}
+
+// Guards against a panic, and a claim that stays open, when another call's response arrives through another entry host.
+func TestRelayedResponseToAnotherCall(t *testing.T) {
+	d, _ := newDispatcher("target")
+	d.Transport = relayedTransport{http.Header{ruddertarget.HeaderRequestID: {"c0"}, ruddertarget.HeaderNotRun: {"true"}}}
+	require.Equal(t, OutcomeMayHaveRun, d.Do(t.Context(), keyedCall("100")).Outcome)
+}
