--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -39,6 +39,7 @@
 	records     []rudderstore.Entry
 	document    rudderroute.Document
 	targets     int
+	slots       int // of each target
 	suspects    sync.Map
 	unavailable chan struct{} // closed when the key-value service becomes unreachable
 	changes     chan rudderstore.Entry
@@ -59,7 +60,7 @@
 }
 
 func newTestbed(t *testing.T) *testbed {
-	return &testbed{t: t, client: http.DefaultClient, unavailable: make(chan struct{}), changes: make(chan rudderstore.Entry), document: rudderroute.Document{
+	return &testbed{t: t, slots: 4, client: http.DefaultClient, unavailable: make(chan struct{}), changes: make(chan rudderstore.Entry), document: rudderroute.Document{
 		Version: 1, KeyRequired: true, Workspaces: []rudderroute.Workspace{{Name: "firm", Keys: []string{"key"}}},
 		Services: []rudderroute.Service{{Name: "plain"}, {Name: "llm", Engine: &rudderroute.Engine{Slots: 4, Models: []rudderroute.Model{{Name: "m", Size: 1}}}}},
 	}}
@@ -128,7 +129,7 @@
 	name := fmt.Sprint("t", b.targets)
 	x := rudderview.Target{
 		Host:    rudderhost.Host{Name: name, Address: address, State: rudderhost.StateLive, FabricDomain: name},
-		Service: service, Born: 1, Slots: 4,
+		Service: service, Born: 1, Slots: b.slots,
 	}
 	if service == "llm" {
 		x.Model = "m"
