Trust only the first refusal of a target for a request that must run once

A request that must run once ran twice: a target refused it, its group formed again in the next epoch with the same leader, the request was sent there again on the kept connection, and the target wrote its first refusal once more while the request ran. The refusal names the right request, so it was taken for that of the second send, and the request went to another target. Targets that failed a request are excluded by their group, which is another one in each epoch.

A second refusal of the same process for the same request now counts only on a new connection; otherwise the request may have run and the caller gets a 502. Requests that may repeat and first refusals are treated as before.

--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -164,8 +164,7 @@
 	if answer.Load != nil {
 		f.loads.report(g.Leader.Name, f.Uptime(), *answer.Load)
 	}
-	// On a reused connection, a response without a request ID may be a duplicate for an earlier request.
-	if answer.RequestID != j.request.ID && (answer.RequestID != "" || answer.connection != nil && answer.connection.reused) {
+	if !answersThisSend(x, answer) {
 		_ = answer.response.Body.Close()
 		answer.discard()
 		return nil, errors.Mark(errors.Mark(errors.Newf("got the response for request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
@@ -175,6 +174,19 @@
 	return answer, nil
 }
 
+// answersThisSend reports whether a response belongs to a send. On a reused connection, one without a request ID may be a duplicate
+// for an earlier request, and a second refusal of a target a duplicate of its first one, while the request runs.
+func answersThisSend(x *exchange, answer *reply) bool {
+	reused := answer.connection != nil && answer.connection.reused
+	switch {
+	case answer.RequestID != x.job.request.ID:
+		return answer.RequestID == "" && !reused
+	case answer.NotRun && !x.repeatable && x.job.refusedBy[processOf(x.group.Leader)]:
+		return answer.connection != nil && !reused
+	}
+	return true
+}
+
 func neverConnected(err error) bool {
 	var operation *net.OpError
 	return errors.As(err, &operation) && operation.Op == "dial"
