Count the retries of entry hosts that have left in the budget

Repeats of a service went beyond its retry budget when most entry hosts left: the part of the budget that does not depend on the requests is divided among the hosts, and the hosts that stayed divided it anew at once although the others had spent their shares in the same window.

A host now divides it by the greatest number of hosts that it has known within the window. After the window the two have all of it, as before.

--- a/rudderd/rudderforward/budget.go
+++ b/rudderd/rudderforward/budget.go
@@ -1,6 +1,7 @@
 package rudderforward
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,6 +33,7 @@
 	slot     int64
 	requests [budgetSlots + 1]int
 	retries  [budgetSlots + 1]int
+	entries  [budgetSlots + 1]int // greatest number of entry hosts
 }
 
 func (w *budgetWindow) advance(slot int64) {
@@ -40,7 +42,7 @@
 			w.slot = slot - budgetSlots - 1
 		}
 		i := (w.slot + 1) % (budgetSlots + 1)
-		w.requests[i], w.retries[i] = 0, 0
+		w.requests[i], w.retries[i], w.entries[i] = 0, 0, 0
 	}
 }
 
@@ -67,19 +69,22 @@
 }
 
 // countRequest counts a request from a caller.
-func (b *retryBudget) countRequest(service string, now time.Duration, l RetryLimits) {
+func (b *retryBudget) countRequest(service string, now time.Duration, l RetryLimits, entries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.window(service, now, l)
 	w.requests[i]++
+	w.entries[i] = max(w.entries[i], entries)
 }
 
-// takeRetry takes one retry from this entry host's share of the budget. It reports whether one was left.
+// takeRetry takes one retry from this entry host's share of the budget. It reports whether one was left. The retries of entry hosts
+// that have left since count until the end of the window.
 func (b *retryBudget) takeRetry(service string, now time.Duration, l RetryLimits, entries int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.window(service, now, l)
-	allowed := retryShare * (l.Ratio*float64(sum(w.requests)) + l.Extra/float64(max(entries, 1)))
+	w.entries[i] = max(w.entries[i], entries, 1)
+	allowed := retryShare * (l.Ratio*float64(sum(w.requests)) + l.Extra/float64(slices.Max(w.entries[:])))
 	if float64(sum(w.retries)+1) > allowed {
 		return false
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -198,7 +198,7 @@
 		f.refuseUnread(r, j, *refused)
 		return
 	}
-	f.budget.countRequest(j.service, f.Uptime(), f.Retries)
+	f.budget.countRequest(j.service, f.Uptime(), f.Retries, len(f.View.Snapshot().EntryHosts))
 	ctx, end := f.track(r.Context(), j)
 	defer end()
 	if j.route.Kind == rudderroute.KindStream {
--- a/rudderd/rudderforward/parts_test.go
+++ b/rudderd/rudderforward/parts_test.go
@@ -78,7 +78,7 @@
 	limits := RetryLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}
 	var b retryBudget
 	for range 100 {
-		b.countRequest("s", time.Second, limits)
+		b.countRequest("s", time.Second, limits, 2)
 	}
 	repeats := 0
 	for range 100 {
@@ -91,6 +91,31 @@
 	require.True(t, b.takeRetry("s", time.Minute, limits, 2))
 }
 
+// Guards against more retries than the budget when most entry hosts leave after they have spent theirs: the rest would divide it anew.
+func TestRetryBudgetOfHostsThatLeave(t *testing.T) {
+	const hosts, stay = 18, 2
+	limits := RetryLimits{Ratio: 0.2, Extra: 302, Window: 10 * time.Second}
+	budgets := make([]retryBudget, hosts)
+	requests := 0
+	spend := func(list []retryBudget, entries int, now time.Duration) (taken int) {
+		for i := range list {
+			for range 10 {
+				list[i].countRequest("s", now, limits, entries)
+				requests++
+			}
+			for list[i].takeRetry("s", now, limits, entries) {
+				taken++
+			}
+		}
+		return taken
+	}
+	taken := spend(budgets, hosts, time.Second)
+	require.Greater(t, float64(taken), 0.5*limits.Extra)
+	taken += spend(budgets[:stay], stay, 4*time.Second)
+	require.LessOrEqual(t, float64(taken), limits.Ratio*float64(requests)+limits.Extra)
+	require.Positive(t, spend(budgets[:stay], stay, 20*time.Second), "the rest gets the whole budget later")
+}
+
 // Guards against choosing full, avoided, draining or excluded groups while others have room.
 func TestChoiceWithoutTheOwner(t *testing.T) {
 	group := func(name string, draining bool) *rudderview.Group {
