Test cancelled sends whose write is under way

Whether a send counts as not sent rests on net/http waiting for the write of a cancelled request before its error is returned, so that the bytes that a connection accepted at the last moment are counted.

--- a/rudderd/rudderforward/refusal_test.go
+++ b/rudderd/rudderforward/refusal_test.go
@@ -1,10 +1,13 @@
 package rudderforward
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,3 +73,62 @@
 	require.Equal(t, int32(1), runs.Load())
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
 }
+
+// lateConn writes nothing before it is closed, and then as many bytes as it accepts: as a blocked write that ends at that moment.
+type lateConn struct {
+	net.Conn
+	accepts int
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (c *lateConn) Write(p []byte) (int, error) {
+	<-c.closed
+	time.Sleep(50 * time.Millisecond)
+	defer func() { _ = c.Conn.Close() }()
+	n, err := c.Conn.Write(p[:min(len(p), c.accepts)])
+	c.accepts -= n
+	if err == nil && n < len(p) {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *lateConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// Guards against a refusal as not run of a request whose write is under way when its send is cancelled.
+func TestCancelledSendWhoseWriteIsUnderWay(t *testing.T) {
+	const large = 30 << 10
+	for _, test := range []struct {
+		name            string
+		head, accepts   int
+		status, arrives int
+	}{
+		{"nothing is written", 0, 0, 503, 0},
+		{"all is written", 0, 1 << 20, 504, 1},
+		{"a part of a short head", 0, 50, 504, 0}, // the client had the whole head in its buffer
+		{"a part of a head above the buffer", large, 5000, 503, 0},
+		{"nothing of a head above the buffer", large, 0, 503, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/p/", func(r *rudderroute.Route) {
+				r.Kind, r.MaxAttempts, r.Timeout = rudderroute.KindAtMostOnce, 3, 300*time.Millisecond
+			})
+			var arrivals atomic.Int32
+			b.target("plain", func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
+			b.start()
+			b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &lateConn{Conn: c, accepts: test.accepts, closed: make(chan struct{})}, err
+			})
+			response, _, _ := b.send("POST", "/p/x"+strings.Repeat("y", test.head), "")
+			require.Equal(t, test.status, response.StatusCode)
+			require.Never(t, func() bool { return int(arrivals.Load()) > test.arrives }, 100*time.Millisecond, 10*time.Millisecond)
+			require.Equal(t, test.arrives, int(arrivals.Load()))
+		})
+	}
+}
