--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -270,3 +271,48 @@
 	require.Equal(t, 1, c.released)
 	require.Zero(t, runs.Load())
 }
+
+// Guards against calls that the HTTP client repeats itself, besides the retry budget, when a kept connection breaks.
+func TestHTTPClientRepeatsNoCallThatWasSent(t *testing.T) {
+	for _, call := range []Call{
+		{Method: http.MethodGet, Path: "/booths", Header: http.Header{}},
+		{Method: http.MethodGet, Path: "/booths", Header: http.Header{}, Body: []byte("filter")},
+		{Method: http.MethodDelete, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
+		{Method: http.MethodPost, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
+	} {
+		t.Run(call.Method, func(t *testing.T) {
+			var runs atomic.Int64
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set(ruddertarget.HeaderRequestID, r.Header.Get(ruddertarget.HeaderRequestID))
+			}))
+			defer target.Close()
+			d, _ := newDispatcher(address(target))
+			d.IsIdempotent = func(string, string, string) bool { return true }
+			d.TakeRetry = func() bool { return false }
+			d.naming.Store(address(target), true) // as after an earlier answer
+			call.RequestID = "c1"
+			require.Equal(t, OutcomeComplete, d.Do(t.Context(), call).Outcome)
+			call.RequestID = "c2"
+			require.Equal(t, OutcomeMayHaveRun, d.Do(t.Context(), call).Outcome)
+			require.Equal(t, int64(2), runs.Load())
+		})
+	}
+}
+
+// relayedTransport answers as a path through another entry host does: without a connection to the target.
+type relayedTransport struct{ header http.Header }
+
+func (r relayedTransport) RoundTrip(q *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(q.Context()).GotConn(httptrace.GotConnInfo{})
+	return &http.Response{StatusCode: http.StatusOK, Header: r.header, Body: http.NoBody}, nil
+}
+
+// Guards against a panic, and a claim that stays open, when another call's response arrives through another entry host.
+func TestRelayedResponseToAnotherCall(t *testing.T) {
+	d, _ := newDispatcher("target")
+	d.Transport = relayedTransport{http.Header{ruddertarget.HeaderRequestID: {"c0"}, ruddertarget.HeaderNotRun: {"true"}}}
+	require.Equal(t, OutcomeMayHaveRun, d.Do(t.Context(), keyedCall("100")).Outcome)
+}
