Confirm that a silent member is lost before its group ends

With workers that are silent for about 1.2 s (SIGSTOP) the planner ended sound groups, "member does not answer": `leave` reached targets that answered within 1 ms, their streams were cut and requests got 421.

One failed probe that started 1.1 s after the last response of a stream ended a group at once, and nothing was asked again. Cases: - The time counted from the last event, which may be 0.25 s before the silence, or seconds if the stream waited for another member: a member was dead 0.25 s after it had fallen silent. - A report of an entry host made one failed probe enough for 6 s, although the target had answered since. - Step and Orders used the results from before the plans were written, and a dead target was only probed again after 1.5 s. - A new planner repeated the reason that it found in the plan, without a probe of its own.

Now a dead member gets no new requests, and its group ends once another probe has failed that started 1.1 s or more after the first failed one (at once for processes that have ended, and with the next probe if an entry host has reported the target since it last answered). If the member answers before any order was sent, the group goes on. The results are checked again right before a plan that replaces a silent leader is stored, and before an order is sent.

--- a/rudderd/ruddercoordinator/orders.go
+++ b/rudderd/ruddercoordinator/orders.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderplacement"
+	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -16,6 +17,16 @@
 		p.calls.release()
 		return // the lease was lost while the order waited
 	}
+	if p.answers(o.Silent) {
+		p.calls.release()
+		p.Logger.Info().Str("target", o.Target).Str("order", string(o.Order.Kind)).Str("group", o.Order.Group).Int64("epoch", o.Order.Epoch).
+			Str("reason", o.Reason).Str("member", o.Silent.Target).Msg("order not sent: the silent member answers again")
+		p.mu.Lock()
+		state.MarkDropped(o)
+		p.mu.Unlock()
+		p.wakeUp()
+		return
+	}
 	begin := p.Uptime()
 	err := p.call(ctx, o)
 	p.calls.release()
@@ -40,6 +51,14 @@
 	p.wakeUp()
 }
 
+// answers reports whether a member that was found dead has answered since.
+func (p *Planner) answers(m rudderroster.Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.results[m.Target]
+	return v != nil && v.born == m.Born && !v.dead
+}
+
 // call sends one order and waits for the answer.
 func (p *Planner) call(ctx context.Context, o rudderplacement.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -138,14 +138,19 @@
 	aliveAt time.Duration
 	// answeredAt is the uptime at which the last probe started that was answered; 0 if none was.
 	answeredAt time.Duration
-	// confirmed is set if an entry host has reported that the target is dead.
-	confirmed bool
-	report    ruddertarget.GroupReport // last answer while the target had no record
-	known     bool                     // report is set
-	slow      bool                     // by the last answer
-	running   bool
-	checked   time.Duration // uptime of the last start or end of a probe
-	done      chan struct{} // closed when the probe has ended
+	// lost is set if a later probe has confirmed that the target is dead: its process has ended, or two probes have failed that
+	// started MinSilence or more apart. Groups end only then.
+	lost bool
+	// confirmed is set if an entry host has reported that the target is dead, and reporter is its name. outlived is that of the
+	// last one after whose report the target has answered.
+	confirmed          bool
+	reporter, outlived string
+	report             ruddertarget.GroupReport // last answer while the target had no record
+	known              bool                     // report is set
+	slow               bool                     // by the last answer
+	running            bool
+	checked            time.Duration // uptime of the last start or end of a probe
+	done               chan struct{} // closed when the probe has ended
 }
 
 // Run acquires the planner's lease whenever it is free and plans while holding it, until the context ends or
@@ -276,12 +281,13 @@
 		changes := rudderplacement.Step(in)
 		p.mu.Unlock()
 		for _, c := range changes {
-			if p.mayStore(c) && p.membersAlive(ctx, in, c) && p.store(ctx, c) {
+			if p.mayStore(c) && p.membersAlive(ctx, in, c) && p.replacesSilent(c) && p.store(ctx, c) {
 				in.Plans[c.Plan.Domain] = p.stored(c)
 			}
 			busy = true
 		}
 		p.mu.Lock()
+		in.Now = p.Uptime() // the plans may have taken long to store
 		orders := rudderplacement.Orders(in)
 		for _, o := range orders {
 			in.State.MarkSent(in.Now, o)
--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -55,6 +55,7 @@
 		Traffic: p.Traffic(), Settled: p.Traffic() || p.Uptime()-p.leaseSince > settleTime, State: p.states[service.Name],
 		WithinStartupGrace: p.View.WithinStartupGrace(),
 		Dead:               p.probed(func(v *probeResult) bool { return v.dead }),
+		Lost:               p.probed(func(v *probeResult) bool { return v.dead && v.lost }),
 		Silent:             p.probed(func(v *probeResult) bool { return v.silent }),
 	}
 	if p.Demand != nil {
@@ -63,17 +64,11 @@
 	return in
 }
 
-// probed returns a function that reports whether the last probe of a target had a result. The caller holds the lock.
+// probed returns a function that reports whether the last probe of a target has a result. Its caller holds the lock.
 func (p *Planner) probed(result func(v *probeResult) bool) func(t *rudderview.Target) bool {
-	born := map[string]int64{}
-	for name, v := range p.results {
-		if result(v) {
-			born[name] = v.born
-		}
-	}
 	return func(t *rudderview.Target) bool {
-		x, known := born[t.Name]
-		return known && x == t.Born
+		v := p.results[t.Name]
+		return v != nil && v.born == t.Born && result(v)
 	}
 }
 
@@ -118,6 +113,17 @@
 	return true
 }
 
+// replacesSilent reports whether the leaders that a change replaces because of their silence still do not answer.
+func (p *Planner) replacesSilent(c rudderplacement.PlanChange) bool {
+	for _, m := range c.Replaced {
+		if p.answers(m) {
+			p.Logger.Info().Str("target", m.Target).Msg("plan not written: a leader that it replaces answers again")
+			return false
+		}
+	}
+	return true
+}
+
 // stored returns the plan that this planner last stored under the key of a change.
 func (p *Planner) stored(c rudderplacement.PlanChange) rudderplacement.StoredPlan {
 	p.mu.Lock()
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -94,19 +94,7 @@
 func (p *Planner) probeSuspects(snapshot *rudderview.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, x := range snapshot.Suspicions {
-		t := snapshot.Targets[x.Target]
-		if t == nil || t.Born != x.Born {
-			continue
-		}
-		p.startProbe(t, recheckInterval)
-		if v := p.results[x.Target]; x.Confirmed && !v.confirmed {
-			v.confirmed = true
-			if v.silent && !v.dead {
-				p.startProbe(t, 0)
-			}
-		}
-	}
+	p.probeReported(snapshot)
 	p.probeUnregistered(snapshot)
 	for name, v := range p.results {
 		t := snapshot.Targets[name]
@@ -116,6 +104,10 @@
 		switch {
 		case t == nil:
 			delete(p.results, name)
+		case v.dead && !v.lost:
+			if v.confirmsIn(p.Uptime()) <= 0 {
+				p.startProbe(t, 0)
+			}
 		case v.dead && snapshot.Targets[name] == nil: // no plan needs it
 		case v.dead:
 			p.startProbe(t, recheckInterval)
@@ -127,6 +119,25 @@
 	}
 }
 
+// probeReported probes the targets that other entry hosts have reported. A report says nothing about a target that has answered
+// since. The caller holds the lock.
+func (p *Planner) probeReported(snapshot *rudderview.Snapshot) {
+	for _, x := range snapshot.Suspicions {
+		t := snapshot.Targets[x.Target]
+		if t == nil || t.Born != x.Born {
+			continue
+		}
+		p.startProbe(t, recheckInterval)
+		if v := p.results[x.Target]; x.Confirmed && !v.confirmed && x.By != v.outlived {
+			if !v.dead {
+				p.startProbe(t, 0)
+			}
+			v = p.results[x.Target]
+			v.confirmed, v.reporter = true, x.By
+		}
+	}
+}
+
 // probeUnregistered probes the members of planned groups that have no record. The caller holds the lock.
 func (p *Planner) probeUnregistered(snapshot *rudderview.Snapshot) {
 	if len(snapshot.Removed) == 0 {
@@ -160,8 +171,10 @@
 	next := &probeResult{born: t.Born, checked: now, running: true, done: make(chan struct{})}
 	if v != nil && v.born == t.Born {
 		next.dead, next.report, next.known, next.answeredAt, next.slow = v.dead, v.report, v.known, v.answeredAt, v.slow
+		next.lost, next.outlived = v.lost, v.outlived
 		if v.silent {
 			next.silent, next.failedAt, next.triedAt, next.aliveAt, next.confirmed = true, v.failedAt, v.triedAt, v.aliveAt, v.confirmed
+			next.reporter = v.reporter
 		}
 	}
 	p.results[t.Name] = next
@@ -185,7 +198,7 @@
 	v.record(found, begin)
 	if !v.skipped && (v.dead || v.silent || before.dead || before.silent) {
 		p.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("finding", found.String()).Dur("silence_ms", v.silence(p.Uptime())).
-			Bool("dead", v.dead).Bool("before", before.dead).Msg("suspected target probed")
+			Bool("dead", v.dead).Bool("lost", v.lost).Bool("before", before.dead).Msg("suspected target probed")
 	}
 	v.running, v.checked = false, p.Uptime()
 	if !found.Skipped {
@@ -199,9 +212,12 @@
 	p.wakeAfterSilence(v)
 }
 
-// wakeAfterSilence makes the planner take a step when a silent target may be dead. The caller holds the lock.
+// wakeAfterSilence makes the planner take a step when a silent target may be dead, or a dead one lost. The caller holds the lock.
 func (p *Planner) wakeAfterSilence(v *probeResult) {
-	if v.silent && !v.dead {
+	switch {
+	case v.dead && !v.lost:
+		time.AfterFunc(v.confirmsIn(p.Uptime()), p.wakeUp)
+	case v.silent && !v.dead:
 		wait := ruddertarget.MinSilence + decidingDelay - v.silence(p.Uptime())
 		if v.skipped {
 			wait = max(wait, examineInterval)
@@ -221,9 +237,17 @@
 		}
 		return
 	case found.Alive:
+		if v.confirmed {
+			v.outlived = v.reporter
+		}
+		v.lost = false
 		v.dead, v.silent, v.failedAt, v.aliveAt, v.confirmed, v.answeredAt = false, false, 0, 0, false, begin
 		return
-	case found.Ended() || v.confirmed:
+	case found.Ended():
+		v.dead, v.lost = true, true
+	case v.dead:
+		v.lost = v.lost || v.confirmsIn(begin) <= 0
+	case v.confirmed:
 		v.dead = true
 	}
 	if !v.silent {
@@ -233,6 +257,19 @@
 	v.dead = v.dead || v.silence(begin) >= ruddertarget.MinSilence
 }
 
+// confirmsIn returns the time until a probe may confirm that a dead target is lost. The target may have fallen silent right before
+// the first failed probe: a stream whose last event was earlier may have waited for another member. An entry host that reports a
+// dead target has counted its silence itself.
+func (v *probeResult) confirmsIn(now time.Duration) time.Duration {
+	switch {
+	case v.skipped:
+		return v.checked + examineInterval - now
+	case v.confirmed:
+		return 0
+	}
+	return v.failedAt + ruddertarget.MinSilence - now
+}
+
 // silence returns for how long a silent target has not responded at an uptime.
 func (v *probeResult) silence(now time.Duration) time.Duration {
 	switch {
--- a/rudderd/rudderplacement/fleet_test.go
+++ b/rudderd/rudderplacement/fleet_test.go
@@ -23,8 +23,10 @@
 	removed map[string]*rudderview.Target
 	plans   map[string]StoredPlan
 	dead    map[string]bool
-	state   *State
-	traffic bool
+	// unconfirmed holds the dead targets whose death no other probe has confirmed.
+	unconfirmed map[string]bool
+	state       *State
+	traffic     bool
 	// silent targets accept no orders.
 	silent map[string]bool
 	// hidden targets run without a record that the planner has ever seen.
@@ -54,7 +56,7 @@
 func newFleet(t *testing.T, models ...rudderroute.Model) *fleet {
 	return &fleet{
 		t: t, now: time.Minute, targets: map[string]*rudderview.Target{}, removed: map[string]*rudderview.Target{},
-		plans: map[string]StoredPlan{}, dead: map[string]bool{}, state: NewState(), silent: map[string]bool{}, hidden: map[string]*rudderview.Target{}, left: map[string]ruddertarget.Membership{},
+		plans: map[string]StoredPlan{}, dead: map[string]bool{}, unconfirmed: map[string]bool{}, state: NewState(), silent: map[string]bool{}, hidden: map[string]*rudderview.Target{}, left: map[string]ruddertarget.Membership{},
 		reports: map[string]ruddertarget.GroupReport{}, busy: map[string]bool{},
 		service:  &rudderroute.Service{Name: "llm", Engine: &rudderroute.Engine{Models: models, Slots: 8, LoadsPerSecond: 5, LoadsAtOnce: 8, MaxStagedModels: 1}},
 		breaksAt: map[string]time.Duration{}, loaded: map[string]time.Duration{},
@@ -81,6 +83,7 @@
 		Now: f.now, Service: f.service, Targets: f.targets, Removed: f.removed, Reports: f.reports, Plans: f.plans, StallTimeout: stall, Traffic: f.traffic,
 		Settled: true, WithinStartupGrace: f.withinStartupGrace, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 		Silent: func(t *rudderview.Target) bool { return f.dead[t.Name] },
+		Lost:   func(t *rudderview.Target) bool { return f.dead[t.Name] && !f.unconfirmed[t.Name] },
 	}
 }
 
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -63,7 +63,7 @@
 func (in *Input) room(d *domain) int {
 	room := d.size
 	for _, g := range d.groups {
-		if in.State.retirements[groupKey(g)] == nil {
+		if r := in.State.retirements[groupKey(g)]; r == nil || r.unconfirmed {
 			room -= len(g.Members) - in.leavingMembers(g)
 		}
 	}
@@ -80,7 +80,7 @@
 	counts := map[string]int{}
 	for _, d := range domains {
 		for _, g := range d.groups {
-			if !g.Retiring {
+			if !g.Retiring || g.Unconfirmed {
 				counts[g.Model]++
 			}
 		}
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -45,6 +45,8 @@
 	// Dead reports whether this incarnation of a target is dead. Silent reports whether it did not answer the last probe; it
 	// may recover, but takes no part in new groups meanwhile.
 	Dead, Silent func(t *rudderview.Target) bool
+	// Lost reports whether another probe has confirmed that a target is dead, so that its group may end.
+	Lost func(t *rudderview.Target) bool
 	// Demand is the measured part of the work by model, 0 to 1.
 	Demand map[string]float64
 	// StallTimeout is the time after which a leader that lost a member reports a broken group.
@@ -66,12 +68,16 @@
 	Address string
 	Order   ruddertarget.GroupOrder
 	Reason  string
+	// Silent is the member whose silence is the only reason for the order, if there is one. The order is not sent if it answers.
+	Silent rudderroster.Member
 }
 
 // PlanChange is the next plan of a domain.
 type PlanChange struct {
 	StoredPlan          // the revision that the change is based on
 	Notes      []string // what changed, for the log
+	// Replaced holds the silent leaders that the plan replaces. It is not stored if one of them answers.
+	Replaced []rudderroster.Member
 }
 
 // domain is the state of one fabric domain during a step.
@@ -87,6 +93,7 @@
 	room             int                  // usable targets that neither a remaining nor a new group needs
 	recentlyGrown    bool                 // a target has registered within arrivalTime
 	notes            []string
+	replaced         []rudderroster.Member // silent leaders
 	changed          bool
 }
 
--- a/rudderd/rudderplacement/leader.go
+++ b/rudderd/rudderplacement/leader.go
@@ -27,6 +27,9 @@
 		if members == nil {
 			continue
 		}
+		if r := in.State.retirements[groupKey(g)]; r != nil && r.silent == g.Members[0] && !in.leaveSent(g) {
+			d.replaced = append(d.replaced, r.silent)
+		}
 		delete(in.State.leaderMissing, groupKey(g))
 		next := rudderroster.Group{Name: g.Name, Epoch: in.nextEpoch(d), Model: g.Model}
 		for _, t := range members {
@@ -43,7 +46,7 @@
 	r := in.State.retirements[groupKey(g)]
 	since, leaderMissing := in.State.leaderMissing[groupKey(g)]
 	switch {
-	case r != nil && r.graceful == 0 && in.leaderDead(g):
+	case r != nil && !r.unconfirmed && r.graceful == 0 && in.leaderLost(g):
 		return r.reason
 	case r == nil && leaderMissing && in.Now-since >= replaceLeaderAfter && in.State.complete[groupKey(g)]:
 		return "leader " + g.Members[0].Target + " has no record"
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -72,21 +72,29 @@
 // ordered to leave: the leader then stalls and reports the group as broken.
 func (in *Input) release(g rudderroster.Group, r *retirement) []Order {
 	leader := in.member(g.Members[0])
+	if r.unconfirmed {
+		return nil
+	}
 	if r.graceful > 0 {
 		return in.drainGroup(g, r, leader)
 	}
-	leave := leaveOrder(g)
+	leave, sent := leaveOrder(g), in.leaveSent(g)
 	var orders []Order
 	if leader != nil {
 		orders = append(orders, in.order(leader, leave, r.reason))
 	}
-	if in.leaderDead(g) || in.Now-r.ending > leaderTimeout {
+	if in.leaderLost(g) || in.Now-r.ending > leaderTimeout {
 		for _, m := range g.Members[1:] {
 			if t := in.member(m); t != nil && !in.Dead(t) && !in.State.done(m.Target, leave) {
 				orders = append(orders, in.order(t, leave, "leader is not reachable"))
 			}
 		}
 	}
+	for i := range orders {
+		if !sent {
+			orders[i].Silent = r.silent
+		}
+	}
 	return orders
 }
 
--- a/rudderd/rudderplacement/orphans.go
+++ b/rudderd/rudderplacement/orphans.go
@@ -69,7 +69,7 @@
 func (in *Input) leaderSeen(o orphan) bool {
 	if leader, known := in.State.leaders[rudderview.GroupID(o.group, o.epoch)]; known {
 		removed := in.Removed[leader.Target]
-		return in.Targets[leader.Target] != nil || removed != nil && in.Dead(removed)
+		return in.Targets[leader.Target] != nil || removed != nil && in.Lost(removed)
 	}
 	return in.leaderOf(o) != nil
 }
--- a/rudderd/rudderplacement/state.go
+++ b/rudderd/rudderplacement/state.go
@@ -55,6 +55,10 @@
 type retirement struct {
 	since  time.Duration
 	reason string
+	// silent is the member that does not answer, if that is the only reason. Meanwhile unconfirmed is set until another probe has
+	// confirmed it: no orders are sent.
+	silent      rudderroster.Member
+	unconfirmed bool
 	// graceful is the uptime until which the group may finish its requests; 0 if it ends at once.
 	graceful time.Duration
 	// ending is the uptime from which on the group no longer waits for its requests.
@@ -119,6 +123,9 @@
 	st.orders[key] = &sentOrder{at: now}
 }
 
+// MarkDropped records that an order was not sent.
+func (st *State) MarkDropped(o Order) { delete(st.orders, orderKey(o.Target, o.Order)) }
+
 // MarkAccepted records that a target accepted an order.
 func (st *State) MarkAccepted(o Order) {
 	if s := st.orders[orderKey(o.Target, o.Order)]; s != nil {
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -37,7 +37,7 @@
 	for _, d := range domains {
 		if d.changed {
 			plan := rudderroster.Plan{Service: in.Service.Name, Domain: d.name, Groups: d.groups, Serial: d.stored.Plan.Serial + 1}
-			changes = append(changes, PlanChange{StoredPlan: StoredPlan{Plan: plan, Revision: d.stored.Revision}, Notes: d.notes})
+			changes = append(changes, PlanChange{StoredPlan: StoredPlan{Plan: plan, Revision: d.stored.Revision}, Notes: d.notes, Replaced: d.replaced})
 		}
 	}
 	return changes
@@ -50,13 +50,19 @@
 	for _, g := range d.groups {
 		r := in.retirement(d, g)
 		switch {
-		case r == nil:
-		case in.released(g, r):
+		case r != nil && !r.unconfirmed && in.released(g, r):
 			d.note(fmt.Sprintf("group %s released after %s: %s", groupKey(g), (in.Now - r.since).Round(time.Millisecond), r.reason))
 			continue
-		case !g.Retiring && r.graceful == 0 && (in.Now-r.since > publishRetirementAfter || in.leaderDead(g)):
-			g.Retiring, g.Reason = true, r.reason
+		case g.Unconfirmed && (r == nil || r.graceful > 0):
+			g.Retiring, g.Unconfirmed, g.Reason = false, false, ""
+			d.note(fmt.Sprintf("group %s continues: its members answer", groupKey(g)))
+		case r == nil:
+		case !g.Retiring && r.graceful == 0 && (!r.unconfirmed && in.Now-r.since > publishRetirementAfter || in.leaderDead(g)):
+			g.Retiring, g.Reason, g.Unconfirmed = true, r.reason, r.unconfirmed
 			d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
+		case g.Unconfirmed && !r.unconfirmed:
+			g.Unconfirmed, g.Reason = false, r.reason
+			d.note(fmt.Sprintf("group %s retires for good: %s", groupKey(g), r.reason))
 		}
 		kept = append(kept, g)
 	}
@@ -68,36 +74,54 @@
 	key := groupKey(g)
 	r := in.State.retirements[key]
 	lost := in.memberLost(g)
+	if r != nil && r.silent.Target != "" && lost.reason == "" && !in.leaveSent(g) {
+		r = nil // the member answers again
+	}
 	if r == nil {
-		r = &retirement{since: in.Now, reason: lost}
-		gone, leaving := in.leaderGone(g), in.memberLeaving(g)
-		switch {
-		case lost != "":
-		case gone != "":
-			r.reason, r.graceful = gone, in.Now+leavingGrace
-		case leaving != "" && !g.Retiring && in.keepsServing(d, g):
-			return nil
-		case leaving != "":
-			r.reason, r.graceful = leaving, in.leavingSince(g)+leavingGrace
-		case g.Retiring:
-			r.reason = g.Reason
-		default:
+		if r = in.begin(d, g, lost); r == nil {
+			delete(in.State.retirements, key)
 			return nil
 		}
-		if g.Retiring && in.anyFollowerLeft(g) {
-			// The previous planner ordered the members to leave right after it had written the plan.
-			r.since = min(r.since, in.Now-in.retiringFor(g)+takeOverMargin)
-			r.left = r.since
-		}
-		r.ending = r.since
 		in.State.retirements[key] = r
 	}
-	if r.graceful > 0 && (lost != "" || in.Now >= r.graceful) {
+	certain := lost.reason != "" && !lost.unconfirmed
+	if r.unconfirmed && certain {
+		r.since, r.ending, r.reason, r.silent, r.unconfirmed = in.Now, in.Now, lost.reason, lost.silent, false
+	}
+	if r.graceful > 0 && (certain || in.Now >= r.graceful) {
 		r.graceful, r.ending = 0, in.Now
 	}
 	return r
 }
 
+// begin returns how a group ends from now on, or nil if it continues.
+func (in *Input) begin(d *domain, g rudderroster.Group, lost loss) *retirement {
+	r := &retirement{since: in.Now, reason: lost.reason, silent: lost.silent, unconfirmed: lost.unconfirmed}
+	gone, leaving := in.leaderGone(g), in.memberLeaving(g)
+	switch {
+	case lost.reason != "":
+	case gone != "":
+		r.reason, r.graceful = gone, in.Now+leavingGrace
+	case leaving != "" && (!g.Retiring || g.Unconfirmed) && in.keepsServing(d, g):
+		return nil
+	case leaving != "":
+		r.reason, r.graceful = leaving, in.leavingSince(g)+leavingGrace
+	case g.Retiring && !g.Unconfirmed:
+		r.reason = g.Reason
+	case g.Unconfirmed && in.silentMember(g).Target != "":
+		r.reason, r.silent, r.unconfirmed = g.Reason, in.silentMember(g), true
+	default:
+		return nil
+	}
+	if g.Retiring && in.anyFollowerLeft(g) {
+		// The previous planner ordered the members to leave right after it had written the plan.
+		r.since = min(r.since, in.Now-in.retiringFor(g)+takeOverMargin)
+		r.left = r.since
+	}
+	r.ending = r.since
+	return r
+}
+
 // takeOverMargin is how long after writing a plan the previous planner may have ordered the members to leave.
 const takeOverMargin = time.Second
 
@@ -115,39 +139,38 @@
 	return in.Plans[in.domainOf(g)].RetiringFor[groupKey(g)]
 }
 
-// memberLost returns why a group cannot run, or "". A member without a record is not lost while it answers.
-func (in *Input) memberLost(g rudderroster.Group) string {
+// memberLost returns why a group cannot run. A member without a record is not lost while it answers.
+func (in *Input) memberLost(g rudderroster.Group) loss {
 	all, leaderOpen := true, false
+	var dead loss
 	for rank, m := range g.Members {
 		t := in.member(m)
 		switch {
 		case t == nil && in.Targets[m.Target] != nil:
-			return "member " + m.Target + " restarted"
+			return loss{reason: "member " + m.Target + " restarted"}
 		case t == nil && in.WithinStartupGrace:
 			all = false
 			continue
 		case t == nil:
-			return "member " + m.Target + " is gone"
+			return loss{reason: "member " + m.Target + " is gone"}
 		case in.Dead(t) && !in.departed(t):
-			return "member " + m.Target + " does not answer"
+			dead.add(m, !in.Lost(t))
 		}
 		member := inGroup(t, g)
 		all = all && member
 		if rank == 0 && member {
 			leaderOpen = t.Membership.Phase == ruddertarget.GroupOpen || t.Membership.Phase == ruddertarget.GroupClosing
 			if t.Membership.Phase == ruddertarget.GroupBroken {
-				return "leader reports a broken group"
+				return loss{reason: "leader reports a broken group"}
 			}
 		}
 	}
 	if all {
 		in.State.complete[groupKey(g)] = true
-		return ""
+	} else if leaderOpen || in.State.complete[groupKey(g)] {
+		return loss{reason: "a member is no longer in the group"}
 	}
-	if leaderOpen || in.State.complete[groupKey(g)] {
-		return "a member is no longer in the group"
-	}
-	return ""
+	return dead
 }
 
 // leaderGone returns a reason if the leader's record has been missing for leaderRecordTimeout, or "". Entry
--- a/rudderd/rudderroster/plan.go
+++ b/rudderd/rudderroster/plan.go
@@ -23,6 +23,9 @@
 	// Retiring groups get no new requests. Their members are free once the leader has ended the group.
 	Retiring bool   `json:"retiring,omitempty"`
 	Reason   string `json:"reason,omitempty"`
+	// Unconfirmed is set with Retiring while the group may still serve: its leader does not answer, but that has not been
+	// confirmed. Its running requests go on.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
 // Names returns the names of the members in rank order.
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -96,7 +96,7 @@
 		return true
 	}
 	return slices.ContainsFunc(record.Plan.Groups, func(p rudderroster.Group) bool {
-		return !p.Retiring && p.Name == g.Leader.Membership.Group && p.Epoch == g.Leader.Membership.Epoch
+		return (!p.Retiring || p.Unconfirmed) && p.Name == g.Leader.Membership.Group && p.Epoch == g.Leader.Membership.Epoch
 	})
 }
 
