Let the last attempt of a stream outlive a verdict that is not confirmed

A caller's stream that could not be sent elsewhere ended early although its target went on 0.2 s later, and streams at that target ended after 0.22 s of silence for 8 s afterwards.

The watchdog cancelled a send as soon as the planner had found a member dead, with or without another attempt. The finding was kept for 8 s as the result of all later probes of the group, although events had arrived since, and new requests avoided the group as long.

Now a send is cancelled then if another one is possible, as for a silent member, and else if a probe 0.4 s later finds the member dead too. The finding is kept for 0.4 s like any other, and an event of the group ends the backoff.

TestLastAttemptOutlivesAVerdict failed before: 1 of 3 events arrived. The stream of a lost target ends within 3 s in it.

--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -23,7 +23,7 @@
 	// before. It lasts until the next probe has ended.
 	silentBackoff = time.Second
 	// brokenBackoff is how long new requests avoid the leader of a broken group, until the view shows the
-	// group as ended.
+	// group as ended, or the group sends something.
 	brokenBackoff = 8 * time.Second
 )
 
@@ -86,7 +86,7 @@
 	groupAlive groupHealth = iota // or not known
 	// groupSilent means that a member does not respond.
 	groupSilent
-	// groupBroken means that a member is dead.
+	// groupBroken means that a member is dead. The planner may still hear from it before it ends the group.
 	groupBroken
 )
 
@@ -98,11 +98,7 @@
 
 // valid reports whether a probe is running or its result still holds.
 func (p *groupProbe) valid(now time.Duration) bool {
-	ttl := verdictTTL
-	if p.health == groupBroken {
-		ttl = brokenBackoff
-	}
-	return p.endedAt == 0 || now-p.endedAt < ttl
+	return p.endedAt == 0 || now-p.endedAt < verdictTTL
 }
 
 // ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
@@ -178,7 +174,7 @@
 		Bool("by_planner", byPlanner).Msg("probed unresponsive group")
 	switch health {
 	case groupBroken:
-		f.loads.avoid(g.Leader.Name, f.Uptime()+brokenBackoff, f.Uptime())
+		f.loads.silent(g.Leader.Name, f.Uptime()+brokenBackoff, f.Uptime())
 	case groupSilent:
 		f.loads.foundSilent(g.Leader.Name, f.Uptime()+silentBackoff, f.Uptime())
 	case groupAlive:
--- a/rudderd/rudderforward/silence_test.go
+++ b/rudderd/rudderforward/silence_test.go
@@ -149,3 +149,47 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode, body)
 }
+
+// A stream has no attempt left, and its target is found dead before it goes on. Guards against cutting the response then, or at the next
+// silence because of the earlier finding, and against a stream that waits for a lost target.
+func TestLastAttemptOutlivesAVerdict(t *testing.T) {
+	const verdict = 1370 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		silence time.Duration
+		events  []string
+	}{
+		{"goes on", verdict + 200*time.Millisecond, []string{"1", "2", "3"}},
+		{"lost", time.Hour, []string{"1"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/s/", func(r *rudderroute.Route) {
+				streamRoute(true)(r)
+				r.MaxAttempts, r.Timeout = 1, 10*time.Second
+			})
+			b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+				events(w, 0, 1, 0)
+				select {
+				case <-r.Context().Done():
+					return
+				case <-time.After(test.silence):
+				}
+				events(w, 1, 2, 0)
+				time.Sleep(2 * eventSilence)
+				_, _ = fmt.Fprint(w, "id: 3\ndata: e3\n\n")
+			})
+			b.start()
+			b.forwarder.ExamineGroup = func(_ context.Context, _ *rudderview.Group, silence time.Duration) (GroupFinding, bool) {
+				if silence >= verdict {
+					return GroupFinding{Dead: []string{"t"}}, true
+				}
+				return GroupFinding{Silent: []string{"t"}}, true
+			}
+			begin := time.Now()
+			_, body, _ := b.send("POST", "/s/x", "prompt")
+			require.Equal(t, test.events, eventIDs(body))
+			require.Less(t, time.Since(begin), 3*time.Second)
+		})
+	}
+}
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -58,6 +58,7 @@
 	timer     *time.Timer
 	lastEvent time.Duration // uptime of the last event, or of the start
 	due       time.Duration // uptime at which the timer should fire
+	brokenAt  time.Duration // uptime at which the group was first found broken during the silence; 0 before
 	events    bool
 	ended     bool
 }
@@ -96,7 +97,7 @@
 func (w *watchdog) event() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastEvent, w.events = w.forwarder.Uptime(), true
+	w.lastEvent, w.events, w.brokenAt = w.forwarder.Uptime(), true, 0
 	if !w.ended {
 		w.schedule(eventSilence)
 	}
@@ -117,9 +118,9 @@
 	w.timer.Stop()
 }
 
-// check probes the members of a silent group. It cancels the send if one is dead. A silent target may recover: a send that has not
-// begun and whose group has a member that does not respond, and one whose silence has reached its limit, are cancelled only if
-// another send is possible.
+// check probes the members of a silent group. It cancels the send if one is dead; without another possible send, if that is still so at the
+// next check. A silent target may recover: a send that has not begun and whose group has a member that does not respond, and one whose
+// silence has reached its limit, are cancelled only if another send is possible.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	begin, events := w.lastEvent, w.events
@@ -148,17 +149,23 @@
 	if w.ended || w.lastEvent != begin {
 		return // an event arrived meanwhile and restarted the timer
 	}
-	silence := w.forwarder.Uptime() - begin
+	w.decide(health, noPath, w.forwarder.Uptime()-begin)
+}
+
+// decide cancels a send that has been silent for some time, or schedules the next check. The caller holds the lock.
+func (w *watchdog) decide(health groupHealth, noPath bool, silence time.Duration) {
 	limit := firstEventLimit
-	if events {
+	if w.events {
 		limit = w.limit
 	}
 	switch {
-	case health == groupBroken:
+	case health == groupBroken && (w.confirmsBroken() || w.hang.takeNext(true)):
 		w.cancel(errGroupBroken)
+	case health == groupBroken:
+		w.schedule(verdictTTL)
 	case noPath && w.hang.takeNext(false):
 		w.cancel(errPathLost)
-	case health == groupSilent && !events && w.hang.takeNext(true):
+	case health == groupSilent && !w.events && w.hang.takeNext(true):
 		w.cancel(errUnresponsive)
 	case silence >= limit && w.hang.takeNext(health == groupSilent): // if the group is alive, the connection may have failed
 		w.cancel(errUnresponsive)
@@ -169,6 +176,16 @@
 	}
 }
 
+// confirmsBroken records that the group was found broken and reports whether an earlier probe has found that too. The caller holds the
+// lock.
+func (w *watchdog) confirmsBroken() bool {
+	now := w.forwarder.Uptime()
+	if w.brokenAt == 0 {
+		w.brokenAt = now
+	}
+	return now-w.brokenAt >= verdictTTL
+}
+
 // pathLost reports whether a silent stream should be resumed through another entry host, because this one no longer reaches
 // the target and another one does.
 func (w *watchdog) pathLost() bool {
