Read what has arrived before an engine that ended is given up

Chat API: an answer whose last token had arrived was begun again at another engine (two runs where one is expected), and one that was cut lost the tokens that had arrived, so that they were made twice.

The runner probes an engine after a silence. A probe that is refused, or that names no such attempt, ended the attempt at once, whatever the connection had delivered: an engine that sends its last token, or a host that reads it, while the probe is under way looks like one that is silent. The runner now reads for 50 ms what has arrived and completes the answer if the last token is among it. The connection of an engine that has ended breaks at once, so that its requests are resumed without a wait; a connection that is silent too costs 50 ms.

--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -82,6 +82,9 @@
 			silence.probe(ctx)
 		case r := <-silence.results:
 			if err := silence.judge(r); err != nil {
+				if s.readArrived(ctx, events) {
+					return nil
+				}
 				return err
 			}
 		case <-ctx.Done():
@@ -90,6 +93,27 @@
 	}
 }
 
+// readArrived reads what has arrived of a stream whose engine has failed, and reports whether that completes the answer.
+func (s *run) readArrived(ctx context.Context, events <-chan readResult) bool {
+	timer := s.Clock.NewTimer(arrivedTime)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-events:
+			if complete, err := s.handleRead(r); complete || err != nil {
+				return complete
+			}
+		case <-timer.Chan():
+			if s.pendingResult != nil {
+				s.completeAnswer(0)
+			}
+			return s.pendingResult != nil
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // handleRead processes one event or error. It returns true when the answer is complete: after the usage, or
 // without it if reading fails after the last token.
 func (s *run) handleRead(r readResult) (complete bool, err error) {
--- a/rudderd/rudderstream/silence.go
+++ b/rudderd/rudderstream/silence.go
@@ -18,6 +18,8 @@
 	probePause = 50 * time.Millisecond
 	// deliveryTime is the least time that a connection gets to deliver tokens that the engine has already produced.
 	deliveryTime = 250 * time.Millisecond
+	// arrivedTime bounds the reading of what has arrived before an engine failed.
+	arrivedTime = 50 * time.Millisecond
 )
 
 var (
