Test the retry budget while registrations lapse

All registrations of entry hosts lapse at once in an outage of the key-value service. Each host then knew only itself and took the whole part of the budget that does not depend on the requests: 270 retries of six hosts before the hosts of the whole window counted, 157 allowed.

--- a/rudderd/rudderforward/parts_test.go
+++ b/rudderd/rudderforward/parts_test.go
@@ -91,6 +91,27 @@
 	require.True(t, b.takeRetry("s", time.Minute, limits, 2))
 }
 
+// Guards against retries beyond the budget of the fleet when all registrations of entry hosts lapse at once, so that each host knows
+// only itself.
+func TestRetryBudgetWhileRegistrationsLapse(t *testing.T) {
+	const hosts = 6
+	limits := RetryLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}
+	taken, sent := 0, 0
+	for range hosts {
+		var b retryBudget
+		b.countRequest("s", time.Second, limits, hosts)
+		sent++
+		for at := 2 * time.Second; at < 10*time.Second; at += 100 * time.Millisecond {
+			b.countRequest("s", at, limits, 1)
+			sent++
+			if b.takeRetry("s", at, limits, 1) {
+				taken++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(taken), limits.Ratio*float64(sent)+limits.Extra)
+}
+
 // Guards against more retries than the budget when most entry hosts leave after they have spent theirs: the rest would divide it anew.
 func TestRetryBudgetOfHostsThatLeave(t *testing.T) {
 	const hosts, stay = 18, 2
