--- a/rudderd/rudderforward/frozen_test.go
+++ b/rudderd/rudderforward/frozen_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -136,7 +137,7 @@
 }
 
 // sendAs sends a request with an ID and returns the status of its response, or 0 without one.
-func (b *testbed) sendAs(ctx context.Context, client *http.Client, id, target, body string) int {
+func (b *testbed) sendAs(ctx context.Context, client *http.Client, id, target, body string, extra http.Header) int {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+target, strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -144,6 +145,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", "key")
+	maps.Copy(r.Header, extra)
 	response, err := client.Do(r)
 	if err != nil {
 		return 0
@@ -165,14 +167,16 @@
 		bodySize int
 		header   int
 		relays   bool // another entry host is asked, which does not answer
+		extra    http.Header
 	}{
-		{"new connections", 1000, 0, 10, 0, false},
-		{"kept connections", 1000, 40, 10, 0, false},
-		{"no body", 1000, 20, 0, 0, false},
-		{"head above the buffer", 1000, 20, 0, 30 << 10, false},
-		{"body above the socket's buffers", 1000, 10, 6 << 20, 0, false},
-		{"few connections are accepted", 4, 4, 10, 0, false},
-		{"few connections are accepted, relaying", 4, 4, 10, 0, true},
+		{"new connections", 1000, 0, 10, 0, false, nil},
+		{"kept connections", 1000, 40, 10, 0, false, nil},
+		{"no body", 1000, 20, 0, 0, false, nil},
+		{"head above the buffer", 1000, 20, 0, 30 << 10, false, nil},
+		{"body above the socket's buffers", 1000, 10, 6 << 20, 0, false, nil},
+		{"expected continue", 1000, 20, 10, 0, false, http.Header{"Expect": {"100-continue"}}},
+		{"few connections are accepted", 4, 4, 10, 0, false, nil},
+		{"few connections are accepted, relaying", 4, 4, 10, 0, true, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -202,7 +206,7 @@
 			body := strings.Repeat("b", test.bodySize)
 			var warm sync.WaitGroup
 			for i := range test.kept {
-				warm.Go(func() { b.sendAs(t.Context(), client, fmt.Sprint("warm", i), "/p/x", "") })
+				warm.Go(func() { b.sendAs(t.Context(), client, fmt.Sprint("warm", i), "/p/x", "", nil) })
 			}
 			warm.Wait()
 			for _, p := range targets {
@@ -223,7 +227,7 @@
 					if i%2 == 0 {
 						path = "/s/x"
 					}
-					got := b.sendAs(ctx, client, id, path, body)
+					got := b.sendAs(ctx, client, id, path, body, test.extra)
 					mu.Lock()
 					defer mu.Unlock()
 					status[id] = got
@@ -294,7 +298,7 @@
 			}
 			for i := range 8 { // of each host, so that it knows the usual time to a response
 				for _, b := range beds {
-					require.Equal(t, 200, b.sendAs(t.Context(), http.DefaultClient, fmt.Sprint("warm", i), []string{"/p/x", "/s/x"}[i%2], ""))
+					require.Equal(t, 200, b.sendAs(t.Context(), http.DefaultClient, fmt.Sprint("warm", i), []string{"/p/x", "/s/x"}[i%2], "", nil))
 				}
 			}
 			for _, p := range targets {
@@ -304,7 +308,7 @@
 			for h, b := range beds {
 				for i := range perHost {
 					sending.Go(func() {
-						b.sendAs(t.Context(), http.DefaultClient, fmt.Sprint("q", h, "-", i), []string{"/p/x", "/s/x"}[i%2], "body")
+						b.sendAs(t.Context(), http.DefaultClient, fmt.Sprint("q", h, "-", i), []string{"/p/x", "/s/x"}[i%2], "body", nil)
 					})
 				}
 			}
