Confirm the death of a silent target without the planner too

An entry host that could not ask the planner reported a sound target as dead: all hosts ended its streams and hid its group for 6 s.

Detector.Confirm took one failed probe from 1.1 s after the last response as proof, and probeMembers counted the whole silence of a group as that of each member, although the group may have waited for another one.

Confirm now probes once more, and a member's silence before the first probe counts for 0.22 s at most, the time after which a running stream is probed. TestConfirmOfSilentTarget failed before in 3 of 4 cases (silent for 1.2 s, 1.3 s, and 0.4 s); a lost target is found within 1.5 s in it.

--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -199,8 +199,10 @@
 	return groupAlive
 }
 
-// probeMembers probes all members of a group that has been silent for some time and returns the names of the dead and slow ones.
+// probeMembers probes all members of a group that has been silent for some time and returns the names of the dead and slow ones. Of a
+// longer silence of the group, only the time up to the first probe counts as that of each member: it may wait for another one.
 func (f *Forwarder) probeMembers(g *rudderview.Group, silence time.Duration) (dead, slow []string) {
+	silence = min(silence, eventSilence)
 	type result struct{ alive, slow bool }
 	results := make([]result, len(g.Members))
 	var waiting sync.WaitGroup
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -139,17 +139,17 @@
 }
 
 // Confirm probes a target that has been silent for some time and reports whether it is alive. It takes until the target answers,
-// has ended, or has been silent for long enough.
+// has ended, or has been silent for long enough and another probe confirms that.
 func (d *Detector) Confirm(ctx context.Context, t *rudderview.Target, silence time.Duration) (report ruddertarget.GroupReport, alive bool) {
 	since := d.Uptime() - silence
-	suspected := silence >= ruddertarget.MinSilence
+	suspected, decided := silence >= ruddertarget.MinSilence, false
 	for {
 		decides := d.Uptime()-since >= ruddertarget.MinSilence
 		found := d.Examine(ctx, t, suspected)
-		if found.Alive || found.Ended() || decides {
+		if found.Alive || found.Ended() || decided {
 			return found.Report, found.Alive
 		}
-		suspected = true
+		suspected, decided = true, decides
 		timer := time.NewTimer(since + ruddertarget.MinSilence - d.Uptime())
 		select {
 		case <-ctx.Done():
--- a/rudderd/rudderverdict/silence_test.go
+++ b/rudderd/rudderverdict/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -55,6 +56,41 @@
 	}
 }
 
+// Guards against a sound target that is found dead, by an entry host without the planner, because it was silent for a second or so.
+func TestConfirmOfSilentTarget(t *testing.T) {
+	const probeTime = 250 * time.Millisecond
+	for _, test := range []struct {
+		name             string
+		silence, answers time.Duration // answers: from when on the target answers
+		alive            bool
+	}{
+		{"events seldom", 250 * time.Millisecond, 1200 * time.Millisecond, true},
+		{"more than a second", 220 * time.Millisecond, 1300 * time.Millisecond, true},
+		{"for long", ruddertarget.MinSilence, 400 * time.Millisecond, true},
+		{"lost", 220 * time.Millisecond, time.Hour, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, _ := newDetector(dead, true)
+				begin := time.Now()
+				d.Uptime = func() time.Duration { return time.Since(begin) + time.Minute }
+				d.Probe = func(_ context.Context, _ *rudderview.Target, failed func()) (ruddertarget.GroupReport, bool) {
+					failed()
+					time.Sleep(min(probeTime, max(0, test.answers-time.Since(begin))))
+					if time.Since(begin) < test.answers {
+						return ruddertarget.GroupReport{}, false
+					}
+					return ruddertarget.GroupReport{Orders: 5, Born: 1}, true
+				}
+				d.Connect = func(context.Context, string) error { return nil }
+				_, alive := d.Confirm(t.Context(), d.Snapshot().Targets["t0"], test.silence)
+				require.Equal(t, test.alive, alive)
+				require.Less(t, time.Since(begin), 1500*time.Millisecond)
+			})
+		})
+	}
+}
+
 // Guards against a path that counts as lost although no other entry host reaches the target either.
 func TestReachedElsewhere(t *testing.T) {
 	for _, test := range []struct {
