Take the time that is left when a connection is ready, not before

Targets worked on requests for longer than their callers waited. The time that is left was written into the request before the connection was opened, and once for all entry hosts that were asked to relay it.

The time is now set when the connection is there, right before the request is written, by the host that writes it; a relayed request carries what is left when each host is asked. TestTimeLeftIsThatAfterTheConnect: 1.999 s of 2 s before, after a connect of 0.4 s. TestTimeLeftIsThatAfterOtherPeers: the second host got 60 s instead of 59.

--- a/rudderd/rudderedge/path_test.go
+++ b/rudderd/rudderedge/path_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -158,6 +159,7 @@
 			return rudderforward.Request{ID: r.Header.Get("Id"), Header: r.Header.Clone()}, nil
 		},
 		EncodeAttempt: func(h http.Header, a rudderforward.Attempt) { h.Set("Target", a.Target) },
+		SetRemaining:  func(h http.Header, d time.Duration) { h.Set("Remaining", strconv.FormatInt(d.Milliseconds(), 10)) },
 		DecodeReply: func(r *http.Response) rudderforward.Reply {
 			return rudderforward.Reply{RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != ""}
 		},
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -108,6 +108,7 @@
 			return rudderforward.Request{ID: r.Header.Get("Id"), AnswerTokens: tokens, Header: r.Header.Clone()}, nil
 		},
 		EncodeAttempt: func(http.Header, rudderforward.Attempt) {},
+		SetRemaining:  func(http.Header, time.Duration) {},
 		DecodeReply: func(r *http.Response) rudderforward.Reply {
 			return rudderforward.Reply{RequestID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != ""}
 		},
--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -127,6 +127,7 @@
 			return rudderforward.Request{ID: "q", Model: strings.TrimPrefix(r.URL.Path, "/"), Header: r.Header.Clone()}, nil
 		},
 		EncodeAttempt: func(http.Header, rudderforward.Attempt) {},
+		SetRemaining:  func(http.Header, time.Duration) {},
 		DecodeReply:   func(*http.Response) rudderforward.Reply { return rudderforward.Reply{RequestID: "q", Sealed: true} },
 		SetRetryAfter: func(http.Header, time.Duration) {},
 	}
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -70,10 +71,12 @@
 		return nil, errors.Mark(errors.WithStack(rudderpath.ErrNoPeer), ErrNotSent)
 	}
 	defer func() { _ = j.memory.Resize(size) }()
+	remaining := j.remaining(f.Uptime())
+	f.Protocol.SetRemaining(x.header, remaining)
 	answer := &reply{}
 	var err error
 	answer.response, err = f.Relay.Send(ctx, rudderpath.Request{ //nolint:bodyclose // whoever gets the reply closes it
-		Target: t.Name, Born: t.Born, Service: t.Service, ID: j.request.ID, Remaining: j.remaining(f.Uptime()), Repeatable: !x.last,
+		Target: t.Name, Born: t.Born, Service: t.Service, ID: j.request.ID, Remaining: remaining, Repeatable: !x.last,
 		Method: j.method, RequestTarget: j.target, Host: j.host, Header: x.header, Body: j.body,
 	})
 	switch {
@@ -99,6 +102,7 @@
 type attempt struct {
 	forwarder *Forwarder
 	exchange  *exchange
+	header    http.Header // of the request
 	cancel    context.CancelCauseFunc
 	wrote     atomic.Bool
 	used      atomic.Pointer[sendConn]
@@ -166,6 +170,7 @@
 				return
 			}
 			a.used.Store(newSendConn(info.Conn, info.Reused))
+			a.forwarder.Protocol.SetRemaining(a.header, a.exchange.job.remaining(a.forwarder.Uptime())) // less than before the connect
 			if !info.Reused {
 				a.forwarder.Metrics.Count("targets.connections")
 				if began := a.dialledAt.Load(); began > 0 {
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -76,7 +76,9 @@
 type Protocol struct {
 	DecodeRequest func(r *http.Request) (Request, error)
 	EncodeAttempt func(h http.Header, a Attempt)
-	DecodeReply   func(r *http.Response) Reply
+	// SetRemaining replaces the time that is left in the header of an attempt.
+	SetRemaining func(h http.Header, d time.Duration)
+	DecodeReply  func(r *http.Response) Reply
 	// SetRetryAfter sets the time after which the caller should retry.
 	SetRetryAfter func(h http.Header, d time.Duration)
 }
--- a/rudderd/rudderforward/refusal_test.go
+++ b/rudderd/rudderforward/refusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,3 +133,26 @@
 		})
 	}
 }
+
+// Guards against targets that work for longer than the caller waits, because the time left was taken before a slow connect.
+func TestTimeLeftIsThatAfterTheConnect(t *testing.T) {
+	const limit, connect = 2 * time.Second, 400 * time.Millisecond
+	b := newTestbed(t)
+	b.route("/p/", func(r *rudderroute.Route) { r.Timeout = limit })
+	remaining := make(chan string, 1)
+	b.target("plain", func(w http.ResponseWriter, r *http.Request) {
+		remaining <- r.Header.Get("Remaining")
+		sealed(w)
+	})
+	b.start()
+	b.forwarder.Client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(connect)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	response, _, _ := b.send("POST", "/p/x", "body")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	left, err := strconv.Atoi(<-remaining)
+	require.NoError(t, err)
+	require.LessOrEqual(t, time.Duration(left)*time.Millisecond, limit-connect)
+	require.Greater(t, time.Duration(left)*time.Millisecond, limit/2)
+}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -107,7 +107,9 @@
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
 	answer := &reply{}
 	var err error
-	answer.response, err = f.Responses.Do(f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x), f.Client.Do) //nolint:bodyclose // whoever gets the reply closes it
+	request := f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x)
+	attempt.header = request.Header
+	answer.response, err = f.Responses.Do(request, f.Client.Do) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
 	if err != nil {
 		defer cancel(nil)
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -208,9 +208,11 @@
 			},
 			EncodeAttempt: func(h http.Header, a Attempt) {
 				h.Set("Target", a.Target)
+				h.Set("Remaining", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
 				h.Set("Workspace", a.Workspace)
 				h.Set("Last", a.LastEvent)
 			},
+			SetRemaining: func(h http.Header, d time.Duration) { h.Set("Remaining", strconv.FormatInt(d.Milliseconds(), 10)) },
 			DecodeReply: func(r *http.Response) Reply {
 				seconds, _ := strconv.ParseFloat(r.Header.Get("Pause"), 64)
 				reply := Reply{
--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -78,16 +78,20 @@
 
 // Send sends a request through other entry hosts and returns the response once its headers have arrived.
 func (r *Relay) Send(ctx context.Context, q Request) (*http.Response, error) {
-	message, err := q.Encode()
-	if err != nil {
-		return nil, errors.Mark(err, ErrNoPeer)
-	}
 	tried := map[string]bool{}
+	limit, began := q.Remaining, r.Uptime()
 	for range maxPeers {
 		peer, found := r.choose(q.Service, tried)
 		if !found || ctx.Err() != nil {
 			break
 		}
+		if limit > 0 {
+			q.Remaining = max(limit-(r.Uptime()-began), time.Millisecond)
+		}
+		message, err := q.Encode()
+		if err != nil {
+			return nil, errors.Mark(err, ErrNoPeer)
+		}
 		response, err := r.sendThrough(ctx, peer, q.Service, message)
 		if err == nil || !errors.Is(err, ErrNoPeer) {
 			return response, err
--- a/rudderd/rudderpath/relay_test.go
+++ b/rudderd/rudderpath/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,31 @@
 		})
 	}
 }
+
+// Guards against requests that run for longer than their callers wait, because entry hosts that did not answer took a part of the time.
+func TestTimeLeftIsThatAfterOtherPeers(t *testing.T) {
+	const limit = time.Minute
+	now, left := time.Second, []time.Duration{}
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q, err := DecodeRequest(r.Body)
+		if err == nil {
+			left = append(left, q.Remaining)
+		}
+		now += time.Second // of the asking host
+		Refuse(w, OutcomeBusy)
+	}))
+	defer peer.Close()
+	address := peer.Listener.Addr().String()
+	relay := &Relay{Uptime: func() time.Duration { return now }, Transport: &http.Transport{}, Peers: func() []Peer {
+		return []Peer{{Name: "a", Address: address}, {Name: "b", Address: "localhost" + address[strings.LastIndex(address, ":"):]}}
+	}}
+	for _, test := range []struct {
+		limit time.Duration
+		want  []time.Duration
+	}{{limit, []time.Duration{limit, limit - time.Second}}, {0, []time.Duration{0, 0}}} {
+		left = left[:0]
+		_, err := relay.Send(t.Context(), Request{Target: "t", Method: http.MethodPost, RequestTarget: "/", Remaining: test.limit}) //nolint:bodyclose // there is none
+		require.ErrorIs(t, err, ErrNoPeer)
+		require.Equal(t, test.want, left)
+	}
+}
