Read the heads of responses to cancelled sends

Callers saw nothing, but targets did: one that was silent for about a second and then refused what it found, with 503 and a time after which it wants requests again, got more requests within that time.

The send that the target refused had been cancelled, because the request had moved, its time was over or its caller had left. That closed the connection, and the refusal was lost with the pause, the limit and the leave that it told.

A cancelled send that was written now ends the sending side of its connection and reads on for the head of the response, in a context of its own, for as long as the target may take: its deadline and the longest silence of a sound one. The target sees the end of the connection as before and drops the request; a head closes the connection. At most 512 are awaited, and they take memory from the budget of bodies.

--- a/rudderd/rudderforward/cuthead_test.go
+++ b/rudderd/rudderforward/cuthead_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// relayThrough makes a forwarder send its requests to two targets through another one.
-func (b *testbed) relayThrough(t *testing.T, targets []rudderpath.Target) {
+// relayThrough makes a forwarder send its requests to targets through another one, which it returns.
+func (b *testbed) relayThrough(t *testing.T, targets []rudderpath.Target) *Forwarder {
 	f := b.forwarder
 	other := &Forwarder{
 		View: f.View, Protocol: f.Protocol, Client: f.Client, Logger: f.Logger, Uptime: f.Uptime, Metrics: f.Metrics, Limits: f.Limits, Path: f.Path,
@@ -74,6 +74,7 @@
 	for _, x := range targets {
 		f.Path.Failed(x)
 	}
+	return other
 }
 
 const answerLines = "Seal: s\r\nId: q1\r\nContent-Type: text/event-stream\r\n"
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -94,6 +94,7 @@
 	endChecks       endChecks
 	inFlight        atomic.Int64
 	relaying        atomic.Int64 // requests of other entry hosts
+	lateResponses   atomic.Int64 // cancelled sends whose responses are awaited
 	receivedRequest atomic.Bool
 	lastArrival     atomic.Int64 // uptime of the last request in nanoseconds
 	closed          atomic.Bool
--- /dev/null
+++ b/rudderd/rudderforward/late_test.go
@@ -0,0 +1,217 @@
+package rudderforward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
+)
+
+// lateTarget reads no request until it wakes. Then it refuses those that it finds, asks for a pause and announces that it leaves.
+type lateTarget struct {
+	wakes time.Time
+	pause time.Duration
+	mu    sync.Mutex
+	found []time.Time // arrivals of requests
+}
+
+func (a *lateTarget) serve(w net.Conn, r *http.Request, _, _ int) {
+	a.mu.Lock()
+	a.found = append(a.found, time.Now())
+	a.mu.Unlock()
+	time.Sleep(time.Until(a.wakes))
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nPause: %.3f\r\nLimit: 1.5\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"), a.pause.Seconds())
+}
+
+func (a *lateTarget) arrivals() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.found)
+}
+
+// A target is silent for 1.2 s, and the sends that waited for it are cancelled meanwhile. Guards against losing what its refusals say
+// when it wakes, so that requests reach it within a pause that it has asked for.
+func TestRefusalOfCancelledSend(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		route func(r *rudderroute.Route)
+		start func(b *testbed)
+		leave time.Duration // after which the caller leaves; 0 if it stays
+	}{
+		{"call hangs", func(r *rudderroute.Route) { r.Timeout = 1500 * time.Millisecond }, func(*testbed) {}, 0},
+		{"time limit", func(r *rudderroute.Route) { r.MaxAttempts, r.Timeout = 1, 600*time.Millisecond }, func(*testbed) {}, 0},
+		{"caller leaves", func(r *rudderroute.Route) { r.MaxAttempts = 1 }, func(*testbed) {}, 400 * time.Millisecond},
+		{"path is lost", func(*rudderroute.Route) {}, func(b *testbed) {
+			woken := time.Now().Add(1200 * time.Millisecond)
+			b.forwarder.Path.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if time.Now().Before(woken) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return b.dial(ctx, network, address)
+			}
+			b.forwarder.Relay.Transport = &http.Transport{DialContext: b.dial}
+			b.forwarder.Relay.Peers = func() []rudderpath.Peer { return []rudderpath.Peer{{Name: "e1", Address: "127.0.0.1:9999"}} }
+		}, 0},
+		{"member of its group is silent", streamRoute(true), func(b *testbed) {
+			b.forwarder.ExamineGroup = func(context.Context, *rudderview.Group, time.Duration) (GroupFinding, bool) {
+				return GroupFinding{Silent: []string{"t"}}, true
+			}
+		}, 0},
+		{"member of its group is dead", streamRoute(true), func(b *testbed) {
+			b.forwarder.ExamineGroup = func(context.Context, *rudderview.Group, time.Duration) (GroupFinding, bool) {
+				return GroupFinding{Dead: []string{"t"}}, true
+			}
+		}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBubbleTestbed(t)
+				b.route("/p/", test.route)
+				service := b.document.Routes[0].Shares[0].Service
+				late := &lateTarget{wakes: time.Now().Add(1200 * time.Millisecond), pause: 20 * time.Second}
+				b.rawTarget(service, late.serve)
+				b.target(service, func(w http.ResponseWriter, r *http.Request) { events(w, 0, 2, 0) })
+				b.start()
+				test.start(b)
+				for late.arrivals() == 0 {
+					b.sendUntil(test.leave)
+				}
+				time.Sleep(time.Until(late.wakes) + 100*time.Millisecond)
+				found := late.arrivals()
+				require.Positive(t, b.forwarder.pauses.left(b.forwarder.View.Snapshot().Targets["t1"], b.forwarder.Uptime()), "the pause is known")
+				for range 40 {
+					b.sendUntil(0)
+					time.Sleep(50 * time.Millisecond)
+				}
+				require.Equal(t, found, late.arrivals(), "no request reaches the target within its pause")
+				require.Zero(t, b.forwarder.lateResponses.Load())
+			})
+		})
+	}
+}
+
+// sendUntil sends a request whose caller leaves after a time; 0 if it stays.
+func (b *testbed) sendUntil(leave time.Duration) {
+	ctx := context.Background()
+	if leave > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, leave)
+		defer cancel()
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/p/x", strings.NewReader("body"))
+	require.NoError(b.t, err)
+	r.Host, r.Header = "h", http.Header{"Id": {"q1"}, "Key": {"key"}}
+	if response, err := b.client.Do(r); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
+// Another entry host relays a request to a silent target and is told to end it. Guards against losing the pause that the target asks
+// that host for when it wakes.
+func TestRefusalOfCancelledRelayedSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBubbleTestbed(t)
+		b.route("/p/", func(r *rudderroute.Route) { r.MaxAttempts, r.Timeout = 1, 600*time.Millisecond })
+		late := &lateTarget{wakes: time.Now().Add(1200 * time.Millisecond), pause: 20 * time.Second}
+		b.rawTarget("plain", late.serve)
+		b.start()
+		t1 := b.forwarder.View.Snapshot().Targets["t1"]
+		other := b.relayThrough(t, []rudderpath.Target{pathTarget(t1)})
+		b.sendUntil(0)
+		require.Equal(t, 1, late.arrivals())
+		time.Sleep(time.Until(late.wakes) + 100*time.Millisecond)
+		require.Positive(t, other.pauses.left(t1, other.Uptime()), "the entry host that sent the request knows the pause")
+	})
+}
+
+// Guards against a target that goes on with a request that nobody waits for: it sees its caller leave at once, and its connection is
+// closed when its response begins.
+func TestCancelledSendEndsAtItsTarget(t *testing.T) {
+	for _, begins := range []bool{false, true} {
+		t.Run(fmt.Sprint("response begins ", begins), func(t *testing.T) {
+			b := newTestbed(t)
+			b.route("/p/", func(r *rudderroute.Route) {
+				streamRoute(true)(r)
+				r.MaxAttempts = 1
+			})
+			ended := make(chan time.Duration, 1)
+			b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+				began := time.Now()
+				_, _ = io.Copy(io.Discard, r.Body) // a server looks for the end of its connection after the body
+				if !begins {
+					<-r.Context().Done()
+					ended <- time.Since(began)
+					return
+				}
+				time.Sleep(time.Second) // does not notice that its caller has left
+				sealed(w)
+				control := http.NewResponseController(w)
+				var err error
+				for i := 1; err == nil && i < 1000; i++ {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 1000))
+					err = control.Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+				ended <- time.Since(began)
+			})
+			b.start()
+			b.sendUntil(400 * time.Millisecond)
+			limit := 700 * time.Millisecond // the target sees its caller leave
+			if begins {
+				limit = 1400 * time.Millisecond // its connection is closed when the response begins
+			}
+			select {
+			case took := <-ended:
+				require.Less(t, took, limit)
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "the target still works on the request")
+			}
+		})
+	}
+}
+
+// Guards against late responses that are awaited without a bound on their number, their memory or their time.
+func TestLateResponsesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBubbleTestbed(t)
+		b.route("/p/", func(r *rudderroute.Route) { r.MaxAttempts, r.Timeout = 1, 600*time.Millisecond })
+		asleep, wake := context.WithCancel(t.Context())
+		defer wake()
+		for range maxLateResponses / 4 {
+			b.rawTarget("plain", func(net.Conn, *http.Request, int, int) { <-asleep.Done() })
+		}
+		b.start()
+		sendAll := func(n int) {
+			var callers sync.WaitGroup
+			for range n {
+				callers.Go(func() { b.sendUntil(0) })
+			}
+			callers.Wait()
+		}
+		sendAll(maxLateResponses + 20)
+		require.Equal(t, int64(maxLateResponses), b.forwarder.lateResponses.Load())
+		time.Sleep(targetSilence + time.Millisecond)
+		require.Zero(t, b.forwarder.lateResponses.Load(), "none is awaited after the time in which a sound target answers")
+		b.forwarder.Bodies = rudderbody.NewBudget(64 * lateResponseBytes)
+		sendAll(80)
+		require.Positive(t, b.forwarder.lateResponses.Load())
+		require.Less(t, b.forwarder.Bodies.Held(), int64(64*lateResponseBytes))
+		time.Sleep(targetSilence + time.Millisecond)
+		require.Zero(t, b.forwarder.Bodies.Held())
+	})
+}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"syscall"
@@ -107,7 +106,7 @@
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
 	answer := &reply{}
 	var err error
-	answer.response, err = f.Responses.Do(f.request(httptrace.WithClientTrace(ctx, attempt.trace()), x), f.Client.Do) //nolint:bodyclose // whoever gets the reply closes it
+	answer.response, err = f.roundTrip(ctx, x, attempt) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
 	if err != nil {
 		defer cancel(nil)
--- a/rudderd/ruddertestnet/conn.go
+++ b/rudderd/ruddertestnet/conn.go
@@ -91,7 +91,7 @@
 		switch space := bufferBytes - len(s.data); {
 		case s.deadline[writing].passed():
 			return n, os.ErrDeadlineExceeded
-		case s.broken:
+		case s.broken, s.ended:
 			return n, syscall.EPIPE
 		case space > 0:
 			more := p[n:min(n+space, len(p))]
@@ -155,6 +155,12 @@
 	return c.SetDeadline(time.Time{})
 }
 
+// CloseWrite ends what this end sends. It can still read.
+func (c *conn) CloseWrite() error {
+	c.out.update(func() { c.out.ended = true })
+	return nil
+}
+
 func (c *conn) reset() {
 	for _, s := range []*stream{c.in, c.out} {
 		s.update(func() { s.broken = true })
