--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -66,6 +67,11 @@
 		return false
 	}
 	connection.endRequests()
+	// The job goes on without this send.
+	late := &exchange{
+		job:   &job{request: Request{ID: x.job.request.ID}, refusedBy: maps.Clone(x.job.refusedBy)},
+		group: x.group, repeatable: x.repeatable, sentAt: x.sentAt,
+	}
 	// The target ends its work at the deadline of the request, and may be silent then.
 	left := max(x.job.begin+x.job.limit-f.Uptime(), 0) + targetSilence
 	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
@@ -75,7 +81,7 @@
 		defer end(nil)
 		defer timer.Stop()
 		if r := <-results; r.err == nil {
-			f.receiveLate(x, &reply{response: r.response, connection: connection})
+			f.receiveLate(late, &reply{response: r.response, connection: connection})
 		}
 	}()
 	return true
