Apply pauses to targets that have already been chosen

A target that answers 503 with a time after which it wants requests again got requests that had chosen it before, within that time: those that waited for a connection to it, for as long as a lost packet takes, and those that were to move to it from a slow group. Callers saw one more refusal and lost time.

The pause was looked at when a group was chosen, and not again. It is now checked again right before each send and once a new connection is set up, before a byte is written, so that such a send counts as not sent. A move chooses again, with the retry that it has taken. An entry host that relays declines the request then, instead of reporting the target as unreachable.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -37,7 +37,10 @@
 	}
 	if g := j.moveTo; g != nil {
 		j.moveTo = nil
-		return g, nil
+		if f.accepts(g) {
+			return g, nil
+		}
+		j.retryTaken = true
 	}
 	snapshot := f.View.Snapshot()
 	groups := snapshot.Groups(j.service, j.request.Model)
--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -215,3 +216,52 @@
 		require.Zero(t, b.forwarder.Bodies.Held())
 	})
 }
+
+// Requests have chosen a target, and wait for a connection to it, when it asks for a pause. Guards against sending them within the
+// pause.
+func TestPauseAppliesToChosenTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBubbleTestbed(t)
+		b.route("/p/", func(*rudderroute.Route) {})
+		var arrivals, dials atomic.Int32
+		b.rawTarget("plain", func(w net.Conn, _ *http.Request, _, _ int) {
+			arrivals.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(w, "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nPause: 5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		})
+		b.start()
+		b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				time.Sleep(900 * time.Millisecond) // as long as a lost packet takes
+			}
+			return b.dial(ctx, network, address)
+		})
+		var callers sync.WaitGroup
+		for range 3 {
+			callers.Go(func() { b.sendUntil(0) })
+			synctest.Wait()
+		}
+		callers.Wait()
+		require.Equal(t, int32(3), dials.Load())
+		require.Equal(t, int32(1), arrivals.Load())
+	})
+}
+
+// A stream is to go on in another group, whose leader asks for a pause. Guards against sending it there, and against taking a second
+// retry from the budget for the next choice.
+func TestPauseAppliesToMoves(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/p/", streamRoute(true))
+	for range 2 {
+		b.target("llm", func(w http.ResponseWriter, _ *http.Request) { events(w, 0, 1, 0) })
+	}
+	b.start()
+	f, snapshot := b.forwarder, b.forwarder.View.Snapshot()
+	groups := snapshot.Groups("llm", "m")
+	f.Retries = RetryLimits{Window: 10 * time.Second}
+	f.pauses.set(groups[0].Leader, f.Uptime()+time.Minute, f.Uptime())
+	j := &job{begin: f.Uptime(), limit: time.Minute, route: snapshot.Table.Match("h", "/p/x"), service: "llm", public: true, runs: 1, sends: 1, moveTo: groups[0]}
+	g, refused := f.nextGroup(t.Context(), j)
+	require.Nil(t, refused)
+	require.Equal(t, groups[1].ID, g.ID)
+}
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -172,6 +172,11 @@
 					a.forwarder.Path.ConnectTook(a.forwarder.Uptime() - time.Duration(began))
 				}
 				a.forwarder.Path.Connected(pathTarget(a.exchange.group.Leader))
+				if !a.forwarder.accepts(a.exchange.group) { // its set-up may have taken a second
+					a.cancel(errNotAccepting)
+					_ = info.Conn.Close()
+					return
+				}
 			}
 			a.schedule(answerSilence, a.checkAnswer)
 		},
--- a/rudderd/rudderforward/relayed.go
+++ b/rudderd/rudderforward/relayed.go
@@ -61,7 +61,10 @@
 	answer, err := f.sendDirect(ctx, x, true)
 	if err != nil {
 		outcome = rudderpath.OutcomeMayHaveRun
-		if errors.Is(err, ErrNotSent) {
+		switch {
+		case errors.Is(err, errNotAccepting):
+			outcome = rudderpath.OutcomeDeclined
+		case errors.Is(err, ErrNotSent):
 			outcome = f.unreachableOutcome(q.Service)
 		}
 		if ctx.Err() == nil && (notListening(err) || brokenByTarget(err)) {
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -37,6 +37,8 @@
 	errNoPath = errors.New("forward: no path to any target of the service")
 	// errClosedConnection reports a reused connection that was closed before a byte of the request was written.
 	errClosedConnection = errors.New("forward: reused connection was closed")
+	// errNotAccepting reports a target that has asked for a pause, or announced that it leaves, since it was chosen.
+	errNotAccepting = errors.New("forward: target takes no requests")
 	// errPoisoned cancels a send that has not begun, because the request would crash the target.
 	errPoisoned = errors.New("forward: a part of the prompt crashes targets")
 )
@@ -102,6 +104,9 @@
 }
 
 func (f *Forwarder) sendOnce(ctx context.Context, x *exchange, impatient bool) (*reply, error) {
+	if !f.accepts(x.group) {
+		return nil, errors.Mark(errors.WithStack(errNotAccepting), ErrNotSent)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
 	answer := &reply{}
