Tell a silent engine from a lost one at any poll interval

Three missed polls meant death, whatever their time apart: 0.54 s at an interval of 200 ms. A poll that timed out late because this process was delayed counted as well, although its answer may have arrived.

The poll that makes a host count as dead now starts ruddertarget.MinSilence or more after the first missed one, and a poll that times out more than 0.1 s late does not count, unless the one before it was late too. At the default interval of 1 s three polls span that time anyway.

--- a/rudderd/rudderplanner/targets.go
+++ b/rudderd/rudderplanner/targets.go
@@ -18,13 +18,20 @@
 	known  bool
 	at     time.Time // start of the call that returned the status
 	missed int
+	// missedSince is the start of the first missed poll.
+	missedSince time.Time
+	// late is set if this process was delayed during the last poll.
+	late bool
 }
 
+// maxTimerDelay is how late a poll may time out before this process counts as delayed itself. The answer may have arrived then.
+const maxTimerDelay = 100 * time.Millisecond
+
 // answer is the result of one call to a target.
 type answer struct {
 	host, address string
 	status        ruddertarget.Status
-	at            time.Time
+	at, end       time.Time // of the call
 	err           error
 }
 
@@ -49,6 +56,7 @@
 			defer cancel()
 			a := answer{host: host, address: address, at: w.p.Clock.Now()}
 			a.status, a.err = w.p.Control.Status(call, address)
+			a.end = w.p.Clock.Now()
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
@@ -66,14 +74,26 @@
 	}
 }
 
-// record stores the answer to a poll or an order. Only a failed poll counts as missed.
+// record stores the answer to a poll or an order. Only a failed poll counts as missed. The last one before the host counts as dead starts
+// ruddertarget.MinSilence or more after the first, however short the poll interval is.
 func (w *worker) record(a answer, poll bool) {
 	o := w.observations[a.host]
 	if a.err != nil {
-		if poll {
-			o.missed++
+		if !poll {
+			return
+		}
+		before := o.late
+		if o.late = a.end.Sub(a.at) > w.p.Times.PollTimeout+maxTimerDelay; o.late && !before {
 			w.observations[a.host] = o
+			return
+		}
+		if o.missed == 0 {
+			o.missedSince = a.at
+		}
+		if o.missed != w.p.Timing.DeadAfterMisses-1 || a.at.Sub(o.missedSince) >= ruddertarget.MinSilence {
+			o.missed++
 		}
+		w.observations[a.host] = o
 		return
 	}
 	if o.known && a.at.Before(o.at) {
