--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -59,10 +59,14 @@
 		case r == nil:
 		case !g.Retiring && r.graceful == 0 && (!r.unconfirmed && in.Now-r.since > publishRetirementAfter || in.leaderDead(g)):
 			g.Retiring, g.Reason, g.Unconfirmed = true, r.reason, r.unconfirmed
-			d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
+			ends := "retires"
+			if r.unconfirmed {
+				ends = "gets no new requests"
+			}
+			d.note(fmt.Sprintf("group %s %s: %s", groupKey(g), ends, r.reason))
 		case g.Unconfirmed && !r.unconfirmed:
 			g.Unconfirmed, g.Reason = false, r.reason
-			d.note(fmt.Sprintf("group %s retires for good: %s", groupKey(g), r.reason))
+			d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
 		}
 		kept = append(kept, g)
 	}
