Notice a target that answers between two silences

An entry host without the planner found a target dead that had been silent twice for a short time: Detector.Confirm probed at the begin and 1.1 s later, and did not notice that the target had answered in between.

It now also probes half a second before the deciding probe. TestConfirmOfSilentTarget/twice failed before (silent for 0.5 s, and again from 0.9 s on); lost targets are found as soon as before, within 1.5 s in that test.

--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -29,6 +29,9 @@
 	minWitnesses = 2
 	// endWitnesses bounds the number of other entry hosts that have to confirm that a target has ended.
 	endWitnesses = 8
+	// confirmInterval is how long before the deciding probe Confirm probes a target in between. One that answers then and falls silent
+	// again is not dead.
+	confirmInterval = 500 * time.Millisecond
 	// shareTime is how long a failed probe answers the questions of several entry hosts.
 	shareTime = 300 * time.Millisecond
 	// maxShared bounds the number of targets that are remembered.
@@ -150,7 +153,11 @@
 			return found.Report, found.Alive
 		}
 		suspected, decided = true, decides
-		timer := time.NewTimer(since + ruddertarget.MinSilence - d.Uptime())
+		wait := since + ruddertarget.MinSilence - d.Uptime()
+		if wait > confirmInterval {
+			wait -= confirmInterval
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/rudderd/rudderverdict/silence_test.go
+++ b/rudderd/rudderverdict/silence_test.go
@@ -62,12 +62,14 @@
 	for _, test := range []struct {
 		name             string
 		silence, answers time.Duration // answers: from when on the target answers
+		again            time.Duration // from when on it is silent again for a while
 		alive            bool
 	}{
-		{"events seldom", 250 * time.Millisecond, 1200 * time.Millisecond, true},
-		{"more than a second", 220 * time.Millisecond, 1300 * time.Millisecond, true},
-		{"for long", ruddertarget.MinSilence, 400 * time.Millisecond, true},
-		{"lost", 220 * time.Millisecond, time.Hour, false},
+		{"events seldom", 250 * time.Millisecond, 1200 * time.Millisecond, 0, true},
+		{"more than a second", 220 * time.Millisecond, 1300 * time.Millisecond, 0, true},
+		{"for long", ruddertarget.MinSilence, 400 * time.Millisecond, 0, true},
+		{"twice", 0, 500 * time.Millisecond, 900 * time.Millisecond, true},
+		{"lost", 220 * time.Millisecond, time.Hour, 0, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -76,9 +78,10 @@
 				d.Uptime = func() time.Duration { return time.Since(begin) + time.Minute }
 				d.Probe = func(_ context.Context, _ *rudderview.Target, failed func()) (ruddertarget.GroupReport, bool) {
 					failed()
-					time.Sleep(min(probeTime, max(0, test.answers-time.Since(begin))))
-					if time.Since(begin) < test.answers {
-						return ruddertarget.GroupReport{}, false
+					for until := time.Now().Add(probeTime); time.Since(begin) < test.answers || test.again > 0 && time.Since(begin) >= test.again; time.Sleep(time.Millisecond) {
+						if !time.Now().Before(until) {
+							return ruddertarget.GroupReport{}, false
+						}
 					}
 					return ruddertarget.GroupReport{Orders: 5, Born: 1}, true
 				}
