Probe a silent member between its first probe and the deciding one

A member that was silent twice for a short time, with a stream going on in between, lost its group: the planner probed it at 0.22 s and 1.1 s, and events reach entry hosts only.

It is now probed half a second before the deciding probe too, unless an entry host has asked in the meantime. TestSilentMemberKeepsItsGroup/again soon failed before (silent for 0.7 s, and again 0.25 s later); 1 probe more for each silent member.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -69,6 +69,9 @@
 	// decidingDelay is how long after MinSilence a silent target is probed again: entry hosts differ by some milliseconds in
 	// when they have heard of it for the last time.
 	decidingDelay = 20 * time.Millisecond
+	// betweenInterval is how long before it may be dead a silent target is probed again. One that answers then and falls silent again is
+	// not dead.
+	betweenInterval = 500 * time.Millisecond
 	// silentTTL is how long a target counts as silent that may not be probed again, because it names a limit of requests.
 	silentTTL = time.Second
 	// examineInterval is how long a probe result is valid for Examine.
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -113,7 +113,7 @@
 			p.startProbe(t, recheckInterval)
 		case v.silent && v.skipped:
 			p.startProbe(t, examineInterval)
-		case v.silent && v.silence(p.Uptime()) >= ruddertarget.MinSilence+decidingDelay:
+		case v.silent && v.probeIn(p.Uptime()) <= 0:
 			p.startProbe(t, 0)
 		}
 	}
@@ -218,7 +218,7 @@
 	case v.dead && !v.lost:
 		time.AfterFunc(v.confirmsIn(p.Uptime()), p.wakeUp)
 	case v.silent && !v.dead:
-		wait := ruddertarget.MinSilence + decidingDelay - v.silence(p.Uptime())
+		wait := v.probeIn(p.Uptime())
 		if v.skipped {
 			wait = max(wait, examineInterval)
 		}
@@ -257,6 +257,15 @@
 	v.dead = v.dead || v.silence(begin) >= ruddertarget.MinSilence
 }
 
+// probeIn returns the time until a silent target is probed again.
+func (v *probeResult) probeIn(now time.Duration) time.Duration {
+	decides := now + ruddertarget.MinSilence + decidingDelay - v.silence(now)
+	if v.triedAt < decides-betweenInterval {
+		return decides - betweenInterval - now
+	}
+	return decides - now
+}
+
 // confirmsIn returns the time until a probe may confirm that a dead target is lost. The target may have fallen silent right before
 // the first failed probe: a stream whose last event was earlier may have waited for another member. An entry host that reports a
 // dead target has counted its silence itself.
