Count a retirement from when it is confirmed

A new planner counted the end of a group from when its entry host had first seen it retiring, which may now be 1.6 s before any member was ordered to leave: more than the margin of 1 s (takeOverMargin) for an order after the plan. Members of a leader that accepts no order could have joined other groups 0.6 s before it must have broken.

Unconfirmed retirements no longer count. TestRetirementCountsOnceConfirmed failed before.

--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -19,7 +19,7 @@
 	// Unsaved is set if a restore of the key-value service has lost this plan, or a malformed record has replaced it.
 	// Revision is that of the record in its place, or 0.
 	Unsaved bool
-	// RetiringSince is the uptime at which this entry host first saw a group retiring, by GroupID.
+	// RetiringSince is the uptime at which this entry host first saw a group retiring, by GroupID, other than unconfirmed.
 	RetiringSince map[string]time.Duration
 }
 
--- a/rudderd/rudderview/snapshot_test.go
+++ b/rudderd/rudderview/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -54,6 +55,10 @@
 			record := s.Plans[PlanPrefix+"llm/d"]
 			record.Plan.Groups[0].Retiring = true
 		}, false},
+		{"planned to end, unconfirmed", func(s *Snapshot) {
+			record := s.Plans[PlanPrefix+"llm/d"]
+			record.Plan.Groups[0].Retiring, record.Plan.Groups[0].Unconfirmed = true, true
+		}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s, _ := groupFixture()
@@ -71,6 +76,12 @@
 	s.index()
 	g := s.Groups("llm", "m")[0]
 	require.False(t, s.Ended(g))
+	planned := &s.Plans[PlanPrefix+"llm/d"].Plan.Groups[0]
+	planned.Retiring, planned.Unconfirmed = true, true
+	require.False(t, s.Ended(g))
+	planned.Unconfirmed = false
+	require.True(t, s.Ended(g))
+	planned.Retiring = false
 	s.Removed["b"] = s.Targets["b"]
 	delete(s.Targets, "b")
 	require.False(t, s.Ended(g))
@@ -80,6 +91,22 @@
 	require.True(t, s.Ended(g))
 }
 
+// Guards against a new planner that counts a retirement from before any member was ordered to leave: it would let members join other groups
+// before their leader must have broken.
+func TestRetirementCountsOnceConfirmed(t *testing.T) {
+	uptime := time.Minute
+	v := &View{Uptime: func() time.Duration { return uptime }}
+	g := rudderroster.Group{Name: "g", Epoch: 7, Retiring: true, Unconfirmed: true}
+	plan := func() rudderroster.Plan { return rudderroster.Plan{Groups: []rudderroster.Group{g}} }
+	record := v.planRecord(PlanRecord{}, plan(), 1)
+	require.Empty(t, record.RetiringSince)
+	uptime += 2 * time.Second
+	g.Unconfirmed = false
+	record = v.planRecord(record, plan(), 2)
+	uptime += time.Second
+	require.Equal(t, map[string]time.Duration{"g@7": uptime - time.Second}, v.planRecord(record, plan(), 3).RetiringSince)
+}
+
 // Guards against sending a request for a model that has no group to groups of another model, which cannot
 // answer it. It must be refused at once.
 func TestGroupsOfAModel(t *testing.T) {
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -306,8 +306,8 @@
 func (v *View) planRecord(old PlanRecord, plan rudderroster.Plan, revision int64) PlanRecord {
 	record := PlanRecord{Plan: plan, Revision: revision, RetiringSince: map[string]time.Duration{}}
 	for _, g := range plan.Groups {
-		if !g.Retiring {
-			continue
+		if !g.Retiring || g.Unconfirmed {
+			continue // no member has been ordered to leave
 		}
 		id := GroupID(g.Name, g.Epoch)
 		record.RetiringSince[id] = v.Uptime()
