Test calls of plain services that their target reads after their end

The claim of a keyed call is released if the call counts as not run. With ended calls taken for not run it fails.

--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -316,3 +318,44 @@
 	d.Transport = relayedTransport{http.Header{ruddertarget.HeaderRequestID: {"c0"}, ruddertarget.HeaderNotRun: {"true"}}}
 	require.Equal(t, OutcomeMayHaveRun, d.Do(t.Context(), keyedCall("100")).Outcome)
 }
+
+// A target accepts connections only after the calls on them have ended at random moments. Guards against a call that counts as not run,
+// so that its key may be used again, although the target reads it later.
+func TestTargetThatReadsCallsAfterTheirEnd(t *testing.T) {
+	const calls = 100
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d, _ := newDispatcher(l.Addr().String())
+	outcomes := make([]Outcome, calls)
+	var sending sync.WaitGroup
+	for i := range calls {
+		sending.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), rand.N(10*time.Millisecond))
+			defer cancel()
+			outcomes[i] = d.Do(ctx, Call{RequestID: strconv.Itoa(i), Method: http.MethodPost, Path: "/charge", Header: http.Header{}, Body: []byte("100")}).Outcome
+		})
+	}
+	sending.Wait()
+	require.NoError(t, l.(*net.TCPListener).SetDeadline(time.Now().Add(500*time.Millisecond)))
+	runs, notRun := map[string]int{}, 0
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			break
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			runs[r.Header.Get(ruddertarget.HeaderRequestID)]++
+		}
+		_ = conn.Close()
+	}
+	require.NoError(t, l.Close())
+	for i, outcome := range outcomes {
+		n := runs[strconv.Itoa(i)]
+		require.LessOrEqual(t, n, 1)
+		if outcome == OutcomeNotRun {
+			notRun++
+			require.Zero(t, n, "call %d", i)
+		}
+	}
+	t.Logf("%d not run, %d read after their end", notRun, len(runs))
+}
