End a group whose lost member is not the one that answers again

A group that had lost a member never ended, and requests of its group kept failing: its orders named the first silent member, which answered right before they were sent. Each was dropped for that, at once built again and dropped again, for as long as another member was lost or the leader reported a broken group.

The reason of a retirement was looked at again only once no member was missing. It is now as soon as the member that it names answers, unless an order has been sent. TestGroupEndsWhenAnotherMemberIsLost failed before: 1 of 1 orders still named the member that answered.

--- a/rudderd/rudderplacement/silent.go
+++ b/rudderd/rudderplacement/silent.go
@@ -38,6 +38,12 @@
 	return rudderroster.Member{}
 }
 
+// answers reports whether a member that was found dead has answered since.
+func (in *Input) answers(m rudderroster.Member) bool {
+	t := in.member(m)
+	return t != nil && !in.Dead(t)
+}
+
 // leaderLost is leaderDead for steps that end the group.
 func (in *Input) leaderLost(g rudderroster.Group) bool {
 	t := in.member(g.Members[0])
--- a/rudderd/rudderplacement/silent_test.go
+++ b/rudderd/rudderplacement/silent_test.go
@@ -72,3 +72,36 @@
 	require.True(t, f.leaves(leader), "the order is sent again")
 	require.NotNil(t, f.state.retirements[rudderview.GroupID(leader.Membership.Group, leader.Membership.Epoch)])
 }
+
+// A member answers again right before the first order is sent, and another one is lost. Guards against a group that never ends, because
+// its orders wait for the first one.
+func TestGroupEndsWhenAnotherMemberIsLost(t *testing.T) {
+	f := newFleet(t, large())
+	f.addMany("d", 6)
+	f.run(5 * time.Second)
+	leader := f.leader("large")
+	member := f.follower(leader)
+	f.dead[member.Name] = true
+	f.now += 100 * time.Millisecond
+	Step(f.input())
+	orders := Orders(f.input())
+	require.NotEmpty(t, orders)
+	for _, o := range orders {
+		f.state.MarkSent(f.now, o)
+		require.Equal(t, member.Name, o.Silent.Target)
+		f.state.MarkDropped(o) // it answers again
+	}
+	delete(f.dead, member.Name)
+	f.dead[leader.Name], f.unconfirmed[leader.Name] = true, true
+	f.sent = nil
+	f.run(time.Second)
+	require.Empty(t, f.sent, "nobody is known to be lost")
+	delete(f.unconfirmed, leader.Name)
+	f.now += 100 * time.Millisecond
+	Step(f.input())
+	orders = Orders(f.input())
+	require.NotEmpty(t, orders)
+	for _, o := range orders {
+		require.NotEqual(t, member.Name, o.Silent.Target, "the order does not depend on a member that answers")
+	}
+}
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -78,8 +78,8 @@
 	key := groupKey(g)
 	r := in.State.retirements[key]
 	lost := in.memberLost(g)
-	if r != nil && r.silent.Target != "" && lost.reason == "" && !in.leaveSent(g) {
-		r = nil // the member answers again
+	if r != nil && r.silent.Target != "" && (lost.reason == "" || in.answers(r.silent)) && !in.leaveSent(g) {
+		r = nil
 	}
 	if r == nil {
 		if r = in.begin(d, g, lost); r == nil {
