Keep the retry budget across restarts of entry hosts

Targets got more repeats than the budget allows when entry hosts restarted within one window: a new process does not know what earlier ones have spent, and had the whole share of its host again.

A process now gets what earlier ones cannot have spent: in its first window the rest of the host's share, as the window passes. TestRetryBudgetOfHostsThatRestart failed before: 210 retries of six hosts where 180 are allowed.

--- a/rudderd/rudderforward/budget.go
+++ b/rudderd/rudderforward/budget.go
@@ -27,6 +27,23 @@
 type retryBudget struct {
 	mu       sync.Mutex
 	services map[string]*budgetWindow
+	started  time.Duration // uptime at the start of the process; 0 if the process is older than a window
+}
+
+// start records the uptime at which the process started.
+func (b *retryBudget) start(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.started = now
+}
+
+// share returns the part of Extra that this entry host may spend if it is the only one. Earlier processes of the host may have spent
+// retryShare in the window in which it restarted, so that the new one gets the rest, as the window passes.
+func (b *retryBudget) share(now time.Duration, l RetryLimits) float64 {
+	if age := now - b.started; b.started > 0 && age < l.Window {
+		return (1 - retryShare) * float64(age) / float64(l.Window)
+	}
+	return retryShare
 }
 
 type budgetWindow struct {
@@ -84,7 +101,7 @@
 	defer b.mu.Unlock()
 	w, i := b.window(service, now, l)
 	w.entries[i] = max(w.entries[i], entries, 1)
-	allowed := retryShare * (l.Ratio*float64(sum(w.requests)) + l.Extra/float64(slices.Max(w.entries[:])))
+	allowed := retryShare*l.Ratio*float64(sum(w.requests)) + b.share(now, l)*l.Extra/float64(slices.Max(w.entries[:]))
 	if float64(sum(w.retries)+1) > allowed {
 		return false
 	}
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -124,7 +124,9 @@
 // Run cancels the streams of groups that the view shows as ended, and drops outdated state, until the context
 // ends.
 func (f *Forwarder) Run(ctx context.Context) error {
-	f.startedAt.Store(int64(f.Uptime()))
+	started := f.Uptime()
+	f.startedAt.Store(int64(started))
+	f.budget.start(started)
 	for ctx.Err() == nil {
 		changed := f.View.Changed()
 		snapshot := f.View.Snapshot()
--- a/rudderd/rudderforward/parts_test.go
+++ b/rudderd/rudderforward/parts_test.go
@@ -137,6 +137,30 @@
 	require.Positive(t, spend(budgets[:stay], stay, 20*time.Second), "the rest gets the whole budget later")
 }
 
+// Guards against more retries than the budget when all entry hosts restart again and again: their processes do not know what earlier
+// ones have spent.
+func TestRetryBudgetOfHostsThatRestart(t *testing.T) {
+	const hosts = 6
+	limits := RetryLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}
+	taken, requests := 0, 0
+	for range hosts {
+		var b retryBudget
+		for at := time.Minute; at < time.Minute+limits.Window; at += 100 * time.Millisecond {
+			if (at-time.Minute)%(2500*time.Millisecond) == 100*time.Millisecond && at > time.Minute+time.Second {
+				b = retryBudget{}
+				b.start(at)
+			}
+			b.countRequest("s", at, limits, hosts)
+			requests++
+			for b.takeRetry("s", at, limits, hosts) {
+				taken++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(taken), limits.Ratio*float64(requests)+limits.Extra)
+	require.Greater(t, float64(taken), 0.5*limits.Extra)
+}
+
 // Guards against choosing full, avoided, draining or excluded groups while others have room.
 func TestChoiceWithoutTheOwner(t *testing.T) {
 	group := func(name string, draining bool) *rudderview.Group {
