Test late refusals with a target process that was suspended

A process is suspended for about a second while 40 sends to it are cancelled by their callers or the time limit. When it goes on it refuses them and asks for a pause.

--- a/rudderd/rudderforward/frozen_test.go
+++ b/rudderd/rudderforward/frozen_test.go
@@ -72,8 +72,14 @@
 		if breaks.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("Seal", "s")
 		w.Header().Set("Id", r.Header.Get("Id"))
+		if strings.HasPrefix(r.URL.Path, "/refused/") {
+			w.Header().Set("Not-Run", "1")
+			w.Header().Set("Pause", "5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Seal", "s")
 		if strings.HasPrefix(r.URL.Path, "/s/") {
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +141,39 @@
 	})
 }
 
+// A suspended process refuses the requests that it finds when it goes on, after all their sends have been cancelled. Guards against
+// more than two requests within the pause that it asks for, half a second after its first refusal.
+func TestRefusalsOfSuspendedProcess(t *testing.T) {
+	const requests = 40
+	b := newTestbed(t)
+	b.slots = 1000
+	b.route("/refused/", func(r *rudderroute.Route) { r.MaxAttempts, r.Timeout = 1, 500*time.Millisecond })
+	p := startTargetProcess(t, 1000)
+	b.add("plain", p.address)
+	b.start()
+	p.signal(t, syscall.SIGSTOP)
+	var callers sync.WaitGroup
+	send := func(id string, leave time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), leave)
+		defer cancel()
+		b.sendAs(ctx, http.DefaultClient, id, "/refused/x", "body", nil)
+	}
+	for i := range requests {
+		callers.Go(func() { send(fmt.Sprint("a", i), time.Duration(300+10*i)*time.Millisecond) })
+	}
+	callers.Wait()
+	time.Sleep(500 * time.Millisecond)
+	p.signal(t, syscall.SIGCONT)
+	time.Sleep(pauseGrace)
+	before := len(p.await(50 * time.Millisecond))
+	require.GreaterOrEqual(t, before, requests)
+	for i := range requests { // at once: the pause has to be known before
+		callers.Go(func() { send(fmt.Sprint("b", i), time.Second) })
+	}
+	callers.Wait()
+	require.LessOrEqual(t, len(p.await(100*time.Millisecond))-before, 2)
+}
+
 // Guards against a target that goes on with a request that nobody waits for: it sees its caller leave at once, and its connection is
 // closed when its response begins.
 func TestCancelledSendEndsAtItsTarget(t *testing.T) {
