--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -30,6 +30,7 @@
 	// A context of its own lets the exchange outlive the send.
 	own, end := context.WithCancelCause(context.WithoutCancel(ctx))
 	request := f.request(httptrace.WithClientTrace(own, a.trace()), x)
+	a.header = request.Header
 	results := make(chan received, 1)
 	go func() {
 		response, err := f.Responses.Do(request, f.Client.Do) //nolint:bodyclose // whoever gets the result closes it
