Leave connections whose response has begun to the HTTP client

Callers got a 502 for a request that may not be repeated, because another caller's send ended in the moment in which its response arrived. A response without a body gives its connection back before the send sees it, so that the next request may be on it already; the end of the sending side then ended that request.

The sending side is now ended only while no byte of the response has arrived, under a lock with the HTTP client's notice of the first byte, which precedes the return of the connection. A response that is there when the send ends is used.

--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -40,12 +40,22 @@
 	select {
 	case r = <-results:
 	case <-ctx.Done():
+		select {
+		case r = <-results:
+			return r.finish(ctx, end)
+		default:
+		}
 		if f.awaitLate(ctx, x, a, results, end) {
 			return nil, context.Cause(ctx)
 		}
 		end(context.Cause(ctx))
 		r = <-results
 	}
+	return r.finish(ctx, end)
+}
+
+// finish returns the outcome to the send, with whose context the response's body ends.
+func (r received) finish(ctx context.Context, end context.CancelCauseFunc) (*http.Response, error) {
 	if r.err != nil {
 		end(nil)
 		return nil, r.err
@@ -67,14 +77,16 @@
 		f.Metrics.Count("sends.late_not_awaited")
 		return false
 	}
-	connection.endRequests()
+	ended := a.endRequests(connection)
 	// The job goes on without this send.
 	late := &exchange{
 		job:   &job{request: Request{ID: x.job.request.ID}, refusedBy: maps.Clone(x.job.refusedBy)},
 		group: x.group, repeatable: x.repeatable, sentAt: x.sentAt,
 	}
-	// The target ends its work at the deadline of the request, and may be silent then.
-	left := max(x.job.begin+x.job.limit-f.Uptime(), 0) + targetSilence
+	left := targetSilence
+	if ended { // the target ends its work at the deadline of the request, and may be silent then
+		left += max(x.job.begin+x.job.limit-f.Uptime(), 0)
+	}
 	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
 	go func() {
 		defer f.lateResponses.Add(-1)
@@ -82,28 +94,52 @@
 		defer end(nil)
 		defer timer.Stop()
 		if r := <-results; r.err == nil {
-			f.receiveLate(late, &reply{response: r.response, connection: connection})
+			f.receiveLate(late, &reply{response: r.response, connection: connection}, ended)
 		}
 	}()
 	return true
 }
 
-// receiveLate records what the head of a late response tells about its target. Nobody waits for the rest.
-func (f *Forwarder) receiveLate(x *exchange, answer *reply) {
+// receiveLate records what the head of a late response tells about its target. Nobody waits for the rest. With ended set, no request
+// can follow on its connection, which is closed then.
+func (f *Forwarder) receiveLate(x *exchange, answer *reply, ended bool) {
 	f.Path.Heard(x.group.Service)
 	if _, err := f.receive(x, answer); err != nil {
 		return
 	}
-	answer.discard()
+	if ended {
+		answer.discard()
+	} else {
+		_ = answer.response.Body.Close()
+	}
 	f.loads.heard(x.group.Leader.Name, f.Uptime())
 	f.Metrics.Count("sends.late_responses")
 	f.Logger.Info().Str("request_id", x.job.request.ID).Str("group", x.group.ID).Str("target", x.group.Leader.Name).
 		Int("status", answer.response.StatusCode).Dur("after_ms", f.Uptime()-x.sentAt).Msg("response began after its send had been cancelled")
 }
 
-// endRequests ends the sending side of a connection. Its target sees the same as when the connection is closed, and may still
-// answer what it has read.
-func (c *sendConn) endRequests() {
+// endRequests ends the sending side of the connection, unless its response has begun: the HTTP client may have given the connection to
+// another request then.
+func (a *attempt) endRequests(c *sendConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.responding {
+		return false
+	}
+	c.closeWrite()
+	return true
+}
+
+// recordResponse records that the response has begun.
+func (a *attempt) recordResponse() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.responding = true
+}
+
+// closeWrite ends the sending side of a connection. Its target sees the same as when the connection is closed, and may still answer
+// what it has read.
+func (c *sendConn) closeWrite() {
 	for inner := c.Conn; inner != nil; {
 		if halfCloser, ok := inner.(interface{ CloseWrite() error }); ok {
 			_ = halfCloser.CloseWrite() // a connection that has failed ends its exchange too
--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderbody"
@@ -299,3 +300,45 @@
 	require.Nil(t, refused)
 	require.Equal(t, groups[1].ID, g.ID)
 }
+
+// Responses without a body arrive in the moment in which their sends end, so that their connections may be in use again. Guards against
+// ending or closing a connection under the request of another caller.
+func TestCancelledSendLeavesReusedConnection(t *testing.T) {
+	for _, serve := range []string{"empty", "refused"} {
+		t.Run(serve, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBubbleTestbed(t)
+				b.route("/p/", func(r *rudderroute.Route) {
+					r.Kind, r.MaxAttempts, r.Timeout = rudderroute.KindAtMostOnce, 1, 100*time.Millisecond
+				})
+				head := "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q1\r\nContent-Length: 0\r\n\r\n"
+				if serve == "refused" {
+					head = "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				}
+				b.rawTarget("plain", func(w net.Conn, r *http.Request, _, _ int) {
+					if r.URL.Path == "/p/slow" {
+						time.Sleep(100 * time.Millisecond)
+						_, _ = io.WriteString(w, head)
+						return
+					}
+					time.Sleep(time.Millisecond)
+					_, _ = io.WriteString(w, answer("q1", "own"))
+				})
+				b.start()
+				for range 500 {
+					var callers sync.WaitGroup
+					callers.Go(func() { _, _, _ = b.send("POST", "/p/slow", "body") })
+					time.Sleep(100 * time.Millisecond)
+					for range 3 {
+						callers.Go(func() {
+							response, body, err := b.send("POST", "/p/fast", "body")
+							assert.NoError(t, err)
+							assert.Equal(t, 200, response.StatusCode, body)
+						})
+					}
+					callers.Wait()
+				}
+			})
+		})
+	}
+}
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -112,6 +112,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	ended bool
+	// responding is set when a byte of the response has arrived.
+	responding bool
 }
 
 // States of an attempt.
@@ -185,7 +187,8 @@
 			}
 			a.schedule(answerSilence, a.checkAnswer)
 		},
-		WroteHeaders: func() { a.wrote.Store(true) },
+		WroteHeaders:         func() { a.wrote.Store(true) },
+		GotFirstResponseByte: a.recordResponse,
 	}
 }
 
