--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderbody"
@@ -140,6 +142,39 @@
 	})
 }
 
+// A suspended process refuses the requests that it finds when it goes on, after all their sends have been cancelled. Guards against
+// more than two requests within the pause that it asks for, half a second after its first refusal.
+func TestRefusalsOfSuspendedProcess(t *testing.T) {
+	const requests = 40
+	b := newTestbed(t)
+	b.slots = 1000
+	b.route("/refused/", func(r *rudderroute.Route) { r.MaxAttempts, r.Timeout = 1, 500*time.Millisecond })
+	p := startTargetProcess(t, 1000)
+	b.add("plain", p.address)
+	b.start()
+	p.signal(t, syscall.SIGSTOP)
+	var callers sync.WaitGroup
+	send := func(id string, leave time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), leave)
+		defer cancel()
+		b.sendAs(ctx, http.DefaultClient, id, "/refused/x", "body", nil)
+	}
+	for i := range requests {
+		callers.Go(func() { send(fmt.Sprint("a", i), time.Duration(300+10*i)*time.Millisecond) })
+	}
+	callers.Wait()
+	time.Sleep(500 * time.Millisecond)
+	p.signal(t, syscall.SIGCONT)
+	time.Sleep(pauseGrace)
+	before := len(p.await(50 * time.Millisecond))
+	require.GreaterOrEqual(t, before, requests)
+	for i := range requests { // at once: the pause has to be known before
+		callers.Go(func() { send(fmt.Sprint("b", i), time.Second) })
+	}
+	callers.Wait()
+	require.LessOrEqual(t, len(p.await(100*time.Millisecond))-before, 2)
+}
+
 // Guards against a target that goes on with a request that nobody waits for: it sees its caller leave at once, and its connection is
 // closed when its response begins.
 func TestCancelledSendEndsAtItsTarget(t *testing.T) {
@@ -265,3 +300,45 @@
 	require.Nil(t, refused)
 	require.Equal(t, groups[1].ID, g.ID)
 }
+
+// Responses without a body arrive in the moment in which their sends end, so that their connections may be in use again. Guards against
+// ending or closing a connection under the request of another caller.
+func TestCancelledSendLeavesReusedConnection(t *testing.T) {
+	for _, serve := range []string{"empty", "refused"} {
+		t.Run(serve, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBubbleTestbed(t)
+				b.route("/p/", func(r *rudderroute.Route) {
+					r.Kind, r.MaxAttempts, r.Timeout = rudderroute.KindAtMostOnce, 1, 100*time.Millisecond
+				})
+				head := "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q1\r\nContent-Length: 0\r\n\r\n"
+				if serve == "refused" {
+					head = "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				}
+				b.rawTarget("plain", func(w net.Conn, r *http.Request, _, _ int) {
+					if r.URL.Path == "/p/slow" {
+						time.Sleep(100 * time.Millisecond)
+						_, _ = io.WriteString(w, head)
+						return
+					}
+					time.Sleep(time.Millisecond)
+					_, _ = io.WriteString(w, answer("q1", "own"))
+				})
+				b.start()
+				for range 500 {
+					var callers sync.WaitGroup
+					callers.Go(func() { _, _, _ = b.send("POST", "/p/slow", "body") })
+					time.Sleep(100 * time.Millisecond)
+					for range 3 {
+						callers.Go(func() {
+							response, body, err := b.send("POST", "/p/fast", "body")
+							assert.NoError(t, err)
+							assert.Equal(t, 200, response.StatusCode, body)
+						})
+					}
+					callers.Wait()
+				}
+			})
+		})
+	}
+}
