Apply pauses to sends that go through another entry host

A target that answers 503 with a time after which it wants requests again got a request within that time: a direct connection to it was given up, and the request was relayed. The other entry host does not know the pause, and only direct sends looked at it again.

A relayed send now checks it too, right before other entry hosts are asked, and counts as not sent. TestPauseAppliesToRelayedSends failed before with 2 arrivals instead of 1; the tests of relays, paths and pauses in rudderforward pass with the race detector (43 s).

--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -342,3 +342,34 @@
 		})
 	}
 }
+
+// A target asks for a pause while a connection to it is not set up in time. Guards against sending the request through another entry
+// host, which does not know the pause.
+func TestPauseAppliesToRelayedSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBubbleTestbed(t)
+		b.route("/p/", func(*rudderroute.Route) {})
+		var arrivals, dials atomic.Int32
+		b.rawTarget("plain", func(w net.Conn, _ *http.Request, _, _ int) {
+			arrivals.Add(1)
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nPause: 5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		})
+		b.start()
+		b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials.Add(1) == 2 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return b.dial(ctx, network, address)
+		})
+		b.relayThrough(t, nil)
+		var callers sync.WaitGroup
+		for range 2 {
+			callers.Go(func() { b.sendUntil(0) })
+			synctest.Wait()
+		}
+		callers.Wait()
+		require.Equal(t, int32(1), arrivals.Load())
+	})
+}
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -63,6 +63,9 @@
 // sendRelayed sends a request through another entry host.
 func (f *Forwarder) sendRelayed(ctx context.Context, x *exchange) (*reply, error) {
 	j, t := x.job, x.group.Leader
+	if !f.accepts(x.group) {
+		return nil, errors.Mark(errors.WithStack(errNotAccepting), ErrNotSent)
+	}
 	j.relayed = true
 	// The message with the body is held twice, for its signature and to be sent.
 	size := int64(len(j.body))
