Repeat calls of plain services that were not written on another connection

An idempotent call failed, or took a retry from the budget, when its kept connection had been closed and took no byte of it. Since the HTTP client asks before it repeats a call on another connection, and was refused once the head had been reported as written, which happens while the head is still in its buffer.

The bytes that the connection has accepted decide now, as in the forwarder. TestUnwrittenCallUsesAnotherConnection failed before with may_have_run in place of complete, without a retry left, and passes on; TestHTTPClientRepeatsNoCallThatWasSent still passes. Package rudderservice passes (7.7 s).

--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -28,7 +28,7 @@
 		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:            d.Responses.Dial(dial),
+		DialContext:            countWrites(d.Responses.Dial(dial)),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    16,
 		IdleConnTimeout:        30 * time.Second,
@@ -45,10 +45,13 @@
 		}
 	}
 	var connection atomic.Pointer[httptrace.GotConnInfo]
-	var wrote atomic.Bool
+	var written writeWatch
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { connection.Store(&info) },
-		WroteHeaders: func() { wrote.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connection.Store(&info)
+			written.start(info.Conn)
+		},
+		WroteHeaders: func() { written.head.Store(true) },
 	}
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
 	defer cancel(nil)
@@ -57,7 +60,7 @@
 		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
 	}
 	if move != nil { // the connection may have been kept
-		repeatUnsentOnly(request, wrote.Load)
+		repeatUnsentOnly(request, written.sent)
 	}
 	probes := make(chan struct{})
 	go func() {
