Give a silent member time to wake before it is lost

A member that fell silent for 1.4 s right when it was first probed lost its group after 1.35 s, if its stream had been waiting for longer.

The probe that confirms a loss now starts 1.25 s after the first failed one instead of 1.1 s.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -72,6 +72,9 @@
 	// betweenInterval is how long before it may be dead a silent target is probed again. One that answers then and falls silent again is
 	// not dead.
 	betweenInterval = 500 * time.Millisecond
+	// wakingTime is how much longer than MinSilence a target must be silent to count as lost: one that goes on takes some time until
+	// it answers.
+	wakingTime = 150 * time.Millisecond
 	// silentTTL is how long a target counts as silent that may not be probed again, because it names a limit of requests.
 	silentTTL = time.Second
 	// examineInterval is how long a probe result is valid for Examine.
@@ -142,7 +145,7 @@
 	// answeredAt is the uptime at which the last probe started that was answered; 0 if none was.
 	answeredAt time.Duration
 	// lost is set if a later probe has confirmed that the target is dead: its process has ended, or two probes have failed that
-	// started MinSilence or more apart. Groups end only then.
+	// started MinSilence and wakingTime or more apart. Groups end only then.
 	lost bool
 	// confirmed is set if an entry host has reported that the target is dead, and reporter is its name. outlived is that of the
 	// last one after whose report the target has answered.
--- a/rudderd/ruddercoordinator/silent_test.go
+++ b/rudderd/ruddercoordinator/silent_test.go
@@ -43,6 +43,7 @@
 		{"while a plan is written", []silence{{0, 1300 * time.Millisecond, 100 * time.Millisecond}}, false, 0, 700 * time.Millisecond},
 		{"after another member", []silence{{0, 1200 * time.Millisecond, 900 * time.Millisecond}}, false, 0, 0},
 		{"after a long pause of the stream", []silence{{0, 1200 * time.Millisecond, 3 * time.Second}}, false, 0, 0},
+		{"for longer, after a long pause of the stream", []silence{{0, 1400 * time.Millisecond, 3 * time.Second}}, false, 0, 0},
 		{"again", []silence{{0, time.Second, 100 * time.Millisecond}, {2500 * time.Millisecond, 1200 * time.Millisecond, 100 * time.Millisecond}}, true, 0, 0},
 		{"again soon", []silence{{0, 700 * time.Millisecond, 100 * time.Millisecond}, {950 * time.Millisecond, 1200 * time.Millisecond, 0}}, false, 0, 0},
 		{"lost", []silence{{0, time.Hour, 100 * time.Millisecond}}, false, 1700 * time.Millisecond, 0},
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -276,7 +276,7 @@
 	case v.confirmed:
 		return 0
 	}
-	return v.failedAt + ruddertarget.MinSilence - now
+	return v.failedAt + ruddertarget.MinSilence + wakingTime - now
 }
 
 // silence returns for how long a silent target has not responded at an uptime.
