Do not count probes that timed out late because the process was delayed

The answers of the target may have arrived in time.

An attempt of a probe that fails over 0.1 s after its timeout is repeated, twice at most for a probe, as late timers of streams are no evidence either.

--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -16,6 +16,8 @@
 	// knowing.
 	firstProbeTimeout  = 100 * time.Millisecond
 	secondProbeTimeout = 150 * time.Millisecond
+	// maxDelayedProbes bounds the attempts that are repeated because this process was delayed in them.
+	maxDelayedProbes = 2
 	// verdictTTL is how long the result of a group's probe is reused, so that many silent streams of one
 	// group share a probe.
 	verdictTTL = 400 * time.Millisecond
@@ -104,12 +106,13 @@
 // ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
 // another incarnation or another target answers at its address. failed is called if the first attempt fails; optional.
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool) {
+	delays := 0
 	for i, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
-		f.Metrics.Count("targets.probes")
-		f.Limits.CountProbe(processOf(t))
-		tryContext, cancel := context.WithTimeout(ctx, timeout)
-		report, err := f.Report(tryContext, t.Address)
-		cancel()
+		report, late, err := f.requestReport(ctx, t, timeout)
+		for ; late && delays < maxDelayedProbes; delays++ {
+			f.Metrics.Count("targets.delayed_probes")
+			report, late, err = f.requestReport(ctx, t, timeout)
+		}
 		if err == nil {
 			return report, report.Born == 0 || t.Born == 0 || report.Born == t.Born
 		}
@@ -123,6 +126,18 @@
 	return ruddertarget.GroupReport{}, false
 }
 
+// requestReport requests the state of a target once. late is set if that failed and this process was delayed, so that an answer may
+// have arrived in time.
+func (f *Forwarder) requestReport(ctx context.Context, t *rudderview.Target, timeout time.Duration) (report ruddertarget.GroupReport, late bool, err error) {
+	f.Metrics.Count("targets.probes")
+	f.Limits.CountProbe(processOf(t))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begin := f.Uptime()
+	report, err = f.Report(ctx, t.Address)
+	return report, err != nil && f.Uptime()-begin > timeout+maxTimerDelay, err
+}
+
 func (f *Forwarder) unresponsive(ctx context.Context, t *rudderview.Target) bool {
 	_, alive := f.Verdict(ctx, t)
 	return !alive
