--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -82,7 +82,7 @@
 			silence.probe(ctx)
 		case r := <-silence.results:
 			if err := silence.judge(r); err != nil {
-				if s.readArrived(ctx, events) {
+				if !errors.Is(err, errUnresponsive) && s.readArrived(ctx, events) { // its connection breaks at once
 					return nil
 				}
 				return err
@@ -93,7 +93,7 @@
 	}
 }
 
-// readArrived reads what has arrived of a stream whose engine has failed, and reports whether that completes the answer.
+// readArrived reads what has arrived of a stream whose engine has ended, and reports whether that completes the answer.
 func (s *run) readArrived(ctx context.Context, events <-chan readResult) bool {
 	timer := s.Clock.NewTimer(arrivedTime)
 	defer timer.Stop()
