Count the bytes of connections to targets in one place

Both faces ask whether a byte of a failed send was written, each with a copy of the counting connection (23 lines). It is rudderpath.CountWrites now. Two comments are reworded.

--- a/rudderd/rudderforward/endless_test.go
+++ b/rudderd/rudderforward/endless_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
 )
 
@@ -74,7 +75,7 @@
 			b.forwarder.Bodies, b.forwarder.Responses = bodies, memory
 			transport := b.forwarder.Client.Transport.(*http.Transport)
 			transport.MaxResponseHeaderBytes = rudderbody.MaxHeadBytes
-			transport.DialContext = TrackWrites(memory.Dial((&net.Dialer{}).DialContext))
+			transport.DialContext = rudderpath.CountWrites(memory.Dial((&net.Dialer{}).DialContext))
 			sound := make(chan string, 1)
 			go func() { _, text, _ := b.send(http.MethodPost, "/s/sound", "prompt"); sound <- text }()
 			heap := heapBytes()
--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -100,7 +100,7 @@
 	return true
 }
 
-// receiveLate records what the head of a late response tells about its target. Nobody waits for the rest. With ended set, no request
+// receiveLate records what the head of a late response tells about its target. Its body is not read. With ended set, no request
 // can follow on its connection, which is closed then.
 func (f *Forwarder) receiveLate(x *exchange, answer *reply, ended bool) {
 	f.Path.Heard(x.group.Service)
--- a/rudderd/rudderforward/late_test.go
+++ b/rudderd/rudderforward/late_test.go
@@ -265,7 +265,7 @@
 			_, _ = io.WriteString(w, "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nPause: 5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		})
 		b.start()
-		b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+		b.forwarder.Client.Transport.(*http.Transport).DialContext = rudderpath.CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 			if dials.Add(1) > 1 {
 				time.Sleep(900 * time.Millisecond) // as long as a lost packet takes
 			}
@@ -356,7 +356,7 @@
 			_, _ = io.WriteString(w, "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nPause: 5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		})
 		b.start()
-		b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+		b.forwarder.Client.Transport.(*http.Transport).DialContext = rudderpath.CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 			if dials.Add(1) == 2 {
 				<-ctx.Done()
 				return nil, ctx.Err()
--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
 )
 
@@ -128,7 +129,7 @@
 			var runs atomic.Int32
 			b.target("plain", func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); sealed(w) })
 			b.start()
-			b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+			b.forwarder.Client.Transport.(*http.Transport).DialContext = rudderpath.CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				return &closedConn{Conn: c}, err
 			})
--- a/rudderd/rudderforward/refusal_test.go
+++ b/rudderd/rudderforward/refusal_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroster"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -122,7 +123,7 @@
 			var arrivals atomic.Int32
 			b.target("plain", func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
 			b.start()
-			b.forwarder.Client.Transport.(*http.Transport).DialContext = TrackWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+			b.forwarder.Client.Transport.(*http.Transport).DialContext = rudderpath.CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				return &lateConn{Conn: c, accepts: test.accepts, closed: make(chan struct{})}, err
 			})
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -155,7 +155,7 @@
 func (b *testbed) start() {
 	b.record("routing", b.document)
 	ctx, end := context.WithCancel(b.t.Context())
-	transport := &http.Transport{DisableCompression: true, DialContext: TrackWrites(b.dial)}
+	transport := &http.Transport{DisableCompression: true, DialContext: rudderpath.CountWrites(b.dial)}
 	started := time.Now()
 	uptime := func() time.Duration { return time.Since(started) + time.Second }
 	view := &rudderview.View{
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -118,9 +118,9 @@
 	w.timer.Stop()
 }
 
-// check probes the members of a silent group. It cancels the send if one is dead; without another possible send, if that is still so at the
-// next check. A silent target may recover: a send that has not begun and whose group has a member that does not respond, and one whose
-// silence has reached its limit, are cancelled only if another send is possible.
+// check probes the members of a silent group. It cancels the send if one is dead; without another possible send, if that was found
+// verdictTTL ago or earlier, and no event has come since. A silent target may recover: a send that has not begun and whose group has a
+// member that does not respond, and one whose silence has reached its limit, are cancelled only if another send is possible.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	begin, events := w.lastEvent, w.events
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -28,7 +29,7 @@
 		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:            countWrites(d.Responses.Dial(dial)),
+		DialContext:            rudderpath.CountWrites(d.Responses.Dial(dial)),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    16,
 		IdleConnTimeout:        30 * time.Second,
