Log whether a refusal came on a reused connection

Without the connection, a line of a refusal tells a copy on a kept connection neither from a refusal on a new one nor from a relayed one.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -261,7 +261,8 @@
 	_ = answer.response.Body.Close()
 	f.Metrics.Count("sends.refused")
 	f.Logger.Info().Str("request_id", j.request.ID).Str("group", g.ID).Str("target", g.Leader.Name).
-		Int("status", answer.response.StatusCode).Str("culprit", answer.FailedMember).Msg("target refused the request without running it")
+		Int("status", answer.response.StatusCode).Str("culprit", answer.FailedMember).Int("sends", j.sends).Bool("relayed", answer.connection == nil).
+		Bool("reused", answer.reused()).Msg("target refused the request without running it")
 	f.loads.avoid(g.Leader.Name, now+failureBackoff/4, now)
 	if answer.FailedMember != "" {
 		go f.probeGroup(context.Background(), g, 0)
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -56,6 +56,9 @@
 	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
 }
 
+// reused reports whether the response arrived on a connection of this entry host that had carried other requests.
+func (r *reply) reused() bool { return r.connection != nil && r.connection.reused }
+
 // discard closes the connection of a wrong response. Closing the body is not enough: the HTTP client keeps
 // the connection if the body is empty, and the next request on it could receive this response.
 func (r *reply) discard() {
@@ -181,12 +184,11 @@
 // answersThisSend reports whether a response belongs to a send. On a reused connection, one without a request ID may be a duplicate
 // for an earlier request, and a second refusal of a target a duplicate of its first one, while the request runs.
 func answersThisSend(x *exchange, answer *reply) bool {
-	reused := answer.connection != nil && answer.connection.reused
 	switch {
 	case answer.RequestID != x.job.request.ID:
-		return answer.RequestID == "" && !reused
+		return answer.RequestID == "" && !answer.reused()
 	case answer.NotRun && !x.repeatable && x.job.refusedBy[processOf(x.group.Leader)]:
-		return answer.connection != nil && !reused
+		return answer.connection != nil && !answer.reused()
 	}
 	return true
 }
