Send no request ID twice on a connection to a target

A target may write a refusal once more, late, where the next response on its connection is due. The copy bears the ID of the refused request. If that ID is under way again on the connection, for a caller's repeat or any other job, the copy was taken for its answer: the request ran at each target in turn, and its caller got a 503. What was known of earlier refusals (refusedBy) belonged to one job.

A connection now remembers the IDs that were sent on it, up to 512 requests. It is not used for the same ID again: it is closed before a byte is written, and the request takes another one. So the ID names one exchange on a connection, for each kind of request and response, on both faces, for relayed sends, groups that form again and late responses. An entry host that relays says so in the head of the response; a refusal that an earlier version relays counts as may-have-run where the request must run once.

--- /dev/null
+++ b/rudderd/rudderapp/copies_test.go
@@ -0,0 +1,125 @@
+package rudderapp
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/rudderservice"
+	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/shared/ruddertarget"
+)
+
+// copyingTarget answers requests, but refuses the second one that reaches it. Later requests on that connection get the refusal
+// once more while they run. It returns its address and the number of requests that run.
+func copyingTarget(t *testing.T) (address string, runs *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	runs = &atomic.Int64{}
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader, refused := bufio.NewReader(conn), false
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			var x ruddertarget.WorkExtension
+			_ = json.NewDecoder(r.Body).Decode(&x) // only that of an engine has one
+			_, _ = io.Copy(io.Discard, r.Body)
+			names := fmt.Sprintf("Rudder-Request-Id: %s\r\nRudder-Attempt: %d\r\n", r.Header.Get(ruddertarget.HeaderRequestID)+x.RequestID, x.Attempt)
+			first := requests.Add(1) == 2
+			if !first {
+				runs.Add(1)
+			}
+			if refused = refused || first; refused {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nRudder-Not-Run: true\r\nContent-Length: 0\r\n"+names+"\r\n")
+				continue
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+names+"\r\n")
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String(), runs
+}
+
+// A request is refused on a kept connection, its ID comes again, and the refusal is written once more while it runs. Guards against
+// a caller that is told that the request has not run.
+func TestCopyOfARefusal(t *testing.T) {
+	a := &App{Clock: clockwork.NewRealClock(), fleet: &rudderfleet.Fleet{}}
+	a.wirePaths()
+	const complete, refused, other = "complete", "refused", "other"
+	engine := &rudderstream.Engine{Client: &http.Client{Transport: a.targetTransport()}}
+	service := func(address string, body []byte) func(id string) string {
+		d := &rudderservice.Dispatcher{
+			AcquireTarget: func(context.Context, *rudderservice.Call, []string) (string, func(), error) {
+				return address, func() {}, nil
+			},
+			IsIdempotent: func(string, string, string) bool { return true },
+			TakeRetry:    func() bool { return false },
+			Dial:         a.dialTarget, Wrap: a.throughPath, Clock: a.Clock, Timeout: 2 * time.Second,
+		}
+		return func(id string) string {
+			call := rudderservice.Call{RequestID: id, Method: http.MethodPut, Path: "/x", Header: http.Header{rudderservice.HeaderKey: {"k"}}, Body: body}
+			switch result := d.Do(t.Context(), call); result.Outcome {
+			case rudderservice.OutcomeComplete:
+				return complete
+			case rudderservice.OutcomeNotRun:
+				return refused
+			}
+			return other
+		}
+	}
+	for _, test := range []struct {
+		name string
+		open func(address string) func(id string) string
+	}{
+		{"engine", func(address string) func(id string) string {
+			return func(id string) string {
+				stream, err := engine.Open(t.Context(), address, nil, ruddertarget.WorkExtension{RequestID: id, Attempt: 1})
+				switch {
+				case err == nil:
+					_, _ = stream.Next() // reads to the end, so that the connection is kept
+					stream.Close()
+					return complete
+				case errors.Is(err, rudderstream.ErrRefused):
+					return refused
+				}
+				return other
+			}
+		}},
+		{"service", func(address string) func(id string) string { return service(address, nil) }},
+		{"service, with a body", func(address string) func(id string) string { return service(address, []byte("body")) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, runs := copyingTarget(t)
+			send := test.open(address)
+			require.Equal(t, complete, send("c1"))
+			require.Equal(t, refused, send("c2"))
+			require.Equal(t, complete, send("c2"))
+			require.Equal(t, int64(2), runs.Load())
+		})
+	}
+}
--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -255,7 +255,10 @@
 	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{}) // bytes may have reached the target
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response.Response, nil
 }
 
 // serveRelayed sends a request to a target for another entry host that does not reach it: directly or not at all.
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderpeer"
 	"comfreyrudder.example/shared/rudderstore"
@@ -74,7 +75,7 @@
 
 // newTargetTransport returns a transport to targets, the heads of whose responses can take memory from a budget.
 func (a *App) newTargetTransport(memory *rudderbody.Budget) *http.Transport {
-	return newTransport(targetIdleConnections, memory.Dial(a.dialTarget))
+	return newTransport(targetIdleConnections, rudderpath.Track(memory.Dial(a.dialTarget)))
 }
 
 func newTransport(idle int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -75,6 +75,6 @@
 // targetClient returns the client for requests to targets. The heads of the responses take memory from a budget.
 func targetClient(memory *rudderbody.Budget) *http.Client {
 	client := NewClient(maxIdleConnectionsPerTarget)
-	client.Transport.(*http.Transport).DialContext = rudderpath.CountWrites(memory.Dial(dialer(targetUnackedTimeout).DialContext))
+	client.Transport.(*http.Transport).DialContext = rudderpath.Track(memory.Dial(dialer(targetUnackedTimeout).DialContext))
 	return client
 }
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
-	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -253,10 +252,6 @@
 	now := f.Uptime()
 	j.sends++
 	j.excludeGroup(g)
-	if j.refusedBy == nil {
-		j.refusedBy = map[rudderlimit.Process]bool{}
-	}
-	j.refusedBy[processOf(g.Leader)] = true
 	j.lastErr = errors.Newf("target %s answered %d without running the request", g.Leader.Name, answer.response.StatusCode)
 	_ = answer.response.Body.Close()
 	f.Metrics.Count("sends.refused")
--- a/rudderd/rudderforward/connection.go
+++ b/rudderd/rudderforward/connection.go
@@ -19,7 +19,7 @@
 	return s
 }
 
-// unwritten reports whether no byte of the send was written. It is false for a connection without rudderpath.CountWrites.
+// unwritten reports whether no byte of the send was written. It is false for a connection without rudderpath.Track.
 func (c *sendConn) unwritten() bool {
 	written, counted := rudderpath.Written(c.Conn)
 	return counted && written == c.written
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
-	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -72,7 +71,6 @@
 	retryTaken   bool              // the next send has been taken from the retry budget
 	deliveredAt  time.Duration     // uptime of the last event for the caller; 0 before the first one
 	exclude      map[string]bool   // groups on which this request failed
-	refusedBy    map[rudderlimit.Process]bool
 	lastErr      error
 	expectedWait time.Duration // expected wait for the group, from the model's owner
 	pickedAt     time.Duration // uptime of the owner's answer; 0 without one
--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -80,8 +79,7 @@
 	ended := a.endRequests(connection)
 	// The job goes on without this send.
 	late := &exchange{
-		job:   &job{request: Request{ID: x.job.request.ID}, refusedBy: maps.Clone(x.job.refusedBy)},
-		group: x.group, repeatable: x.repeatable, sentAt: x.sentAt,
+		job: &job{request: Request{ID: x.job.request.ID}}, group: x.group, repeatable: x.repeatable, sentAt: x.sentAt,
 	}
 	left := targetSilence
 	if ended { // the target ends its work at the deadline of the request, and may be silent then
@@ -94,7 +92,7 @@
 		defer end(nil)
 		defer timer.Stop()
 		if r := <-results; r.err == nil {
-			f.receiveLate(late, &reply{response: r.response, connection: connection}, ended)
+			f.receiveLate(late, &reply{response: r.response, connection: connection, claimed: true}, ended)
 		}
 	}()
 	return true
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -76,9 +76,7 @@
 	defer func() { _ = j.memory.Resize(size) }()
 	remaining := j.remaining(f.Uptime())
 	f.Protocol.SetRemaining(x.header, remaining)
-	answer := &reply{}
-	var err error
-	answer.response, err = f.Relay.Send(ctx, rudderpath.Request{ //nolint:bodyclose // whoever gets the reply closes it
+	response, err := f.Relay.Send(ctx, rudderpath.Request{ //nolint:bodyclose // whoever gets the reply closes it
 		Target: t.Name, Born: t.Born, Service: t.Service, ID: j.request.ID, Remaining: remaining, Repeatable: !x.last,
 		Method: j.method, RequestTarget: j.target, Host: j.host, Header: x.header, Body: j.body,
 	})
@@ -90,7 +88,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	f.Metrics.Count("relayed.sent")
-	return f.receive(x, answer)
+	return f.receive(x, &reply{response: response.Response, claimed: response.Claimed})
 }
 
 // blamePath marks the error of a direct send or response if this entry host reaches no target of the service.
@@ -170,6 +168,12 @@
 	return &httptrace.ClientTrace{
 		ConnectStart: func(string, string) { a.dialledAt.Store(int64(a.forwarder.Uptime())) },
 		GotConn: func(info httptrace.GotConnInfo) {
+			if !rudderpath.Claim(info.Conn, a.exchange.job.request.ID) {
+				a.used.Store(newSendConn(info.Conn, info.Reused))
+				a.forwarder.Metrics.Count("targets.claimed_connections")
+				_ = info.Conn.Close() // the HTTP client or sendDirect takes another one
+				return
+			}
 			if !a.state.CompareAndSwap(attemptConnecting, attemptConnected) {
 				_ = info.Conn.Close() // the request goes another way, so nothing of it may be written here
 				return
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -48,6 +48,7 @@
 	Reply
 	response   *http.Response
 	connection *sendConn // connection on which the response arrived; nil if it was relayed
+	claimed    bool      // no other request with the ID was sent on the connection to the target, see rudderpath.Claim
 }
 
 // framed reports whether the response has a length or chunks. Otherwise it ends with its connection, which a crash of the
@@ -112,7 +113,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	attempt := f.startAttempt(ctx, cancel, x, impatient)
-	answer := &reply{}
+	answer := &reply{claimed: true}
 	var err error
 	answer.response, err = f.roundTrip(ctx, x, attempt) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
@@ -182,13 +183,13 @@
 }
 
 // answersThisSend reports whether a response belongs to a send. On a reused connection, one without a request ID may be a duplicate
-// for an earlier request, and a second refusal of a target a duplicate of its first one, while the request runs.
+// for an earlier request. So may be a refusal that an entry host of an earlier version relays, while the request runs.
 func answersThisSend(x *exchange, answer *reply) bool {
 	switch {
 	case answer.RequestID != x.job.request.ID:
 		return answer.RequestID == "" && !answer.reused()
-	case answer.NotRun && !x.repeatable && x.job.refusedBy[processOf(x.group.Leader)]:
-		return answer.connection != nil && !answer.reused()
+	case answer.NotRun:
+		return answer.claimed || x.repeatable
 	}
 	return true
 }
--- a/rudderd/rudderpath/connection.go
+++ b/rudderd/rudderpath/connection.go
@@ -2,46 +2,78 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
+// maxRequests is the number of requests that one connection carries. It bounds the memory for their IDs.
+const maxRequests = 512
+
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// countedConn counts the bytes that are written to a connection.
-type countedConn struct {
+// trackedConn counts the bytes that are written to a connection, and remembers the IDs of the requests on it.
+type trackedConn struct {
 	net.Conn
 	written atomic.Int64
+
+	mu  sync.Mutex
+	ids map[uint64]struct{} // hashes
 }
 
-// CountWrites returns a Dial whose connections show whether any byte of a failed send was written. The HTTP client
-// reports a request as written once it is in its buffer.
-func CountWrites(dial Dial) Dial {
+// hashSeed keeps callers from choosing IDs with the same hash.
+var hashSeed = maphash.MakeSeed()
+
+// Track returns a Dial whose connections can be used with Written and Claim.
+func Track(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: c}, nil
+		return &trackedConn{Conn: c}, nil
 	}
 }
 
 // Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
+func (c *trackedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
 }
 
 // NetConn returns the connection within.
-func (c *countedConn) NetConn() net.Conn { return c.Conn }
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
 
-// Written returns the number of bytes that were written to a connection. ok is false if they are not counted.
+// Written returns the number of bytes that were written to a connection, which shows whether any byte of a failed send was written:
+// the HTTP client reports a request as written once it is in its buffer. ok is false if they are not counted.
 func Written(c net.Conn) (bytes int64, ok bool) {
-	counted, ok := c.(*countedConn)
+	tracked, ok := c.(*trackedConn)
 	if !ok {
 		return 0, false
 	}
-	return counted.written.Load(), true
+	return tracked.written.Load(), true
+}
+
+// Claim reports whether a request with an ID may be sent on a connection, and records the ID. No ID may be sent twice: a target may
+// write a response once more at any time, and only the ID tells which request it belongs to. The caller closes a connection that it
+// cannot claim. A connection that is not tracked can always be claimed.
+func Claim(c net.Conn, id string) bool {
+	tracked, ok := c.(*trackedConn)
+	if !ok {
+		return true
+	}
+	hash := maphash.String(hashSeed, id)
+	tracked.mu.Lock()
+	defer tracked.mu.Unlock()
+	if _, sent := tracked.ids[hash]; sent || len(tracked.ids) >= maxRequests {
+		return false
+	}
+	if tracked.ids == nil {
+		tracked.ids = map[uint64]struct{}{}
+	}
+	tracked.ids[hash] = struct{}{}
+	return true
 }
--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -77,7 +77,7 @@
 type peerKey struct{ address, service string }
 
 // Send sends a request through other entry hosts and returns the response once its headers have arrived.
-func (r *Relay) Send(ctx context.Context, q Request) (*http.Response, error) {
+func (r *Relay) Send(ctx context.Context, q Request) (*Response, error) {
 	tried := map[string]bool{}
 	limit, began := q.Remaining, r.Uptime()
 	for range maxPeers {
@@ -146,7 +146,7 @@
 }
 
 // sendThrough sends a request through one peer. The error is ErrNoPeer if another peer may be tried.
-func (r *Relay) sendThrough(ctx context.Context, p Peer, service string, message []byte) (*http.Response, error) {
+func (r *Relay) sendThrough(ctx context.Context, p Peer, service string, message []byte) (*Response, error) {
 	// The cause of a cancellation is not passed on, so that the transport does not take it for a broken connection.
 	callContext, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	detach := context.AfterFunc(ctx, cancel)
--- a/rudderd/rudderpath/wire.go
+++ b/rudderd/rudderpath/wire.go
@@ -39,6 +39,8 @@
 	// ContentLength is -1 if the response has none. Chunked is set if it has chunks.
 	ContentLength int64
 	Chunked       bool
+	// Claimed is set if the request's ID was sent once on the connection to the target. Earlier versions do not set it.
+	Claimed bool
 }
 
 const (
@@ -70,6 +72,7 @@
 	Status        int     `json:"status"`
 	ContentLength int64   `json:"content_length"`
 	Chunked       bool    `json:"chunked"`
+	Claimed       bool    `json:"claimed"`
 	Fields        []field `json:"fields"`
 }
 
@@ -159,11 +162,18 @@
 
 // Encode returns the beginning of the message for a response; the body follows.
 func (h ResponseHead) Encode() ([]byte, error) {
-	return encode(responseHead{Status: h.Status, ContentLength: h.ContentLength, Chunked: h.Chunked, Fields: fieldsOf(h.Header)}, nil)
+	return encode(responseHead{Status: h.Status, ContentLength: h.ContentLength, Chunked: h.Chunked, Claimed: h.Claimed, Fields: fieldsOf(h.Header)}, nil)
+}
+
+// Response is a target's response to a relayed request.
+type Response struct {
+	*http.Response
+	// Claimed is as in ResponseHead.
+	Claimed bool
 }
 
 // readResponse reads the head of a response. The response's body reads the rest of source and closes it.
-func readResponse(source io.ReadCloser, memory *rudderbody.Reservation) (*http.Response, error) {
+func readResponse(source io.ReadCloser, memory *rudderbody.Reservation) (*Response, error) {
 	reader := bufio.NewReader(source)
 	var head responseHead
 	if err := decode(reader, &head, memory); err != nil {
@@ -179,5 +189,5 @@
 	if head.Chunked {
 		response.TransferEncoding = []string{"chunked"}
 	}
-	return response, nil
+	return &Response{response, head.Claimed}, nil
 }
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -29,7 +29,7 @@
 		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:            rudderpath.CountWrites(d.Responses.Dial(dial)),
+		DialContext:            rudderpath.Track(d.Responses.Dial(dial)),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    16,
 		IdleConnTimeout:        30 * time.Second,
@@ -51,6 +51,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection.Store(&info)
 			written.start(info.Conn)
+			if !rudderpath.Claim(info.Conn, call.RequestID) {
+				_ = info.Conn.Close() // the HTTP client takes another one
+			}
 		},
 		WroteHeaders: func() { written.head.Store(true) },
 	}
@@ -61,7 +64,7 @@
 		return notRun(http.StatusBadRequest, CodeBadRequest, err.Error())
 	}
 	if move != nil { // the connection may have been kept
-		repeatUnsentOnly(request, written.sent)
+		repeatUnsentOnly(request, call.Body, written.sent)
 	}
 	probes := make(chan struct{})
 	go func() {
@@ -265,22 +268,24 @@
 // errSent stops the HTTP client from repeating a request on its own.
 var errSent = errors.New("service: the connection broke after the call was sent")
 
-// repeatUnsentOnly lets the HTTP client repeat a request without a body on another connection only if it was not sent on the one that
-// broke. The client repeats by itself what looks repeatable, besides the retry budget.
-func repeatUnsentOnly(request *http.Request, sent func() bool) {
-	if request.Body != nil || lengthExpected(request) {
-		return
+// repeatUnsentOnly lets the HTTP client repeat a request on another connection only if it was not sent on the one that broke. The
+// client repeats by itself what looks repeatable, besides the retry budget.
+func repeatUnsentOnly(request *http.Request, body []byte, sent func() bool) {
+	if request.Body == nil {
+		if lengthExpected(request) {
+			return
+		}
+		request.Body, request.ContentLength = newBody(nil), -1 // no body is sent, or an empty one in chunks
 	}
-	request.Body, request.ContentLength = emptyBody(), -1 // no body is sent, or an empty one in chunks
 	request.GetBody = func() (io.ReadCloser, error) {
 		if sent() {
 			return nil, errSent
 		}
-		return emptyBody(), nil
+		return newBody(body), nil
 	}
 }
 
-func emptyBody() io.ReadCloser { return io.NopCloser(strings.NewReader("")) }
+func newBody(text []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(text)) }
 
 // lengthExpected reports whether a request without a body needs an explicit length. The HTTP client does not repeat it.
 func lengthExpected(request *http.Request) bool {
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -80,7 +82,12 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	var used httptrace.GotConnInfo
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info
+		if !rudderpath.Claim(info.Conn, fmt.Sprintf("%s/%d", extension.RequestID, extension.Attempt)) {
+			_ = info.Conn.Close() // the HTTP client takes another one
+		}
+	}}
 	response, err := e.Client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, sendError(err)
