--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -170,7 +170,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if !rudderpath.Claim(info.Conn, a.exchange.job.request.ID) {
 				a.used.Store(newSendConn(info.Conn, info.Reused))
-				a.forwarder.Metrics.Count("targets.claimed_connections")
+				a.forwarder.Metrics.Count("targets.replaced_connections")
 				_ = info.Conn.Close() // the HTTP client or sendDirect takes another one
 				return
 			}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -175,7 +175,7 @@
 	if !answersThisSend(x, answer) {
 		_ = answer.response.Body.Close()
 		answer.discard()
-		return nil, errors.Mark(errors.Mark(errors.Newf("got the response for request %q", answer.RequestID), ErrWrongAnswer), ErrBroken)
+		return nil, errors.Mark(errors.Mark(errors.Newf("the response for request %q may belong to another send", answer.RequestID), ErrWrongAnswer), ErrBroken)
 	}
 	f.observeHeaders(j, g, answer)
 	f.observeLimit(j, g, answer, x.sentAt)
--- a/rudderd/rudderpath/serve.go
+++ b/rudderd/rudderpath/serve.go
@@ -16,9 +16,9 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// CopyResponse passes a target's response on as it arrives. It has come on a connection that was claimed for its request, or on a new
-// one. onRead is called after each read. After an error the handler
-// must abort the call, so that the response does not look complete.
+// CopyResponse passes a target's response on as it arrives. It must have come on a new connection, or on one that was claimed for its
+// request. onRead is called after each read. After an error the handler must abort the call, so that the response does not look
+// complete.
 func CopyResponse(w http.ResponseWriter, response *http.Response, onRead func()) error {
 	head := ResponseHead{
 		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Chunked: len(response.TransferEncoding) > 0,
