Send no request on a connection after a refusal

Callers of requests that must run once got 502 although a sound target ran them: the target wrote the refusal of an earlier request once more, and the copy came in the place of the next response on the connection. It names the earlier request, so that the outcome was true, but it served nobody.

A connection on which a target refuses a request now carries no other one. It is closed, unless another request has claimed it meanwhile: that one is not cut.

TestCopyOfARefusalCostsNoOtherRequest failed before (502 instead of 200), direct and relayed.

--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -254,6 +254,7 @@
 	j.excludeGroup(g)
 	j.lastErr = errors.Newf("target %s answered %d without running the request", g.Leader.Name, answer.response.StatusCode)
 	_ = answer.response.Body.Close()
+	answer.retire(j.request.ID)
 	f.Metrics.Count("sends.refused")
 	f.Logger.Info().Str("request_id", j.request.ID).Str("group", g.ID).Str("target", g.Leader.Name).
 		Int("status", answer.response.StatusCode).Str("culprit", answer.FailedMember).Int("sends", j.sends).Bool("relayed", answer.connection == nil).
--- a/rudderd/rudderforward/copies_test.go
+++ b/rudderd/rudderforward/copies_test.go
@@ -20,14 +20,14 @@
 
 const wholeStream = streamHead + "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n"
 
-// copyingTarget refuses the first request with an ID. If the ID comes again on the same connection, it writes the refusal once more
-// while that request runs.
+// copyingTarget refuses its first request. When the next one arrives on the same connection, it writes the refusal once more while
+// that request runs.
 type copyingTarget struct {
 	refusal string
 	pause   time.Duration // inside the head of the first refusal
 
 	mu      sync.Mutex
-	refused map[int]bool // connections on which the request was refused
+	refused map[int]bool // connections on which a request was refused
 	runs    int
 }
 
@@ -50,10 +50,11 @@
 		_, _ = io.WriteString(w, c.refusal)
 		time.Sleep(50 * time.Millisecond)
 	}
+	own := strings.NewReplacer("q1", r.Header.Get("Id"))
 	if strings.HasPrefix(r.RequestURI, "/s/") {
-		_, _ = io.WriteString(w, wholeStream)
+		_, _ = own.WriteString(w, wholeStream)
 	} else {
-		_, _ = io.WriteString(w, answer("q1", "own"))
+		_, _ = own.WriteString(w, answer("q1", "own"))
 	}
 }
 
@@ -123,6 +124,28 @@
 	}
 }
 
+// A target writes a refusal once more before its response to the next request on the connection. Guards against a request that ends
+// as one that may have run, because the copy came instead of its response.
+func TestCopyOfARefusalCostsNoOtherRequest(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		b := newTestbed(t)
+		b.id = shortIDs()
+		b.route("/p/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 1 })
+		c := &copyingTarget{refusal: "HTTP/1.1 503 Full\r\nId: ab\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}
+		b.rawTarget("plain", c.serve)
+		b.start()
+		if relayed {
+			b.relayAll()
+		}
+		sendRefused(b, "/p/x")
+		for range 3 {
+			response, body, _ := b.send("POST", "/p/x", "body")
+			require.Equal(t, http.StatusOK, response.StatusCode, body)
+		}
+		require.Equal(t, 3, c.ran())
+	}
+}
+
 func sendRefused(b *testbed, path string) {
 	response, body, _ := b.send("POST", path, "body")
 	require.Equal(b.t, http.StatusServiceUnavailable, response.StatusCode, body)
--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -110,6 +110,9 @@
 	} else {
 		_ = answer.response.Body.Close()
 	}
+	if answer.NotRun {
+		answer.retire(x.job.request.ID)
+	}
 	f.loads.heard(x.group.Leader.Name, f.Uptime())
 	f.Metrics.Count("sends.late_responses")
 	f.Logger.Info().Str("request_id", x.job.request.ID).Str("group", x.group.ID).Str("target", x.group.Leader.Name).
--- a/rudderd/rudderforward/relayed.go
+++ b/rudderd/rudderforward/relayed.go
@@ -115,6 +115,9 @@
 // copyRelayed passes a response on as it arrives. A response that is cut off aborts the call, so that it does not look
 // complete.
 func (f *Forwarder) copyRelayed(ctx context.Context, w http.ResponseWriter, x *exchange, answer *reply) {
+	if answer.NotRun {
+		defer answer.retire(x.job.request.ID)
+	}
 	defer func() { _ = answer.response.Body.Close() }()
 	if !answer.Sealed && answer.response.StatusCode < http.StatusMultipleChoices {
 		defer answer.discard()
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -60,6 +61,13 @@
 // reused reports whether the response arrived on a connection of this entry host that had carried other requests.
 func (r *reply) reused() bool { return r.connection != nil && r.connection.reused }
 
+// retire ends the use of the connection of a refusal. If the target writes the refusal once more, nobody else takes it for an answer.
+func (r *reply) retire(requestID string) {
+	if r.connection != nil {
+		rudderpath.Retire(r.connection.Conn, requestID)
+	}
+}
+
 // discard closes the connection of a wrong response. Closing the body is not enough: the HTTP client keeps
 // the connection if the body is empty, and the next request on it could receive this response.
 func (r *reply) discard() {
--- a/rudderd/rudderpath/connection.go
+++ b/rudderd/rudderpath/connection.go
@@ -19,8 +19,10 @@
 	net.Conn
 	written atomic.Int64
 
-	mu  sync.Mutex
-	ids map[uint64]struct{} // hashes
+	mu      sync.Mutex
+	ids     map[uint64]struct{} // hashes
+	latest  uint64              // hash of the ID that was claimed last
+	retired bool
 }
 
 // hashSeed keeps callers from choosing IDs with the same hash.
@@ -68,12 +70,27 @@
 	hash := maphash.String(hashSeed, id)
 	tracked.mu.Lock()
 	defer tracked.mu.Unlock()
-	if _, sent := tracked.ids[hash]; sent || len(tracked.ids) >= maxRequests {
+	if _, sent := tracked.ids[hash]; sent || tracked.retired || len(tracked.ids) >= maxRequests {
 		return false
 	}
 	if tracked.ids == nil {
 		tracked.ids = map[uint64]struct{}{}
 	}
-	tracked.ids[hash] = struct{}{}
+	tracked.ids[hash], tracked.latest = struct{}{}, hash
 	return true
 }
+
+// Retire keeps a connection from being claimed after the request with an ID, whose exchange has ended. It closes the connection unless
+// another request, which its client may have written already, has claimed it meanwhile.
+func Retire(c net.Conn, id string) {
+	tracked, ok := c.(*trackedConn)
+	if !ok {
+		return
+	}
+	tracked.mu.Lock()
+	defer tracked.mu.Unlock()
+	tracked.retired = true
+	if tracked.latest == maphash.String(hashSeed, id) {
+		_ = tracked.Close()
+	}
+}
--- a/rudderd/rudderpath/connection_test.go
+++ b/rudderd/rudderpath/connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 
@@ -32,3 +33,32 @@
 	require.True(t, Claim(connections[1], "0"))
 	require.True(t, Claim(nil, "0"), "no connection of this host")
 }
+
+// Guards against a connection that carries requests after a refusal, and against one that is closed under another request.
+func TestRetire(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		claims []string // "a" is refused
+		open   bool
+	}{
+		{"refused", []string{"a"}, false},
+		{"refused after another request", []string{"b", "a"}, false},
+		{"claimed by another request meanwhile", []string{"a", "b"}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inner, other := net.Pipe()
+			defer func() { _ = other.Close() }()
+			go func() { _, _ = io.Copy(io.Discard, other) }()
+			c, err := Track(func(context.Context, string, string) (net.Conn, error) { return inner, nil })(t.Context(), "", "")
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			for _, id := range test.claims {
+				require.True(t, Claim(c, id))
+			}
+			Retire(c, "a")
+			require.False(t, Claim(c, "c"))
+			_, err = c.Write([]byte("x"))
+			require.Equal(t, test.open, err == nil, "%v", err)
+		})
+	}
+}
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -94,6 +94,9 @@
 		d.OnResponse(request.URL.Host, response.Header, sentAt)
 	}
 	if response.Header.Get(ruddertarget.HeaderNotRun) == "true" {
+		if used := connection.Load(); used != nil {
+			rudderpath.Retire(used.Conn, request.Header.Get(ruddertarget.HeaderRequestID))
+		}
 		return notRun(http.StatusServiceUnavailable, CodeRefused, "the target refused the call")
 	}
 	memory.Release() // an earlier attempt may have reserved some
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -82,9 +82,10 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	var used httptrace.GotConnInfo
+	id := fmt.Sprintf("%s/%d", extension.RequestID, extension.Attempt)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info
-		if !rudderpath.Claim(info.Conn, fmt.Sprintf("%s/%d", extension.RequestID, extension.Attempt)) {
+		if !rudderpath.Claim(info.Conn, id) {
 			_ = info.Conn.Close() // the HTTP client takes another one
 		}
 	}}
@@ -100,6 +101,7 @@
 			}
 			return nil, errors.Mark(errors.Newf("got the response for request %q", response.Header.Get(ruddertarget.HeaderRequestID)), ErrMalformed)
 		}
+		defer rudderpath.Retire(used.Conn, id)
 		return nil, statusError(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, 4096)
