Take only news for the begin of a stream

A target that writes blank lines, comments or other events without news before the first event of a stream kept it for longer than its silence would. The first such bytes ended the guard against hanging sends (nextEvent, hangGuard.answered), and the head of the response went to the caller, after which nothing but a cut can end it. A stream that may run once was cut at its time limit, and one that can be resumed waited for the 3 s of the watchdog, also when it had been resumed after a cut. Sends through another entry host did the same. After an event of the same send, only news restarts the watchdog: nothing to mend there.

Now an event begins a response if it advances the stream, or has data and no ID. What comes before is held, within the limit of one event and the budget for responses, and goes out whole with the first news; if the send is given up, it is dropped.

TestEndlessResponsesAreBoundedTogether has a case of comments that do not end.

--- a/rudderd/rudderforward/endless_test.go
+++ b/rudderd/rudderforward/endless_test.go
@@ -41,6 +41,7 @@
 		{"body", "/p/", answerHead("200 OK") + strings.Repeat("x", 250<<10)},
 		{"body of an error", "/p/", answerHead("404 None") + strings.Repeat("x", 250<<10)},
 		{"event", "/s/", streamHead + chunk("id: 1\ndata: a\n\n") + "f0000\r\ndata: " + strings.Repeat("x", 250<<10)},
+		{"no event", "/s/", streamHead + chunk(strings.Repeat(": x\n\n", 50<<10))},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newTestbed(t)
@@ -94,7 +95,7 @@
 			require.LessOrEqual(t, bodies.Held(), int64(limit))
 			for range len(outcomes) {
 				text := <-outcomes
-				if test.route == "/s/" {
+				if strings.Contains(test.text, "id: 1") {
 					require.Regexp(t, "^200 id: 1\ndata: a\n\n .*unexpected EOF$", text, "a stream that is cut does not look complete")
 					continue
 				}
--- a/rudderd/rudderforward/events.go
+++ b/rudderd/rudderforward/events.go
@@ -18,6 +18,8 @@
 	// freeEventBytes is the size up to which a buffer takes no memory from the budget, so that streams of short events go on
 	// without any. It is less than the buffers of the stream's connections.
 	freeEventBytes = 8 << 10
+	// heldCopies is the size of a slice that append has grown, as a multiple of its content.
+	heldCopies = 2
 )
 
 var errEventTooLong = errors.New("forward: event exceeds the size limit")
@@ -159,6 +161,19 @@
 	return id != "" && id != last && !older(id, last)
 }
 
+// hasNews reports whether an event begins the response of a stream: it advances the stream, or has data and no ID.
+func hasNews(event []byte, id, last string) bool {
+	if id != "" {
+		return newer(id, last)
+	}
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // older reports whether an event was already delivered, judged by its ID and that of the last delivered
 // event.
 func older(id, last string) bool {
@@ -169,3 +184,30 @@
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errA == nil && errB == nil && a <= b
 }
+
+// heldEvents holds what precedes the first news of a stream, so that another target may still begin the response.
+type heldEvents struct {
+	text   []byte
+	memory *rudderbody.Reservation
+}
+
+// add adds an event, unless the caller has it.
+func (h *heldEvents) add(event []byte, id, last string) error {
+	if older(id, last) {
+		return nil
+	}
+	size := len(h.text) + len(event)
+	if size > maxEventBytes {
+		return errEventTooLong
+	}
+	if err := h.memory.Resize(int64(size)); err != nil {
+		return err
+	}
+	h.text = append(h.text, event...)
+	return nil
+}
+
+func (h *heldEvents) release() {
+	h.text = nil
+	h.memory.Release()
+}
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -141,10 +141,12 @@
 func (f *Forwarder) copyEvents(ctx, sendContext context.Context, j *job, g *rudderview.Group, answer *reply, guard *watchdog) bool {
 	events := &eventReader{source: answer.response.Body, memory: f.Responses.ReservationAbove(freeEventBytes, 1)}
 	defer events.memory.Release()
+	held := &heldEvents{memory: f.Responses.ReservationAbove(freeEventBytes, heldCopies)}
+	defer held.memory.Release()
 	control := http.NewResponseController(j.writer)
 	reading := f.Uptime() // since when this entry host waits for the next event
 	for {
-		event, id, err := nextEvent(j, answer, events)
+		event, id, err := nextEvent(j, answer, events, held)
 		if errors.Is(err, io.EOF) {
 			err = cmp.Or(f.checkEnd(ctx, answer, g.Leader), err)
 		}
@@ -157,17 +159,9 @@
 		if fresh {
 			f.recordEvent(j, g, answer, guard, reading)
 		}
-		if !j.started {
-			f.beginStream(j, answer)
-		}
-		if len(event) > 0 && !older(id, j.lastEvent) {
-			if _, writeErr := j.writer.Write(event); writeErr != nil {
-				f.callerLeft(j, writeErr)
-				return true
-			}
-			if id != "" {
-				j.lastEvent = id
-			}
+		if writeErr := f.deliver(j, answer, held, event, id); writeErr != nil {
+			f.callerLeft(j, writeErr)
+			return true
 		}
 		if err != nil {
 			f.endStream(j, answer)
@@ -215,6 +209,27 @@
 	j.running.countEvent(f.Uptime())
 }
 
+// deliver writes an event to the caller unless it has it. Before the first one it writes the head and what has been held.
+func (f *Forwarder) deliver(j *job, answer *reply, held *heldEvents, event []byte, id string) error {
+	if !j.started {
+		f.beginStream(j, answer)
+		if _, err := j.writer.Write(held.text); err != nil {
+			return err
+		}
+		held.release()
+	}
+	if len(event) == 0 || older(id, j.lastEvent) {
+		return nil
+	}
+	if _, err := j.writer.Write(event); err != nil {
+		return err
+	}
+	if id != "" {
+		j.lastEvent = id
+	}
+	return nil
+}
+
 // beginStream sends the head of a stream.
 func (f *Forwarder) beginStream(j *job, answer *reply) {
 	j.mediaType = mediaType(answer.response)
@@ -224,19 +239,28 @@
 	}
 }
 
-// nextEvent returns the next event of a stream. At its end, it returns io.EOF only if the stream may be complete.
-func nextEvent(j *job, answer *reply, events *eventReader) (event []byte, id string, err error) {
-	event, id, err = events.next()
-	if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer, events)) {
-		err = errCutEvent
-	}
-	if err == nil && !validEvent(event) {
-		err = errNoEvent
-	}
-	if (err == nil || errors.Is(err, io.EOF)) && !j.hang.answered(true) {
-		err = errLateResponse
+// nextEvent returns the next event of a stream. Before the response has begun, it holds those without news. At the end of the
+// stream, it returns io.EOF only if the stream may be complete.
+func nextEvent(j *job, answer *reply, events *eventReader, held *heldEvents) (event []byte, id string, err error) {
+	for {
+		event, id, err = events.next()
+		if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer, events)) {
+			err = errCutEvent
+		}
+		if err == nil && !validEvent(event) {
+			err = errNoEvent
+		}
+		begins := errors.Is(err, io.EOF) || err == nil && hasNews(event, id, j.lastEvent)
+		if begins && !j.hang.answered(true) {
+			err = errLateResponse
+		}
+		if err != nil || begins || j.started {
+			return event, id, err
+		}
+		if err = held.add(event, id, j.lastEvent); err != nil {
+			return nil, "", err
+		}
 	}
-	return event, id, err
 }
 
 // mediaType returns the content type of a response without its parameters.
