Take no comment for the end of a resumed stream

A stream that this entry host resumes, and whose new target closes the connection of a response without length and chunks, counts as cut if that response had no event. Blank lines, comments and repeated events counted as events (eventReader.count): the stream ended as complete before its last event, although an attempt was left. Only events that are new to the caller count now, as for a stream that has just begun.

The test takes the new comments and blank lines out of the body before it compares it, because bytes of a stream that has begun are passed on as they arrive; no earlier case contains them.

--- a/rudderd/rudderforward/events.go
+++ b/rudderd/rudderforward/events.go
@@ -32,7 +32,6 @@
 	start   int   // index of the first unread byte
 	scanned int   // bytes from start that are known to contain no event terminator
 	readErr error // error of the last read from source
-	count   int   // events returned
 }
 
 // next returns the bytes of the next event, with its terminating blank line, and its ID, which may be empty.
@@ -42,7 +41,6 @@
 		if n := e.eventLength(); n > 0 {
 			event = e.buffer[e.start : e.start+n]
 			e.start, e.scanned = e.start+n, 0
-			e.count++
 			return event, eventID(event), nil
 		}
 		if e.readErr != nil {
--- a/rudderd/rudderforward/raw_test.go
+++ b/rudderd/rudderforward/raw_test.go
@@ -205,6 +205,9 @@
 		{"response in a stream without chunks", sealed + "Content-Type: text/event-stream\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 6\r\n\r\nfull\n\n"},
 		{"response for another request", strings.Replace(streamHead, "q1", "q0", 1) + chunk("id: 2\ndata: x\n\n") + "0\r\n\r\n"},
 		{"head alone", sealed + "Content-Type: text/event-stream\r\n\r\n"},
+		{"head and a comment", sealed + "Content-Type: text/event-stream\r\n\r\n: here\n\n"},
+		{"head and blank lines", sealed + "Content-Type: text/event-stream\r\n\r\n\n\n"},
+		{"head and a repeated event", sealed + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"},
 	} {
 		for _, attempts := range []int{2, 3} {
 			t.Run(fmt.Sprint(test.name, " of ", attempts), func(t *testing.T) {
@@ -226,6 +229,7 @@
 				}
 				b.start()
 				_, body, err := b.send("POST", "/s/x", "prompt")
+				body = strings.NewReplacer(": here\n\n", "", "\n\n\n\n", "\n\n").Replace(body) // passed on as they arrive
 				if attempts == 2 {
 					require.Error(t, err, "the stream is not complete")
 					require.Equal(t, "id: 1\ndata: a\n\n", body)
--- a/rudderd/rudderforward/stream.go
+++ b/rudderd/rudderforward/stream.go
@@ -244,7 +244,7 @@
 func nextEvent(j *job, answer *reply, events *eventReader, held *heldEvents) (event []byte, id string, err error) {
 	for {
 		event, id, err = events.next()
-		if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer, events)) {
+		if errors.Is(err, io.EOF) && (len(bytes.TrimSpace(event)) > 0 || endsEmpty(j, answer)) {
 			err = errCutEvent
 		}
 		if err == nil && !validEvent(event) {
@@ -279,12 +279,12 @@
 }
 
 // endsEmpty reports whether a stream that has just begun, or has just been resumed by this entry host, ended with its
-// connection and without an event, so that its end is no proof of a complete response.
-func endsEmpty(j *job, answer *reply, events *eventReader) bool {
+// connection and without a new event, so that its end is no proof of a complete response.
+func endsEmpty(j *job, answer *reply) bool {
 	if answer.framed() {
 		return false
 	}
-	return j.sendEvents == 0 && j.lastEvent == "" || j.resumed > 0 && events.count == 0
+	return j.sendEvents == 0 && (j.lastEvent == "" || j.resumed > 0)
 }
 
 func (f *Forwarder) callerLeft(j *job, err error) {
