Take only new tokens for progress of an engine

On the chat API face, each chunk of an engine restarted the silence limits, also one without text, of a token that the answer has, or of an older attempt. An engine that wrote only such chunks kept its request until the caller left; after the last token, they put off the end of the answer, which waits for the usage for one silence limit. Comments and blank lines were not affected. Now only a new token, and the first chunk with a finish reason, restart the limits.

An engine without progress is left after 530 ms and one that does not respond after 230 ms, and the answer ends 80 ms after its last token, as with an engine that writes nothing; one that goes on after 300 ms keeps its request.

--- a/rudderd/rudderstream/read.go
+++ b/rudderd/rudderstream/read.go
@@ -67,11 +67,14 @@
 	for {
 		select {
 		case r := <-events:
+			received, ended := s.answer.Received(), s.pendingResult != nil
 			if complete, err := s.handleRead(r); complete || err != nil {
 				return err
 			}
-			silence.event()
-			if s.answer.abandoned(silence.progress, s.AbandonAfter) {
+			if s.answer.Received() > received || s.pendingResult != nil && !ended {
+				silence.event()
+			}
+			if s.answer.abandoned(s.Clock.Now(), s.AbandonAfter) {
 				return errAbandoned
 			}
 		case <-silence.timer.Chan():
