Read the load only of responses that belong to the send

A response with the ID of another request, or none on a reused connection, is discarded; its pause, limit and leave were not read, but its load was, before the ID was checked. A copy of an earlier response set the load of its target back to that of an earlier time.

The load is read after the check now. TestCopyOfAnotherAnswerTellsNothing saw a load of 7 from the copy in 4 of 4 cases before, and passed 20 of 20 times with the race detector. It also checks that the copy sets no pause, limit or leave and starts no crash check: with ErrWrongAnswer taken out of brokenByTarget, it reports a suspected target and a recorded crash in 4 of 4 cases.

--- a/rudderd/rudderforward/copies_test.go
+++ b/rudderd/rudderforward/copies_test.go
@@ -15,7 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/rudderview"
 )
 
 const wholeStream = streamHead + "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n"
@@ -210,3 +212,47 @@
 		})
 	}
 }
+
+// A target writes an answer to an earlier request once more. Guards against what it says about the target being taken for news, and
+// against a target that counts as crashed because of it.
+func TestCopyOfAnotherAnswerTellsNothing(t *testing.T) {
+	const notices = "Load: 7\r\nPause: 9\r\nLimit: 5\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, test := range []struct {
+		name, copied string
+		kind         rudderroute.Kind
+	}{
+		{"refusal", "HTTP/1.1 503 Full\r\nId: q0\r\nNot-Run: 1\r\n" + notices, rudderroute.KindAtMostOnce},
+		{"refusal, idempotent", "HTTP/1.1 503 Full\r\nId: q0\r\nNot-Run: 1\r\n" + notices, rudderroute.KindIdempotent},
+		{"answer", "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q0\r\n" + notices, rudderroute.KindAtMostOnce},
+		{"refusal without an ID", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + notices, rudderroute.KindAtMostOnce},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.id = shortIDs()
+			b.route("/p/", func(r *rudderroute.Route) { r.Kind = test.kind })
+			b.rawTarget("plain", func(w net.Conn, r *http.Request, _, request int) {
+				if request == 1 {
+					_, _ = io.WriteString(w, answer(r.Header.Get("Id"), "own"))
+				} else {
+					_, _ = io.WriteString(w, test.copied)
+				}
+			})
+			b.start()
+			b.forwarder.Suspect = func(*rudderview.Target, string) { t.Error("the target is suspected") }
+			b.forwarder.RecordCrash = func(*rudderview.Target, []rudderpoison.SuspectRequest) { t.Error("a crash is recorded") }
+			b.forwarder.Report = unreachable
+			for _, want := range []int{http.StatusOK, http.StatusBadGateway} {
+				response, body, _ := b.send("POST", "/p/x", "body")
+				require.Equal(t, want, response.StatusCode, body)
+			}
+			time.Sleep(2 * crashCollectTime)
+			f, x := b.forwarder, b.forwarder.View.Snapshot().Targets["t1"]
+			f.loads.mu.Lock()
+			require.Zero(t, f.loads.leaders["t1"].reported)
+			f.loads.mu.Unlock()
+			require.Zero(t, f.pauses.left(x, f.Uptime()))
+			require.False(t, f.Limits.Limited(processOf(x)))
+			require.False(t, x.Leaving())
+		})
+	}
+}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -177,14 +177,14 @@
 func (f *Forwarder) receive(x *exchange, answer *reply) (*reply, error) {
 	j, g := x.job, x.group
 	answer.Reply = f.Protocol.DecodeReply(answer.response)
-	if answer.Load != nil {
-		f.loads.report(g.Leader.Name, f.Uptime(), *answer.Load)
-	}
 	if !answersThisSend(x, answer) {
 		_ = answer.response.Body.Close()
 		answer.discard()
 		return nil, errors.Mark(errors.Mark(errors.Newf("the response for request %q may belong to another send", answer.RequestID), ErrWrongAnswer), ErrBroken)
 	}
+	if answer.Load != nil {
+		f.loads.report(g.Leader.Name, f.Uptime(), *answer.Load)
+	}
 	f.observeHeaders(j, g, answer)
 	f.observeLimit(j, g, answer, x.sentAt)
 	return answer, nil
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -224,6 +224,9 @@
 				if rate, err := strconv.ParseFloat(r.Header.Get("Limit"), 64); err == nil {
 					reply.RequestLimit = &rate
 				}
+				if running, err := strconv.Atoi(r.Header.Get("Load")); err == nil {
+					reply.Load = &Load{Running: running}
+				}
 				return reply
 			},
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", fmt.Sprint(d.Seconds())) },
