Take no response from a connection that was closed before its request

A connection that cannot be claimed is closed before a byte of the request is written. What had arrived on it just before, a copy of the response to an earlier request with the same ID, could still be read as the response: the HTTP client has expected one since it took the connection, and takes whichever comes first, the response or the error of the write. The caller got the response to the earlier request, and its own was sent nowhere. The same held for a connection that was given up while it was set up.

Such a response is now dropped, and the request counts as not sent on that connection and takes the next one.

--- a/rudderd/rudderforward/connection.go
+++ b/rudderd/rudderforward/connection.go
@@ -10,11 +10,12 @@
 type sendConn struct {
 	net.Conn
 	reused  bool
+	claimed bool  // by rudderpath.Claim; otherwise it was closed before the send
 	written int64 // bytes that were written to it before
 }
 
-func newSendConn(c net.Conn, reused bool) *sendConn {
-	s := &sendConn{Conn: c, reused: reused}
+func newSendConn(c net.Conn, requestID string, reused bool) *sendConn {
+	s := &sendConn{Conn: c, reused: reused, claimed: rudderpath.Claim(c, requestID)}
 	s.written, _ = rudderpath.Written(c)
 	return s
 }
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -164,12 +164,20 @@
 
 func (a *attempt) abandoned() bool { return a.state.Load() == attemptAbandoned }
 
+// unsent reports whether the connection was closed before a byte of the request was written. What is still read from it is no response
+// to the request.
+func (a *attempt) unsent() bool {
+	c := a.used.Load()
+	return a.abandoned() || c != nil && !c.claimed
+}
+
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		ConnectStart: func(string, string) { a.dialledAt.Store(int64(a.forwarder.Uptime())) },
 		GotConn: func(info httptrace.GotConnInfo) {
-			if !rudderpath.Claim(info.Conn, a.exchange.job.request.ID) {
-				a.used.Store(newSendConn(info.Conn, info.Reused))
+			connection := newSendConn(info.Conn, a.exchange.job.request.ID, info.Reused)
+			if !connection.claimed {
+				a.used.Store(connection)
 				a.forwarder.Metrics.Count("targets.replaced_connections")
 				_ = info.Conn.Close() // the HTTP client or sendDirect takes another one
 				return
@@ -178,7 +186,7 @@
 				_ = info.Conn.Close() // the request goes another way, so nothing of it may be written here
 				return
 			}
-			a.used.Store(newSendConn(info.Conn, info.Reused))
+			a.used.Store(connection)
 			a.forwarder.Protocol.SetRemaining(a.header, a.exchange.job.remaining(a.forwarder.Uptime())) // less than before the connect
 			if !info.Reused {
 				a.forwarder.Metrics.Count("targets.connections")
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -125,6 +125,10 @@
 	var err error
 	answer.response, err = f.roundTrip(ctx, x, attempt) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
+	if err == nil && attempt.unsent() {
+		_ = answer.response.Body.Close()
+		err = errors.WithStack(net.ErrClosed)
+	}
 	if err != nil {
 		defer cancel(nil)
 		return nil, f.sendError(ctx, x, attempt, err)
