Chat API: take no response from a connection that was closed before its request

As on the users' platform: a copy that arrived just before a connection was closed, because it could not be claimed, was read as the response to a request that had not been written. It counts as not sent now.

--- a/rudderd/rudderapp/copies_test.go
+++ b/rudderd/rudderapp/copies_test.go
@@ -65,10 +65,38 @@
 	return l.Addr().String(), runs
 }
 
+// overtakenConn is a connection on which a copy of a refusal has arrived that is read only after this host has closed it.
+type overtakenConn struct {
+	net.Conn
+	copied *atomic.Bool // the copy has arrived
+}
+
+func (c overtakenConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && c.copied.Load() {
+		time.Sleep(10 * time.Millisecond) // until the HTTP client expects a response
+		return copy(p, "HTTP/1.1 503 Full\r\nRudder-Not-Run: true\r\nRudder-Request-Id: c3\r\nRudder-Attempt: 1\r\nContent-Length: 4\r\n\r\nfull"), nil
+	}
+	return n, err
+}
+
+func (c overtakenConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && c.copied.Load() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return n, err
+}
+
 // A request is refused on a kept connection, its ID comes again, and the refusal is written once more while it runs. Guards against
 // a caller that is told that the request has not run.
 func TestCopyOfARefusal(t *testing.T) {
 	a := &App{Clock: clockwork.NewRealClock(), fleet: &rudderfleet.Fleet{}}
+	var copied atomic.Bool
+	a.TargetDial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return overtakenConn{c, &copied}, err
+	}
 	a.wirePaths()
 	const complete, refused, other = "complete", "refused", "other"
 	engine := &rudderstream.Engine{Client: &http.Client{Transport: a.targetTransport()}}
@@ -83,10 +111,10 @@
 		}
 		return func(id string) string {
 			call := rudderservice.Call{RequestID: id, Method: http.MethodPut, Path: "/x", Header: http.Header{rudderservice.HeaderKey: {"k"}}, Body: body}
-			switch result := d.Do(t.Context(), call); result.Outcome {
-			case rudderservice.OutcomeComplete:
+			switch result := d.Do(t.Context(), call); {
+			case result.Outcome == rudderservice.OutcomeComplete:
 				return complete
-			case rudderservice.OutcomeNotRun:
+			case result.Code == rudderservice.CodeRefused:
 				return refused
 			}
 			return other
@@ -120,6 +148,10 @@
 			require.Equal(t, refused, send("c2"))
 			require.Equal(t, complete, send("c2"))
 			require.Equal(t, int64(2), runs.Load())
+			require.Equal(t, complete, send("c3"))
+			copied.Store(true)
+			defer copied.Store(false)
+			require.NotEqual(t, refused, send("c3"), "the copy arrives just before the connection is closed")
 		})
 	}
 }
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -51,7 +51,8 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection.Store(&info)
 			written.start(info.Conn)
-			if !rudderpath.Claim(info.Conn, call.RequestID) {
+			written.claimed.Store(rudderpath.Claim(info.Conn, call.RequestID))
+			if !written.claimed.Load() {
 				_ = info.Conn.Close() // the HTTP client takes another one
 			}
 		},
@@ -76,6 +77,9 @@
 	result := d.exchange(ctx, transport, request, call.Memory, &connection)
 	cancel(nil)
 	<-probes
+	if connection.Load() != nil && !written.claimed.Load() { // what had arrived before the connection was closed is no response
+		result = notRun(http.StatusServiceUnavailable, CodeUnreachable, "the connection was closed before the call was sent")
+	}
 	result.Target = address
 	return result
 }
--- a/rudderd/rudderservice/connection.go
+++ b/rudderd/rudderservice/connection.go
@@ -9,6 +9,7 @@
 
 // writeWatch finds out whether a call was written to its connection.
 type writeWatch struct {
+	claimed    atomic.Bool // the latest connection, which was closed otherwise
 	head       atomic.Bool // the HTTP client reports a head as written once it is in its buffer
 	connection atomic.Pointer[net.Conn]
 	before     atomic.Int64 // bytes that were written to the connection before the call
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -82,10 +82,10 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	var used httptrace.GotConnInfo
-	id := fmt.Sprintf("%s/%d", extension.RequestID, extension.Attempt)
+	claimed, id := true, fmt.Sprintf("%s/%d", extension.RequestID, extension.Attempt)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		used = info
-		if !rudderpath.Claim(info.Conn, id) {
+		used, claimed = info, rudderpath.Claim(info.Conn, id)
+		if !claimed {
 			_ = info.Conn.Close() // the HTTP client takes another one
 		}
 	}}
@@ -93,6 +93,10 @@
 	if err != nil {
 		return nil, sendError(err)
 	}
+	if !claimed { // what had arrived before the connection was closed
+		_ = response.Body.Close()
+		return nil, errors.Mark(errors.WithStack(net.ErrClosed), ErrNotSent)
+	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
 		if !isOwn(response.Header, extension, used.Reused) {
