--- a/rudderd/rudderapp/copies_test.go
+++ b/rudderd/rudderapp/copies_test.go
@@ -19,6 +19,7 @@
 	"comfreyrudder.example/rudderd/rudderfleet"
 	"comfreyrudder.example/rudderd/rudderservice"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -65,29 +66,6 @@
 	return l.Addr().String(), runs
 }
 
-// overtakenConn is a connection on which a copy of a refusal has arrived that is read only after this host has closed it.
-type overtakenConn struct {
-	net.Conn
-	copied *atomic.Bool // the copy has arrived
-}
-
-func (c overtakenConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil && c.copied.Load() {
-		time.Sleep(10 * time.Millisecond) // until the HTTP client expects a response
-		return copy(p, "HTTP/1.1 503 Full\r\nRudder-Not-Run: true\r\nRudder-Request-Id: c3\r\nRudder-Attempt: 1\r\nContent-Length: 4\r\n\r\nfull"), nil
-	}
-	return n, err
-}
-
-func (c overtakenConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil && c.copied.Load() {
-		time.Sleep(50 * time.Millisecond)
-	}
-	return n, err
-}
-
 // A request is refused on a kept connection, its ID comes again, and the refusal is written once more while it runs. Guards against
 // a caller that is told that the request has not run.
 func TestCopyOfARefusal(t *testing.T) {
@@ -95,7 +73,12 @@
 	var copied atomic.Bool
 	a.TargetDial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return overtakenConn{c, &copied}, err
+		return &ruddertestnet.Overtaken{Conn: c, Text: func() string {
+			if !copied.Load() {
+				return ""
+			}
+			return "HTTP/1.1 503 Full\r\nRudder-Not-Run: true\r\nRudder-Request-Id: c3\r\nRudder-Attempt: 1\r\nContent-Length: 4\r\n\r\nfull"
+		}}, err
 	}
 	a.wirePaths()
 	const complete, refused, other = "complete", "refused", "other"
--- a/rudderd/rudderforward/copies_test.go
+++ b/rudderd/rudderforward/copies_test.go
@@ -18,6 +18,7 @@
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
+	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/rudderd/rudderview"
 )
 
@@ -258,30 +259,6 @@
 	}
 }
 
-// overtakenConn is a connection on which a text has arrived that is read only after this host has closed it.
-type overtakenConn struct {
-	net.Conn
-	text string
-}
-
-func (c *overtakenConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err == nil || c.text == "" {
-		return n, err
-	}
-	time.Sleep(10 * time.Millisecond) // until the HTTP client expects a response
-	n, c.text = copy(p, c.text), ""
-	return n, nil
-}
-
-func (c *overtakenConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		time.Sleep(50 * time.Millisecond)
-	}
-	return n, err
-}
-
 // A response is written once more just before its connection is closed, because the ID comes again. Guards against a copy that is taken
 // for the response to a request that was not sent.
 func TestCopyOnAConnectionThatIsClosed(t *testing.T) {
@@ -295,7 +272,7 @@
 		b.start()
 		b.forwarder.Client.Transport.(*http.Transport).DialContext = rudderpath.Track(func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			return &overtakenConn{c, answer("q1", "run 1")}, err
+			return &ruddertestnet.Overtaken{Conn: c, Text: func() string { return answer("q1", "run 1") }}, err
 		})
 		for _, want := range []string{"run 1", "run 2"} {
 			_, got, err := b.send("POST", "/p/x", body)
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -105,7 +105,7 @@
 			}
 			return nil, errors.Mark(errors.Newf("got the response for request %q", response.Header.Get(ruddertarget.HeaderRequestID)), ErrMalformed)
 		}
-		defer rudderpath.Retire(used.Conn, id)
+		defer rudderpath.Retire(used.Conn, id) // most of these responses say that the engine has not run the request
 		return nil, statusError(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, 4096)
