Chat API: wait for the interruption of a body before its request ends

A request that is admitted in the moment in which an entry host stops taking new ones registers a function that ends the read of its body. That function could still run, or begin, after the request's handler had returned: it then read the response that echo uses again for the next request, and could set the read deadline of that request's connection, which cancels the request's context. A caller that picked up its answer during the stop could lose its stream.

--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,6 +264,39 @@
 	require.Equal(t, string(rudderstream.OutcomeNotRun), response.Header.Get(HeaderOutcome))
 }
 
+// slowDeadline is a response whose read deadline takes a moment to set, and reports what sets it after the end of the request.
+type slowDeadline struct {
+	*httptest.ResponseRecorder
+	ended atomic.Bool
+	late  atomic.Int32
+}
+
+func (s *slowDeadline) SetReadDeadline(time.Time) error {
+	time.Sleep(20 * time.Millisecond)
+	if s.ended.Load() {
+		s.late.Add(1)
+	}
+	return nil
+}
+
+// Guards against a refused request of a stopping host that interrupts a request which comes after it.
+func TestRefusedRequestInterruptsNoOther(t *testing.T) {
+	api := testAPI()
+	accepting, refuse := context.WithCancel(context.Background())
+	refuse()
+	api.Accepting, api.Leaving = accepting, func() bool { return true }
+	handler := api.Handler()
+	for range 20 {
+		w := &slowDeadline{ResponseRecorder: httptest.NewRecorder()}
+		request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chatBody))
+		request.Header.Set("Authorization", "Bearer key-kigali")
+		handler.ServeHTTP(w, request)
+		w.ended.Store(true)
+		time.Sleep(40 * time.Millisecond)
+		require.Zero(t, w.late.Load())
+	}
+}
+
 // Guards against long bodies that exceed the memory of a host together, and against memory that stays reserved after a request or
 // is given back while its answer goes on.
 func TestBodiesAreBounded(t *testing.T) {
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -110,6 +110,22 @@
 	return r
 }
 
+// interruptRead ends the read of a request body when a context ends. The returned function waits for an interruption that has begun:
+// echo uses the response for another request after this one.
+func interruptRead(ctx context.Context, w http.ResponseWriter) (stop func()) {
+	interrupted := make(chan struct{})
+	connection := http.NewResponseController(w)
+	end := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		_ = connection.SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !end() {
+			<-interrupted
+		}
+	}
+}
+
 // readBody reads a request body up to the workspace's limit into memory that has to be reserved.
 func (a *API) readBody(c echo.Context, memory *rudderbody.Reservation) ([]byte, error) {
 	limit := a.MaxBodyBytes
@@ -117,9 +133,7 @@
 		limit = min(limit, own)
 	}
 	if a.Accepting != nil {
-		connection := http.NewResponseController(c.Response())
-		stop := context.AfterFunc(a.Accepting, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
-		defer stop()
+		defer interruptRead(a.Accepting, c.Response())()
 	}
 	body, err := memory.Read(c.Request().Body, c.Request().ContentLength, limit)
 	if errors.Is(err, rudderbody.ErrTooLarge) {
