Notice a short return of the key-value service when a process starts

Callers got 503 "no_configuration" from hosts that had started while the key-value service came and went. A first read of all records that found the service silent hung for 3 s, and its pauses grew to 1.2 s, so that a return of 0.9 s was missed: starts took up to 8.1 s. The registration, whose calls are short, got through meanwhile: the other hosts sent callers there, up to 92 in one start.

A process without records now waits 0.4 s for the begin of an answer, doubled with each read without one, and pauses for at most 0.3 s. When its registration succeeds, the pause ends, and so does a read that has had no answer for 0.4 s. Reads of a process that has records, and the stale ones of a fleet that starts, are as before. Nothing changes on a wire.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -213,7 +213,7 @@
 	e.balance = newBalance(e)
 	e.session = &session{
 		store: e.Ports.Store, logger: e.Logger, uptime: uptime, left: make(chan struct{}), check: make(chan struct{}, 1),
-		changed: e.view.Changed, missing: e.registrationMissing, unreachable: e.storeUnreachable,
+		changed: e.view.Changed, missing: e.registrationMissing, unreachable: e.storeUnreachable, answered: e.view.RetryNow,
 		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity, Instance: newInstance()},
 	}
 	e.forwarder = &rudderforward.Forwarder{
--- a/rudderd/rudderedge/session.go
+++ b/rudderd/rudderedge/session.go
@@ -54,8 +54,9 @@
 	// new as a revision lacks the registration.
 	changed func() <-chan struct{}
 	missing func(revision int64) bool
-	// unreachable reports whether the key-value service does not answer the view.
+	// unreachable reports whether the key-value service does not answer the view, and answered tells the view that it answers.
 	unreachable func() bool
+	answered    func()
 	// lease is 0 for none, and leaseSentAt the uptime at which its grant or last renewal was sent. revision is that of the
 	// registration. They are used only by run.
 	lease       int64
@@ -116,6 +117,7 @@
 			continue
 		}
 		failures = 0
+		s.answered()
 		s.logger.Info().Int64("lease", s.lease).Msg("entry host registered")
 		s.renew(ctx)
 	}
--- a/rudderd/rudderedge/session_test.go
+++ b/rudderd/rudderedge/session_test.go
@@ -180,7 +180,7 @@
 					store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
 					left: make(chan struct{}), check: make(chan struct{}, 1),
 					changed: l.change, missing: func(int64) bool { return !l.registered() },
-					unreachable: func() bool { return false },
+					unreachable: func() bool { return false }, answered: func() {},
 				}
 				go l.expire(ctx)
 				go func() { _ = s.run(ctx) }()
@@ -222,7 +222,7 @@
 		s := &session{
 			store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
 			left: make(chan struct{}), check: make(chan struct{}, 1), changed: l.change, missing: func(int64) bool { return false },
-			unreachable: func() bool { return time.Since(begin) < outage },
+			unreachable: func() bool { return time.Since(begin) < outage }, answered: func() {},
 		}
 		go func() { _ = s.run(ctx) }()
 		time.Sleep(outage)
@@ -247,7 +247,7 @@
 		s := &session{
 			store: l.store(), logger: zerolog.Nop(), uptime: func() time.Duration { return time.Since(begin) }, entry: rudderview.EntryHost{Name: "a"},
 			left: make(chan struct{}), check: make(chan struct{}, 1), changed: l.change, missing: func(int64) bool { return true },
-			unreachable: func() bool { return false },
+			unreachable: func() bool { return false }, answered: func() {},
 		}
 		go func() { _ = s.run(ctx) }()
 		time.Sleep(10 * sessionTTL)
--- a/rudderd/rudderview/look_test.go
+++ b/rudderd/rudderview/look_test.go
@@ -158,7 +158,7 @@
 	const failures = 10
 	require.GreaterOrEqual(t, v.retryAfter(failures), maxRetryPause/2)
 	v.noteFollower(now, time.Millisecond)
-	require.LessOrEqual(t, v.retryAfter(failures), followedRetryPause)
+	require.LessOrEqual(t, v.retryAfter(failures), shortRetryPause)
 	now += followerTimeout
 	require.GreaterOrEqual(t, v.retryAfter(failures), maxRetryPause/2)
 }
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -23,8 +23,10 @@
 	firstWait = 50 * time.Millisecond
 	// watchTimeout is added to the wait to bound a watch, because a connection may hang.
 	watchTimeout = 500 * time.Millisecond
-	// listTimeout bounds a read of all records.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds a read of all records. While a process has none, firstListTimeout replaces it and doubles with each read
+	// that gets no answer, so that a short return of the service is not missed.
+	listTimeout      = 3 * time.Second
+	firstListTimeout = 400 * time.Millisecond
 	// urgentPause replaces BatchPause while View.Urgent is true.
 	urgentPause = 20 * time.Millisecond
 	// retryPause is the longest pause after the first failed call. It doubles with each further failure, up
@@ -32,9 +34,9 @@
 	// a second from a hundred entry hosts.
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 1200 * time.Millisecond
-	// followedRetryPause bounds the pause on an entry host that has followers, of which there are few: an outage that comes and
-	// goes may end for less than a second.
-	followedRetryPause = 300 * time.Millisecond
+	// shortRetryPause bounds the pause on an entry host that has followers, of which there are few, and on one that has no records
+	// and gets no answer: an outage that comes and goes may end for less than a second.
+	shortRetryPause = 300 * time.Millisecond
 	// outageAfter is the time without an answer after which the service is considered to be in an outage.
 	outageAfter = time.Second
 )
@@ -92,7 +94,7 @@
 			failures++
 			retryAt := v.Uptime() + v.retryAfter(failures)
 			v.lookElsewhere(ctx)
-			sleep(b.reads, retryAt-v.Uptime())
+			v.pauseUntilRetry(b.reads, retryAt-v.Uptime())
 		}
 	}
 	return nil
@@ -105,15 +107,66 @@
 	return longest/2 + time.Duration(jitter*float64(longest)/2)
 }
 
-// retryAfter is RetryAfter, bounded by followedRetryPause on an entry host that has followers.
+// retryAfter is RetryAfter, bounded by shortRetryPause where that applies.
 func (v *View) retryAfter(failures int) time.Duration {
 	pause := RetryAfter(failures, rand.Float64())
-	if v.hasFollowers() {
-		return min(pause, followedRetryPause)
+	if v.hasFollowers() || v.unanswered > 0 && v.AwaitsRecords() {
+		return min(pause, shortRetryPause)
 	}
 	return pause
 }
 
+// RetryNow ends the current or the next pause after a failed call. It is called when the service has answered another call.
+func (v *View) RetryNow() {
+	select {
+	case v.retryChannel() <- struct{}{}:
+	default:
+	}
+}
+
+func (v *View) retryChannel() chan struct{} {
+	v.retryOnce.Do(func() { v.retry = make(chan struct{}, 1) })
+	return v.retry
+}
+
+func (v *View) pauseUntilRetry(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-v.retryChannel():
+	}
+}
+
+// readContext bounds a read of all records. While the process has none, the read also ends if the service answers another call, but
+// not this one within firstListTimeout.
+func (v *View) readContext(ctx context.Context, stale bool) (context.Context, context.CancelFunc) {
+	if stale || v.hasRecords.Load() { // a stale read is that of all entry hosts at once, which may take long
+		return context.WithTimeout(ctx, listTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(firstListTimeout<<min(v.unanswered, 8), listTimeout))
+	go func() {
+		sleep(ctx, firstListTimeout)
+		select {
+		case <-ctx.Done():
+		case <-v.retryChannel():
+			cancel()
+			v.RetryNow()
+		}
+	}()
+	return ctx, cancel
+}
+
+// noteRead counts the reads of all records without an answer.
+func (v *View) noteRead(ctx context.Context, err error) {
+	if err != nil && ctx.Err() != nil && !errors.Is(err, rudderstore.ErrIncomplete) {
+		v.unanswered++
+		return
+	}
+	v.unanswered = 0
+}
+
 // markAnswered records that the service answers, and that its answer has been applied.
 func (v *View) markAnswered() {
 	v.endOutage()
@@ -160,7 +213,7 @@
 		}
 		stale = stale && errors.Is(err, ErrFirstStart)
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := v.readContext(ctx, stale)
 	defer cancel()
 	begin := v.Uptime()
 	read := v.Store.List
@@ -168,6 +221,7 @@
 		read = v.Store.ListStale
 	}
 	entries, revision, err := read(ctx, "")
+	v.noteRead(ctx, err)
 	if err != nil {
 		return err
 	}
