Do not take a written request for unsent because of a later connection

A request that must run once ran twice, or was answered 503 after it had run. The HTTP client repeats a POST without a body by itself when its kept connection breaks and the request has an Idempotency-Key field, even an empty one. If the connection that it took next had carried the request's ID or 512 requests, or was retired, that connection replaced the one to which the request had been written. Nothing was written to it, so that the send counted as not sent and was repeated.

A connection that is not claimed now replaces the one of the send only if the send had none. What is read from any connection that is closed before the write, also one that is closed because the send has another or because its target accepts nothing, is no response.

--- a/rudderd/rudderforward/forward_test.go
+++ b/rudderd/rudderforward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -123,6 +124,50 @@
 	}
 }
 
+// The connection of a request breaks, and the HTTP client, which takes a POST with an empty key for repeatable, takes another one that
+// has carried its ID. Guards against a request that is sent again, and runs twice, because nothing was written to that connection.
+func TestRequestIsNotSentAgainAfterItsConnection(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/p/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 1 })
+	var arrivals atomic.Int32
+	both := make(chan struct{})
+	b.rawTarget("plain", func(w net.Conn, r *http.Request, _, _ int) {
+		switch n := arrivals.Add(1); {
+		case n == 2:
+			close(both)
+		case n > 2:
+			_ = w.Close()
+			return
+		}
+		<-both
+		id := r.Header.Get("Id")
+		if id == "q2" {
+			time.Sleep(100 * time.Millisecond) // its connection is used next
+		}
+		_, _ = io.WriteString(w, answer(id, "own"))
+	})
+	b.start()
+	send := func(id string) (status int) {
+		r, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", nil)
+		if err != nil {
+			return 0
+		}
+		r.Host, r.Header = "h", http.Header{"Id": {id}, "Key": {"key"}, "Idempotency-Key": {""}}
+		response, err := b.client.Do(r)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	first := make(chan int)
+	go func() { first <- send("q1") }()
+	require.Equal(t, http.StatusOK, send("q2"))
+	require.Equal(t, http.StatusOK, <-first)
+	require.Equal(t, http.StatusBadGateway, send("q1"))
+	require.Equal(t, int32(3), arrivals.Load())
+}
+
 // Guards against requests that keep a slot at a target after their caller has left.
 func TestCallerLeaves(t *testing.T) {
 	b := newTestbed(t)
--- a/rudderd/rudderforward/path.go
+++ b/rudderd/rudderforward/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -107,6 +108,7 @@
 	cancel    context.CancelCauseFunc
 	wrote     atomic.Bool
 	used      atomic.Pointer[sendConn]
+	closed    atomic.Bool // the latest connection, before a byte of the request was written to it
 	state     atomic.Int32
 	dialledAt atomic.Int64 // uptime in nanoseconds
 
@@ -164,11 +166,10 @@
 
 func (a *attempt) abandoned() bool { return a.state.Load() == attemptAbandoned }
 
-// unsent reports whether the connection was closed before a byte of the request was written. What is still read from it is no response
-// to the request.
-func (a *attempt) unsent() bool {
-	c := a.used.Load()
-	return a.abandoned() || c != nil && !c.claimed
+// refuse closes a connection before a byte of the request is written to it. What is still read from it is no response to the request.
+func (a *attempt) refuse(c net.Conn) {
+	a.closed.Store(true)
+	_ = c.Close()
 }
 
 func (a *attempt) trace() *httptrace.ClientTrace {
@@ -177,16 +178,19 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection := newSendConn(info.Conn, a.exchange.job.request.ID, info.Reused)
 			if !connection.claimed {
-				a.used.Store(connection)
+				if a.state.Load() != attemptConnected { // else the request may have been written to an earlier one
+					a.used.Store(connection)
+				}
 				a.forwarder.Metrics.Count("targets.replaced_connections")
-				_ = info.Conn.Close() // the HTTP client or sendDirect takes another one
+				a.refuse(info.Conn) // the HTTP client or sendDirect takes another one
 				return
 			}
 			if !a.state.CompareAndSwap(attemptConnecting, attemptConnected) {
-				_ = info.Conn.Close() // the request goes another way, so nothing of it may be written here
+				a.refuse(info.Conn) // the request goes another way, so nothing of it may be written here
 				return
 			}
 			a.used.Store(connection)
+			a.closed.Store(false)
 			a.forwarder.Protocol.SetRemaining(a.header, a.exchange.job.remaining(a.forwarder.Uptime())) // less than before the connect
 			if !info.Reused {
 				a.forwarder.Metrics.Count("targets.connections")
@@ -196,7 +200,7 @@
 				a.forwarder.Path.Connected(pathTarget(a.exchange.group.Leader))
 				if !a.forwarder.accepts(a.exchange.group) { // its set-up may have taken a second
 					a.cancel(errNotAccepting)
-					_ = info.Conn.Close()
+					a.refuse(info.Conn)
 					return
 				}
 			}
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -125,7 +125,7 @@
 	var err error
 	answer.response, err = f.roundTrip(ctx, x, attempt) //nolint:bodyclose // whoever gets the reply closes it
 	attempt.stop()
-	if err == nil && attempt.unsent() {
+	if err == nil && attempt.closed.Load() {
 		_ = answer.response.Body.Close()
 		err = errors.WithStack(net.ErrClosed)
 	}
