Keep the HTTP client from repeating calls with an empty key

An idempotent POST without a body and with an empty Idempotency-Key field reached a target three times where two sends were counted, when its kept connection broke: once beyond the retry budget. net/http asks whether the field is there, and the code asked whether it has a value. On the users' platform the client took further connections in vain, and closed them.

--- a/rudderd/rudderforward/forward_test.go
+++ b/rudderd/rudderforward/forward_test.go
@@ -125,11 +125,12 @@
 }
 
 // The connection of a request breaks, and the HTTP client, which takes a POST with an empty key for repeatable, takes another one that
-// has carried its ID. Guards against a request that is sent again, and runs twice, because nothing was written to that connection.
+// has carried its ID. Guards against a request that is sent again, and runs twice, because nothing was written to that connection, and
+// against connections that are taken in vain.
 func TestRequestIsNotSentAgainAfterItsConnection(t *testing.T) {
 	b := newTestbed(t)
 	b.route("/p/", func(r *rudderroute.Route) { r.Kind, r.MaxAttempts = rudderroute.KindAtMostOnce, 1 })
-	var arrivals atomic.Int32
+	var arrivals, replaced atomic.Int32
 	both := make(chan struct{})
 	b.rawTarget("plain", func(w net.Conn, r *http.Request, _, _ int) {
 		switch n := arrivals.Add(1); {
@@ -147,6 +148,11 @@
 		_, _ = io.WriteString(w, answer(id, "own"))
 	})
 	b.start()
+	b.forwarder.Metrics.Count = func(name string) {
+		if name == "targets.replaced_connections" {
+			replaced.Add(1)
+		}
+	}
 	send := func(id string) (status int) {
 		r, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", nil)
 		if err != nil {
@@ -166,6 +172,7 @@
 	require.Equal(t, http.StatusOK, <-first)
 	require.Equal(t, http.StatusBadGateway, send("q1"))
 	require.Equal(t, int32(3), arrivals.Load())
+	require.Zero(t, replaced.Load())
 }
 
 // Guards against requests that keep a slot at a target after their caller has left.
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -228,7 +228,7 @@
 	request.ContentLength = int64(len(j.body))
 	if len(j.body) == 0 {
 		request.ContentLength = -1
-		if lengthExpected(j.method) && header.Get("Idempotency-Key") == "" && header.Get("X-Idempotency-Key") == "" {
+		if lengthExpected(j.method) && !keyed(header) {
 			request.Body, request.ContentLength = http.NoBody, 0
 		}
 	}
@@ -240,6 +240,13 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
+// keyed reports whether the HTTP client takes a request for repeatable with any method. It does not look at the value of the key.
+func keyed(h http.Header) bool {
+	_, standard := h["Idempotency-Key"]
+	_, other := h["X-Idempotency-Key"]
+	return standard || other
+}
+
 // targetURL builds a URL that keeps path and query byte for byte.
 func targetURL(address, target string) *url.URL {
 	path, query, hasQuery := strings.Cut(target, "?")
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -298,7 +298,9 @@
 func lengthExpected(request *http.Request) bool {
 	switch request.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return request.Header.Get(HeaderKey) == "" && request.Header.Get("X-"+HeaderKey) == ""
+		_, keyed := request.Header[HeaderKey] // the client does not look at the value
+		_, otherKeyed := request.Header["X-"+HeaderKey]
+		return !keyed && !otherKeyed
 	}
 	return false
 }
--- a/rudderd/rudderservice/dispatcher_test.go
+++ b/rudderd/rudderservice/dispatcher_test.go
@@ -281,6 +281,7 @@
 		{Method: http.MethodGet, Path: "/booths", Header: http.Header{}, Body: []byte("filter")},
 		{Method: http.MethodDelete, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
 		{Method: http.MethodPost, Path: "/booths", Header: http.Header{HeaderKey: {"k1"}}},
+		{Method: http.MethodPost, Path: "/booths", Header: http.Header{HeaderKey: {""}}},
 	} {
 		t.Run(call.Method, func(t *testing.T) {
 			var runs atomic.Int64
