Chat API: read a limit only of responses that belong to the attempt

A copy of an earlier response told an entry host the limit of an engine: one that the engine no longer names, or none while it names one. The transport of model requests read the header of each response before the ID in it was checked, also that of what is read from a connection that was closed before the request. The engine client reports the header now, after these checks, as that of plain services does.

TestCopyOfARefusal: the copy names a limit.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -36,7 +36,7 @@
 	}
 	a.runner = &rudderstream.Runner{
 		Clock: a.Clock, Logger: a.Logger,
-		Engine:      &rudderstream.Engine{Client: &http.Client{Transport: observedTransport{a.targetTransport(), a}}, Responses: a.memory.Responses},
+		Engine:      a.newEngine(),
 		Permit:      func() error { return a.config.Permit(a.Clock.Now()) },
 		Acquire:     a.acquireChat,
 		Probe:       a.control.RequestStatus,
@@ -53,6 +53,12 @@
 	}
 }
 
+func (a *App) newEngine() *rudderstream.Engine {
+	return &rudderstream.Engine{
+		Client: &http.Client{Transport: a.targetTransport()}, Responses: a.memory.Responses, OnResponse: a.observeResponse, Clock: a.Clock,
+	}
+}
+
 // startChat runs a request in the background. The request does not depend on its caller's connection.
 func (a *App) startChat(q rudderstream.Request, answer *rudderstream.Answer) {
 	go func() {
--- a/rudderd/rudderapp/copies_test.go
+++ b/rudderd/rudderapp/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,9 +15,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderfleet"
+	"comfreyrudder.example/rudderd/ruddermember"
+	"comfreyrudder.example/rudderd/rudderowner"
 	"comfreyrudder.example/rudderd/rudderservice"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/rudderd/ruddertestnet"
@@ -67,9 +71,11 @@
 }
 
 // A request is refused on a kept connection, its ID comes again, and the refusal is written once more while it runs. Guards against
-// a caller that is told that the request has not run.
+// a caller that is told that the request has not run, and against a limit of requests that only the copy names.
 func TestCopyOfARefusal(t *testing.T) {
 	a := &App{Clock: clockwork.NewRealClock(), fleet: &rudderfleet.Fleet{}}
+	var limits bytes.Buffer
+	a.owner = &rudderowner.Owner{Clock: a.Clock, Logger: zerolog.New(&limits), Members: func() []ruddermember.Member { return nil }}
 	var copied atomic.Bool
 	a.TargetDial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -77,12 +83,12 @@
 			if !copied.Load() {
 				return ""
 			}
-			return "HTTP/1.1 503 Full\r\nRudder-Not-Run: true\r\nRudder-Request-Id: c3\r\nRudder-Attempt: 1\r\nContent-Length: 4\r\n\r\nfull"
+			return "HTTP/1.1 503 Full\r\nRudder-Request-Limit: 5\r\nRudder-Not-Run: true\r\nRudder-Request-Id: c3\r\nRudder-Attempt: 1\r\nContent-Length: 4\r\n\r\nfull"
 		}}, err
 	}
 	a.wirePaths()
 	const complete, refused, other = "complete", "refused", "other"
-	engine := &rudderstream.Engine{Client: &http.Client{Transport: a.targetTransport()}}
+	engine := a.newEngine()
 	service := func(address string, body []byte) func(id string) string {
 		d := &rudderservice.Dispatcher{
 			AcquireTarget: func(context.Context, *rudderservice.Call, []string) (string, func(), error) {
@@ -135,6 +141,7 @@
 			copied.Store(true)
 			defer copied.Store(false)
 			require.NotEqual(t, refused, send("c3"), "the copy arrives just before the connection is closed")
+			require.Empty(t, limits.String())
 		})
 	}
 }
--- a/rudderd/rudderstream/engine.go
+++ b/rudderd/rudderstream/engine.go
@@ -12,8 +12,10 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpath"
@@ -67,6 +69,10 @@
 	Client *http.Client
 	// Responses bounds the memory of lines of streams; nil sets no bound.
 	Responses *rudderbody.Budget
+	// OnResponse receives the header of each response that belongs to its attempt and the time at which the request was sent; optional.
+	OnResponse func(address string, header http.Header, sentAt time.Time)
+	// Clock is needed with OnResponse.
+	Clock clockwork.Clock
 }
 
 // Open sends a request body, with the extension fields of this attempt, to a group's leader.
@@ -89,6 +95,10 @@
 			_ = info.Conn.Close() // the HTTP client takes another one
 		}
 	}}
+	var sentAt time.Time
+	if e.OnResponse != nil {
+		sentAt = e.Clock.Now()
+	}
 	response, err := e.Client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, sendError(err)
@@ -97,9 +107,13 @@
 		_ = response.Body.Close()
 		return nil, errors.Mark(errors.WithStack(net.ErrClosed), ErrNotSent)
 	}
+	own := isOwn(response.Header, extension, used.Reused)
+	if own && e.OnResponse != nil {
+		e.OnResponse(address, response.Header, sentAt)
+	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
-		if !isOwn(response.Header, extension, used.Reused) {
+		if !own {
 			if used.Conn != nil {
 				_ = used.Conn.Close()
 			}
