Chat API: follow no redirections of engines

A model request whose engine answered with 307 or 308 was sent again to the address in the redirection, besides the attempts and the retry budget. If that refused it, its caller was told that it had not run, although the first engine may have run it: only a response that says so promises that. The client of engines now takes the redirection as the response, as those of the users' platform and of plain services do, so that the request may have run.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -54,9 +54,11 @@
 }
 
 func (a *App) newEngine() *rudderstream.Engine {
-	return &rudderstream.Engine{
-		Client: &http.Client{Transport: a.targetTransport()}, Responses: a.memory.Responses, OnResponse: a.observeResponse, Clock: a.Clock,
+	client := &http.Client{
+		Transport:     a.targetTransport(),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }, // each request is sent once
 	}
+	return &rudderstream.Engine{Client: client, Responses: a.memory.Responses, OnResponse: a.observeResponse, Clock: a.Clock}
 }
 
 // startChat runs a request in the background. The request does not depend on its caller's connection.
--- a/rudderd/rudderapp/copies_test.go
+++ b/rudderd/rudderapp/copies_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -145,3 +146,26 @@
 		})
 	}
 }
+
+// An engine answers a request with a redirection. Guards against an HTTP client that follows it, so that the request is sent twice and a
+// refusal of the second one tells that it has not run.
+func TestRedirectionOfAnEngineIsNotFollowed(t *testing.T) {
+	var requests atomic.Int64
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) == 1 {
+			w.Header().Set("Location", "/v1/chat/completions")
+			w.WriteHeader(http.StatusTemporaryRedirect)
+			return
+		}
+		w.Header().Set(ruddertarget.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer engine.Close()
+	a := &App{Clock: clockwork.NewRealClock(), fleet: &rudderfleet.Fleet{}}
+	a.owner = &rudderowner.Owner{Clock: a.Clock}
+	a.wirePaths()
+	address := engine.Listener.Addr().String()
+	_, err := a.newEngine().Open(t.Context(), address, nil, ruddertarget.WorkExtension{RequestID: "c1", Attempt: 1})
+	require.True(t, errors.Is(err, rudderstream.ErrBroken), "%v", err)
+	require.Equal(t, int64(1), requests.Load())
+}
