Answer followers of a watcher only from the sync that ends an outage

At the end of an outage, callers got 503 "configuration_stale" from entry hosts that follow a watcher. A watcher counted as answering before the answer of the key-value service was applied and its sync recorded.

The watcher now counts as failing until the sync is recorded, and then wakes its followers, also after a read of all records.

TestServiceIsUnreachableUntilItsAnswerIsApplied asks as a follower while the answer is applied: its three cases fail before. Found in TestRestoreInterruptsNobody/everything_lost_twice on two cores beside two busy processes.

--- a/rudderd/rudderview/copy.go
+++ b/rudderd/rudderview/copy.go
@@ -44,7 +44,7 @@
 		v.askNewerRouting(ctx)
 	}
 	v.endOutage()
-	defer v.unreachable.Store(false) // after the sync
+	defer v.markReachable() // after the sync
 	v.replace(c.Entries, c.Revision)
 	v.Logger.Info().Int("records", len(c.Entries)).Int64("revision", c.Revision).Dur("took_ms", v.Uptime()-begin).Dur("age_ms", c.Age).
 		Msg("records loaded from another entry host")
--- a/rudderd/rudderview/staleness_test.go
+++ b/rudderd/rudderview/staleness_test.go
@@ -39,7 +39,7 @@
 }
 
 // Guards against requests that are refused at the end of an outage because the service answers again, but its answer has not
-// been applied yet.
+// been applied yet: here, and at followers that would take over the old sync as that of a service which answers.
 func TestServiceIsUnreachableUntilItsAnswerIsApplied(t *testing.T) {
 	entry := rudderstore.Entry{Key: "routing", Value: []byte("x"), Revision: 2}
 	for _, test := range []struct {
@@ -53,11 +53,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			var v *View
 			applied := false
+			var waiting <-chan struct{}
 			v = &View{
 				Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Minute }, Keys: Keys{Routing: "routing", TargetPrefix: "targets/"},
 				DecodeRouting: func([]byte) (rudderroute.Document, error) {
 					applied = true
 					require.True(t, v.Unreachable(), "the last sync is old")
+					require.False(t, v.Records(t.Context(), 0).Serving)
+					require.False(t, v.Changes(t.Context(), 0, 0, true).Serving)
 					return rudderroute.Document{}, nil
 				},
 				Store: &rudderstore.Store{
@@ -69,7 +72,10 @@
 					},
 				},
 			}
+			v.direct.Store(true)
+			v.markSynced(0, v.Uptime()-maxRelayStaleness)
 			v.markFailed(errUnavailable)
+			v.OnSync = func(time.Duration) { waiting = v.Changed() }
 			if test.name == "another entry host" {
 				v.FetchRecords = func(context.Context) (RecordSet, error) {
 					return RecordSet{Serving: true, Entries: []rudderstore.Entry{entry}, Revision: 2}, nil
@@ -80,6 +86,8 @@
 			require.False(t, v.Unreachable())
 			age, _ := v.Staleness()
 			require.Zero(t, age)
+			<-waiting // followers wait for the end of the outage
+			require.True(t, v.Records(t.Context(), 0).Serving)
 		})
 	}
 }
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -170,11 +170,11 @@
 // markAnswered records that the service answers, and that its answer has been applied.
 func (v *View) markAnswered() {
 	v.endOutage()
-	v.unreachable.Store(false)
+	v.markReachable()
 }
 
 // endOutage records that the service answers. It is called before the answer is applied, which may defer removals after an
-// outage. Until that is done the service counts as unreachable, because the last sync is as old as before.
+// outage. Until that is done and markReachable called, the last sync is as old as before, for followers too.
 func (v *View) endOutage() {
 	if v.outage {
 		v.outage = false
@@ -182,7 +182,14 @@
 		v.Logger.Info().Dur("away_ms", v.recoveredAt-v.failingSince).Msg("key-value service is available again")
 	}
 	v.failingSince, v.ownWatchFailed = 0, false
-	v.failing.Store(false)
+}
+
+// markReachable makes this entry host answer its followers again after failed calls.
+func (v *View) markReachable() {
+	v.unreachable.Store(false)
+	if v.failing.Swap(false) {
+		v.notifyWaiters() // followers wait for the end of the outage
+	}
 }
 
 // markFailed records a failed call and logs the start of an outage once.
@@ -230,7 +237,7 @@
 		v.askNewerRouting(ctx) // before the service counts as available: requests are served as in its outage until then
 	}
 	v.endOutage()
-	defer v.unreachable.Store(false) // after the sync
+	defer v.markReachable() // after the sync
 	v.replace(entries, revision)
 	if first && rudderstore.EraStart(revision) > 0 && !v.askNewerRouting(ctx) && v.Uptime()-v.startedAt < firstAnswerTime {
 		return errNoOtherHost
@@ -341,24 +348,20 @@
 	if v.probing {
 		v.probing, v.followAfter = false, v.Uptime()+followRetry // only the watchers cannot reach the service
 	}
-	failed := v.failing.Load()
 	v.endOutage()
 	v.appendLog(result.Events, result.Revision)
 	if len(result.Events) > 0 || result.Revision != v.Snapshot().Revision {
 		v.applyChanges(result)
 	}
 	if v.partial = !complete(result.Events); v.partial {
-		v.unreachable.Store(false)
+		v.markReachable()
 		v.Logger.Info().Int("changes", len(result.Events)).Int64("revision", result.Revision).Msg("answer may be truncated; watching again at once")
 		return nil
 	}
 	// The answer may have been on its way or unread for long, so it only proves the state as of the start of
 	// the call.
 	v.markSynced(begin, begin)
-	v.unreachable.Store(false)
-	if failed {
-		v.notifyWaiters() // followers wait for the end of the outage
-	}
+	v.markReachable()
 	if len(result.Events) > 0 {
 		v.pauseBetweenWatches(ctx)
 	}
