Shorten the next watch after a late answer

Callers got 503 "configuration_stale" while the key-value service was up but answered late: an entry host refuses requests once its last sync is 2.0 s old and it has not noticed an outage. Two watches in a row that were answered just within their time limit left a sync 2.18 s old, at a watcher without followers and at a follower, whose call could end right before the watcher's sync and wait 0.6 s for the next one.

A watch or a call to a watcher now waits for a change only so long that the last sync stays within OutageDetectionTime (1.7 s), if its answer, too, comes late. Where answers come in time, the waits are as before, and so are the calls in an outage.

TestIdleWatchIsNotStale gains late answers and a follower, and runs in a bubble: "late" and "late, a follower" reach 2.18 s before, 1.7 s now.

--- a/rudderd/rudderview/relay.go
+++ b/rudderd/rudderview/relay.go
@@ -23,8 +23,8 @@
 	maxRelayStaleness = 2200 * time.Millisecond
 	// followerTimeout is how long a watcher assumes that it has followers after their last call.
 	followerTimeout = 3 * time.Second
-	// relayWait is how long a follower's call waits for a change. The staleness of a follower exceeds that of
-	// its watcher by at most this time.
+	// relayWait is how long a follower's call waits for a change, unless its last sync is old. The staleness of a follower exceeds
+	// that of its watcher by at most this time.
 	relayWait = 600 * time.Millisecond
 	// relayPause is the pause of a follower after an answer with changes.
 	relayPause = 100 * time.Millisecond
@@ -215,8 +215,12 @@
 	if v.FetchChanges == nil || v.Uptime() < v.followAfter || v.Urgent != nil && v.Urgent() {
 		return errNoWatcher
 	}
+	wait := relayWait
+	if !v.watchersInOutage {
+		wait = v.boundWait(wait, 0)
+	}
 	begin := v.Uptime()
-	c, err := v.FetchChanges(ctx, v.Snapshot().Revision, relayWait, v.watchersInOutage)
+	c, err := v.FetchChanges(ctx, v.Snapshot().Revision, wait, v.watchersInOutage)
 	v.applyLook(c, begin)
 	if err := v.checkChanges(c, err, begin); err != nil {
 		return err
--- a/rudderd/rudderview/staleness_test.go
+++ b/rudderd/rudderview/staleness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,29 +14,59 @@
 )
 
 // Guards against an entry host that refuses requests while nothing changes: its last sync must not become older between two
-// watches than it may before an outage is noticed.
+// watches than it may before an outage is noticed, also if the service answers as late as it may.
 func TestIdleWatchIsNotStale(t *testing.T) {
+	const margin = 10 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		late     time.Duration
+		followed bool
+	}{
+		{"on time", 0, false},
+		{"late", watchTimeout - margin, false},
+		{"on time, a follower", 0, true},
+		{"late, a follower", followedTimeout - margin, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, end := context.WithCancel(t.Context())
+				defer end()
+				watcher := idleView(test.late)
+				go func() { _ = watcher.Run(ctx) }()
+				v := watcher
+				if test.followed {
+					v = idleView(test.late)
+					v.FetchChanges = func(ctx context.Context, after int64, wait time.Duration, inOutage bool) (Changes, error) {
+						return watcher.Changes(ctx, after, wait, inOutage), nil
+					}
+					go func() { _ = v.Run(ctx) }()
+				}
+				<-v.Synced()
+				most := time.Duration(0)
+				for begin := time.Now(); time.Since(begin) < 10*OutageDetectionTime; time.Sleep(time.Millisecond) {
+					age, _ := v.Staleness()
+					most = max(most, age)
+				}
+				require.LessOrEqual(t, most, OutageDetectionTime)
+				require.Equal(t, !test.followed, v.WatchesDirectly())
+			})
+		})
+	}
+}
+
+// idleView is a view of a service without records that answers each watch late.
+func idleView(late time.Duration) *View {
 	begin := time.Now()
-	v := &View{
+	return &View{
 		Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Since(begin) + time.Second }, Keys: Keys{Routing: "routing", TargetPrefix: "targets/"},
-		DecodeRouting: func([]byte) (rudderroute.Document, error) { return rudderroute.Document{}, nil },
 		Store: &rudderstore.Store{
 			List: func(context.Context, string) ([]rudderstore.Entry, int64, error) { return nil, 1, nil },
 			Watch: func(ctx context.Context, r rudderstore.WatchRequest) (rudderstore.WatchResult, error) {
-				sleep(ctx, r.Wait)
+				sleep(ctx, r.Wait+late)
 				return rudderstore.WatchResult{Revision: r.After}, ctx.Err()
 			},
 		},
 	}
-	go func() { _ = v.Run(t.Context()) }()
-	<-v.Synced()
-	most := time.Duration(0)
-	for time.Since(begin) < 3*OutageDetectionTime {
-		age, _ := v.Staleness()
-		most = max(most, age)
-		time.Sleep(5 * time.Millisecond)
-	}
-	require.LessOrEqual(t, most, OutageDetectionTime)
 }
 
 // Guards against requests that are refused at the end of an outage because the service answers again, but its answer has not
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -335,6 +335,7 @@
 	if v.hasFollowers() {
 		wait, beyond = min(wait, followedWait), followedTimeout
 	}
+	wait = v.boundWait(wait, beyond)
 	watchContext, cancel := context.WithTimeout(ctx, wait+beyond)
 	defer cancel()
 	result, err := v.Store.Watch(watchContext, rudderstore.WatchRequest{
@@ -368,6 +369,16 @@
 	return nil
 }
 
+// boundWait shortens the wait for a change after an answer that was late, so that the last sync does not exceed OutageDetectionTime if
+// the next answer, too, comes as late as beyond the wait.
+func (v *View) boundWait(wait, beyond time.Duration) time.Duration {
+	age, synced := v.Staleness()
+	if !synced {
+		return wait
+	}
+	return min(wait, max(OutageDetectionTime-beyond-age, firstWait))
+}
+
 const (
 	// completeEvents and completeBytes are the size below which an answer is certain to hold all changes. The
 	// service may truncate its answers, as it does with lists at about 500 items or 1 MB, encoded. An answer
