Bound the wait for the first page of records only

A token left by a registration also ended the first pause of the next outage.

The platform's client now says when the head of a page has arrived (rudderstore.WithProgress), which ends that bound; after it 3 s bound the whole read, as before. RetryNow does nothing while the service answers and records are known.

--- a/rudderd/rudderview/retry_test.go
+++ b/rudderd/rudderview/retry_test.go
@@ -77,3 +77,31 @@
 		})
 	}
 }
+
+// Guards against a first read that is given up, and begun again, while its pages arrive.
+func TestFirstReadOfSeveralPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		v := returningView(func() bool { return true })
+		reads := 0
+		v.Store.List = func(ctx context.Context, _ string) ([]rudderstore.Entry, int64, error) {
+			reads++
+			for range 5 {
+				sleep(ctx, firstListTimeout*3/4)
+				if ctx.Err() != nil {
+					return nil, 0, errUnavailable
+				}
+				rudderstore.Progress(ctx)
+			}
+			return nil, 9, nil
+		}
+		go func() { _ = v.Run(ctx) }()
+		time.Sleep(firstListTimeout / 2)
+		v.RetryNow()
+		time.Sleep(4 * firstListTimeout)
+		require.False(t, v.AwaitsRecords())
+		require.Equal(t, 1, reads)
+		end()
+		synctest.Wait()
+	})
+}
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -147,7 +147,7 @@
 	ownWatchFailed   bool          // the last watch by this entry host itself failed
 	ownWatchAt       time.Duration // uptime of the last watch by this entry host itself
 	followAfter      time.Duration // no watcher is followed until this uptime
-	unanswered       int           // consecutive reads of all records that got no answer
+	unanswered       int           // consecutive reads of all records that took too long
 	failingSince     time.Duration // uptime of the first failed call; 0 while the service answers
 	recoveredAt      time.Duration // uptime of the end of the last outage
 }
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -23,8 +23,8 @@
 	firstWait = 50 * time.Millisecond
 	// watchTimeout is added to the wait to bound a watch, because a connection may hang.
 	watchTimeout = 500 * time.Millisecond
-	// listTimeout bounds a read of all records. While a process has none, firstListTimeout replaces it and doubles with each read
-	// that gets no answer, so that a short return of the service is not missed.
+	// listTimeout bounds a read of all records. While a process has none, firstListTimeout bounds the wait for the first part of the
+	// answer and doubles with each read that gets none, so that a short return of the service is not missed.
 	listTimeout      = 3 * time.Second
 	firstListTimeout = 400 * time.Millisecond
 	// urgentPause replaces BatchPause while View.Urgent is true.
@@ -45,6 +45,9 @@
 // answer: a watch proves the state as of its start, and the next one has to fail.
 const OutageDetectionTime = 2*watchWait + watchTimeout
 
+// errReadTimeout is the cause of the end of a read of all records that took too long.
+var errReadTimeout = errors.New("view: the key-value service has not sent all records in time")
+
 // Run keeps the snapshot up to date until the context ends: it reads all records, then follows a watcher or
 // watches the service, and reads all records again after it missed changes.
 func (v *View) Run(ctx context.Context) error {
@@ -118,6 +121,9 @@
 
 // RetryNow ends the current or the next pause after a failed call. It is called when the service has answered another call.
 func (v *View) RetryNow() {
+	if !v.failing.Load() && !v.AwaitsRecords() {
+		return
+	}
 	select {
 	case v.retryChannel() <- struct{}{}:
 	default:
@@ -139,28 +145,38 @@
 	}
 }
 
-// readContext bounds a read of all records. While the process has none, the read also ends if the service answers another call, but
-// not this one within firstListTimeout.
+// readContext bounds a read of all records. While the process has none, the read also ends if no part of the answer arrives in time, or if
+// the service answers another call but not this one within firstListTimeout.
 func (v *View) readContext(ctx context.Context, stale bool) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithTimeoutCause(ctx, listTimeout, errReadTimeout)
 	if stale || v.hasRecords.Load() { // a stale read is that of all entry hosts at once, which may take long
-		return context.WithTimeout(ctx, listTimeout)
+		return ctx, end
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(firstListTimeout<<min(v.unanswered, 8), listTimeout))
+	ctx, cancel := context.WithCancelCause(ctx)
+	begun, begin := context.WithCancel(ctx)
+	limit := min(firstListTimeout<<min(v.unanswered, 8), listTimeout)
 	go func() {
-		sleep(ctx, firstListTimeout)
+		defer begin()
+		if sleep(begun, firstListTimeout); begun.Err() != nil {
+			return
+		}
+		rest := time.NewTimer(limit - firstListTimeout)
+		defer rest.Stop()
 		select {
-		case <-ctx.Done():
+		case <-begun.Done():
+			return
+		case <-rest.C:
 		case <-v.retryChannel():
-			cancel()
 			v.RetryNow()
 		}
+		cancel(errReadTimeout)
 	}()
-	return ctx, cancel
+	return rudderstore.WithProgress(ctx, begin), func() { cancel(nil); end() }
 }
 
-// noteRead counts the reads of all records without an answer.
+// noteRead counts the reads of all records that took too long.
 func (v *View) noteRead(ctx context.Context, err error) {
-	if err != nil && ctx.Err() != nil && !errors.Is(err, rudderstore.ErrIncomplete) {
+	if err != nil && errors.Is(context.Cause(ctx), errReadTimeout) {
 		v.unanswered++
 		return
 	}
