Ask for a report on a new connection after a failed try

What callers saw: streams of a sound group were cut. Its follower had lost its record and wrote the answer to an order once more in place of each report on a kept connection. Both tries of each probe used that connection and failed, so that the planner took the follower for lost and ordered the leader to leave.

Cause: the second try was meant to use a new connection, but got one only if the first had timed out. After an answer that is no report, the connection went back to the pool.

The second try now has a connection of its own, on which no earlier answer can arrive. After a time-out it used a new one before too.

--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -222,7 +222,7 @@
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
 		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: e.Memory.Bodies, Responses: e.Memory.Responses,
-		Limits: e.limits, Report: e.Ports.Control.Report, Suspect: e.suspect, ExamineGroup: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
+		Limits: e.limits, Report: e.Ports.Control.Report, ReportAnew: e.Ports.Control.ReportAnew, Suspect: e.suspect, ExamineGroup: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
 	if e.connect == nil {
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -55,8 +55,8 @@
 	MaxRelayed int
 	// Bodies bounds the memory of bodies, and Responses that of heads and events of responses; nil sets no bound.
 	Bodies, Responses *rudderbody.Budget
-	// Report requests the state of a target.
-	Report func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
+	// Report requests the state of a target, and ReportAnew does so on a new connection; nil if Report always does.
+	Report, ReportAnew func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Verdict probes a target and reports whether it answers, as far as the entry hosts that have a path to targets agree.
 	Verdict func(ctx context.Context, t *rudderview.Target) (report ruddertarget.GroupReport, alive bool)
 	// Confirm is Verdict for a target that has been silent for some time. It waits until the target is alive or dead.
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -108,10 +108,10 @@
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool) {
 	delays := 0
 	for i, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
-		report, late, err := f.requestReport(ctx, t, timeout)
+		report, late, err := f.requestReport(ctx, t, timeout, i > 0)
 		for ; late && delays < maxDelayedProbes; delays++ {
 			f.Metrics.Count("targets.delayed_probes")
-			report, late, err = f.requestReport(ctx, t, timeout)
+			report, late, err = f.requestReport(ctx, t, timeout, i > 0)
 		}
 		if err == nil {
 			return report, report.Born == 0 || t.Born == 0 || report.Born == t.Born
@@ -126,15 +126,18 @@
 	return ruddertarget.GroupReport{}, false
 }
 
-// requestReport requests the state of a target once. late is set if that failed and this process was delayed, so that an answer may
-// have arrived in time.
-func (f *Forwarder) requestReport(ctx context.Context, t *rudderview.Target, timeout time.Duration) (report ruddertarget.GroupReport, late bool, err error) {
+// requestReport requests the state of a target once, anew on a new connection. late is set if that failed and this process was
+// delayed, so that an answer may have arrived in time.
+func (f *Forwarder) requestReport(ctx context.Context, t *rudderview.Target, timeout time.Duration, anew bool) (report ruddertarget.GroupReport, late bool, err error) {
 	f.Metrics.Count("targets.probes")
 	f.Limits.CountProbe(processOf(t))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	begin := f.Uptime()
-	report, err = f.Report(ctx, t.Address)
+	request, begin := f.Report, f.Uptime()
+	if anew && f.ReportAnew != nil {
+		request = f.ReportAnew
+	}
+	report, err = request(ctx, t.Address)
 	return report, err != nil && f.Uptime()-begin > timeout+maxTimerDelay, err
 }
 
--- a/shared/ruddertarget/group.go
+++ b/shared/ruddertarget/group.go
@@ -82,6 +82,8 @@
 type GroupControl struct {
 	// Report returns ErrUnreachable if the target does not respond.
 	Report func(ctx context.Context, address string) (GroupReport, error)
+	// ReportAnew is Report on a new connection; nil if Report always opens one.
+	ReportAnew func(ctx context.Context, address string) (GroupReport, error)
 	// Send returns nil if the target accepted the order or is already in the requested state. Otherwise it
 	// returns ErrRefused if the order does not fit the target's state, ErrStaleFencing if the order's epoch is too
 	// low, ErrOtherTarget, ErrUnreachable if the order cannot have been delivered, or ErrUnknownOutcome.
