Confirm reports that would change the group of a target

What callers saw: streams of a sound group were cut. A follower had lost its record and wrote its first report on the planner's connection, of before it had joined, once more in place of a later one. The planner took it as having left, and ordered the leader to leave. Every planner asks the members for a report right before their group forms, so that such an answer is on each kept connection. A copy of a report from before the leader was opened would have ended a group that finishes its requests in the same way (by reading).

Cause: of a target without a record, the membership is read from its reports, which bear no ID.

A report on a kept connection that differs from the last known membership of a target without a record, or that lacks the incarnation, is now requested once more on a new connection, where the probe is made. If that fails, the target counts as alive and unchanged. Each change costs one connection and one probe; members with a record, whose reports are not read, none.

Of the changes to TestGroupWithUnregisteredMemberKeepsServing, the probes' last known membership fails without its part in runProbe.

--- a/rudderd/ruddercoordinator/planner_test.go
+++ b/rudderd/ruddercoordinator/planner_test.go
@@ -257,22 +257,38 @@
 func (w *world) someOpen() bool { return w.open("a") || w.open("b") || w.open("c") }
 
 // Guards against ending a group when a member loses its record and the planner uses a probe result from before
-// the member joined. Seven targets cut off from the key-value service once ended five groups that could serve.
+// the member joined. Seven targets cut off from the key-value service once ended five groups that could serve. Guards too against probes
+// that compare each report with the record that is gone, and so confirm each of them.
 func TestGroupWithUnregisteredMemberKeepsServing(t *testing.T) {
 	w := newWorld("a", "b", "c")
-	w.run(t, "planner")
+	member, compared := "", []ruddertarget.GroupPhase{}
+	p := w.planner(t, "planner", nil)
+	p.Probe = func(ctx context.Context, x *rudderview.Target, suspected bool) rudderverdict.Finding {
+		w.mu.Lock()
+		if x.Name == member {
+			compared = append(compared, x.Membership.Phase)
+		}
+		w.mu.Unlock()
+		return w.probe(ctx, x, suspected)
+	}
+	w.serve(t, p)
 	require.Eventually(t, w.someOpen, 10*time.Second, 10*time.Millisecond)
 	before := w.groups()
 	for _, name := range []string{"a", "b", "c"} {
 		if !w.open(name) {
 			w.cutOff(name)
+			w.mu.Lock()
+			member, w.targets[name].Membership.Phase = name, ruddertarget.GroupJoining
+			w.mu.Unlock()
 			break
 		}
 	}
-	require.Never(t, func() bool { return w.groups() != before }, time.Second, 20*time.Millisecond)
+	require.Never(t, func() bool { return w.groups() != before }, 5*unregisteredInterval/2, 20*time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	require.Empty(t, slices.DeleteFunc(slices.Clone(w.orders), func(o string) bool { return !strings.HasPrefix(o, "leave") }))
+	require.GreaterOrEqual(t, len(compared), 2)
+	require.NotContains(t, compared[1:], ruddertarget.GroupReady)
 }
 
 // A target announces that it leaves while its record still has the state live. Guards against keeping its group until
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -189,6 +189,11 @@
 	p.calls.acquire()
 	p.mu.Lock()
 	begin, suspected := p.Uptime(), v.silent || v.dead
+	if v.known { // a report is compared with the last one
+		answered := *t
+		answered.Membership = v.report.Membership
+		t = &answered
+	}
 	p.mu.Unlock()
 	found := p.Probe(context.Background(), t, suspected)
 	p.calls.release()
--- a/rudderd/rudderforward/probe.go
+++ b/rudderd/rudderforward/probe.go
@@ -104,7 +104,8 @@
 }
 
 // ProbeTarget requests the state of a target, in up to two attempts. alive is false if it answered neither of them, or if
-// another incarnation or another target answers at its address. failed is called if the first attempt fails; optional.
+// another incarnation or another target answers at its address. failed is called if the first attempt fails; optional. Of a target
+// without a record, t has the last membership that is known.
 func (f *Forwarder) ProbeTarget(ctx context.Context, t *rudderview.Target, failed func()) (report ruddertarget.GroupReport, alive bool) {
 	delays := 0
 	for i, timeout := range []time.Duration{firstProbeTimeout, secondProbeTimeout} {
@@ -113,6 +114,9 @@
 			f.Metrics.Count("targets.delayed_probes")
 			report, late, err = f.requestReport(ctx, t, timeout, i > 0)
 		}
+		if err == nil && f.mayBeCopy(t, report) {
+			report = f.confirmReport(ctx, t)
+		}
 		if err == nil {
 			return report, report.Born == 0 || t.Born == 0 || report.Born == t.Born
 		}
@@ -126,6 +130,23 @@
 	return ruddertarget.GroupReport{}, false
 }
 
+// mayBeCopy reports whether a report has to be confirmed: it contradicts what is known of the target, and may be a copy of an answer
+// from before its group formed, or of that to an order. Of a target with a record, the membership is not read from reports.
+func (f *Forwarder) mayBeCopy(t *rudderview.Target, r ruddertarget.GroupReport) bool {
+	return r.Kept && (r.Born == 0 && t.Born != 0 || r.Membership != t.Membership && f.View.Snapshot().Targets[t.Name] == nil)
+}
+
+// confirmReport requests the state of a target on a new connection. If that fails, all that is known is that the target has answered.
+func (f *Forwarder) confirmReport(ctx context.Context, t *rudderview.Target) ruddertarget.GroupReport {
+	f.Metrics.Count("targets.reports_confirmed")
+	f.Limits.ChargeProbes(processOf(t), 1)
+	report, _, err := f.requestReport(ctx, t, secondProbeTimeout, true)
+	if err != nil {
+		return ruddertarget.GroupReport{Membership: t.Membership, Orders: 1, Born: t.Born}
+	}
+	return report
+}
+
 // requestReport requests the state of a target once, anew on a new connection. late is set if that failed and this process was
 // delayed, so that an answer may have arrived in time.
 func (f *Forwarder) requestReport(ctx context.Context, t *rudderview.Target, timeout time.Duration, anew bool) (report ruddertarget.GroupReport, late bool, err error) {
--- a/shared/ruddertarget/group.go
+++ b/shared/ruddertarget/group.go
@@ -48,6 +48,8 @@
 	TimeFactor float64
 	// Born is the incarnation of the target that answered; 0 if it does not report it.
 	Born int64
+	// Kept is set if the report arrived on a connection that has carried other calls, so that it may be a copy of an earlier answer.
+	Kept bool
 }
 
 // GroupOrderKind is the operation that a group order requests.
