Count no crash because of an earlier report

What callers saw: a request that had crashed no target counted as a suspect of a crash; with enough of them, requests with its part or its fingerprint are refused. Its connection broke, and the target wrote its report of before its group formed once more in place of the one that the check asked for. A report without orders counted as a restart.

Cause: the number of orders was compared although the report names the incarnation, which tells a restart by itself.

Only a report or a record without an incarnation is now judged by the number of orders.

TestSuspectsOfACrash: the new case of such a report had one suspect before and has none now; restarts with and without an incarnation count as before.

--- a/rudderd/rudderforward/crash.go
+++ b/rudderd/rudderforward/crash.go
@@ -90,7 +90,8 @@
 
 func (f *Forwarder) finishCrashCheck(key string, c *crashCheck, g *rudderview.Group) {
 	report, alive := f.Confirm(context.Background(), g.Leader, 0)
-	restarted := alive && g.Model != "" && report.Orders == 0 // its group took orders to form
+	// Its group took orders to form. A report of the same incarnation without any is a copy of an earlier one.
+	restarted := alive && g.Model != "" && report.Orders == 0 && (report.Born == 0 || g.Leader.Born == 0)
 	if !alive {
 		f.Suspect(g.Leader, "connection broke")
 	}
--- a/rudderd/rudderforward/crash_test.go
+++ b/rudderd/rudderforward/crash_test.go
@@ -56,22 +56,25 @@
 }
 
 // Guards against holding the crash of a target against requests that were only beside: those that it had not begun, and
-// those that had got several events.
+// those that had got several events; and against a copy of an earlier report that counts as a crash.
 func TestSuspectsOfACrash(t *testing.T) {
 	for _, test := range []struct {
 		name             string
 		headers, chunked bool
 		events           int
-		alive            bool
+		report           *ruddertarget.GroupReport // nil if the target does not answer
 		suspects         int
 		survivals        int
 	}{
-		{"not begun", false, true, 0, false, 0, 0},
-		{"headers only", true, true, 0, false, 1, 0},
-		{"headers only, without length or chunks", true, false, 0, false, 1, 0},
-		{"one event", true, true, 1, false, 1, 0},
-		{"several events", true, true, 3, false, 0, 1},
-		{"headers only, and the target lives", true, true, 0, true, 0, 0},
+		{"not begun", false, true, 0, nil, 0, 0},
+		{"headers only", true, true, 0, nil, 1, 0},
+		{"headers only, without length or chunks", true, false, 0, nil, 1, 0},
+		{"one event", true, true, 1, nil, 1, 0},
+		{"several events", true, true, 3, nil, 0, 1},
+		{"headers only, and the target lives", true, true, 0, &ruddertarget.GroupReport{Orders: 2}, 0, 0},
+		{"headers only, and the target wrote its report before its group formed", true, true, 0, &ruddertarget.GroupReport{Born: 1}, 0, 0},
+		{"headers only, and the target has restarted", true, true, 0, &ruddertarget.GroupReport{Born: 2}, 1, 0},
+		{"headers only, and the target has no orders and does not say its incarnation", true, true, 0, &ruddertarget.GroupReport{}, 1, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newTestbed(t)
@@ -104,10 +107,8 @@
 			recorder := &crashRecorder{}
 			recorder.connect(b.forwarder)
 			b.forwarder.Report = unreachable
-			if test.alive {
-				b.forwarder.Report = func(context.Context, string) (ruddertarget.GroupReport, error) {
-					return ruddertarget.GroupReport{Orders: 2}, nil
-				}
+			if test.report != nil {
+				b.forwarder.Report = func(context.Context, string) (ruddertarget.GroupReport, error) { return *test.report, nil }
 			}
 			_, _, _ = b.send(http.MethodPost, "/s/x", "")
 			if test.suspects > 0 {
