Test orders that are answered with copies of earlier answers

Joins, opens, closes and stages share a kept connection with reports, so that a copy of an earlier answer may count as theirs. By reading, it only delays them: the planner acts on what records say, and asks whether an order was taken for orders to leave only. No target joins another group while its leader is open, no leader is opened without its members, and groups form again.

--- a/rudderd/rudderplacement/fleet_test.go
+++ b/rudderd/rudderplacement/fleet_test.go
@@ -49,6 +49,8 @@
 	loaded   map[string]time.Duration
 	// breaksAt is when a leader that lost a member reports a broken group.
 	breaksAt map[string]time.Duration
+	// misread, if set, draws whether an order that is not carried out counts as accepted or inapplicable; optional.
+	misread func(o Order) (accepted, inapplicable bool)
 }
 
 const stall = 6 * time.Second
@@ -149,6 +151,15 @@
 	if t == nil || f.silent[o.Target] {
 		return
 	}
+	if f.misread != nil && o.Order.Kind != ruddertarget.OrderLeave {
+		if accepted, inapplicable := f.misread(o); accepted {
+			f.state.MarkAccepted(o)
+			return
+		} else if inapplicable {
+			f.state.MarkInapplicable(o)
+			return
+		}
+	}
 	own := &t.Membership
 	same := own.Group == o.Order.Group && own.Epoch == o.Order.Epoch
 	switch o.Order.Kind {
