--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,20 +22,8 @@
 	firstWait = 50 * time.Millisecond
 	// watchTimeout is added to the wait to bound a watch, because a connection may hang.
 	watchTimeout = 500 * time.Millisecond
-	// listTimeout bounds a read of all records. While a process has none, firstListTimeout bounds the wait for the first part of the
-	// answer and doubles with each read that gets none, so that a short return of the service is not missed.
-	listTimeout      = 3 * time.Second
-	firstListTimeout = 400 * time.Millisecond
 	// urgentPause replaces BatchPause while View.Urgent is true.
 	urgentPause = 20 * time.Millisecond
-	// retryPause is the longest pause after the first failed call. It doubles with each further failure, up
-	// to maxRetryPause: without backoff an overloaded service that refuses calls would get hundreds of calls
-	// a second from a hundred entry hosts.
-	retryPause    = 150 * time.Millisecond
-	maxRetryPause = 1200 * time.Millisecond
-	// shortRetryPause bounds the pause on an entry host that has followers, of which there are few, and on one that has no records
-	// and gets no answer: an outage that comes and goes may end for less than a second.
-	shortRetryPause = 300 * time.Millisecond
 	// outageAfter is the time without an answer after which the service is considered to be in an outage.
 	outageAfter = time.Second
 )
@@ -45,9 +32,6 @@
 // answer: a watch proves the state as of its start, and the next one has to fail.
 const OutageDetectionTime = 2*watchWait + watchTimeout
 
-// errReadTimeout is the cause of the end of a read of all records that took too long.
-var errReadTimeout = errors.New("view: the key-value service has not sent all records in time")
-
 // Run keeps the snapshot up to date until the context ends: it reads all records, then follows a watcher or
 // watches the service, and reads all records again after it missed changes.
 func (v *View) Run(ctx context.Context) error {
@@ -103,86 +87,6 @@
 	return nil
 }
 
-// RetryAfter returns the pause after a number of consecutive failed calls to the key-value service. jitter, 0
-// to 1, spreads the calls of the entry hosts over the second half of the longest pause.
-func RetryAfter(failures int, jitter float64) time.Duration {
-	longest := min(retryPause<<min(failures-1, 8), maxRetryPause)
-	return longest/2 + time.Duration(jitter*float64(longest)/2)
-}
-
-// retryAfter is RetryAfter, bounded by shortRetryPause where that applies.
-func (v *View) retryAfter(failures int) time.Duration {
-	pause := RetryAfter(failures, rand.Float64())
-	if v.hasFollowers() || v.unanswered > 0 && v.AwaitsRecords() {
-		return min(pause, shortRetryPause)
-	}
-	return pause
-}
-
-// RetryNow ends the current or the next pause after a failed call. It is called when the service has answered another call.
-func (v *View) RetryNow() {
-	if !v.failing.Load() && !v.AwaitsRecords() {
-		return
-	}
-	select {
-	case v.retryChannel() <- struct{}{}:
-	default:
-	}
-}
-
-func (v *View) retryChannel() chan struct{} {
-	v.retryOnce.Do(func() { v.retry = make(chan struct{}, 1) })
-	return v.retry
-}
-
-func (v *View) pauseUntilRetry(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-v.retryChannel():
-	}
-}
-
-// readContext bounds a read of all records. While the process has none, the read also ends if no part of the answer arrives in time, or if
-// the service answers another call but not this one within firstListTimeout.
-func (v *View) readContext(ctx context.Context, stale bool) (context.Context, context.CancelFunc) {
-	ctx, end := context.WithTimeoutCause(ctx, listTimeout, errReadTimeout)
-	if stale || v.hasRecords.Load() { // a stale read is that of all entry hosts at once, which may take long
-		return ctx, end
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	begun, begin := context.WithCancel(ctx)
-	limit := min(firstListTimeout<<min(v.unanswered, 8), listTimeout)
-	go func() {
-		defer begin()
-		if sleep(begun, firstListTimeout); begun.Err() != nil {
-			return
-		}
-		rest := time.NewTimer(limit - firstListTimeout)
-		defer rest.Stop()
-		select {
-		case <-begun.Done():
-			return
-		case <-rest.C:
-		case <-v.retryChannel():
-			v.RetryNow()
-		}
-		cancel(errReadTimeout)
-	}()
-	return rudderstore.WithProgress(ctx, begin), func() { cancel(nil); end() }
-}
-
-// noteRead counts the reads of all records that took too long.
-func (v *View) noteRead(ctx context.Context, err error) {
-	if err != nil && errors.Is(context.Cause(ctx), errReadTimeout) {
-		v.unanswered++
-		return
-	}
-	v.unanswered = 0
-}
-
 // markAnswered records that the service answers, and that its answer has been applied.
 func (v *View) markAnswered() {
 	v.endOutage()
@@ -492,12 +396,3 @@
 	v.expireRetained(s)
 	v.publish(s)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
