Serve what the kernel has accepted before a stopping entry host ends

Callers that still came to an entry host at the end of its grace time got a reset or an empty response, although they had a connection and had sent a whole request. finishResponses called Server.Shutdown, which closes the listener with the connections in its queue, and idle connections on which a request has arrived. The longer the process was not scheduled before, the more there are.

The chat API already emptied the queue of its listener. That code moves to rudderdrain, which both faces use, and no longer closes an idle connection that has something to read. The wait ends in the middle between the end of begun responses and that of the process, because after a long delay no time is left before the former.

--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/rudderd/ruddermember"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/rudderpeer"
@@ -21,6 +22,8 @@
 	maxHeaderBytes    = 64 << 10
 	// shutdownTimeout bounds the wait for connections once all requests are done.
 	shutdownTimeout = 5 * time.Second
+	// drainTimeout bounds the wait for requests on connections that have been accepted.
+	drainTimeout = time.Second
 	// maxPeerBodyBytes bounds the body of a call between entry hosts, which may be a request to a target.
 	maxPeerBodyBytes = rudderpath.MaxBodyBytes + rudderpath.MaxHeadBytes
 	// peerClockSkew is the largest accepted difference between two entry hosts' clocks.
@@ -67,16 +70,16 @@
 
 // serve runs the three HTTP servers until the context is cancelled.
 func (a *App) serve(ctx context.Context) error {
-	callers := newCallerServer(a.servers[0], a.listeners.caller.(*net.TCPListener))
+	callers := &rudderdrain.Server{HTTP: a.servers[0], Listener: a.listeners.caller}
 	sockets := []net.Listener{a.listeners.admin, a.listeners.peer}
 	failed := make(chan error, len(a.servers))
-	go func() { failed <- callers.serve() }()
+	go func() { failed <- callers.Serve() }()
 	for i, s := range a.servers[1:] {
 		go func() { failed <- s.Serve(sockets[i]) }()
 	}
 	select {
 	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
 			return nil // closed by Kill
 		}
 		return errors.Wrap(err, "HTTP server")
@@ -84,7 +87,9 @@
 	}
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	callers.drain(shutdown)
+	drain, cancelDrain := context.WithTimeout(shutdown, drainTimeout)
+	defer cancelDrain()
+	callers.Drain(drain)
 	for _, s := range a.servers {
 		if err := s.Shutdown(shutdown); err != nil {
 			_ = s.Close()
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +17,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/ruddercoordinator"
+	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/rudderd/rudderentry"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderlimit"
@@ -119,13 +119,13 @@
 }
 
 // serve runs all parts until the context is cancelled, and then the planned stop.
-func (e *Edge) serve(ctx context.Context, servers []boundServer) error {
+func (e *Edge) serve(ctx context.Context, servers []*rudderdrain.Server) error {
 	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, running := errgroup.WithContext(lifetime)
 	defer context.AfterFunc(ctx, func() { e.stop.request(e.uptime()) })()
 	for _, s := range servers {
-		group.Go(s.serve)
+		group.Go(s.Serve)
 	}
 	for _, part := range []struct {
 		name string
@@ -156,7 +156,7 @@
 	}
 	end()
 	for _, s := range servers {
-		_ = s.server.Close()
+		_ = s.HTTP.Close()
 	}
 	if !e.stop.leaving() {
 		return group.Wait()
@@ -250,17 +250,3 @@
 	}
 	return e.forwarder.MayServe(table.KeyRequired())
 }
-
-// boundServer is an HTTP server with its listener.
-type boundServer struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (s boundServer) serve() error {
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/rudderd/rudderedge/edge_test.go
+++ b/rudderd/rudderedge/edge_test.go
@@ -252,16 +252,16 @@
 	e.Prepare()
 	servers, err := e.listen()
 	require.NoError(t, err)
-	go func() { _ = servers[0].serve() }()
+	go func() { _ = servers[0].Serve() }()
 	const callers = 20
 	answers := make(chan error, callers)
 	for i := range callers {
 		go func() {
-			answers <- slowRequest(servers[0].listener.Addr().String(), 2800*time.Millisecond+time.Duration(i)*20*time.Millisecond)
+			answers <- slowRequest(servers[0].Listener.Addr().String(), 2800*time.Millisecond+time.Duration(i)*20*time.Millisecond)
 		}()
 	}
 	e.leave(t.Context(), servers)
-	_ = servers[0].server.Close() // as Run does
+	_ = servers[0].HTTP.Close() // as Run does
 	for range callers {
 		require.NoError(t, <-answers)
 	}
--- a/rudderd/rudderedge/grace_test.go
+++ b/rudderd/rudderedge/grace_test.go
@@ -32,7 +32,7 @@
 		ended <- err
 	}()
 	require.Eventually(t, e.Ready, 5*time.Second, time.Millisecond)
-	request, err := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/stream/x", strings.NewReader("body"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+servers[0].Listener.Addr().String()+"/stream/x", strings.NewReader("body"))
 	require.NoError(t, err)
 	request.Host = "h"
 	request.Header.Set("Tokens", "100")
--- a/rudderd/rudderedge/listen.go
+++ b/rudderd/rudderedge/listen.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/shared/rudderpeer"
 )
 
@@ -22,7 +23,7 @@
 )
 
 // listen opens all listening sockets. The first server in the result is the one for callers.
-func (e *Edge) listen() ([]boundServer, error) {
+func (e *Edge) listen() ([]*rudderdrain.Server, error) {
 	callers := newEcho()
 	handler := echo.WrapHandler(e.rebalancer.Wrap(e.forwarder))
 	callers.Any("/*", handler)
@@ -31,7 +32,7 @@
 	e.Ports.Directory(directory, e)
 	e.Ports.Readiness(readiness, e)
 	report.GET("/metrics", e.report)
-	var servers []boundServer
+	var servers []*rudderdrain.Server
 	for _, x := range []struct {
 		address string
 		server  *http.Server
@@ -47,9 +48,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		servers = append(servers, boundServer{listener: listener, server: x.server})
+		servers = append(servers, &rudderdrain.Server{HTTP: x.server, Listener: listener})
 	}
-	servers[0].server.ConnContext = e.rebalancer.ConnContext
+	servers[0].HTTP.ConnContext = e.rebalancer.ConnContext
 	return servers, nil
 }
 
--- a/rudderd/rudderedge/stop.go
+++ b/rudderd/rudderedge/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"comfreyrudder.example/rudderd/rudderdrain"
 )
 
 const (
@@ -71,7 +73,7 @@
 
 // leave removes the entry host from the directory, serves until callers have stopped using its address and
 // its requests are done, and returns before the grace time ends.
-func (e *Edge) leave(ctx context.Context, servers []boundServer) {
+func (e *Edge) leave(ctx context.Context, servers []*rudderdrain.Server) {
 	e.stop.request(e.uptime())
 	begin := e.stop.requestedAt()
 	margin := stopMargin(e.Settings.StopGrace)
@@ -107,17 +109,15 @@
 	}
 }
 
-// finishResponses closes the listener and waits until an uptime for the responses that have begun, also for those that are
-// relayed for other entry hosts. Those that are not complete by then are truncated.
-func (e *Edge) finishResponses(ctx context.Context, callers boundServer, until time.Duration) {
-	finish, cancel := context.WithTimeout(ctx, max(until-e.uptime(), 0))
+// finishResponses serves what the kernel has accepted and closes the listener, and waits until an uptime for the responses that have
+// begun, also for those that are relayed for other entry hosts. Those that are not complete by then are truncated.
+func (e *Edge) finishResponses(ctx context.Context, callers *rudderdrain.Server, until time.Duration) {
+	last := until + (e.exitBy()-until)/2
+	finish, cancel := context.WithTimeout(ctx, max(last-e.uptime(), 0))
 	defer cancel()
-	_ = callers.server.Shutdown(finish)
+	defer time.AfterFunc(max(until-e.uptime(), 0), e.forwarder.CancelRunning).Stop()
+	callers.Drain(finish)
 	for e.forwarder.InFlight() > 0 && finish.Err() == nil {
 		pause(finish, time.Millisecond)
 	}
-	e.forwarder.CancelRunning()
-	for last := until + (e.exitBy()-until)/2; e.forwarder.InFlight() > 0 && e.uptime() < last && ctx.Err() == nil; {
-		pause(ctx, time.Millisecond)
-	}
 }
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/rudderd/rudderforward"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -136,19 +137,19 @@
 }
 
 // stoppingEdge returns a stoppingHost that serves, and its servers.
-func stoppingEdge(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
+func stoppingEdge(t *testing.T, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []*rudderdrain.Server) {
 	return stoppingEdgeOn(t, nil, grace, silentUntil)
 }
 
-func stoppingEdgeOn(t *testing.T, network *ruddertestnet.Network, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []boundServer) {
+func stoppingEdgeOn(t *testing.T, network *ruddertestnet.Network, grace time.Duration, silentUntil *atomic.Pointer[time.Time]) (*Edge, []*rudderdrain.Server) {
 	e := stoppingHostOn(t, network, grace, silentUntil)
 	servers, err := e.listen()
 	require.NoError(t, err)
 	if network != nil {
-		_ = servers[0].listener.Close()
-		servers[0].listener = network.Listen()
+		_ = servers[0].Listener.Close()
+		servers[0].Listener = network.Listen()
 	}
-	go func() { _ = servers[0].serve() }()
+	go func() { _ = servers[0].Serve() }()
 	var viewing sync.WaitGroup
 	viewing.Go(func() { _ = e.view.Run(t.Context()) })
 	t.Cleanup(viewing.Wait)
@@ -193,7 +194,7 @@
 	var silentUntil atomic.Pointer[time.Time]
 	network := &ruddertestnet.Network{}
 	e, servers := stoppingEdgeOn(t, network, test.grace, &silentUntil)
-	address := servers[0].listener.Addr().String()
+	address := servers[0].Listener.Addr().String()
 	warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
 	begin := time.Now().Add(warmUp)
 	var mu sync.Mutex
@@ -236,7 +237,7 @@
 	})
 	e.leave(t.Context(), servers)
 	close(stopSending)
-	_ = servers[0].server.Close() // as Run does
+	_ = servers[0].HTTP.Close() // as Run does
 	callers.Wait()
 	servedLate := map[string]bool{}
 	var refusals []time.Duration
@@ -273,12 +274,12 @@
 	e.Prepare()
 	servers, err := e.listen()
 	require.NoError(t, err)
-	go func() { _ = servers[0].serve() }()
+	go func() { _ = servers[0].Serve() }()
 	go func() { _ = e.forwarder.Run(t.Context()) }()
 	time.Sleep(20 * time.Millisecond) // until Run has begun
 	status := make(chan int, 1)
 	go func() {
-		response, err := http.Get("http://" + servers[0].listener.Addr().String() + "/x")
+		response, err := http.Get("http://" + servers[0].Listener.Addr().String() + "/x")
 		if err != nil {
 			status <- 0
 			return
@@ -288,7 +289,7 @@
 	}()
 	require.Eventually(t, func() bool { return e.forwarder.InFlight() == 1 }, time.Second, time.Millisecond)
 	e.leave(t.Context(), servers)
-	_ = servers[0].server.Close() // as Run does
+	_ = servers[0].HTTP.Close() // as Run does
 	require.Equal(t, http.StatusServiceUnavailable, <-status)
 }
 
@@ -319,7 +320,7 @@
 	e, servers := stoppingEdge(t, time.Second, new(atomic.Pointer[time.Time]))
 	status := make(chan int, 1)
 	go func() {
-		r, _ := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/once/x", strings.NewReader("body"))
+		r, _ := http.NewRequest(http.MethodPost, "http://"+servers[0].Listener.Addr().String()+"/once/x", strings.NewReader("body"))
 		r.Host = "h"
 		r.Header.Set("Hang", "1")
 		response, err := http.DefaultClient.Do(r)
@@ -333,7 +334,7 @@
 	require.Eventually(t, func() bool { return e.forwarder.InFlight() == 1 }, time.Second, time.Millisecond)
 	time.Sleep(50 * time.Millisecond) // until the target has it
 	e.leave(t.Context(), servers)
-	_ = servers[0].server.Close() // as Run does
+	_ = servers[0].HTTP.Close() // as Run does
 	require.Equal(t, http.StatusBadGateway, <-status)
 }
 
@@ -345,7 +346,7 @@
 	var silentUntil atomic.Pointer[time.Time]
 	e, servers := stoppingEdge(t, grace, &silentUntil)
 	e.forwarder.StallTimeout = grace // longer than the target is silent
-	r, err := http.NewRequest(http.MethodPost, "http://"+servers[0].listener.Addr().String()+"/stream/x", strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+servers[0].Listener.Addr().String()+"/stream/x", strings.NewReader("body"))
 	require.NoError(t, err)
 	r.Host = "h"
 	r.Header.Set("Tokens", "2")
@@ -365,7 +366,7 @@
 	t.Parallel()
 	const grace = 4 * time.Second
 	e, servers := stoppingEdge(t, grace, new(atomic.Pointer[time.Time]))
-	address := servers[0].listener.Addr().String()
+	address := servers[0].Listener.Addr().String()
 	left := make(chan struct{})
 	begin := time.Now()
 	go func() {
