Accept late callers of a stopping entry host by their time limit only

A stream that arrived 4.5 s after SIGTERM was cut at the end of the grace time: recent ones had been short, so that it was expected to end, but its target fell silent. No estimate bounds what a target does. Callers whose addresses have expired can go elsewhere at no risk, so that they are now accepted only if their time limit ends before the stop. Without another entry host the estimate decides as before, and so it does within the lifetime of an address.

TestStoppingHostFinishesWhatItAccepts/targets_that_are_silent_to_the_end: fails in 2 of 2 before (in a bubble), passes in 2 of 2.

--- a/rudderd/rudderedge/directory.go
+++ b/rudderd/rudderedge/directory.go
@@ -1,6 +1,7 @@
 package rudderedge
 
 import (
+	"slices"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderentry"
@@ -42,6 +43,11 @@
 	return list
 }
 
+// servedElsewhere reports whether other entry hosts take new work.
+func (e *Edge) servedElsewhere() bool {
+	return slices.ContainsFunc(e.view.Snapshot().EntryHosts, func(x rudderview.EntryHost) bool { return x.Name != e.Settings.Name })
+}
+
 // callerAddresses chooses the entry hosts for one caller, excluding the one that is leaving. Callers pick among their
 // addresses at random, so the choice spreads them over the whole fleet, weighted by distance and capacity. The same caller
 // gets the same addresses while the fleet is unchanged, because callers close their connections to hosts that are missing
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -221,6 +221,7 @@
 		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(e.Memory.Responses), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
+		AddressLifetime: e.Settings.DirectoryLifetime, ServedElsewhere: e.servedElsewhere,
 		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: e.Memory.Bodies, Responses: e.Memory.Responses,
 		Limits: e.limits, Report: e.Ports.Control.Report, ReportAnew: e.Ports.Control.ReportAnew, Suspect: e.suspect, ExamineGroup: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
--- a/rudderd/rudderedge/stop_test.go
+++ b/rudderd/rudderedge/stop_test.go
@@ -171,12 +171,16 @@
 	grace   time.Duration
 	tokens  int           // of a stream
 	silence time.Duration // of the targets' streams, from three quarters of the grace time on
+	others  bool          // other entry hosts serve, and callers may cache addresses for a quarter of the grace time
 }
 
 // Callers keep the address of an entry host that stops, and send streams and calls until its end. Guards against requests
 // that are accepted although they cannot end within the grace time, and are then cut off.
 func TestStoppingHostFinishesWhatItAccepts(t *testing.T) {
-	for _, test := range []stopCase{{"long", 5 * time.Second, 16, 0}, {"silent targets", 8 * time.Second, 20, 1100 * time.Millisecond}} {
+	for _, test := range []stopCase{
+		{"long", 5 * time.Second, 16, 0, false}, {"silent targets", 8 * time.Second, 20, 1100 * time.Millisecond, false},
+		{"targets that are silent to the end", 8 * time.Second, 20, 3 * time.Second, true},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, test.check)
@@ -187,13 +191,26 @@
 // Guards against the same with a grace time that is little longer than a stream.
 func TestStoppingHostFinishesWhatItAcceptsInShortGraceTime(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, stopCase{"short", 3 * time.Second, 10, 0}.check)
+	synctest.Test(t, stopCase{"short", 3 * time.Second, 10, 0, false}.check)
+}
+
+// addOther registers another entry host.
+func (test stopCase) addOther(t *testing.T, e *Edge) {
+	e.forwarder.AddressLifetime = test.grace / 4
+	text, err := json.Marshal(rudderview.EntryHost{Name: "b", Address: "10.0.0.2:1"})
+	require.NoError(t, err)
+	_, err = e.Ports.Store.Put(t.Context(), rudderstore.PutRequest{Key: rudderview.EntryPrefix + "b", Value: text})
+	require.NoError(t, err)
+	require.Eventually(t, e.servedElsewhere, 5*time.Second, time.Millisecond)
 }
 
 func (test stopCase) check(t *testing.T) {
 	var silentUntil atomic.Pointer[time.Time]
 	network := &ruddertestnet.Network{}
 	e, servers := stoppingEdgeOn(t, network, test.grace, &silentUntil)
+	if test.others {
+		test.addOther(t, e)
+	}
 	address := servers[0].Listener.Addr().String()
 	warmUp := time.Duration(2*test.tokens) * 80 * time.Millisecond
 	begin := time.Now().Add(warmUp)
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -55,6 +55,10 @@
 	MaxRelayed int
 	// Bodies bounds the memory of bodies, and Responses that of heads and events of responses; nil sets no bound.
 	Bodies, Responses *rudderbody.Budget
+	// AddressLifetime is how long callers may cache the address of this entry host, and ServedElsewhere reports whether other
+	// entry hosts take new work; nil if that is not known.
+	AddressLifetime time.Duration
+	ServedElsewhere func() bool
 	// Report requests the state of a target, and ReportAnew does so on a new connection; nil if Report always does.
 	Report, ReportAnew func(ctx context.Context, address string) (ruddertarget.GroupReport, error)
 	// Verdict probes a target and reports whether it answers, as far as the entry hosts that have a path to targets agree.
--- a/rudderd/rudderforward/shutdown.go
+++ b/rudderd/rudderforward/shutdown.go
@@ -166,7 +166,7 @@
 }
 
 // endsBeforeShutdown reports whether a request can be accepted: no shutdown is in progress, or the request will end
-// before it, by its time limit or by what recent requests have taken.
+// before it, by its time limit or, unless it could go elsewhere, by what recent requests have taken.
 func (f *Forwarder) endsBeforeShutdown(j *job) bool {
 	if !f.shuttingDown() {
 		return true
@@ -176,11 +176,20 @@
 	if j.remaining(now) <= left {
 		return true
 	}
+	if f.arrivedLate(j) {
+		return false
+	}
 	needed, known := f.timeNeeded(j, now)
 	j.expectedTime = needed
 	return known && needed <= left
 }
 
+// arrivedLate reports whether a request has arrived when its caller should have known of the shutdown, and other entry hosts can serve it.
+// What it takes may exceed any estimate, and it would be cut off then.
+func (f *Forwarder) arrivedLate(j *job) bool {
+	return j.begin-time.Duration(f.shutdown.began.Load()) > f.AddressLifetime && f.ServedElsewhere != nil && f.ServedElsewhere()
+}
+
 // repeatInVain reports whether a shutdown will end before a request that is sent again gets the begin of a response, as far as
 // the time until then is known.
 func (f *Forwarder) repeatInVain(j *job) bool {
--- a/rudderd/rudderforward/shutdown_test.go
+++ b/rudderd/rudderforward/shutdown_test.go
@@ -376,3 +376,35 @@
 	j := &job{begin: now, limit: 8 * time.Second, service: "plain", route: &rudderroute.Route{Kind: rudderroute.KindIdempotent}}
 	require.True(t, f.endsBeforeShutdown(j), "expected %v", j.expectedTime)
 }
+
+// Guards against accepting a request by an estimate when its caller should have known of the shutdown and can be served elsewhere.
+func TestLateArrivalDuringShutdown(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		arrived   time.Duration // after the begin of the shutdown
+		limit     time.Duration
+		elsewhere bool
+		want      bool
+	}{
+		{"early", 500 * time.Millisecond, 8 * time.Second, true, true},
+		{"late", 2500 * time.Millisecond, 8 * time.Second, true, false},
+		{"late, time limit ends before", 2500 * time.Millisecond, 2 * time.Second, true, true},
+		{"late, no other entry host", 2500 * time.Millisecond, 8 * time.Second, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.start()
+			f := b.forwarder
+			f.AddressLifetime, f.ServedElsewhere = 2*time.Second, func() bool { return test.elsewhere }
+			began := f.Uptime()
+			f.BeginShutdown(began + 8*time.Second)
+			now := began + test.arrived
+			f.Uptime = func() time.Duration { return now }
+			for range minDurationSamples {
+				f.durations.observe("plain\x00", durationSample{endedAt: now, took: 100 * time.Millisecond, firstByte: 100 * time.Millisecond})
+			}
+			j := &job{begin: now, limit: test.limit, service: "plain", route: &rudderroute.Route{Kind: rudderroute.KindAtMostOnce}}
+			require.Equal(t, test.want, f.endsBeforeShutdown(j))
+		})
+	}
+}
