Confirm the finding of another entry host before a last attempt is given up

Callers got a truncated stream although its target went on 0.2 s later: an entry host that could not reach the planner found the target dead after 1.36 s of silence and reported it, and all hosts cancelled its streams at once, also those that nobody else could finish. The finding of an own check is confirmed for them since; that of another host was not.

A report of another host is now handled like an own finding: the stream moves if another group is free for it, otherwise it ends if the next check, 0.4 s later, finds the target dead too. A new incarnation or a plan without the group ends it at once, as before.

TestLastAttemptOutlivesAVerdict/reported,_goes_on: 3 of 3 failed before, 0 of 3 after.

--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -135,8 +135,11 @@
 		changed := f.View.Changed()
 		snapshot := f.View.Snapshot()
 		f.watchdogs.Range(func(key, _ any) bool {
-			if w := key.(*watchdog); snapshot.Ended(w.group) {
+			switch w := key.(*watchdog); {
+			case snapshot.Gone(w.group):
 				w.cancel(errGroupBroken)
+			case snapshot.Ended(w.group):
+				w.suspected()
 			}
 			return true
 		})
--- a/rudderd/rudderforward/silence_test.go
+++ b/rudderd/rudderforward/silence_test.go
@@ -13,6 +13,7 @@
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderroute"
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderstore"
 )
 
 // A stream has no attempt left, and its target is silent for longer than streams usually wait. Guards against cutting a response
@@ -155,12 +156,15 @@
 func TestLastAttemptOutlivesAVerdict(t *testing.T) {
 	const verdict = 1370 * time.Millisecond
 	for _, test := range []struct {
-		name    string
-		silence time.Duration
-		events  []string
+		name     string
+		silence  time.Duration
+		reported bool // another entry host reports the target as dead, and only that
+		events   []string
 	}{
-		{"goes on", verdict + 200*time.Millisecond, []string{"1", "2", "3"}},
-		{"lost", time.Hour, []string{"1"}},
+		{"goes on", verdict + 200*time.Millisecond, false, []string{"1", "2", "3"}},
+		{"lost", time.Hour, false, []string{"1"}},
+		{"reported, goes on", verdict + 200*time.Millisecond, true, []string{"1", "2", "3"}},
+		{"reported, lost", time.Hour, true, []string{"1"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newTestbed(t)
@@ -180,8 +184,14 @@
 				_, _ = fmt.Fprint(w, "id: 3\ndata: e3\n\n")
 			})
 			b.start()
+			go func() { _ = b.forwarder.Run(t.Context()) }()
+			if test.reported {
+				time.AfterFunc(verdict, func() {
+					b.changes <- rudderstore.Entry{Key: rudderview.SuspicionPrefix + "t1", Value: []byte(`{"target":"t1","born":1,"confirmed":true}`), Revision: 2}
+				})
+			}
 			b.forwarder.ExamineGroup = func(_ context.Context, _ *rudderview.Group, silence time.Duration) (GroupFinding, bool) {
-				if silence >= verdict {
+				if silence >= verdict && (!test.reported || test.silence == time.Hour) {
 					return GroupFinding{Dead: []string{"t"}}, true
 				}
 				return GroupFinding{Silent: []string{"t"}}, true
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -152,6 +152,15 @@
 	w.decide(health, noPath, w.forwarder.Uptime()-begin)
 }
 
+// suspected handles the finding of another entry host that a member of the group is dead, like one of an own check.
+func (w *watchdog) suspected() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended && w.brokenAt == 0 {
+		w.decide(groupBroken, false, w.forwarder.Uptime()-w.lastEvent)
+	}
+}
+
 // decide cancels a send that has been silent for some time, or schedules the next check. The caller holds the lock.
 func (w *watchdog) decide(health groupHealth, noPath bool, silence time.Duration) {
 	limit := firstEventLimit
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -81,8 +81,13 @@
 // Ended reports whether a group cannot finish its running requests: a member is dead or has restarted, or the
 // plan of its fabric domain no longer contains the group.
 func (s *Snapshot) Ended(g *Group) bool {
+	return s.Gone(g) || slices.ContainsFunc(g.Members, s.Suspected)
+}
+
+// Gone reports whether a group has ended for certain. A member that is only suspected to be dead may go on.
+func (s *Snapshot) Gone(g *Group) bool {
 	for _, m := range g.Members {
-		if t := s.Targets[m.Name]; t != nil && t.Born != m.Born || s.Suspected(m) {
+		if t := s.Targets[m.Name]; t != nil && t.Born != m.Born {
 			return true
 		}
 	}
