Keep streams that progress although their target is reported as dead

A report of another entry host stays for 6 s. While it did, each change of the view moved resumable streams of that target, also those whose events went on arriving: prompts are read again elsewhere, and the attempts run out. Events after the finding show that it is outdated, as an own check takes them. A silent stream is moved or confirmed as before.

--- a/rudderd/rudderforward/silence_test.go
+++ b/rudderd/rudderforward/silence_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +205,34 @@
 		})
 	}
 }
+
+// Another entry host reports a target as dead that goes on sending events. Guards against moving its streams.
+func TestReportedTargetKeepsStreamsThatProgress(t *testing.T) {
+	b := newTestbed(t)
+	b.route("/s/", func(r *rudderroute.Route) {
+		streamRoute(true)(r)
+		r.MaxAttempts, r.Timeout = 2, 10*time.Second
+	})
+	var sends atomic.Int32
+	for i := range 2 {
+		b.target("llm", func(w http.ResponseWriter, r *http.Request) {
+			sends.Add(1)
+			after, _ := strconv.Atoi(r.Header.Get("Last"))
+			for n := after + 1; n <= 20; n++ {
+				events(w, n-1, n, 0)
+				time.Sleep(20 * time.Millisecond)
+				if n == 5 {
+					name := fmt.Sprint("t", i+1)
+					value := fmt.Sprintf(`{"target":%q,"born":1,"confirmed":true}`, name)
+					b.changes <- rudderstore.Entry{Key: rudderview.SuspicionPrefix + name, Value: []byte(value), Revision: 2}
+				}
+			}
+		})
+	}
+	b.start()
+	go func() { _ = b.forwarder.Run(t.Context()) }()
+	_, body, err := b.send("POST", "/s/x", "prompt")
+	require.NoError(t, err)
+	require.Len(t, eventIDs(body), 20)
+	require.EqualValues(t, 1, sends.Load())
+}
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -152,12 +152,14 @@
 	w.decide(health, noPath, w.forwarder.Uptime()-begin)
 }
 
-// suspected handles the finding of another entry host that a member of the group is dead, like one of an own check.
+// suspected handles the finding of another entry host that a member of the group is dead, like one of an own check. Events that still
+// arrive contradict it.
 func (w *watchdog) suspected() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended && w.brokenAt == 0 {
-		w.decide(groupBroken, false, w.forwarder.Uptime()-w.lastEvent)
+	silence := w.forwarder.Uptime() - w.lastEvent
+	if !w.ended && w.brokenAt == 0 && silence >= eventSilence {
+		w.decide(groupBroken, false, silence)
 	}
 }
 
