Let requests wait for an owner that does not serve its shard yet

The refusal now records that the owner answered, and such work waits in the same way. An owner that does not answer is as before.

--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -230,7 +230,12 @@
 	case rudderpeer.GrantResponse_NO_GROUP:
 		return nil, true, ErrNoGroup
 	case rudderpeer.GrantResponse_NOT_OWNER:
-		return o.fromLocalShare(ctx, shard, work)
+		slot, again, err := o.fromLocalShare(ctx, shard, work)
+		var refused *refusedError
+		if errors.As(err, &refused) {
+			refused.notOwner = true
+		}
+		return slot, again, err
 	}
 	return nil, true, &refusedError{after: callTimeout, reason: "unknown answer of the shard owner"}
 }
--- a/rudderd/rudderowner/forming.go
+++ b/rudderd/rudderowner/forming.go
@@ -34,11 +34,14 @@
 	return now.Add(wait)
 }
 
-// canAwaitGroup reports whether work failed only because no group is known here or at the owner, although a
-// selector serves the work.
+// canAwaitGroup reports whether work failed only because its owner does not serve the shard yet, or because no group is known
+// here or at the owner, although a selector serves the work.
 func (o *Owner) canAwaitGroup(work Work, err error) bool {
 	var refused *refusedError
-	unconfirmed := errors.As(err, &refused) && refused.unconfirmed
+	if errors.As(err, &refused) && refused.notOwner {
+		return true // the owner confirms its groups, or this entry host learns of another owner
+	}
+	unconfirmed := refused != nil && refused.unconfirmed
 	if !unconfirmed && !errors.Is(err, ErrNoGroup) {
 		return false
 	}
--- a/rudderd/rudderowner/forming_test.go
+++ b/rudderd/rudderowner/forming_test.go
@@ -85,3 +85,24 @@
 	_, err := o.Acquire(context.Background(), work("a"))
 	require.NoError(t, err)
 }
+
+// Guards against refusing work while its shard's owner does not serve the shard yet, as just after the groups have formed.
+func TestWorkWaitsForTheOwnerToServe(t *testing.T) {
+	f := newFleet(t, 3, group("g", 8))
+	first, _, other := f.roles()
+	var confirmed atomic.Bool
+	first.mu.Lock()
+	groups := first.Groups
+	first.Groups = func() []rudderrouter.Group {
+		g := groups()[0]
+		g.Unconfirmed = !confirmed.Load()
+		return []rudderrouter.Group{g}
+	}
+	first.view = view{}
+	first.mu.Unlock()
+	time.AfterFunc(4*formingInterval, func() { confirmed.Store(true) })
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := other.Acquire(context.Background(), work(id))
+		require.NoError(t, err, id)
+	}
+}
--- a/rudderd/rudderowner/local.go
+++ b/rudderd/rudderowner/local.go
@@ -81,7 +81,7 @@
 			best, free = i, room
 		}
 	}
-	refused := &refusedError{after: suspectTTL, reason: "shard owner unreachable, local share in use"}
+	refused := &refusedError{after: suspectTTL, reason: "no slot from the shard owner, local share in use"}
 	switch {
 	case used >= limit:
 		return nil, "", refused
