Keep streams of a lost group when few groups are left

Callers of the chat API got "may_have_run, no_group" in the middle of a stream, 5 s after one target had crashed. All streams of a lost group are suspected of having crashed it, and an entry host did not place two suspected streams on one group; nothing ended the suspicion. With fewer groups left than streams, the rest waited for 5 s and were cut, although the groups had room.

The next stream then looks for a group after 100 ms instead of 500. One that is still kept apart after 5 s runs beside others rather than be cut.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -81,12 +81,16 @@
 	}
 	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
 	defer cancel()
+	avoid := slices.Clone(exclude)
+	if !q.Colocate {
+		avoid = append(avoid, a.suspectGroups(q.Fingerprint)...)
+	}
 	slot, err := a.acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the release of the previous attempt's slot may still be under way.
 		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
 		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: a.queueDeadline(start),
-		Avoid: append(a.suspectGroups(q.Fingerprint), exclude...), Blocks: rudderrouter.PrefixBlocks(q.Prompt),
+		Avoid: avoid, Blocks: rudderrouter.PrefixBlocks(q.Prompt),
 	})
 	if a.stoppedWaiting(wait, slot, limit) {
 		return rudderstream.Slot{}, stoppingRefusal()
--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -187,7 +187,7 @@
 // recordSurvival records that a group has begun an answer and lives, and tells the other entry hosts if a part of the
 // prompt was suspected.
 func (a *App) recordSurvival(q rudderstream.Request) {
-	charged := a.suspects.survived(a.Clock.Now(), q.Parts)
+	charged := a.suspects.survived(a.Clock.Now(), q.Fingerprint, q.Parts)
 	if len(charged) == 0 {
 		return
 	}
--- a/rudderd/rudderapp/suspects.go
+++ b/rudderd/rudderapp/suspects.go
@@ -51,10 +51,11 @@
 	return nil
 }
 
-// survived records that an answer has begun, and returns the parts that were suspected.
-func (s *suspects) survived(now time.Time, parts []rudderpoison.Part) []string {
+// survived records that an answer has begun or goes on, and returns the parts that were suspected.
+func (s *suspects) survived(now time.Time, fingerprint uint64, parts []rudderpoison.Part) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tracker.Forgive(rudderpoison.Fingerprint(fingerprint))
 	charged, _ := s.parts.Survived(now, parts)
 	names := make([]string, len(charged))
 	for i, p := range charged {
--- a/rudderd/rudderapp/suspects_test.go
+++ b/rudderd/rudderapp/suspects_test.go
@@ -29,7 +29,7 @@
 	require.NotNil(t, s.blocked(block.NextTrial, parts, noHost), "another entry host lets the trial pass")
 	require.Nil(t, s.blocked(block.NextTrial, parts, anyHost), "one request passes as a trial")
 	require.NotNil(t, s.blocked(block.NextTrial, parts, anyHost))
-	require.Equal(t, []string{"model/rules"}, s.survived(block.NextTrial, parts))
+	require.Equal(t, []string{"model/rules"}, s.survived(block.NextTrial, 0, parts))
 	require.Nil(t, s.blocked(block.NextTrial, parts, noHost))
 }
 
@@ -45,3 +45,16 @@
 	s.applySound([]string{"model/rules"})
 	require.Nil(t, s.blocked(now, parts, func(rudderpoison.Part) bool { return false }))
 }
+
+// Guards against answers of a lost group that wait for each other although each of them goes on elsewhere.
+func TestSurvivingAnswersMayShareAGroup(t *testing.T) {
+	now := time.Now()
+	s := newSuspects()
+	s.record(now, rudderpoison.Death{Group: "lost", Domain: "a", AtUnixMS: now.UnixMilli(), InFlight: []rudderpoison.Fingerprint{1, 2}})
+	s.started("left", 1)
+	_, groups := s.avoid(now, 2)
+	require.Equal(t, []string{"left"}, groups)
+	s.survived(now, 1, nil)
+	_, groups = s.avoid(now, 2)
+	require.Empty(t, groups)
+}
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -32,6 +32,8 @@
 	Attempt int
 	// Sent is set by the runner once a byte of the request may have reached a target.
 	Sent bool
+	// Colocate is set by the runner when the answer would be cut unless it goes on beside other suspected requests.
+	Colocate bool
 }
 
 // Slot is a permission to run one request on a group.
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -66,6 +66,8 @@
 	resumeWait = 5 * time.Second
 	// resumeInterval is the time between two tries.
 	resumeInterval = 500 * time.Millisecond
+	// groupInterval takes its place while no group may take the request.
+	groupInterval = 100 * time.Millisecond
 )
 
 // run is the state of one request over its attempts.
@@ -142,9 +144,11 @@
 }
 
 // acquire waits for a slot. For an answer that has begun it tries again while no group has room, and for a request that may
-// have run while no group serves it: its caller could send it again only at the risk of a second run.
+// have run while no group serves it: its caller could send it again only at the risk of a second run. An answer that has
+// begun is not cut for being suspected.
 func (s *run) acquire(ctx context.Context) (Slot, error) {
 	until := s.Clock.Now().Add(resumeWait)
+	s.request.Colocate = false
 	for {
 		slot, err := s.Acquire(ctx, s.request, s.excluded)
 		if noGroupLeft(err) && len(s.excluded) > 0 {
@@ -153,13 +157,24 @@
 			slot, err = s.Acquire(ctx, s.request, nil)
 		}
 		waits := s.answer.Received() > 0 && lacksRoom(err) || s.sent && noGroupLeft(err)
-		if !waits || !s.Clock.Now().Before(until) {
+		if !waits || s.request.Colocate {
 			return slot, err
 		}
+		if !s.Clock.Now().Before(until) {
+			if s.answer.Received() == 0 {
+				return slot, err
+			}
+			s.request.Colocate = true
+			continue
+		}
+		interval := resumeInterval
+		if noGroupLeft(err) {
+			interval = groupInterval
+		}
 		select {
 		case <-ctx.Done():
 			return slot, err
-		case <-s.Clock.After(resumeInterval):
+		case <-s.Clock.After(interval):
 		}
 	}
 }
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -275,9 +275,11 @@
 		name     string
 		refusal  Refusal
 		received int
-		refusals int
+		refusals int // while no group may take the request, only until it may run beside others
 		outcome  Outcome
 	}{
+		{"suspected for long", Refusal{Code: CodeNoGroup, NoGroup: true, RetryAfter: resumeWait}, 3, 1000, OutcomeComplete},
+		{"suspected for long, not begun", Refusal{Code: CodeNoGroup, NoGroup: true, RetryAfter: resumeWait}, 0, 1000, OutcomeMayHaveRun},
 		{"full", Refusal{Code: CodeNoCapacity, RetryAfter: 20 * time.Millisecond}, 3, 2, OutcomeComplete},
 		{"no group", Refusal{Code: CodeNoGroup, NoGroup: true, RetryAfter: 20 * time.Millisecond}, 3, 3, OutcomeComplete},
 		{"full for long", Refusal{Code: CodeNoCapacity, RetryAfter: resumeWait}, 3, 1000, OutcomeMayHaveRun},
@@ -291,7 +293,7 @@
 			r := testRunner(engine.address())
 			acquire, refused := r.Acquire, 0
 			r.Acquire = func(ctx context.Context, q Request, excluded []string) (Slot, error) {
-				if len(engine.requests()) > 0 && refused < test.refusals {
+				if len(engine.requests()) > 0 && refused < test.refusals && (!test.refusal.NoGroup || !q.Colocate) {
 					refused++
 					return Slot{}, &test.refusal
 				}
--- a/rudderstand/rudderscene/silence_test.go
+++ b/rudderstand/rudderscene/silence_test.go
@@ -315,6 +315,19 @@
 	}
 }
 
+// Guards against begun streams that are cut because few groups are left on which no other stream of the lost group runs.
+func TestStreamsOfALostGroupGoOnBesideEachOther(t *testing.T) {
+	s := startSilentScene(t, func(l *rudderfleetstand.Layout) { l.Document.Selectors[0].WantedGroups = 2 })
+	for i := range 14 {
+		s.chatAt(s.entry(0), fmt.Sprint("beside ", i, " "), 400)
+	}
+	time.Sleep(time.Second)
+	runs := s.Fleet.Fabric.Ledger.Runs()
+	_ = s.Fleet.Host(runs[len(runs)-1].Host).Engine.Restart()
+	s.running.Wait()
+	s.report(t)
+}
+
 // A third of the targets accept requests and never answer them, for a time in each period, while they report that they are
 // sound. Guards against requests that wait for such a target until their callers leave, and against once-only calls that are
 // sent twice or reported as not run.
