Count each request once in the retry budget of the chat API

Each Acquire added a tenth of a retry to the budget, also those of later attempts and of streams that ask again for a group while they wait, now every 100 ms: by calculation ten streams that wait for 5 s added 50 retries, which other requests could take, ten at a time. Only the first Acquire of a request adds its share now; the share that grows with time is as before.

TestRepeatedAcquireAddsNothingToTheBudget: 50 calls of one request allowed more than the one retry of the start; failed before.

--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -87,7 +87,7 @@
 	}
 	slot, err := a.acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the release of the previous attempt's slot may still be under way.
-		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Repeat: q.Attempt > 1, Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
 		Class:  q.Class, Tokens: q.EstimatedTokens, Deadline: a.queueDeadline(start),
 		Avoid: avoid, Blocks: rudderrouter.PrefixBlocks(q.Prompt),
@@ -144,7 +144,7 @@
 	defer cancel()
 	slot, err := a.acquire(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the slot of the previous attempt may still be held.
-		RequestID: call.RequestID + "#" + strconv.Itoa(len(exclude)), Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
+		RequestID: call.RequestID + "#" + strconv.Itoa(len(exclude)), Repeat: len(exclude) > 0, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
 		Class:  rudderconfig.ClassShort, Tokens: 1, Deadline: a.queueDeadline(a.Clock.Now()),
 		Avoid: a.groupsAt(exclude),
--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -31,6 +31,8 @@
 	// RequestID identifies one attempt. A later attempt of a request needs another ID. Otherwise a grant
 	// call for it that arrives before the release of the earlier attempt returns the slot being released.
 	RequestID string
+	// Repeat is set for all but the first Acquire of a request. They add nothing to the retry budget.
+	Repeat    bool
 	Wanted    rudderrouter.Requirements
 	Workspace string
 	// Weight of the workspace in fair queueing; 0 means 1.
@@ -55,7 +57,11 @@
 func (o *Owner) Acquire(ctx context.Context, work Work) (*Slot, error) {
 	o.init()
 	o.mu.Lock()
-	o.budget.addRequest(o.Clock.Now())
+	if work.Repeat {
+		o.budget.addTime(o.Clock.Now())
+	} else {
+		o.budget.addRequest(o.Clock.Now())
+	}
 	o.mu.Unlock()
 	until := o.formingDeadline(work)
 	for {
--- a/rudderd/rudderowner/budget.go
+++ b/rudderd/rudderowner/budget.go
@@ -17,11 +17,15 @@
 }
 
 func (b *retryBudget) addRequest(now time.Time) {
+	b.addTime(now)
+	b.credit = min(b.credit+retryShare, maxRetryCredit)
+}
+
+func (b *retryBudget) addTime(now time.Time) {
 	if b.at.IsZero() {
 		b.credit, b.at = retriesPerSecond, now
 	}
-	b.credit += retryShare + retriesPerSecond*max(0, now.Sub(b.at).Seconds())
-	b.credit = min(b.credit, maxRetryCredit)
+	b.credit = min(b.credit+retriesPerSecond*max(0, now.Sub(b.at).Seconds()), maxRetryCredit)
 	b.at = now
 }
 
--- a/rudderd/rudderowner/retry_test.go
+++ b/rudderd/rudderowner/retry_test.go
@@ -35,6 +35,25 @@
 	o.calls.Wait()
 }
 
+// Guards against a retry budget that grows while requests wait for a group and ask again.
+func TestRepeatedAcquireAddsNothingToTheBudget(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	member := ruddermember.Member{Name: "e1", PeerAddress: "127.0.0.1:1"}
+	o := &Owner{
+		Self: member, Clock: clock, Logger: zerolog.Nop(),
+		Members: func() []ruddermember.Member { return []ruddermember.Member{member} },
+		Groups:  func() []rudderrouter.Group { return nil },
+	}
+	for i := range 50 {
+		w := work("a")
+		w.Repeat = i > 0
+		_, err := o.Acquire(context.Background(), w)
+		require.ErrorIs(t, err, ErrNoGroup)
+	}
+	require.True(t, o.TakeRetry())
+	require.False(t, o.TakeRetry())
+}
+
 // Guards against control requests that a plain service takes for calls: the demo's oracle found requests for
 // cache events in a service's ledger.
 func TestOwnedLeadersAreModelGroups(t *testing.T) {
