Take no retry from the budget after an attempt that reached no target

After the crash of a target, callers of the chat API got 503 "target_failed" (retry budget spent) although other groups had room: each new request that was placed on the lost group failed to connect, and took a retry to go on elsewhere. The users' platform does not count such attempts. Neither does the runner now; MaxAttempts bounds them.

TestUnsentAttemptTakesNoRetry fails without the change.

--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -246,7 +246,7 @@
 		return s.failure(CodeMemoryFull, "the answers to other requests leave no memory for this one", time.Second), true
 	case s.attemptsSpent():
 		return s.failure(CodeRetryExhausted, err.Error(), time.Second), true
-	case !s.takeRetry():
+	case !s.takeRetry(err):
 		return s.failure(CodeTargetFailed, "retry budget spent: "+err.Error(), time.Second), true
 	}
 	return Result{}, false
@@ -262,9 +262,9 @@
 }
 
 // takeRetry takes a retry from the budget, unless it has been taken for the next attempt. A stream that has begun is resumed
-// regardless of the budget: its caller waits for the rest.
-func (s *run) takeRetry() bool {
-	s.retryTaken = s.retryTaken || s.answer.Received() > 0 || s.TakeRetry()
+// regardless of the budget: its caller waits for the rest. An attempt that did not reach a target is no load to repeat.
+func (s *run) takeRetry(err error) bool {
+	s.retryTaken = s.retryTaken || s.answer.Received() > 0 || errors.Is(err, ErrNotSent) || s.TakeRetry()
 	return s.retryTaken
 }
 
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -393,6 +393,17 @@
 	require.Equal(t, 3, timing.Attempts)
 }
 
+// Guards against requests that are refused for the retry budget although no target has seen them.
+func TestUnsentAttemptTakesNoRetry(t *testing.T) {
+	live, gone := newFakeEngine(t, tokens(4, 4)), newFakeEngine(t, tokens(4, 4))
+	gone.server.Close()
+	r := testRunner(gone.address(), live.address())
+	r.TakeRetry = func() bool { return false }
+	page, timing := runRequest(t, r)
+	require.Equal(t, OutcomeComplete, page.Result.Outcome, page.Result.Message)
+	require.Equal(t, 2, timing.Attempts)
+}
+
 // Guards against a request that kills one group after another: the suspicion must be shared before the next
 // attempt.
 func TestSecondDeathStopsTheRequest(t *testing.T) {
--- a/rudderd/rudderstream/silence.go
+++ b/rudderd/rudderstream/silence.go
@@ -170,4 +170,4 @@
 
 // mayMove reports whether the attempt can be followed by another one. For a request that has not begun it takes a retry from
 // the budget.
-func (w *silence) mayMove() bool { return !w.attemptsSpent() && w.takeRetry() }
+func (w *silence) mayMove() bool { return !w.attemptsSpent() && w.takeRetry(nil) }
