Forgive only requests that go on after a death of their own

A prompt that crashes targets in the middle of its answer would have been forgiven by each caller that sends it anew and is not there yet, and so never refused (by reading). The runner now counts the groups that died while they ran the request; only such a request ends its suspicion.

TestSurvivingAnswersMayShareAGroup/begins fails without the change.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -187,7 +187,10 @@
 // recordSurvival records that a group has begun an answer and lives, and tells the other entry hosts if a part of the
 // prompt was suspected.
 func (a *App) recordSurvival(q rudderstream.Request) {
-	charged := a.suspects.survived(a.Clock.Now(), q.Fingerprint, q.Parts)
+	if q.Deaths > 0 { // otherwise it may only not have reached the token that crashes targets
+		a.suspects.forgive(q.Fingerprint)
+	}
+	charged := a.suspects.survived(a.Clock.Now(), q.Parts)
 	if len(charged) == 0 {
 		return
 	}
--- a/rudderd/rudderapp/suspects.go
+++ b/rudderd/rudderapp/suspects.go
@@ -51,11 +51,17 @@
 	return nil
 }
 
-// survived records that an answer has begun or goes on, and returns the parts that were suspected.
-func (s *suspects) survived(now time.Time, fingerprint uint64, parts []rudderpoison.Part) []string {
+// forgive ends the suspicion of a request.
+func (s *suspects) forgive(fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Forgive(rudderpoison.Fingerprint(fingerprint))
+}
+
+// survived records that an answer has begun, and returns the parts that were suspected.
+func (s *suspects) survived(now time.Time, parts []rudderpoison.Part) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	charged, _ := s.parts.Survived(now, parts)
 	names := make([]string, len(charged))
 	for i, p := range charged {
--- a/rudderd/rudderapp/suspects_test.go
+++ b/rudderd/rudderapp/suspects_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderpoison"
+	"comfreyrudder.example/rudderd/rudderstream"
 )
 
 func newSuspects() *suspects {
@@ -29,7 +31,7 @@
 	require.NotNil(t, s.blocked(block.NextTrial, parts, noHost), "another entry host lets the trial pass")
 	require.Nil(t, s.blocked(block.NextTrial, parts, anyHost), "one request passes as a trial")
 	require.NotNil(t, s.blocked(block.NextTrial, parts, anyHost))
-	require.Equal(t, []string{"model/rules"}, s.survived(block.NextTrial, 0, parts))
+	require.Equal(t, []string{"model/rules"}, s.survived(block.NextTrial, parts))
 	require.Nil(t, s.blocked(block.NextTrial, parts, noHost))
 }
 
@@ -46,15 +48,22 @@
 	require.Nil(t, s.blocked(now, parts, func(rudderpoison.Part) bool { return false }))
 }
 
-// Guards against answers of a lost group that wait for each other although each of them goes on elsewhere.
+// Guards against answers of a lost group that wait for each other although each of them goes on elsewhere, and against a request
+// that is no longer suspected because another one with the same prompt has begun.
 func TestSurvivingAnswersMayShareAGroup(t *testing.T) {
-	now := time.Now()
-	s := newSuspects()
-	s.record(now, rudderpoison.Death{Group: "lost", Domain: "a", AtUnixMS: now.UnixMilli(), InFlight: []rudderpoison.Fingerprint{1, 2}})
-	s.started("left", 1)
-	_, groups := s.avoid(now, 2)
-	require.Equal(t, []string{"left"}, groups)
-	s.survived(now, 1, nil)
-	_, groups = s.avoid(now, 2)
-	require.Empty(t, groups)
+	for _, test := range []struct {
+		name   string
+		deaths int
+		avoids []string
+	}{{"goes on after the death of its group", 1, nil}, {"begins", 0, []string{"left"}}} {
+		t.Run(test.name, func(t *testing.T) {
+			a, now := &App{Clock: clockwork.NewRealClock()}, time.Now()
+			a.suspects.tracker, a.suspects.parts = rudderpoison.NewTracker(maxDeaths), rudderpoison.NewPartTracker()
+			a.suspects.record(now, rudderpoison.Death{Group: "lost", Domain: "a", AtUnixMS: now.UnixMilli(), InFlight: []rudderpoison.Fingerprint{1, 2}})
+			a.suspects.started("left", 1)
+			a.recordSurvival(rudderstream.Request{Fingerprint: 1, Deaths: test.deaths})
+			_, groups := a.suspects.avoid(now, 2)
+			require.Equal(t, test.avoids, groups)
+		})
+	}
 }
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -32,6 +32,8 @@
 	Attempt int
 	// Sent is set by the runner once a byte of the request may have reached a target.
 	Sent bool
+	// Deaths is set by the runner: how many groups have died while they ran the request.
+	Deaths int
 	// Colocate is set by the runner when the answer would be cut unless it goes on beside other suspected requests.
 	Colocate bool
 }
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -138,6 +138,7 @@
 			Str("group", slot.Group).Int("received", s.answer.Received()).Msg("attempt failed")
 	}
 	if mayHaveKilled(err) && s.GroupDied(ctx, slot) {
+		s.request.Deaths++
 		s.ReportDeath(ctx, s.request, slot, s.attemptTokens < survivalTokens)
 	}
 	return err
--- a/rudderd/rudderstream/runner_test.go
+++ b/rudderd/rudderstream/runner_test.go
@@ -415,7 +415,10 @@
 		require.True(t, begun)
 		deaths++
 	}
-	r.Poisoned = func(Request) bool { return deaths >= 2 }
+	r.Poisoned = func(q Request) bool {
+		require.Equal(t, deaths, q.Deaths)
+		return deaths >= 2
+	}
 	page, _ := runRequest(t, r)
 	require.Equal(t, CodePoison, page.Result.Code)
 	require.Equal(t, OutcomeMayHaveRun, page.Result.Outcome)
