--- a/rudderd/rudderowner/acquire.go
+++ b/rudderd/rudderowner/acquire.go
@@ -181,7 +181,12 @@
 			request.WaitMs = min(max(pollWait.Milliseconds(), 2*request.WaitMs), maxPollWait.Milliseconds())
 			continue
 		}
-		return o.settle(ctx, shard, work, response)
+		slot, again, err := o.settle(ctx, shard, work, response)
+		var refused *refusedError
+		if errors.As(err, &refused) && request.GetWaitMs() == 0 {
+			refused.notOwner = response.GetState() == rudderpeer.GrantResponse_NOT_OWNER
+		}
+		return slot, again, err
 	}
 }
 
@@ -236,12 +241,7 @@
 	case rudderpeer.GrantResponse_NO_GROUP:
 		return nil, true, ErrNoGroup
 	case rudderpeer.GrantResponse_NOT_OWNER:
-		slot, again, err := o.fromLocalShare(ctx, shard, work)
-		var refused *refusedError
-		if errors.As(err, &refused) {
-			refused.notOwner = true
-		}
-		return slot, again, err
+		return o.fromLocalShare(ctx, shard, work)
 	}
 	return nil, true, &refusedError{after: callTimeout, reason: "unknown answer of the shard owner"}
 }
--- a/rudderd/rudderowner/errors.go
+++ b/rudderd/rudderowner/errors.go
@@ -22,7 +22,7 @@
 	reason string
 	// unconfirmed is set when the only groups for the work are not confirmed at this entry host.
 	unconfirmed bool
-	// notOwner is set when the owner answered that it does not serve the shard.
+	// notOwner is set when the owner answered at once that it does not serve the shard.
 	notOwner bool
 }
 
