--- a/rudderctl/rudderctlapp/root.go
+++ b/rudderctl/rudderctlapp/root.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"comfreyrudder.example/shared/rudderadmin"
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // Exit codes of rudderctl.
@@ -120,7 +121,7 @@
 	if c.token == "" {
 		return nil, errors.Mark(errors.New("no operator token: set RUDDER_TOKEN or --token"), errUsage)
 	}
-	return &rudderadmin.Client{Addresses: addresses, Token: c.token, HTTP: &http.Client{Timeout: callTimeout}}, nil
+	return &rudderadmin.Client{Addresses: addresses, Token: c.token, HTTP: &http.Client{Timeout: callTimeout, Transport: &rudderresponse.Transport{Base: http.DefaultTransport}}}, nil
 }
 
 // exactArgs is cobra.ExactArgs with errors marked as errUsage. It also validates the arguments, since they
--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -170,7 +170,7 @@
 }
 
 func (a *App) throughPath(direct http.RoundTripper) http.RoundTripper {
-	return pathTransport{app: a, direct: direct}
+	return pathTransport{app: a, direct: checked(direct)}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -295,7 +295,7 @@
 	if len(q.Body) == 0 {
 		request.Body = http.NoBody
 	}
-	response, err := a.memory.Responses.Do(request, a.paths.direct.RoundTrip)
+	response, err := a.memory.Responses.Do(request, checked(a.paths.direct).RoundTrip)
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
 		if rudderpath.CopyResponse(w, response, func() {}) != nil {
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -10,6 +10,7 @@
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/rudderpeer"
+	"comfreyrudder.example/shared/rudderresponse"
 	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -50,8 +51,8 @@
 	if a.PlatformTransport != nil {
 		return a.PlatformTransport
 	}
-	dial := a.memory.Replies.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext)
-	return &rudderbody.Transport{Base: newTransport(platformIdleConnections, dial), Budget: a.memory.Replies}
+	dial := a.memory.Replies.Dial(rudderresponse.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext))
+	return &rudderbody.Transport{Base: checked(newTransport(platformIdleConnections, dial)), Budget: a.memory.Replies}
 }
 
 // controlTransport returns the transport of reports and orders. Each control call opens a new connection: a pooled one may have
@@ -75,7 +76,7 @@
 
 // newTargetTransport returns a transport to targets, the heads of whose responses can take memory from a budget.
 func (a *App) newTargetTransport(memory *rudderbody.Budget) *http.Transport {
-	return newTransport(targetIdleConnections, rudderpath.Track(memory.Dial(a.dialTarget)))
+	return newTransport(targetIdleConnections, rudderpath.Track(memory.Dial(rudderresponse.Dial(a.dialTarget))))
 }
 
 func newTransport(idle int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
@@ -87,3 +88,6 @@
 		MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 	}
 }
+
+// checked returns a transport whose responses are checked.
+func checked(base http.RoundTripper) http.RoundTripper { return &rudderresponse.Transport{Base: base} }
--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -11,6 +11,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 const (
@@ -52,9 +53,13 @@
 // NewClient returns a client that neither follows redirects nor negotiates compression, so that each request is sent once
 // and passes unchanged. It keeps up to idlePerHost idle connections to one server.
 func NewClient(idlePerHost int) *http.Client {
+	return checkedClient(newClient(idlePerHost, rudderresponse.Dial(Dialer().DialContext)))
+}
+
+func newClient(idlePerHost int, dial rudderpath.Dial) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: Dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: maxIdleConnections,
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: maxIdleConnections,
 			IdleConnTimeout: idleConnectionTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 			MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 		},
@@ -62,19 +67,22 @@
 	}
 }
 
+// checkedClient makes a client check its responses.
+func checkedClient(c *http.Client) *http.Client {
+	c.Transport = &rudderresponse.Transport{Base: c.Transport}
+	return c
+}
+
 // NewMeteredClient returns a client like that of NewClient for responses that are read as a whole. They take memory from a budget
 // until their bodies are closed.
 func NewMeteredClient(idlePerHost int, memory *rudderbody.Budget) *http.Client {
-	client := NewClient(idlePerHost)
-	base := client.Transport.(*http.Transport)
-	base.DialContext = memory.Dial(Dialer().DialContext)
-	client.Transport = &rudderbody.Transport{Base: base, Budget: memory}
+	client := checkedClient(newClient(idlePerHost, memory.Dial(rudderresponse.Dial(Dialer().DialContext))))
+	client.Transport = &rudderbody.Transport{Base: client.Transport, Budget: memory}
 	return client
 }
 
-// targetClient returns the client for requests to targets. The heads of the responses take memory from a budget.
+// targetClient returns the client for requests to targets. The heads of the responses take memory from a budget. The forwarder
+// checks the responses itself.
 func targetClient(memory *rudderbody.Budget) *http.Client {
-	client := NewClient(maxIdleConnectionsPerTarget)
-	client.Transport.(*http.Transport).DialContext = rudderpath.Track(memory.Dial(dialer(targetUnackedTimeout).DialContext))
-	return client
+	return newClient(maxIdleConnectionsPerTarget, rudderpath.Track(memory.Dial(rudderresponse.Dial(dialer(targetUnackedTimeout).DialContext))))
 }
--- a/rudderd/rudderedge/client_test.go
+++ b/rudderd/rudderedge/client_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // serveEndless serves one connection: it writes the beginning of a response and then repeats filler until the client
@@ -73,3 +75,21 @@
 		})
 	}
 }
+
+// Guards against clients of the key-value service, of targets' reports and of other entry hosts that take a response for valid although
+// its head cannot be one.
+func TestClientsRejectInvalidHeads(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		client *http.Client
+	}{{"plain", NewClient(1)}, {"metered", NewMeteredClient(1, nil)}} {
+		t.Run(test.name, func(t *testing.T) {
+			address, _ := serveEndless(t, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", "x")
+			response, err := test.client.Get("http://" + address)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			require.ErrorIs(t, err, rudderresponse.ErrInvalidHead)
+		})
+	}
+}
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -9,6 +9,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // failureBackoff is how long new requests avoid a leader after a failed send, as long as other groups are
@@ -239,7 +240,7 @@
 // brokenByTarget reports whether a send may have failed because its target died. One that this entry host has cancelled shows
 // nothing about the target.
 func brokenByTarget(err error) bool {
-	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errUnanswered, errSlowGroup, errPoisoned, ErrWrongAnswer, rudderbody.ErrNoMemory} {
+	for _, other := range []error{errGroupBroken, errUnresponsive, errHung, errUnanswered, errSlowGroup, errPoisoned, ErrWrongAnswer, rudderbody.ErrNoMemory, rudderresponse.ErrInvalidHead} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/rudderd/rudderforward/late.go
+++ b/rudderd/rudderforward/late.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 const (
@@ -32,7 +34,7 @@
 	a.header = request.Header
 	results := make(chan received, 1)
 	go func() {
-		response, err := f.Responses.Do(request, f.Client.Do) //nolint:bodyclose // whoever gets the result closes it
+		response, err := f.Responses.Do(request, f.checkedSend) //nolint:bodyclose // whoever gets the result closes it
 		results <- received{response, err}
 	}()
 	var r received
@@ -53,6 +55,10 @@
 	return r.finish(ctx, end)
 }
 
+func (f *Forwarder) checkedSend(r *http.Request) (*http.Response, error) {
+	return rudderresponse.Do(r, f.Client.Do)
+}
+
 // finish returns the outcome to the send, with whose context the response's body ends.
 func (r received) finish(ctx context.Context, end context.CancelCauseFunc) (*http.Response, error) {
 	if r.err != nil {
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -16,6 +16,7 @@
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderview"
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // Errors of one send. Callers test them with errors.Is.
@@ -143,7 +144,7 @@
 func (f *Forwarder) sendError(ctx context.Context, x *exchange, a *attempt, err error) error {
 	t, cause := pathTarget(x.group.Leader), context.Cause(ctx)
 	// A response has arrived, perhaps before the write of the request has been counted.
-	responded := errors.Is(err, rudderbody.ErrNoMemory)
+	responded := errors.Is(err, rudderbody.ErrNoMemory) || errors.Is(err, rudderresponse.ErrInvalidHead)
 	if cause != nil {
 		err = cause
 	}
--- a/rudderd/rudderforward/testbed_test.go
+++ b/rudderd/rudderforward/testbed_test.go
@@ -28,6 +28,7 @@
 	"comfreyrudder.example/rudderd/ruddertestnet"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/rudderhost"
+	"comfreyrudder.example/shared/rudderresponse"
 	"comfreyrudder.example/shared/rudderstore"
 	"comfreyrudder.example/shared/ruddertarget"
 )
@@ -157,7 +158,7 @@
 func (b *testbed) start() {
 	b.record("routing", b.document)
 	ctx, end := context.WithCancel(b.t.Context())
-	transport := &http.Transport{DisableCompression: true, DialContext: rudderpath.Track(b.dial)}
+	transport := &http.Transport{DisableCompression: true, DialContext: rudderpath.Track(rudderresponse.Dial(b.dial))}
 	started := time.Now()
 	uptime := func() time.Duration { return time.Since(started) + time.Second }
 	view := &rudderview.View{
--- a/rudderd/rudderpath/wire.go
+++ b/rudderd/rudderpath/wire.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // Request is a request to a target that is sent through another entry host.
@@ -179,8 +180,12 @@
 	if err := decode(reader, &head, memory); err != nil {
 		return nil, err
 	}
+	header := headerOf(head.Fields)
+	if err := rudderresponse.CheckHead(head.Status, header); err != nil { // an earlier version relays what it has read
+		return nil, err
+	}
 	response := &http.Response{
-		StatusCode: head.Status, Status: http.StatusText(head.Status), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: headerOf(head.Fields),
+		StatusCode: head.Status, Status: http.StatusText(head.Status), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 		ContentLength: head.ContentLength, Body: struct {
 			io.Reader
 			io.Closer
--- a/rudderd/rudderservice/attempt.go
+++ b/rudderd/rudderservice/attempt.go
@@ -17,6 +17,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpath"
+	"comfreyrudder.example/shared/rudderresponse"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -29,7 +30,7 @@
 		dial = (&net.Dialer{Timeout: d.ConnectTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:            rudderpath.Track(d.Responses.Dial(dial)),
+		DialContext:            rudderpath.Track(d.Responses.Dial(rudderresponse.Dial(dial))),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    16,
 		IdleConnTimeout:        30 * time.Second,
--- a/rudderd/rudderservice/cuthead_test.go
+++ b/rudderd/rudderservice/cuthead_test.go
@@ -96,3 +96,14 @@
 		}
 	}
 }
+
+// Guards against passing on a response with a head that no response can have, and a body whose length is hidden by it.
+func TestInvalidHeadMayHaveRun(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 None\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"} {
+		var runs atomic.Int64
+		d, _ := newDispatcher(cutHeadTarget(t, head+ruddertarget.HeaderRequestID+": OWN\r\n\r\n", false, &runs))
+		result := d.Do(context.Background(), Call{RequestID: "own", Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: []byte("b")})
+		require.Equal(t, OutcomeMayHaveRun, result.Outcome, "%q", head)
+		require.Equal(t, int64(1), runs.Load(), "%q", head)
+	}
+}
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -17,6 +17,7 @@
 
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/shared/rudderresponse"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
@@ -176,7 +177,7 @@
 		// repeatable, that is, it has no body and its method is GET or it carries an Idempotency-Key. A new
 		// connection for each call prevents that, and also that an unresponsive connection is reused.
 		fresh.DisableKeepAlives = true
-		d.fresh, d.persistent = fresh, d.newTransport()
+		d.fresh, d.persistent = &rudderresponse.Transport{Base: fresh}, &rudderresponse.Transport{Base: d.newTransport()}
 		if d.Wrap != nil {
 			d.fresh, d.persistent = d.Wrap(d.fresh), d.Wrap(d.persistent)
 		}
--- a/shared/rudderpeer/pool.go
+++ b/shared/rudderpeer/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/shared/rudderresponse"
 )
 
 // Timeouts of the connections between entry hosts.
@@ -40,7 +42,14 @@
 	if err != nil && !errors.Is(err, context.Canceled) {
 		p.drop(r.URL.Host, t)
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	if err := rudderresponse.CheckHead(response.StatusCode, response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that are not in use.
