--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -53,10 +53,10 @@
 	in := rudderplacement.Input{
 		Now: p.Uptime(), EraStart: rudderstore.EraStart(snapshot.Revision), Service: service, Targets: snapshot.Targets, Removed: removed, Reports: reports, Plans: plans, StallTimeout: p.StallTimeout,
 		Traffic: p.Traffic(), Settled: p.Traffic() || p.Uptime()-p.leaseSince > settleTime, State: p.states[service.Name],
-		WithinStartupGrace: p.View.WithinStartupGrace(),
-		Dead:               p.probed(func(v *probeResult) bool { return v.dead }),
-		Lost:               p.probed(func(v *probeResult) bool { return v.dead && v.lost }),
-		Silent:             p.probed(func(v *probeResult) bool { return v.silent }),
+		WithinStartupGrace: p.View.WithinStartupGrace(), Evacuated: snapshot.Evacuated,
+		Dead:   p.probed(func(v *probeResult) bool { return v.dead }),
+		Lost:   p.probed(func(v *probeResult) bool { return v.dead && v.lost }),
+		Silent: p.probed(func(v *probeResult) bool { return v.silent }),
 	}
 	if p.Demand != nil {
 		in.Demand = p.Demand(service.Name)
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -117,6 +117,7 @@
 		fmt.Sprintf("targets_known %d", len(snapshot.Targets)),
 		fmt.Sprintf("entries_known %d", len(snapshot.EntryHosts)),
 		fmt.Sprintf("suspicions_known %d", len(snapshot.Suspicions)),
+		fmt.Sprintf("data_centres_evacuated %d", len(snapshot.EvacuatedDataCentres())),
 		fmt.Sprintf("prompt_parts_blocked %d", e.poison.blockedParts()),
 		fmt.Sprintf("look_age_ms %d", age.Milliseconds()))
 	if snapshot.Table != nil {
--- a/rudderd/rudderforward/pauses.go
+++ b/rudderd/rudderforward/pauses.go
@@ -98,14 +98,18 @@
 		Dur("pause_ms", answer.Pause).Msg("target asked for a pause; sending it no requests until the pause ends")
 }
 
-// accepts reports whether a group's leader has neither requested a pause nor announced that it leaves. It is
-// checked again after the choice, because the request may have waited for an owner's answer since the groups
+// accepts reports whether a group's leader has neither requested a pause nor announced that it leaves, and its data centre
+// is not evacuated. It is checked again after the choice, because the request may have waited for an owner's answer since the groups
 // were listed.
 func (f *Forwarder) accepts(g *rudderview.Group) bool {
 	if f.pauses.left(g.Leader, f.Uptime()) > 0 {
 		return false
 	}
-	t := f.View.Snapshot().Targets[g.Leader.Name]
+	snapshot := f.View.Snapshot()
+	if snapshot.Evacuated(g.Leader.DataCentre) {
+		return false
+	}
+	t := snapshot.Targets[g.Leader.Name]
 	return t == nil || t.Born != g.Leader.Born || !t.Leaving()
 }
 
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -47,7 +47,9 @@
 			return
 		}
 		best.domain.room -= best.model.Size
-		counts[best.model.Name]++
+		if !best.domain.evacuated {
+			counts[best.model.Name]++
+		}
 		switch {
 		case len(best.members) < best.model.Size, best.loads > 0 && (!in.Settled || !in.mayLoad(best, loading)):
 			best.domain.exclude(best.members)
@@ -75,12 +77,12 @@
 	d.free = slices.DeleteFunc(d.free, func(t *rudderview.Target) bool { return slices.Contains(members, t) })
 }
 
-// counts returns the number of groups by model, without those marked as retiring.
+// counts returns the number of groups by model that get requests, without those marked as retiring.
 func (in *Input) counts(domains []*domain) map[string]int {
 	counts := map[string]int{}
 	for _, d := range domains {
 		for _, g := range d.groups {
-			if !g.Retiring || g.Unconfirmed {
+			if !d.evacuated && (!g.Retiring || g.Unconfirmed) {
 				counts[g.Model]++
 			}
 		}
@@ -147,6 +149,7 @@
 			return true
 		}
 		return cmp.Or(
+			compareBool(best.domain.evacuated, c.domain.evacuated), // groups that get no requests can wait
 			cmp.Compare(in.value(c, counts), in.value(best, counts)),
 			compareBool(len(c.members) == c.model.Size, len(best.members) == best.model.Size),
 			cmp.Compare(best.loads, c.loads),
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -47,6 +47,8 @@
 	Dead, Silent func(t *rudderview.Target) bool
 	// Lost reports whether another probe has confirmed that a target is dead, so that its group may end.
 	Lost func(t *rudderview.Target) bool
+	// Evacuated reports whether a data centre is evacuated; nil means that none is.
+	Evacuated func(dataCentre string) bool
 	// Demand is the measured part of the work by model, 0 to 1.
 	Demand map[string]float64
 	// StallTimeout is the time after which a leader that lost a member reports a broken group.
@@ -95,6 +97,7 @@
 	notes            []string
 	replaced         []rudderroster.Member // silent leaders
 	changed          bool
+	evacuated        bool // its targets get no requests
 }
 
 func (d *domain) note(text string) {
@@ -124,6 +127,7 @@
 			d := get(t.FabricDomain)
 			d.free = append(d.free, t)
 			d.size++
+			d.evacuated = d.evacuated || in.Evacuated != nil && in.Evacuated(t.DataCentre)
 		}
 	}
 	for _, t := range in.Removed {
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -131,6 +131,8 @@
 	}
 	running, counts := in.loading(domains), in.counts(domains)
 	var orders []Order
+	domains = slices.Clone(domains)
+	slices.SortStableFunc(domains, func(a, b *domain) int { return compareBool(a.evacuated, b.evacuated) })
 	for _, d := range domains {
 		for _, w := range in.wantedStaging(d, counts) {
 			if !w.begun {
--- a/rudderd/rudderview/restore.go
+++ b/rudderd/rudderview/restore.go
@@ -94,6 +94,7 @@
 	for name, t := range old.Targets {
 		v.keepTarget(s, name, t)
 	}
+	v.keepEvacuations(s, old)
 	for _, x := range old.EntryHosts {
 		if !s.hasEntryHost(x.Name) {
 			s.addEntryHost(x)
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -40,15 +40,17 @@
 	PlannerName string
 	Revision    int64
 
-	groups     map[string][]*Group // by service and model
-	partitions map[string]int      // number of partitions by service
+	evacuated  map[string]bool        // data centres
+	restored   map[string]Restoration // by data centre
+	groups     map[string][]*Group    // by service and model
+	partitions map[string]int         // number of partitions by service
 }
 
 // Partitions returns the number of partitions into which the groups of a service are divided, at least 1.
 // Each has ledgers of its own.
 func (s *Snapshot) Partitions(service string) int { return max(s.partitions[service], 1) }
 
-// Groups returns the groups of a service that may take requests for a model. If the model is empty or unknown
+// Groups returns the groups of a service that may take requests for a model, outside evacuated data centres. If the model is empty or unknown
 // to the service, it returns the groups of all models.
 func (s *Snapshot) Groups(service, model string) []*Group {
 	if model != "" && s.hasModel(service, model) {
@@ -113,7 +115,7 @@
 func (s *Snapshot) index() {
 	s.groups = map[string][]*Group{}
 	for _, t := range s.Targets {
-		if service := s.service(t.Service); service != nil && service.Engine == nil && !t.Leaving() {
+		if service := s.service(t.Service); service != nil && service.Engine == nil && !t.Leaving() && !s.Evacuated(t.DataCentre) {
 			s.add(&Group{ID: t.Name, Service: t.Service, Leader: t, Members: []*Target{t}, Slots: t.Slots})
 		}
 	}
@@ -190,7 +192,7 @@
 		g.Members = append(g.Members, t)
 	}
 	g.Leader = g.Members[0]
-	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen {
+	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen || s.Evacuated(g.Leader.DataCentre) {
 		return nil
 	}
 	return g
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -38,6 +38,9 @@
 	Routing string
 	// TargetPrefix is the key prefix of target records; the target's name follows.
 	TargetPrefix string
+	// EvacuationPrefix is the key prefix of requests to evacuate a data centre; the name of the data centre follows. Without it there
+	// are none.
+	EvacuationPrefix string
 }
 
 // View maintains a snapshot of the fleet from the key-value service, which the comments below call the
@@ -216,6 +219,7 @@
 func (v *View) publish(s *Snapshot) {
 	v.applyAnnounced(s)
 	v.applyProcesses(s)
+	v.noteEvacuations(s)
 	s.index()
 	v.current.Store(s)
 	v.notifyWaiters()
@@ -229,6 +233,7 @@
 	s.Removed = cloneMap(old.Removed)
 	s.Plans = cloneMap(old.Plans)
 	s.Suspicions = cloneMap(old.Suspicions)
+	s.evacuated, s.restored = cloneMap(old.evacuated), cloneMap(old.restored)
 	s.EntryHosts = slices.Clone(old.EntryHosts)
 	s.groups = nil
 	return &s
@@ -244,7 +249,10 @@
 // apply updates a snapshot with a written record.
 func (v *View) apply(s *Snapshot, e rudderstore.Entry) {
 	delete(v.retainedUntil, e.Key)
+	dataCentre, evacuates := v.evacuationOf(e.Key)
 	switch {
+	case evacuates:
+		s.evacuated[dataCentre] = true
 	case e.Key == v.Keys.Routing:
 		v.applyRouting(s, e)
 	case strings.HasPrefix(e.Key, v.Keys.TargetPrefix):
@@ -363,7 +371,10 @@
 
 // remove updates a snapshot with the removal of a record.
 func (v *View) remove(s *Snapshot, e rudderstore.Entry) {
+	dataCentre, evacuates := v.evacuationOf(e.Key)
 	switch {
+	case evacuates:
+		delete(s.evacuated, dataCentre)
 	case strings.HasPrefix(e.Key, v.Keys.TargetPrefix):
 		v.removeTarget(s, strings.TrimPrefix(e.Key, v.Keys.TargetPrefix))
 	case strings.HasPrefix(e.Key, EntryPrefix):
--- a/rudderd/rudderview/watch.go
+++ b/rudderd/rudderview/watch.go
@@ -200,6 +200,7 @@
 	old := s.Targets
 	s.Targets, s.EntryHosts = map[string]*Target{}, nil
 	s.Plans, s.Suspicions = map[string]PlanRecord{}, map[string]Suspicion{}
+	s.evacuated = map[string]bool{}
 	s.PlannerHeld, s.PlannerName = false, ""
 	v.listing = true
 	for _, e := range entries {
