--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -142,7 +142,7 @@
 		{"slow groups", e.balance.recheckSlow},
 		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
-		{"limits", e.logLimitedSends},
+		{"limits", e.logLimitedSends}, {"cold targets", e.limitCold},
 		{"path", e.path.Run},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
@@ -205,7 +205,7 @@
 	e.peers = newPeers()
 	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
 	e.bootstrap.client, e.bootstrap.calls = NewMeteredClient(1, e.Memory.Replies), make(chan struct{}, maxBootstrapCalls)
-	e.limits = &rudderlimit.Table{}
+	e.limits = &rudderlimit.Table{Uptime: uptime}
 	e.rebalancer = &rudderentry.Rebalancer{
 		Lifetime: e.Settings.DirectoryLifetime, Hosts: func() int { return len(e.view.Snapshot().EntryHosts) }, Uptime: uptime,
 		Draw: rand.Float64, OnClose: func() { e.count("connections.moved") },
--- a/rudderd/rudderforward/limit.go
+++ b/rudderd/rudderforward/limit.go
@@ -37,6 +37,22 @@
 		Str("change", change.String()).Float64("requests_per_second", rate).Msg("target changed its limit of requests")
 }
 
+// observeCold records that a target says in a response that it is cold.
+func (f *Forwarder) observeCold(j *job, g *rudderview.Group, answer *reply) {
+	if answer.Cold <= 0 {
+		return
+	}
+	service := f.View.Snapshot().Table.Service(g.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return
+	}
+	now := f.Uptime()
+	if f.Limits.SetCold(processOf(g.Leader), service.ColdRate, now+answer.Cold, now) == rudderlimit.Began {
+		f.Metrics.Count("targets.cold")
+		f.Logger.Info().Str("request_id", j.request.ID).Str("target", g.Leader.Name).Dur("cold_ms", answer.Cold).Msg("target says that it is cold")
+	}
+}
+
 // permitTime is how long after the question to the owner a request may be sent. A process that was suspended meanwhile would
 // send it in a time for which the owner has permitted others.
 const permitTime = 250 * time.Millisecond
--- a/rudderd/rudderforward/protocol.go
+++ b/rudderd/rudderforward/protocol.go
@@ -68,6 +68,8 @@
 	// RequestLimit is the number of requests per second that the target takes from all entry hosts together; nil if it
 	// names none, or an invalid one.
 	RequestLimit *float64
+	// Cold is how long the target stays cold; 0 if it does not say.
+	Cold time.Duration
 	// InvalidLimit is the beginning of a malformed limit, or empty.
 	InvalidLimit string
 }
--- a/rudderd/rudderforward/send.go
+++ b/rudderd/rudderforward/send.go
@@ -193,6 +193,7 @@
 	}
 	f.observeHeaders(j, g, answer)
 	f.observeLimit(j, g, answer, x.sentAt)
+	f.observeCold(j, g, answer)
 	return answer, nil
 }
 
--- a/rudderd/rudderlimit/limit.go
+++ b/rudderd/rudderlimit/limit.go
@@ -41,6 +41,9 @@
 
 // Table holds the limits of targets. It is safe for concurrent use. Times are uptimes of the entry host.
 type Table struct {
+	// Uptime is the clock for limits that end by themselves, see SetCold; optional.
+	Uptime func() time.Duration
+
 	mu      sync.Mutex
 	targets map[string]*state
 	// hosts is the largest number of entry hosts since hostsAt.
@@ -57,6 +60,9 @@
 	knownAt time.Duration // when the newest observation was made, which may be the end of the limit
 	usage   Usage
 
+	coldRate  float64       // requests per second while the process is cold
+	coldUntil time.Duration // when that ends
+
 	permits bucket                       // of all entry hosts, on the one that grants them
 	askedAt [urgencyLevels]time.Duration // when requests of each urgency last asked for a permit
 	share   bucket                       // of this entry host, for requests without a permit
@@ -114,24 +120,25 @@
 	return len(t.targets) == 0
 }
 
-// Limited reports whether a process has named a limit that has not ended.
+// Limited reports whether a process has a limit that has not ended.
 func (t *Table) Limited(p Process) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.find(p)
-	return s != nil && s.limited
+	_, limited := t.Rate(p)
+	return limited
 }
 
 // Rate returns the limit of a process in requests per second, at least the rate at which it is tried; limited is false if
-// it names none.
+// it has none.
 func (t *Table) Rate(p Process) (rate float64, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	if s == nil || !s.limited {
+	if s == nil {
+		return 0, false
+	}
+	if rate, limited = s.limit(t.now()); !limited {
 		return 0, false
 	}
-	return effective(s.rate), true
+	return effective(rate), true
 }
 
 // Prune drops the targets of which there is no news.
@@ -143,7 +150,7 @@
 
 func (t *Table) prune(now time.Duration) {
 	for name, s := range t.targets {
-		if now-s.knownAt > retention {
+		if now-s.knownAt > retention && !s.cold(now) {
 			delete(t.targets, name)
 		}
 	}
--- a/rudderd/rudderlimit/permit.go
+++ b/rudderd/rudderlimit/permit.go
@@ -47,32 +47,36 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	if s == nil || !s.limited {
+	if s == nil {
 		return 0
 	}
-	s.fillPermits(now)
+	rate, limited := s.limit(now)
+	if !limited {
+		return 0
+	}
+	s.fillPermits(rate, now)
 	urgency = min(max(urgency, 0), urgencyLevels-1)
 	s.askedAt[urgency] = now
-	missing := 1 + s.reserved(urgency, now) - s.permits.tokens
-	return max(time.Duration(missing/effective(s.rate)*float64(time.Second)), 0)
+	missing := 1 + s.reserved(rate, urgency, now) - s.permits.tokens
+	return max(time.Duration(missing/effective(rate)*float64(time.Second)), 0)
 }
 
 // fillPermits adds the permits that have become free. The first ones become free with time, because the other entry hosts
 // have sent requests without a permit until the limit was known, or had permits of an earlier owner.
-func (s *state) fillPermits(now time.Duration) {
+func (s *state) fillPermits(rate float64, now time.Duration) {
 	if !s.permits.started {
 		s.permits = bucket{at: now, started: true}
 	}
 	if now-s.permits.at > idleTime {
 		s.permits.tokens, s.permits.at = min(s.permits.tokens, 1), now-idleTime
 	}
-	s.permits.fill(effective(s.rate), capacity(s.rate), now)
-	s.permits.tokens = max(s.permits.tokens-float64(s.unreported), -capacity(s.rate))
+	s.permits.fill(effective(rate), capacity(rate), now)
+	s.permits.tokens = max(s.permits.tokens-float64(s.unreported), -capacity(rate))
 	s.unreported = 0
 }
 
 // reserved returns the permits that are kept for requests which are more urgent.
-func (s *state) reserved(urgency int, now time.Duration) float64 {
+func (s *state) reserved(rate float64, urgency int, now time.Duration) float64 {
 	levels, above := 0, 0
 	for level, at := range s.askedAt {
 		if at > 0 && now-at <= demandTime {
@@ -85,14 +89,14 @@
 	if above == 0 {
 		return 0
 	}
-	return reservedShare * (capacity(s.rate) - 1) * float64(above) / float64(levels-1)
+	return reservedShare * (capacity(rate) - 1) * float64(above) / float64(levels-1)
 }
 
 // Take takes a permit, after Wait has returned 0.
 func (t *Table) Take(p Process) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.find(p); s != nil && s.limited {
+	if s := t.find(p); s != nil && s.applies(t.now()) {
 		s.permits.tokens--
 	}
 }
@@ -103,7 +107,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	return s == nil || !s.limited || s.fillShare(now, t.hosts)
+	return s == nil || !s.applies(now) || s.fillShare(now, t.hosts)
 }
 
 // TakeShare takes a request from this entry host's share of the limit. It reports whether one was left.
@@ -111,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	if s == nil || !s.limited {
+	if s == nil || !s.applies(now) {
 		return true
 	}
 	if !s.fillShare(now, t.hosts) {
@@ -128,7 +132,8 @@
 	if !s.share.started || now-s.share.at > hostsTime {
 		s.share = bucket{tokens: rand.Float64(), at: now, started: true}
 	}
-	s.share.fill(effective(s.rate)/float64(max(hosts, 1)), 1, now)
+	rate, _ := s.limit(now)
+	s.share.fill(effective(rate)/float64(max(hosts, 1)), 1, now)
 	return s.share.tokens >= 1
 }
 
--- a/rudderd/rudderlimit/probe.go
+++ b/rudderd/rudderlimit/probe.go
@@ -11,7 +11,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(p)
-	if s == nil || !s.limited {
+	if s == nil || !s.limited { // reports do not count against the limit of a cold process
 		return true
 	}
 	if !s.probes.started {
--- a/rudderd/rudderroute/document.go
+++ b/rudderd/rudderroute/document.go
@@ -128,6 +128,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// ColdStart is how long a target is cold after its start, and ColdRate the requests per second that it takes from all entry hosts
+	// together while it is cold; 0 if the targets of the service do not get cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for a service without model engines.
 	Engine *Engine
 }
--- a/rudderd/rudderview/evacuation.go
+++ b/rudderd/rudderview/evacuation.go
@@ -29,6 +29,16 @@
 	return r, found
 }
 
+// ColdUntil returns the uptime until which a target is cold. After an evacuation the targets are cold for coldStart, until their
+// records, written since, say that they are not.
+func (s *Snapshot) ColdUntil(t *Target, coldStart time.Duration) time.Duration {
+	until := t.coldUntil
+	if r, found := s.restored[t.DataCentre]; found && t.Revision <= r.Revision {
+		until = max(until, r.At+coldStart)
+	}
+	return until
+}
+
 // maxDataCentreName bounds the name in the key of an evacuation, in bytes.
 const maxDataCentreName = 128
 
--- a/rudderd/rudderview/evacuation_test.go
+++ b/rudderd/rudderview/evacuation_test.go
@@ -88,3 +88,38 @@
 		})
 	}
 }
+
+// Guards against a flood of targets that are cold after the end of an evacuation, before their records say so, and against a limit for
+// those whose records say that they are not.
+func TestTargetsAreColdAfterAnEvacuation(t *testing.T) {
+	const coldStart = 3 * time.Second
+	record := func(coldFor time.Duration) Target {
+		x := target("plain")
+		x.DataCentre, x.State, x.ColdFor = "a", rudderhost.StateLive, coldFor
+		return x
+	}
+	for _, test := range []struct {
+		name          string
+		before, since []rudderstore.Entry // records of the target before the end of the evacuation and after it
+		want          time.Duration       // after the end
+	}{
+		{"no record since", []rudderstore.Entry{at(1, 2, "targets/x", record(0))}, nil, coldStart},
+		{"says that it is not cold", []rudderstore.Entry{at(1, 2, "targets/x", record(0))}, []rudderstore.Entry{at(1, 9, "targets/x", record(0))}, 0},
+		{"says for how long", nil, []rudderstore.Entry{at(1, 9, "targets/x", record(time.Second))}, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Minute
+			v := newView(&now)
+			v.Keys.EvacuationPrefix = "op/evacuate/"
+			v.replace(append(test.before, at(1, 5, "op/evacuate/a", struct{}{})), rudderstore.JoinRevision(1, 5))
+			end := removed("op/evacuate/a")
+			end.Revision = rudderstore.JoinRevision(1, 6)
+			v.applyChanges(rudderstore.WatchResult{Revision: end.Revision, Events: []rudderstore.Event{end}})
+			for _, e := range test.since {
+				v.applyChanges(rudderstore.WatchResult{Revision: e.Revision, Events: []rudderstore.Event{{Entry: e}}})
+			}
+			s := v.Snapshot()
+			require.Equal(t, test.want, max(s.ColdUntil(s.Targets["x"], coldStart)-now, 0))
+		})
+	}
+}
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -140,7 +140,7 @@
 	s.partitions[service.Name] = count
 	for _, domain := range domains {
 		for _, p := range s.Plans[PlanPrefix+service.Name+"/"+domain].Plan.Groups {
-			if g := s.group(service, p); g != nil {
+			if g := s.group(service, p); g != nil && !s.Evacuated(g.Leader.DataCentre) {
 				g.Partition = partition[domain]
 				s.add(g)
 			}
@@ -192,7 +192,7 @@
 		g.Members = append(g.Members, t)
 	}
 	g.Leader = g.Members[0]
-	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen || s.Evacuated(g.Leader.DataCentre) {
+	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen {
 		return nil
 	}
 	return g
--- a/rudderd/rudderview/target.go
+++ b/rudderd/rudderview/target.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"comfreyrudder.example/shared/rudderhost"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -27,10 +28,13 @@
 	Model string
 	// Membership is the target's place in its group.
 	Membership ruddertarget.Membership
+	// ColdFor is how long the target stays cold, counted from the write of its record.
+	ColdFor time.Duration
 	// Revision of the record in the key-value service.
 	Revision int64
 
-	recordedLeaving bool // the record itself, not an announcement, has the state leaving
+	coldUntil       time.Duration // uptime until which the target is cold by its record
+	recordedLeaving bool          // the record itself, not an announcement, has the state leaving
 }
 
 // Leaving reports whether the target is shutting down and accepts no new work.
--- a/rudderd/rudderview/view.go
+++ b/rudderd/rudderview/view.go
@@ -358,6 +358,9 @@
 		return
 	}
 	target.Revision, target.recordedLeaving = e.Revision, target.Leaving()
+	if target.ColdFor > 0 {
+		target.coldUntil = v.Uptime() + target.ColdFor
+	}
 	if old := s.Targets[name]; v.listing {
 		// A list is logged once, with the number of its records.
 	} else if old == nil || old.recordedLeaving != target.recordedLeaving || old.Born != target.Born {
