--- a/rudderd/rudderedge/cold.go
+++ b/rudderd/rudderedge/cold.go
@@ -20,26 +20,36 @@
 	return nil
 }
 
+// maxLoggedTargets bounds the names in one log line. A whole data centre may become cold at once.
+const maxLoggedTargets = 8
+
 // applyCold limits the targets that are cold as of a snapshot.
 func (e *Edge) applyCold(s *rudderview.Snapshot) {
 	if s.Table == nil {
 		return
 	}
-	now := e.uptime()
 	for _, service := range s.Table.Services() {
 		if service.ColdRate <= 0 {
 			continue
 		}
+		changes := map[rudderlimit.Change][]string{}
+		now := e.uptime()
 		for _, t := range s.Targets {
 			if t.Service != service.Name {
 				continue
 			}
-			until := s.ColdUntil(t, service.ColdStart)
-			if change := e.limits.SetCold(rudderlimit.Process{Target: t.Name, Born: t.Born}, service.ColdRate, until, now); change != rudderlimit.Unchanged {
-				e.count("targets.cold." + change.String())
-				e.Logger.Info().Str("target", t.Name).Int64("born", t.Born).Str("change", change.String()).Float64("requests_per_second", service.ColdRate).
-					Dur("left_ms", until-now).Msg("limit of a cold target changed")
+			process := rudderlimit.Process{Target: t.Name, Born: t.Born}
+			change := e.limits.SetCold(process, service.ColdRate, s.ColdUntil(t, service.ColdStart), now)
+			changes[change] = append(changes[change], t.Name)
+		}
+		for _, change := range []rudderlimit.Change{rudderlimit.Began, rudderlimit.Ended} {
+			names := changes[change]
+			if len(names) == 0 {
+				continue
 			}
+			e.countN("targets.cold."+change.String(), len(names))
+			e.Logger.Info().Str("service", service.Name).Str("change", change.String()).Int("targets", len(names)).
+				Strs("names", names[:min(len(names), maxLoggedTargets)]).Float64("requests_per_second", service.ColdRate).Msg("limits of cold targets changed")
 		}
 	}
 }
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -83,7 +83,11 @@
 	return nil
 }
 
-func (e *Edge) count(name string) { metrics.GetOrRegisterCounter(name, e.registry).Inc(1) }
+func (e *Edge) count(name string) { e.countN(name, 1) }
+
+func (e *Edge) countN(name string, n int) {
+	metrics.GetOrRegisterCounter(name, e.registry).Inc(int64(n))
+}
 
 func (e *Edge) observe(name string, d time.Duration) {
 	histogram := metrics.GetOrRegister(name, func() metrics.Histogram {
