--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -39,6 +39,8 @@
 	Avoid []string
 	// Objective is the time to the first token that callers want; 0 accepts any wait.
 	Objective time.Duration
+	// Urgency is 0 for the most urgent requests. It counts while requests are refused.
+	Urgency int
 	// Spill is set if the request is passed on to another ledger if no group here has room. It is counted
 	// there.
 	Spill bool
@@ -66,6 +68,7 @@
 	// refusingSince and refusingUntil span the current series of refusals, with no gap longer than
 	// refusalGap.
 	refusingSince, refusingUntil time.Duration
+	demand                       demand
 }
 
 const (
@@ -118,13 +121,15 @@
 	if l.begin == 0 {
 		l.begin, l.workAt = now, now
 	}
-	best, bestID, bestWait, full := l.cheapest(now, speed, groups, r)
-	late := best != nil && r.Objective > 0 && bestWait > r.Objective
+	allowed := l.allow(now, speed, r)
+	best, bestID, bestWait, full := l.cheapest(now, speed, groups, r, allowed)
+	late := best != nil && allowed.wait > 0 && bestWait > allowed.wait
 	if r.Spill && (best == nil || late) {
 		return "", bestWait, full || late
 	}
 	l.decayWork(now)
 	l.work += r.Cost.Seconds()
+	l.demand.record(r, best != nil && !late)
 	switch {
 	case best == nil && !full:
 		return "", 0, false
@@ -147,11 +152,20 @@
 	return bestID, bestWait, false
 }
 
+// allow returns what a request may use of the groups. While no requests are refused, each may use all of it.
+func (l *Ledger) allow(now time.Duration, speed Speed, r Request) allowance {
+	l.demand.update(now, speed)
+	if l.refusingUntil == 0 || now > l.refusingUntil {
+		return allowance{wait: r.Objective, load: maxLoadFactor}
+	}
+	return l.demand.allow(r)
+}
+
 // cheapest returns the group with the lowest cost and the expected wait for it; full is set if a group was
 // left out because it is full or takes no more requests now. Without a group, wait is the shortest time until one of
 // those takes a request. Groups that serve within the objective come before late ones, and draining
 // groups come last among each.
-func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, r Request) (best *account, id string, wait time.Duration, full bool) {
+func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, r Request, allowed allowance) (best *account, id string, wait time.Duration, full bool) {
 	const draining, late = time.Hour, 2 * time.Hour // higher than any other cost
 	var least, limitWait time.Duration
 	for _, g := range groups {
@@ -163,7 +177,7 @@
 			continue
 		}
 		a := l.account(g.ID)
-		if float64(a.running) >= maxLoadFactor*float64(max(speed.Slots, 1)) {
+		if float64(a.running) >= allowed.load*float64(max(speed.Slots, 1)) {
 			full = true
 			continue
 		}
@@ -178,7 +192,7 @@
 		if g.Draining || g.Silent || g.Slow {
 			cost += draining
 		}
-		if r.Objective > 0 && expected > r.Objective {
+		if allowed.wait > 0 && expected > allowed.wait {
 			cost += late
 		}
 		if best == nil || cost < least {
--- a/rudderd/rudderbalance/overload_test.go
+++ b/rudderd/rudderbalance/overload_test.go
@@ -10,10 +10,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// server simulates a group that serves requests in order of arrival, each in one of its slots for its service
-// time.
+// server simulates a group that serves requests in order of arrival, each in one of its slots.
 type server struct {
 	free []time.Duration // time at which each slot becomes free
+	pace float64         // multiplies service times
 }
 
 // start accepts a request and returns when it starts and ends.
@@ -25,7 +25,7 @@
 		}
 	}
 	starts = max(now, s.free[first])
-	ends = starts + service
+	ends = starts + time.Duration(s.pace*float64(service))
 	s.free[first] = ends
 	return starts, ends
 }
@@ -33,60 +33,103 @@
 const (
 	overloadObjective = 300 * time.Millisecond
 	overloadService   = 1500 * time.Millisecond
+	overloadSlots     = 48
 )
 
-// loadCounts counts sends by what became of them.
-type loadCounts struct{ refused, inTime, late, lost int }
+// arrival is one send of a caller.
+type arrival struct {
+	at      time.Duration
+	tried   int
+	request Request
+	label   string
+	service time.Duration
+}
 
-// simulateLoad sends requests at multiples of what two groups can serve, and returns the counts for each
-// second. A refused caller returns after the time that again computes from the retry time it was given, until
-// its tries are used up.
-func simulateLoad(seconds, tries int, load func(second int) float64, again func(retryAfter time.Duration) time.Duration) []loadCounts {
-	engine := Speed{Step: overloadService / defaultAnswerTokens, Slots: 48}
-	servers := map[string]*server{"a": {free: make([]time.Duration, engine.Slots)}, "b": {free: make([]time.Duration, engine.Slots)}}
-	type arrival struct {
-		at    time.Duration
-		tried int
+// arrivals returns sends of one kind from a time to another one, at a multiple of what one group can serve.
+func arrivals(from, to time.Duration, load float64, label string, r Request) (list []arrival) {
+	if r.Objective == 0 {
+		r.Objective = overloadObjective
 	}
-	var arrivals []arrival
-	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; {
-		arrivals = append(arrivals, arrival{at: now})
-		now += time.Duration(float64(overloadService) / (load(int(now/time.Second)) * 2 * float64(engine.Slots)))
+	r.Limit, r.Cost = cmp.Or(r.Limit, time.Minute), overloadService/overloadSlots
+	for at := from; at < to; at += time.Duration(float64(overloadService) / (load * overloadSlots)) {
+		list = append(list, arrival{at: at, request: r, label: label, service: overloadService})
 	}
-	l := NewLedger()
-	running := map[string]time.Duration{}
-	out := make([]loadCounts, seconds)
-	for i := 0; len(arrivals) > 0; i++ {
-		next := arrivals[0]
-		arrivals = arrivals[1:]
-		for id, ends := range running {
-			if ends <= next.at {
-				l.Done(id)
-				delete(running, id)
-			}
+	return list
+}
+
+// simulate runs the arrivals on one group for each pace, and reports what becomes of each send: the group and the wait there, or
+// the retry time. A refused caller returns after the time that again returns, or not if that is 0.
+func simulate(l *Ledger, paces []float64, list []arrival, report func(a arrival, group string, wait time.Duration), again func(a arrival, retryAfter time.Duration) time.Duration) {
+	engine := Speed{Step: overloadService / defaultAnswerTokens, Slots: overloadSlots}
+	servers, names := map[string]*server{}, []string{}
+	for i, pace := range paces {
+		names = append(names, string(rune('a'+i)))
+		servers[names[i]] = &server{free: make([]time.Duration, engine.Slots), pace: pace}
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	type end struct {
+		at time.Duration
+		id string
+	}
+	var ends []end
+	for i := 0; len(list) > 0; i++ {
+		next := list[0]
+		list = list[1:]
+		for len(ends) > 0 && ends[0].at <= next.at {
+			l.Done(ends[0].id)
+			ends = ends[1:]
 		}
-		second := &out[min(int(next.at/time.Second), seconds-1)]
-		id := fmt.Sprint(i)
-		group, retryAfter, _ := l.Pick(next.at, engine, groups("a", "b"), Request{ID: id, Limit: time.Minute, Objective: overloadObjective})
+		next.request.ID = fmt.Sprint(i)
+		group, wait, _ := l.Pick(next.at, engine, groups(names...), next.request)
 		if group != "" {
-			starts, ends := servers[group].start(next.at, overloadService)
-			running[id] = ends
-			if starts-next.at <= overloadObjective {
-				second.inTime++
-			} else {
-				second.late++
-			}
-			continue
+			starts, at := servers[group].start(next.at, next.service)
+			place, _ := slices.BinarySearchFunc(ends, at, func(e end, at time.Duration) int { return cmp.Compare(e.at, at) })
+			ends = slices.Insert(ends, place, end{at, next.request.ID})
+			wait = starts - next.at
 		}
-		second.refused++
-		if next.tried+1 == tries {
-			second.lost++
+		report(next, group, wait)
+		if group != "" || again == nil {
 			continue
 		}
-		back := arrival{at: next.at + again(retryAfter), tried: next.tried + 1}
-		place, _ := slices.BinarySearchFunc(arrivals, back, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-		arrivals = slices.Insert(arrivals, place, back)
+		if after := again(next, wait); after > 0 {
+			next.at, next.tried = next.at+after, next.tried+1
+			place, _ := slices.BinarySearchFunc(list, next, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+			list = slices.Insert(list, place, next)
+		}
+	}
+}
+
+// loadCounts counts sends by what became of them.
+type loadCounts struct{ refused, inTime, late, lost int }
+
+// simulateLoad sends requests at multiples of what two groups can serve, and returns the counts for each second. A refused
+// caller returns after the time that again computes from the retry time it was given, until its tries are used up.
+func simulateLoad(seconds, tries int, load func(second int) float64, again func(retryAfter time.Duration) time.Duration) []loadCounts {
+	var list []arrival
+	for second := range seconds {
+		from := time.Duration(second) * time.Second
+		list = append(list, arrivals(from, from+time.Second, 2*load(second), "", Request{})...)
 	}
+	out := make([]loadCounts, seconds)
+	simulate(NewLedger(), []float64{1, 1}, list, func(a arrival, group string, wait time.Duration) {
+		second := &out[min(int(a.at/time.Second), seconds-1)]
+		switch {
+		case group == "":
+			second.refused++
+			if a.tried+1 == tries {
+				second.lost++
+			}
+		case wait <= a.request.Objective:
+			second.inTime++
+		default:
+			second.late++
+		}
+	}, func(a arrival, retryAfter time.Duration) time.Duration {
+		if a.tried+1 == tries {
+			return 0
+		}
+		return again(retryAfter)
+	})
 	return out
 }
 
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -61,10 +61,6 @@
 	}
 }
 
-// spillShare is the fraction of the latency objective that a request waits at most for a group of the nearest
-// partition while other partitions may have free capacity.
-const spillShare = 0.4
-
 // pick implements rudderforward.Forwarder.Pick. It queries the owner of the partition of the model's ledger that
 // holds the groups nearby, and the owners of other partitions if that one has little free capacity or does not
 // respond.
@@ -179,14 +175,14 @@
 func (b *balance) queryHost(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery, owner rudderview.EntryHost) (pick rudderforward.Pick, lapsed bool) {
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
 	key := ledgerKey{q.Service, q.Model, query.Partition}
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill, Urgency: q.Urgency}
 	if query.Spill {
-		request.Objective = time.Duration(spillShare * float64(q.Objective))
+		request.Objective = time.Duration(rudderbalance.SpillShare * float64(q.Objective))
 	}
 	if owner.Name == b.edge.Settings.Name {
 		b.noteSilent(q.Silent)
 		b.noteSlow(key, q.Slow)
-		pick := b.pickLocal(key, q.Urgency, request)
+		pick := b.pickLocal(key, request)
 		pick.Release = func() { b.finish([]string{id}) }
 		return pick, false
 	}
@@ -265,7 +261,7 @@
 
 // pickLocal chooses a group from a partition of a ledger that this entry host owns, and takes a permit if the group's
 // target limits the rate of requests.
-func (b *balance) pickLocal(key ledgerKey, urgency int, r rudderbalance.Request) rudderforward.Pick {
+func (b *balance) pickLocal(key ledgerKey, r rudderbalance.Request) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
 	list := groupsOf(snapshot, key)
 	speed, known := modelSpeed(snapshot.Table, key.service, key.model)
@@ -281,7 +277,7 @@
 	var slow []string
 	groups := make([]rudderbalance.Group, 0, len(list))
 	for _, g := range list {
-		wait := b.edge.limits.Wait(processOf(g), urgency, uptime)
+		wait := b.edge.limits.Wait(processOf(g), r.Urgency, uptime)
 		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
 		state := rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Slow: b.slow.has(g.ID), Wait: wait}
 		if state.Slow {
@@ -417,10 +413,10 @@
 	s.balance.edge.mergeLimits("", reports)
 	s.balance.noteSilent(r.GetSilent())
 	s.balance.noteSlow(key, r.GetSlow())
-	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
+	pick := s.balance.pickLocal(key, rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
-		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(),
+		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(), Urgency: int(r.GetUrgency()),
 	})
 	return &rudderpeer.PickResponse{
 		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
--- a/rudderd/rudderedge/slow_test.go
+++ b/rudderd/rudderedge/slow_test.go
@@ -28,7 +28,7 @@
 		require.Equal(t, []string{"t0"}, found.Slow)
 	}
 	slow := func() []string {
-		return e.balance.pickLocal(key, 0, rudderbalance.Request{ID: "q", PromptTokens: 1, Limit: time.Second}).Slow
+		return e.balance.pickLocal(key, rudderbalance.Request{ID: "q", PromptTokens: 1, Limit: time.Second}).Slow
 	}
 	require.Empty(t, slow())
 	f.setFactor(6)
