--- a/rudderd/rudderbalance/demand.go
+++ b/rudderd/rudderbalance/demand.go
@@ -18,9 +18,16 @@
 	demandDecay = 3 * time.Second
 	// rankInterval is the time between two computations of who yields to whom.
 	rankInterval = 100 * time.Millisecond
-	// minServedShare is the share of the requests of a kind that is served, relative to that of all requests, below which
-	// the kind yields to none. The kind has to get a quarter; the rest is a margin for the delay of the control.
-	minServedShare = 0.35
+	// minKindShare and minWorkspaceShare are the shares of the requests of a kind and of a workspace that are served, relative to
+	// that of all requests, below which they yield to none. They have to get a quarter; the rest is a margin for the delay of
+	// the control, smaller for workspaces because it takes from the fair shares of others.
+	minKindShare, minWorkspaceShare = 0.35, 0.28
+	// A workspace that asks for more than farAbove times its fair share yields from nearShare of that share on. If nearShare
+	// were 1, a workspace would take what it likes until it exceeds its share.
+	farAbove, nearShare = 1.2, 0.9
+	// maxLift is the multiple of the fair share up to which minWorkspaceShare raises a workspace, so that more requests do not
+	// get it ever more capacity.
+	maxLift = 2.0
 	// evenServedShare is by how much the served share of a kind may exceed that of another one with the same urgency.
 	evenServedShare = 0.05
 	// minSeen is the number of recent requests from which on the served share of a kind counts.
@@ -28,8 +35,9 @@
 	// maxFlows bounds the number of flows, because callers influence it.
 	maxFlows = 2048
 	// A request that yields may use this share of the wait, and of the queue, that those before it may use: most if they are few,
-	// least if they are nearly all of the demand.
-	maxYieldShare, minYieldShare = 0.75, 0.25
+	// least if they are nearly all of the demand. With 0.75 at most, a quarter of the requests of a workspace within its share were
+	// refused beside a flood of another one; lower values leave the groups as busy.
+	maxYieldShare, minYieldShare = 0.5, 0.2
 )
 
 // kind identifies requests that compete under the same terms.
@@ -57,24 +65,34 @@
 
 func (t *tally) add(other tally) { t.seen, t.served = t.seen+other.seen, t.served+other.served }
 
-// flow is the recent demand of one kind.
+// flowKey identifies the requests of one kind and one workspace.
+type flowKey struct {
+	kind      kind
+	workspace string
+}
+
+func flowOf(r Request) flowKey { return flowKey{kindOf(r), r.Workspace} }
+
+// flow is the recent demand of one kind and one workspace.
 type flow struct {
-	kind     kind
+	flowKey
 	requests tally
 	work     tally // in seconds
 	// objective is that of the last request.
 	objective time.Duration
 	// rank orders flows under overload: those with a lower rank go first.
 	rank int
+	// overShare is set if the workspace has more than its fair share of the work.
+	overShare bool
 	// waitLimit is the longest expected wait that the flow may use: it can meet its objective and does not delay those before it;
 	// 0 for any. share is its share of what those before it may use; 1 if there are none.
 	waitLimit time.Duration
 	share     float64
 }
 
-// demand is the recent demand for a ledger's groups, by kind of request.
+// demand is the recent demand for a ledger's groups.
 type demand struct {
-	flows    map[kind]*flow
+	flows    map[flowKey]*flow
 	rankedAt time.Duration // uptime to which the demand has decayed
 }
 
@@ -83,16 +101,16 @@
 
 // record counts a request.
 func (d *demand) record(r Request, served bool) {
-	key := kindOf(r)
+	key := flowOf(r)
 	f := d.flows[key]
 	if f == nil {
 		if len(d.flows) >= maxFlows {
 			return
 		}
 		if d.flows == nil {
-			d.flows = map[kind]*flow{}
+			d.flows = map[flowKey]*flow{}
 		}
-		f = &flow{kind: key, share: 1}
+		f = &flow{flowKey: key, share: 1}
 		d.flows[key] = f
 	}
 	cost := max(r.Cost.Seconds(), minWork)
@@ -122,33 +140,99 @@
 		}
 		list = append(list, f)
 	}
-	d.rank(list)
+	rank(list)
 	slices.SortFunc(list, func(a, b *flow) int { return cmp.Compare(a.rank, b.rank) })
 	setLimits(list, speed)
 }
 
-// rank orders the flows: by urgency, and those of one urgency that are served more often than others after those. Flows that are
-// hardly served come first.
-func (d *demand) rank(list []*flow) {
-	var all tally
-	least := map[int]float64{} // served share by urgency
+// sums adds the tallies of flows by a key.
+func sums[K comparable](list []*flow, key func(*flow) K, of func(*flow) tally) map[K]tally {
+	all := map[K]tally{}
 	for _, f := range list {
-		all.add(f.requests)
-		if share, known := least[f.kind.urgency]; f.requests.seen >= minSeen && (!known || f.requests.share() < share) {
-			least[f.kind.urgency] = f.requests.share()
+		t := all[key(f)]
+		t.add(of(f))
+		all[key(f)] = t
+	}
+	return all
+}
+
+// holder identifies the requests of one workspace and one urgency.
+type holder struct {
+	urgency   int
+	workspace string
+}
+
+func holderOf(f *flow) holder { return holder{f.kind.urgency, f.workspace} }
+
+// rank orders the flows: by urgency, and among those of one urgency, the workspaces that have more than their fair share come last,
+// and the kinds that are served more often than another one. Kinds and workspaces that are hardly served come first.
+func rank(list []*flow) {
+	requests := func(f *flow) tally { return f.requests }
+	all := sums(list, func(*flow) bool { return true }, requests)[true]
+	kinds := sums(list, func(f *flow) kind { return f.kind }, requests)
+	workspaces := sums(list, func(f *flow) string { return f.workspace }, requests)
+	work := sums(list, holderOf, func(f *flow) tally { return f.work })
+	fair := fairShares(work)
+	var within []*flow
+	for _, f := range list {
+		// Entry hosts of earlier versions name no workspace.
+		share, own := fair[f.kind.urgency], work[holderOf(f)]
+		f.overShare = f.workspace != "" && own.seen > farAbove*share && own.served > nearShare*share
+		if !f.overShare {
+			within = append(within, f)
+		}
+	}
+	even := sums(within, func(f *flow) kind { return f.kind }, requests)
+	least := map[int]float64{} // served share by urgency
+	for k, t := range even {
+		if share, known := least[k.urgency]; t.seen >= minSeen && (!known || t.share() < share) {
+			least[k.urgency] = t.share()
 		}
 	}
+	starved := func(t tally, least float64) bool { return t.seen >= minSeen && t.share() < least*all.share() }
 	for _, f := range list {
 		f.rank = 2*f.kind.urgency + 1
-		if share, known := least[f.kind.urgency]; known && f.requests.share() > share+evenServedShare {
+		if lowest, known := least[f.kind.urgency]; f.overShare || known && even[f.kind].share() > lowest+evenServedShare {
 			f.rank++
 		}
-		if f.requests.seen >= minSeen && f.requests.share() < minServedShare*all.share() {
+		lift := f.workspace != "" && work[holderOf(f)].served < maxLift*fair[f.kind.urgency]
+		if lift && starved(workspaces[f.workspace], minWorkspaceShare) || !f.overShare && starved(kinds[f.kind], minKindShare) {
 			f.rank = 0
 		}
 	}
 }
 
+// fairShares returns the fair share of the work of one workspace, by urgency.
+func fairShares(work map[holder]tally) map[int]float64 {
+	lists := map[int][]tally{}
+	for h, t := range work {
+		lists[h.urgency] = append(lists[h.urgency], t)
+	}
+	fair := map[int]float64{}
+	for urgency, list := range lists {
+		fair[urgency] = fairShare(list)
+	}
+	return fair
+}
+
+// fairShare returns the largest amount of work such that giving each workspace what it asks for, but no more than that amount,
+// takes the work that is served. What a workspace does not ask for is shared by the others.
+func fairShare(list []tally) float64 {
+	slices.SortFunc(list, func(a, b tally) int { return cmp.Compare(a.seen, b.seen) })
+	left := 0.0
+	for _, t := range list {
+		left += t.served
+	}
+	for i, t := range list {
+		share := left / float64(len(list)-i)
+		if t.seen >= share {
+			return share
+		}
+		left -= t.seen
+	}
+	return math.Inf(1) // all are served
+}
+
 // setLimits sets the limits of flows in order of their ranks.
 func setLimits(list []*flow, speed Speed) {
 	total := 0.0
@@ -210,7 +294,7 @@
 // allow returns what a request may use under overload, so that it leaves room to those that go first.
 func (d *demand) allow(r Request) allowance {
 	a := allowance{wait: r.Objective, load: maxLoadFactor}
-	f := d.flows[kindOf(r)]
+	f := d.flows[flowOf(r)]
 	if f == nil {
 		return a
 	}
@@ -220,3 +304,9 @@
 	a.load = 1 + (maxLoadFactor-1)*f.share // all slots and a part of the queue
 	return a
 }
+
+// OverShare reports whether the workspace of a request has had more than its fair share of the groups, as of the last refusal.
+func (l *Ledger) OverShare(r Request) bool {
+	f := l.demand.flows[flowOf(r)]
+	return f != nil && f.overShare
+}
--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -41,6 +41,8 @@
 	Objective time.Duration
 	// Urgency is 0 for the most urgent requests. It counts while requests are refused.
 	Urgency int
+	// Workspace shares the groups with others while requests are refused; empty if it is not known.
+	Workspace string
 	// Spill is set if the request is passed on to another ledger if no group here has room. It is counted
 	// there.
 	Spill bool
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -46,6 +46,7 @@
 	started time.Time // zero point of the times in the ledgers
 
 	mu           sync.Mutex
+	overload     overload
 	ledgers      map[ledgerKey]*rudderbalance.Ledger
 	done         map[string][]string  // IDs of completed requests not yet sent to the owner, by peer address
 	backoffUntil map[string]time.Time // for owners that did not respond, by peer address
@@ -175,7 +176,7 @@
 func (b *balance) queryHost(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery, owner rudderview.EntryHost) (pick rudderforward.Pick, lapsed bool) {
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
 	key := ledgerKey{q.Service, q.Model, query.Partition}
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill, Urgency: q.Urgency}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill, Urgency: q.Urgency, Workspace: q.Workspace}
 	if query.Spill {
 		request.Objective = time.Duration(rudderbalance.SpillShare * float64(q.Objective))
 	}
@@ -197,7 +198,7 @@
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
 		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
-		Silent: q.Silent, Slow: q.Slow,
+		Silent: q.Silent, Slow: q.Slow, Workspace: q.Workspace,
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if isLapsedError(err) {
@@ -290,6 +291,9 @@
 	}
 	ledger, now := b.ledgers[key], time.Since(b.started)
 	group, wait, full := ledger.Pick(now, speed, groups, r)
+	if full && !r.Spill {
+		b.overload.record(b.edge, key, ledger.OverShare(r), r.Urgency, wait)
+	}
 	if i := slices.IndexFunc(list, func(g *rudderview.Group) bool { return g.ID == group }); i >= 0 {
 		b.edge.limits.Take(processOf(list[i]))
 	}
@@ -416,7 +420,7 @@
 	pick := s.balance.pickLocal(key, rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
-		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(), Urgency: int(r.GetUrgency()),
+		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(), Urgency: int(r.GetUrgency()), Workspace: r.GetWorkspace(),
 	})
 	return &rudderpeer.PickResponse{
 		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -175,6 +175,8 @@
 	Objective time.Duration
 	// Urgency is the priority of the request, 0 for the highest.
 	Urgency int
+	// Workspace is the name of the request's workspace; empty without one.
+	Workspace string
 }
 
 // Pick is an owner's answer to a PickQuery. If Answered is false, the group is chosen locally.
