--- a/rudderd/rudderbalance/demand.go
+++ b/rudderd/rudderbalance/demand.go
@@ -16,8 +16,8 @@
 	// demandDecay is the time constant with which recorded demand decays. It is longer than the gaps between the requests of
 	// a kind, and shorter than most overloads.
 	demandDecay = 3 * time.Second
-	// rankInterval is the time between two computations of who yields to whom.
-	rankInterval = 100 * time.Millisecond
+	// updateInterval is the time between two computations of who yields to whom, and of the paces of the groups.
+	updateInterval = 100 * time.Millisecond
 	// minKindShare and minWorkspaceShare are the shares of the requests of a kind and of a workspace that are served, relative to
 	// that of all requests, below which they yield to none. They have to get a quarter; the rest is a margin for the delay of
 	// the control, smaller for workspaces because it takes from the fair shares of others.
@@ -123,11 +123,8 @@
 	}
 }
 
-// update decays the demand and computes the order of the flows, at intervals.
+// update decays the demand and computes the order of the flows.
 func (d *demand) update(now time.Duration, speed Speed) {
-	if now-d.rankedAt < rankInterval {
-		return
-	}
 	keep := math.Exp(-(now - d.rankedAt).Seconds() / demandDecay.Seconds())
 	d.rankedAt = now
 	list := make([]*flow, 0, len(d.flows))
--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -12,8 +12,9 @@
 type Speed struct {
 	// PromptTokensPerSecond is the prefill rate of one group.
 	PromptTokensPerSecond float64
-	// Step is the time for one token of an answer.
-	Step time.Duration
+	// Step is the time for one token of an answer while all slots are used, and IdleStep that of a single request; if it is 0,
+	// Step holds for any number of requests.
+	Step, IdleStep time.Duration
 	// Slots is the number of requests that a group runs at once.
 	Slots int
 }
@@ -71,6 +72,8 @@
 	// refusalGap.
 	refusingSince, refusingUntil time.Duration
 	demand                       demand
+	usualRatio                   float64       // median of the groups' measured to expected durations; 0 if it is not known
+	updatedAt                    time.Duration // uptime of the last update of demand and paces
 }
 
 const (
@@ -103,11 +106,15 @@
 	running int
 	// prefillUntil is the uptime at which the group is expected to have read the prompts that it has taken.
 	prefillUntil time.Duration
+	durations    durations
+	// pace is the time that the group needs, relative to the usual one of the ledger's groups; 1 if it is not known.
+	pace float64
 }
 
 type send struct {
-	group *account
-	until time.Duration
+	group     *account
+	at, until time.Duration // uptime of its start, and of its end in any case
+	expected  time.Duration // duration on a group of usual speed
 }
 
 // NewLedger returns an empty ledger.
@@ -145,18 +152,28 @@
 	if prompt <= 0 {
 		prompt = defaultPromptTokens
 	}
+	answer := r.AnswerTokens
+	if answer <= 0 {
+		answer = defaultAnswerTokens
+	}
 	best.running++
+	expected := time.Duration(float64(bestWait)/best.pace) + speed.decoding(answer, best.running)
 	if speed.PromptTokensPerSecond > 0 {
 		reading := time.Duration(float64(prompt) / speed.PromptTokensPerSecond * float64(time.Second))
-		best.prefillUntil = max(best.prefillUntil, now) + reading
+		best.prefillUntil = max(best.prefillUntil, now) + best.scaled(reading)
+		expected += reading
 	}
-	l.sends[r.ID] = &send{group: best, until: now + r.Limit}
+	l.sends[r.ID] = &send{group: best, at: now, until: now + r.Limit, expected: expected}
 	return bestID, bestWait, false
 }
 
 // allow returns what a request may use of the groups. While no requests are refused, each may use all of it.
 func (l *Ledger) allow(now time.Duration, speed Speed, r Request) allowance {
-	l.demand.update(now, speed)
+	if now-l.updatedAt >= updateInterval {
+		l.demand.update(now, speed)
+		l.updatePaces(now)
+		l.updatedAt = now
+	}
 	if l.refusingUntil == 0 || now > l.refusingUntil {
 		return allowance{wait: r.Objective, load: maxLoadFactor}
 	}
@@ -228,13 +245,20 @@
 	wait = max(a.prefillUntil-now, 0)
 	if over := a.running - slots + 1; over > 0 {
 		// A request beyond the slots waits until one of them is free.
-		wait += time.Duration(over) * defaultAnswerTokens * speed.Step / time.Duration(slots)
+		wait += a.scaled(time.Duration(over) * defaultAnswerTokens * speed.Step / time.Duration(slots))
+	}
+	return wait + a.scaled(batchCost*time.Duration(a.running)/time.Duration(slots)), wait
+}
+
+// Done removes a send that has ended from the ledger.
+func (l *Ledger) Done(now time.Duration, id string) {
+	if s := l.sends[id]; s != nil {
+		l.observe(now, s)
+		l.remove(id)
 	}
-	return wait + batchCost*time.Duration(a.running)/time.Duration(slots), wait
 }
 
-// Done removes a send from the ledger.
-func (l *Ledger) Done(id string) {
+func (l *Ledger) remove(id string) {
 	if s := l.sends[id]; s != nil {
 		s.group.running--
 		delete(l.sends, id)
@@ -265,7 +289,7 @@
 	l.sweptAt = now
 	for id, s := range l.sends {
 		if now >= s.until {
-			l.Done(id)
+			l.remove(id)
 		}
 	}
 }
@@ -273,7 +297,7 @@
 func (l *Ledger) account(group string) *account {
 	a := l.groups[group]
 	if a == nil {
-		a = &account{}
+		a = &account{pace: 1}
 		l.groups[group] = a
 	}
 	return a
--- a/rudderd/rudderbalance/ledger_test.go
+++ b/rudderd/rudderbalance/ledger_test.go
@@ -91,7 +91,7 @@
 	l.Pick(0, speed, groups("a"), Request{ID: "lost", Limit: time.Second})
 	l.Pick(2*time.Second, speed, groups("a"), Request{ID: "next", Limit: time.Second})
 	require.Equal(t, 1, l.Running("a"))
-	l.Done("lost") // reported after it expired
+	l.Done(2*time.Second, "lost") // reported after it expired
 	require.Equal(t, 1, l.Running("a"))
 }
 
--- a/rudderd/rudderbalance/overload_test.go
+++ b/rudderd/rudderbalance/overload_test.go
@@ -76,7 +76,7 @@
 		next := list[0]
 		list = list[1:]
 		for len(ends) > 0 && ends[0].at <= next.at {
-			l.Done(ends[0].id)
+			l.Done(ends[0].at, ends[0].id)
 			ends = ends[1:]
 		}
 		next.request.ID = fmt.Sprint(i)
--- a/rudderd/rudderbalance/sizes_test.go
+++ b/rudderd/rudderbalance/sizes_test.go
@@ -41,7 +41,7 @@
 					if r.ends > now {
 						return false
 					}
-					l.Done(r.id)
+					l.Done(now, r.id)
 					return true
 				})
 				prompt := max(int(meanPrompt*math.Exp(draw.NormFloat64()-0.5)), 1)
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -352,16 +352,18 @@
 	step := engine.Step + time.Duration(engine.Slots)*engine.StepPerRequest
 	return rudderbalance.Speed{
 		PromptTokensPerSecond: engine.PromptTokensPerSecond / pace, Step: time.Duration(float64(step) * pace), Slots: engine.Slots,
+		IdleStep: time.Duration(float64(engine.Step+engine.StepPerRequest) * pace),
 	}, true
 }
 
 // finish removes completed requests from the ledgers of this entry host.
 func (b *balance) finish(ids []string) {
+	now := time.Since(b.started)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.ledgers {
 		for _, id := range ids {
-			l.Done(id)
+			l.Done(now, id)
 		}
 	}
 }
