--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -119,7 +119,7 @@
 	if model := groups[0].Model; model != "" && len(groups) > 1 || f.limited(groups) {
 		q := PickQuery{
 			Service: j.service, Model: model, PromptTokens: j.request.PromptTokens, AnswerTokens: j.request.AnswerTokens, Limit: j.remaining(now),
-			Cost: f.cost(j, model), Objective: f.waitLimit(j, model, now), Urgency: j.urgency(),
+			Cost: f.cost(j, model), Objective: f.waitLimit(j, model, now), Urgency: j.urgency(), Workspace: j.workspaceName(),
 		}
 		for id := range j.exclude {
 			q.Avoid = append(q.Avoid, id)
