--- a/rudderd/rudderbalance/demand.go
+++ b/rudderd/rudderbalance/demand.go
@@ -161,6 +161,15 @@
 
 func holderOf(f *flow) holder { return holder{f.kind.urgency, f.workspace} }
 
+// rate returns the number of requests in a second.
+func (d *demand) rate() float64 {
+	seen := 0.0
+	for _, f := range d.flows {
+		seen += f.requests.seen
+	}
+	return seen / demandDecay.Seconds()
+}
+
 // rank orders the flows: by urgency, and among those of one urgency, the workspaces that have more than their fair share come last,
 // and the kinds that are served more often than another one. Kinds and workspaces that are hardly served come first.
 func rank(list []*flow) {
@@ -180,12 +189,7 @@
 		}
 	}
 	even := sums(within, func(f *flow) kind { return f.kind }, requests)
-	least := map[int]float64{} // served share by urgency
-	for k, t := range even {
-		if share, known := least[k.urgency]; t.seen >= minSeen && (!known || t.share() < share) {
-			least[k.urgency] = t.share()
-		}
-	}
+	least := leastServed(even)
 	starved := func(t tally, least float64) bool { return t.seen >= minSeen && t.share() < least*all.share() }
 	for _, f := range list {
 		f.rank = 2*f.kind.urgency + 1
@@ -199,6 +203,17 @@
 	}
 }
 
+// leastServed returns the lowest served share of the kinds of each urgency.
+func leastServed(kinds map[kind]tally) map[int]float64 {
+	least := map[int]float64{}
+	for k, t := range kinds {
+		if share, known := least[k.urgency]; t.seen >= minSeen && (!known || t.share() < share) {
+			least[k.urgency] = t.share()
+		}
+	}
+	return least
+}
+
 // fairShares returns the fair share of the work of one workspace, by urgency.
 func fairShares(work map[holder]tally) map[int]float64 {
 	lists := map[int][]tally{}
--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -26,6 +26,8 @@
 	Draining, Silent, Slow bool
 	// Wait is the time until the group's target takes a further request, because it limits their rate; 0 if it takes one now.
 	Wait time.Duration
+	// Rate is the number of requests that the group's target takes in a second; 0 if it names no limit.
+	Rate float64
 }
 
 // Request describes one send.
@@ -72,6 +74,7 @@
 	// refusalGap.
 	refusingSince, refusingUntil time.Duration
 	demand                       demand
+	returns                      returns
 	usualRatio                   float64       // median of the groups' measured to expected durations; 0 if it is not known
 	updatedAt                    time.Duration // uptime of the last update of demand and paces
 }
@@ -143,10 +146,10 @@
 	case best == nil && !full:
 		return "", 0, false
 	case best == nil:
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
 	case late:
 		// A longer queue would delay every answer without serving more requests.
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
@@ -173,8 +176,11 @@
 		l.demand.update(now, speed)
 		l.updatePaces(now)
 		l.updatedAt = now
+		if !l.refusing(now) {
+			l.returns.calm += calmWeight * (l.demand.rate() - l.returns.calm)
+		}
 	}
-	if l.refusingUntil == 0 || now > l.refusingUntil {
+	if !l.refusing(now) {
 		return allowance{wait: r.Objective, load: maxLoadFactor}
 	}
 	return l.demand.allow(r)
@@ -227,6 +233,11 @@
 // refusalGap is the time without a refusal after which the groups count as having room again.
 const refusalGap = time.Second
 
+// refusing reports whether requests have been refused lately.
+func (l *Ledger) refusing(now time.Duration) bool {
+	return l.refusingUntil > 0 && now <= l.refusingUntil
+}
+
 // recordRefusal records a refusal and returns for how long requests have been refused. Overload is expected
 // to last as long as it has lasted; callers that return sooner would be refused again.
 func (l *Ledger) recordRefusal(now time.Duration) time.Duration {
@@ -254,6 +265,7 @@
 func (l *Ledger) Done(now time.Duration, id string) {
 	if s := l.sends[id]; s != nil {
 		l.observe(now, s)
+		l.returns.observe(now - s.at)
 		l.remove(id)
 	}
 }
--- a/rudderd/rudderbalance/overload_test.go
+++ b/rudderd/rudderbalance/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -57,6 +58,16 @@
 	return list
 }
 
+// varied gives arrivals random service times, and moves them a little.
+func varied(list []arrival) []arrival {
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range list {
+		list[i].service = time.Duration((0.5 + random.Float64()) * float64(overloadService))
+		list[i].at += time.Duration(random.Float64() * float64(50*time.Millisecond))
+	}
+	return list
+}
+
 // simulate runs the arrivals on one group for each pace, and reports what becomes of each send: the group and the wait there, or
 // the retry time. A refused caller returns after the time that again returns, or not if that is 0.
 func simulate(l *Ledger, paces []float64, list []arrival, report func(a arrival, group string, wait time.Duration), again func(a arrival, retryAfter time.Duration) time.Duration) {
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -281,6 +281,7 @@
 		wait := b.edge.limits.Wait(processOf(g), r.Urgency, uptime)
 		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
 		state := rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Slow: b.slow.has(g.ID), Wait: wait}
+		state.Rate, _ = b.edge.limits.Rate(processOf(g))
 		if state.Slow {
 			slow = append(slow, g.ID)
 		}
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -95,11 +95,13 @@
 	return c
 }
 
-// noRoom returns the refusal of a request for which no group was chosen.
+// noRoom returns the refusal of a request for which no group was chosen. Callers wait no longer than a part of the time that they
+// have left, so that a longer Retry-After would make them come back before there is a place.
 func (f *Forwarder) noRoom(j *job, c choice) *refusal {
+	part := time.Duration(maxRetryShare * float64(j.remaining(f.Uptime())))
 	r := &refusal{
 		status: http.StatusServiceUnavailable, code: "groups_failed", message: "no group has room for this request now",
-		retryAfter: max(shortRetryAfter, min(j.expectedWait, maxRetryAfter)),
+		retryAfter: max(minRetryAfter, min(max(shortRetryAfter, j.expectedWait), maxRetryAfter, part)),
 	}
 	switch {
 	case c.limited:
--- a/rudderd/rudderforward/job.go
+++ b/rudderd/rudderforward/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"comfreyrudder.example/rudderd/rudderbalance"
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderroute"
@@ -23,8 +24,12 @@
 	// host, or this one a moment later, may serve the request; long where groups have to form first.
 	shortRetryAfter = 300 * time.Millisecond
 	longRetryAfter  = time.Second
-	// maxRetryAfter bounds the Retry-After time when all groups are full.
-	maxRetryAfter = 3 * time.Second
+	// maxRetryAfter bounds the Retry-After time when all groups are full, and maxRetryShare is the share of the time left for a
+	// request that callers wait for at most.
+	maxRetryAfter = rudderbalance.MaxRetryAfter
+	maxRetryShare = rudderbalance.MaxRetryShare
+	// minRetryAfter keeps callers with hardly any time left from coming back at once.
+	minRetryAfter = 50 * time.Millisecond
 	// codeMemoryFull is the code of refusals of bodies that do not fit into the memory for them.
 	codeMemoryFull = "memory_full"
 	// extraSends is the number of additional targets, beyond the route's attempts, that a request may be sent
--- a/rudderd/rudderforward/reject_test.go
+++ b/rudderd/rudderforward/reject_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +211,33 @@
 	b.server.Close()
 	require.Empty(t, logged.String())
 }
+
+// Guards against a Retry-After that callers do not obey because they have less time left, so that they come back before there is
+// a place, and against owners that cannot share the groups between workspaces.
+func TestRetryAfterOfFullGroups(t *testing.T) {
+	for _, test := range []struct {
+		timeout, wait time.Duration
+		want          float64 // in seconds
+	}{{30 * time.Second, 0, 0.3}, {30 * time.Second, 1500 * time.Millisecond, 1.5}, {30 * time.Second, 10 * time.Second, 3}, {6 * time.Second, 10 * time.Second, 2}} {
+		b := newTestbed(t)
+		b.route("/p/", func(r *rudderroute.Route) {
+			r.Timeout, r.Shares = test.timeout, []rudderroute.Share{{Service: "llm", Weight: 1}}
+		})
+		b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+		b.target("llm", func(w http.ResponseWriter, _ *http.Request) { sealed(w) })
+		b.start()
+		var workspace atomic.Value
+		b.forwarder.Pick = func(_ context.Context, q PickQuery) Pick {
+			workspace.Store(q.Workspace)
+			return Pick{Answered: true, Full: true, Wait: test.wait}
+		}
+		response, body, err := b.send("POST", "/p/x", "")
+		require.NoError(t, err)
+		require.Contains(t, body, "groups_full")
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.LessOrEqual(t, after, test.want)
+		require.Greater(t, after, test.want/2)
+		require.Equal(t, "firm", workspace.Load())
+	}
+}
