--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -12,8 +12,9 @@
 type Speed struct {
 	// PromptTokensPerSecond is the prefill rate of one group.
 	PromptTokensPerSecond float64
-	// Step is the time for one token of an answer.
-	Step time.Duration
+	// Step is the time for one token of an answer while all slots are used, and IdleStep that of a single request; if it is 0,
+	// Step holds for any number of requests.
+	Step, IdleStep time.Duration
 	// Slots is the number of requests that a group runs at once.
 	Slots int
 }
@@ -25,6 +26,8 @@
 	Draining, Silent, Slow bool
 	// Wait is the time until the group's target takes a further request, because it limits their rate; 0 if it takes one now.
 	Wait time.Duration
+	// Rate is the number of requests that the group's target takes in a second; 0 if it names no limit.
+	Rate float64
 }
 
 // Request describes one send.
@@ -39,6 +42,10 @@
 	Avoid []string
 	// Objective is the time to the first token that callers want; 0 accepts any wait.
 	Objective time.Duration
+	// Urgency is 0 for the most urgent requests. It counts while requests are refused.
+	Urgency int
+	// Workspace shares the groups with others while requests are refused; empty if it is not known.
+	Workspace string
 	// Spill is set if the request is passed on to another ledger if no group here has room. It is counted
 	// there.
 	Spill bool
@@ -66,6 +73,10 @@
 	// refusingSince and refusingUntil span the current series of refusals, with no gap longer than
 	// refusalGap.
 	refusingSince, refusingUntil time.Duration
+	demand                       demand
+	returns                      returns
+	usualRatio                   float64       // median of the groups' measured to expected durations; 0 if it is not known
+	updatedAt                    time.Duration // uptime of the last update of demand and paces
 }
 
 const (
@@ -98,11 +109,15 @@
 	running int
 	// prefillUntil is the uptime at which the group is expected to have read the prompts that it has taken.
 	prefillUntil time.Duration
+	durations    durations
+	// pace is the time that the group needs, relative to the usual one of the ledger's groups; 1 if it is not known.
+	pace float64
 }
 
 type send struct {
-	group *account
-	until time.Duration
+	group     *account
+	at, until time.Duration // uptime of its start, and of its end in any case
+	expected  time.Duration // duration on a group of usual speed
 }
 
 // NewLedger returns an empty ledger.
@@ -118,40 +133,64 @@
 	if l.begin == 0 {
 		l.begin, l.workAt = now, now
 	}
-	best, bestID, bestWait, full := l.cheapest(now, speed, groups, r)
-	late := best != nil && r.Objective > 0 && bestWait > r.Objective
+	allowed := l.allow(now, speed, r)
+	best, bestID, bestWait, full := l.cheapest(now, speed, groups, r, allowed)
+	late := best != nil && allowed.wait > 0 && bestWait > allowed.wait
 	if r.Spill && (best == nil || late) {
 		return "", bestWait, full || late
 	}
 	l.decayWork(now)
 	l.work += r.Cost.Seconds()
+	l.demand.record(r, best != nil && !late)
 	switch {
 	case best == nil && !full:
 		return "", 0, false
 	case best == nil:
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
 	case late:
 		// A longer queue would delay every answer without serving more requests.
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
 		prompt = defaultPromptTokens
 	}
+	answer := r.AnswerTokens
+	if answer <= 0 {
+		answer = defaultAnswerTokens
+	}
 	best.running++
+	expected := time.Duration(float64(bestWait)/best.pace) + speed.decoding(answer, best.running)
 	if speed.PromptTokensPerSecond > 0 {
 		reading := time.Duration(float64(prompt) / speed.PromptTokensPerSecond * float64(time.Second))
-		best.prefillUntil = max(best.prefillUntil, now) + reading
+		best.prefillUntil = max(best.prefillUntil, now) + best.scaled(reading)
+		expected += reading
 	}
-	l.sends[r.ID] = &send{group: best, until: now + r.Limit}
+	l.sends[r.ID] = &send{group: best, at: now, until: now + r.Limit, expected: expected}
 	return bestID, bestWait, false
 }
 
+// allow returns what a request may use of the groups. While no requests are refused, each may use all of it.
+func (l *Ledger) allow(now time.Duration, speed Speed, r Request) allowance {
+	if now-l.updatedAt >= updateInterval {
+		l.demand.update(now, speed)
+		l.updatePaces(now)
+		l.updatedAt = now
+		if !l.refusing(now) {
+			l.returns.calm += calmWeight * (l.demand.rate() - l.returns.calm)
+		}
+	}
+	if !l.refusing(now) {
+		return allowance{wait: r.Objective, load: maxLoadFactor}
+	}
+	return l.demand.allow(r)
+}
+
 // cheapest returns the group with the lowest cost and the expected wait for it; full is set if a group was
 // left out because it is full or takes no more requests now. Without a group, wait is the shortest time until one of
 // those takes a request. Groups that serve within the objective come before late ones, and draining
 // groups come last among each.
-func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, r Request) (best *account, id string, wait time.Duration, full bool) {
+func (l *Ledger) cheapest(now time.Duration, speed Speed, groups []Group, r Request, allowed allowance) (best *account, id string, wait time.Duration, full bool) {
 	const draining, late = time.Hour, 2 * time.Hour // higher than any other cost
 	var least, limitWait time.Duration
 	for _, g := range groups {
@@ -163,7 +202,7 @@
 			continue
 		}
 		a := l.account(g.ID)
-		if float64(a.running) >= maxLoadFactor*float64(max(speed.Slots, 1)) {
+		if float64(a.running) >= allowed.load*float64(max(speed.Slots, 1)) {
 			full = true
 			continue
 		}
@@ -178,7 +217,7 @@
 		if g.Draining || g.Silent || g.Slow {
 			cost += draining
 		}
-		if r.Objective > 0 && expected > r.Objective {
+		if allowed.wait > 0 && expected > allowed.wait {
 			cost += late
 		}
 		if best == nil || cost < least {
@@ -194,6 +233,11 @@
 // refusalGap is the time without a refusal after which the groups count as having room again.
 const refusalGap = time.Second
 
+// refusing reports whether requests have been refused lately.
+func (l *Ledger) refusing(now time.Duration) bool {
+	return l.refusingUntil > 0 && now <= l.refusingUntil
+}
+
 // recordRefusal records a refusal and returns for how long requests have been refused. Overload is expected
 // to last as long as it has lasted; callers that return sooner would be refused again.
 func (l *Ledger) recordRefusal(now time.Duration) time.Duration {
@@ -212,13 +256,21 @@
 	wait = max(a.prefillUntil-now, 0)
 	if over := a.running - slots + 1; over > 0 {
 		// A request beyond the slots waits until one of them is free.
-		wait += time.Duration(over) * defaultAnswerTokens * speed.Step / time.Duration(slots)
+		wait += a.scaled(time.Duration(over) * defaultAnswerTokens * speed.Step / time.Duration(slots))
+	}
+	return wait + a.scaled(batchCost*time.Duration(a.running)/time.Duration(slots)), wait
+}
+
+// Done removes a send that has ended from the ledger.
+func (l *Ledger) Done(now time.Duration, id string) {
+	if s := l.sends[id]; s != nil {
+		l.observe(now, s)
+		l.returns.observe(now - s.at)
+		l.remove(id)
 	}
-	return wait + batchCost*time.Duration(a.running)/time.Duration(slots), wait
 }
 
-// Done removes a send from the ledger.
-func (l *Ledger) Done(id string) {
+func (l *Ledger) remove(id string) {
 	if s := l.sends[id]; s != nil {
 		s.group.running--
 		delete(l.sends, id)
@@ -249,7 +301,7 @@
 	l.sweptAt = now
 	for id, s := range l.sends {
 		if now >= s.until {
-			l.Done(id)
+			l.remove(id)
 		}
 	}
 }
@@ -257,7 +309,7 @@
 func (l *Ledger) account(group string) *account {
 	a := l.groups[group]
 	if a == nil {
-		a = &account{}
+		a = &account{pace: 1}
 		l.groups[group] = a
 	}
 	return a
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -46,6 +46,7 @@
 	started time.Time // zero point of the times in the ledgers
 
 	mu           sync.Mutex
+	overload     overload
 	ledgers      map[ledgerKey]*rudderbalance.Ledger
 	done         map[string][]string  // IDs of completed requests not yet sent to the owner, by peer address
 	backoffUntil map[string]time.Time // for owners that did not respond, by peer address
@@ -61,10 +62,6 @@
 	}
 }
 
-// spillShare is the fraction of the latency objective that a request waits at most for a group of the nearest
-// partition while other partitions may have free capacity.
-const spillShare = 0.4
-
 // pick implements rudderforward.Forwarder.Pick. It queries the owner of the partition of the model's ledger that
 // holds the groups nearby, and the owners of other partitions if that one has little free capacity or does not
 // respond.
@@ -179,14 +176,14 @@
 func (b *balance) queryHost(ctx context.Context, snapshot *rudderview.Snapshot, q rudderforward.PickQuery, query rudderbalance.PartitionQuery, owner rudderview.EntryHost) (pick rudderforward.Pick, lapsed bool) {
 	id := fmt.Sprintf("%s.%d", b.edge.Settings.Name, b.next.Add(1))
 	key := ledgerKey{q.Service, q.Model, query.Partition}
-	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill}
+	request := rudderbalance.Request{ID: id, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Limit: q.Limit, Cost: q.Cost, Avoid: q.Avoid, Objective: q.Objective, Spill: query.Spill, Urgency: q.Urgency, Workspace: q.Workspace}
 	if query.Spill {
-		request.Objective = time.Duration(spillShare * float64(q.Objective))
+		request.Objective = time.Duration(rudderbalance.SpillShare * float64(q.Objective))
 	}
 	if owner.Name == b.edge.Settings.Name {
 		b.noteSilent(q.Silent)
 		b.noteSlow(key, q.Slow)
-		pick := b.pickLocal(key, q.Urgency, request)
+		pick := b.pickLocal(key, request)
 		pick.Release = func() { b.finish([]string{id}) }
 		return pick, false
 	}
@@ -201,7 +198,7 @@
 		Service: q.Service, Model: q.Model, Part: int64(query.Partition), Spill: query.Spill, Id: id, PromptTokens: int64(q.PromptTokens), AnswerTokens: int64(q.AnswerTokens),
 		LimitMs: q.Limit.Milliseconds(), CostUs: q.Cost.Microseconds(), Avoid: q.Avoid, Done: done, ObjectiveMs: request.Objective.Milliseconds(),
 		Leaving: b.edge.announced(), Limits: rudderlimit.Encode(reports), Urgency: int64(q.Urgency),
-		Silent: q.Silent, Slow: q.Slow,
+		Silent: q.Silent, Slow: q.Slow, Workspace: q.Workspace,
 	})
 	release := func() { b.queueDone(owner.Peer, id) }
 	if isLapsedError(err) {
@@ -265,7 +262,7 @@
 
 // pickLocal chooses a group from a partition of a ledger that this entry host owns, and takes a permit if the group's
 // target limits the rate of requests.
-func (b *balance) pickLocal(key ledgerKey, urgency int, r rudderbalance.Request) rudderforward.Pick {
+func (b *balance) pickLocal(key ledgerKey, r rudderbalance.Request) rudderforward.Pick {
 	snapshot := b.edge.view.Snapshot()
 	list := groupsOf(snapshot, key)
 	speed, known := modelSpeed(snapshot.Table, key.service, key.model)
@@ -281,9 +278,10 @@
 	var slow []string
 	groups := make([]rudderbalance.Group, 0, len(list))
 	for _, g := range list {
-		wait := b.edge.limits.Wait(processOf(g), urgency, uptime)
+		wait := b.edge.limits.Wait(processOf(g), r.Urgency, uptime)
 		limited = limited || wait > 0 && !slices.Contains(r.Avoid, g.ID)
 		state := rudderbalance.Group{ID: g.ID, Draining: g.Draining, Silent: time.Now().Before(b.silentUntil[g.ID]), Slow: b.slow.has(g.ID), Wait: wait}
+		state.Rate, _ = b.edge.limits.Rate(processOf(g))
 		if state.Slow {
 			slow = append(slow, g.ID)
 		}
@@ -294,6 +292,9 @@
 	}
 	ledger, now := b.ledgers[key], time.Since(b.started)
 	group, wait, full := ledger.Pick(now, speed, groups, r)
+	if full && !r.Spill {
+		b.overload.record(b.edge, key, ledger.OverShare(r), r.Urgency, wait)
+	}
 	if i := slices.IndexFunc(list, func(g *rudderview.Group) bool { return g.ID == group }); i >= 0 {
 		b.edge.limits.Take(processOf(list[i]))
 	}
@@ -352,16 +353,18 @@
 	step := engine.Step + time.Duration(engine.Slots)*engine.StepPerRequest
 	return rudderbalance.Speed{
 		PromptTokensPerSecond: engine.PromptTokensPerSecond / pace, Step: time.Duration(float64(step) * pace), Slots: engine.Slots,
+		IdleStep: time.Duration(float64(engine.Step+engine.StepPerRequest) * pace),
 	}, true
 }
 
 // finish removes completed requests from the ledgers of this entry host.
 func (b *balance) finish(ids []string) {
+	now := time.Since(b.started)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.ledgers {
 		for _, id := range ids {
-			l.Done(id)
+			l.Done(now, id)
 		}
 	}
 }
@@ -417,10 +420,10 @@
 	s.balance.edge.mergeLimits("", reports)
 	s.balance.noteSilent(r.GetSilent())
 	s.balance.noteSlow(key, r.GetSlow())
-	pick := s.balance.pickLocal(key, int(r.GetUrgency()), rudderbalance.Request{
+	pick := s.balance.pickLocal(key, rudderbalance.Request{
 		ID: r.GetId(), PromptTokens: int(r.GetPromptTokens()), AnswerTokens: int(r.GetAnswerTokens()),
 		Limit: time.Duration(r.GetLimitMs()) * time.Millisecond, Cost: time.Duration(r.GetCostUs()) * time.Microsecond, Avoid: r.GetAvoid(),
-		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(),
+		Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond, Spill: r.GetSpill(), Urgency: int(r.GetUrgency()), Workspace: r.GetWorkspace(),
 	})
 	return &rudderpeer.PickResponse{
 		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
