--- a/rudderd/rudderplacement/fleet_test.go
+++ b/rudderd/rudderplacement/fleet_test.go
@@ -39,6 +39,8 @@
 	left map[string]ruddertarget.Membership
 	// storeFails makes changed plans fail to be stored.
 	storeFails bool
+	// unsettled is the opposite of Input.Settled.
+	unsettled bool
 	// withinStartupGrace is Input.WithinStartupGrace.
 	withinStartupGrace bool
 	sent               []Order
@@ -83,7 +85,7 @@
 func (f *fleet) input() Input {
 	return Input{
 		Now: f.now, Service: f.service, Targets: f.targets, Removed: f.removed, Reports: f.reports, Plans: f.plans, StallTimeout: stall, Traffic: f.traffic,
-		Settled: true, WithinStartupGrace: f.withinStartupGrace, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
+		Settled: !f.unsettled || f.traffic, WithinStartupGrace: f.withinStartupGrace, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 		Silent: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 		Lost:   func(t *rudderview.Target) bool { return f.dead[t.Name] && !f.unconfirmed[t.Name] },
 	}
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -41,12 +41,16 @@
 		d.room = in.room(d)
 		d.recentlyGrown = in.State.recentlyGrown(in.Now, d.name, d.size)
 	}
+	in.divide(domains)
 	for {
 		best := in.best(domains, counts)
 		if best == nil {
 			return
 		}
 		best.domain.room -= best.model.Size
+		if best.domain.wanted != nil {
+			best.domain.wanted[best.model.Name]--
+		}
 		if !best.domain.evacuated {
 			counts[best.model.Name]++
 		}
@@ -160,7 +164,7 @@
 	for _, m := range in.Service.Engine.Models {
 		kept, top := in.requiredReserve(m, counts)
 		for _, d := range domains {
-			if m.Size < 1 || d.room < m.Size+kept || d.recentlyGrown && !top {
+			if !d.accepts(m, kept, top) {
 				continue
 			}
 			c := in.candidate(d, m, counts)
@@ -175,6 +179,17 @@
 	return best
 }
 
+// accepts reports whether a new group of a model may be placed in the domain. kept and top are those of requiredReserve.
+func (d *domain) accepts(m rudderroute.Model, kept int, top bool) bool {
+	switch {
+	case m.Size < 1 || d.room < m.Size:
+		return false
+	case d.wanted != nil:
+		return d.wanted[m.Name] > 0 && !d.recentlyGrown
+	}
+	return d.room >= m.Size+kept && (top || !d.recentlyGrown)
+}
+
 // loadDiscount is the value of a group that must load weights first, relative to one that serves within
 // seconds.
 const loadDiscount = 0.5
@@ -253,15 +268,22 @@
 // load those of the other. Once its targets are converted, a large group seldom finds room again.
 const conversionFactor = 1.6
 
-// neededElsewhere reports whether a target has only the weights of another model that fits into the domain and
-// whose deficit is within conversionFactor of m's. It is false before the first request, when loads cost
-// little.
+// reachable is the part of a group's targets that must be free for the others to be expected soon. Targets with the
+// weights of a model that needs many more would wait for it forever.
+const reachable = 0.5
+
+// neededElsewhere reports whether a target has only the weights of another model whose next group is within reach in
+// the domain and whose deficit is within conversionFactor of m's. It is false before the first request, when loads
+// cost little.
 func (in *Input) neededElsewhere(d *domain, t *rudderview.Target, m rudderroute.Model, own float64, counts map[string]int) bool {
 	if warm(t, m.Name) {
 		return false
 	}
 	other, known := in.Service.Engine.Model(in.weights(t))
-	return in.Traffic && known && d.size+d.unregistered >= other.Size && in.deficit(other, counts[other.Name])*conversionFactor > own
+	if !known || d.size+d.unregistered < other.Size || float64(d.room+d.unregistered) < reachable*float64(other.Size) {
+		return false
+	}
+	return in.Traffic && in.deficit(other, counts[other.Name])*conversionFactor > own
 }
 
 // stagingFor reports whether a target was ordered to stage the weights of a model.
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -93,6 +93,7 @@
 	size             int                  // usable targets
 	unregistered     int                  // targets without a record that are not known to be dead
 	room             int                  // usable targets that neither a remaining nor a new group needs
+	wanted           map[string]int       // groups by model that should still form before the first request; nil with requests
 	recentlyGrown    bool                 // a target has registered within arrivalTime
 	notes            []string
 	replaced         []rudderroster.Member // silent leaders
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -33,6 +33,10 @@
 			}
 		}
 	}
+	for _, d := range domains {
+		d.room = in.room(d)
+	}
+	in.divide(domains)
 	orders = append(orders, in.stage(domains)...)
 	due := orders[:0]
 	for _, o := range orders {
@@ -178,7 +182,11 @@
 	replacing, empty := in.replacements(d, counts, spares, empty, holders)
 	list = append(list, replacing...)
 	for _, t := range empty {
-		if model := in.mostNeededSpare(d, spares); model != "" {
+		model := in.lacking(d, spares)
+		if model == "" {
+			model = in.mostNeededSpare(d, spares)
+		}
+		if model != "" {
 			spares[model]++
 			list = append(list, staging{target: t, model: model})
 		}
@@ -223,9 +231,13 @@
 }
 
 // mostNeededSpare returns the model with the fewest spares in relation to its members in the domain, or to the
-// size of a group that the free targets could form.
+// size of a group that the free targets could form. The first spare goes to the model whose lost members cost most: each
+// stops a whole group.
 func (in *Input) mostNeededSpare(d *domain, spares map[string]int) string {
-	members := map[string]int{}
+	members, total := map[string]int{}, 0
+	for _, n := range spares {
+		total += n
+	}
 	for _, g := range d.groups {
 		members[g.Model] += len(g.Members)
 	}
@@ -235,6 +247,9 @@
 		if m.Size <= len(d.free) {
 			weight = max(weight, m.Size) // another group may be formed here
 		}
+		if total == 0 {
+			weight *= m.Size
+		}
 		need := float64(weight) / float64(1+spares[m.Name])
 		if need > most || need > 0 && need == most && spares[m.Name] < spares[best] {
 			best, most = m.Name, need
