--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -39,9 +39,11 @@
 	loading := in.loading(domains)
 	for _, d := range domains {
 		d.room = in.room(d)
+		in.findReceiver(d)
 		d.recentlyGrown = in.State.recentlyGrown(in.Now, d.name, d.size)
 	}
 	in.divide(domains)
+	in.useReserves(domains, counts)
 	for {
 		best := in.best(domains, counts)
 		if best == nil {
@@ -154,6 +156,7 @@
 		}
 		return cmp.Or(
 			compareBool(best.domain.evacuated, c.domain.evacuated), // groups that get no requests can wait
+			compareBool(c.domain.receiver == c.model.Name, best.domain.receiver == best.model.Name),
 			cmp.Compare(in.value(c, counts), in.value(best, counts)),
 			compareBool(len(c.members) == c.model.Size, len(best.members) == best.model.Size),
 			cmp.Compare(best.loads, c.loads),
@@ -187,6 +190,9 @@
 	case d.wanted != nil:
 		return d.wanted[m.Name] > 0 && !d.recentlyGrown
 	}
+	if d.receiver == m.Name {
+		kept = 0
+	}
 	return d.room >= m.Size+kept && (top || !d.recentlyGrown)
 }
 
@@ -307,6 +313,9 @@
 	}
 	for _, t := range c.members {
 		g.Members = append(g.Members, rudderroster.Member{Target: t.Name, Born: t.Born})
+		if !in.stagingFor(t, c.model.Name) {
+			delete(in.State.staging, t.Name) // the group's weights may replace the staged ones
+		}
 	}
 	d.groups = append(d.groups, g)
 	d.exclude(c.members)
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -27,6 +27,9 @@
 		}
 		for _, g := range d.groups {
 			if r := in.retirement(d, g); r != nil {
+				if in.awaitsReserve(d, g, r) {
+					continue
+				}
 				orders = append(orders, in.release(g, r)...)
 			} else {
 				orders = append(orders, in.assemble(g)...)
@@ -137,17 +140,30 @@
 	var orders []Order
 	domains = slices.Clone(domains)
 	slices.SortStableFunc(domains, func(a, b *domain) int { return compareBool(a.evacuated, b.evacuated) })
+	var wanted, reserves []staging
 	for _, d := range domains {
-		for _, w := range in.wantedStaging(d, counts) {
-			if !w.begun {
-				if running >= limit || in.Traffic && !in.State.loads.take(in.Now, engine.LoadsPerSecond, 1) {
-					return orders
-				}
-				in.State.staging[w.target.Name] = stagingLoad{born: w.target.Born, model: w.model}
+		wanted = append(wanted, in.wantedStaging(d, counts)...)
+		if !d.evacuated {
+			reserves = append(reserves, in.reserveStaging(d)...)
+		}
+	}
+	wanted = append(wanted, reserves...)
+	for _, w := range wanted {
+		if w.begun {
+			running++
+		}
+	}
+	for _, w := range wanted {
+		load := ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: w.model}
+		if !w.begun {
+			if running >= limit || in.Traffic && !in.State.loads.take(in.Now, engine.LoadsPerSecond, 1) {
+				continue
 			}
 			running++
-			orders = append(orders, in.order(w.target, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: w.model}, "weights for a spare target"))
+			in.State.staging[w.target.Name] = stagingLoad{born: w.target.Born, model: w.model}
+			delete(in.State.orders, orderKey(w.target.Name, load)) // the weights of an earlier load were replaced since
 		}
+		orders = append(orders, in.order(w.target, load, "weights for a spare target"))
 	}
 	return orders
 }
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -51,6 +51,9 @@
 		r := in.retirement(d, g)
 		switch {
 		case r != nil && !r.unconfirmed && in.released(g, r):
+			if model, donated := receiver(r.reason); donated {
+				d.receiver = model
+			}
 			d.note(fmt.Sprintf("group %s released after %s: %s", groupKey(g), (in.Now - r.since).Round(time.Millisecond), r.reason))
 			continue
 		case g.Unconfirmed && (r == nil || r.graceful > 0):
