--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -60,7 +60,8 @@
 	groups  map[string]*account
 	sends   map[string]*send
 	work    float64       // seconds of work, decaying exponentially
-	workAt  time.Duration // uptime to which work has decayed
+	workAt  time.Duration // uptime to which work and refused have decayed
+	refused float64       // the part of work that was refused
 	begin   time.Duration // uptime of the first request; 0 before it
 	sweptAt time.Duration // uptime of the last search for expired sends
 	// refusingSince and refusingUntil span the current series of refusals, with no gap longer than
@@ -89,7 +90,8 @@
 }
 
 func (l *Ledger) decayWork(now time.Duration) {
-	l.work *= math.Exp(-(now - l.workAt).Seconds() / workDecay.Seconds())
+	left := math.Exp(-(now - l.workAt).Seconds() / workDecay.Seconds())
+	l.work, l.refused = l.work*left, l.refused*left
 	l.workAt = now
 }
 
@@ -129,10 +131,10 @@
 	case best == nil && !full:
 		return "", 0, false
 	case best == nil:
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", max(bestWait, l.recordRefusal(now, r.Cost)), true
 	case late:
 		// A longer queue would delay every answer without serving more requests.
-		return "", max(bestWait, l.recordRefusal(now)), true
+		return "", max(bestWait, l.recordRefusal(now, r.Cost)), true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
@@ -194,9 +196,18 @@
 // refusalGap is the time without a refusal after which the groups count as having room again.
 const refusalGap = time.Second
 
-// recordRefusal records a refusal and returns for how long requests have been refused. Overload is expected
+// RefusedShare returns the part of the recent work that was refused, or 0 while Work is not known.
+func (l *Ledger) RefusedShare(now time.Duration) float64 {
+	if l.Work(now) == 0 || l.work <= 0 {
+		return 0
+	}
+	return min(l.refused/l.work, 1)
+}
+
+// recordRefusal records a refusal of work and returns for how long requests have been refused. Overload is expected
 // to last as long as it has lasted; callers that return sooner would be refused again.
-func (l *Ledger) recordRefusal(now time.Duration) time.Duration {
+func (l *Ledger) recordRefusal(now, cost time.Duration) time.Duration {
+	l.refused += cost.Seconds()
 	if l.refusingSince == 0 || now > l.refusingUntil {
 		l.refusingSince = now
 	}
--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -97,6 +97,8 @@
 	// Demand returns the part of a service's work by model, as measured on this entry host, or nil if it is
 	// unknown; optional.
 	Demand func(service string) map[string]float64
+	// Refused returns the part of the recent work of each model of a service that was refused; optional.
+	Refused func(service string) map[string]float64
 	// Probe probes a target. suspected is set if an earlier probe has found it unresponsive.
 	Probe func(ctx context.Context, t *rudderview.Target, suspected bool) rudderverdict.Finding
 	// LowCapacity reports whether other entry hosts have more capacity for planning than this one; optional.
@@ -109,6 +111,8 @@
 	Ended func(ctx context.Context, t *rudderview.Target) bool
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
+	// OnRetire counts a group that a stored plan ends for another model, as a "reserve" or in a "move"; optional.
+	OnRetire func(kind string)
 
 	calls        callSlots
 	planning     atomic.Bool
@@ -121,7 +125,8 @@
 	wake         chan struct{}
 	resigned     chan struct{} // closed by Resign
 	resignOnce   sync.Once
-	leaseSince   time.Duration // uptime at which the lease was acquired
+	leaseSince   time.Duration            // uptime at which the lease was acquired
+	summaries    map[string]loggedSummary // by service
 }
 
 // Planning reports whether this entry host holds the planner's lease.
@@ -248,7 +253,7 @@
 func (p *Planner) plan(ctx context.Context, lease int64) {
 	p.mu.Lock()
 	p.states, p.plans, p.results = map[string]*rudderplacement.State{}, map[string]rudderplacement.StoredPlan{}, map[string]*probeResult{}
-	p.failedWrites = map[string]failedWrite{}
+	p.failedWrites, p.summaries = map[string]failedWrite{}, map[string]loggedSummary{}
 	p.mu.Unlock()
 	p.Logger.Info().Int64("lease", lease).Msg("planner lease acquired")
 	held, cancel := context.WithCancel(ctx)
@@ -302,6 +307,7 @@
 		for _, o := range orders {
 			go p.send(ctx, in.State, o)
 		}
+		p.summarize(in)
 		busy = busy || len(orders) > 0 || inTransition(in)
 	}
 	return busy
--- a/rudderd/ruddercoordinator/plans.go
+++ b/rudderd/ruddercoordinator/plans.go
@@ -61,6 +61,9 @@
 	if p.Demand != nil {
 		in.Demand = p.Demand(service.Name)
 	}
+	if p.Refused != nil {
+		in.Refused = p.Refused(service.Name)
+	}
 	return in
 }
 
@@ -172,6 +175,11 @@
 		return false
 	}
 	delete(p.failedWrites, key)
+	for _, kind := range c.Donated {
+		if p.OnRetire != nil {
+			p.OnRetire(kind)
+		}
+	}
 	p.plans[key] = rudderplacement.StoredPlan{Plan: c.Plan, Revision: revision}
 	return true
 }
--- a/rudderd/rudderedge/balance.go
+++ b/rudderd/rudderedge/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -219,7 +220,7 @@
 	}
 	b.edge.applyAnnounced(owner.Name, answer.GetLeaving())
 	b.edge.mergeLimits(owner.Name, rudderlimit.Decode(answer.GetLimits()))
-	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Slow: answer.GetSlow(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond,
+	return rudderforward.Pick{Group: answer.GetGroup(), Full: answer.GetFull(), Limited: answer.GetLimited(), Slow: answer.GetSlow(), Answered: true, Work: time.Duration(answer.GetWorkMs()) * time.Millisecond, Refused: fromPermille(answer.GetRefusedPermille()),
 		Wait: time.Duration(answer.GetWaitMs()) * time.Millisecond, Release: release}, false
 }
 
@@ -297,7 +298,7 @@
 	if i := slices.IndexFunc(list, func(g *rudderview.Group) bool { return g.ID == group }); i >= 0 {
 		b.edge.limits.Take(processOf(list[i]))
 	}
-	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Slow: slow, Work: ledger.Work(now)}
+	return rudderforward.Pick{Answered: true, Group: group, Wait: wait, Full: full, Limited: limited && group == "", Slow: slow, Work: ledger.Work(now), Refused: ledger.RefusedShare(now)}
 }
 
 // noteSilent makes the groups that an entry host has reported as silent the last choice for all of them.
@@ -425,9 +426,15 @@
 	return &rudderpeer.PickResponse{
 		Group: pick.Group, Full: pick.Full, Limited: pick.Limited, WorkMs: pick.Work.Milliseconds(), WaitMs: pick.Wait.Milliseconds(),
 		Leaving: s.balance.edge.announced(), Limits: s.balance.edge.missingLimits(key, reports), Slow: pick.Slow,
+		RefusedPermille: toPermille(pick.Refused),
 	}, nil
 }
 
+// toPermille and fromPermille convert the part of a model's work that was refused.
+func toPermille(share float64) int64 { return int64(math.Round(share * 1000)) }
+
+func fromPermille(n int64) float64 { return min(max(float64(n)/1000, 0), 1) }
+
 // Done implements rudderpeer.Balance.
 func (s balanceServer) Done(_ context.Context, r *rudderpeer.DoneRequest) (*rudderpeer.DoneResponse, error) {
 	s.balance.finish(r.GetDone())
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// groupLines returns the gauges of the groups that this entry host plans.
+func (e *Edge) groupLines() []string {
+	var lines []string
+	for service, s := range e.planner.Summaries() {
+		for model, n := range s.Groups {
+			lines = append(lines, fmt.Sprintf("groups_planned{service=%q,model=%q} %d", service, model, n))
+		}
+		lines = append(lines, fmt.Sprintf("targets_idle{service=%q} %d", service, s.Idle), fmt.Sprintf("domains_moving{service=%q} %d", service, s.Moving))
+	}
+	return lines
+}
+
 // report serves all counters, gauges and histograms as text, one value per line.
 func (e *Edge) report(c echo.Context) error {
 	var lines []string
@@ -110,6 +122,7 @@
 			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
 		}
 	})
+	lines = append(lines, e.groupLines()...)
 	snapshot := e.view.Snapshot()
 	age, _ := e.view.Staleness()
 	lines = append(lines,
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -141,6 +141,7 @@
 		if pick.Answered {
 			j.expectedWait, j.pickedAt, j.pickedModel = pick.Wait, f.Uptime(), model
 			f.work.set(j.service, model, pick.Work)
+			f.work.setRefused(j.service, model, pick.Refused, f.Uptime())
 			for _, g := range groups {
 				if g.ID == pick.Group {
 					return choice{group: g, permittedAt: now}
--- a/rudderd/rudderforward/choose.go
+++ b/rudderd/rudderforward/choose.go
@@ -187,6 +187,8 @@
 	// Work is the time that one group would need for the model's recent work; 0 if the owner does not know it
 	// yet.
 	Work time.Duration
+	// Refused is the part of that work that was refused, 0 to 1.
+	Refused float64
 	// Wait is the expected wait for the group.
 	Wait time.Duration
 	// Slow lists the groups of the model that entry hosts have reported as slow.
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -125,6 +125,11 @@
 	return f.work.shares(service)
 }
 
+// Refused returns the part of the recent work of each model of a service that was refused.
+func (f *Forwarder) Refused(service string) map[string]float64 {
+	return f.work.refusals(service, f.Uptime())
+}
+
 // Run cancels the streams of groups that the view shows as ended, and drops outdated state, until the context
 // ends.
 func (f *Forwarder) Run(ctx context.Context) error {
--- a/rudderd/rudderplacement/division_test.go
+++ b/rudderd/rudderplacement/division_test.go
@@ -12,7 +12,9 @@
 
 // fabric returns a fleet of domains of one size with two models, whose targets register within 3 s.
 func fabric(t *testing.T, domains, size, largeSize, smallSize int, share float64) *fleet {
-	f := newFleet(t, rudderroute.Model{Name: "large", Size: largeSize, Share: share, TimeFactor: 1}, rudderroute.Model{Name: "small", Size: smallSize, Share: 1 - share, TimeFactor: 0.6})
+	f := newFleet(t, rudderroute.Model{Name: "large", Size: largeSize, Share: share, TimeFactor: 1, LoadTime: 14 * time.Second, StagedLoadTime: 1600 * time.Millisecond},
+		rudderroute.Model{Name: "small", Size: smallSize, Share: 1 - share, TimeFactor: 0.6, LoadTime: 12 * time.Second, StagedLoadTime: 1100 * time.Millisecond})
+	f.service.Engine.FormTime = 300 * time.Millisecond
 	f.service.Engine.LoadsPerSecond, f.service.Engine.LoadsAtOnce, f.loadTime = 14, 28, 1400*time.Millisecond
 	f.unsettled = true
 	for i := range domains * size {
--- a/rudderd/rudderplacement/donation.go
+++ b/rudderd/rudderplacement/donation.go
@@ -13,26 +13,49 @@
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
-// donationPrefix starts the reason of a group that ends so that its targets can serve another model. A planner that takes
-// over reads the model from the stored plan.
-const donationPrefix = "its targets go to model "
+// reservePrefix and movePrefix start the reasons of groups that end so that their targets can serve another model, as a reserve or
+// because that model refuses work. A planner that takes over reads the model from the stored plan, and from the kind whether the
+// group may finish its requests.
+const (
+	reservePrefix = "its targets complete a group of model "
+	movePrefix    = "its targets go to model "
+)
 
 // receiver returns the model that gets the targets of a group that ends for the given reason.
 func receiver(reason string) (model string, donated bool) {
-	return strings.CutPrefix(reason, donationPrefix)
+	if model, donated = strings.CutPrefix(reason, reservePrefix); donated {
+		return model, true
+	}
+	return strings.CutPrefix(reason, movePrefix)
+}
+
+// isDonated reports whether a group ends for another model.
+func isDonated(r *retirement) bool {
+	_, donated := receiver(r.reason)
+	return donated && !r.unconfirmed
+}
+
+// finishTime returns how long a group that ends for the given reason may take to finish its requests.
+func finishTime(reason string) time.Duration {
+	if strings.HasPrefix(reason, movePrefix) {
+		return leavingGrace
+	}
+	return 0
 }
 
 // donate begins the end of a group whose targets will serve another model. The stored plan shows it from the next write
-// on, so that the group gets no new requests. The group may finish its requests for the given time.
-func (in *Input) donate(d *domain, g rudderroster.Group, model string, finish time.Duration) {
+// on, so that the group gets no new requests.
+func (in *Input) donate(d *domain, g rudderroster.Group, reason string) {
 	i := slices.IndexFunc(d.groups, func(other rudderroster.Group) bool { return groupKey(other) == groupKey(g) })
-	d.groups[i].Retiring, d.groups[i].Reason = true, donationPrefix+model
-	r := &retirement{since: in.Now, ending: in.Now, reason: donationPrefix + model}
-	if finish > 0 {
-		r.graceful = in.Now + finish
+	d.groups[i].Retiring, d.groups[i].Reason = true, reason
+	r := &retirement{since: in.Now, ending: in.Now, reason: reason}
+	kind := "reserve"
+	if finish := finishTime(reason); finish > 0 {
+		kind, r.graceful = "move", in.Now+finish
 	}
+	d.donated = append(d.donated, kind)
 	in.State.retirements[groupKey(g)] = r
-	d.receiver = model
+	d.receiver, _ = receiver(reason)
 	d.room = in.room(d)
 	d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
 }
@@ -82,7 +105,7 @@
 				continue
 			}
 			counts[own.Name]--
-			in.donate(d, *g, m.Name, 0)
+			in.donate(d, *g, reservePrefix+m.Name)
 			break
 		}
 	}
--- a/rudderd/rudderplacement/donation_test.go
+++ b/rudderd/rudderplacement/donation_test.go
@@ -79,3 +79,89 @@
 	}
 	return n
 }
+
+// demand sets the parts of the work and what of it is refused.
+func (f *fleet) demand(large, refusedLarge, refusedSmall float64) {
+	f.shares = map[string]float64{"large": large, "small": 1 - large}
+	f.refused = map[string]float64{"large": refusedLarge, "small": refusedSmall}
+}
+
+// One model refuses work while the other one has room, at the rates of a quiet day. Guards against a division that stays as it was,
+// and against moves that the demand does not call for.
+func TestGroupsMoveToTheModelThatRefusesWork(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		share, large         float64
+		refusedL, refusedS   float64
+		wantLarge, wantSmall int
+		takeOver, fails      bool
+	}{
+		{"the large model refuses", 0.5, 0.45, 0.2, 0, 9, 18, false, false},
+		{"the small model refuses", 0.67, 0.12, 0, 0.2, 6, 30, false, false},
+		{"both refuse", 0.5, 0.45, 0.2, 0.1, 7, 26, false, false},
+		{"the work is divided as the groups are", 0.5, 0.21, 0.2, 0, 7, 26, false, false},
+		{"another planner takes over during the move", 0.5, 0.45, 0.2, 0, 9, 18, true, false},
+		{"plans are not stored for some seconds", 0.5, 0.45, 0.2, 0, 9, 18, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := fabric(t, 6, 37, 16, 4, test.share)
+			f.run(8 * time.Second)
+			f.traffic, f.loadTime = true, 14*time.Second
+			f.run(20 * time.Second)
+			f.demand(test.large, test.refusedL, test.refusedS)
+			for end := f.now + 80*time.Second; f.now < end; {
+				f.storeFails = test.fails && f.now > end-60*time.Second && f.now < end-50*time.Second
+				f.step()
+				if test.takeOver && f.retiring() > 0 {
+					f.state, test.takeOver = NewState(), false
+				}
+				if o := f.open(); o["large"] >= test.wantLarge && test.wantLarge > 7 || o["small"] >= test.wantSmall && test.wantSmall > 26 {
+					f.demand(test.large, 0, 0) // served now
+				}
+			}
+			require.Equal(t, map[string]int{"large": test.wantLarge, "small": test.wantSmall}, f.open())
+		})
+	}
+}
+
+// Refusals alternate between the models, as in bursts of a few seconds. Guards against groups that end for a demand which has
+// passed before others could form.
+func TestShortBurstsMoveNothing(t *testing.T) {
+	f := fabric(t, 6, 37, 16, 4, 0.5)
+	f.run(8 * time.Second)
+	f.traffic, f.loadTime = true, 14*time.Second
+	f.run(20 * time.Second)
+	for i := range 20 {
+		if f.demand(0.45, 0.2, 0); i%2 == 0 {
+			f.demand(0.1, 0, 0.2)
+		}
+		f.run(5 * time.Second)
+		require.Zero(t, f.retiring())
+	}
+}
+
+// Guards against streams that a move breaks: the groups that give their targets finish their requests first.
+func TestMovedGroupsFinishTheirRequests(t *testing.T) {
+	f := fabric(t, 1, 37, 16, 4, 0.5)
+	f.run(8 * time.Second)
+	f.traffic, f.loadTime = true, 14*time.Second
+	f.run(20 * time.Second)
+	var leaders []string
+	for name, x := range f.targets {
+		if x.Membership.Rank == 0 && x.Membership.Group != "" && x.Model == "small" {
+			f.busy[name] = true
+			leaders = append(leaders, name)
+		}
+	}
+	f.demand(0.6, 0.2, 0)
+	for f.retiring() == 0 && f.now < 5*time.Minute {
+		f.step()
+	}
+	f.sent = nil
+	f.run(8 * time.Second)
+	for _, name := range leaders {
+		require.False(t, f.leaves(f.targets[name]))
+	}
+	f.run(4 * time.Second) // the requests that still run then are broken
+	require.Equal(t, map[string]int{"large": 2, "small": 1}, f.open())
+}
--- a/rudderd/rudderplacement/fleet_test.go
+++ b/rudderd/rudderplacement/fleet_test.go
@@ -43,9 +43,11 @@
 	unsettled bool
 	// withinStartupGrace is Input.WithinStartupGrace.
 	withinStartupGrace bool
-	sent               []Order
-	revision           int64
-	loads              []time.Duration
+	// shares and refused are Input.Demand and Input.Refused.
+	shares, refused map[string]float64
+	sent            []Order
+	revision        int64
+	loads           []time.Duration
 	// loadTime is the duration of a load. loaded is when the loads under way end, by target.
 	loadTime time.Duration
 	loaded   map[string]time.Duration
@@ -85,7 +87,7 @@
 func (f *fleet) input() Input {
 	return Input{
 		Now: f.now, Service: f.service, Targets: f.targets, Removed: f.removed, Reports: f.reports, Plans: f.plans, StallTimeout: stall, Traffic: f.traffic,
-		Settled: !f.unsettled || f.traffic, WithinStartupGrace: f.withinStartupGrace, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
+		Settled: !f.unsettled || f.traffic, Demand: f.shares, Refused: f.refused, WithinStartupGrace: f.withinStartupGrace, State: f.state, Dead: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 		Silent: func(t *rudderview.Target) bool { return f.dead[t.Name] },
 		Lost:   func(t *rudderview.Target) bool { return f.dead[t.Name] && !f.unconfirmed[t.Name] },
 	}
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -44,6 +44,7 @@
 	}
 	in.divide(domains)
 	in.useReserves(domains, counts)
+	in.planMoves(domains, counts)
 	for {
 		best := in.best(domains, counts)
 		if best == nil {
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -51,6 +51,8 @@
 	Evacuated func(dataCentre string) bool
 	// Demand is the measured part of the work by model, 0 to 1.
 	Demand map[string]float64
+	// Refused is the part of each model's recent work that was refused, 0 to 1. Demand includes that work.
+	Refused map[string]float64
 	// StallTimeout is the time after which a leader that lost a member reports a broken group.
 	StallTimeout time.Duration
 	// Traffic is set once requests have been seen. The rate of loads is not limited before.
@@ -80,6 +82,8 @@
 	Notes      []string // what changed, for the log
 	// Replaced holds the silent leaders that the plan replaces. It is not stored if one of them answers.
 	Replaced []rudderroster.Member
+	// Donated holds "reserve" or "move" for each group that the plan ends for another model.
+	Donated []string
 }
 
 // domain is the state of one fabric domain during a step.
@@ -98,6 +102,7 @@
 	recentlyGrown    bool                 // a target has registered within arrivalTime
 	notes            []string
 	replaced         []rudderroster.Member // silent leaders
+	donated          []string              // as in PlanChange
 	changed          bool
 	evacuated        bool // its targets get no requests
 }
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -144,6 +144,7 @@
 	for _, d := range domains {
 		wanted = append(wanted, in.wantedStaging(d, counts)...)
 		if !d.evacuated {
+			reserves = append(reserves, in.moveStaging(d)...)
 			reserves = append(reserves, in.reserveStaging(d)...)
 		}
 	}
--- a/rudderd/rudderplacement/state.go
+++ b/rudderd/rudderplacement/state.go
@@ -42,6 +42,11 @@
 	staging map[string]stagingLoad
 	// sizes holds the number of usable targets by domain.
 	sizes map[string]domainSize
+	// shortages holds, by model, since when it has refused work while another one had room; moved is the uptime of its last move.
+	shortages map[string]time.Duration
+	moved     map[string]time.Duration
+	// preparing holds, by target, the members that should load another model's weights for the next move.
+	preparing map[string]stagingLoad
 	// loads limits the rate of loads from the weight store.
 	loads loadBucket
 }
@@ -85,7 +90,7 @@
 func NewState() *State {
 	return &State{orders: map[string]*sentOrder{}, retirements: map[string]*retirement{}, complete: map[string]bool{}, staging: map[string]stagingLoad{},
 		sizes: map[string]domainSize{}, leaderMissing: map[string]time.Duration{}, leaving: map[string]time.Duration{},
-		leaders: map[string]plannedLeader{}, orphans: map[string]orphan{}}
+		shortages: map[string]time.Duration{}, moved: map[string]time.Duration{}, preparing: map[string]stagingLoad{}, leaders: map[string]plannedLeader{}, orphans: map[string]orphan{}}
 }
 
 func orderKey(target string, o ruddertarget.GroupOrder) string {
--- a/rudderd/rudderplacement/step.go
+++ b/rudderd/rudderplacement/step.go
@@ -37,7 +37,7 @@
 	for _, d := range domains {
 		if d.changed {
 			plan := rudderroster.Plan{Service: in.Service.Name, Domain: d.name, Groups: d.groups, Serial: d.stored.Plan.Serial + 1}
-			changes = append(changes, PlanChange{StoredPlan: StoredPlan{Plan: plan, Revision: d.stored.Revision}, Notes: d.notes, Replaced: d.replaced})
+			changes = append(changes, PlanChange{StoredPlan: StoredPlan{Plan: plan, Revision: d.stored.Revision}, Notes: d.notes, Replaced: d.replaced, Donated: d.donated})
 		}
 	}
 	return changes
@@ -49,33 +49,42 @@
 	kept := d.groups[:0:0]
 	for _, g := range d.groups {
 		r := in.retirement(d, g)
-		switch {
-		case r != nil && !r.unconfirmed && in.released(g, r):
+		if r != nil && !r.unconfirmed && in.released(g, r) {
 			if model, donated := receiver(r.reason); donated {
 				d.receiver = model
 			}
 			d.note(fmt.Sprintf("group %s released after %s: %s", groupKey(g), (in.Now - r.since).Round(time.Millisecond), r.reason))
 			continue
-		case g.Unconfirmed && (r == nil || r.graceful > 0):
-			g.Retiring, g.Unconfirmed, g.Reason = false, false, ""
-			d.note(fmt.Sprintf("group %s continues: its members answer", groupKey(g)))
-		case r == nil:
-		case !g.Retiring && r.graceful == 0 && (!r.unconfirmed && in.Now-r.since > publishRetirementAfter || in.leaderDead(g)):
-			g.Retiring, g.Reason, g.Unconfirmed = true, r.reason, r.unconfirmed
-			ends := "retires"
-			if r.unconfirmed {
-				ends = "gets no new requests"
-			}
-			d.note(fmt.Sprintf("group %s %s: %s", groupKey(g), ends, r.reason))
-		case g.Unconfirmed && !r.unconfirmed:
-			g.Unconfirmed, g.Reason = false, r.reason
-			d.note(fmt.Sprintf("group %s retires: %s", groupKey(g), r.reason))
 		}
+		in.publish(d, &g, r)
 		kept = append(kept, g)
 	}
 	d.groups = kept
 }
 
+// publish updates what the stored plan says about the end of a group; r is nil for a group that continues.
+func (in *Input) publish(d *domain, g *rudderroster.Group, r *retirement) {
+	switch {
+	case g.Unconfirmed && (r == nil || r.graceful > 0):
+		g.Retiring, g.Unconfirmed, g.Reason = false, false, ""
+		d.note(fmt.Sprintf("group %s continues: its members answer", groupKey(*g)))
+	case r == nil:
+	case !g.Retiring && isDonated(r):
+		g.Retiring, g.Reason = true, r.reason // the plan that first said so was not stored
+		d.note(fmt.Sprintf("group %s retires: %s", groupKey(*g), r.reason))
+	case !g.Retiring && r.graceful == 0 && (!r.unconfirmed && in.Now-r.since > publishRetirementAfter || in.leaderDead(*g)):
+		g.Retiring, g.Reason, g.Unconfirmed = true, r.reason, r.unconfirmed
+		ends := "retires"
+		if r.unconfirmed {
+			ends = "gets no new requests"
+		}
+		d.note(fmt.Sprintf("group %s %s: %s", groupKey(*g), ends, r.reason))
+	case g.Unconfirmed && !r.unconfirmed:
+		g.Unconfirmed, g.Reason = false, r.reason
+		d.note(fmt.Sprintf("group %s retires: %s", groupKey(*g), r.reason))
+	}
+}
+
 // retirement returns how a group ends, or nil for a group that continues.
 func (in *Input) retirement(d *domain, g rudderroster.Group) *retirement {
 	key := groupKey(g)
@@ -115,6 +124,9 @@
 		r.reason, r.graceful = leaving, in.leavingSince(g)+leavingGrace
 	case g.Retiring && !g.Unconfirmed:
 		r.reason = g.Reason
+		if left := finishTime(g.Reason) - in.retiringFor(g); left > 0 {
+			r.graceful = in.Now + left
+		}
 	case g.Unconfirmed && in.silentMember(g).Target != "":
 		r.reason, r.silent, r.unconfirmed = g.Reason, in.silentMember(g), true
 	default:
