--- a/rudderd/rudderbalance/ledger.go
+++ b/rudderd/rudderbalance/ledger.go
@@ -67,7 +67,8 @@
 	groups  map[string]*account
 	sends   map[string]*send
 	work    float64       // seconds of work, decaying exponentially
-	workAt  time.Duration // uptime to which work has decayed
+	workAt  time.Duration // uptime to which work and refused have decayed
+	refused float64       // the part of work that was refused
 	begin   time.Duration // uptime of the first request; 0 before it
 	sweptAt time.Duration // uptime of the last search for expired sends
 	// refusingSince and refusingUntil span the current series of refusals, with no gap longer than
@@ -100,7 +101,8 @@
 }
 
 func (l *Ledger) decayWork(now time.Duration) {
-	l.work *= math.Exp(-(now - l.workAt).Seconds() / workDecay.Seconds())
+	left := math.Exp(-(now - l.workAt).Seconds() / workDecay.Seconds())
+	l.work, l.refused = l.work*left, l.refused*left
 	l.workAt = now
 }
 
@@ -146,10 +148,10 @@
 	case best == nil && !full:
 		return "", 0, false
 	case best == nil:
-		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now, r.Cost)), speed, groups, r), true
 	case late:
 		// A longer queue would delay every answer without serving more requests.
-		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now)), speed, groups, r), true
+		return "", l.retryAfter(now, max(bestWait, l.recordRefusal(now, r.Cost)), speed, groups, r), true
 	}
 	prompt := r.PromptTokens
 	if prompt <= 0 {
@@ -238,9 +240,18 @@
 	return l.refusingUntil > 0 && now <= l.refusingUntil
 }
 
-// recordRefusal records a refusal and returns for how long requests have been refused. Overload is expected
+// RefusedShare returns the part of the recent work that was refused, or 0 while Work is not known.
+func (l *Ledger) RefusedShare(now time.Duration) float64 {
+	if l.Work(now) == 0 || l.work <= 0 {
+		return 0
+	}
+	return min(l.refused/l.work, 1)
+}
+
+// recordRefusal records a refusal of work and returns for how long requests have been refused. Overload is expected
 // to last as long as it has lasted; callers that return sooner would be refused again.
-func (l *Ledger) recordRefusal(now time.Duration) time.Duration {
+func (l *Ledger) recordRefusal(now, cost time.Duration) time.Duration {
+	l.refused += cost.Seconds()
 	if l.refusingSince == 0 || now > l.refusingUntil {
 		l.refusingSince = now
 	}
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -27,12 +27,19 @@
 		}
 		for _, g := range d.groups {
 			if r := in.retirement(d, g); r != nil {
+				if in.awaitsReserve(d, g, r) {
+					continue
+				}
 				orders = append(orders, in.release(g, r)...)
 			} else {
 				orders = append(orders, in.assemble(g)...)
 			}
 		}
 	}
+	for _, d := range domains {
+		d.room = in.room(d)
+	}
+	in.divide(domains)
 	orders = append(orders, in.stage(domains)...)
 	due := orders[:0]
 	for _, o := range orders {
@@ -133,17 +140,31 @@
 	var orders []Order
 	domains = slices.Clone(domains)
 	slices.SortStableFunc(domains, func(a, b *domain) int { return compareBool(a.evacuated, b.evacuated) })
+	var wanted, reserves []staging
 	for _, d := range domains {
-		for _, w := range in.wantedStaging(d, counts) {
-			if !w.begun {
-				if running >= limit || in.Traffic && !in.State.loads.take(in.Now, engine.LoadsPerSecond, 1) {
-					return orders
-				}
-				in.State.staging[w.target.Name] = stagingLoad{born: w.target.Born, model: w.model}
+		wanted = append(wanted, in.wantedStaging(d, counts)...)
+		if !d.evacuated {
+			reserves = append(reserves, in.moveStaging(d)...)
+			reserves = append(reserves, in.reserveStaging(d)...)
+		}
+	}
+	wanted = append(wanted, reserves...)
+	for _, w := range wanted {
+		if w.begun {
+			running++
+		}
+	}
+	for _, w := range wanted {
+		load := ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: w.model}
+		if !w.begun {
+			if running >= limit || in.Traffic && !in.State.loads.take(in.Now, engine.LoadsPerSecond, 1) {
+				continue
 			}
 			running++
-			orders = append(orders, in.order(w.target, ruddertarget.GroupOrder{Kind: ruddertarget.OrderStage, Model: w.model}, "weights for a spare target"))
+			in.State.staging[w.target.Name] = stagingLoad{born: w.target.Born, model: w.model}
+			delete(in.State.orders, orderKey(w.target.Name, load)) // the weights of an earlier load were replaced since
 		}
+		orders = append(orders, in.order(w.target, load, "weights for a spare target"))
 	}
 	return orders
 }
@@ -178,7 +199,11 @@
 	replacing, empty := in.replacements(d, counts, spares, empty, holders)
 	list = append(list, replacing...)
 	for _, t := range empty {
-		if model := in.mostNeededSpare(d, spares); model != "" {
+		model := in.lacking(d, spares)
+		if model == "" {
+			model = in.mostNeededSpare(d, spares)
+		}
+		if model != "" {
 			spares[model]++
 			list = append(list, staging{target: t, model: model})
 		}
@@ -223,9 +248,13 @@
 }
 
 // mostNeededSpare returns the model with the fewest spares in relation to its members in the domain, or to the
-// size of a group that the free targets could form.
+// size of a group that the free targets could form. The first spare goes to the model whose lost members cost most: each
+// stops a whole group.
 func (in *Input) mostNeededSpare(d *domain, spares map[string]int) string {
-	members := map[string]int{}
+	members, total := map[string]int{}, 0
+	for _, n := range spares {
+		total += n
+	}
 	for _, g := range d.groups {
 		members[g.Model] += len(g.Members)
 	}
@@ -235,6 +264,9 @@
 		if m.Size <= len(d.free) {
 			weight = max(weight, m.Size) // another group may be formed here
 		}
+		if total == 0 {
+			weight *= m.Size
+		}
 		need := float64(weight) / float64(1+spares[m.Name])
 		if need > most || need > 0 && need == most && spares[m.Name] < spares[best] {
 			best, most = m.Name, need
