--- a/shared/rudderconfig/diff.go
+++ b/shared/rudderconfig/diff.go
@@ -71,6 +71,7 @@
 		diffItems("workspaces", before.Workspaces, after.Workspaces, workspaceIdentity),
 		diffItems("operators", before.Operators, after.Operators, operatorIdentity),
 		diffItems("objectives", before.Objectives, after.Objectives, objectiveIdentity),
+		diffItems("evacuated_data_centres", before.EvacuatedDataCentres, after.EvacuatedDataCentres, dataCentreIdentity),
 	)
 }
 
--- a/shared/rudderconfig/document.go
+++ b/shared/rudderconfig/document.go
@@ -19,6 +19,9 @@
 	Workspaces []Workspace    `json:"workspaces,omitempty"`
 	Operators  []Operator     `json:"operators,omitempty"`
 	Objectives []Objective    `json:"objectives,omitempty"`
+
+	// EvacuatedDataCentres lists the data centres whose targets get no new work, by name.
+	EvacuatedDataCentres []string `json:"evacuated_data_centres,omitempty"`
 }
 
 // Keys of the key-value service that belong to the configuration.
--- a/shared/rudderconfig/merge.go
+++ b/shared/rudderconfig/merge.go
@@ -29,6 +29,8 @@
 	merged.Workspaces = mergeItems(base.Workspaces, partial.Workspaces, workspaceIdentity)
 	merged.Operators = mergeItems(base.Operators, partial.Operators, operatorIdentity)
 	merged.Objectives = mergeItems(base.Objectives, partial.Objectives, objectiveIdentity)
+	merged.EvacuatedDataCentres = mergeItems(base.EvacuatedDataCentres, partial.EvacuatedDataCentres, dataCentreIdentity)
+	slices.Sort(merged.EvacuatedDataCentres)
 	if partial.Summary != "" {
 		merged.Summary = partial.Summary
 	}
--- a/shared/rudderconfig/validate.go
+++ b/shared/rudderconfig/validate.go
@@ -98,6 +98,7 @@
 	v.workspaces()
 	v.operators()
 	v.objectives()
+	v.evacuations()
 	return v.findings
 }
 
--- a/shared/rudderconfig/validate_selectors.go
+++ b/shared/rudderconfig/validate_selectors.go
@@ -218,7 +218,7 @@
 
 // CheckAgainstHosts returns a warning for each selector that the given hosts cannot satisfy: no fabric domain has
 // enough matching hosts for a group, or the hosts can form fewer groups than wanted. Hosts that are leaving or
-// drained are not counted. The findings are never errors, because the host list can be out of date.
+// drained are not counted. It also warns of evacuated data centres without hosts, and if no other one has hosts. The findings are never errors, because the host list can be out of date.
 func CheckAgainstHosts(d Document, hosts []rudderhost.Host) Findings {
 	v := validation{document: &d}
 	for i, s := range d.Selectors {
@@ -247,5 +247,6 @@
 			v.warn(RuleNotEnoughHosts, at, "the hosts can form %d groups for selector %q, %d are wanted", groups, s.Name, s.WantedGroups)
 		}
 	}
+	v.evacuationsAgainstHosts(hosts)
 	return v.findings
 }
--- a/shared/rudderconfig/validate_test.go
+++ b/shared/rudderconfig/validate_test.go
@@ -78,6 +78,7 @@
 		{func(d *Document) { d.Workspaces[0].Preset = "fast" }, "error workspaces[0].preset value"},
 		{func(d *Document) { d.Workspaces[0].Limits.Concurrent = -1 }, "error workspaces[0].limits.concurrent range"},
 		{func(d *Document) { d.Services[0].Idempotent[0].Path = "[" }, "error services[0].idempotent[0].path pattern"},
+		{func(d *Document) { d.EvacuatedDataCentres = []string{"a", "b/c", "a"} }, "error evacuated_data_centres[1] name,error evacuated_data_centres[2] duplicate"},
 		{func(d *Document) { d.Operators[0].Role = "king" }, "error operators[0].role value"},
 		{func(d *Document) { d.Objectives[0].Availability = 99.9 }, "error objectives[0].availability range"},
 		{func(d *Document) { d.Models[0].SlotsPerGroup = 0; d.Models[0].Name = "a b" }, "error models[0].name name,error models[0].slots_per_group range,error selectors[0].model unknown_reference,error selectors[1].model unknown_reference"},
