--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -192,8 +192,13 @@
 		g.Members = append(g.Members, t)
 	}
 	g.Leader = g.Members[0]
-	if g.Leader.Leaving() || g.Leader.Membership.Phase != ruddertarget.GroupOpen || s.Evacuated(g.Leader.DataCentre) {
+	if !s.isOpen(g.Leader) {
 		return nil
 	}
 	return g
 }
+
+// isOpen reports whether the leader of a group takes new requests.
+func (s *Snapshot) isOpen(leader *Target) bool {
+	return !leader.Leaving() && leader.Membership.Phase == ruddertarget.GroupOpen && !s.Evacuated(leader.DataCentre)
+}
