--- a/rudderd/rudderallocator/allocate.go
+++ b/rudderd/rudderallocator/allocate.go
@@ -31,6 +31,7 @@
 	usable   map[string]int            // hosts by domain that match at least one active selector
 	stranded map[string]int            // usable hosts by domain that are in no group
 	missing  map[string]int            // wanted groups by selector that do not fit anywhere
+	closed   map[string]bool           // domains in evacuated data centres
 }
 
 // Groups returns the number of groups of a selector in a domain.
@@ -50,16 +51,18 @@
 // Selector returns the number of groups by domain of one selector.
 func (a Allocation) Selector(selector string) map[string]int { return maps.Clone(a.counts[selector]) }
 
-// Total returns the number of groups of a selector over all domains.
+// Total returns the number of groups of a selector over all domains outside evacuated data centres.
 func (a Allocation) Total(selector string) int {
 	n := 0
-	for _, c := range a.counts[selector] {
-		n += c
+	for domain, c := range a.counts[selector] {
+		if !a.closed[domain] {
+			n += c
+		}
 	}
 	return n
 }
 
-// Totals returns the number of groups by selector over all domains.
+// Totals returns the number of groups by selector over all domains outside evacuated data centres.
 func (a Allocation) Totals() map[string]int {
 	out := make(map[string]int, len(a.counts))
 	for s := range a.counts {
@@ -89,6 +92,8 @@
 	domains   []string
 	pools     []pool
 	counts    [][]int
+	// closed marks the domains in evacuated data centres. They keep their current groups, which do not count as wanted ones.
+	closed []bool
 	// cost caches, by domain, how many more hosts are wasted by one more group of each selector. An entry is
 	// nil when the domain's counts have changed since it was computed.
 	cost [][]int
@@ -101,6 +106,8 @@
 // where they are; the others follow, higher priorities first. Each goes to the domain where it wastes the fewest
 // hosts. Ties go to the domain with the fewest groups of the selector, then are broken by a hash, so that a
 // change in one domain moves few groups in the others. Selectors with 0 wanted groups get the remaining hosts.
+// Domains in evacuated data centres keep their current groups, which count for no selector, and get no others but
+// those of selectors with 0 wanted groups.
 //
 // The result is never worse than that of FirstFit.
 func Allocate(in AllocationInput) Allocation {
@@ -131,25 +138,29 @@
 	placed := make([]int, len(p.selectors))
 	for s, selector := range p.selectors {
 		for d, domain := range p.domains {
-			for range current[selector.Name][domain] {
-				if placed[s] >= selector.WantedGroups {
-					break
-				}
-				p.counts[d][s]++
-				if !p.valid(d) {
-					p.counts[d][s]--
-					break
-				}
-				placed[s]++
+			if !p.closed[d] {
+				placed[s] += p.keep(d, s, min(current[selector.Name][domain], selector.WantedGroups-placed[s]))
 			}
 		}
 	}
 	return placed
 }
 
+// keep places up to the given number of groups of selector s in domain d, and returns how many fit.
+func (p *packing) keep(d, s, groups int) int {
+	for n := range groups {
+		p.counts[d][s]++
+		if !p.valid(d) {
+			p.counts[d][s]--
+			return n
+		}
+	}
+	return max(0, groups)
+}
+
 func newPacking(in AllocationInput) *packing {
 	p := &packing{selectors: activeSelectors(in.Config, in.Now)}
-	byDomain := map[string]map[string]*hostClass{}
+	byDomain, closed := map[string]map[string]*hostClass{}, map[string]bool{}
 	hosts := newHostIndex(in.Config, in.Hosts)
 	for _, h := range in.Hosts {
 		if in.Down[h.Name] || hosts.drainReason(h.Name) != "" {
@@ -171,9 +182,10 @@
 			byDomain[h.FabricDomain][string(key)] = &hostClass{suits: suits}
 		}
 		byDomain[h.FabricDomain][string(key)].count++
+		closed[h.FabricDomain] = in.Config.Evacuated(h.DataCentre)
 	}
 	p.domains = slices.Sorted(maps.Keys(byDomain))
-	for _, d := range p.domains {
+	for i, d := range p.domains {
 		var classes pool
 		for _, key := range slices.Sorted(maps.Keys(byDomain[d])) {
 			classes = append(classes, *byDomain[d][key])
@@ -181,6 +193,12 @@
 		slices.SortStableFunc(classes, func(a, b hostClass) int { return cmp.Compare(a.flexibility(), b.flexibility()) })
 		p.pools = append(p.pools, classes)
 		p.counts = append(p.counts, make([]int, len(p.selectors)))
+		p.closed = append(p.closed, closed[d])
+		for s, selector := range p.selectors {
+			if p.closed[i] && !p.unlimited(s) {
+				p.keep(i, s, in.Current[selector.Name][d])
+			}
+		}
 	}
 	p.cost = make([][]int, len(p.domains))
 	return p
@@ -194,6 +212,9 @@
 	}
 	var options []placement
 	for d := range p.domains {
+		if p.closed[d] {
+			continue
+		}
 		if p.cost[d] == nil {
 			p.cost[d] = p.costs(d)
 		}
@@ -266,11 +287,11 @@
 func (p *packing) move(accept func(from, to, moved int) bool) bool {
 	for from := range p.domains {
 		for s := range p.selectors {
-			if p.counts[from][s] == 0 {
+			if p.counts[from][s] == 0 || p.closed[from] {
 				continue
 			}
 			for to := range p.domains {
-				if to == from {
+				if to == from || p.closed[to] {
 					continue
 				}
 				p.counts[from][s]--
@@ -302,7 +323,7 @@
 }
 
 func (p *packing) result() Allocation {
-	a := Allocation{counts: map[string]map[string]int{}, usable: map[string]int{}, stranded: map[string]int{}, missing: map[string]int{}}
+	a := Allocation{counts: map[string]map[string]int{}, usable: map[string]int{}, stranded: map[string]int{}, missing: map[string]int{}, closed: map[string]bool{}}
 	for _, s := range p.selectors {
 		a.counts[s.Name] = map[string]int{}
 		a.missing[s.Name] = s.WantedGroups
@@ -310,12 +331,15 @@
 	for d, domain := range p.domains {
 		left, _ := p.pools[d].place(p.selectors, p.counts[d])
 		added, left := left.fill(p.selectors, p.unlimited)
+		a.closed[domain] = p.closed[d]
 		a.usable[domain], a.stranded[domain] = p.pools[d].size(), left.size()
 		for i, s := range p.selectors {
 			if n := p.counts[d][i] + added[i]; n > 0 {
 				a.counts[s.Name][domain] = n
 			}
-			a.missing[s.Name] -= p.counts[d][i]
+			if !p.closed[d] {
+				a.missing[s.Name] -= p.counts[d][i]
+			}
 		}
 	}
 	return a
--- a/rudderd/rudderallocator/allocate_test.go
+++ b/rudderd/rudderallocator/allocate_test.go
@@ -115,3 +115,32 @@
 		Step(d.in)
 	}
 }
+
+// Guards against groups of an evacuated data centre that are drained, moved or counted as capacity, against new groups there, and
+// against a plan that does not return to the wanted groups afterwards.
+func TestEvacuatedDataCentreKeepsItsGroups(t *testing.T) {
+	hosts := fleetHosts(24, 24, 24)
+	for i := range hosts {
+		hosts[i].DataCentre = "dc-" + hosts[i].FabricDomain
+	}
+	both := map[string]map[string]int{"a": {"d0": 3, "d1": 2, "d2": 3}}
+	tests := []struct {
+		name      string
+		evacuated []string
+		current   map[string]map[string]int
+		want      map[string]int
+		total     int // outside evacuated data centres
+	}{
+		{"replaced elsewhere", []string{"dc-d1"}, map[string]map[string]int{"a": {"d0": 2, "d1": 2, "d2": 2}}, map[string]int{"d0": 3, "d1": 2, "d2": 3}, 6},
+		{"two at once", []string{"dc-d1", "dc-d2"}, both, map[string]int{"d0": 3, "d1": 2, "d2": 3}, 3},
+		{"the last one", []string{"dc-d0", "dc-d1", "dc-d2"}, both, map[string]int{"d0": 3, "d1": 2, "d2": 3}, 0},
+		{"none was there", []string{"dc-d1"}, nil, map[string]int{"d0": 3, "d2": 3}, 6},
+		{"restored", nil, both, map[string]int{"d0": 3, "d1": 2, "d2": 1}, 6},
+	}
+	for _, tt := range tests {
+		config := &rudderconfig.Document{Selectors: []rudderconfig.Selector{model("a", 8, 6, 0)}, EvacuatedDataCentres: tt.evacuated}
+		a := Allocate(AllocationInput{Now: start, Config: config, Hosts: hosts, Current: tt.current})
+		require.Equal(t, tt.want, a.Selector("a"), tt.name)
+		require.Equal(t, []int{tt.total, 6 - tt.total}, []int{a.Total("a"), a.Missing("a")}, tt.name)
+	}
+}
--- a/rudderd/rudderallocator/compare.go
+++ b/rudderd/rudderallocator/compare.go
@@ -20,15 +20,19 @@
 	}
 }
 
-func (p *packing) addFirst(s int) bool {
+// open returns the domains outside evacuated data centres.
+func (p *packing) open() []int {
+	var open []int
 	for d := range p.domains {
-		p.counts[d][s]++
-		if p.valid(d) {
-			return true
+		if !p.closed[d] {
+			open = append(open, d)
 		}
-		p.counts[d][s]--
 	}
-	return false
+	return open
+}
+
+func (p *packing) addFirst(s int) bool {
+	return slices.ContainsFunc(p.open(), func(d int) bool { return p.keep(d, s, 1) == 1 })
 }
 
 // score makes packings comparable; a lower score is better. It lists the unplaced groups of each selector in
@@ -37,7 +41,7 @@
 	score := make([]int, 0, len(p.selectors)+1)
 	for s, selector := range p.selectors {
 		missing := selector.WantedGroups
-		for d := range p.domains {
+		for _, d := range p.open() {
 			missing -= p.counts[d][s]
 		}
 		score = append(score, missing)
@@ -73,6 +77,9 @@
 			}
 			return search(s+1, 0, next)
 		}
+		if p.closed[d] {
+			return search(s, d+1, left)
+		}
 		for n := 0; n <= left; n++ {
 			p.counts[d][s] = n
 			if !p.valid(d) {
--- a/rudderd/rudderallocator/explain.go
+++ b/rudderd/rudderallocator/explain.go
@@ -153,6 +153,9 @@
 	if why := hosts.drainReason(host); why != "" {
 		add(CodeLeaving, "", "%s", why)
 	}
+	if s.Config.Evacuated(h.DataCentre) {
+		add(CodeEvacuated, "", "operators have evacuated its data centre, %s", h.DataCentre)
+	}
 	switch o := s.Observed[host]; {
 	case o.Dead(s.Timing):
 		add(CodeMemberDead, "", "host missed %d polls", o.Missed)
--- a/rudderd/rudderallocator/reason.go
+++ b/rudderd/rudderallocator/reason.go
@@ -33,6 +33,7 @@
 	CodeNoRoom      Code = "no_room"
 	CodeEnough      Code = "enough_groups"
 	CodeRemainder   Code = "remainder"
+	CodeEvacuated   Code = "evacuated"
 )
 
 // Reason explains a plan change, an order or the state of a host. Text is written for operators.
