--- a/rudderd/rudderadminhttp/api.go
+++ b/rudderd/rudderadminhttp/api.go
@@ -38,11 +38,13 @@
 	History func(ctx context.Context) ([]rudderadmin.HistoryEntry, error)
 	Version func(ctx context.Context, version int64) (*rudderconfig.Document, error)
 
-	Status  func(ctx context.Context) (rudderadmin.Status, error)
-	Hosts   func(ctx context.Context) ([]rudderadmin.Host, error)
-	Groups  func() []rudderadmin.Group
-	Explain func(ctx context.Context, selector string) (rudderadmin.Explanation, bool, error)
-	WhyNot  func(ctx context.Context, host string) ([]rudderadmin.Reason, error)
+	Status func(ctx context.Context) (rudderadmin.Status, error)
+	Hosts  func(ctx context.Context) ([]rudderadmin.Host, error)
+	Groups func() []rudderadmin.Group
+	// DataCentres lists the data centres of the hosts, and those that are evacuated.
+	DataCentres func(ctx context.Context) ([]rudderadmin.DataCentre, error)
+	Explain     func(ctx context.Context, selector string) (rudderadmin.Explanation, bool, error)
+	WhyNot      func(ctx context.Context, host string) ([]rudderadmin.Reason, error)
 
 	// ForgetEntryHost removes an entry host that is no longer running from the registry.
 	ForgetEntryHost func(ctx context.Context, entry string) error
@@ -77,6 +79,9 @@
 		{http.MethodDelete, "/hosts/:name/drain", a.undrainHost, true},
 		{http.MethodPut, "/hosts/:name/fencing", a.declareFencing, true},
 		{http.MethodDelete, "/hosts/:name/fencing", a.withdrawFencing, true},
+		{http.MethodGet, "/data-centres", a.dataCentres, false},
+		{http.MethodPut, "/data-centres/:name/evacuation", a.evacuate, true},
+		{http.MethodDelete, "/data-centres/:name/evacuation", a.restore, true},
 		{http.MethodDelete, "/entries/:name", a.forgetEntry, true},
 		{http.MethodGet, "/selectors", a.selectors, false},
 		{http.MethodGet, "/selectors/:name", a.selector, false},
--- a/rudderd/rudderadminhttp/api_test.go
+++ b/rudderd/rudderadminhttp/api_test.go
@@ -93,7 +93,9 @@
 			}
 			return nil, errors.Wrap(rudderstore.ErrNotFound, "history")
 		},
-		Hosts: func(context.Context) ([]rudderadmin.Host, error) { return []rudderadmin.Host{{Name: "h1"}}, nil },
+		Hosts: func(context.Context) ([]rudderadmin.Host, error) {
+			return []rudderadmin.Host{{Name: "h1", DataCentre: "kigali-1"}}, nil
+		},
 		Explain: func(context.Context, string) (rudderadmin.Explanation, bool, error) {
 			return rudderadmin.Explanation{}, false, nil
 		},
@@ -147,6 +149,9 @@
 		{"editor changes another firm", "DELETE", "/selectors/cues", "token-editor", "", "", 403, "forbidden"},
 		{"editor makes an operator", "PUT", "/config", "token-editor", "", `{"operators":[{"name":"eve","role":"admin"}]}`, 403, "forbidden"},
 		{"editor declares fencing", "PUT", "/hosts/h1/fencing", "token-editor", "", "", 403, "forbidden"},
+		{"editor evacuates", "PUT", "/data-centres/kigali-1/evacuation", "token-editor", "", "", 403, "forbidden"},
+		{"evacuation of an unknown data centre", "PUT", "/data-centres/kigali-9/evacuation", "token-admin", "", "", 404, "not_found"},
+		{"restore of one that is not evacuated", "DELETE", "/data-centres/kigali-1/evacuation", "token-admin", "", "", 200, ""},
 		{"unknown host", "PATCH", "/hosts/h2/labels", "token-admin", "", label, 404, "not_found"},
 		{"unknown selector", "DELETE", "/selectors/none", "token-admin", "", "", 404, "not_found"},
 		{"unknown version", "GET", "/config/history/3", "token-admin", "", "", 404, "not_found"},
@@ -248,14 +253,18 @@
 	require.Equal(t, 401, status)
 }
 
-// Guards against a rollback that restores removed keys and tokens, or that reuses the earlier version number.
+// Guards against a rollback that restores removed keys and tokens, ends an evacuation, or reuses the earlier version number.
 func TestRollbackKeepsCredentials(t *testing.T) {
 	s, f := testServer(t)
+	status, _ := call(t, s, "PUT", "/data-centres/kigali-1/evacuation", "token-admin", "7", "")
+	require.Equal(t, 200, status)
+	require.Equal(t, "evacuate data centre kigali-1", f.current().Summary)
 	operators := f.current().Operators
 	status, body := call(t, s, "POST", "/config/rollback?version=5", "token-admin", "", "")
 	require.Equal(t, 200, status, body)
 	current := f.current()
-	require.Equal(t, int64(8), current.Version)
+	require.Equal(t, int64(9), current.Version)
+	require.Equal(t, []string{"kigali-1"}, current.EvacuatedDataCentres)
 	require.Equal(t, "go back to version 5", current.Summary)
 	require.Equal(t, "h5", current.Hosts[0].Name)
 	require.Equal(t, operators, current.Operators)
--- a/rudderd/rudderadminhttp/config.go
+++ b/rudderd/rudderadminhttp/config.go
@@ -105,7 +105,8 @@
 }
 
 // rollbackConfig writes an earlier version as the next one. Operators and keys keep their current state, so that
-// a token or key that has been removed since that version does not become valid again.
+// a token or key that has been removed since that version does not become valid again. Evacuations keep theirs, so that
+// going back from a faulty change neither ends nor begins one.
 func (a *API) rollbackConfig(c echo.Context) error {
 	earlier, err := a.readVersion(c, c.QueryParam("version"))
 	if err != nil {
@@ -116,7 +117,7 @@
 		current := *document
 		*document = *earlier
 		document.Version, document.ChangedBy, document.ChangedAt = current.Version, current.ChangedBy, current.ChangedAt
-		document.Operators = current.Operators
+		document.Operators, document.EvacuatedDataCentres = current.Operators, current.EvacuatedDataCentres
 		for i := range document.Workspaces {
 			w := &document.Workspaces[i]
 			w.KeyHashes = []string{}
--- a/rudderd/rudderadminhttp/operator.go
+++ b/rudderd/rudderadminhttp/operator.go
@@ -84,6 +84,9 @@
 	if !equalJSON(before.Models, after.Models) || !equalJSON(before.Operators, after.Operators) {
 		return forbidden("only an admin may change models and operators")
 	}
+	if !slices.Equal(before.EvacuatedDataCentres, after.EvacuatedDataCentres) {
+		return forbidden("only an admin may evacuate and restore data centres")
+	}
 	if !equalJSON(fencingHosts(before), fencingHosts(after)) {
 		return forbidden("only an admin may change which hosts check fencing numbers")
 	}
--- a/rudderd/rudderapp/admin.go
+++ b/rudderd/rudderapp/admin.go
@@ -27,7 +27,7 @@
 		Current: a.config.Current, Change: a.config.Change, AwaitInForce: a.config.Await, Validate: a.checkDocument,
 		Parse: parseDocument, Merge: mergeDocuments, Diff: diffLines,
 		History: a.configHistory, Version: a.configVersion,
-		Status: a.statusReport, Hosts: a.hostReports, Groups: a.groupReports, Explain: a.explainSelector, WhyNot: a.whyNot,
+		Status: a.statusReport, Hosts: a.hostReports, DataCentres: a.dataCentreReports, Groups: a.groupReports, Explain: a.explainSelector, WhyNot: a.whyNot,
 		ForgetEntryHost: a.registrar.Forget, BurnReport: a.burnReport, BootstrapTokenHash: a.Settings.BootstrapTokenHash,
 	}
 	api.Register(server)
--- a/rudderd/rudderapp/admission.go
+++ b/rudderd/rudderapp/admission.go
@@ -44,20 +44,15 @@
 	}
 }
 
-// expected reports whether a selector in the configuration currently serves such work.
+// expected reports whether a selector in the configuration currently serves such work, and not only by groups in evacuated data
+// centres.
 func (a *App) expected(w rudderrouter.Requirements) bool {
 	document := a.config.Current()
-	if document == nil {
+	if document == nil || a.onlyEvacuated(w) {
 		return false
 	}
 	now := a.Clock.Now()
-	return slices.ContainsFunc(document.Selectors, func(s rudderconfig.Selector) bool {
-		group := rudderrouter.Group{
-			Firm: s.Firm, Model: s.Model, ModelVersion: s.ModelVersion, Service: s.Service,
-			Workspaces: s.Workspaces, Classes: s.Classes,
-		}
-		return group.Serves(w) && s.ActiveAt(now)
-	})
+	return slices.ContainsFunc(document.Selectors, func(s rudderconfig.Selector) bool { return selectorServes(s, w) && s.ActiveAt(now) })
 }
 
 // workspace returns the configuration of a workspace, or the zero value.
@@ -85,7 +80,7 @@
 	if !q.Colocate {
 		avoid = append(avoid, a.suspectGroups(q.Fingerprint)...)
 	}
-	slot, err := a.acquire(wait, rudderowner.Work{
+	slot, err := a.acquireOutside(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the release of the previous attempt's slot may still be under way.
 		RequestID: q.ID + "#" + strconv.Itoa(q.Attempt), Repeat: q.Attempt > 1, Workspace: q.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: q.Firm, Model: q.Model, Workspace: q.Workspace, Class: q.Class},
@@ -142,7 +137,7 @@
 	limit := a.callLimit(call, deadline)
 	wait, cancel := a.stopping.whileStartable(ctx, a.Clock, limit)
 	defer cancel()
-	slot, err := a.acquire(wait, rudderowner.Work{
+	slot, err := a.acquireOutside(wait, rudderowner.Work{
 		// Each attempt has its own slot ID, because the slot of the previous attempt may still be held.
 		RequestID: call.RequestID + "#" + strconv.Itoa(len(exclude)), Repeat: len(exclude) > 0, Workspace: call.Workspace, Weight: workspace.Weight, Preset: workspace.Preset,
 		Wanted: rudderrouter.Requirements{Firm: workspace.Firm, Service: call.Service, Workspace: call.Workspace, Class: rudderconfig.ClassShort},
@@ -152,6 +147,9 @@
 	if a.stoppedWaiting(wait, slot, limit) {
 		return "", nil, errors.Mark(errors.New(messageStopping), rudderservice.ErrNotReady)
 	}
+	if errors.Is(err, errEvacuated) {
+		return "", nil, errors.Mark(err, rudderservice.ErrEvacuated)
+	}
 	if err != nil {
 		return "", nil, err
 	}
@@ -167,6 +165,9 @@
 	if errors.Is(err, rudderowner.ErrNoGroup) {
 		refusal.Code = rudderstream.CodeNoGroup
 	}
+	if errors.Is(err, errEvacuated) {
+		refusal.Code = rudderstream.CodeEvacuated
+	}
 	if refusal.RetryAfter <= 0 {
 		refusal.RetryAfter = time.Second
 	}
--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -73,10 +73,11 @@
 	metrics   appMetrics
 	verifier  *rudderpeer.Verifier
 
-	history   workHistory
-	suspects  suspects
-	lastHosts hostCache
-	relists   chan struct{} // requests a read of all plans
+	history     workHistory
+	suspects    suspects
+	lastHosts   hostCache
+	evacuations evacuations
+	relists     chan struct{} // requests a read of all plans
 	// plansListed is set once the key-value service has listed all plans.
 	plansListed atomic.Bool
 	stopping    stopState
--- a/rudderd/rudderapp/burn.go
+++ b/rudderd/rudderapp/burn.go
@@ -69,6 +69,7 @@
 	return a.every(ctx, downtimeInterval, func(context.Context) {
 		if document := a.config.Current(); document != nil {
 			a.fleet.SampleDowntime(a.Clock.Now(), wantedNow(document, a.Clock.Now()))
+			a.logSelectorsWithoutGroups(document, a.Clock.Now())
 		}
 	})
 }
--- a/rudderd/rudderapp/fleet.go
+++ b/rudderd/rudderapp/fleet.go
@@ -24,7 +24,7 @@
 
 // wireFleet creates the planner, the fleet view and the relay of confirmations.
 func (a *App) wireFleet() {
-	a.fleet = &rudderfleet.Fleet{ConfirmTTL: a.Settings.ConfirmTTL}
+	a.fleet = &rudderfleet.Fleet{ConfirmTTL: a.Settings.ConfirmTTL, Evacuated: a.evacuated}
 	times := plannerTimes(a.Settings)
 	timing := rudderallocator.DefaultTiming()
 	timing.MaxStatusAge, timing.WeightBytesPerSecond = a.Settings.ConfirmTTL, float64(a.Settings.WeightRate)
@@ -180,7 +180,8 @@
 				continue
 			}
 			load, serves := confirmed[g.ID]
-			unconfirmed := !serves && g.State == ruddergroup.StateServing && a.fleet.Unconfirmed(now, plan.Domain, g)
+			evacuated := document.Evacuated(plan.DataCentre)
+			unconfirmed := !serves && !evacuated && g.State == ruddergroup.StateServing && a.fleet.Unconfirmed(now, plan.Domain, g)
 			selector, exists := selectors[g.Selector]
 			groups = append(groups, rudderrouter.Group{
 				ID: g.ID, Selector: g.Selector, Firm: g.Firm, Model: g.Model, ModelVersion: g.ModelVersion, Service: g.Service,
@@ -189,8 +190,8 @@
 				// A group whose members contradict the plan stays in its shard but gets no new work. If its
 				// confirmations are not known here, the shard's owner may still grant it. A group that the
 				// configuration drains gets no new work even while this entry host cannot read the plan that
-				// drains it.
-				Draining:    !serves && !unconfirmed || !exists || drainedByConfig(document, g),
+				// drains it. A group in an evacuated data centre finishes what it runs, like a draining one.
+				Draining:    !serves && !unconfirmed || evacuated || !exists || drainedByConfig(document, g),
 				Unconfirmed: unconfirmed,
 				Load:        load.Running + load.Waiting, LoadAtUnixMS: unixMS(load.At),
 			})
--- a/rudderd/rudderapp/members.go
+++ b/rudderd/rudderapp/members.go
@@ -40,7 +40,10 @@
 		OnError:       a.warn("configuration"),
 		Validate:      validateDocument,
 	}
-	a.config.OnChange = func(*rudderconfig.Document) { a.owner.InvalidateView() }
+	a.config.OnChange = func(document *rudderconfig.Document) {
+		a.owner.InvalidateView()
+		a.logEvacuations(document)
+	}
 	a.node.OnChange = func([]ruddermember.Member) { a.owner.InvalidateView() }
 	a.config.Connect()
 }
--- a/rudderd/rudderapp/metrics.go
+++ b/rudderd/rudderapp/metrics.go
@@ -59,6 +59,12 @@
 	a.metrics.gauge("requests.in_flight", func() int64 { return int64(a.answers.Running()) })
 	a.metrics.gauge("members.live", func() int64 { return int64(len(a.node.Live())) })
 	a.metrics.gauge("config.version", func() int64 { return a.config.Version().Number })
+	a.metrics.gauge("data_centres.evacuated", func() int64 {
+		if document := a.config.Current(); document != nil {
+			return int64(len(document.EvacuatedDataCentres))
+		}
+		return 0
+	})
 	a.metrics.gauge("config.permit", func() int64 {
 		if a.config.Permit(a.Clock.Now()) != nil {
 			return 0
--- a/rudderd/rudderapp/outofservice.go
+++ b/rudderd/rudderapp/outofservice.go
@@ -66,6 +66,7 @@
 	{rudderfleet.ReasonLeaving, "a member is leaving"},
 	{rudderfleet.ReasonOtherRole, "a member reports another group or rank"},
 	{rudderfleet.ReasonNotReady, "a member is not ready"},
+	{rudderfleet.ReasonEvacuated, "operators have evacuated its data centre"},
 }
 
 func whyText(g rudderfleet.GroupReport) string {
--- a/rudderd/rudderfleet/fleet.go
+++ b/rudderd/rudderfleet/fleet.go
@@ -30,6 +30,8 @@
 type Fleet struct {
 	// ConfirmTTL is DefaultConfirmTTL if zero.
 	ConfirmTTL time.Duration
+	// Evacuated reports whether the groups of a data centre get no new work; nil means that none is evacuated.
+	Evacuated func(dataCentre string) bool
 
 	mu            sync.RWMutex
 	plans         map[string]ruddergroup.Plan
@@ -156,14 +158,14 @@
 	ConfirmedFor time.Duration
 }
 
-// Serving returns the groups that may take new work now, sorted by identifier: those whose plan state is
-// serving and whose members have all reported the group, their rank and readiness within ConfirmTTL.
+// Serving returns the groups that may take new work now, sorted by identifier: those outside evacuated data centres whose
+// plan state is serving and whose members have all reported the group, their rank and readiness within ConfirmTTL.
 func (f *Fleet) Serving(now time.Time, filter Filter) []Group {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var out []Group
 	for _, g := range f.candidates(filter) {
-		if !filter.matches(g) {
+		if !filter.matches(g) || f.isEvacuated(g.DataCentre) {
 			continue
 		}
 		if valid, reason := f.confirmed(now, g.Group); reason == "" {
@@ -174,6 +176,10 @@
 	return out
 }
 
+func (f *Fleet) isEvacuated(dataCentre string) bool {
+	return f.Evacuated != nil && f.Evacuated(dataCentre)
+}
+
 func (f *Fleet) candidates(filter Filter) []Group {
 	switch {
 	case filter.Model != "":
--- a/rudderd/rudderfleet/fleet_test.go
+++ b/rudderd/rudderfleet/fleet_test.go
@@ -136,3 +136,18 @@
 	require.False(t, f.Unconfirmed(later, "d1", p.Groups[0]), "a member reports another rank")
 	require.Equal(t, map[string]int{"ledger": 1}, f.ServingCounts(later))
 }
+
+// Guards against new work for groups of an evacuated data centre, and against reports that count them as serving or their hosts as
+// stranded.
+func TestEvacuatedDataCentreDoesNotServe(t *testing.T) {
+	f := fixture()
+	plan, _ := f.Plan("d1")
+	plan.Seq, plan.DataCentre = 5, "b"
+	require.True(t, f.ObservePlan(plan))
+	for evacuated, reason := range map[string]Reason{"a": "", "b": ReasonEvacuated} {
+		f.Evacuated = func(dataCentre string) bool { return dataCentre == evacuated }
+		require.Equal(t, reason, f.Groups(now)[0].NotServingReason)
+		require.Equal(t, reason == "", len(f.Serving(now, Filter{})) == 2 && len(f.ServingCounts(now)) == 2)
+		require.Empty(t, f.Stranded(now, []rudderhost.Host{{Name: "h0", DataCentre: "b"}}))
+	}
+}
--- a/rudderd/rudderfleet/report.go
+++ b/rudderd/rudderfleet/report.go
@@ -22,12 +22,14 @@
 	ReasonLeaving   Reason = "member_leaving"
 	ReasonOtherRole Reason = "other_role" // a member reports another group, another rank or none
 	ReasonNotReady  Reason = "not_ready"
+	ReasonEvacuated Reason = "evacuated" // operators have evacuated its data centre
 )
 
 // GroupReport is a group of a plan with the reason why it takes no new work.
 type GroupReport struct {
 	ruddergroup.Group
 	Domain           string
+	DataCentre       string
 	NotServingReason Reason
 }
 
@@ -42,11 +44,13 @@
 	var out []GroupReport
 	for domain, p := range f.plans {
 		for _, g := range p.Groups {
-			r := GroupReport{Group: g, Domain: domain}
-			switch g.State {
-			case ruddergroup.StateLoading:
+			r := GroupReport{Group: g, Domain: domain, DataCentre: p.DataCentre}
+			switch {
+			case f.isEvacuated(p.DataCentre):
+				r.NotServingReason = ReasonEvacuated
+			case g.State == ruddergroup.StateLoading:
 				r.NotServingReason = ReasonLoading
-			case ruddergroup.StateDraining:
+			case g.State == ruddergroup.StateDraining:
 				r.NotServingReason = ReasonDraining
 			default:
 				r.NotServingReason = f.reason(now, p, g)
@@ -65,7 +69,7 @@
 
 // Stranded returns the hosts that are up but in no group that takes new work, sorted by name. A host is up if
 // it has reported within ConfirmTTL or, in a domain that is not followed, if the plan does not list it as
-// unresponsive.
+// unresponsive. Hosts of evacuated data centres are not stranded: they are meant to be idle.
 func (f *Fleet) Stranded(now time.Time, hosts []rudderhost.Host) []rudderhost.Host {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -88,7 +92,7 @@
 		if p, planned := f.plans[h.FabricDomain]; planned && !f.follows(h.FabricDomain) {
 			up = !slices.Contains(p.Unresponsive, h.Name)
 		}
-		if up && !working[h.Name] {
+		if up && !working[h.Name] && !f.isEvacuated(h.DataCentre) {
 			out = append(out, h)
 		}
 	}
--- a/rudderd/rudderhttp/refusal.go
+++ b/rudderd/rudderhttp/refusal.go
@@ -153,6 +153,8 @@
 		refusal.NextStep = "send the request again after the time in Retry-After"
 	case rudderstream.CodeNoGroup:
 		refusal.NextStep = "no group serves the model now; send the request again after the time in Retry-After"
+	case rudderstream.CodeEvacuated:
+		refusal.NextStep = "operators have evacuated all data centres that serve the model; send the request again after the time in Retry-After"
 	case rudderstream.CodeNotReady:
 		refusal.NextStep = "ask GET /v1/entries at another address and send the request there"
 		if a.BetterEntry != nil {
--- a/rudderd/rudderservice/dispatcher.go
+++ b/rudderd/rudderservice/dispatcher.go
@@ -38,6 +38,7 @@
 // Codes of calls that did not complete.
 const (
 	CodeNoTarget         Code = "no_target"
+	CodeEvacuated        Code = "evacuated"
 	CodeUnreachable      Code = "target_unreachable"
 	CodeRefused          Code = "target_refused"
 	CodeInterrupted      Code = "target_interrupted"
@@ -58,8 +59,13 @@
 	CodeClaimUnavailable Code = "claims_unavailable"
 )
 
-// ErrNotReady marks an error of AcquireTarget that is due to this entry host.
-var ErrNotReady = errors.New("service: entry host is not ready")
+// Marks of errors of AcquireTarget.
+var (
+	// ErrNotReady marks an error that is due to this entry host.
+	ErrNotReady = errors.New("service: entry host is not ready")
+	// ErrEvacuated reports that all targets of the service are in evacuated data centres.
+	ErrEvacuated = errors.New("service: all targets are in evacuated data centres")
+)
 
 // Headers of calls with an idempotency key.
 const (
@@ -214,6 +220,9 @@
 	if errors.Is(err, ErrNotReady) {
 		return notRun(http.StatusServiceUnavailable, CodeNoPermit, err.Error())
 	}
+	if errors.Is(err, ErrEvacuated) {
+		return notRun(http.StatusServiceUnavailable, CodeEvacuated, err.Error())
+	}
 	return notRun(http.StatusServiceUnavailable, CodeNoTarget, err.Error())
 }
 
--- a/rudderd/rudderstream/request.go
+++ b/rudderd/rudderstream/request.go
@@ -87,6 +87,7 @@
 	CodePoison         = "poison_request"
 	CodeNoCapacity     = "no_capacity"
 	CodeNoGroup        = "no_group"
+	CodeEvacuated      = "evacuated" // all groups that serve the request are in evacuated data centres
 	CodeBadRequest     = "invalid_request"
 	CodeTargetFailed   = "target_failed"
 	CodeAbandoned      = "caller_gone"
--- a/rudderd/rudderstream/runner.go
+++ b/rudderd/rudderstream/runner.go
@@ -183,7 +183,7 @@
 // lacksRoom reports whether a request was refused because no group has room for it now.
 func lacksRoom(err error) bool {
 	var refusal *Refusal
-	return errors.As(err, &refusal) && (refusal.Code == CodeNoCapacity || refusal.Code == CodeNoGroup)
+	return errors.As(err, &refusal) && (refusal.Code == CodeNoCapacity || refusal.Code == CodeNoGroup || refusal.Code == CodeEvacuated)
 }
 
 // dispatch sends the request to the group's leader and reads the stream. The permit is checked right before
--- a/shared/rudderadmin/types.go
+++ b/shared/rudderadmin/types.go
@@ -91,6 +91,19 @@
 	Group        string            `json:"group,omitempty"`
 }
 
+// DataCentre is one data centre as shown to operators.
+type DataCentre struct {
+	Name      string `json:"name"`
+	Evacuated bool   `json:"evacuated"`
+	Hosts     int    `json:"hosts"`
+	Groups    int    `json:"groups"`
+	// Running and Waiting count the requests at the groups there, as the groups' leaders last reported them.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Unreported counts the groups without a recent report, whose requests are not known.
+	Unreported int `json:"unreported"`
+}
+
 // Group is one group as shown to operators.
 type Group struct {
 	ID       string   `json:"id"`
