--- a/rudderctl/rudderctlapp/root.go
+++ b/rudderctl/rudderctlapp/root.go
@@ -102,7 +102,7 @@
 	if c.token == "" {
 		c.token = fallback("RUDDER_TOKEN")
 	}
-	root.AddCommand(c.applyCommand(), c.configCommand(), c.hostCommand(), c.drainCommand(), c.undrainCommand(),
+	root.AddCommand(c.applyCommand(), c.configCommand(), c.hostCommand(), c.dataCentreCommand(), c.drainCommand(), c.undrainCommand(),
 		c.selectorCommand(), c.workspaceCommand(), c.statusCommand(), c.entryCommand(), c.groupCommand(), c.whyNotCommand(), c.reportCommand())
 	return root
 }
--- a/rudderctl/rudderctlapp/rudderctl_test.go
+++ b/rudderctl/rudderctlapp/rudderctl_test.go
@@ -60,6 +60,8 @@
 		{[]string{"host", "fencing", "h1"}, "PUT", "/hosts/h1/fencing", "", ""},
 		{[]string{"host", "fencing", "h1", "--off"}, "DELETE", "/hosts/h1/fencing", "", ""},
 		{[]string{"undrain", "h1"}, "DELETE", "/hosts/h1/drain", "", ""},
+		{[]string{"data-centre", "evacuate", "kgl-2", "--dry-run"}, "PUT", "/data-centres/kgl-2/evacuation", "dry_run=true", ""},
+		{[]string{"data-centre", "restore", "kgl-2"}, "DELETE", "/data-centres/kgl-2/evacuation", "", ""},
 		{[]string{"selector", "apply", "-f", file, "--summary", "x"}, "PUT", "/selectors/night", "summary=x", `"group_size":2`},
 		{[]string{"selector", "delete", "night"}, "DELETE", "/selectors/night", "", ""},
 		{[]string{"apply", "-f", file}, "POST", "/config/apply", "", "name: night"},
@@ -123,6 +125,7 @@
 		{"name with a slash", 200, nil, []string{"drain", "a/b"}, ExitUsage, "no slash"},
 		{"label of a name with a slash", 200, nil, []string{"host", "label", "../config", "a=b"}, ExitUsage, "no slash"},
 		{"no permit", 200, rudderadmin.Status{Entry: "e1", PermitReason: "permit: expired"}, []string{"status"}, ExitOK, "permit none: permit: expired"},
+		{"data centres", 200, map[string]any{"data_centres": []rudderadmin.DataCentre{{Name: "kgl-2", Evacuated: true, Hosts: 22, Groups: 4, Running: 3}}}, []string{"data-centre", "list"}, ExitOK, "kgl-2  true       22     4       3"},
 		{"entry host never seen", 200, rudderadmin.Status{EntryHosts: []rudderadmin.EntryHost{{Name: "e2", AgeMS: rudderadmin.AgeUnknown}}}, []string{"status"}, ExitOK, "never"},
 		{"bad label", 200, nil, []string{"host", "label", "h1", "nothing"}, ExitUsage, "neither KEY=VALUE nor KEY-"},
 	}
