--- a/rudderd/rudderplacement/donation.go
+++ b/rudderd/rudderplacement/donation.go
@@ -101,7 +101,7 @@
 				continue
 			}
 			own, _ := in.Service.Engine.Model(g.Model)
-			if in.deficit(m, counts[m.Name])*conversionFactor < in.deficit(own, counts[own.Name]-1) {
+			if in.deficit(m, counts[m.Name])*conversionFactor < in.deficit(own, counts[own.Name]-1) || in.Refused[own.Name] > max(refusedLittle, in.Refused[m.Name]) {
 				continue
 			}
 			counts[own.Name]--
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -172,7 +172,7 @@
 				continue
 			}
 			c := in.candidate(d, m, counts)
-			if c == nil || c.loads > 0 && in.Traffic && counts[m.Name] > 0 && d.room < m.Size+reserve {
+			if c == nil || c.loads > 0 && in.Traffic && counts[m.Name] > 0 && d.room < m.Size+reserve && !in.shortOfGroups(m) {
 				continue // a group that must load first is not worth the last spares
 			}
 			if better(c) {
@@ -220,7 +220,7 @@
 			most = max(most, in.deficit(other, counts[other.Name]))
 		}
 	}
-	if counts[m.Name] == 0 || own >= reserveWaiver*most {
+	if counts[m.Name] == 0 || own >= reserveWaiver*most || in.shortOfGroups(m) {
 		return 0, own >= most
 	}
 	return reserve, own >= most
--- a/rudderd/rudderplacement/moves.go
+++ b/rudderd/rudderplacement/moves.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// shortOfGroups reports whether a model refuses much of its work, and more than twice as much as each other one. A spare target
+// serves nobody meanwhile, so its groups may use the last ones.
+func (in *Input) shortOfGroups(m rudderroute.Model) bool {
+	refused := in.Refused[m.Name]
+	return refused >= refusedMuch && !slices.ContainsFunc(in.Service.Engine.Models, func(other rudderroute.Model) bool {
+		return other.Name != m.Name && 2*in.Refused[other.Name] > refused
+	})
+}
+
 // moveStaging returns the loads for a move that is being prepared, of members that still serve.
 func (in *Input) moveStaging(d *domain) []staging {
 	var list []staging
