--- a/rudderd/rudderdrain/server.go
+++ b/rudderd/rudderdrain/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"comfreyrudder.example/rudderd/rudderconn"
 )
 
 const (
@@ -25,6 +27,8 @@
 type Server struct {
 	HTTP     *http.Server
 	Listener net.Listener
+	// Connections bounds the open connections; nil sets no bound.
+	Connections *rudderconn.Table
 
 	draining atomic.Bool
 	accepted chan struct{} // closed when no more connections are accepted
@@ -48,12 +52,26 @@
 		s.connections = map[net.Conn]connection{}
 		s.HTTP.ConnState = s.observe
 		s.HTTP.Handler = s.closing(s.HTTP.Handler)
+		if s.Connections != nil {
+			s.HTTP.Handler = s.Connections.Wrap(s.HTTP.Handler)
+			s.HTTP.ConnContext = chain(s.HTTP.ConnContext, s.Connections.ConnContext)
+		}
 		if l, ok := s.Listener.(socketListener); ok {
 			s.queue = &drainingListener{socketListener: l}
 		}
 	})
 }
 
+type contextFunc = func(ctx context.Context, c net.Conn) context.Context
+
+// chain returns a function that calls two others; the first one may be nil.
+func chain(first, second contextFunc) contextFunc {
+	if first == nil {
+		return second
+	}
+	return func(ctx context.Context, c net.Conn) context.Context { return second(first(ctx, c), c) }
+}
+
 // Serve serves until the server is closed or drained.
 func (s *Server) Serve() error {
 	s.prepare()
@@ -62,6 +80,9 @@
 	if s.queue != nil {
 		listener = s.queue
 	}
+	if s.Connections != nil {
+		listener = s.Connections.Listen(listener)
+	}
 	err := s.HTTP.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -107,6 +128,9 @@
 
 // observe is the ConnState hook of the server.
 func (s *Server) observe(c net.Conn, state http.ConnState) {
+	if s.Connections != nil && state == http.StateIdle {
+		s.Connections.Idle(c)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
