--- a/rudderd/rudderedge/bootstrap.go
+++ b/rudderd/rudderedge/bootstrap.go
@@ -160,7 +160,7 @@
 	if err != nil || !response.GetKnown() {
 		return sourceAnswer{}, err
 	}
-	events, err := unpack(response.GetRecords(), e.Memory.Replies)
+	events, err := unpack(response.GetRecords(), e.Account.Budgets.Replies)
 	if err != nil {
 		return sourceAnswer{}, err
 	}
--- a/rudderd/rudderedge/bounds.go
+++ b/rudderd/rudderedge/bounds.go
@@ -1,7 +1,6 @@
 package rudderedge
 
 import (
-	"runtime/debug"
 	"time"
 
 	"comfreyrudder.example/rudderd/rudderforward"
@@ -50,8 +49,6 @@
 	defaultStop         = 8 * time.Second
 	// defaultRetryWindow applies if no window is set.
 	defaultRetryWindow = 10 * time.Second
-	// memoryShare is the fraction of the memory limit that is given to the Go runtime as its soft limit.
-	memoryShare = 0.5
 )
 
 // WithBounds returns the settings with the times derived from the bounds.
@@ -77,14 +74,6 @@
 	return s
 }
 
-// LimitMemory sets the soft memory limit of the Go runtime to a fraction of limit, in bytes, so that the garbage
-// collector runs more often well before the process reaches limit; 0 sets no limit.
-func LimitMemory(limit int64) {
-	if limit > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
-	}
-}
-
 func orDefault(d, fallback time.Duration) time.Duration {
 	if d <= 0 {
 		return fallback
--- a/rudderd/rudderedge/client.go
+++ b/rudderd/rudderedge/client.go
@@ -26,7 +26,7 @@
 	targetUnackedTimeout = 2500 * time.Millisecond
 	// maxIdleConnectionsPerTarget is the number of idle connections to one target that are kept for reuse.
 	maxIdleConnectionsPerTarget = 16
-	// maxIdleConnections bounds the idle connections to all servers together: each takes some 10 kB, and a planner calls
+	// maxIdleConnections bounds the idle connections of a client to all servers together: each takes some 10 kB, and a planner calls
 	// thousands of targets.
 	maxIdleConnections = 512
 	// idleConnectionTimeout closes connections that have been idle for this long.
@@ -53,13 +53,13 @@
 // NewClient returns a client that neither follows redirects nor negotiates compression, so that each request is sent once
 // and passes unchanged. It keeps up to idlePerHost idle connections to one server.
 func NewClient(idlePerHost int) *http.Client {
-	return checkedClient(newClient(idlePerHost, rudderresponse.Dial(Dialer().DialContext)))
+	return checkedClient(newClient(idlePerHost, maxIdleConnections, rudderresponse.Dial(Dialer().DialContext)))
 }
 
-func newClient(idlePerHost int, dial rudderpath.Dial) *http.Client {
+func newClient(idlePerHost, idle int, dial rudderpath.Dial) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: maxIdleConnections,
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: idle,
 			IdleConnTimeout: idleConnectionTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 			MaxResponseHeaderBytes: rudderbody.MaxHeadBytes,
 		},
@@ -76,13 +76,13 @@
 // NewMeteredClient returns a client like that of NewClient for responses that are read as a whole. They take memory from a budget
 // until their bodies are closed.
 func NewMeteredClient(idlePerHost int, memory *rudderbody.Budget) *http.Client {
-	client := checkedClient(newClient(idlePerHost, memory.Dial(rudderresponse.Dial(Dialer().DialContext))))
+	client := checkedClient(newClient(idlePerHost, maxIdleConnections, memory.Dial(rudderresponse.Dial(Dialer().DialContext))))
 	client.Transport = &rudderbody.Transport{Base: client.Transport, Budget: memory}
 	return client
 }
 
 // targetClient returns the client for requests to targets. The heads of the responses take memory from a budget. The forwarder
 // checks the responses itself.
-func targetClient(memory *rudderbody.Budget) *http.Client {
-	return newClient(maxIdleConnectionsPerTarget, rudderpath.Track(memory.Dial(rudderresponse.Dial(dialer(targetUnackedTimeout).DialContext))))
+func targetClient(memory *rudderbody.Budget, idle int) *http.Client {
+	return newClient(maxIdleConnectionsPerTarget, idle, rudderpath.Track(memory.Dial(rudderresponse.Dial(dialer(targetUnackedTimeout).DialContext))))
 }
--- a/rudderd/rudderedge/client_test.go
+++ b/rudderd/rudderedge/client_test.go
@@ -57,7 +57,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			address, written := serveEndless(t, test.begin, test.filler)
-			client := targetClient(nil)
+			client := targetClient(nil, maxIdleConnections)
 			begin := time.Now()
 			response, err := client.Get("http://" + address)
 			if err == nil {
--- a/rudderd/rudderedge/copy.go
+++ b/rudderd/rudderedge/copy.go
@@ -126,7 +126,7 @@
 	if err != nil || !answer.GetServing() {
 		return rudderview.RecordSet{}, err
 	}
-	events, err := unpack(answer.GetRecords(), e.Memory.Replies)
+	events, err := unpack(answer.GetRecords(), e.Account.Budgets.Replies)
 	entries := make([]rudderstore.Entry, len(events))
 	for i, x := range events {
 		entries[i] = x.Entry
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -15,7 +15,9 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"comfreyrudder.example/rudderd/rudderaccount"
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderconn"
 	"comfreyrudder.example/rudderd/ruddercoordinator"
 	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/rudderd/rudderentry"
@@ -37,6 +39,8 @@
 	LinkBandwidth float64
 	// Memory is the memory limit of this process, in bytes; 0 if unknown.
 	Memory int64
+	// Descriptors is the number of descriptors of this process; 0 takes its limit.
+	Descriptors int
 	// Addresses to listen on, IP:PORT.
 	CallerListen, DirectoryListen, ReadyListen, MetricsListen, PeerListen string
 	// BootstrapListen is the address on which this host tells others that have just started what it knows, and Seeds those
@@ -80,8 +84,8 @@
 	Settings Settings
 	Ports    Ports
 	Logger   zerolog.Logger
-	// Memory bounds what is held of requests and responses; the zero value takes the budgets of the settings' memory.
-	Memory rudderbody.Budgets
+	// Account bounds what is held of requests and responses, and the connections; the zero value is made from the settings.
+	Account rudderaccount.Account
 
 	uptime      func() time.Duration                            // replaced in tests
 	connect     func(ctx context.Context, address string) error // replaced in tests
@@ -101,6 +105,8 @@
 	path        *rudderpath.Monitor
 	pathPeers   *pathPeers
 	rebalancer  *rudderentry.Rebalancer
+	callers     *rudderconn.Table // connections of callers
+	ends        connectionEnds
 	packer      packer
 	bootstrap   bootstrapState
 	unavailable map[string]time.Duration // watchers that did not serve, skipped until this uptime; used only by the view's goroutine
@@ -143,6 +149,7 @@
 		{"evidence", e.poison.records.run},
 		{"store calls", e.logStoreCalls},
 		{"limits", e.logLimitedSends},
+		{"connections", e.logConnections},
 		{"path", e.path.Run},
 	} {
 		group.Go(func() error { return errors.Wrap(part.run(running), part.name) })
@@ -189,8 +196,8 @@
 		e.uptime = suspendedUptime(e.Logger)
 	}
 	uptime := e.uptime
-	if e.Memory == (rudderbody.Budgets{}) {
-		e.Memory = rudderbody.NewBudgets(e.Settings.Memory)
+	if e.Account == (rudderaccount.Account{}) {
+		e.Account = rudderaccount.New(e.Settings.Memory, e.Settings.Descriptors)
 	}
 	e.poison = newPoison(e)
 	e.view = &rudderview.View{
@@ -203,13 +210,15 @@
 	}
 	e.unavailable = map[string]time.Duration{}
 	e.peers = newPeers()
-	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Memory.Replies}
-	e.bootstrap.client, e.bootstrap.calls = NewMeteredClient(1, e.Memory.Replies), make(chan struct{}, maxBootstrapCalls)
+	e.peers.client.Transport = &rudderbody.Transport{Base: e.peers.client.Transport, Budget: e.Account.Budgets.Replies}
+	e.bootstrap.client, e.bootstrap.calls = NewMeteredClient(1, e.Account.Budgets.Replies), make(chan struct{}, maxBootstrapCalls)
 	e.limits = &rudderlimit.Table{}
 	e.rebalancer = &rudderentry.Rebalancer{
 		Lifetime: e.Settings.DirectoryLifetime, Hosts: func() int { return len(e.view.Snapshot().EntryHosts) }, Uptime: uptime,
 		Draw: rand.Float64, OnClose: func() { e.count("connections.moved") },
 	}
+	e.callers = e.connections("callers", e.Account.CallerConnections)
+	e.Account.Budgets.Bodies.SetReclaim(e.callers.EndSlowest)
 	e.path = e.newPath()
 	e.balance = newBalance(e)
 	e.session = &session{
@@ -218,11 +227,11 @@
 		entry: rudderview.EntryHost{Name: e.Settings.Name, Address: e.Settings.CallerListen, Peer: e.Settings.PeerListen, Region: e.Settings.Region, DataCentre: e.Settings.DataCentre, Capacity: e.Settings.Capacity, Instance: newInstance()},
 	}
 	e.forwarder = &rudderforward.Forwarder{
-		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(e.Memory.Responses), Logger: e.Logger, Uptime: uptime,
+		View: e.view, Protocol: e.Ports.Protocol, Client: targetClient(e.Account.Budgets.Responses, e.Account.IdleConnections), Logger: e.Logger, Uptime: uptime,
 		Metrics:    rudderforward.Metrics{Count: e.count, Observe: e.observe},
 		DataCentre: e.Settings.DataCentre, MaxKeyStaleness: e.Settings.MaxKeyStaleness, MaxStaleness: e.Settings.MaxStaleness, StallTimeout: e.Settings.StallTimeout, Retries: e.Settings.Retries,
 		AddressLifetime: e.Settings.DirectoryLifetime, ServedElsewhere: e.servedElsewhere,
-		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), Bodies: e.Memory.Bodies, Responses: e.Memory.Responses,
+		Path: e.path, Relay: e.newRelay(), MaxRelayed: e.maxRelayed(), EndUnread: e.callers.EndUnread, Bodies: e.Account.Budgets.Bodies, Responses: e.Account.Budgets.Responses,
 		Limits: e.limits, Report: e.Ports.Control.Report, ReportAnew: e.Ports.Control.ReportAnew, Suspect: e.suspect, ExamineGroup: e.examine, Pick: e.balance.pick, SkipBatchPause: e.view.SkipBatchPause,
 		Poisoned: e.poison.poisonedFor, BlockedPart: e.poison.blockedFor, RecordCrash: e.poison.crashed, RecordSurvival: e.poison.survived,
 	}
--- a/rudderd/rudderedge/keepalive_test.go
+++ b/rudderd/rudderedge/keepalive_test.go
@@ -54,7 +54,7 @@
 				time.Sleep(100 * time.Millisecond)
 			}()
 			begin := time.Now()
-			response, err := targetClient(nil).Get("http://" + listener.Addr().String())
+			response, err := targetClient(nil, maxIdleConnections).Get("http://" + listener.Addr().String())
 			require.NoError(t, err, "after %v", time.Since(begin))
 			_ = response.Body.Close()
 		})
--- a/rudderd/rudderedge/listen.go
+++ b/rudderd/rudderedge/listen.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"comfreyrudder.example/rudderd/rudderconn"
 	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/shared/rudderpeer"
 )
@@ -34,12 +35,15 @@
 	report.GET("/metrics", e.report)
 	var servers []*rudderdrain.Server
 	for _, x := range []struct {
-		address string
-		server  *http.Server
+		address     string
+		server      *http.Server
+		connections *rudderconn.Table // nil for the servers of calls between entry hosts
 	}{
-		{e.Settings.CallerListen, newServer(callers)}, {e.Settings.DirectoryListen, newServer(directory)},
-		{e.Settings.ReadyListen, newServer(readiness)}, {e.Settings.MetricsListen, newServer(report)},
-		{e.Settings.PeerListen, rudderpeer.NewServer(e.peerHandler())}, {e.Settings.BootstrapListen, e.newBootstrapServer()},
+		{e.Settings.CallerListen, newServer(callers), e.callers},
+		{e.Settings.DirectoryListen, newServer(directory), e.connections("directory", e.Account.SmallConnections)},
+		{e.Settings.ReadyListen, newServer(readiness), e.connections("readiness", e.Account.SmallConnections)},
+		{e.Settings.MetricsListen, newServer(report), e.connections("metrics", e.Account.SmallConnections)},
+		{e.Settings.PeerListen, rudderpeer.NewServer(e.peerHandler()), nil}, {e.Settings.BootstrapListen, e.newBootstrapServer(), nil},
 	} {
 		if x.address == "" {
 			continue
@@ -48,7 +52,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		servers = append(servers, &rudderdrain.Server{HTTP: x.server, Listener: listener})
+		servers = append(servers, &rudderdrain.Server{HTTP: x.server, Listener: listener, Connections: x.connections})
 	}
 	servers[0].HTTP.ConnContext = e.rebalancer.ConnContext
 	return servers, nil
--- a/rudderd/rudderedge/metrics.go
+++ b/rudderd/rudderedge/metrics.go
@@ -114,6 +114,8 @@
 	age, _ := e.view.Staleness()
 	lines = append(lines,
 		fmt.Sprintf("requests_in_flight %d", e.forwarder.InFlight()),
+		fmt.Sprintf("connections_open %d", e.callers.Open()),
+		fmt.Sprintf("memory_bodies %d", e.Account.Budgets.Bodies.Held()),
 		fmt.Sprintf("targets_known %d", len(snapshot.Targets)),
 		fmt.Sprintf("entries_known %d", len(snapshot.EntryHosts)),
 		fmt.Sprintf("suspicions_known %d", len(snapshot.Suspicions)),
--- a/rudderd/rudderedge/path.go
+++ b/rudderd/rudderedge/path.go
@@ -58,7 +58,7 @@
 	dialer := Dialer()
 	dialer.Timeout = relayDialTimeout
 	return &rudderpath.Relay{
-		Uptime: e.uptime, Responses: e.Memory.Responses,
+		Uptime: e.uptime, Responses: e.Account.Budgets.Responses,
 		Transport: &rudderpeer.Transport{
 			Keys: e.peers.keys, Clock: clockwork.NewRealClock(), Base: &rudderpeer.Pool{Dial: dialer.DialContext},
 		},
--- a/rudderd/rudderedge/relay.go
+++ b/rudderd/rudderedge/relay.go
@@ -145,7 +145,7 @@
 		changes.Events = eventsOf(answer.GetChanges())
 		return changes, nil
 	}
-	changes.Events, err = unpack(answer.GetPacked(), e.Memory.Replies)
+	changes.Events, err = unpack(answer.GetPacked(), e.Account.Budgets.Replies)
 	return changes, err
 }
 
--- a/rudderd/rudderforward/attempt.go
+++ b/rudderd/rudderforward/attempt.go
@@ -106,6 +106,9 @@
 		r.code, r.message = "rate_limited", "the targets of this request take no more requests now"
 	case c.full:
 		r.code = "groups_full"
+		if f.EndUnread != nil {
+			f.EndUnread(j.service)
+		}
 	}
 	return r
 }
--- a/rudderd/rudderforward/forwarder.go
+++ b/rudderd/rudderforward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderconn"
 	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderpath"
 	"comfreyrudder.example/rudderd/rudderpoison"
@@ -55,6 +56,9 @@
 	MaxRelayed int
 	// Bodies bounds the memory of bodies, and Responses that of heads and events of responses; nil sets no bound.
 	Bodies, Responses *rudderbody.Budget
+	// EndUnread ends the response of a service whose caller has not read for the longest time, so that its target has room; it reports
+	// whether there is one. nil if that is not known.
+	EndUnread func(service string) bool
 	// AddressLifetime is how long callers may cache the address of this entry host, and ServedElsewhere reports whether other
 	// entry hosts take new work; nil if that is not known.
 	AddressLifetime time.Duration
@@ -202,6 +206,7 @@
 		f.refuseUnread(r, j, *refused)
 		return
 	}
+	rudderconn.SetService(r.Context(), j.service)
 	if refused := f.readBody(r, j); refused != nil {
 		j.memory.Release()
 		j.writer.Header().Set("Connection", "close") // the end of the body may not be found
--- a/rudderd/rudderforward/unread.go
+++ b/rudderd/rudderforward/unread.go
@@ -147,7 +147,7 @@
 	}
 	defer func() { _ = connection.Close() }()
 	deadline.use(connection)
-	if c, ok := connection.(*net.TCPConn); ok {
+	if c, ok := connection.(interface{ CloseWrite() error }); ok {
 		_ = c.CloseWrite()
 	}
 	if drop(connection, size, deadline) == nil && !deadline.passed() {
