--- a/rudderd/rudderapp/app.go
+++ b/rudderd/rudderapp/app.go
@@ -11,10 +11,12 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"comfreyrudder.example/rudderd/rudderaccount"
 	"comfreyrudder.example/rudderd/rudderbody"
 	"comfreyrudder.example/rudderd/rudderburn"
 	"comfreyrudder.example/rudderd/rudderchange"
 	"comfreyrudder.example/rudderd/rudderclaim"
+	"comfreyrudder.example/rudderd/rudderconn"
 	"comfreyrudder.example/rudderd/rudderfleet"
 	"comfreyrudder.example/rudderd/rudderhttp"
 	"comfreyrudder.example/rudderd/ruddermember"
@@ -44,9 +46,12 @@
 	// TargetDial opens connections to targets, so that tests can cut an entry host off from them; nil selects the network.
 	TargetDial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	memory    rudderbody.Budgets
-	self      ruddermember.Member
-	listeners listeners
+	account rudderaccount.Account
+	memory  rudderbody.Budgets // of the account
+	// callerConnections and adminConnections hold the open connections of callers and of operators.
+	callerConnections, adminConnections *rudderconn.Table
+	self                                ruddermember.Member
+	listeners                           listeners
 
 	store   *rudderstore.Store
 	hosts   *rudderhost.List
@@ -104,7 +109,8 @@
 	}
 	a.started, a.relists = make(chan struct{}), make(chan struct{}, 1)
 	a.stopping.init()
-	a.memory = rudderbody.NewBudgets(a.Settings.MemoryBytes)
+	a.account = rudderaccount.New(a.Settings.MemoryBytes, a.Settings.MaxDescriptors)
+	a.memory = a.account.Budgets
 	if err := a.listen(); err != nil {
 		return err
 	}
@@ -119,6 +125,7 @@
 	a.wireCallers()
 	a.wireVerifier()
 	a.wireMetrics()
+	a.wireConnections()
 	a.servers = []*http.Server{
 		newServer(a.callers.Handler()), newServer(a.adminHandler()), rudderpeer.NewServer(a.peerHandler()),
 	}
--- a/rudderd/rudderapp/command.go
+++ b/rudderd/rudderapp/command.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	rudderplatform "comfreyrudder.example/platform"
+	"comfreyrudder.example/rudderd/rudderaccount"
 	"comfreyrudder.example/rudderd/ruddersettings"
 )
 
@@ -82,6 +83,7 @@
 	}
 	logger := zerolog.New(output).Level(level).With().Timestamp().Str("entry", settings.Name).Logger()
 	app := &App{Settings: settings, Logger: logger}
+	rudderaccount.New(settings.MemoryBytes, settings.MaxDescriptors).Apply()
 	if err := app.Listen(); err != nil {
 		return err
 	}
--- a/rudderd/rudderapp/listen.go
+++ b/rudderd/rudderapp/listen.go
@@ -70,12 +70,11 @@
 
 // serve runs the three HTTP servers until the context is cancelled.
 func (a *App) serve(ctx context.Context) error {
-	callers := &rudderdrain.Server{HTTP: a.servers[0], Listener: a.listeners.caller}
-	sockets := []net.Listener{a.listeners.admin, a.listeners.peer}
+	callers := &rudderdrain.Server{HTTP: a.servers[0], Listener: a.listeners.caller, Connections: a.callerConnections}
+	admin := &rudderdrain.Server{HTTP: a.servers[1], Listener: a.listeners.admin, Connections: a.adminConnections}
 	failed := make(chan error, len(a.servers))
-	go func() { failed <- callers.Serve() }()
-	for i, s := range a.servers[1:] {
-		go func() { failed <- s.Serve(sockets[i]) }()
+	for _, serve := range []func() error{callers.Serve, admin.Serve, func() error { return a.servers[2].Serve(a.listeners.peer) }} {
+		go func() { failed <- serve() }()
 	}
 	select {
 	case err := <-failed:
--- a/rudderd/rudderapp/platform.go
+++ b/rudderd/rudderapp/platform.go
@@ -76,7 +76,9 @@
 
 // newTargetTransport returns a transport to targets, the heads of whose responses can take memory from a budget.
 func (a *App) newTargetTransport(memory *rudderbody.Budget) *http.Transport {
-	return newTransport(targetIdleConnections, rudderpath.Track(memory.Dial(rudderresponse.Dial(a.dialTarget))))
+	transport := newTransport(targetIdleConnections, rudderpath.Track(memory.Dial(rudderresponse.Dial(a.dialTarget))))
+	transport.MaxIdleConns = a.account.IdleConnections
+	return transport
 }
 
 func newTransport(idle int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
--- a/rudderd/rudderhttp/api_test.go
+++ b/rudderd/rudderhttp/api_test.go
@@ -1,9 +1,12 @@
 package rudderhttp
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyrudder.example/rudderd/rudderbody"
+	"comfreyrudder.example/rudderd/rudderconn"
+	"comfreyrudder.example/rudderd/rudderdrain"
 	"comfreyrudder.example/rudderd/rudderstream"
 	"comfreyrudder.example/shared/rudderconfig"
 )
@@ -331,3 +336,33 @@
 	}
 	require.NotNil(t, running)
 }
+
+// Guards against a body that stops short of its end and keeps memory that another caller needs, and against its end without a promise.
+func TestStalledBodyIsRefused(t *testing.T) {
+	api, table := testAPI(), &rudderconn.Table{}
+	api.Bodies = rudderbody.NewBudget(serviceCopies * 64 << 10)
+	api.Bodies.SetReclaim(table.EndSlowest)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &rudderdrain.Server{HTTP: &http.Server{Handler: api.Handler(), ReadHeaderTimeout: time.Minute}, Listener: listener, Connections: table}
+	go func() { _ = server.Serve() }()
+	defer func() { _ = server.HTTP.Close() }()
+	send := func(size int, body string) *http.Response {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = fmt.Fprintf(c, "POST /v1/services/booking/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-studio\r\nContent-Length: %d\r\n\r\n%s", size, body)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		return response
+	}
+	stalled := make(chan *http.Response, 1)
+	go func() { stalled <- send(30<<10, "part") }()
+	require.Eventually(t, func() bool { return api.Bodies.Held() > 0 }, time.Minute, time.Millisecond)
+	long := strings.Repeat(" ", 20<<10)
+	require.Eventually(t, func() bool { return send(len(long), long).StatusCode == http.StatusCreated }, time.Minute, 100*time.Millisecond)
+	response := <-stalled
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	require.Equal(t, string(rudderstream.OutcomeNotRun), response.Header.Get(HeaderOutcome))
+}
--- a/rudderd/rudderhttp/limits.go
+++ b/rudderd/rudderhttp/limits.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -149,6 +150,9 @@
 			return nil, refusal
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, refuse(http.StatusRequestTimeout, "body_incomplete", "the request body did not arrive in time", "send the request again")
+	}
 	if err != nil {
 		return nil, refuseBadRequest("the request body could not be read: " + err.Error())
 	}
--- a/rudderd/ruddersettings/load.go
+++ b/rudderd/ruddersettings/load.go
@@ -147,6 +147,7 @@
 	reportIf(s.BootstrapTokenHash != "" && !hashPattern.MatchString(s.BootstrapTokenHash), "--bootstrap-token-hash: must be 64 hexadecimal digits")
 	reportIf(s.MaxAttempts < 1, "--max-attempts: must be at least 1")
 	reportIf(s.MaxInFlight < 1, "--max-in-flight: must be at least 1")
+	reportIf(s.MaxDescriptors < 0, "--max-descriptors: must be at least 0")
 	reportIf(s.MaxBodyBytes < 1, "--max-body-bytes: must be at least 1")
 	reportIf(s.WeightRate < 1, "--weight-rate: must be at least 1")
 	reportIf(s.ConfirmTTL <= s.PollInterval, "--confirm-ttl: must be longer than --poll-interval")
--- a/rudderd/ruddersettings/settings.go
+++ b/rudderd/ruddersettings/settings.go
@@ -43,11 +43,12 @@
 	AnswerBytes     int64         `name:"answer-bytes" default:"33554432" doc:"Memory for finished answers, in bytes. The oldest ones are dropped first."`
 	ClaimRetention  time.Duration `name:"claim-retention" default:"24h" doc:"How long an idempotency key and its stored answer are kept."`
 
-	MemoryBytes   int64         `name:"memory-bytes" default:"0" doc:"Memory limit of this process, in bytes; it bounds what is held of requests and responses. 0 takes that of the Go runtime, GOMEMLIMIT, or else the memory of the machine."`
-	MaxInFlight   int           `name:"max-in-flight" default:"2000" doc:"Requests in flight above which this host refuses new ones and names another host."`
-	MaxBodyBytes  int64         `name:"max-body-bytes" default:"4194304" doc:"Largest request body, in bytes."`
-	EntryLifetime time.Duration `name:"entry-lifetime" default:"10s" doc:"How long callers may keep an answer of GET /v1/entries."`
-	StopGrace     time.Duration `name:"stop-grace" default:"10m" doc:"Longest time a stopping entry host waits for its requests in flight, once callers have stopped using its address. It takes no new work that may need longer. The process ends at most 15 seconds after it."`
+	MemoryBytes    int64         `name:"memory-bytes" default:"0" doc:"Memory limit of this process, in bytes; it bounds what is held of requests and responses, connections of callers (0.15, 20 kB each) and the heap (0.7). 0 takes that of the Go runtime, GOMEMLIMIT, or else the memory of the machine."`
+	MaxDescriptors int           `name:"max-descriptors" default:"0" doc:"Descriptors that this process may open; 0.35 of them are for connections of callers and 0.03 for those of operators, above which connections without progress are closed. 0 takes the limit of the process, RLIMIT_NOFILE."`
+	MaxInFlight    int           `name:"max-in-flight" default:"2000" doc:"Requests in flight above which this host refuses new ones and names another host."`
+	MaxBodyBytes   int64         `name:"max-body-bytes" default:"4194304" doc:"Largest request body, in bytes."`
+	EntryLifetime  time.Duration `name:"entry-lifetime" default:"10s" doc:"How long callers may keep an answer of GET /v1/entries."`
+	StopGrace      time.Duration `name:"stop-grace" default:"10m" doc:"Longest time a stopping entry host waits for its requests in flight, once callers have stopped using its address. It takes no new work that may need longer. The process ends at most 15 seconds after it."`
 
 	LogLevel string `name:"log-level" default:"info" doc:"Least level of log lines: debug, info, warn or error."`
 }
