--- a/rudderd/rudderplacement/donation.go
+++ b/rudderd/rudderplacement/donation.go
@@ -100,17 +100,29 @@
 			if g == nil || d.room >= m.Size || d.room <= len(g.Members) || d.room+len(g.Members) < m.Size || in.warmRoom(d, m)+in.staged(*g, m) < m.Size {
 				continue
 			}
-			own, _ := in.Service.Engine.Model(g.Model)
-			if in.deficit(m, counts[m.Name])*conversionFactor < in.deficit(own, counts[own.Name]-1) || in.Refused[own.Name] > max(refusedLittle, in.Refused[m.Name]) {
+			if !in.worthReserve(m, g.Model, counts) {
 				continue
 			}
-			counts[own.Name]--
+			counts[g.Model]--
 			in.donate(d, *g, reservePrefix+m.Name)
 			break
 		}
 	}
 }
 
+// worthReserve reports whether a group of a small model should give up its targets for one of a larger model: each group of that one
+// has much more work, or it refuses more of it.
+func (in *Input) worthReserve(m rudderroute.Model, small string, counts map[string]int) bool {
+	own, _ := in.Service.Engine.Model(small)
+	switch refused := in.Refused[m.Name]; {
+	case in.Refused[small] > max(refusedLittle, refused):
+		return false
+	case refused > refusedMuch:
+		return true
+	}
+	return in.deficit(m, counts[m.Name]) >= conversionFactor*in.deficit(own, counts[small]-1)
+}
+
 // bySize returns the models, the largest first.
 func (in *Input) bySize() []rudderroute.Model {
 	return slices.SortedStableFunc(slices.Values(in.Service.Engine.Models), func(a, b rudderroute.Model) int { return cmp.Compare(b.Size, a.Size) })
@@ -192,13 +204,13 @@
 
 // reserveStaging returns the loads of a domain's reserve: the members of one small group get the weights of the largest model
 // of which the domain has, or just had, a group.
-func (in *Input) reserveStaging(d *domain) []staging {
+func (in *Input) reserveStaging(d *domain, counts map[string]int) []staging {
 	for _, m := range in.bySize() {
 		group := slices.ContainsFunc(d.groups, func(g rudderroster.Group) bool { return g.Model == m.Name })
 		if !group && 2*in.warmRoom(d, m) < m.Size {
 			continue
 		}
-		if g := in.reserveGroup(d, m); g != nil {
+		if g := in.reserveGroup(d, m); g != nil && in.worthReserve(m, g.Model, counts) {
 			return in.memberStaging(*g, m)
 		}
 		return nil
--- a/rudderd/rudderplacement/form.go
+++ b/rudderd/rudderplacement/form.go
@@ -42,7 +42,6 @@
 		in.findReceiver(d)
 		d.recentlyGrown = in.State.recentlyGrown(in.Now, d.name, d.size)
 	}
-	in.divide(domains)
 	in.useReserves(domains, counts)
 	in.planMoves(domains, counts)
 	for {
@@ -51,9 +50,6 @@
 			return
 		}
 		best.domain.room -= best.model.Size
-		if best.domain.wanted != nil {
-			best.domain.wanted[best.model.Name]--
-		}
 		if !best.domain.evacuated {
 			counts[best.model.Name]++
 		}
@@ -185,16 +181,10 @@
 
 // accepts reports whether a new group of a model may be placed in the domain. kept and top are those of requiredReserve.
 func (d *domain) accepts(m rudderroute.Model, kept int, top bool) bool {
-	switch {
-	case m.Size < 1 || d.room < m.Size:
-		return false
-	case d.wanted != nil:
-		return d.wanted[m.Name] > 0 && !d.recentlyGrown
-	}
 	if d.receiver == m.Name {
 		kept = 0
 	}
-	return d.room >= m.Size+kept && (top || !d.recentlyGrown)
+	return m.Size >= 1 && d.room >= m.Size+kept && (top || !d.recentlyGrown)
 }
 
 // loadDiscount is the value of a group that must load weights first, relative to one that serves within
--- a/rudderd/rudderplacement/input.go
+++ b/rudderd/rudderplacement/input.go
@@ -97,7 +97,6 @@
 	size             int                  // usable targets
 	unregistered     int                  // targets without a record that are not known to be dead
 	room             int                  // usable targets that neither a remaining nor a new group needs
-	wanted           map[string]int       // groups by model that should still form before the first request; nil with requests
 	receiver         string               // model for which targets are needed before all others
 	recentlyGrown    bool                 // a target has registered within arrivalTime
 	notes            []string
--- a/rudderd/rudderplacement/orders.go
+++ b/rudderd/rudderplacement/orders.go
@@ -39,7 +39,6 @@
 	for _, d := range domains {
 		d.room = in.room(d)
 	}
-	in.divide(domains)
 	orders = append(orders, in.stage(domains)...)
 	due := orders[:0]
 	for _, o := range orders {
@@ -145,7 +144,7 @@
 		wanted = append(wanted, in.wantedStaging(d, counts)...)
 		if !d.evacuated {
 			reserves = append(reserves, in.moveStaging(d)...)
-			reserves = append(reserves, in.reserveStaging(d)...)
+			reserves = append(reserves, in.reserveStaging(d, counts)...)
 		}
 	}
 	wanted = append(wanted, reserves...)
@@ -199,11 +198,7 @@
 	replacing, empty := in.replacements(d, counts, spares, empty, holders)
 	list = append(list, replacing...)
 	for _, t := range empty {
-		model := in.lacking(d, spares)
-		if model == "" {
-			model = in.mostNeededSpare(d, spares)
-		}
-		if model != "" {
+		if model := in.mostNeededSpare(d, spares); model != "" {
 			spares[model]++
 			list = append(list, staging{target: t, model: model})
 		}
