Require refused connections at other hosts to confirm the end of a target

Cause: a planner whose connection to a leader was refused, possibly on the way, asked half of the other entry hosts, and took their failed probes for a confirmation, also if the leader was only silent for them. A verdict that found its own connection refused called the process ended with no confirmation at all. Callers lost the group's streams; its members were ordered away while the leader was open.

Change: a finding of another host says whether its connection was refused. A target has ended only if half of the others, or eight, are refused as well and none with a path finds it silent; two hosts of its own data centre are asked first. Verdicts use the same check. Hosts of earlier builds do not say that they were refused, so beside them a leader that ended is awaited until its group must have broken. TestEnded counted a host that finds the target silent as one that confirms its end; it now asks for refusals, with the silent cases.

--- a/rudderd/rudderedge/verdict.go
+++ b/rudderd/rudderedge/verdict.go
@@ -34,6 +34,7 @@
 // findingResponse is a rudderverdict.Finding.
 type findingResponse struct {
 	Path       bool    `json:"path"`
+	Refused    bool    `json:"refused,omitempty"`
 	Answered   bool    `json:"answered,omitempty"`
 	Alive      bool    `json:"alive,omitempty"`
 	Group      string  `json:"group,omitempty"`
@@ -94,7 +95,7 @@
 	if err := json.Unmarshal(text, &answer); err != nil {
 		return rudderverdict.Finding{}, err
 	}
-	return rudderverdict.Finding{Path: answer.Path, Answered: answer.Answered, Alive: answer.Alive, Report: ruddertarget.GroupReport{
+	return rudderverdict.Finding{Path: answer.Path, Refused: answer.Refused, Answered: answer.Answered, Alive: answer.Alive, Report: ruddertarget.GroupReport{
 		Membership: ruddertarget.Membership{Group: answer.Group, Epoch: answer.Epoch, Rank: answer.Rank, Phase: ruddertarget.GroupPhase(answer.Phase)},
 		Orders:     answer.Orders, Running: answer.Running, Waiting: answer.Waiting, TimeFactor: answer.TimeFactor, Born: answer.Born,
 	}}, nil
@@ -110,7 +111,7 @@
 	finding := e.finding(r.Context(), question)
 	m := finding.Report.Membership
 	answer, err := json.Marshal(findingResponse{
-		Path: finding.Path, Answered: finding.Answered, Alive: finding.Alive, Group: m.Group, Epoch: m.Epoch, Rank: m.Rank, Phase: string(m.Phase),
+		Path: finding.Path, Refused: finding.Refused, Answered: finding.Answered, Alive: finding.Alive, Group: m.Group, Epoch: m.Epoch, Rank: m.Rank, Phase: string(m.Phase),
 		Orders: finding.Report.Orders, Running: finding.Report.Running, Waiting: finding.Report.Waiting, TimeFactor: finding.Report.TimeFactor, Born: finding.Report.Born,
 	})
 	if err != nil {
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -44,7 +44,8 @@
 	Path bool
 	// Answered is set if a process answers at the target's address, and Alive if it is the target itself.
 	Answered, Alive bool
-	// Refused is set if nothing listens at the target's address.
+	// Refused is set if nothing listens at the target's address. Of another entry host, it says only that its connection was
+	// refused, which may have happened on the way.
 	Refused bool
 	// Skipped is set if the target was not probed, because it names a limit of requests. It accepts connections.
 	Skipped bool
@@ -128,6 +129,11 @@
 
 func (s statement) hasPath() bool { return s.err == nil && s.finding.Path }
 
+func (s statement) refused() bool { return s.hasPath() && s.finding.Refused }
+
+// leavesOpen reports whether the target was silent for an entry host that has a path: it may be alive.
+func (s statement) leavesOpen() bool { return s.hasPath() && !s.finding.Refused }
+
 func (s statement) String() string {
 	if s.err != nil {
 		return s.host + ": no answer"
@@ -181,7 +187,7 @@
 	defer cancel()
 	probed, said, path, refused := make(chan Finding, 1), make(chan []statement, 1), make(chan bool, 1), make(chan bool, 1)
 	failed := sync.OnceFunc(func() {
-		go func() { refused <- errors.Is(d.tryConnect(ctx, t), syscall.ECONNREFUSED) }()
+		go func() { refused <- d.isRefused(ctx, t) }()
 		others := d.others(t)
 		if len(others) == 0 {
 			path <- true
@@ -217,16 +223,25 @@
 	}
 	own := Finding{Path: <-path, Refused: <-refused}
 	own.Refused = own.Refused && own.Path
-	return d.conclude(t, begin, own, statements)
+	return d.conclude(ctx, t, begin, own, statements)
 }
 
 // conclude returns the finding on a target that neither this entry host nor those that it has asked reach.
-func (d *Detector) conclude(t *rudderview.Target, begin time.Duration, own Finding, statements []statement) Finding {
+func (d *Detector) conclude(ctx context.Context, t *rudderview.Target, begin time.Duration, own Finding, statements []statement) Finding {
 	if !own.Path && !slices.ContainsFunc(statements, statement.hasPath) {
 		d.logVerdict(t, begin, own.String(), statements, "no path")
 		return asRecorded(t)
 	}
-	found := Finding{Path: true, Refused: own.Refused}
+	found := Finding{Path: true}
+	switch {
+	case !own.Refused || slices.ContainsFunc(statements, statement.leavesOpen):
+	case len(d.others(t)) == 0:
+		found.Refused = true // nobody else can tell
+	default:
+		if found = d.confirmRefusal(ctx, t); found.Alive {
+			d.remember(t, found)
+		}
+	}
 	d.logVerdict(t, begin, own.String(), statements, found.String())
 	return found
 }
@@ -244,41 +259,63 @@
 	return d.Connect(ctx, t.Address)
 }
 
+func (d *Detector) isRefused(ctx context.Context, t *rudderview.Target) bool {
+	return errors.Is(d.tryConnect(ctx, t), syscall.ECONNREFUSED)
+}
+
 // ReachedElsewhere reports whether another entry host reaches a target.
 func (d *Detector) ReachedElsewhere(ctx context.Context, t *rudderview.Target) bool {
 	found := answered(d.ask(ctx, d.others(t), t, Question{since: d.Uptime()}, minWitnesses))
 	return found != nil && found.Alive
 }
 
-// Ended reports whether a target that refuses the connections of this entry host has ended. A verdict does not suffice: a
-// cut between the target and a part of the entry hosts may include all that are asked. Half of the others, or endWitnesses
-// of them, have to confirm it.
+// Ended reports whether a target that refuses the connections of this entry host has ended.
 func (d *Detector) Ended(ctx context.Context, t *rudderview.Target) bool {
-	others := d.others(t)
+	return d.HasPath(ctx, t) && d.confirmRefusal(ctx, t).Ended()
+}
+
+// confirmRefusal asks other entry hosts about a target that refuses the connections of this one. The target has ended if another
+// process answers at its address, or if half of the others, or endWitnesses of them, are refused as well: a cut between the target
+// and a part of the entry hosts may include this one and some that are asked. One that finds the target silent leaves it open.
+func (d *Detector) confirmRefusal(ctx context.Context, t *rudderview.Target) Finding {
+	others := d.endWitnesses(t)
 	wanted := min(endWitnesses, (len(others)+1)/2)
-	if wanted == 0 || !d.HasPath(ctx, t) {
-		return false
+	if wanted == 0 {
+		return Finding{Path: true}
 	}
 	begin := d.Uptime()
 	statements := d.ask(ctx, others, t, Question{since: begin}, wanted)
-	ended := false
-	if found := answered(statements); found != nil {
-		ended = !found.Alive
-	} else {
-		witnesses := 0
-		for _, s := range statements {
-			if s.hasPath() {
-				witnesses++
-			}
+	found, witnesses := Finding{Path: true}, 0
+	for _, s := range statements {
+		if s.refused() {
+			witnesses++
 		}
-		ended = witnesses >= wanted
+	}
+	if answer := answered(statements); answer != nil {
+		found = *answer
+	} else {
+		found.Refused = witnesses >= wanted && !slices.ContainsFunc(statements, statement.leavesOpen)
 	}
 	conclusion := "not confirmed"
-	if ended {
+	if found.Ended() {
 		conclusion = "ended"
 	}
 	d.logVerdict(t, begin, Finding{Refused: true}.String(), statements, conclusion)
-	return ended
+	return found
+}
+
+// endWitnesses returns the other entry hosts in the order in which they are asked whether a target has ended. Some of those in its
+// own data centre come first: cuts between data centres do not affect them.
+func (d *Detector) endWitnesses(t *rudderview.Target) []rudderview.EntryHost {
+	var near, rest []rudderview.EntryHost
+	for _, x := range d.others(t) {
+		if x.DataCentre == t.DataCentre && len(near) < minWitnesses {
+			near = append(near, x)
+		} else {
+			rest = append(rest, x)
+		}
+	}
+	return append(near, rest...)
 }
 
 // recentlyAlive returns what another entry host has found out recently about a target that is alive, if this one has no
@@ -412,12 +449,15 @@
 
 	ctx := context.Background()
 	var waiting sync.WaitGroup
-	hasPath := true
-	report, alive := d.Probe(ctx, t, func() { waiting.Go(func() { hasPath = d.HasPath(ctx, t) }) })
+	hasPath, refused := true, false
+	report, alive := d.Probe(ctx, t, func() {
+		waiting.Go(func() { hasPath = d.HasPath(ctx, t) })
+		waiting.Go(func() { refused = d.isRefused(ctx, t) })
+	})
 	p.finding = Finding{Path: true, Answered: true, Alive: alive, Report: report}
 	if !alive && report.Born == 0 {
 		waiting.Wait()
-		p.finding = Finding{Path: hasPath}
+		p.finding = Finding{Path: hasPath, Refused: hasPath && refused}
 	}
 	close(p.done)
 	return p.finding
--- a/rudderd/rudderverdict/detector_test.go
+++ b/rudderd/rudderverdict/detector_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,10 +25,12 @@
 	alive     = Finding{Path: true, Answered: true, Alive: true, Report: ruddertarget.GroupReport{Orders: 5, Born: 1}}
 	restarted = Finding{Path: true, Answered: true, Report: ruddertarget.GroupReport{Born: 2}}
 	dead      = Finding{Path: true}
+	refused   = Finding{Path: true, Refused: true}
 	noPath    = Finding{}
 )
 
-// newDetector returns the detector of entry host e0 in data centre z0, beside others in z1 and z2 that answer in their order.
+// newDetector returns the detector of entry host e0 in data centre z0, beside others in z1 and z2 that answer in the order in which they
+// are asked first.
 // Targets t0, t1 and t2 exist. Its own probes find own, and with path its connections to targets succeed.
 func newDetector(own Finding, path bool, others ...func() (Finding, error)) (*Detector, *atomic.Int32) {
 	s := &rudderview.Snapshot{Targets: map[string]*rudderview.Target{}, EntryHosts: []rudderview.EntryHost{{Name: "e0", Peer: "e0"}}}
@@ -41,8 +45,9 @@
 		name := fmt.Sprint("e", i+1)
 		s.EntryHosts = append(s.EntryHosts, rudderview.EntryHost{Name: name, Peer: name, DataCentre: fmt.Sprint("z", 1+i%2)})
 	}
-	var asked, probes atomic.Int32
-	started := time.Now()
+	var mu sync.Mutex
+	var probes atomic.Int32
+	started, asked := time.Now(), map[string]int{}
 	return &Detector{
 		Name: "e0", DataCentre: "z0", Logger: zerolog.Nop(), Uptime: func() time.Duration { return time.Since(started) + time.Minute },
 		Snapshot: func() *rudderview.Snapshot { return s },
@@ -59,8 +64,13 @@
 			}
 			return errDown
 		},
-		Ask: func(context.Context, rudderview.EntryHost, *rudderview.Target, Question) (Finding, error) {
-			return others[asked.Add(1)-1]()
+		Ask: func(_ context.Context, x rudderview.EntryHost, _ *rudderview.Target, _ Question) (Finding, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if _, known := asked[x.Name]; !known {
+				asked[x.Name] = len(asked)
+			}
+			return others[asked[x.Name]]()
 		},
 	}, &probes
 }
@@ -142,11 +152,15 @@
 		{"alive, and silent for longer", alive, true, lostTTL, alive, 1},
 		{"alive before the silence", alive, true, 0, alive, 2},
 		{"unreachable", dead, true, 0, dead, 1},
+		{"refused", refused, true, 0, refused, 1},
 		{"no path", dead, false, 0, noPath, 1},
 		{"restarted", restarted, false, 0, restarted, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d, probes := newDetector(test.own, test.path)
+			if test.own.Refused {
+				refuse(d)
+			}
 			for range 2 {
 				require.Equal(t, test.want, d.ProbeForPeer(d.Snapshot().Targets["t0"], Question{Silence: test.silence}))
 			}
@@ -174,13 +188,25 @@
 	}
 }
 
-// Guards against a cut between a target and a part of the entry hosts that is taken for the end of its process.
+// refuse makes the entry host of a detector that has a path find that nothing listens at the address of t0.
+func refuse(d *Detector) {
+	connect := d.Connect
+	d.Connect = func(ctx context.Context, address string) error {
+		if err := connect(ctx, address); err != nil || address != "t0" {
+			return err
+		}
+		return syscall.ECONNREFUSED
+	}
+}
+
+// Guards against a cut between a target and a part of the entry hosts that is taken for the end of its process, and against the
+// silence of a target for the others that is taken for a confirmation.
 func TestEnded(t *testing.T) {
 	type answer = func() (Finding, error)
-	unreachable, others := says(dead), func(n int, first ...answer) []answer {
+	gone, mute, others := says(refused), says(dead), func(n int, first ...answer) []answer {
 		list := first
 		for len(list) < n {
-			list = append(list, says(dead))
+			list = append(list, says(refused))
 		}
 		return list
 	}
@@ -191,18 +217,48 @@
 		want   bool
 	}{
 		{"enough confirm it", true, others(17), true},
-		{"the first two are cut off as well", true, others(17, unreachable, unreachable, says(alive)), false},
-		{"all but the last one asked are cut off", true, others(17, unreachable, unreachable, unreachable, unreachable, unreachable, unreachable, unreachable, says(alive)), false},
-		{"another incarnation answers", true, others(17, unreachable, says(restarted)), true},
+		{"the first two are cut off as well", true, others(17, gone, gone, says(alive)), false},
+		{"all but the last one asked are cut off", true, others(17, gone, gone, gone, gone, gone, gone, gone, says(alive)), false},
+		{"it is silent for the others", true, others(17, mute, mute, mute, mute, mute, mute, mute, mute), false},
+		{"it is silent for one of them", true, others(17, gone, gone, gone, gone, gone, gone, gone, mute), false},
+		{"it is silent for one of two", true, others(2, mute), false},
+		{"it is silent for many, and refuses a part of a large fleet", true, others(200, gone, mute, gone, mute, mute, gone, mute, mute), false},
+		{"another incarnation answers", true, others(17, mute, says(restarted)), true},
 		{"no path of its own", false, others(17), false},
-		{"few have a path", true, []answer{says(noPath), says(noPath), unreachable, says(noPath), silent}, false},
+		{"few have a path", true, []answer{says(noPath), says(noPath), gone, says(noPath), silent}, false},
 		{"others replace those without a path", true, others(5, says(noPath), silent), true},
 		{"one of two others confirms it", true, others(2), true},
 		{"nobody else", true, nil, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d, _ := newDetector(dead, test.path, test.others...)
+			refuse(d)
 			require.Equal(t, test.want, d.Ended(t.Context(), d.Snapshot().Targets["t0"]))
+			d, _ = newDetector(dead, test.path, test.others...)
+			refuse(d)
+			require.Equal(t, test.want || test.others == nil, d.Examine(t.Context(), d.Snapshot().Targets["t0"], false).Ended(), "by a verdict")
 		})
 	}
 }
+
+// A cut between data centres makes a target refuse the connections of all hosts but those beside it. Guards against an end that none of
+// these has confirmed.
+func TestHostsBesideATargetConfirmItsEnd(t *testing.T) {
+	var others []func() (Finding, error)
+	for range 100 {
+		others = append(others, says(refused))
+	}
+	d, _ := newDetector(dead, true, others...)
+	refuse(d)
+	target := d.Snapshot().Targets["t0"]
+	target.DataCentre = "near"
+	d.Snapshot().EntryHosts[100].DataCentre = "near"
+	asked := d.Ask
+	d.Ask = func(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, q Question) (Finding, error) {
+		if x.DataCentre == "near" {
+			return alive, nil
+		}
+		return asked(ctx, x, t, q)
+	}
+	require.False(t, d.Ended(t.Context(), target))
+}
--- a/rudderd/rudderverdict/limit.go
+++ b/rudderd/rudderverdict/limit.go
@@ -74,15 +74,16 @@
 	}
 	own := Finding{Path: <-path}
 	own.Refused = own.Path && errors.Is(err, syscall.ECONNREFUSED)
-	return d.conclude(t, begin, own, statements)
+	return d.conclude(ctx, t, begin, own, statements)
 }
 
 // connectForPeer answers another entry host's question about a target with a limit by a new connection. One that is accepted
 // shows that the target is not lost.
 func (d *Detector) connectForPeer(t *rudderview.Target) Finding {
 	ctx := context.Background()
-	if d.tryConnect(ctx, t) != nil {
-		return Finding{Path: d.HasPath(ctx, t)}
+	if err := d.tryConnect(ctx, t); err != nil {
+		hasPath := d.HasPath(ctx, t)
+		return Finding{Path: hasPath, Refused: hasPath && errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	found := asRecorded(t)
 	found.Path, found.Answered = true, true
