Take no target for ended that sends events or is reached by a small fleet

Cause: with three entry hosts, one that shared the planner's cut path confirmed the end of a leader that the third one reached, and a process that goes on sending events on open connections could be found to have ended because new ones were refused.

A host that gets events of a running stream from a target does not count its refusal. One function calls another entry host.

TestStreamingTargetHasNotEnded fails without the check, and TestEnded's new case of a small fleet without the wider question.

--- a/rudderd/rudderedge/verdict.go
+++ b/rudderd/rudderedge/verdict.go
@@ -1,15 +1,10 @@
 package rudderedge
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"comfreyrudder.example/rudderd/rudderverdict"
 	"comfreyrudder.example/rudderd/rudderview"
 	"comfreyrudder.example/shared/ruddertarget"
@@ -18,9 +13,6 @@
 // indirectProbePath is the path of the call with which entry hosts ask each other for a finding on a target.
 const indirectProbePath = "/indirect-probe"
 
-// maxFindingBytes bounds a question and an answer.
-const maxFindingBytes = 64 << 10
-
 // findingRequest asks for a finding on one incarnation of a target. Without a target, it asks only for the path.
 type findingRequest struct {
 	Target string `json:"target,omitempty"`
@@ -51,7 +43,7 @@
 func newDetector(e *Edge) *rudderverdict.Detector {
 	return &rudderverdict.Detector{
 		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre, Logger: e.Logger, Uptime: e.uptime, Snapshot: e.view.Snapshot,
-		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding, Isolated: func() bool { return e.path.Isolated() },
+		Probe: e.forwarder.ProbeTarget, Connect: e.connect, Ask: e.askForFinding, Streaming: e.forwarder.Streaming, Isolated: func() bool { return e.path.Isolated() },
 		Limits: e.limits, Planning: func() bool { return e.planner.Planning() },
 	}
 }
@@ -71,28 +63,8 @@
 	if t != nil {
 		question.Target, question.Born = t.Name, t.Born
 	}
-	body, err := json.Marshal(question)
-	if err != nil {
-		return rudderverdict.Finding{}, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Peer+indirectProbePath, bytes.NewReader(body))
-	if err != nil {
-		return rudderverdict.Finding{}, err
-	}
-	response, err := e.peers.client.Do(request)
-	if err != nil {
-		return rudderverdict.Finding{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxFindingBytes))
-	if err != nil {
-		return rudderverdict.Finding{}, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return rudderverdict.Finding{}, errors.Newf("finding of an entry host: status %d", response.StatusCode)
-	}
 	var answer findingResponse
-	if err := json.Unmarshal(text, &answer); err != nil {
+	if err := e.callPeer(ctx, x, indirectProbePath, question, &answer); err != nil {
 		return rudderverdict.Finding{}, err
 	}
 	return rudderverdict.Finding{Path: answer.Path, Refused: answer.Refused, Answered: answer.Answered, Alive: answer.Alive, Report: ruddertarget.GroupReport{
@@ -104,22 +76,16 @@
 // serveIndirectProbe serves the questions of other entry hosts for a finding.
 func (e *Edge) serveIndirectProbe(w http.ResponseWriter, r *http.Request) {
 	var question findingRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxFindingBytes)).Decode(&question); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readCall(w, r, &question) {
 		return
 	}
 	finding := e.finding(r.Context(), question)
 	m := finding.Report.Membership
-	answer, err := json.Marshal(findingResponse{
-		Path: finding.Path, Refused: finding.Refused, Answered: finding.Answered, Alive: finding.Alive, Group: m.Group, Epoch: m.Epoch, Rank: m.Rank, Phase: string(m.Phase),
+	writeAnswer(w, findingResponse{
+		Path: finding.Path, Refused: finding.Refused, Answered: finding.Answered, Alive: finding.Alive,
+		Group: m.Group, Epoch: m.Epoch, Rank: m.Rank, Phase: string(m.Phase),
 		Orders: finding.Report.Orders, Running: finding.Report.Running, Waiting: finding.Report.Waiting, TimeFactor: finding.Report.TimeFactor, Born: finding.Report.Born,
 	})
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(answer)
 }
 
 // finding answers a question. An incarnation that this entry host does not know is answered as if it had no path.
@@ -127,12 +93,8 @@
 	if question.Target == "" {
 		return rudderverdict.Finding{Path: e.detector.HasPath(ctx, nil)}
 	}
-	snapshot := e.view.Snapshot()
-	t := snapshot.Targets[question.Target]
+	t := e.view.Snapshot().Incarnation(question.Target, question.Born)
 	if t == nil {
-		t = snapshot.Removed[question.Target]
-	}
-	if t == nil || t.Born != question.Born {
 		return rudderverdict.Finding{}
 	}
 	return e.detector.ProbeForPeer(t, rudderverdict.Question{Silence: time.Duration(question.SilenceMS) * time.Millisecond, Report: question.Report})
--- a/rudderd/rudderforward/watchdog.go
+++ b/rudderd/rudderforward/watchdog.go
@@ -118,6 +118,25 @@
 	w.timer.Stop()
 }
 
+// Streaming reports whether this entry host gets events of a running stream from a target that leads a group. The end of its process
+// would break the connections.
+func (f *Forwarder) Streaming(t *rudderview.Target) (streaming bool) {
+	f.watchdogs.Range(func(key, _ any) bool {
+		w := key.(*watchdog)
+		leader := w.group.Leader
+		streaming = leader.Name == t.Name && leader.Born == t.Born && w.progresses()
+		return !streaming
+	})
+	return streaming
+}
+
+// progresses reports whether the last event is recent.
+func (w *watchdog) progresses() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events && !w.ended && w.brokenAt == 0 && w.forwarder.Uptime()-w.lastEvent < eventSilence
+}
+
 // check probes the members of a silent group. It cancels the send if one is dead; without another possible send, if that was found
 // verdictTTL ago or earlier, and no event has come since. A silent target may recover: a send that has not begun and whose group has a
 // member that does not respond, and one whose silence has reached its limit, are cancelled only if another send is possible.
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -93,6 +93,8 @@
 	Connect func(ctx context.Context, address string) error
 	// Ask requests the finding of another entry host on a target. If t is nil, it only asks whether the entry host has a path.
 	Ask func(ctx context.Context, x rudderview.EntryHost, t *rudderview.Target, q Question) (Finding, error)
+	// Streaming reports whether this entry host gets events of a running stream from a target; optional.
+	Streaming func(t *rudderview.Target) bool
 	// Isolated reports whether requests to several targets fail on this entry host; optional.
 	Isolated func() bool
 	// Limits holds the request rates that targets name, and Planning reports whether this entry host is the planner; optional.
@@ -259,32 +261,53 @@
 	return d.Connect(ctx, t.Address)
 }
 
+// isRefused reports whether nothing seems to listen at the address of a target.
 func (d *Detector) isRefused(ctx context.Context, t *rudderview.Target) bool {
-	return errors.Is(d.tryConnect(ctx, t), syscall.ECONNREFUSED)
+	return d.refusal(t, d.tryConnect(ctx, t))
 }
 
+// refusal reports whether an error of a connection to a target is a refusal that may come from its host. Open connections may live on
+// while new ones are refused on the way.
+func (d *Detector) refusal(t *rudderview.Target, err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && !d.streaming(t)
+}
+
+func (d *Detector) streaming(t *rudderview.Target) bool { return d.Streaming != nil && d.Streaming(t) }
+
 // ReachedElsewhere reports whether another entry host reaches a target.
 func (d *Detector) ReachedElsewhere(ctx context.Context, t *rudderview.Target) bool {
-	found := answered(d.ask(ctx, d.others(t), t, Question{since: d.Uptime()}, minWitnesses))
-	return found != nil && found.Alive
+	_, found := d.Reaching(ctx, t)
+	return found
+}
+
+// Reaching returns another entry host that reaches a target, if one of those that are asked does.
+func (d *Detector) Reaching(ctx context.Context, t *rudderview.Target) (host rudderview.EntryHost, found bool) {
+	others := d.others(t)
+	for _, s := range d.ask(ctx, others, t, Question{since: d.Uptime()}, minWitnesses) {
+		if s.err == nil && s.finding.Alive {
+			i := slices.IndexFunc(others, func(x rudderview.EntryHost) bool { return x.Name == s.host })
+			return others[i], true
+		}
+	}
+	return host, false
 }
 
 // Ended reports whether a target that refuses the connections of this entry host has ended.
 func (d *Detector) Ended(ctx context.Context, t *rudderview.Target) bool {
-	return d.HasPath(ctx, t) && d.confirmRefusal(ctx, t).Ended()
+	return !d.streaming(t) && d.HasPath(ctx, t) && d.confirmRefusal(ctx, t).Ended()
 }
 
 // confirmRefusal asks other entry hosts about a target that refuses the connections of this one. The target has ended if another
-// process answers at its address, or if half of the others, or endWitnesses of them, are refused as well: a cut between the target
-// and a part of the entry hosts may include this one and some that are asked. One that finds the target silent leaves it open.
+// process answers at its address, or if all of endWitnesses others are refused as well: a cut between the target and a part of the
+// entry hosts may include this one and some that are asked. One that finds the target silent leaves it open. In a small fleet, half of
+// the others suffice if the rest does not answer or has no path.
 func (d *Detector) confirmRefusal(ctx context.Context, t *rudderview.Target) Finding {
 	others := d.endWitnesses(t)
-	wanted := min(endWitnesses, (len(others)+1)/2)
-	if wanted == 0 {
+	if len(others) == 0 {
 		return Finding{Path: true}
 	}
 	begin := d.Uptime()
-	statements := d.ask(ctx, others, t, Question{since: begin}, wanted)
+	statements := d.ask(ctx, others, t, Question{since: begin}, min(endWitnesses, len(others)))
 	found, witnesses := Finding{Path: true}, 0
 	for _, s := range statements {
 		if s.refused() {
@@ -294,7 +317,7 @@
 	if answer := answered(statements); answer != nil {
 		found = *answer
 	} else {
-		found.Refused = witnesses >= wanted && !slices.ContainsFunc(statements, statement.leavesOpen)
+		found.Refused = witnesses >= min(endWitnesses, (len(others)+1)/2) && !slices.ContainsFunc(statements, statement.leavesOpen)
 	}
 	conclusion := "not confirmed"
 	if found.Ended() {
--- a/rudderd/rudderverdict/limit.go
+++ b/rudderd/rudderverdict/limit.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"syscall"
-
-	"github.com/cockroachdb/errors"
 
 	"comfreyrudder.example/rudderd/rudderlimit"
 	"comfreyrudder.example/rudderd/rudderview"
@@ -73,7 +70,7 @@
 		return *found
 	}
 	own := Finding{Path: <-path}
-	own.Refused = own.Path && errors.Is(err, syscall.ECONNREFUSED)
+	own.Refused = own.Path && d.refusal(t, err)
 	return d.conclude(ctx, t, begin, own, statements)
 }
 
@@ -83,7 +80,7 @@
 	ctx := context.Background()
 	if err := d.tryConnect(ctx, t); err != nil {
 		hasPath := d.HasPath(ctx, t)
-		return Finding{Path: hasPath, Refused: hasPath && errors.Is(err, syscall.ECONNREFUSED)}
+		return Finding{Path: hasPath, Refused: hasPath && d.refusal(t, err)}
 	}
 	found := asRecorded(t)
 	found.Path, found.Answered = true, true
--- a/rudderd/rudderview/snapshot.go
+++ b/rudderd/rudderview/snapshot.go
@@ -70,6 +70,22 @@
 
 func groupKey(service, model string) string { return service + "\x00" + model }
 
+// Known returns the target of a name: with a record, or removed lately. It is nil if there is none.
+func (s *Snapshot) Known(name string) *Target {
+	if t := s.Targets[name]; t != nil {
+		return t
+	}
+	return s.Removed[name]
+}
+
+// Incarnation is Known for one incarnation of a target.
+func (s *Snapshot) Incarnation(name string, born int64) *Target {
+	if t := s.Known(name); t != nil && t.Born == born {
+		return t
+	}
+	return nil
+}
+
 // Suspected reports whether entry hosts agree that this process of the target is dead.
 func (s *Snapshot) Suspected(t *Target) bool {
 	for _, x := range s.Suspicions {
