Send orders through another entry host that reaches the target

Cause: a planner that does not reach the leader of a group, although others do, could neither close nor end the group.

Change: an order that was not delivered is sent through an entry host that reaches the target; a probe by others decides which one. A target that nobody reaches is not asked for again within 1.5 s unless it answers.

--- a/rudderd/ruddercoordinator/planner.go
+++ b/rudderd/ruddercoordinator/planner.go
@@ -109,6 +109,9 @@
 	// Ended reports whether a target that refuses connections has ended, as other entry hosts confirm. If it is nil, a
 	// refused connection does not show that; optional.
 	Ended func(ctx context.Context, t *rudderview.Target) bool
+	// Relay sends an order through another entry host that reaches the target, if it may still be sent then, and returns the name of
+	// that host. Without one, the name is empty and the error ErrUnreachable; optional.
+	Relay func(ctx context.Context, t *rudderview.Target, order ruddertarget.GroupOrder, maySend func() bool) (host string, err error)
 	// OnOrder counts an order by its kind and outcome; optional.
 	OnOrder func(kind, outcome string)
 	// OnRetire counts a group that a stored plan ends for another model, as a "reserve" or in a "move"; optional.
@@ -121,6 +124,7 @@
 	states       map[string]*rudderplacement.State     // by service
 	plans        map[string]rudderplacement.StoredPlan // by key, as read or last written by this planner
 	results      map[string]*probeResult               // of the last probe, by target
+	unreached    map[string]time.Duration              // uptime at which no other entry host reached a target either, by target
 	failedWrites map[string]failedWrite                // by key of a plan whose last write failed
 	wake         chan struct{}
 	resigned     chan struct{} // closed by Resign
@@ -253,6 +257,7 @@
 func (p *Planner) plan(ctx context.Context, lease int64) {
 	p.mu.Lock()
 	p.states, p.plans, p.results = map[string]*rudderplacement.State{}, map[string]rudderplacement.StoredPlan{}, map[string]*probeResult{}
+	p.unreached = map[string]time.Duration{}
 	p.failedWrites, p.summaries = map[string]failedWrite{}, map[string]loggedSummary{}
 	p.mu.Unlock()
 	p.Logger.Info().Int64("lease", lease).Msg("planner lease acquired")
--- a/rudderd/ruddercoordinator/suspects.go
+++ b/rudderd/ruddercoordinator/suspects.go
@@ -29,11 +29,7 @@
 	var waiting []pendingProbe
 	p.mu.Lock()
 	for name, born := range incarnations {
-		t := snapshot.Targets[name]
-		if t == nil {
-			t = snapshot.Removed[name]
-		}
-		if t != nil && t.Born == born {
+		if t := snapshot.Incarnation(name, born); t != nil {
 			done := p.examineTarget(t)
 			if v := p.results[name]; aliveAt > v.aliveAt {
 				v.aliveAt = aliveAt
@@ -97,10 +93,7 @@
 	p.probeReported(snapshot)
 	p.probeUnregistered(snapshot)
 	for name, v := range p.results {
-		t := snapshot.Targets[name]
-		if t == nil {
-			t = snapshot.Removed[name]
-		}
+		t := snapshot.Known(name)
 		switch {
 		case t == nil:
 			delete(p.results, name)
--- a/rudderd/rudderedge/edge.go
+++ b/rudderd/rudderedge/edge.go
@@ -248,6 +248,7 @@
 		Name: e.Settings.Name, View: e.view, Store: e.Ports.Store, Control: e.Ports.Control, Logger: e.Logger, Uptime: uptime,
 		StallTimeout: e.Settings.StallTimeout, Traffic: e.forwarder.ReceivedRequest, Demand: e.forwarder.Demand, Refused: e.forwarder.Refused, Probe: e.detector.Examine,
 		HasPath: func(ctx context.Context) bool { return e.detector.HasPath(ctx, nil) }, CutOff: e.detector.CutOff, Ended: e.detector.Ended,
+		Relay:       e.relayOrder,
 		LowCapacity: func() bool { return rudderview.LowCapacity(e.view.Snapshot().EntryHosts, e.Settings.Capacity) },
 		OnOrder:     func(kind, outcome string) { e.count("orders." + kind + "." + outcome) },
 		OnRetire:    func(kind string) { e.count("groups.retired." + kind) },
--- a/rudderd/rudderedge/peers.go
+++ b/rudderd/rudderedge/peers.go
@@ -55,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rudderpeer.SuspectsPathPrefix, rudderpeer.NewSuspectsServer(suspectsServer{e}))
 	mux.HandleFunc(http.MethodPost+" "+indirectProbePath, e.serveIndirectProbe)
+	mux.HandleFunc(http.MethodPost+" "+relayedOrderPath, e.serveRelayedOrder)
 	mux.Handle(rudderpeer.RelayPathPrefix, rudderpeer.NewRelayServer(relayServer{e}))
 	mux.Handle(rudderpeer.DeparturesPathPrefix, rudderpeer.NewDeparturesServer(departuresServer{e}))
 	mux.Handle(rudderpeer.BootstrapPathPrefix, e.limitBootstraps(rudderpeer.NewBootstrapServer(bootstrapServer{e})))
--- a/rudderd/rudderedge/verdict_test.go
+++ b/rudderd/rudderedge/verdict_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,8 +36,11 @@
 	isolated map[string]bool // by name of an entry host
 	dead     map[string]bool // by address
 	silent   map[string]bool // by address; their probes get no answer
+	refused  map[string]bool // by name of an entry host and address; connections are refused
 	factor   float64         // time factor of all targets
 	reports  int             // number of reports
+	orders   []string        // by entry host, target, kind, group and members
+	refusal  error           // of all orders
 }
 
 func (f *verdictFleet) put(key string, value any) {
@@ -64,7 +68,7 @@
 
 // newVerdictFleetOf starts a fleet whose targets serve requests as given. With more than one attempt, streams can be resumed.
 func newVerdictFleetOf(t *testing.T, hosts, attempts int, serve http.HandlerFunc) *verdictFleet {
-	f := &verdictFleet{t: t, store: newMemoryStore(), isolated: map[string]bool{}, dead: map[string]bool{}, silent: map[string]bool{}}
+	f := &verdictFleet{t: t, store: newMemoryStore(), isolated: map[string]bool{}, dead: map[string]bool{}, silent: map[string]bool{}, refused: map[string]bool{}}
 	f.put("routing", rudderroute.Document{
 		Version: 1, Services: []rudderroute.Service{{Name: "llm", Engine: &rudderroute.Engine{
 			Slots: 4, LoadsPerSecond: 5, LoadsAtOnce: 8, MaxStagedModels: 1,
@@ -107,8 +111,16 @@
 	e.Settings.Retries = rudderforward.RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second}
 	e.Ports.DecodeTarget = func(_ string, value []byte) (x rudderview.Target, err error) { return x, json.Unmarshal(value, &x) }
 	e.Ports.Control = &ruddertarget.GroupControl{
-		Send: func(context.Context, string, string, ruddertarget.GroupOrder) error { return nil },
+		Send: func(_ context.Context, name, _ string, o ruddertarget.GroupOrder) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.orders = append(f.orders, fmt.Sprint(e.Settings.Name, " ", name, " ", o.Kind, " ", o.Group, "@", o.Epoch, " ", o.Model, " ", o.Members))
+			return f.refusal
+		},
 		Report: func(ctx context.Context, address string) (ruddertarget.GroupReport, error) {
+			if f.refuses(e.Settings.Name, address) {
+				return ruddertarget.GroupReport{}, syscall.ECONNREFUSED
+			}
 			if f.isSilent(address) {
 				<-ctx.Done()
 				return ruddertarget.GroupReport{}, ctx.Err()
@@ -173,6 +185,12 @@
 	return slices.ContainsFunc(entries, func(e rudderstore.Entry) bool { return strings.HasPrefix(e.Key, prefix) })
 }
 
+func (f *verdictFleet) refuses(host, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused[host+" "+address]
+}
+
 func (f *verdictFleet) kill(target string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -269,3 +287,74 @@
 		return !f.edges[0].limits.Limited(processOf(g))
 	}, 5*time.Second, 20*time.Millisecond)
 }
+
+// The connections of the planner to a target are refused. Guards against the end of a target that is only silent for the other entry
+// hosts, and against one that nobody confirms because their answers do not say that they were refused.
+func TestEndIsConfirmedByRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		refused []string // entry hosts besides the planner
+		silent  bool     // for the others
+		ended   bool
+	}{
+		{"refused everywhere", []string{"e1", "e2", "e3"}, false, true},
+		{"silent for the others", nil, true, false},
+		{"silent for one", []string{"e1", "e2"}, true, false},
+		{"reached by the others", nil, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newVerdictFleet(t, 4)
+			target := f.edges[0].view.Snapshot().Targets["t0"]
+			f.mu.Lock()
+			for _, host := range append(test.refused, "e0") {
+				f.refused[host+" "+target.Address] = true
+			}
+			f.silent[target.Address] = test.silent
+			f.mu.Unlock()
+			require.Equal(t, test.ended, f.edges[0].detector.Ended(t.Context(), target))
+			require.Equal(t, test.ended, f.edges[0].detector.Examine(t.Context(), target, false).Ended())
+		})
+	}
+}
+
+// The planner does not reach a target that others reach. Guards against orders that wait until the planner reaches it again, and against
+// an outcome that gets lost on the way back.
+func TestOrderThroughAnotherHost(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		refusal  error // of the target
+		isolated []int
+		maySend  bool
+		born     int64
+		host     string
+		want     error
+	}{
+		{"accepted", nil, []int{0, 2}, true, 1, "e1", nil},
+		{"refused by the target", ruddertarget.ErrRefused, []int{0, 2}, true, 1, "e1", ruddertarget.ErrRefused},
+		{"another target at the address", ruddertarget.ErrOtherTarget, []int{0, 2}, true, 1, "e1", ruddertarget.ErrOtherTarget},
+		{"without an answer", errors.New("no answer"), []int{0, 2}, true, 1, "e1", ruddertarget.ErrUnknownOutcome},
+		{"nobody reaches it", nil, []int{0, 1, 2}, true, 1, "", ruddertarget.ErrUnreachable},
+		{"another incarnation", nil, []int{0}, true, 2, "", ruddertarget.ErrUnreachable},
+		{"no longer wanted", nil, []int{0}, false, 1, "", ruddertarget.ErrUnreachable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newVerdictFleet(t, 3)
+			f.isolate(test.isolated...)
+			f.mu.Lock()
+			f.refusal, f.orders = test.refusal, nil
+			f.mu.Unlock()
+			target := *f.edges[0].view.Snapshot().Targets["t0"]
+			target.Born = test.born
+			order := ruddertarget.GroupOrder{Kind: ruddertarget.OrderJoin, Group: "g", Epoch: 7, Model: "m0", Members: []string{"t0", "t1"}}
+			host, err := f.edges[0].relayOrder(t.Context(), &target, order, func() bool { return test.maySend })
+			require.Equal(t, test.host, host)
+			require.ErrorIs(t, err, test.want)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			sent := slices.Contains(f.orders, "e1 t0 join g@7 m0 [t0 t1]")
+			require.Equal(t, test.host != "", sent)
+		})
+	}
+}
--- a/shared/ruddertarget/group.go
+++ b/shared/ruddertarget/group.go
@@ -79,6 +79,55 @@
 	Members []string
 }
 
+// Outcomes of group orders, for logs, metrics and other entry hosts.
+const (
+	OutcomeTaken        = "taken"
+	OutcomeRefused      = "refused"
+	OutcomeStale        = "stale"
+	OutcomeOtherTarget  = "other_target"
+	OutcomeNotListening = "not_listening"
+	OutcomeUnreachable  = "unreachable"
+	// OutcomeUnanswered is that of an order which may have taken effect.
+	OutcomeUnanswered = "unanswered"
+)
+
+var orderErrors = []struct {
+	err     error
+	outcome string
+}{
+	{ErrRefused, OutcomeRefused},
+	{ErrStaleFencing, OutcomeStale},
+	{ErrOtherTarget, OutcomeOtherTarget},
+	{ErrNotListening, OutcomeNotListening},
+	{ErrUnreachable, OutcomeUnreachable},
+}
+
+// OrderOutcome returns the outcome of an order that was sent with an error of GroupControl.Send.
+func OrderOutcome(err error) string {
+	if err == nil {
+		return OutcomeTaken
+	}
+	for _, known := range orderErrors {
+		if errors.Is(err, known.err) {
+			return known.outcome
+		}
+	}
+	return OutcomeUnanswered
+}
+
+// OrderError returns the error of GroupControl.Send for an outcome. An unknown one is ErrUnknownOutcome.
+func OrderError(outcome string) error {
+	if outcome == OutcomeTaken {
+		return nil
+	}
+	for _, known := range orderErrors {
+		if known.outcome == outcome {
+			return known.err
+		}
+	}
+	return ErrUnknownOutcome
+}
+
 // GroupControl controls targets that form groups in two steps, join and open. Targets reject orders with an old
 // epoch, so a delayed order has no effect and orders need no expiry time.
 type GroupControl struct {
