Confirm at other hosts that an engine that refuses connections is gone

Cause: the chat API took a refusal on its own link, or a refusal beside another host's failed connection, for the end of the engine's process. Callers lost streams without another attempt, and requests were refused as poison after two such deaths.

An unconfirmed refusal is an engine that does not answer.

--- a/rudderd/rudderapp/chat.go
+++ b/rudderd/rudderapp/chat.go
@@ -14,12 +14,15 @@
 	"comfreyrudder.example/rudderd/rudderpoison"
 	"comfreyrudder.example/rudderd/rudderrequests"
 	"comfreyrudder.example/rudderd/rudderstream"
+	"comfreyrudder.example/rudderd/rudderverdict"
 	"comfreyrudder.example/shared/ruddergroup"
 	"comfreyrudder.example/shared/ruddertarget"
 )
 
 const (
 	probeTimeout = time.Second
+	// confirmTimeout bounds the time in which other entry hosts confirm that a process is gone.
+	confirmTimeout = 450 * time.Millisecond
 	// stragglerFactor, multiplied by the silence limit, is how long a live engine may make no progress.
 	stragglerFactor = 12
 	// abandonAfter is how long a request continues after its caller has disconnected; the caller may resume the stream.
@@ -39,7 +42,7 @@
 		Engine:      a.newEngine(),
 		Permit:      func() error { return a.config.Permit(a.Clock.Now()) },
 		Acquire:     a.acquireChat,
-		Probe:       a.control.RequestStatus,
+		Probe:       a.probeRequest,
 		Cancel:      a.control.Cancel,
 		GroupDied:   a.groupDied,
 		GroupLost:   a.groupLost,
@@ -106,7 +109,7 @@
 			probes++
 			go func() {
 				status, err := a.control.Status(ctx, m.Address)
-				died <- a.processGone(slot.Domain, m.Address, err) || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
+				died <- a.processGone(ctx, slot.Domain, m.Address, err) || err == nil && m.Incarnation != "" && status.Incarnation != m.Incarnation
 			}()
 		}
 	}
@@ -117,13 +120,34 @@
 	return dead
 }
 
-// processGone reports whether an error of a call to a target shows that its process is gone: its port refuses connections.
-// What another entry host does not reach either may be silent.
-func (a *App) processGone(domain, address string, err error) bool {
+// processGone reports whether an error of a call to a target shows that its process is gone: its port refuses the connections of this entry
+// host, which may happen on the way, and of others. What another entry host does not reach either may be silent.
+func (a *App) processGone(ctx context.Context, domain, address string, err error) bool {
+	refused := errors.Is(err, syscall.ECONNREFUSED) && !a.cutOff(domain)
 	if errors.Is(err, rudderpath.ErrUnreachable) {
-		return a.paths.monitor.Recheck(a.pathTarget(address)) == rudderpath.Refused
+		refused = a.paths.monitor.Recheck(a.pathTarget(address)) == rudderpath.Refused
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) && !a.cutOff(domain)
+	if !refused {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	said, others := a.paths.relay.Ask(ctx, rudderpath.Request{
+		Target: address, Service: domain, Method: http.MethodGet, RequestTarget: ruddertarget.StatusPath, Host: address, Remaining: confirmTimeout,
+	}, rudderverdict.EndWitnesses(len(a.paths.relay.Peers())))
+	gone := others == 0 || rudderverdict.EndConfirmed(others, said.Refused, said.Others > 0)
+	a.Logger.Info().Str("address", address).Int("others", others).Int("refused", said.Refused).Int("left_open", said.Others).Bool("gone", gone).
+		Msg("target refuses connections")
+	return gone
+}
+
+// probeRequest requests the state of a request. A refused connection that others do not confirm is an engine that does not answer.
+func (a *App) probeRequest(ctx context.Context, address, id string) (ruddertarget.RequestStatus, error) {
+	status, err := a.control.RequestStatus(ctx, address, id)
+	if errors.Is(err, syscall.ECONNREFUSED) && !a.processGone(ctx, a.pathTarget(address).Service, address, err) {
+		return status, errors.Mark(errors.Newf("refused connection is not confirmed: %v", err), ruddertarget.ErrUnreachable)
+	}
+	return status, err
 }
 
 // poisoned reports whether a request is refused because of targets that died.
--- a/rudderd/rudderapp/path.go
+++ b/rudderd/rudderapp/path.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -309,6 +310,9 @@
 	case a.cutOff(q.Service):
 		refuse(rudderpath.OutcomeNoPath)
 	default:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			w.Header().Set(rudderpath.HeaderRefused, "1")
+		}
 		refuse(rudderpath.OutcomeUnreachable)
 	}
 }
--- a/rudderd/rudderpath/relay.go
+++ b/rudderd/rudderpath/relay.go
@@ -23,6 +23,8 @@
 	ErrNoPeer = errors.New("path: no entry host with a path to the target")
 	// ErrUnreachable reports that another entry host, which reaches other targets, could not connect to this one.
 	ErrUnreachable = errors.New("path: target is unreachable for another entry host too")
+	// ErrRefused marks an ErrUnreachable of an entry host whose connection was refused.
+	ErrRefused = errors.New("path: target refuses the connections of another entry host too")
 	// ErrDeclined reports that the target is unknown to the other entry host or takes no requests.
 	ErrDeclined = errors.New("path: target takes no requests")
 	// ErrMayHaveRun reports that the response is missing or incomplete.
@@ -33,6 +35,8 @@
 const (
 	// HeaderOutcome is the header field that holds the outcome.
 	HeaderOutcome = "Relay-Outcome"
+	// HeaderRefused is set with OutcomeUnreachable if the connection was refused.
+	HeaderRefused = "Relay-Refused"
 	// OutcomeAnswered means that the response of the target follows.
 	OutcomeAnswered = "answered"
 	// OutcomeNoPath means that the entry host reaches no target of the service.
@@ -101,6 +105,46 @@
 	return nil, ErrNoPeer
 }
 
+// Witnesses is what other entry hosts with a path say about a target.
+type Witnesses struct {
+	// Refused is the number of those whose connections are refused, and Others that of those that reach it or find it silent.
+	Refused, Others int
+}
+
+// Ask sends a request that has no effect through other entry hosts until the wanted number of them has said something about the target.
+// Those without a path are replaced. The second result is the number of other entry hosts.
+func (r *Relay) Ask(ctx context.Context, q Request, wanted int) (w Witnesses, peers int) {
+	list := slices.Clone(r.Peers())
+	peers = len(list)
+	rand.Shuffle(peers, func(i, k int) { list[i], list[k] = list[k], list[i] })
+	message, err := q.Encode()
+	for err == nil && len(list) > 0 && w.Refused < wanted && w.Others == 0 && ctx.Err() == nil {
+		batch := list[:min(wanted-w.Refused, len(list))]
+		list = list[len(batch):]
+		results := make(chan error, len(batch))
+		for _, p := range batch {
+			go func() { results <- r.ask(ctx, p, q.Service, message) }()
+		}
+		for range batch {
+			switch err := <-results; {
+			case errors.Is(err, ErrRefused):
+				w.Refused++
+			case err == nil || errors.Is(err, ErrUnreachable) || errors.Is(err, ErrMayHaveRun):
+				w.Others++
+			}
+		}
+	}
+	return w, peers
+}
+
+func (r *Relay) ask(ctx context.Context, p Peer, service string, message []byte) error {
+	response, err := r.sendThrough(ctx, p, service, message)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	return err
+}
+
 // Usable reports whether another entry host may have a path to the targets of a service.
 func (r *Relay) Usable(service string) bool {
 	now, list := r.Uptime(), r.Peers()
@@ -188,6 +232,9 @@
 	switch outcome {
 	case OutcomeUnreachable:
 		err = ErrUnreachable
+		if response.Header.Get(HeaderRefused) != "" {
+			err = errors.Mark(err, ErrRefused)
+		}
 	case OutcomeDeclined:
 		err = ErrDeclined
 	case OutcomeMayHaveRun:
--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -27,8 +27,8 @@
 	askTimeout = 450 * time.Millisecond
 	// minWitnesses is the number of other entry hosts with a path that have to answer, as far as there are any.
 	minWitnesses = 2
-	// endWitnesses bounds the number of other entry hosts that have to confirm that a target has ended.
-	endWitnesses = 8
+	// maxEndWitnesses bounds the number of other entry hosts that have to confirm that a target has ended.
+	maxEndWitnesses = 8
 	// confirmInterval is how long before the deciding probe Confirm probes a target in between. One that answers then and falls silent
 	// again is not dead.
 	confirmInterval = 500 * time.Millisecond
@@ -297,27 +297,33 @@
 	return !d.streaming(t) && d.HasPath(ctx, t) && d.confirmRefusal(ctx, t).Ended()
 }
 
-// confirmRefusal asks other entry hosts about a target that refuses the connections of this one. The target has ended if another
-// process answers at its address, or if all of endWitnesses others are refused as well: a cut between the target and a part of the
-// entry hosts may include this one and some that are asked. One that finds the target silent leaves it open. In a small fleet, half of
-// the others suffice if the rest does not answer or has no path.
+// EndWitnesses returns how many of some other entry hosts are asked whether a target has ended.
+func EndWitnesses(others int) int { return min(maxEndWitnesses, others) }
+
+// EndConfirmed reports whether the end of a target that refuses the connections of an entry host is confirmed by the refusals of some of
+// the others: a cut between the target and a part of the entry hosts may include the one that asks and some that are asked. In a small
+// fleet, half of the others suffice if the rest does not answer or has no path. One that reaches the target or finds it silent leaves it
+// open.
+func EndConfirmed(others, refused int, leftOpen bool) bool {
+	return others > 0 && refused >= min(maxEndWitnesses, (others+1)/2) && !leftOpen
+}
+
+// confirmRefusal asks other entry hosts about a target that refuses the connections of this one. The target has also ended if
+// another process answers at its address.
 func (d *Detector) confirmRefusal(ctx context.Context, t *rudderview.Target) Finding {
 	others := d.endWitnesses(t)
-	if len(others) == 0 {
-		return Finding{Path: true}
-	}
 	begin := d.Uptime()
-	statements := d.ask(ctx, others, t, Question{since: begin}, min(endWitnesses, len(others)))
-	found, witnesses := Finding{Path: true}, 0
+	statements := d.ask(ctx, others, t, Question{since: begin}, EndWitnesses(len(others)))
+	found, refused := Finding{Path: true}, 0
 	for _, s := range statements {
 		if s.refused() {
-			witnesses++
+			refused++
 		}
 	}
 	if answer := answered(statements); answer != nil {
 		found = *answer
 	} else {
-		found.Refused = witnesses >= min(endWitnesses, (len(others)+1)/2) && !slices.ContainsFunc(statements, statement.leavesOpen)
+		found.Refused = EndConfirmed(len(others), refused, slices.ContainsFunc(statements, statement.leavesOpen))
 	}
 	conclusion := "not confirmed"
 	if found.Ended() {
--- a/shared/ruddertarget/http.go
+++ b/shared/ruddertarget/http.go
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// StatusPath is the path of the request for a target's status, which has no effect.
+const StatusPath = "/control/status"
+
 // maxResponseBytes limits the size of a control protocol response.
 const maxResponseBytes = 4 << 20
 
@@ -60,7 +63,7 @@
 
 func (h *HTTP) status(ctx context.Context, address string) (Status, error) {
 	var status Status
-	_, err := h.call(ctx, http.MethodGet, address, "/control/status", nil, &status)
+	_, err := h.call(ctx, http.MethodGet, address, StatusPath, nil, &status)
 	return status, err
 }
 
