--- a/rudderd/ruddercrowd/crowd.go
+++ b/rudderd/ruddercrowd/crowd.go
@@ -55,9 +55,11 @@
 	// callers is the number of callers of a crowd, and manyCallers that of one that can hold FewDescriptors.
 	callers     = 300
 	manyCallers = 600
-	// MemoryMB is the memory of the smallest hosts, and Descriptors the number of their descriptors.
-	MemoryMB       = 136
-	Descriptors    = 2870
+	// MemoryMB is the memory of the smallest hosts.
+	MemoryMB = 136
+	// Descriptors is the number of descriptors of the smallest hosts.
+	Descriptors = 2870
+	// FewDescriptors is a number that a crowd can hold.
 	FewDescriptors = 400
 	// BodyBytes is the largest legal size of a body.
 	BodyBytes = 4 << 20
