--- a/rudderd/rudderverdict/detector.go
+++ b/rudderd/rudderverdict/detector.go
@@ -1,7 +1,7 @@
 // Package rudderverdict decides whether a target is dead. A failed probe alone does not show it: the path from this entry
 // host may be broken while others reach the target. So other entry hosts are asked to probe it too, and only the answers of
 // those count that have a path to some target. A target that nobody reaches is dead only after ruddertarget.MinSilence, unless its
-// process has ended.
+// process has ended: another one answers at its address, or enough entry hosts find that nothing listens there.
 package rudderverdict
 
 import (
@@ -9,11 +9,9 @@
 	"context"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"comfreyrudder.example/rudderd/rudderlimit"
@@ -27,8 +25,6 @@
 	askTimeout = 450 * time.Millisecond
 	// minWitnesses is the number of other entry hosts with a path that have to answer, as far as there are any.
 	minWitnesses = 2
-	// maxEndWitnesses bounds the number of other entry hosts that have to confirm that a target has ended.
-	maxEndWitnesses = 8
 	// confirmInterval is how long before the deciding probe Confirm probes a target in between. One that answers then and falls silent
 	// again is not dead.
 	confirmInterval = 500 * time.Millisecond
@@ -261,19 +257,6 @@
 	return d.Connect(ctx, t.Address)
 }
 
-// isRefused reports whether nothing seems to listen at the address of a target.
-func (d *Detector) isRefused(ctx context.Context, t *rudderview.Target) bool {
-	return d.refusal(t, d.tryConnect(ctx, t))
-}
-
-// refusal reports whether an error of a connection to a target is a refusal that may come from its host. Open connections may live on
-// while new ones are refused on the way.
-func (d *Detector) refusal(t *rudderview.Target, err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) && !d.streaming(t)
-}
-
-func (d *Detector) streaming(t *rudderview.Target) bool { return d.Streaming != nil && d.Streaming(t) }
-
 // ReachedElsewhere reports whether another entry host reaches a target.
 func (d *Detector) ReachedElsewhere(ctx context.Context, t *rudderview.Target) bool {
 	_, found := d.Reaching(ctx, t)
@@ -292,61 +275,6 @@
 	return host, false
 }
 
-// Ended reports whether a target that refuses the connections of this entry host has ended.
-func (d *Detector) Ended(ctx context.Context, t *rudderview.Target) bool {
-	return !d.streaming(t) && d.HasPath(ctx, t) && d.confirmRefusal(ctx, t).Ended()
-}
-
-// EndWitnesses returns how many of some other entry hosts are asked whether a target has ended.
-func EndWitnesses(others int) int { return min(maxEndWitnesses, others) }
-
-// EndConfirmed reports whether the end of a target that refuses the connections of an entry host is confirmed by the refusals of some of
-// the others: a cut between the target and a part of the entry hosts may include the one that asks and some that are asked. In a small
-// fleet, half of the others suffice if the rest does not answer or has no path. One that reaches the target or finds it silent leaves it
-// open.
-func EndConfirmed(others, refused int, leftOpen bool) bool {
-	return others > 0 && refused >= min(maxEndWitnesses, (others+1)/2) && !leftOpen
-}
-
-// confirmRefusal asks other entry hosts about a target that refuses the connections of this one. The target has also ended if
-// another process answers at its address.
-func (d *Detector) confirmRefusal(ctx context.Context, t *rudderview.Target) Finding {
-	others := d.endWitnesses(t)
-	begin := d.Uptime()
-	statements := d.ask(ctx, others, t, Question{since: begin}, EndWitnesses(len(others)))
-	found, refused := Finding{Path: true}, 0
-	for _, s := range statements {
-		if s.refused() {
-			refused++
-		}
-	}
-	if answer := answered(statements); answer != nil {
-		found = *answer
-	} else {
-		found.Refused = EndConfirmed(len(others), refused, slices.ContainsFunc(statements, statement.leavesOpen))
-	}
-	conclusion := "not confirmed"
-	if found.Ended() {
-		conclusion = "ended"
-	}
-	d.logVerdict(t, begin, Finding{Refused: true}.String(), statements, conclusion)
-	return found
-}
-
-// endWitnesses returns the other entry hosts in the order in which they are asked whether a target has ended. Some of those in its
-// own data centre come first: cuts between data centres do not affect them.
-func (d *Detector) endWitnesses(t *rudderview.Target) []rudderview.EntryHost {
-	var near, rest []rudderview.EntryHost
-	for _, x := range d.others(t) {
-		if x.DataCentre == t.DataCentre && len(near) < minWitnesses {
-			near = append(near, x)
-		} else {
-			rest = append(rest, x)
-		}
-	}
-	return append(near, rest...)
-}
-
 // recentlyAlive returns what another entry host has found out recently about a target that is alive, if this one has no
 // path: its connections to the target keep failing meanwhile.
 func (d *Detector) recentlyAlive(t *rudderview.Target) (report ruddertarget.GroupReport, known bool) {
