--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -59,6 +59,16 @@
 	process
 	ip, settings            string
 	front, ready, directory string
+	fields                  map[string]any // of the settings file
+}
+
+// writeSettings places the settings file, as the platform does at every start and whenever the settings change.
+func (h *host) writeSettings() error {
+	text, _ := json.Marshal(h.fields)
+	if err := os.WriteFile(h.settings+".new", text, 0o600); err != nil {
+		return errors.Join(errSetup, err)
+	}
+	return os.Rename(h.settings+".new", h.settings)
 }
 
 func newFleet() (*fleet, error) {
@@ -135,12 +145,10 @@
 				"address": f.store.address, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000,
 			},
 		}
-		path := filepath.Join(f.folder, h.name+".json")
-		text, _ := json.Marshal(settings)
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			return errors.Join(errSetup, err)
+		h.settings, h.fields = filepath.Join(f.folder, h.name+".json"), settings
+		if err := h.writeSettings(); err != nil {
+			return err
 		}
-		h.settings = path
 		if err := f.startHost(h); err != nil {
 			return err
 		}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -20,10 +20,10 @@
 	id, service, zone, address, store string
 	domain, model                     string // of a service whose workers form groups
 	slots                             int
-	capacity                          float64 // tokens of one request that fit into its memory
-	pieces                            int     // of an answer's body
-	pause                             time.Duration
-	unframed                          bool // answers end with their connection
+	capacity                          float64       // tokens of one request that fit into its memory
+	pieces                            int           // of an answer's body
+	pause, work                       time.Duration // between pieces, and before the first one
+	unframed                          bool          // answers end with their connection
 
 	mu       sync.Mutex
 	born     int64
@@ -68,6 +68,7 @@
 	f.Float64Var(&w.capacity, "capacity", 2470000, "")
 	f.IntVar(&w.pieces, "pieces", 1, "")
 	f.DurationVar(&w.pause, "pause", 30*time.Millisecond, "")
+	f.DurationVar(&w.work, "work", 0, "")
 	f.BoolVar(&w.unframed, "unframed", false, "")
 	_ = f.Parse(args)
 	server := &http.Server{Addr: w.address, Handler: w}
@@ -289,6 +290,11 @@
 	if w.unframed {
 		header.Set("Transfer-Encoding", "identity") // net/http then ends the answer with its connection
 	}
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(w.work):
+	}
 	events := strings.HasPrefix(r.URL.Path, "/note/")
 	first := 0
 	if events {
