--- a/review/stand-2/leaving.go
+++ b/review/stand-2/leaving.go
@@ -45,7 +45,7 @@
 	}()
 	var mu sync.Mutex
 	var cutPays, cutNotes, whole int
-	inParallel(120, 50*time.Millisecond, func(i int) {
+	inParallel(180, 33*time.Millisecond, func(i int) {
 		q := pay
 		if i%2 == 1 {
 			q = note
